Lay the workspace, the shared types and the runtime

Cause: the programs need one contract before they can be built side by side. Ruled out: a message set per daemon (the same command types serve replicas and gateways, so a gateway's view is the replicated state at a log index). Change: packages with one import direction, commands, messages, settings, the replicated state with thin rendezvous placement, grpclib links with a MessagePack codec, circuits daemons on the asyncio loop.

--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in backend servers, callers, faults, experiments and reports."""
--- /dev/null
+++ b/packages/lychee-cli/src/lychee_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators command line."""
--- /dev/null
+++ b/packages/lychee-console/src/lychee_console/__init__.py
@@ -0,0 +1,1 @@
+"""The operators web console of forms."""
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that serves callers and forwards their requests to backend servers."""
--- /dev/null
+++ b/packages/lychee-owner/src/lychee_owner/__init__.py
@@ -0,0 +1,6 @@
+"""Decisions on key ownership: placement, leases, grants and hand-overs. No I/O."""
+
+from lychee_owner.placement import OwnerTable, hash_key, rendezvous, shard_of
+from lychee_owner.state import ClusterState, Route
+
+__all__ = ["ClusterState", "OwnerTable", "Route", "hash_key", "rendezvous", "shard_of"]
--- /dev/null
+++ b/packages/lychee-owner/src/lychee_owner/state.py
@@ -0,0 +1,330 @@
+"""The replicated state: every replica and gateway applies the same commands to it in order."""
+
+from dataclasses import dataclass
+
+from msgspec.structs import replace
+
+from lychee_owner.placement import OwnerTable
+from lychee_types.commands import (
+    BeginTransition,
+    CloseLedger,
+    Command,
+    DocumentAccepted,
+    DocumentConflict,
+    Done,
+    ExpireLedger,
+    FinishTransition,
+    ForgetServer,
+    Ignored,
+    JoinGateway,
+    JoinServer,
+    LedgerFound,
+    LedgerOpened,
+    LoseGateway,
+    LoseServer,
+    Noop,
+    OpenLedger,
+    Outcome,
+    SetSpeed,
+    SubmitDocument,
+)
+from lychee_types.document import Document, RequestKind, Service
+from lychee_types.exceptions import require
+from lychee_types.ids import KeyHash, LogIndex, ServerId, ServiceName, Token
+from lychee_types.records import (
+    LedgerStatus,
+    Ownership,
+    Placement,
+    ServerRecord,
+    ServerStatus,
+    Transition,
+)
+from lychee_types.state import DocumentVersion, StateImage, SubmissionRecord
+
+HISTORY_LIMIT = 64
+"""Number of document versions kept."""
+
+SUBMISSION_LIMIT = 4_096
+"""Number of answers to submissions kept."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Route:
+    """Who may be sent a key.
+
+    :param server: the owner, None while the key moves or nobody can own it.
+    :param token: fencing token to send along.
+    :param moving: whether the key is moving and will have an owner shortly.
+    """
+
+    server: ServerRecord | None
+    token: Token
+    moving: bool
+
+
+class ClusterState:
+    """The replicated state and the owner of every key.
+
+    :param image: the state to start from, None for an empty one.
+    """
+
+    def __init__(self, *, image: StateImage | None = None) -> None:
+        image = image or StateImage(index=LogIndex(0))
+        self.index = image.index
+        self.history = list(image.history)
+        self.submissions = {record.submission: record for record in image.submissions}
+        self.servers = {record.id: record for record in image.servers}
+        self.gateways = {record.id: record for record in image.gateways}
+        self.ownerships = {record.service: record for record in image.ownerships}
+        self.ledger = {entry.key: entry for entry in image.ledger}
+        self._tables: dict[ServiceName, tuple[Placement, OwnerTable]] = {}
+        self._pending_tables: dict[ServiceName, tuple[Placement, OwnerTable]] = {}
+
+    @property
+    def document(self) -> Document | None:
+        """The document in force, None before the first one."""
+        return self.history[-1].document if self.history else None
+
+    @property
+    def document_version(self) -> int:
+        """Version of the document in force, 0 before the first one."""
+        return self.history[-1].version if self.history else 0
+
+    def image(self, *, with_ledger: bool = True) -> StateImage:
+        """Return the whole state.
+
+        :param with_ledger: whether to include the ledger, which gateways do not need.
+        """
+        return StateImage(
+            index=self.index,
+            history=tuple(self.history),
+            submissions=tuple(self.submissions.values()) if with_ledger else (),
+            servers=tuple(self.servers[key] for key in sorted(self.servers)),
+            gateways=tuple(self.gateways[key] for key in sorted(self.gateways)),
+            ownerships=tuple(self.ownerships[key] for key in sorted(self.ownerships)),
+            ledger=tuple(self.ledger.values()) if with_ledger else (),
+        )
+
+    def apply(self, index: LogIndex, command: Command) -> Outcome:
+        """Apply one committed command.
+
+        :param index: its log index, higher than any applied before.
+        :param command: the command.
+        :raises InvariantError: if the index does not grow.
+        """
+        require(index > self.index, f"log index {index} applied after {self.index}")
+        self.index = index
+        match command:
+            case Noop():
+                return Done()
+            case SubmitDocument():
+                return self._submit(index, command)
+            case JoinServer():
+                return self._join_server(command)
+            case LoseServer():
+                return self._lose_server(command)
+            case ForgetServer():
+                return self._forget_server(command)
+            case SetSpeed():
+                return self._set_speed(command)
+            case JoinGateway():
+                self.gateways[command.gateway.id] = command.gateway
+                return Done()
+            case LoseGateway():
+                return self._lose_gateway(command)
+            case BeginTransition():
+                return self._begin(index, command)
+            case FinishTransition():
+                return self._finish(index, command)
+            case OpenLedger():
+                return self._open_ledger(command)
+            case CloseLedger():
+                return self._close_ledger(command)
+            case ExpireLedger():
+                keep = {k: e for k, e in self.ledger.items() if e.opened_at >= command.before}
+                self.ledger = keep
+                return Done()
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Return a service of the document in force, or None."""
+        return self.document.service(name) if self.document else None
+
+    def table(self, name: ServiceName) -> OwnerTable | None:
+        """Return the owner table of a keyed service, or None if there is no such service."""
+        ownership = self.ownerships.get(name)
+        if ownership is None:
+            return None
+        return self._table(self._tables, name, ownership.current)
+
+    def pending_table(self, name: ServiceName) -> OwnerTable | None:
+        """Return the owner table that a transition leads to, or None without a transition."""
+        ownership = self.ownerships.get(name)
+        if ownership is None or ownership.pending is None:
+            return None
+        return self._table(self._pending_tables, name, ownership.pending.target)
+
+    def route(self, name: ServiceName, key: KeyHash) -> Route:
+        """Return who may be sent a key now.
+
+        :param name: a keyed service.
+        :param key: the key's hash.
+        """
+        ownership = self.ownerships.get(name)
+        table = self.table(name)
+        if ownership is None or table is None:
+            return Route(server=None, token=Token(0), moving=False)
+        owner = table.owner(key)
+        pending = self.pending_table(name)
+        token = ownership.token
+        if ownership.pending is not None:
+            token = Token(ownership.pending.begun)
+        if pending is not None and pending.owner(key) != owner:
+            return Route(server=None, token=token, moving=True)
+        server = self.servers.get(owner) if owner is not None else None
+        return Route(server=server, token=token, moving=False)
+
+    def _table(
+        self,
+        tables: dict[ServiceName, tuple[Placement, OwnerTable]],
+        name: ServiceName,
+        placement: Placement,
+    ) -> OwnerTable:
+        cached = tables.get(name)
+        if cached is not None and cached[0] is placement:
+            return cached[1]
+        service = self.service(name)
+        require(service is not None, f"service {name} has owners but is not in the document")
+        assert service is not None
+        table = OwnerTable(placement=placement, shards=service.shards)
+        tables[name] = (placement, table)
+        return table
+
+    def _submit(self, index: LogIndex, command: SubmitDocument) -> Outcome:
+        known = self.submissions.get(command.submission)
+        if known is not None:
+            return _submission_outcome(known)
+        accepted = command.based_on == self.document_version
+        winner = "" if accepted or not self.history else self.history[-1].author
+        if accepted:
+            self._install(index, command)
+        record = SubmissionRecord(
+            submission=command.submission,
+            author=command.author,
+            based_on=command.based_on,
+            accepted=accepted,
+            version=self.document_version,
+            winner=winner,
+        )
+        self.submissions[record.submission] = record
+        while len(self.submissions) > SUBMISSION_LIMIT:
+            del self.submissions[next(iter(self.submissions))]
+        return _submission_outcome(record)
+
+    def _install(self, index: LogIndex, command: SubmitDocument) -> None:
+        version = DocumentVersion(
+            version=self.document_version + 1,
+            author=command.author,
+            index=index,
+            document=command.document,
+        )
+        self.history = [*self.history[-(HISTORY_LIMIT - 1) :], version]
+        self._tables.clear()
+        self._pending_tables.clear()
+        keyed = {s.name for s in command.document.services if s.kind is RequestKind.KEYED}
+        for name in list(self.ownerships):
+            if name not in keyed:
+                del self.ownerships[name]
+        for name in sorted(keyed - set(self.ownerships)):
+            self.ownerships[name] = Ownership(service=name, token=Token(index), current=Placement())
+
+    def _join_server(self, command: JoinServer) -> Outcome:
+        known = self.servers.get(command.server.id)
+        if known is not None and known.incarnation > command.server.incarnation:
+            return Ignored(reason=f"a later run of server {known.id} has joined")
+        self.servers[command.server.id] = command.server
+        return Done()
+
+    def _lose_server(self, command: LoseServer) -> Outcome:
+        known = self.servers.get(command.server)
+        if known is None or known.incarnation != command.incarnation:
+            return Ignored(reason="another run of the server has joined")
+        self.servers[known.id] = replace(known, status=ServerStatus.LOST)
+        return Done()
+
+    def _forget_server(self, command: ForgetServer) -> Outcome:
+        known = self.servers.get(command.server)
+        if known is None or known.status is not ServerStatus.LOST:
+            return Ignored(reason="the server is not lost")
+        if any(known.id in _owners(ownership) for ownership in self.ownerships.values()):
+            return Ignored(reason="the server still owns keys")
+        del self.servers[known.id]
+        return Done()
+
+    def _set_speed(self, command: SetSpeed) -> Outcome:
+        known = self.servers.get(command.server)
+        if known is None:
+            return Ignored(reason="the server is not known")
+        self.servers[known.id] = replace(known, speed=command.speed)
+        return Done()
+
+    def _lose_gateway(self, command: LoseGateway) -> Outcome:
+        known = self.gateways.get(command.gateway)
+        if known is None or known.session != command.session:
+            return Ignored(reason="another run of the gateway has joined")
+        del self.gateways[command.gateway]
+        return Done()
+
+    def _begin(self, index: LogIndex, command: BeginTransition) -> Outcome:
+        ownership = self.ownerships.get(command.service)
+        if ownership is None:
+            return Ignored(reason="the service is not keyed or not in the document")
+        transition = Transition(begun=index, target=command.target)
+        self.ownerships[command.service] = replace(ownership, pending=transition)
+        return Done()
+
+    def _finish(self, index: LogIndex, command: FinishTransition) -> Outcome:
+        ownership = self.ownerships.get(command.service)
+        pending = ownership.pending if ownership is not None else None
+        if ownership is None or pending is None or pending.begun != command.begun:
+            return Ignored(reason="another transition has taken its place")
+        require(index > ownership.token, "a fencing token does not grow")
+        self.ownerships[command.service] = Ownership(
+            service=command.service, token=Token(index), current=pending.target
+        )
+        return Done()
+
+    def _open_ledger(self, command: OpenLedger) -> Outcome:
+        known = self.ledger.get(command.entry.key)
+        if known is not None:
+            return LedgerFound(entry=known)
+        self.ledger[command.entry.key] = command.entry
+        return LedgerOpened()
+
+    def _close_ledger(self, command: CloseLedger) -> Outcome:
+        known = self.ledger.get(command.key)
+        if known is None or known.session != command.session:
+            return Ignored(reason="the entry is not this gateway's")
+        if known.status is not LedgerStatus.OPEN:
+            return Ignored(reason="the entry is closed")
+        if command.not_run:
+            del self.ledger[command.key]
+        elif command.answer is not None:
+            answered = replace(known, status=LedgerStatus.ANSWERED, answer=command.answer)
+            self.ledger[command.key] = answered
+        else:
+            self.ledger[command.key] = replace(known, status=LedgerStatus.UNKNOWN)
+        return Done()
+
+
+def _owners(ownership: Ownership) -> set[ServerId]:
+    placements = [ownership.current]
+    if ownership.pending is not None:
+        placements.append(ownership.pending.target)
+    members = {member.server for placement in placements for member in placement.members}
+    return members | {key.server for placement in placements for key in placement.keys}
+
+
+def _submission_outcome(record: SubmissionRecord) -> Outcome:
+    if record.accepted:
+        return DocumentAccepted(version=record.version)
+    return DocumentConflict(version=record.version, author=record.winner)
--- /dev/null
+++ b/packages/lychee-runtime/src/lychee_runtime/__init__.py
@@ -0,0 +1,22 @@
+"""Daemon life cycle, typed streams between processes, logs, metrics and state dumps."""
+
+from lychee_runtime.daemon import Daemon, run_daemon
+from lychee_runtime.link import Link, LinkService, open_link, serve_links
+from lychee_runtime.logs import configure_logs
+from lychee_runtime.metrics import Metrics, NoMetrics, open_metrics
+from lychee_runtime.tls import client_context, server_context
+
+__all__ = [
+    "Daemon",
+    "Link",
+    "LinkService",
+    "Metrics",
+    "NoMetrics",
+    "client_context",
+    "configure_logs",
+    "open_link",
+    "open_metrics",
+    "run_daemon",
+    "serve_links",
+    "server_context",
+]
--- /dev/null
+++ b/packages/lychee-runtime/src/lychee_runtime/link.py
@@ -0,0 +1,220 @@
+"""Typed, batched streams between processes over grpclib.
+
+A link carries tuples of messages: everything that was posted since the last write goes out as
+one frame, which keeps the cost of a message low when there are many.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Mapping
+from contextlib import asynccontextmanager, contextmanager
+from ssl import SSLContext
+from typing import Any, Generic, Protocol, TypeVar
+
+from grpclib.client import Channel
+from grpclib.const import Cardinality, Handler
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server
+from msgspec import DecodeError, ValidationError
+
+from lychee_runtime.codec import MsgpackCodec
+from lychee_types.exceptions import UnavailableError
+from lychee_types.records import Endpoint
+
+S = TypeVar("S")
+R = TypeVar("R")
+
+PENDING_LIMIT = 20_000
+"""Number of unsent messages at which a link whose peer does not read is given up."""
+
+CONNECT_TIMEOUT_S = 1.0
+"""Time to open a connection, in seconds."""
+
+
+class _Stream(Protocol):
+    async def send_message(self, message: Any) -> None: ...
+
+    async def recv_message(self) -> Any: ...
+
+
+@contextmanager
+def _as_unavailable(peer: str) -> Iterator[None]:
+    """Turn the errors of a broken connection into :class:`UnavailableError`."""
+    try:
+        yield
+    except (
+        GRPCError,
+        StreamTerminatedError,
+        ProtocolError,
+        OSError,
+        TimeoutError,
+        ValidationError,
+        DecodeError,
+    ) as exc:
+        raise UnavailableError(
+            message=f"the stream with {peer} broke: {type(exc).__name__} {exc}".rstrip(),
+            remedy="check that the process runs, its address, and the key files",
+        ) from exc
+
+
+class Link(Generic[S, R]):
+    """One stream in both directions.
+
+    :param stream: the grpclib stream.
+    :param peer: name of the other end, for messages.
+    """
+
+    def __init__(self, *, stream: _Stream, peer: str) -> None:
+        self.peer = peer
+        self._stream = stream
+        self._pending: list[S] = []
+        self._wake = asyncio.Event()
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing more can be sent."""
+        return self._closed
+
+    def post(self, message: S) -> None:
+        """Queue a message; it is lost if the link breaks before it is written."""
+        if self._closed:
+            return
+        self._pending.append(message)
+        if len(self._pending) > PENDING_LIMIT:
+            self.close()
+        self._wake.set()
+
+    def close(self) -> None:
+        """Stop writing; the task that runs the writer ends."""
+        self._closed = True
+        self._wake.set()
+
+    async def receive(self) -> tuple[R, ...]:
+        """Return the next frame's messages; an empty tuple marks the end of the stream.
+
+        :raises UnavailableError: if the connection broke.
+        """
+        with _as_unavailable(self.peer):
+            batch: tuple[R, ...] | None = await self._stream.recv_message()
+        return batch or ()
+
+    async def run_writer(self) -> None:
+        """Write posted messages until the link closes.
+
+        :raises UnavailableError: if the connection broke.
+        """
+        try:
+            while not self._closed:
+                await self._wake.wait()
+                self._wake.clear()
+                batch, self._pending = tuple(self._pending), []
+                if batch:
+                    with _as_unavailable(self.peer):
+                        await self._stream.send_message(batch)
+        finally:
+            self.close()
+
+
+@asynccontextmanager
+async def open_link(
+    *,
+    endpoint: Endpoint,
+    method: str,
+    send: Any,
+    receive: Any,
+    ssl: SSLContext | None = None,
+) -> AsyncIterator[Link[Any, Any]]:
+    """Open a link to another process; it closes when the block ends.
+
+    :param endpoint: the other process's address.
+    :param method: the stream method's name.
+    :param send: type of the messages sent.
+    :param receive: type of the messages received.
+    :param ssl: TLS context, None for plain TCP.
+    :raises UnavailableError: if the connection cannot be opened or breaks.
+    """
+    peer = str(endpoint)
+    channel = Channel(endpoint.host, endpoint.port, codec=MsgpackCodec(), ssl=ssl)
+    try:
+        with _as_unavailable(peer):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await channel.__connect__()
+        request = channel.request(
+            method, Cardinality.STREAM_STREAM, tuple[send, ...], tuple[receive, ...]
+        )
+        with _as_unavailable(peer):
+            async with request as stream:
+                await stream.send_request()
+                link: Link[Any, Any] = Link(stream=stream, peer=peer)
+                writer = asyncio.create_task(link.run_writer())
+                try:
+                    yield link
+                finally:
+                    writer.cancel()
+                    await asyncio.gather(writer, return_exceptions=True)
+                    await stream.cancel()
+    finally:
+        channel.close()
+
+
+LinkHandler = Callable[[Link[Any, Any]], Awaitable[None]]
+"""Serves one link; the link closes when it returns."""
+
+
+class LinkService:
+    """A set of stream methods for a grpclib server.
+
+    :param name: name for messages about peers.
+    """
+
+    def __init__(self, *, name: str) -> None:
+        self._name = name
+        self._handlers: dict[str, Handler] = {}
+
+    def add(self, *, method: str, send: Any, receive: Any, handler: LinkHandler) -> None:
+        """Add a stream method.
+
+        :param method: its name.
+        :param send: type of the messages sent.
+        :param receive: type of the messages received.
+        :param handler: serves one link.
+        """
+
+        async def serve(stream: Any) -> None:
+            link: Link[Any, Any] = Link(stream=stream, peer=self._name)
+            writer = asyncio.create_task(link.run_writer())
+            try:
+                await handler(link)
+            except UnavailableError:
+                pass
+            finally:
+                writer.cancel()
+                await asyncio.gather(writer, return_exceptions=True)
+
+        self._handlers[method] = Handler(
+            serve, Cardinality.STREAM_STREAM, tuple[receive, ...], tuple[send, ...]
+        )
+
+    def __mapping__(self) -> Mapping[str, Handler]:
+        """Return the handlers in the form that grpclib asks for."""
+        return self._handlers
+
+
+@asynccontextmanager
+async def serve_links(
+    *, service: LinkService, endpoint: Endpoint, ssl: SSLContext | None = None
+) -> AsyncIterator[Server]:
+    """Serve links until the block ends.
+
+    :param service: the stream methods.
+    :param endpoint: the address to listen on.
+    :param ssl: TLS context, None for plain TCP.
+    :raises OSError: if the address cannot be listened on.
+    """
+    server = Server([service], codec=MsgpackCodec())
+    await server.start(endpoint.host, endpoint.port, ssl=ssl, reuse_address=True)
+    try:
+        yield server
+    finally:
+        server.close()
+        await server.wait_closed()
--- /dev/null
+++ b/packages/lychee-runtime/tests/test_link.py
@@ -0,0 +1,56 @@
+"""Links between processes."""
+
+import asyncio
+import socket
+
+import pytest
+
+from lychee_runtime import LinkService, open_link, serve_links
+from lychee_types.exceptions import UnavailableError
+from lychee_types.messages import EndSession, GrantLease, ToGateway
+from lychee_types.records import Endpoint
+
+
+def free_endpoint() -> Endpoint:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return Endpoint(host="127.0.0.1", port=sock.getsockname()[1])
+
+
+def test_messages_arrive_whole_and_in_order() -> None:
+    async def echo(link):
+        while batch := await link.receive():
+            for message in batch:
+                link.post(message)
+
+    async def scenario():
+        endpoint = free_endpoint()
+        service = LinkService(name="gateway")
+        service.add(method="/t.T/Echo", send=ToGateway, receive=ToGateway, handler=echo)
+        sent = [GrantLease(session="s", number=n, lease_ms=1) for n in range(500)]
+        sent.append(EndSession(session="s"))
+        async with (
+            serve_links(service=service, endpoint=endpoint),
+            open_link(
+                endpoint=endpoint, method="/t.T/Echo", send=ToGateway, receive=ToGateway
+            ) as link,
+        ):
+            for message in sent:
+                link.post(message)
+            got = []
+            while len(got) < len(sent):
+                got.extend(await link.receive())
+        assert got == sent
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
+def test_nobody_listening_is_an_error_with_a_remedy() -> None:
+    async def scenario():
+        async with open_link(
+            endpoint=free_endpoint(), method="/t.T/Echo", send=ToGateway, receive=ToGateway
+        ):
+            pass
+
+    with pytest.raises(UnavailableError, match="check that the process runs"):
+        asyncio.run(scenario())
--- /dev/null
+++ b/packages/lychee-types/src/lychee_types/document.py
@@ -0,0 +1,139 @@
+"""The operators' document: services, rules for backend servers, and pinned keys."""
+
+from enum import Enum
+
+from msgspec import Struct
+
+from lychee_types.ids import DomainName, ServerId, ServiceName
+
+
+class RequestKind(Enum):
+    """Whether a request is bound to the owner of its key."""
+
+    KEYED = "keyed"
+    FREE = "free"
+
+
+class BodyMode(Enum):
+    """Whether an answer is checked whole before it is sent on, or streamed."""
+
+    WHOLE = "whole"
+    STREAMED = "streamed"
+
+
+class PlacementPolicy(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How a service weighs imbalance, churn and unavailable time.
+
+    :param lost_after_ms: silence after which a backend server's keys move.
+    :param settle_ms: wait after a server joins before keys move to it, so that joins are batched.
+    :param rejoin_ms: wait before keys move back to a server that was lost and returned.
+    :param speed_change: relative change of a measured speed below which no key moves.
+    :param bounded_load: highest share of keys over the fair share of a server's speed.
+    :param hot_keys: how many hot keys may be moved one by one; 0 switches it off.
+    """
+
+    lost_after_ms: int = 1_000
+    settle_ms: int = 500
+    rejoin_ms: int = 2_000
+    speed_change: float = 0.3
+    bounded_load: float = 1.1
+    hot_keys: int = 10
+
+
+class Service(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One service.
+
+    :param name: the name that backend servers announce.
+    :param path: URL prefix with a slash at both ends; for keyed services the next path segment
+        is the key, percent-decoded to raw bytes.
+    :param kind: keyed or free.
+    :param idempotent: whether a request may be run more than once.
+    :param body: whole or streamed answers.
+    :param deadline_ms: time for a request, from its arrival at the gateway to its whole answer.
+        For a streamed answer it is the time to the answer's head and the longest pause in it.
+    :param shards: number of hash ranges of a keyed service, a power of two.
+    :param checks_tokens: whether the service's backend servers refuse an old fencing token.
+    :param max_request_bytes: largest request body.
+    :param max_response_bytes: largest whole answer body.
+    :param queue: how many requests may wait at one gateway.
+    :param retry_share: retries allowed per request of the last ten seconds.
+    :param placement: how keys are placed.
+    """
+
+    name: ServiceName
+    path: str
+    kind: RequestKind
+    idempotent: bool
+    deadline_ms: int
+    body: BodyMode = BodyMode.WHOLE
+    shards: int = 1_024
+    checks_tokens: bool = False
+    max_request_bytes: int = 1_048_576
+    max_response_bytes: int = 4_194_304
+    queue: int = 256
+    retry_share: float = 0.1
+    placement: PlacementPolicy = PlacementPolicy()
+
+
+class ServerRule(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What operators say of one backend server.
+
+    :param id: the server's id.
+    :param checks_tokens: overrides the service's setting where it is set.
+    :param leaving: whether the server gets no new work and gives up its keys.
+    """
+
+    id: ServerId
+    checks_tokens: bool | None = None
+    leaving: bool = False
+
+
+class KeyPin(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A key that operators bind to one backend server while that server is there.
+
+    :param service: a keyed service.
+    :param key: the key as text; its UTF-8 bytes are hashed.
+    :param server: the server's id.
+    """
+
+    service: ServiceName
+    key: str
+    server: ServerId
+
+
+class Document(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The whole configuration, accepted or refused as one.
+
+    :param organisation: whose deployment this is.
+    :param domains: the failure domains in use.
+    :param services: all services.
+    :param servers: rules for single backend servers; servers without one follow their service.
+    :param pins: keys bound to servers.
+    """
+
+    organisation: str
+    domains: tuple[DomainName, ...]
+    services: tuple[Service, ...]
+    servers: tuple[ServerRule, ...] = ()
+    pins: tuple[KeyPin, ...] = ()
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Return the service of that name, or None."""
+        return next((service for service in self.services if service.name == name), None)
+
+    def rule(self, server: ServerId) -> ServerRule | None:
+        """Return the rule for that server, or None."""
+        return next((rule for rule in self.servers if rule.id == server), None)
+
+    def checks_tokens(self, service: ServiceName, server: ServerId) -> bool:
+        """Return whether that server refuses an old fencing token; unset means it does not."""
+        rule = self.rule(server)
+        if rule is not None and rule.checks_tokens is not None:
+            return rule.checks_tokens
+        found = self.service(service)
+        return found is not None and found.checks_tokens
+
+    def is_leaving(self, server: ServerId) -> bool:
+        """Return whether operators have told that server to leave."""
+        rule = self.rule(server)
+        return rule is not None and rule.leaving
--- /dev/null
+++ b/packages/lychee-types/src/lychee_types/testing.py
@@ -0,0 +1,25 @@
+"""Helpers for the tests of programs that embed the packages."""
+
+
+class ManualClock:
+    """A clock that stands still until it is moved.
+
+    :param start: the first reading of both clocks, in seconds.
+    """
+
+    def __init__(self, *, start: float = 1_000.0) -> None:
+        self._now = start
+
+    def monotonic(self) -> float:
+        """Return the current reading in seconds."""
+        return self._now
+
+    def wall(self) -> float:
+        """Return the current reading in seconds."""
+        return self._now
+
+    def advance(self, seconds: float) -> None:
+        """Move the clock forwards."""
+        if seconds < 0:
+            raise ValueError("a clock never goes back; pass a positive number of seconds")
+        self._now += seconds
--- /dev/null
+++ b/packages/lychee-types/src/lychee_types/timing.py
@@ -0,0 +1,42 @@
+"""Time limits of the coordination protocol, shared by control replicas and gateways."""
+
+from msgspec import Struct
+
+SERVED_AGAIN_S = 4.0
+"""Bound on the unavailable time of a key after one loss, in seconds."""
+
+
+class Timing(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Time limits in milliseconds.
+
+    :param lease_ms: length of a gateway's or a backend server's session lease.
+    :param renew_ms: interval between renewals of a session lease.
+    :param drift_ms: margin for the drift of two monotonic clocks over one lease.
+    :param suspect_ms: silence after which a backend server is taken for lost.
+    :param tick_ms: interval at which the leader looks for work that is due.
+    :param heartbeat_ms: interval between a leader's appends to a silent follower.
+    :param election_ms: least silence of the leader before a follower stands for election.
+    """
+
+    lease_ms: int = 1_500
+    renew_ms: int = 300
+    drift_ms: int = 100
+    suspect_ms: int = 1_000
+    tick_ms: int = 50
+    heartbeat_ms: int = 75
+    election_ms: int = 400
+
+    @property
+    def lease_s(self) -> float:
+        """Length of a session lease in seconds."""
+        return self.lease_ms / 1_000
+
+    @property
+    def drift_s(self) -> float:
+        """Margin for clock drift in seconds."""
+        return self.drift_ms / 1_000
+
+    @property
+    def suspect_s(self) -> float:
+        """Silence in seconds after which a backend server is taken for lost."""
+        return self.suspect_ms / 1_000
