Build the replicated log: core, storage and asyncio driver

Ruled out: a separate file for term and vote (a second fdatasync for each election, and two files that can disagree); truncating segments in place (a crash between two files could look like damage). Conclusion: one, three and five replicas elect, commit, restart and replace a voter in tests with real files. Faults of files, of the network and crashes at write boundaries are not tested yet.

--- a/packages/lychee-log/src/lychee_log/__init__.py
+++ b/packages/lychee-log/src/lychee_log/__init__.py
@@ -1,1 +1,27 @@
-"""A replicated log with elections, synced appends, snapshots and changes of voters."""
+"""A replicated log: elections, synced appends, snapshots and changes of voters.
+
+:class:`~lychee_log.replica.Replica` runs one member on asyncio; :class:`~lychee_log.core.Core`
+makes its decisions and does no I/O.
+"""
+
+from lychee_log.dump import ReplicaDump
+from lychee_log.exceptions import DiskFullError, LostStorageError, StorageError
+from lychee_log.interfaces import Machine, Transport
+from lychee_log.membership import MembershipError
+from lychee_log.messages import PeerMessage
+from lychee_log.records import Committed, Voter
+from lychee_log.replica import Replica
+
+__all__ = [
+    "Committed",
+    "DiskFullError",
+    "LostStorageError",
+    "Machine",
+    "MembershipError",
+    "PeerMessage",
+    "Replica",
+    "ReplicaDump",
+    "StorageError",
+    "Transport",
+    "Voter",
+]
--- /dev/null
+++ b/packages/lychee-log/src/lychee_log/dump.py
@@ -0,0 +1,124 @@
+"""A replica's state for operators."""
+
+from msgspec import Struct
+
+from lychee_log.core import Core
+from lychee_log.records import GroupId, Membership, StorageId
+from lychee_types.ids import LogIndex, ReplicaId
+from lychee_types.messages import ReplicaState
+
+UNKNOWN_MS = -1
+"""Silence of a replica that only the leader hears."""
+
+
+class ReplicaDump(Struct, frozen=True, kw_only=True):
+    """A replica's state; its size is bounded by the number of members.
+
+    :param id: its id.
+    :param storage: number of its data folder.
+    :param group: number of its group, 0 for none yet.
+    :param role: leader, follower, candidate, pre-candidate or learner.
+    :param term: the latest term seen.
+    :param vote: whom it voted for in that term.
+    :param leader: the leader as far as it is known.
+    :param leads: whether it leads and its machine is current.
+    :param first: index of the first entry in memory.
+    :param last: index of the last entry.
+    :param durable: index of the last entry on disk.
+    :param commit: the commit index.
+    :param applied: the last applied index.
+    :param snapshot: index of the latest snapshot, 0 for none.
+    :param members: the membership in force.
+    :param missing: first voters that a replica without a group still waits for.
+    :param fault: why the disk takes no writes, None if it does.
+    :param proposals: number of proposals without an outcome.
+    :param inbox: number of events that wait.
+    :param replicas: the members as this replica sees them.
+    """
+
+    id: ReplicaId
+    storage: StorageId
+    group: GroupId
+    role: str
+    term: int
+    vote: ReplicaId | None
+    leader: ReplicaId | None
+    leads: bool
+    first: LogIndex
+    last: LogIndex
+    durable: LogIndex
+    commit: LogIndex
+    applied: LogIndex
+    snapshot: LogIndex
+    members: Membership
+    missing: tuple[ReplicaId, ...]
+    fault: str | None
+    proposals: int
+    inbox: int
+    replicas: tuple[ReplicaState, ...]
+
+
+def role_name(core: Core) -> str:
+    """Return the role as operators read it."""
+    state = core.state
+    return "learner" if state.members.is_learner(state.id) else state.role.value
+
+
+def replica_states(core: Core, now: float) -> tuple[ReplicaState, ...]:
+    """Return the members as this replica sees them; only a leader knows about the others."""
+    state = core.state
+    peers = core.leader.leadership.peers if core.leader is not None else {}
+    states = []
+    for member in state.members.everyone:
+        role, match, silent_ms = "voter", LogIndex(0), UNKNOWN_MS
+        if state.members.is_learner(member.id):
+            role = "learner"
+        if member.id == state.id:
+            role, match, silent_ms = role_name(core), state.durability.durable, 0
+        elif member.id in peers:
+            peer = peers[member.id]
+            role = "learner" if role == "learner" else "follower"
+            match, silent_ms = peer.match, int((now - peer.heard_at) * 1_000)
+        elif state.leader is not None and state.leader.id == member.id:
+            role = "leader"
+        states.append(
+            ReplicaState(
+                id=member.id,
+                endpoint=member.endpoint,
+                role=role,
+                match=match,
+                silent_ms=silent_ms,
+            )
+        )
+    return tuple(states)
+
+
+def dump_core(core: Core, now: float, *, proposals: int, inbox: int) -> ReplicaDump:
+    """Return the dump of a replica.
+
+    :param proposals: number of proposals without an outcome.
+    :param inbox: number of events that wait.
+    """
+    state = core.state
+    return ReplicaDump(
+        id=state.id,
+        storage=state.me.storage,
+        group=state.identity.group,
+        role=role_name(core),
+        term=state.term,
+        vote=state.hard_state.vote,
+        leader=state.leader.id if state.leader else None,
+        leads=core.leads,
+        first=LogIndex(state.log.base.index + 1),
+        last=state.log.last.index,
+        durable=state.durability.durable,
+        commit=state.commit,
+        applied=state.applied,
+        snapshot=state.snapshot.index if state.snapshot else LogIndex(0),
+        members=state.members,
+        missing=core.missing,
+        fault=state.fault,
+        proposals=proposals,
+        inbox=inbox,
+        replicas=replica_states(core, now),
+    )
--- /dev/null
+++ b/packages/lychee-log/src/lychee_log/entries.py
@@ -0,0 +1,113 @@
+"""The log in memory: entries after a base, and the memberships they bring."""
+
+from collections.abc import Sequence
+
+from lychee_log.records import Entry, EntryId, Membership
+from lychee_types.exceptions import require
+from lychee_types.ids import LogIndex
+
+
+class MembershipChange:
+    """A membership and the index from which it holds."""
+
+    __slots__ = ("index", "members")
+
+    def __init__(self, *, index: LogIndex, members: Membership) -> None:
+        self.index = index
+        self.members = members
+
+
+class EntryLog:
+    """Entries from just after a base, contiguous by index.
+
+    :param base: the entry before the first one; index 0 and term 0 for an empty log.
+    :param members: the membership at the base.
+    """
+
+    def __init__(self, *, base: EntryId, members: Membership) -> None:
+        self.base = base
+        self._entries: list[Entry] = []
+        self._changes = [MembershipChange(index=base.index, members=members)]
+
+    @property
+    def last(self) -> EntryId:
+        """Return the identity of the last entry, or the base."""
+        return self._entries[-1].id if self._entries else self.base
+
+    @property
+    def members(self) -> Membership:
+        """Return the membership in force: the latest one appended."""
+        return self._changes[-1].members
+
+    @property
+    def members_index(self) -> LogIndex:
+        """Return the index from which the membership in force holds."""
+        return self._changes[-1].index
+
+    def __len__(self) -> int:
+        """Return how many entries are held."""
+        return len(self._entries)
+
+    def members_at(self, index: LogIndex) -> Membership:
+        """Return the membership at an index not before the base."""
+        return next(change.members for change in reversed(self._changes) if change.index <= index)
+
+    def term_at(self, index: LogIndex) -> int | None:
+        """Return the term of an entry, None if the log does not hold it."""
+        if index == self.base.index:
+            return self.base.term
+        offset = index - self.base.index - 1
+        return self._entries[offset].term if 0 <= offset < len(self._entries) else None
+
+    def slice(self, *, start: LogIndex, end: LogIndex) -> tuple[Entry, ...]:
+        """Return the entries from ``start`` to ``end``, both included.
+
+        :param start: after the base.
+        """
+        require(start > self.base.index, "entries before the base are not asked for")
+        first = start - self.base.index - 1
+        return tuple(self._entries[first : end - self.base.index])
+
+    def append(self, entry: Entry) -> None:
+        """Append one entry after the last."""
+        last = self.last
+        require(entry.index == last.index + 1, "log indexes are contiguous")
+        require(entry.term >= last.term, "terms in the log never go down")
+        self._entries.append(entry)
+        if entry.members is not None:
+            self._changes.append(MembershipChange(index=entry.index, members=entry.members))
+
+    def truncate(self, index: LogIndex) -> None:
+        """Drop the entries from an index on.
+
+        :param index: the first entry to drop, after the base.
+        """
+        require(index > self.base.index, "the base is never truncated")
+        del self._entries[index - self.base.index - 1 :]
+        while self._changes[-1].index >= index:
+            self._changes.pop()
+
+    def compact(self, index: LogIndex) -> None:
+        """Drop the entries up to an index, which becomes the base."""
+        if index <= self.base.index:
+            return
+        term = self.term_at(index)
+        require(term is not None, "only held entries are compacted")
+        members = self.members_at(index)
+        del self._entries[: index - self.base.index]
+        self.base = EntryId(index=index, term=term or 0)
+        later = [change for change in self._changes if change.index > index]
+        self._changes = [MembershipChange(index=index, members=members), *later]
+
+    def first_of_term(self, index: LogIndex) -> LogIndex:
+        """Return the first held index of the run of entries that have this entry's term."""
+        term = self.term_at(index)
+        first = index
+        while first - 1 > self.base.index and self.term_at(LogIndex(first - 1)) == term:
+            first = LogIndex(first - 1)
+        return first
+
+    def extend(self, entries: Sequence[Entry]) -> None:
+        """Append entries in order."""
+        for entry in entries:
+            self.append(entry)
--- /dev/null
+++ b/packages/lychee-log/src/lychee_log/exceptions.py
@@ -0,0 +1,22 @@
+"""Errors of the replicated log."""
+
+from lychee_types.exceptions import LycheeError
+
+NEW_REPLICA_REMEDY = (
+    "empty the data folder, start the replica under a new id without first voters, "
+    "and have it take this replica's place"
+)
+
+
+class StorageError(LycheeError):
+    """The data folder cannot be used, or what it holds is damaged."""
+
+    exit_code = 74
+
+
+class DiskFullError(StorageError):
+    """There is no room left for the log; nothing of the write counts as stored."""
+
+
+class LostStorageError(StorageError):
+    """The group knows this replica id with other storage: its disk was lost or emptied."""
--- /dev/null
+++ b/packages/lychee-log/src/lychee_log/interfaces.py
@@ -0,0 +1,39 @@
+"""What a replica needs from the program that embeds it."""
+
+from typing import Protocol
+
+from lychee_log.messages import PeerMessage
+from lychee_log.records import Voter
+from lychee_types.ids import LogIndex
+
+
+class Machine(Protocol):
+    """The state machine that every replica runs."""
+
+    def apply(self, index: LogIndex, data: bytes) -> object:
+        """Apply a proposal; the result goes to the proposer.
+
+        :param index: the entry's index.
+        :param data: the proposal, never empty.
+        """
+        ...
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        ...
+
+    def restore(self, data: bytes, index: LogIndex) -> None:
+        """Replace the state by a snapshot.
+
+        :param data: the whole state.
+        :param index: the last entry that it covers.
+        """
+        ...
+
+
+class Transport(Protocol):
+    """Sends messages to peers; they may be lost, late, doubled and out of order."""
+
+    def post(self, *, to: Voter, message: PeerMessage) -> None:
+        """Send a message and return at once."""
+        ...
--- /dev/null
+++ b/packages/lychee-log/tests/test_replica.py
@@ -0,0 +1,210 @@
+"""The driver with a real event loop, an in-memory transport and real files."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from lychee_log import Committed, Replica, Voter
+from lychee_log.messages import PeerMessage
+from lychee_types.clock import SystemClock
+from lychee_types.exceptions import NotLeaderError
+from lychee_types.ids import LogIndex, ReplicaId
+from lychee_types.records import Endpoint
+from lychee_types.timing import Timing
+
+TIMING = Timing(heartbeat_ms=20, election_ms=120, drift_ms=20)
+GUARD_S = 15.0
+
+
+class ListMachine:
+    """Keeps what was applied, joined by newlines in its snapshot."""
+
+    def __init__(self) -> None:
+        self.items: list[bytes] = []
+
+    def apply(self, index: LogIndex, data: bytes) -> object:
+        self.items.append(data)
+        return len(self.items)
+
+    def snapshot(self) -> bytes:
+        return b"\n".join(self.items)
+
+    def restore(self, data: bytes, index: LogIndex) -> None:
+        self.items = data.split(b"\n") if data else []
+
+
+class Network:
+    """Hands messages over in memory, except across cuts."""
+
+    def __init__(self) -> None:
+        self.nodes: dict[ReplicaId, Node] = {}
+        self.cut: set[ReplicaId] = set()
+
+    def post(self, *, to: Voter, message: PeerMessage) -> None:
+        if to.id in self.nodes and not {to.id, message.sender} & self.cut:
+            self.nodes[to.id].replica.receive(message)
+
+
+class Node:
+    """A running replica."""
+
+    def __init__(
+        self, *, name: str, first: tuple[Voter, ...], network: Network, data: Path, entries: int
+    ) -> None:
+        self.machine = ListMachine()
+        self.changes: list[bool] = []
+        self.replica = Replica(
+            id=ReplicaId(name),
+            endpoint=voter(name).endpoint,
+            data=data / name,
+            voters=first,
+            timing=TIMING,
+            machine=self.machine,
+            transport=network,
+            clock=SystemClock(),
+            seed=ord(name[0]),
+            on_leadership=lambda leads, term: self.changes.append(leads),
+            on_applied=lambda index, data: None,
+            snapshot_entries=entries,
+        )
+        self.task = asyncio.create_task(self.replica.run())
+
+
+def voter(name: str) -> Voter:
+    return Voter(id=ReplicaId(name), endpoint=Endpoint(host="127.0.0.1", port=ord(name[0])))
+
+
+class Group:
+    """Replicas on one network."""
+
+    def __init__(self, *, data: Path, entries: int = 10_000) -> None:
+        self.network = Network()
+        self._data = data
+        self._entries = entries
+
+    @property
+    def nodes(self) -> dict[ReplicaId, Node]:
+        return self.network.nodes
+
+    def start(self, name: str, *, first: str = "") -> Node:
+        node = Node(
+            name=name,
+            first=tuple(voter(each) for each in first),
+            network=self.network,
+            data=self._data,
+            entries=self._entries,
+        )
+        self.nodes[ReplicaId(name)] = node
+        return node
+
+    async def stop(self, name: str) -> None:
+        node = self.nodes.pop(ReplicaId(name))
+        node.task.cancel()
+        await asyncio.gather(node.task, return_exceptions=True)
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        while not condition():
+            for node in self.nodes.values():
+                if node.task.done():
+                    node.task.result()
+            await asyncio.sleep(0.005)
+
+    async def leader(self) -> Node:
+        await self.until(lambda: any(node.replica.is_leader for node in self.nodes.values()))
+        leading = [node for node in self.nodes.values() if node.replica.is_leader]
+        return max(leading, key=lambda node: node.replica.term)
+
+    async def propose(self, data: bytes) -> Committed:
+        while True:
+            try:
+                return await (await self.leader()).replica.propose(data)
+            except NotLeaderError:
+                await asyncio.sleep(0.005)
+
+
+@asynccontextmanager
+async def running(*, data: Path, first: str, entries: int = 10_000) -> AsyncIterator[Group]:
+    group = Group(data=data, entries=entries)
+    for name in first:
+        group.start(name, first=first)
+    try:
+        async with asyncio.timeout(GUARD_S):
+            yield group
+    finally:
+        for name in list(group.nodes):
+            await group.stop(name)
+
+
+@pytest.mark.parametrize("first", ["a", "abc", "abcde"])
+def test_proposals_are_applied_everywhere_in_order(tmp_path: Path, first: str) -> None:
+    async def scenario() -> None:
+        async with running(data=tmp_path, first=first) as group:
+            outcomes = [await group.propose(b"%d" % number) for number in range(20)]
+            assert [outcome.result for outcome in outcomes] == list(range(1, 21))
+            await group.until(lambda: all(len(n.machine.items) == 20 for n in group.nodes.values()))
+            expected = [b"%d" % number for number in range(20)]
+            assert all(node.machine.items == expected for node in group.nodes.values())
+
+    asyncio.run(scenario())
+
+
+def test_acknowledged_proposals_survive_restarts_of_all_replicas(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        for number in range(3):
+            async with running(data=tmp_path, first="abc", entries=7) as group:
+                for item in range(10):
+                    await group.propose(b"%d" % (number * 10 + item))
+        async with running(data=tmp_path, first="abc") as group:
+            leader = await group.leader()
+            assert leader.machine.items == [b"%d" % item for item in range(30)]
+
+    asyncio.run(scenario())
+
+
+def test_a_new_leader_follows_a_lost_one(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(data=tmp_path, first="abc") as group:
+            await group.propose(b"before")
+            lost = await group.leader()
+            await group.stop(lost.replica.id)
+            await group.propose(b"after")
+            leader = await group.leader()
+            assert leader.replica.term > 1
+            assert leader.machine.items == [b"before", b"after"]
+
+    asyncio.run(scenario())
+
+
+def test_a_follower_refuses_proposals(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(data=tmp_path, first="abc") as group:
+            leader = await group.leader()
+            follower = next(node for node in group.nodes.values() if node is not leader)
+            with pytest.raises(NotLeaderError):
+                await follower.replica.propose(b"x")
+            assert follower.replica.leads_until() == 0.0
+            await group.until(lambda: leader.replica.leads_until() > SystemClock().monotonic())
+
+    asyncio.run(scenario())
+
+
+def test_a_replaced_voter_holds_all_that_was_acknowledged(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(data=tmp_path, first="abc", entries=10) as group:
+            for number in range(35):
+                await group.propose(b"%d" % number)
+            leader = await group.leader()
+            lost = next(name for name in group.nodes if name != leader.replica.id)
+            await group.stop(lost)
+            added = group.start("d")
+            voters = await leader.replica.replace_voter(old=lost, new=voter("d"))
+            assert {each.id for each in voters} == {*group.nodes}
+            await group.stop(leader.replica.id)
+            await group.propose(b"last")
+            expected = [b"%d" % number for number in range(35)] + [b"last"]
+            await group.until(lambda: added.machine.items == expected)
+
+    asyncio.run(scenario())
