Test the log under random faults and the files byte by byte

Cause: nothing had tested crashes at write boundaries, lost and doubled messages, cuts, emptied disks and damaged files. Ruled out: trusting the end of a sealed segment; a segment cut at the end of a batch looked whole (the cut test failed on it). The manifest now holds each sealed segment's length. That the tests notice removed mechanisms is still to be shown.

--- a/packages/lychee-log/src/lychee_log/recovery.py
+++ b/packages/lychee-log/src/lychee_log/recovery.py
@@ -7,9 +7,9 @@
 
 from lychee_log.exceptions import StorageError
 from lychee_log.files import TEMPORARY, damaged, disk_errors, read_file
-from lychee_log.mark import MARK_NAME, Mark, read_mark
+from lychee_log.mark import MARK_NAME, read_mark
 from lychee_log.records import Entry, HardState, Identity, Recovered, Snapshot
-from lychee_log.segment import Batch, read_segment
+from lychee_log.segment import Batch, SegmentContents, read_segment
 from lychee_types.ids import LogIndex, ReplicaId
 
 IDENTITY_NAME = "identity"
@@ -17,16 +17,34 @@
 LOCK_NAME = "lock"
 
 
+class Sealed(Struct, frozen=True, kw_only=True):
+    """A segment to which nothing is appended any more.
+
+    :param number: its number.
+    :param size: its length in bytes.
+    """
+
+    number: int
+    size: int
+
+
 class Manifest(Struct, frozen=True, kw_only=True):
     """Which files are in force.
 
-    :param segments: numbers of the segments, oldest first.
+    :param current: number of the segment to which batches are appended.
+    :param sealed: the segments before it, oldest first.
     :param snapshot: index of the snapshot, 0 for none.
     """
 
-    segments: tuple[int, ...]
+    current: int
+    sealed: tuple[Sealed, ...] = ()
     snapshot: LogIndex = LogIndex(0)
 
+    @property
+    def segments(self) -> tuple[int, ...]:
+        """Return the numbers of all segments, oldest first."""
+        return (*(segment.number for segment in self.sealed), self.current)
+
 
 class SegmentEnd(Struct, frozen=True, kw_only=True):
     """Where a segment ends.
@@ -117,8 +135,15 @@
         self.ends: list[SegmentEnd] = []
         self._folder = folder
 
-    def add(self, batch: Batch) -> None:
-        """Take over a batch."""
+    def add_segment(self, number: int, contents: SegmentContents) -> None:
+        """Take over a segment's batches."""
+        highest = LogIndex(0)
+        for batch in contents.batches:
+            self._add(batch)
+            highest = max((entry.index for entry in batch.entries), default=highest)
+        self.ends.append(SegmentEnd(number=number, size=contents.size, last=highest))
+
+    def _add(self, batch: Batch) -> None:
         if batch.hard_state is not None:
             self.hard_state = batch.hard_state
         for entry in batch.entries:
@@ -136,29 +161,20 @@
 
 def _read_segments(folder: Path, manifest: Manifest) -> _StoredLog:
     mark = read_mark(folder)
-    last = manifest.segments[-1]
-    if mark.segment > last:
+    if mark.segment > manifest.current:
         raise damaged(folder / MANIFEST_NAME, "is older than the log")
     log = _StoredLog(folder=folder)
-    for number in manifest.segments:
+    for sealed in manifest.sealed:
         contents = read_segment(
-            folder=folder,
-            number=number,
-            synced=_synced_size(mark, number),
-            may_be_torn=number == last,
+            folder=folder, number=sealed.number, synced=sealed.size, may_be_torn=False
         )
-        highest = LogIndex(0)
-        for batch in contents.batches:
-            log.add(batch)
-            highest = max((entry.index for entry in batch.entries), default=highest)
-        log.ends.append(SegmentEnd(number=number, size=contents.size, last=highest))
+        log.add_segment(sealed.number, contents)
+    synced = mark.size if mark.segment == manifest.current else 0
+    current = read_segment(folder=folder, number=manifest.current, synced=synced, may_be_torn=True)
+    log.add_segment(manifest.current, current)
     return log
 
 
-def _synced_size(mark: Mark, number: int) -> int:
-    return mark.size if mark.segment == number else 0
-
-
 def _read_snapshot(folder: Path, manifest: Manifest) -> Snapshot | None:
     if not manifest.snapshot:
         return None
--- a/packages/lychee-log/src/lychee_log/storage.py
+++ b/packages/lychee-log/src/lychee_log/storage.py
@@ -28,6 +28,7 @@
     MANIFEST_NAME,
     Loaded,
     Manifest,
+    Sealed,
     encode_record,
     is_new,
     load,
@@ -82,7 +83,7 @@
             number = self._writer.number
             self._lasts[number] = max(self._lasts[number], write.entries[-1].index)
         if self._writer.size >= SEGMENT_BYTES:
-            self._begin_segment(self._manifest.segments, self._manifest.snapshot)
+            self._begin_segment(self._sealed_from(LogIndex(0)), self._manifest.snapshot)
 
     def save_snapshot(self, save: SaveSnapshot) -> None:
         """Store a snapshot and drop the segments that it makes needless.
@@ -93,7 +94,7 @@
         index = save.snapshot.index
         path = snapshot_path(self._folder, index)
         replace_file(path, encode_record(save.snapshot), disk=self._disk)
-        kept = () if save.keep_from is None else self._segments_from(save.keep_from)
+        kept = () if save.keep_from is None else self._sealed_from(save.keep_from)
         self._begin_segment(kept, index)
         self._remove_unlisted()
 
@@ -102,18 +103,20 @@
         self._writer.close()
         self._mark.close()
 
-    def _segments_from(self, index: LogIndex) -> tuple[int, ...]:
-        segments = self._manifest.segments
-        needed = [number for number in segments if self._lasts[number] >= index]
-        return tuple(number for number in segments if needed and number >= needed[0])
+    def _sealed_from(self, index: LogIndex) -> tuple[Sealed, ...]:
+        """Return the segments needed for the entries from an index on, all of them as sealed."""
+        last = Sealed(number=self._writer.number, size=self._writer.size)
+        segments = (*self._manifest.sealed, last)
+        needed = [each.number for each in segments if self._lasts[each.number] >= index]
+        return tuple(each for each in segments if needed and each.number >= needed[0])
 
-    def _begin_segment(self, kept: tuple[int, ...], snapshot: LogIndex) -> None:
+    def _begin_segment(self, sealed: tuple[Sealed, ...], snapshot: LogIndex) -> None:
         number = self._writer.number + 1
         writer = SegmentWriter.create(
             folder=self._folder, number=number, hard_state=self._hard_state, disk=self._disk
         )
         try:
-            manifest = Manifest(segments=(*kept, number), snapshot=snapshot)
+            manifest = Manifest(current=number, sealed=sealed, snapshot=snapshot)
             _store_manifest(self._folder, manifest, disk=self._disk)
         except BaseException:
             writer.close()
@@ -189,7 +192,7 @@
     mark.sync()
     mark.close()
     writer.close()
-    _store_manifest(folder, Manifest(segments=(1,)), disk=disk)
+    _store_manifest(folder, Manifest(current=1), disk=disk)
     identity = Identity(replica=replica, storage=StorageId(secrets.randbits(62) + 1))
     replace_file(folder / IDENTITY_NAME, encode_record(identity), disk=disk)
 
--- /dev/null
+++ b/packages/lychee-log/tests/test_core_random.py
@@ -0,0 +1,205 @@
+"""Random schedules of faults over a small group of cores."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from lychee_log.effects import Tick
+from lychee_log.membership import with_learner, with_promoted, without
+from lychee_log.testing import Group, Node
+from lychee_types.ids import LogIndex, ReplicaId
+from lychee_types.timing import Timing
+
+TIMING = Timing(heartbeat_ms=50, election_ms=200, drift_ms=20)
+
+POSITION = st.integers(0, 1_000)
+MILLISECONDS = st.integers(1, 400)
+
+
+class GroupMachine(RuleBasedStateMachine):
+    """Messages are lost, doubled and reordered; replicas crash, are cut off, and lose disks."""
+
+    @initialize(first=st.sampled_from(["a", "abc", "abc", "abcde"]), seed=st.integers(0, 1_000))
+    def begin(self, first: str, seed: int) -> None:
+        self.group = Group(first=first, timing=TIMING, seed=seed)
+        self.spare = "z"
+        self.proposed = 0
+        self.lost: set[ReplicaId] = set()
+        self.acknowledged = LogIndex(0)
+        if seed % 4:
+            self.group.run(0.8)
+
+    def node(self, position: int) -> Node:
+        nodes = list(self.group.nodes.values())
+        return nodes[position % len(nodes)]
+
+    @rule(milliseconds=MILLISECONDS)
+    def run_without_faults(self, milliseconds: int) -> None:
+        self.group.run(milliseconds / 1_000)
+
+    @rule(position=POSITION, milliseconds=MILLISECONDS)
+    def tick_one(self, position: int, milliseconds: int) -> None:
+        self.group.now += milliseconds / 1_000
+        self.group.step(self.node(position), Tick())
+
+    @precondition(lambda self: self.group.messages)
+    @rule(positions=st.lists(POSITION, min_size=1, max_size=8), keep=st.booleans())
+    def deliver(self, positions: list[int], keep: bool) -> None:
+        for position in positions:
+            if self.group.messages:
+                self.group.deliver(position % len(self.group.messages), keep=keep)
+
+    @precondition(lambda self: self.group.messages)
+    @rule(position=POSITION, count=st.integers(1, 10))
+    def lose_messages(self, position: int, count: int) -> None:
+        start = position % len(self.group.messages)
+        del self.group.messages[start : start + count]
+
+    @rule(position=POSITION)
+    def finish_write(self, position: int) -> None:
+        self.group.finish_write(self.node(position))
+
+    @rule(position=POSITION)
+    def refuse_write(self, position: int) -> None:
+        self.group.refuse_write(self.node(position))
+
+    @rule(position=POSITION, is_stored=st.booleans())
+    def crash(self, position: int, is_stored: bool) -> None:
+        self.group.crash(self.node(position), is_stored=is_stored)
+
+    @rule(position=POSITION)
+    def restart(self, position: int) -> None:
+        node = self.node(position)
+        if node.core is None and not node.is_expelled:
+            self.group.start(node)
+
+    @rule(position=POSITION)
+    def wipe(self, position: int) -> None:
+        """Empty a disk if the group claims to survive the loss."""
+        node = self.node(position)
+        voters = self.voters()
+        at_risk = self.lost | {node.voter.id}
+        if all(len(at_risk & each) <= (len(each) - 1) // 2 for each in voters):
+            self.group.wipe(node)
+            self.lost.add(node.voter.id)
+
+    def voters(self) -> list[set[ReplicaId]]:
+        """Return every set of voters that some replica may use."""
+        sets = []
+        for node in self.group.nodes.values():
+            founding = node.disk.identity.founding
+            members = [founding] if founding else []
+            members += [entry.members for entry in node.disk.entries if entry.members]
+            if node.disk.snapshot:
+                members.append(node.disk.snapshot.members)
+            if node.core:
+                members.append(node.core.state.members)
+            sets += [{voter.id for voter in each.voters} for each in members if each.voters]
+        return sets or [{voter.id for voter in self.node(0).first}]
+
+    @rule(position=POSITION)
+    def cut_off(self, position: int) -> None:
+        self.group.isolate(self.node(position))
+
+    @rule(sender=POSITION, receiver=POSITION)
+    def cut_one_way(self, sender: int, receiver: int) -> None:
+        self.group.cuts.add((self.node(sender).voter.id, self.node(receiver).voter.id))
+
+    @rule()
+    def heal(self) -> None:
+        self.group.cuts.clear()
+
+    @rule(position=POSITION, count=st.integers(1, 5))
+    def propose(self, position: int, count: int) -> None:
+        node = self.group.leading() if position % 3 else self.node(position)
+        for _ in range(count):
+            self.proposed += 1
+            if node is not None:
+                self.group.propose(node, b"%d" % self.proposed)
+
+    @rule(position=POSITION)
+    def take_snapshot(self, position: int) -> None:
+        self.group.take_snapshot(self.node(position))
+
+    @precondition(lambda self: self.spare > "u" and self.group.leading() is not None)
+    @rule()
+    def add_learner(self) -> None:
+        leader = self.group.leading()
+        assert leader is not None and leader.core is not None
+        added = self.group.add(self.spare)
+        self.spare = chr(ord(self.spare) - 1)
+        assert added.core is not None
+        learner = added.core.state.me
+        leader.core.change_members(with_learner(leader.core.state.members, learner))
+
+    @rule(position=POSITION)
+    def promote(self, position: int) -> None:
+        leader = self.group.leading()
+        if leader is None or leader.core is None:
+            return
+        members = leader.core.state.members
+        if members.learners:
+            learner = members.learners[position % len(members.learners)].id
+            if leader.core.is_caught_up(learner, self.group.now):
+                leader.core.change_members(with_promoted(members, learner))
+
+    @rule(position=POSITION)
+    def remove(self, position: int) -> None:
+        leader = self.group.leading()
+        if leader is not None and leader.core is not None:
+            members = leader.core.state.members
+            if len(members.voters) > 2:
+                gone = members.everyone[position % len(members.everyone)].id
+                leader.core.change_members(without(members, gone))
+
+    @invariant()
+    def logs_match(self) -> None:
+        logs = [node.core.state.log for node in self.group.nodes.values() if node.core]
+        for number, one in enumerate(logs):
+            for other in logs[number + 1 :]:
+                start = max(one.base.index, other.base.index) + 1
+                shared = [
+                    index
+                    for index in range(start, min(one.last.index, other.last.index) + 1)
+                    if one.term_at(LogIndex(index)) == other.term_at(LogIndex(index))
+                ]
+                if shared:
+                    first, last = LogIndex(start), LogIndex(shared[-1])
+                    assert one.slice(start=first, end=last) == other.slice(start=first, end=last)
+
+    def teardown(self) -> None:
+        """Once all faults are over, the group serves again and has forgotten nothing."""
+        group = getattr(self, "group", None)
+        if group is None:
+            return
+        group.cuts.clear()
+        committed = dict(group.committed)
+        for node in group.nodes.values():
+            if node.core is None and not node.is_expelled:
+                group.start(node)
+        group.run(4.0)
+        for index, entry in committed.items():
+            assert group.committed[index] == entry
+        if self.can_serve():
+            leader = group.settle()
+            assert group.propose(leader, b"last")
+            group.run(0.5)
+            assert leader.items and leader.items[-1] == b"last"
+
+    def can_serve(self) -> bool:
+        """Return whether every set of voters in use has a majority that is up."""
+        up = {node.voter.id for node in self.group.nodes.values() if node.core}
+        up -= self.lost
+        return all(len(up & each) > len(each) // 2 for each in self.voters())
+
+
+GroupMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=50, derandomize=True, deadline=None, database=None
+)
+TestGroup = GroupMachine.TestCase
--- /dev/null
+++ b/packages/lychee-log/tests/test_storage.py
@@ -0,0 +1,270 @@
+"""The data folder: what survives, what is found damaged, and a full disk."""
+
+import errno
+import os
+import shutil
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from lychee_log.effects import SaveSnapshot, Write
+from lychee_log.exceptions import DiskFullError, StorageError
+from lychee_log.files import SystemDisk
+from lychee_log.records import Entry, HardState, Membership, Recovered, Snapshot
+from lychee_log.storage import Storage, open_storage
+from lychee_types.ids import LogIndex, ReplicaId
+
+ME = ReplicaId("a")
+
+
+class FailingDisk(SystemDisk):
+    """Fails one call, after half of the bytes where it is a write."""
+
+    def __init__(self, *, call: int, code: int, times: int = 1) -> None:
+        self.calls = 0
+        self._failing = range(call, call + times)
+        self._code = code
+
+    def write(self, fd: int, data: bytes) -> None:
+        if self._fails():
+            super().write(fd, data[: len(data) // 2])
+            raise OSError(self._code, os.strerror(self._code))
+        super().write(fd, data)
+
+    def sync(self, fd: int) -> None:
+        if self._fails():
+            raise OSError(self._code, os.strerror(self._code))
+        super().sync(fd)
+
+    def _fails(self) -> bool:
+        self.calls += 1
+        return self.calls - 1 in self._failing
+
+
+def entries(first: int, last: int, *, term: int = 1) -> tuple[Entry, ...]:
+    return tuple(
+        Entry(index=LogIndex(index), term=term, data=b"%d-%d" % (term, index))
+        for index in range(first, last + 1)
+    )
+
+
+def write(*items: Entry, hard_state: HardState | None = None) -> Write:
+    return Write(number=1, identity=None, hard_state=hard_state, entries=items)
+
+
+def snapshot(index: int, *, keep_from: int | None) -> SaveSnapshot:
+    return SaveSnapshot(
+        number=1,
+        snapshot=Snapshot(index=LogIndex(index), term=1, members=Membership(), data=b"state"),
+        keep_from=None if keep_from is None else LogIndex(keep_from),
+    )
+
+
+def recover(folder: Path) -> Recovered:
+    with open_storage(folder=folder, replica=ME) as storage:
+        return storage.recovered
+
+
+def fill(folder: Path) -> None:
+    """Two segments, a snapshot and several batches in the last segment."""
+    with open_storage(folder=folder, replica=ME) as storage:
+        storage.write(write(*entries(1, 5), hard_state=HardState(term=1, vote=ME)))
+        storage.save_snapshot(snapshot(4, keep_from=3))
+        storage.write(write(*entries(6, 7)))
+        storage.write(write(*entries(8, 9)))
+
+
+def last_segment(folder: Path) -> Path:
+    return max(folder.glob("segment-*"))
+
+
+def test_what_was_written_is_recovered(tmp_path: Path) -> None:
+    fill(tmp_path)
+    recovered = recover(tmp_path)
+    assert recovered.hard_state == HardState(term=1, vote=ME)
+    assert recovered.snapshot is not None and recovered.snapshot.data == b"state"
+    assert recovered.entries == entries(5, 9)
+
+
+def test_later_entries_replace_earlier_ones(tmp_path: Path) -> None:
+    with open_storage(folder=tmp_path, replica=ME) as storage:
+        storage.write(write(*entries(1, 9)))
+        storage.write(write(*entries(4, 5, term=2)))
+    assert recover(tmp_path).entries == entries(1, 3) + entries(4, 5, term=2)
+
+
+def test_an_installed_snapshot_replaces_the_log(tmp_path: Path) -> None:
+    fill(tmp_path)
+    with open_storage(folder=tmp_path, replica=ME) as storage:
+        storage.save_snapshot(snapshot(50, keep_from=None))
+        storage.write(write(*entries(51, 52)))
+    recovered = recover(tmp_path)
+    assert recovered.entries == entries(51, 52)
+    assert recovered.hard_state == HardState(term=1, vote=ME)
+    assert len(list(tmp_path.glob("segment-*"))) == len(list(tmp_path.glob("snapshot-*"))) == 1
+
+
+def test_segments_behind_a_snapshot_are_removed(tmp_path: Path) -> None:
+    with open_storage(folder=tmp_path, replica=ME) as storage:
+        for number in range(1, 6):
+            storage.write(write(*entries(number * 10 - 9, number * 10)))
+            storage.save_snapshot(snapshot(number * 10, keep_from=number * 10 - 5))
+    assert len(list(tmp_path.glob("segment-*"))) == 2
+    assert recover(tmp_path).snapshot == snapshot(50, keep_from=None).snapshot
+
+
+def test_a_torn_write_is_cut_off(tmp_path: Path) -> None:
+    before, after = tmp_path / "before", tmp_path / "after"
+    with open_storage(folder=before, replica=ME) as storage:
+        storage.write(write(*entries(1, 2)))
+    shutil.copytree(before, after)
+    with open_storage(folder=after, replica=ME) as storage:
+        storage.write(write(*entries(3, 4)))
+    start = last_segment(before).stat().st_size
+    whole = last_segment(after).read_bytes()
+    for size in range(start, len(whole)):
+        for tail in (b"", bytes(len(whole) - size)):
+            torn = tmp_path / "torn"
+            shutil.copytree(before, torn)
+            last_segment(torn).write_bytes(whole[:size] + tail)
+            assert recover(torn).entries == entries(1, 2)
+            with open_storage(folder=torn, replica=ME) as storage:
+                storage.write(write(*entries(3, 3)))
+            assert recover(torn).entries == entries(1, 3)
+            shutil.rmtree(torn)
+
+
+@pytest.mark.parametrize("name", ["identity", "manifest", "synced", "segment-*", "snapshot-*"])
+def test_each_damaged_byte_is_found(tmp_path: Path, name: str) -> None:
+    fill(tmp_path)
+    for path in tmp_path.glob(name):
+        good = path.read_bytes()
+        for position in range(len(good)):
+            flipped = bytes([good[position] ^ 0x40])
+            path.write_bytes(good[:position] + flipped + good[position + 1 :])
+            with pytest.raises(StorageError, match=path.name) as caught:
+                recover(tmp_path)
+            assert "new id" in caught.value.remedy
+        path.write_bytes(good)
+    recover(tmp_path)
+
+
+@pytest.mark.parametrize("name", ["identity", "manifest", "synced", "segment-*", "snapshot-*"])
+def test_each_cut_or_missing_file_is_found(tmp_path: Path, name: str) -> None:
+    fill(tmp_path)
+    for path in tmp_path.glob(name):
+        good = path.read_bytes()
+        for size in range(len(good)):
+            path.write_bytes(good[:size])
+            with pytest.raises(StorageError, match=path.name):
+                recover(tmp_path)
+        path.unlink()
+        with pytest.raises(StorageError, match=path.name):
+            recover(tmp_path)
+        path.write_bytes(good)
+    recover(tmp_path)
+
+
+def test_damage_before_a_synced_write_is_found_with_an_old_mark(tmp_path: Path) -> None:
+    with open_storage(folder=tmp_path, replica=ME) as storage:
+        storage.write(write(*entries(1, 2)))
+        mark = (tmp_path / "synced").read_bytes()
+        start = last_segment(tmp_path).stat().st_size
+        storage.write(write(*entries(3, 4)))
+        storage.write(write(*entries(5, 6)))
+    good = last_segment(tmp_path).read_bytes()
+    last_segment(tmp_path).write_bytes(good[: start + 20] + b"\xff" + good[start + 21 :])
+    (tmp_path / "synced").write_bytes(mark)
+    with pytest.raises(StorageError, match="before its end"):
+        recover(tmp_path)
+
+
+def test_an_emptied_folder_gets_another_storage_number(tmp_path: Path) -> None:
+    fill(tmp_path)
+    before = recover(tmp_path).identity
+    for path in tmp_path.iterdir():
+        path.unlink()
+    after = recover(tmp_path)
+    assert after.identity.storage != before.storage
+    assert after.entries == ()
+
+
+def test_a_folder_of_another_replica_is_refused(tmp_path: Path) -> None:
+    fill(tmp_path)
+    with pytest.raises(StorageError, match="belongs to replica a"):
+        with open_storage(folder=tmp_path, replica=ReplicaId("b")):
+            pass
+
+
+def test_a_folder_in_use_is_refused(tmp_path: Path) -> None:
+    with open_storage(folder=tmp_path, replica=ME):
+        with pytest.raises(StorageError, match="another process"):
+            recover(tmp_path)
+
+
+STEPS: list[Callable[[Storage], None]] = [
+    lambda storage: storage.write(write(*entries(6, 8), hard_state=HardState(term=2))),
+    lambda storage: storage.save_snapshot(snapshot(5, keep_from=2)),
+    lambda storage: storage.save_snapshot(snapshot(50, keep_from=None)),
+]
+
+
+def last(storage: Storage) -> None:
+    storage.write(write(Entry(index=LogIndex(6), term=2)))
+
+
+@pytest.mark.parametrize("step", STEPS)
+@pytest.mark.parametrize("call", range(6))
+def test_a_full_disk_stores_nothing_and_can_be_tried_again(
+    tmp_path: Path, step: Callable[[Storage], None], call: int
+) -> None:
+    trial, good = tmp_path / "trial", tmp_path / "good"
+    with open_storage(folder=trial, replica=ME) as storage:
+        storage.write(write(*entries(1, 5)))
+    shutil.copytree(trial, good)
+    with open_storage(folder=good, replica=ME) as storage:
+        step(storage)
+    with open_storage(
+        folder=trial, replica=ME, disk=FailingDisk(call=call, code=errno.ENOSPC)
+    ) as storage:
+        for action in (step, last):
+            try:
+                action(storage)
+            except DiskFullError:
+                action(storage)
+    with open_storage(folder=good, replica=ME) as storage:
+        last(storage)
+    assert recover(trial).entries == recover(good).entries
+
+
+@pytest.mark.parametrize("step", STEPS)
+@pytest.mark.parametrize("call", range(6))
+def test_a_crash_at_any_write_leaves_the_state_before_or_after(
+    tmp_path: Path, step: Callable[[Storage], None], call: int
+) -> None:
+    trial, good = tmp_path / "trial", tmp_path / "good"
+    with open_storage(folder=trial, replica=ME) as storage:
+        storage.write(write(*entries(1, 5)))
+    before = recover(trial)
+    shutil.copytree(trial, good)
+    with open_storage(folder=good, replica=ME) as storage:
+        step(storage)
+    disk = FailingDisk(call=call, code=errno.EIO)
+    with open_storage(folder=trial, replica=ME, disk=disk) as storage:
+        try:
+            step(storage)
+        except StorageError as exc:
+            assert not isinstance(exc, DiskFullError)
+    assert recover(trial) in (before, recover(good))
+
+
+@pytest.mark.parametrize("call", range(8))
+def test_making_a_folder_can_be_interrupted(tmp_path: Path, call: int) -> None:
+    disk = FailingDisk(call=call, code=errno.EIO)
+    try:
+        with open_storage(folder=tmp_path, replica=ME, disk=disk):
+            pass
+    except StorageError:
+        pass
+    assert recover(tmp_path).entries == ()
