--- a/packages/lychee-log/src/lychee_log/replica.py
+++ b/packages/lychee-log/src/lychee_log/replica.py
@@ -72,6 +72,7 @@
         lead, with the term.
     :param on_applied: told of every proposal after the machine has applied it.
     :param snapshot_entries: number of entries after which a snapshot is taken.
+    :param inline_sync: whether the event loop waits for the disk, instead of a worker thread.
     """
 
     def __init__(
@@ -89,6 +90,7 @@
         on_leadership: Callable[[bool, int], None],
         on_applied: Callable[[LogIndex, bytes], None],
         snapshot_entries: int = SNAPSHOT_ENTRIES,
+        inline_sync: bool = False,
     ) -> None:
         self.id = id
         self._endpoint = endpoint
@@ -102,6 +104,7 @@
         self._on_leadership = on_leadership
         self._on_applied = on_applied
         self._snapshot_entries = snapshot_entries
+        self._inline_sync = inline_sync
         self._core: Core | None = None
         self._storage: Storage | None = None
         self._inbox: deque[Event] = deque()
@@ -311,7 +314,10 @@
         """Write in a worker thread, so that heartbeats go on; one write is out at a time."""
         while True:
             try:
-                await asyncio.to_thread(self._store, effect)
+                if self._inline_sync:
+                    self._store(effect)
+                else:
+                    await asyncio.to_thread(self._store, effect)
             except DiskFullError as exc:
                 logger.error("{}", exc)
                 self._put(WriteRefused(number=effect.number, reason=exc.message))
