Store unmarked batches again, name a stalled or full disk, test faults of the driver

Cause: after a failed sync the page cache may show batches that the disk does not hold; a restart took them for durable. Opening a folder on a full disk ended the process, a disk that hangs kept its leader in office, and a replica with a full disk could not be stopped. Ruled out: dropping what is not marked as synced (after a power failure the mark may be older than an acknowledged batch). Change: batches after the mark are written to a new segment before the folder is used; opening is tried again while there is no room; a write that is out for 1.5 s counts as a fault and ends a leadership; the retry loop ends with the replica. Driver tests for a full disk, a failed sync, a cut-off leader, an emptied disk, adding and removing voters.

--- a/packages/lychee-log/src/lychee_log/candidate.py
+++ b/packages/lychee-log/src/lychee_log/candidate.py
@@ -110,7 +110,10 @@
                 last_index=last.index,
                 last_term=last.term,
             )
-            state.send_synced(voter, request)
+            if pre:
+                state.send_state_synced(voter, request)
+            else:
+                state.send_synced(voter, request)
 
     def _is_up_to_date(self, request: VoteRequest) -> bool:
         last = self._state.log.last
--- a/packages/lychee-log/src/lychee_log/core.py
+++ b/packages/lychee-log/src/lychee_log/core.py
@@ -47,6 +47,9 @@
 APPLY_BATCH = 256
 """Number of entries that the machine applies before other events are looked at."""
 
+WRITE_STALL_S = 1.5
+"""Time after which a write that is not finished counts as a fault of the disk, in seconds."""
+
 KEPT_ENTRIES = 1_000
 """Number of entries before a snapshot that stay in the log for peers a little behind."""
 
@@ -138,8 +141,7 @@
                 self.state.finish_write(number)
                 self._follower.note_written()
             case WriteRefused(reason=reason):
-                self.state.fault = reason
-                self._step_down(now)
+                self._refuse_work(reason, now)
             case Applied(index=index):
                 self._note_applied(index)
             case SnapshotTaken(index=index, data=data):
@@ -153,7 +155,7 @@
             self._leader.replicate(now)
             if self._leader.is_removed():
                 self._step_down(now)
-        write = self.state.next_write()
+        write = self.state.next_write(now)
         if write is not None:
             self.state.emit(write)
         self._apply_next()
@@ -189,6 +191,8 @@
         return NotLeaderError(leader=leader.id if leader else None)
 
     def _tick(self, now: float) -> None:
+        if self.state.fault is None and self.state.durability.writing_s(now) > WRITE_STALL_S:
+            self._refuse_work("the disk does not finish a write", now)
         if self.state.identity.group == 0:
             self._found(now)
         elif self._leader is not None:
@@ -263,6 +267,10 @@
         else:
             self._follower.install(request, now)
 
+    def _refuse_work(self, fault: str, now: float) -> None:
+        self.state.fault = fault
+        self._step_down(now)
+
     def _note_term(self, term: int, now: float) -> None:
         if term <= self.state.term:
             return
--- a/packages/lychee-log/src/lychee_log/durability.py
+++ b/packages/lychee-log/src/lychee_log/durability.py
@@ -12,6 +12,7 @@
 @dataclass(kw_only=True)
 class _InFlight:
     number: int
+    begun_at: float
     last: EntryId | None
     keeps_state: bool
     compact_to: LogIndex | None = None
@@ -87,13 +88,17 @@
             return False
         return True
 
-    def next_write(self, log: EntryLog) -> Write | SaveSnapshot | None:
+    def writing_s(self, now: float) -> float:
+        """Return for how many seconds a write has been out, 0.0 if none is."""
+        return now - self._in_flight.begun_at if self._in_flight is not None else 0.0
+
+    def next_write(self, log: EntryLog, now: float) -> Write | SaveSnapshot | None:
         """Return the next write if none is out and there is something to write."""
         if self._in_flight is not None:
             return None
         if self._snapshot is not None:
-            return self._begin_snapshot(self._snapshot, log)
-        return self._begin_write(log) if self._has_pending(log.last.index) else None
+            return self._begin_snapshot(self._snapshot, log, now)
+        return self._begin_write(log, now) if self._has_pending(log.last.index) else None
 
     def finish(self, number: int, log: EntryLog) -> tuple[Send, ...]:
         """Take note that a write has been synced and return the messages that waited for it."""
@@ -112,20 +117,24 @@
         replacing = self._snapshot is not None and self._snapshot.keep_from is None
         return state or replacing or self._handed < last
 
-    def _begin_snapshot(self, save: SaveSnapshot, log: EntryLog) -> SaveSnapshot:
+    def _begin_snapshot(self, save: SaveSnapshot, log: EntryLog, now: float) -> SaveSnapshot:
         self._number += 1
         self._snapshot = None
         replaces = save.keep_from is None
         last = EntryId(index=save.snapshot.index, term=save.snapshot.term) if replaces else None
         compact_to = LogIndex(save.keep_from - 1) if save.keep_from is not None else None
         self._in_flight = _InFlight(
-            number=self._number, last=last, keeps_state=False, compact_to=compact_to
+            number=self._number,
+            begun_at=now,
+            last=last,
+            keeps_state=False,
+            compact_to=compact_to,
         )
         if replaces and not self._has_pending(log.last.index):
             self._in_flight.waiting, self._waiting = self._waiting, []
         return SaveSnapshot(number=self._number, snapshot=save.snapshot, keep_from=save.keep_from)
 
-    def _begin_write(self, log: EntryLog) -> Write:
+    def _begin_write(self, log: EntryLog, now: float) -> Write:
         self._number += 1
         last = log.last
         entries: tuple[Entry, ...] = ()
@@ -140,6 +149,7 @@
         )
         self._in_flight = _InFlight(
             number=self._number,
+            begun_at=now,
             last=last if entries else None,
             keeps_state=keeps_state,
             waiting=self._waiting,
--- a/packages/lychee-log/src/lychee_log/recovery.py
+++ b/packages/lychee-log/src/lychee_log/recovery.py
@@ -9,7 +9,7 @@
 from lychee_log.files import TEMPORARY, damaged, disk_errors, read_file
 from lychee_log.mark import MARK_NAME, read_mark
 from lychee_log.records import Entry, HardState, Identity, Recovered, Snapshot
-from lychee_log.segment import Batch, SegmentContents, read_segment
+from lychee_log.segment import Batch, SegmentContents, read_current, read_sealed
 from lychee_types.ids import LogIndex, ReplicaId
 
 IDENTITY_NAME = "identity"
@@ -65,11 +65,13 @@
     :param recovered: what the replica starts from.
     :param manifest: which files are in force.
     :param ends: where each segment ends, oldest first.
+    :param unmarked: the last batches, which are not known to have been synced.
     """
 
     recovered: Recovered
     manifest: Manifest
     ends: tuple[SegmentEnd, ...]
+    unmarked: tuple[Batch, ...]
 
 
 _ENCODER = Encoder()
@@ -123,7 +125,9 @@
         snapshot=snapshot,
         entries=_after(folder, snapshot, log.entries),
     )
-    return Loaded(recovered=recovered, manifest=manifest, ends=tuple(log.ends))
+    return Loaded(
+        recovered=recovered, manifest=manifest, ends=tuple(log.ends), unmarked=log.unmarked
+    )
 
 
 class _StoredLog:
@@ -133,6 +137,7 @@
         self.hard_state = HardState()
         self.entries: list[Entry] = []
         self.ends: list[SegmentEnd] = []
+        self.unmarked: tuple[Batch, ...] = ()
         self._folder = folder
 
     def add_segment(self, number: int, contents: SegmentContents) -> None:
@@ -142,6 +147,9 @@
             self._add(batch)
             highest = max((entry.index for entry in batch.entries), default=highest)
         self.ends.append(SegmentEnd(number=number, size=contents.size, last=highest))
+        self.unmarked = contents.unmarked
+        for batch in contents.unmarked:
+            self._add(batch)
 
     def _add(self, batch: Batch) -> None:
         if batch.hard_state is not None:
@@ -165,12 +173,10 @@
         raise damaged(folder / MANIFEST_NAME, "is older than the log")
     log = _StoredLog(folder=folder)
     for sealed in manifest.sealed:
-        contents = read_segment(
-            folder=folder, number=sealed.number, synced=sealed.size, may_be_torn=False
-        )
+        contents = read_sealed(folder=folder, number=sealed.number, size=sealed.size)
         log.add_segment(sealed.number, contents)
     synced = mark.size if mark.segment == manifest.current else 0
-    current = read_segment(folder=folder, number=manifest.current, synced=synced, may_be_torn=True)
+    current = read_current(folder=folder, number=manifest.current, synced=synced)
     log.add_segment(manifest.current, current)
     return log
 
@@ -193,7 +199,7 @@
     if "segment-0000000001" not in names:
         return False
     try:
-        contents = read_segment(folder=folder, number=1, synced=0, may_be_torn=True)
+        contents = read_current(folder=folder, number=1, synced=0)
     except StorageError:
         return (folder / MANIFEST_NAME).exists()
-    return len(contents.batches) > 1
+    return bool(contents.unmarked)
--- a/packages/lychee-log/src/lychee_log/replica.py
+++ b/packages/lychee-log/src/lychee_log/replica.py
@@ -27,6 +27,7 @@
     Written,
 )
 from lychee_log.exceptions import DiskFullError
+from lychee_log.files import Disk
 from lychee_log.interfaces import Machine, Transport
 from lychee_log.messages import PeerMessage
 from lychee_log.proposals import Proposals
@@ -73,6 +74,7 @@
     :param on_applied: told of every proposal after the machine has applied it.
     :param snapshot_entries: number of entries after which a snapshot is taken.
     :param inline_sync: whether the event loop waits for the disk, instead of a worker thread.
+    :param disk: the calls that can fail, None for the operating system's.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         on_applied: Callable[[LogIndex, bytes], None],
         snapshot_entries: int = SNAPSHOT_ENTRIES,
         inline_sync: bool = False,
+        disk: Disk | None = None,
     ) -> None:
         self.id = id
         self._endpoint = endpoint
@@ -105,6 +108,7 @@
         self._on_applied = on_applied
         self._snapshot_entries = snapshot_entries
         self._inline_sync = inline_sync
+        self._disk = disk
         self._core: Core | None = None
         self._storage: Storage | None = None
         self._inbox: deque[Event] = deque()
@@ -115,6 +119,8 @@
         self._entries_since_snapshot = 0
         self._bytes_since_snapshot = 0
         self._changing = asyncio.Lock()
+        self._is_stopping = False
+        self._open_fault: str | None = None
 
     @property
     def role(self) -> str:
@@ -154,7 +160,7 @@
     @property
     def fault(self) -> str | None:
         """Return why the disk takes no writes, None if it does."""
-        return self._core.state.fault if self._core else None
+        return self._core.state.fault if self._core else self._open_fault
 
     def leads_until(self) -> float:
         """Return until when no other replica can have been elected, monotonic seconds.
@@ -218,21 +224,30 @@
         :raises InvariantError: if a condition that must always hold does not.
         :raises StorageError: if the data folder cannot be used or is damaged.
         """
-        with open_storage(folder=self._data, replica=self.id) as storage:
-            self._storage = storage
-            now = self._clock.monotonic()
-            self._core = Core(
-                endpoint=self._endpoint,
-                recovered=storage.recovered,
-                first=self._first,
-                timing=self._timing,
-                seed=self._seed,
-                now=now,
-            )
+        while True:
             try:
-                await self._loop(self._core)
-            finally:
-                await self._stop()
+                with open_storage(folder=self._data, replica=self.id, disk=self._disk) as storage:
+                    await self._run_on(storage)
+            except DiskFullError as exc:
+                logger.error("{}", exc)
+                self._open_fault = exc.message
+                await asyncio.sleep(DISK_RETRY_S)
+
+    async def _run_on(self, storage: Storage) -> None:
+        self._open_fault = None
+        self._storage = storage
+        self._core = Core(
+            endpoint=self._endpoint,
+            recovered=storage.recovered,
+            first=self._first,
+            timing=self._timing,
+            seed=self._seed,
+            now=self._clock.monotonic(),
+        )
+        try:
+            await self._loop(self._core)
+        finally:
+            await self._stop()
 
     async def _loop(self, core: Core) -> None:
         loop = asyncio.get_running_loop()
@@ -322,6 +337,8 @@
                 logger.error("{}", exc)
                 self._put(WriteRefused(number=effect.number, reason=exc.message))
                 await asyncio.sleep(DISK_RETRY_S)
+                if self._is_stopping:
+                    return
             except BaseException:
                 self._wake.set()
                 raise
@@ -337,6 +354,7 @@
             self._storage.save_snapshot(effect)
 
     async def _stop(self) -> None:
+        self._is_stopping = True
         self._proposals.close()
         if self._writing is not None:
             await asyncio.gather(self._writing, return_exceptions=True)
--- a/packages/lychee-log/src/lychee_log/segment.py
+++ b/packages/lychee-log/src/lychee_log/segment.py
@@ -8,6 +8,7 @@
 
 from lychee_log.files import (
     Disk,
+    Frame,
     damaged,
     disk_errors,
     find_frame,
@@ -39,7 +40,7 @@
 
 
 class SegmentWriter:
-    """Appends batches to the last segment.
+    """Appends batches to the last segment; what follows its valid length is cut off first.
 
     :param folder: the data folder.
     :param number: the segment's number.
@@ -53,7 +54,6 @@
         self._path = segment_path(folder, number)
         with disk_errors(self._path):
             self._fd = os.open(self._path, os.O_WRONLY | os.O_CREAT, 0o640)
-            self._cut()
 
     @classmethod
     def create(
@@ -98,35 +98,72 @@
 class SegmentContents(Struct, frozen=True, kw_only=True):
     """What was found in a segment.
 
-    :param batches: the whole batches in order.
-    :param size: length of them in bytes; what follows was never acknowledged.
+    :param batches: the batches that are known to have been synced.
+    :param size: length of them in bytes.
+    :param unmarked: whole batches after them, which may or may not have been acknowledged.
     """
 
     batches: tuple[Batch, ...]
     size: int
+    unmarked: tuple[Batch, ...] = ()
+
+
+def read_sealed(*, folder: Path, number: int, size: int) -> SegmentContents:
+    """Return the batches of a segment to which nothing is appended any more.
+
+    :param size: its length in bytes; what follows has been stored again in a later segment.
+    :raises StorageError: if it is missing or damaged.
+    """
+    path = segment_path(folder, number)
+    data = _read(path)[:size]
+    frames = _frames(data, number=number)
+    end = frames[-1].end if frames else 0
+    if end != size:
+        raise damaged(path, f"is damaged at byte {end} of {size}")
+    return SegmentContents(batches=_decode(frames), size=size)
 
 
-def read_segment(*, folder: Path, number: int, synced: int, may_be_torn: bool) -> SegmentContents:
-    """Return the batches of a segment.
+def read_current(*, folder: Path, number: int, synced: int) -> SegmentContents:
+    """Return the batches of the segment to which batches are appended.
+
+    A torn write at its end is left out. It was never acknowledged: no whole batch follows it.
 
     :param synced: length that is known to have been synced.
-    :param may_be_torn: whether a write may have been under way at its end.
     :raises StorageError: if something that may have been acknowledged is missing or damaged.
     """
     path = segment_path(folder, number)
+    data = _read(path)
+    frames = _frames(data, number=number)
+    if not frames:
+        raise damaged(path, "is empty or damaged at its beginning")
+    end = frames[-1].end
+    if end < synced:
+        raise damaged(path, f"is damaged at byte {end}; {synced} bytes had been synced")
+    if find_frame(data, number=number, after=end) is not None:
+        raise damaged(path, f"is damaged at byte {end}, before its end")
+    marked = [frame for frame in frames if frame.end <= synced] or frames[:1]
+    return SegmentContents(
+        batches=_decode(marked),
+        size=marked[-1].end,
+        unmarked=_decode(frames[len(marked) :]),
+    )
+
+
+def _read(path: Path) -> bytes:
     if not path.exists():
         raise damaged(path, "is missing")
     with disk_errors(path):
-        data = path.read_bytes()
-    batches, offset = [], 0
+        return path.read_bytes()
+
+
+def _frames(data: bytes, *, number: int) -> list[Frame]:
+    frames: list[Frame] = []
+    offset = 0
     while frame := read_frame(data, number=number, offset=offset):
-        batches.append(_DECODER.decode(frame.payload))
+        frames.append(frame)
         offset = frame.end
-    if offset < synced:
-        raise damaged(path, f"is damaged at byte {offset}; {synced} bytes had been synced")
-    if offset < len(data):
-        if not may_be_torn or find_frame(data, number=number, after=offset) is not None:
-            raise damaged(path, f"is damaged at byte {offset}, before its end")
-    if not batches:
-        raise damaged(path, "is empty")
-    return SegmentContents(batches=tuple(batches), size=offset)
+    return frames
+
+
+def _decode(frames: list[Frame]) -> tuple[Batch, ...]:
+    return tuple(_DECODER.decode(frame.payload) for frame in frames)
--- a/packages/lychee-log/src/lychee_log/state.py
+++ b/packages/lychee-log/src/lychee_log/state.py
@@ -182,9 +182,9 @@
         for send in self.durability.finish(number, self.log):
             self._release(send)
 
-    def next_write(self) -> Write | SaveSnapshot | None:
+    def next_write(self, now: float) -> Write | SaveSnapshot | None:
         """Return the next write if there is one."""
-        return self.durability.next_write(self.log)
+        return self.durability.next_write(self.log, now)
 
     def storage_matches(self, message: Header) -> bool:
         """Return whether the sender has the storage that the membership knows it by."""
--- a/packages/lychee-log/src/lychee_log/storage.py
+++ b/packages/lychee-log/src/lychee_log/storage.py
@@ -62,8 +62,10 @@
         end = loaded.ends[-1]
         self._mark = MarkFile(folder=folder)
         self._writer = SegmentWriter(folder=folder, number=end.number, size=end.size, disk=disk)
+        if loaded.unmarked:
+            self._store_again(loaded.unmarked)
         self._set_mark()
-        self._remove_unlisted()
+        self._remove_left_over()
 
     def write(self, write: Write) -> None:
         """Store a write.
@@ -103,6 +105,15 @@
         self._writer.close()
         self._mark.close()
 
+    def _store_again(self, batches: tuple[Batch, ...]) -> None:
+        """Write batches anew that a failed sync may have left in memory only."""
+        entries = tuple(entry for batch in batches for entry in batch.entries)
+        self._begin_segment(
+            self._sealed_from(LogIndex(0)), self._manifest.snapshot, batches=batches
+        )
+        highest = max((entry.index for entry in entries), default=LogIndex(0))
+        self._lasts[self._writer.number] = highest
+
     def _sealed_from(self, index: LogIndex) -> tuple[Sealed, ...]:
         """Return the segments needed for the entries from an index on, all of them as sealed."""
         last = Sealed(number=self._writer.number, size=self._writer.size)
@@ -110,12 +121,16 @@
         needed = [each.number for each in segments if self._lasts[each.number] >= index]
         return tuple(each for each in segments if needed and each.number >= needed[0])
 
-    def _begin_segment(self, sealed: tuple[Sealed, ...], snapshot: LogIndex) -> None:
+    def _begin_segment(
+        self, sealed: tuple[Sealed, ...], snapshot: LogIndex, *, batches: tuple[Batch, ...] = ()
+    ) -> None:
         number = self._writer.number + 1
         writer = SegmentWriter.create(
             folder=self._folder, number=number, hard_state=self._hard_state, disk=self._disk
         )
         try:
+            for batch in batches:
+                writer.append(batch)
             manifest = Manifest(current=number, sealed=sealed, snapshot=snapshot)
             _store_manifest(self._folder, manifest, disk=self._disk)
         except BaseException:
@@ -134,14 +149,24 @@
     def _store_identity(self, identity: Identity) -> None:
         replace_file(self._folder / IDENTITY_NAME, encode_record(identity), disk=self._disk)
 
+    def _remove_left_over(self) -> None:
+        """Remove what an interrupted call left, once the manifest is surely on the disk."""
+        if self._unlisted():
+            _store_manifest(self._folder, self._manifest, disk=self._disk)
+            self._remove_unlisted()
+
     def _remove_unlisted(self) -> None:
+        with disk_errors(self._folder):
+            for path in self._unlisted():
+                path.unlink()
+
+    def _unlisted(self) -> list[Path]:
         listed = {segment_path(self._folder, number) for number in self._manifest.segments}
         listed.add(snapshot_path(self._folder, self._manifest.snapshot))
         fixed = {IDENTITY_NAME, MANIFEST_NAME, MARK_NAME, LOCK_NAME}
         with disk_errors(self._folder):
-            for path in self._folder.iterdir():
-                if path not in listed and path.name not in fixed:
-                    path.unlink()
+            files = list(self._folder.iterdir())
+        return [path for path in files if path not in listed and path.name not in fixed]
 
 
 @contextmanager
--- a/packages/lychee-log/tests/test_replica.py
+++ b/packages/lychee-log/tests/test_replica.py
@@ -1,16 +1,20 @@
 """The driver with a real event loop, an in-memory transport and real files."""
 
 import asyncio
+import errno
+import os
+import shutil
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 
 import pytest
 
-from lychee_log import Committed, Replica, Voter
+from lychee_log import Committed, LostStorageError, Replica, StorageError, Voter
+from lychee_log.files import SystemDisk
 from lychee_log.messages import PeerMessage
 from lychee_types.clock import SystemClock
-from lychee_types.exceptions import NotLeaderError
+from lychee_types.exceptions import NotLeaderError, UnavailableError
 from lychee_types.ids import LogIndex, ReplicaId
 from lychee_types.records import Endpoint
 from lychee_types.timing import Timing
@@ -48,6 +52,18 @@
             self.nodes[to.id].replica.receive(message)
 
 
+class SwitchedDisk(SystemDisk):
+    """A disk that fails while it has a fault."""
+
+    def __init__(self) -> None:
+        self.fault = 0
+
+    def sync(self, fd: int) -> None:
+        if self.fault:
+            raise OSError(self.fault, os.strerror(self.fault))
+        super().sync(fd)
+
+
 class Node:
     """A running replica."""
 
@@ -56,6 +72,7 @@
     ) -> None:
         self.machine = ListMachine()
         self.changes: list[bool] = []
+        self.disk = SwitchedDisk()
         self.replica = Replica(
             id=ReplicaId(name),
             endpoint=voter(name).endpoint,
@@ -69,6 +86,7 @@
             on_leadership=lambda leads, term: self.changes.append(leads),
             on_applied=lambda index, data: None,
             snapshot_entries=entries,
+            disk=self.disk,
         )
         self.task = asyncio.create_task(self.replica.run())
 
@@ -208,3 +226,90 @@
             await group.until(lambda: added.machine.items == expected)
 
     asyncio.run(scenario())
+
+
+def test_a_full_disk_ends_the_leadership_and_not_the_replica(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(data=tmp_path, first="abc") as group:
+            await group.propose(b"before")
+            faulty = await group.leader()
+            faulty.disk.fault = errno.ENOSPC
+            with pytest.raises(UnavailableError):
+                await faulty.replica.propose(b"unknown")
+            assert "No space left" in (faulty.replica.fault or "")
+            assert faulty.changes[-1] is False
+            await group.propose(b"after")
+            faulty.disk.fault = 0
+            await group.until(lambda: faulty.replica.fault is None)
+            await group.until(lambda: faulty.machine.items[-1:] == [b"after"])
+
+    asyncio.run(scenario())
+
+
+def test_a_failed_sync_stops_the_replica(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(data=tmp_path, first="a") as group:
+            await group.propose(b"before")
+            node = await group.leader()
+            node.disk.fault = errno.EIO
+            with pytest.raises(UnavailableError):
+                await node.replica.propose(b"unknown")
+            with pytest.raises(StorageError, match="Input/output error"):
+                await node.task
+            group.nodes.clear()
+            group.start("a", first="a")
+            assert (await group.leader()).machine.items in ([b"before"], [b"before", b"unknown"])
+
+    asyncio.run(scenario())
+
+
+def test_a_leader_that_is_cut_off_ends_its_proposals(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(data=tmp_path, first="abc") as group:
+            await group.propose(b"kept")
+            old = await group.leader()
+            group.network.cut.add(old.replica.id)
+            with pytest.raises(UnavailableError):
+                await old.replica.propose(b"lost")
+            assert old.replica.leads_until() == 0.0
+            await group.propose(b"after")
+            group.network.cut.clear()
+            await group.until(lambda: old.machine.items == [b"kept", b"after"])
+
+    asyncio.run(scenario())
+
+
+def test_an_emptied_disk_stops_the_replica_with_the_remedy(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(data=tmp_path, first="abc") as group:
+            await group.propose(b"kept")
+            leader = await group.leader()
+            lost = next(name for name in group.nodes if name != leader.replica.id)
+            await group.stop(lost)
+            shutil.rmtree(tmp_path / lost)
+            node = group.start(lost, first="abc")
+            with pytest.raises(LostStorageError, match="other storage") as caught:
+                await node.task
+            assert "new id" in caught.value.remedy
+            del group.nodes[lost]
+            added = group.start("d")
+            await leader.replica.replace_voter(old=lost, new=voter("d"))
+            await group.until(lambda: added.machine.items == [b"kept"])
+
+    asyncio.run(scenario())
+
+
+def test_a_voter_can_be_added_and_removed(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(data=tmp_path, first="a") as group:
+            await group.propose(b"1")
+            leader = await group.leader()
+            group.start("b")
+            assert len(await leader.replica.replace_voter(old=None, new=voter("b"))) == 2
+            voters = await leader.replica.replace_voter(old=ReplicaId("a"), new=None)
+            assert [each.id for each in voters] == ["b"]
+            await group.until(lambda: group.nodes[ReplicaId("b")].replica.is_leader)
+            assert not leader.replica.is_leader
+            assert (await group.propose(b"2")).result == 2
+
+    asyncio.run(scenario())
--- a/packages/lychee-log/tests/test_storage.py
+++ b/packages/lychee-log/tests/test_storage.py
@@ -23,6 +23,7 @@
 
     def __init__(self, *, call: int, code: int, times: int = 1) -> None:
         self.calls = 0
+        self.is_armed = False
         self._failing = range(call, call + times)
         self._code = code
 
@@ -38,8 +39,8 @@
         super().sync(fd)
 
     def _fails(self) -> bool:
-        self.calls += 1
-        return self.calls - 1 in self._failing
+        self.calls += self.is_armed
+        return self.is_armed and self.calls - 1 in self._failing
 
 
 def entries(first: int, last: int, *, term: int = 1) -> tuple[Entry, ...]:
@@ -180,6 +181,26 @@
         recover(tmp_path)
 
 
+def test_batches_that_are_not_marked_as_synced_are_stored_again(tmp_path: Path) -> None:
+    with open_storage(folder=tmp_path, replica=ME) as storage:
+        storage.write(write(*entries(1, 2), hard_state=HardState(term=1)))
+        mark = (tmp_path / "synced").read_bytes()
+        storage.write(write(*entries(3, 4), hard_state=HardState(term=2)))
+    (tmp_path / "synced").write_bytes(mark)
+    old = last_segment(tmp_path)
+    for call in range(6):
+        disk = FailingDisk(call=call, code=errno.EIO)
+        disk.is_armed = True
+        try:
+            with open_storage(folder=tmp_path, replica=ME, disk=disk):
+                pass
+        except StorageError:
+            pass
+    recovered = recover(tmp_path)
+    assert recovered.entries == entries(1, 4) and recovered.hard_state == HardState(term=2)
+    assert last_segment(tmp_path) != old
+
+
 def test_an_emptied_folder_gets_another_storage_number(tmp_path: Path) -> None:
     fill(tmp_path)
     before = recover(tmp_path).identity
@@ -225,9 +246,9 @@
     shutil.copytree(trial, good)
     with open_storage(folder=good, replica=ME) as storage:
         step(storage)
-    with open_storage(
-        folder=trial, replica=ME, disk=FailingDisk(call=call, code=errno.ENOSPC)
-    ) as storage:
+    disk = FailingDisk(call=call, code=errno.ENOSPC)
+    with open_storage(folder=trial, replica=ME, disk=disk) as storage:
+        disk.is_armed = True
         for action in (step, last):
             try:
                 action(storage)
@@ -252,6 +273,7 @@
         step(storage)
     disk = FailingDisk(call=call, code=errno.EIO)
     with open_storage(folder=trial, replica=ME, disk=disk) as storage:
+        disk.is_armed = True
         try:
             step(storage)
         except StorageError as exc:
@@ -262,6 +284,7 @@
 @pytest.mark.parametrize("call", range(8))
 def test_making_a_folder_can_be_interrupted(tmp_path: Path, call: int) -> None:
     disk = FailingDisk(call=call, code=errno.EIO)
+    disk.is_armed = True
     try:
         with open_storage(folder=tmp_path, replica=ME, disk=disk):
             pass
