Test each mechanism of the core so that its removal is noticed

Ruled out: waiting for random schedules to meet rare timing (late answers, a vote lost in a crash). Change: direct cases for votes and entries on disk before they are promised, late answers, a leader's own lease after it steps down, pre-votes of a replica that misses only the leader, a single voter's vote, replaced entries; the group of cores checks every promise against the disk.

--- a/packages/lychee-log/src/lychee_log/testing.py
+++ b/packages/lychee-log/src/lychee_log/testing.py
@@ -24,8 +24,8 @@
     Written,
 )
 from lychee_log.exceptions import LostStorageError
-from lychee_log.messages import PeerMessage
-from lychee_log.records import Entry, Identity, Recovered, StorageId, Voter
+from lychee_log.messages import AppendReply, PeerMessage, VoteReply
+from lychee_log.records import Entry, HardState, Identity, Recovered, StorageId, Voter
 from lychee_log.state import Role
 from lychee_types.exceptions import require
 from lychee_types.ids import LogIndex, ReplicaId
@@ -200,6 +200,7 @@
         for effect in effects:
             match effect:
                 case Send(message=message):
+                    self._check_promise(node, message)
                     self.messages.append(message)
                 case Write() | SaveSnapshot():
                     require(node.write is None, "one write is out at a time")
@@ -237,6 +238,23 @@
             disk = replace(disk, entries=before + write.entries)
         node.disk = disk
 
+    def _check_promise(self, node: Node, message: PeerMessage) -> None:
+        """Check that what a message promises is on the disk."""
+        disk = node.disk
+        if isinstance(message, VoteReply) and message.granted and not message.pre:
+            promised = HardState(term=message.term, vote=message.to)
+            is_kept = disk.hard_state == promised or disk.hard_state.term > message.term
+            require(is_kept, "a vote is on disk before it is given")
+        if isinstance(message, AppendReply) and message.match:
+            held = [entry.id for entry in disk.entries]
+            last = disk.snapshot.index if disk.snapshot else 0
+            known = self.committed.get(message.match)
+            on_disk = message.match <= last or any(
+                each.index == message.match and (known is None or each.term == known.term)
+                for each in held
+            )
+            require(on_disk, "an entry is on disk before it is acknowledged")
+
     def _check_commits(self, node: Node) -> None:
         if node.core is None:
             return
--- a/packages/lychee-log/tests/test_core.py
+++ b/packages/lychee-log/tests/test_core.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lychee_log.core import Core
-from lychee_log.effects import Received, Tick, Written
+from lychee_log.effects import Received, Tick, Write, Written
 from lychee_log.entries import EntryLog
 from lychee_log.membership import (
     MembershipError,
@@ -107,6 +107,29 @@
     assert core_of(leader).state.term == term
 
 
+def test_a_replica_that_does_not_hear_the_leader_does_not_disturb() -> None:
+    group = group_of("abc")
+    leader = group.settle()
+    term = core_of(leader).state.term
+    deaf = others(group, leader)[0]
+    group.cuts.add((leader.voter.id, deaf.voter.id))
+    group.run(5.0)
+    assert group.settle() is leader
+    assert core_of(leader).state.term == core_of(deaf).state.term == term
+
+
+def test_a_single_voter_leads_once_its_vote_is_on_disk() -> None:
+    group = Group(first="a", timing=TIMING)
+    node = group.nodes[ReplicaId("a")]
+    while not isinstance(node.write, Write) or node.write.hard_state is None:
+        group.finish_write(node)
+        group.now += 0.01
+        group.step(node, Tick())
+    assert core_of(node).leader is None
+    group.finish_write(node)
+    assert core_of(node).leader is not None
+
+
 def test_a_leader_cut_off_serves_nothing_and_loses_what_was_not_acknowledged() -> None:
     group = group_of("abc")
     old = group.settle()
@@ -259,8 +282,8 @@
     group.isolate(behind)
     assert group.propose(behind, b"lost")
     group.run(1.0)
-    for number in range(1_200):
-        assert group.propose(group.settle(), b"%d" % number)
+    batch = [b"%d" % number for number in range(1_200)]
+    assert core_of(group.settle()).propose(batch).is_ok()
     group.run(1.0)
     for node in others(group, behind):
         group.take_snapshot(node)
@@ -268,7 +291,7 @@
     assert core_of(group.settle()).state.log.base.index > 100
     group.cuts.clear()
     group.run(2.0)
-    assert behind.items == [b"%d" % number for number in range(1_200)]
+    assert behind.items == batch
     assert behind.disk.snapshot is not None
 
 
@@ -394,3 +417,103 @@
     assert log.members_at(LogIndex(2)) == THREE and log.last.index == 4
     log.truncate(LogIndex(3))
     assert log.members == THREE and log.last == EntryId(index=LogIndex(2), term=1)
+
+
+def test_a_vote_is_on_disk_before_it_is_given() -> None:
+    group = group_of("abc")
+    leader = group.settle()
+    voter, candidate = others(group, leader)
+    group.run(0.2)
+    group.now += ELECTION_S
+    group.messages.clear()
+    state = core_of(voter).state
+    request = core_of(candidate).state.build(
+        VoteRequest,
+        state.me,
+        term=state.term + 1,
+        pre=False,
+        last_index=state.log.last.index,
+        last_term=state.log.last.term,
+    )
+    group.step(voter, Received(message=request))
+    assert not group.messages and voter.disk.hard_state.vote != candidate.voter.id
+    group.finish_write(voter)
+    assert voter.disk.hard_state.vote == candidate.voter.id
+    assert [message.granted for message in group.messages if isinstance(message, VoteReply)]
+
+
+def test_a_late_answer_does_not_lengthen_the_lease() -> None:
+    group = group_of("abc")
+    leader = group.settle()
+    core = core_of(leader)
+    group.messages.clear()
+    group.now += 0.05
+    group.step(leader, Tick())
+    sent = group.now
+    while any(isinstance(message, AppendRequest) for message in group.messages):
+        group.deliver(0)
+    group.now += 0.1
+    for message in group.messages:
+        core.step(Received(message=message), group.now)
+    assert core.leads_until(group.now) == pytest.approx(sent + ELECTION_S - TIMING.drift_s)
+
+
+def test_a_leader_that_steps_down_keeps_its_own_lease() -> None:
+    group = group_of("abc")
+    leader = group.settle()
+    core, state = core_of(leader), core_of(leader).state
+    until = core.leads_until(group.now)
+    peer = core_of(others(group, leader)[0]).state
+    refusal = peer.build(AppendReply, state.me, term=state.term + 1, match=LogIndex(0), sent=0.0)
+    core.step(Received(message=refusal), group.now)
+    assert core.leader is None and core.leads_until(group.now) == 0.0
+    request = peer.build(
+        VoteRequest,
+        state.me,
+        term=state.term + 1,
+        pre=False,
+        last_index=state.log.last.index,
+        last_term=state.log.last.term,
+    )
+    core.step(Received(message=request), until - 0.001)
+    assert state.hard_state.vote is None
+    core.step(Received(message=request), until)
+    assert state.hard_state.vote == peer.id
+
+
+def test_a_new_leader_changes_no_members_before_its_first_commit() -> None:
+    group = group_of("abc")
+    group.crash(group.settle(), is_stored=True)
+    leading = [node for node in group.nodes.values() if node.core]
+    while not any(core_of(node).leader for node in leading):
+        group.round()
+    core = next(core_of(node) for node in leading if core_of(node).leader)
+    assert not core.leads
+    assert core.change_members(without(core.state.members, ReplicaId("z"))).is_error()
+
+
+def test_replaced_entries_are_not_acknowledged_before_they_are_written() -> None:
+    group = group_of("abc")
+    old = group.settle()
+    group.isolate(old)
+    for number in range(5):
+        group.propose(old, b"lost %d" % number)
+    while (new := group.leading()) is old or new is None:
+        group.round()
+    durable = core_of(old).state.durability.durable
+    for number in range(9):
+        commit(group, b"%d" % number)
+    group.cuts.clear()
+    for _ in range(20):
+        group.now += 0.01
+        for node in others(group, old):
+            group.step(node, Tick())
+        while group.messages:
+            group.deliver(0)
+        if isinstance(old.write, Write) and not old.write.entries:
+            group.finish_write(old)
+    assert core_of(old).state.durability.durable < durable
+    assert old.disk.entries[-1].data.startswith(b"lost")
+    group.run(0.5)
+    assert old.items == [b"%d" % number for number in range(9)]
+    assert [entry.data for entry in old.disk.entries if entry.data] == old.items
