Serve keyed and free requests through the gateway

Cause: the request path was empty. This is its thin, whole form: HTTP/1.1 by h11 on asyncio protocols both ways, announcements, the stream to the control replicas, leases and owners checked just before the write, and a graceful stop on SIGTERM.

Tests run it against a small fake control replica and scripted backend servers in one process.

--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/callers.py
@@ -0,0 +1,102 @@
+"""Callers' connections: each is a task that reads requests and writes answers in turn."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+
+from loguru import logger
+
+from lychee_gateway.exceptions import BadRequestError, CallerGoneError
+from lychee_gateway.http import CallerConnection, CallerLimits, RequestHead, Wire
+from lychee_types.exceptions import InvariantError
+
+STOP_LIMIT_S = 60.0
+"""Longest wait at a stop for answers that are still being sent, in seconds."""
+
+Handle = Callable[[RequestHead, CallerConnection], Awaitable[None]]
+"""Answers one request on its connection."""
+
+Refuse = Callable[[BadRequestError, CallerConnection], Awaitable[None]]
+"""Answers a request that cannot be taken."""
+
+
+class Callers:
+    """All connections of one listener.
+
+    :param handle: answers a request.
+    :param refuse: answers a request that cannot be taken.
+    :param fail: told of a broken invariant.
+    :param limits: limits on heads and idle time.
+    """
+
+    def __init__(
+        self,
+        *,
+        handle: Handle,
+        refuse: Refuse,
+        fail: Callable[[InvariantError], None],
+        limits: CallerLimits | None = None,
+    ) -> None:
+        self._handle = handle
+        self._refuse = refuse
+        self._fail = fail
+        self._limits = limits or CallerLimits()
+        self._tasks: dict[asyncio.Task[None], CallerConnection] = {}
+        self._stopping = False
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    async def accept(self, sock: socket.socket) -> None:
+        """Take over an accepted connection."""
+        loop = asyncio.get_running_loop()
+        await loop.connect_accepted_socket(lambda: Wire(on_made=self._made), sock)
+
+    def begin_stop(self) -> None:
+        """End each connection after its next answer."""
+        self._stopping = True
+        for conn in self._tasks.values():
+            conn.closing = True
+
+    async def finish(self) -> None:
+        """Close idle connections and wait until the last answer has been sent."""
+        self.begin_stop()
+        for task, conn in list(self._tasks.items()):
+            if conn.idle:
+                task.cancel()
+        if self._tasks:
+            await asyncio.wait(list(self._tasks), timeout=STOP_LIMIT_S)
+
+    def _made(self, wire: Wire) -> None:
+        conn = CallerConnection(wire=wire, limits=self._limits)
+        conn.closing = self._stopping
+        task = asyncio.get_running_loop().create_task(self._serve(conn))
+        self._tasks[task] = conn
+        task.add_done_callback(self._tasks.pop)
+
+    async def _serve(self, conn: CallerConnection) -> None:
+        try:
+            while await self._serve_one(conn):
+                pass
+            await conn.close()
+        except (CallerGoneError, ConnectionError, asyncio.CancelledError):
+            conn.abort()
+        except InvariantError as exc:
+            conn.abort()
+            self._fail(exc)
+        except Exception:
+            logger.exception("a caller's connection failed")
+            conn.abort()
+
+    async def _serve_one(self, conn: CallerConnection) -> bool:
+        """Answer one request; False if the connection is over."""
+        try:
+            head = await conn.read_head()
+            if head is None:
+                return False
+            await self._handle(head, conn)
+        except BadRequestError as exc:
+            conn.closing = True
+            await self._refuse(exc, conn)
+            return False
+        return conn.next_request()
--- a/packages/lychee-gateway/src/lychee_gateway/cli.py
+++ b/packages/lychee-gateway/src/lychee_gateway/cli.py
@@ -1,9 +1,52 @@
-"""Command line of the program."""
+"""Command line of lychee-gateway."""
+
+import sys
+from pathlib import Path
 
 import click
 
+from lychee_gateway.core import Gateway
+from lychee_runtime import configure_logs, run_daemon
+from lychee_types.exceptions import LycheeError
+from lychee_types.settings import GatewaySettings
+from lychee_types.yamlfile import read_yaml
+
+
+class BadSettings(click.ClickException):
+    """The settings file cannot be used."""
+
+    exit_code = 2
+
+
+def _load(path: Path) -> GatewaySettings:
+    result = read_yaml(path, GatewaySettings)
+    if result.is_error():
+        raise BadSettings("\n".join(fault.show() for fault in result.error))
+    return result.ok
+
 
 @click.command()
-def main() -> None:
-    """Start the program."""
-    raise click.ClickException("not built yet")
+@click.option(
+    "--settings",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="YAML file with the gateway's settings.",
+)
+@click.option("--check-settings", is_flag=True, help="Check the settings and exit.")
+def main(settings: Path, check_settings: bool) -> None:
+    """Serve callers and forward their requests to backend servers."""
+    cfg = _load(settings)
+    if check_settings:
+        click.echo(f"{settings}: ok")
+        return
+    configure_logs(program="lychee-gateway", name=cfg.id, cfg=cfg.log)
+    try:
+        code = run_daemon(lambda: Gateway(cfg=cfg))
+    except LycheeError as exc:
+        raise click.ClickException(exc.show()) from exc
+    except OSError as exc:
+        raise click.ClickException(
+            f"cannot listen on {cfg.listen} or {cfg.announce}: {exc}\n"
+            "  remedy: free the addresses or change them in the settings"
+        ) from exc
+    sys.exit(code)
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/http/__init__.py
@@ -0,0 +1,27 @@
+"""HTTP/1.1 towards callers and backend servers: the one interface of the data path to HTTP."""
+
+from lychee_gateway.http.inbound import CallerConnection, CallerLimits
+from lychee_gateway.http.messages import (
+    Header,
+    Headers,
+    RequestHead,
+    ResponseHead,
+    forwarded_headers,
+    header_value,
+)
+from lychee_gateway.http.outbound import ServerConnection, open_server_connection
+from lychee_gateway.http.wire import Wire
+
+__all__ = [
+    "CallerConnection",
+    "CallerLimits",
+    "Header",
+    "Headers",
+    "RequestHead",
+    "ResponseHead",
+    "ServerConnection",
+    "Wire",
+    "forwarded_headers",
+    "header_value",
+    "open_server_connection",
+]
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/http/messages.py
@@ -0,0 +1,85 @@
+"""Heads of requests and answers, and the rules on forwarding their headers."""
+
+from dataclasses import dataclass
+
+Header = tuple[bytes, bytes]
+"""A header's name in lower case, and its value."""
+
+Headers = tuple[Header, ...]
+"""Headers in the order in which they came."""
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+"""Headers that concern one connection only and are never forwarded."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestHead:
+    """Head of a request.
+
+    :param method: the method, for example ``b"GET"``.
+    :param target: the request target, byte for byte.
+    :param headers: all headers.
+    :param version: HTTP version, ``b"1.0"`` or ``b"1.1"``.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    version: bytes = b"1.1"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ResponseHead:
+    """Head of an answer.
+
+    :param status: the HTTP status.
+    :param headers: all headers.
+    :param reason: the reason phrase.
+    :param length: length of the body in bytes, None if the body is chunked.
+    """
+
+    status: int
+    headers: Headers
+    reason: bytes = b""
+    length: int | None = None
+
+
+def header_value(headers: Headers, name: bytes) -> bytes | None:
+    """Return the value of the first header of that lower-case name, or None."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def header_tokens(headers: Headers, name: bytes) -> frozenset[bytes]:
+    """Return the comma-separated values of a header in lower case."""
+    values = b",".join(value for key, value in headers if key == name)
+    return frozenset(part.strip().lower() for part in values.split(b",")) if values else frozenset()
+
+
+def forwarded_headers(headers: Headers, *, drop: frozenset[bytes] = frozenset()) -> list[Header]:
+    """Return the headers that pass on to the next hop.
+
+    :param headers: the headers as they came.
+    :param drop: further names to leave out.
+    """
+    named = header_tokens(headers, b"connection")
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in HOP_BY_HOP and name not in named and name not in drop
+    ]
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/problems.py
@@ -0,0 +1,84 @@
+"""Answers that the gateway gives in its own name, as problem documents."""
+
+from msgspec import Struct
+from msgspec.json import Encoder
+
+from lychee_gateway.calls import Answer, NotRun, Unknown
+from lychee_gateway.http import Header, ResponseHead
+
+_ENCODER = Encoder()
+
+_TITLES = {
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+    505: "HTTP Version Not Supported",
+}
+
+
+class Problem(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """A problem document as of RFC 9457.
+
+    :param title: the status in words.
+    :param status: the HTTP status.
+    :param detail: what went wrong.
+    :param remedy: what the reader can do.
+    :param outcome: ``not-run`` or ``unknown``.
+    :param request_id: the request's id, empty if it has none.
+    """
+
+    title: str
+    status: int
+    detail: str
+    remedy: str
+    outcome: str
+    request_id: str = ""
+
+
+UNKNOWN_REMEDY = "the request may have been run: ask for its state before sending it again"
+"""What a caller can do who did not send an Idempotency-Key, or whose key is in use."""
+
+
+def answer_for(outcome: NotRun | Unknown, *, request_id: str = "") -> Answer:
+    """Return the answer to a caller for an outcome without a server's answer.
+
+    :param outcome: the outcome.
+    :param request_id: the request's id.
+    """
+    word, remedy, retry_after_s = "unknown", UNKNOWN_REMEDY, None
+    if isinstance(outcome, NotRun):
+        word, remedy, retry_after_s = "not-run", outcome.remedy, outcome.retry_after_s
+    problem = Problem(
+        title=_TITLES.get(outcome.status, "Error"),
+        status=outcome.status,
+        detail=outcome.detail,
+        remedy=remedy,
+        outcome=word,
+        request_id=request_id,
+    )
+    headers: list[Header] = [
+        (b"content-type", b"application/problem+json"),
+        (b"lychee-outcome", word.encode()),
+    ]
+    if retry_after_s is not None:
+        headers.append((b"retry-after", b"%d" % retry_after_s))
+    if request_id:
+        headers.append((b"lychee-request-id", request_id.encode()))
+    body = _ENCODER.encode(problem)
+    head = ResponseHead(
+        status=outcome.status,
+        headers=tuple(headers),
+        reason=problem.title.encode(),
+        length=len(body),
+    )
+    return Answer(head=head, body=body)
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/streams.py
@@ -0,0 +1,48 @@
+"""Passing an answer on to the caller while it comes, in bounded memory."""
+
+import asyncio
+
+from loguru import logger
+
+from lychee_gateway.exceptions import CallerGoneError, ServerAnswerError
+from lychee_gateway.http import CallerConnection, ResponseHead, ServerConnection
+
+
+class StreamToCaller:
+    """Streams one answer.
+
+    The next part is read from the server only once the caller has room for it.
+
+    :param caller: the caller's connection.
+    :param pause_s: longest pause of the server or of the caller, in seconds.
+    """
+
+    def __init__(self, *, caller: CallerConnection, pause_s: float) -> None:
+        self._caller = caller
+        self._pause_s = pause_s
+
+    async def pass_on(self, head: ResponseHead, conn: ServerConnection) -> bool:
+        """Send the head and the body; False if the server's answer was cut short.
+
+        :raises CallerGoneError: if the caller closed the connection or stopped reading.
+        """
+        self._caller.send_head(head)
+        try:
+            while chunk := await self._next_chunk(conn):
+                await self._send(chunk)
+        except (ServerAnswerError, TimeoutError) as exc:
+            logger.warning("an answer was cut short: {}", exc)
+            return False
+        await self._caller.finish()
+        return True
+
+    async def _next_chunk(self, conn: ServerConnection) -> bytes:
+        async with asyncio.timeout(self._pause_s):
+            return await conn.read_chunk()
+
+    async def _send(self, chunk: bytes) -> None:
+        try:
+            async with asyncio.timeout(self._pause_s):
+                await self._caller.send_chunk(chunk)
+        except (TimeoutError, ConnectionError) as exc:
+            raise CallerGoneError() from exc
--- /dev/null
+++ b/packages/lychee-gateway/tests/test_path.py
@@ -0,0 +1,100 @@
+"""The whole path: caller, gateway, backend server."""
+
+import asyncio
+
+from msgspec.json import decode, encode
+
+from lychee_types.messages import Announcement
+
+from .conftest import FakeServer, open_world, run
+
+
+def test_keyed_and_free_requests_are_answered():
+    async def scenario():
+        status, booking = FakeServer("s1", "status"), FakeServer("b1", "booking")
+        async with open_world(status, booking) as world:
+            caller = await world.caller()
+            reply = await caller.get(b"/repair-status/spade-7")
+            assert (reply.status, reply.body) == (200, b"s1 /repair-status/spade-7 ")
+            reply = await caller.get(b"/bench-booking/", method=b"POST", body=b"monday")
+            assert (reply.status, reply.body) == (200, b"b1 /bench-booking/ monday")
+        sent = status.seen[0].headers
+        assert int(sent[b"lychee-token"]) == world.control.log[-2].index
+        assert int(sent[b"lychee-deadline"]) > 0
+        assert sent[b"lychee-request-id"]
+        assert b"lychee-token" not in booking.seen[0].headers
+
+    run(scenario())
+
+
+def test_each_key_goes_to_its_one_owner():
+    async def scenario():
+        servers = [FakeServer(f"s{n}", "status") for n in range(3)]
+        async with open_world(*servers) as world:
+            caller = await world.caller()
+            for _ in range(2):
+                for n in range(20):
+                    await caller.get(b"/repair-status/k%d" % n)
+        targets = [{seen.target for seen in server.seen} for server in servers]
+        assert sum(len(keys) for keys in targets) == len(set().union(*targets)) == 20
+
+    run(scenario())
+
+
+def test_an_announcement_gets_the_leaders_grant():
+    async def scenario():
+        server = FakeServer("s1", "status")
+        async with open_world(server) as world:
+            caller = await world.caller(announce=True)
+            body = encode(Announcement(server=server.record(), number=7))
+            reply = await caller.get(b"/_lychee/announce", method=b"POST", body=body)
+            assert reply.status == 200
+            assert decode(reply.body)["number"] == 7
+            reply = await caller.get(b"/_lychee/announce", method=b"POST", body=b'{"a":1}')
+            assert reply.status == 400 and b"remedy" in reply.body
+            assert (await caller.get(b"/_lychee/nothing")).status == 404
+            assert (await caller.get(b"/_lychee/announce")).status == 405
+            dump = await caller.get(b"/_lychee/dump")
+            assert dump.status == 200 and b"s1:" in dump.body
+
+    run(scenario())
+
+
+def test_a_keyed_request_without_a_lease_is_not_run():
+    async def scenario():
+        server = FakeServer("s1", "status")
+        async with open_world(server) as world:
+            world.control.granting = False
+            await world.until(lambda: not world.gateway.readiness().lease)
+            reply = await world.get(b"/repair-status/k")
+            assert reply.status == 503
+            assert reply.headers[b"lychee-outcome"] == b"not-run"
+            assert reply.headers[b"retry-after"]
+            ready = await (await world.caller(announce=True)).get(b"/_lychee/ready")
+            assert ready.status == 503
+            world.control.granting = True
+            assert (await world.get(b"/repair-status/k")).status == 200
+        assert len(server.seen) == 1
+
+    run(scenario())
+
+
+def test_a_stop_finishes_what_is_in_flight():
+    async def scenario():
+        async def slow(seen):
+            await asyncio.sleep(0.2)
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+
+        async with open_world(FakeServer("b1", "booking", slow)) as world:
+            caller = await world.caller()
+            pending = asyncio.create_task(caller.get(b"/bench-booking/"))
+            await world.until(lambda: world.servers["b1"].seen)
+            world.gateway.request_stop()
+            reply = await pending
+            assert reply.body == b"done"
+            assert reply.headers[b"connection"] == b"close"
+            assert await caller.at_eof()
+            await world.task
+            assert world.gateway.exit_code == 0
+
+    run(scenario())
