Give state dumps one bounded YAML form

Cause: each daemon needs a dump on request and they must not differ in form or size limit. Change: format_dump in lychee-runtime; the size limit moves out of the daemon.

--- a/packages/lychee-runtime/src/lychee_runtime/__init__.py
+++ b/packages/lychee-runtime/src/lychee_runtime/__init__.py
@@ -1,6 +1,7 @@
 """Daemon life cycle, typed streams between processes, logs, metrics and state dumps."""
 
 from lychee_runtime.daemon import Daemon, run_daemon
+from lychee_runtime.dump import format_dump
 from lychee_runtime.link import Link, LinkService, open_link, serve_links
 from lychee_runtime.logs import configure_logs
 from lychee_runtime.metrics import Metrics, NoMetrics, open_metrics
@@ -14,6 +15,7 @@
     "NoMetrics",
     "client_context",
     "configure_logs",
+    "format_dump",
     "open_link",
     "open_metrics",
     "run_daemon",
--- a/packages/lychee-runtime/src/lychee_runtime/daemon.py
+++ b/packages/lychee-runtime/src/lychee_runtime/daemon.py
@@ -16,9 +16,6 @@
 
 from lychee_types.exceptions import InvariantError, LycheeError
 
-DUMP_LIMIT_BYTES = 1_048_576
-"""Largest dump of a process's state."""
-
 
 class started(Event):  # type: ignore[misc]  # noqa: N801
     """The daemon's tasks run."""
@@ -109,7 +106,7 @@
     @handler("dump_requested")  # type: ignore[untyped-decorator]
     def on_dump_requested(self) -> None:
         """Write the dump to standard error."""
-        sys.stderr.write(bounded_dump(self.dump))
+        sys.stderr.write(self.dump())
         sys.stderr.flush()
 
     @handler("task_failed")  # type: ignore[untyped-decorator]
@@ -129,14 +126,6 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def bounded_dump(dump: Callable[[], str]) -> str:
-    """Return a dump's text, cut at :data:`DUMP_LIMIT_BYTES`."""
-    text = dump()
-    if len(text) <= DUMP_LIMIT_BYTES:
-        return text
-    return text[:DUMP_LIMIT_BYTES] + "\n# cut: the dump is larger than the limit\n"
-
-
 async def _run(build: Callable[[], Daemon]) -> int:
     daemon = build()
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/packages/lychee-runtime/src/lychee_runtime/dump.py
@@ -0,0 +1,25 @@
+"""Dumps of a process's state as YAML, bounded in size."""
+
+from io import StringIO
+from typing import Any
+
+from msgspec import to_builtins
+from ruamel.yaml import YAML
+
+DUMP_LIMIT_CHARS = 1_048_576
+"""Largest dump of a process's state."""
+
+_CUT = "\n# cut: the dump is larger than the limit\n"
+
+
+def format_dump(value: Any) -> str:
+    """Return a typed value as YAML, cut at :data:`DUMP_LIMIT_CHARS`.
+
+    :param value: a msgspec Struct or a built-in value.
+    """
+    yaml = YAML(typ="safe", pure=True)
+    yaml.default_flow_style = False
+    stream = StringIO()
+    yaml.dump(to_builtins(value), stream)
+    text = stream.getvalue()
+    return text if len(text) <= DUMP_LIMIT_CHARS else text[:DUMP_LIMIT_CHARS] + _CUT
