Decide membership, leases and moves of keys in a Coordinator

Cause: the control daemon needs the leader's decisions. Ruled out: gateways keyed by id. A restarted gateway's new run replaced its old run in the state and so in the finish rule while the old one could still hold a lease or have requests unread at a frozen server. Runs are now keyed by session and leave only when their lease and the longest deadline are over. Change: Coordinator with gateway runs, server runs, evidence, membership, planner, finish rule and an outbox. Additions to lychee-types: Placement.shards and bounded_load (the number of shards belongs to the placement, so that changing it is a move), Ownership.fence, DocumentRefused and SubmissionRecord.refusal/remedy. A run gets its first lease only when it has applied its own commit: a new run behind a lagging replica could otherwise send by a view older than a finished transition.

--- a/packages/lychee-owner/src/lychee_owner/__init__.py
+++ b/packages/lychee-owner/src/lychee_owner/__init__.py
@@ -1,6 +1,15 @@
 """Decisions on key ownership: placement, leases, grants and hand-overs. No I/O."""
 
+from lychee_owner.coordinator import Coordinator
 from lychee_owner.placement import OwnerTable, hash_key, rendezvous, shard_of
 from lychee_owner.state import ClusterState, Route
 
-__all__ = ["ClusterState", "OwnerTable", "Route", "hash_key", "rendezvous", "shard_of"]
+__all__ = [
+    "ClusterState",
+    "Coordinator",
+    "OwnerTable",
+    "Route",
+    "hash_key",
+    "rendezvous",
+    "shard_of",
+]
--- /dev/null
+++ b/packages/lychee-owner/src/lychee_owner/coordinator.py
@@ -0,0 +1,263 @@
+"""The leader's decisions on membership, leases and moves of keys."""
+
+from collections.abc import Iterable
+
+from lychee_owner.evidence import Evidence
+from lychee_owner.gateways import GatewayRuns
+from lychee_owner.membership import Membership
+from lychee_owner.outbox import Outbox
+from lychee_owner.placement import OwnerTable
+from lychee_owner.planner import plan
+from lychee_owner.servers import ServerRuns
+from lychee_owner.state import ClusterState
+from lychee_owner.transitions import FinishRule
+from lychee_types.commands import (
+    BeginTransition,
+    Command,
+    Done,
+    FinishTransition,
+    ForgetServer,
+    JoinGateway,
+    JoinServer,
+    LoseGateway,
+    LoseServer,
+    Outcome,
+)
+from lychee_types.document import RequestKind
+from lychee_types.ids import LogIndex, ServerId, ServiceName, SessionId, Token
+from lychee_types.messages import (
+    Announcement,
+    EndSession,
+    GatewayState,
+    GrantLease,
+    RenewLease,
+    ReportLoad,
+    ServerGrant,
+    ServerState,
+    ServiceState,
+)
+from lychee_types.records import GatewayRecord, Ownership, Placement, ServerRecord
+from lychee_types.timing import Timing
+
+
+class Coordinator:
+    """Decides while this replica leads; built after the leader's first entry has been applied.
+
+    The caller checks that the leader holds its quorum lease before it sends out grants.
+
+    :param state: the replicated state, which the caller keeps applying commands to.
+    :param timing: time limits.
+    :param now: when the coordinator is built, in seconds of a monotonic clock.
+    """
+
+    def __init__(self, *, state: ClusterState, timing: Timing, now: float) -> None:
+        self._state = state
+        self._timing = timing
+        self._gateways = GatewayRuns(state=state, timing=timing, now=now)
+        self._servers = ServerRuns(state=state, timing=timing, now=now, fence_of=self._fence_of)
+        self._evidence = Evidence()
+        self._membership = Membership(
+            state=state, servers=self._servers, evidence=self._evidence, timing=timing, now=now
+        )
+        self._rule = self._finish_rule()
+        self._outbox = Outbox()
+
+    def _finish_rule(self) -> FinishRule:
+        return FinishRule(
+            state=self._state,
+            gateways=self._gateways,
+            servers=self._servers,
+            timing=self._timing,
+        )
+
+    def attach(self, *, now: float, gateway: GatewayRecord) -> None:
+        """Take in a gateway's run that has opened its stream.
+
+        :param now: the leader's time in seconds.
+        :param gateway: its record.
+        """
+        self._gateways.attach(gateway)
+
+    def renew(self, *, now: float, renewal: RenewLease) -> GrantLease | EndSession | None:
+        """Answer a renewal, or return None where no lease can be granted yet.
+
+        :param now: when it was received, in seconds.
+        :param renewal: the renewal.
+        """
+        return self._gateways.renew(now=now, renewal=renewal)
+
+    def announce(
+        self, *, now: float, session: SessionId, announcement: Announcement
+    ) -> ServerGrant | None:
+        """Answer an announcement, or return None until the server's record is committed.
+
+        :param now: when it was received, in seconds.
+        :param session: the gateway's run that it came through.
+        :param announcement: the announcement.
+        """
+        if self._evidence.is_excluded(now=now, server=announcement.server.id):
+            reason = "gateways of several failure domains cannot reach it"
+            return self._servers.refuse(announcement=announcement, reason=reason)
+        return self._servers.announce(now=now, announcement=announcement)
+
+    def report(self, *, now: float, report: ReportLoad) -> None:
+        """Take in a gateway's report of load.
+
+        :param now: when it was received, in seconds.
+        :param report: the report.
+        """
+        run = self._gateways.runs.get(report.session)
+        if run is None:
+            return
+        for load in report.servers:
+            self._evidence.note(now=now, domain=run.record.domain, load=load)
+
+    def take_commands(self, *, now: float) -> tuple[Command, ...]:
+        """Return the commands to propose now.
+
+        :param now: the leader's time in seconds.
+        """
+        wanted = [
+            *self._gateway_commands(now=now),
+            *self._membership.commands(now=now),
+            *self._transition_commands(now=now),
+        ]
+        taken = tuple(c for c in wanted if self._outbox.offer(now=now, command=c))
+        for command in taken:
+            if isinstance(command, LoseGateway):
+                self._gateways.runs[command.session].ending = True
+        return taken
+
+    def applied(self, *, now: float, index: LogIndex, command: Command, outcome: Outcome) -> None:
+        """Take in a command that has just been applied to the state.
+
+        :param now: the leader's time in seconds.
+        :param index: its log index.
+        :param command: the command.
+        :param outcome: what applying it gave.
+        """
+        self._outbox.applied(command)
+        if not isinstance(outcome, Done):
+            return
+        match command:
+            case JoinGateway():
+                self._gateways.joined(now=now, index=index, gateway=command.gateway)
+            case LoseGateway():
+                self._gateways.lost(command.session)
+            case JoinServer():
+                self._membership.joined(now=now, server=command.server)
+            case LoseServer():
+                self._membership.lost(now=now, server=command.server)
+            case ForgetServer():
+                self._membership.forgotten(command.server)
+                self._servers.forget(command.server)
+                self._evidence.forget(command.server)
+            case BeginTransition():
+                self._gateways.begun(now=now, index=index)
+            case _:
+                pass
+
+    def _gateway_commands(self, *, now: float) -> Iterable[Command]:
+        for gateway in self._gateways.joining():
+            yield JoinGateway(gateway=gateway)
+        keyed = [o.service for o in self._state.ownerships.values()]
+        for session, run in self._gateways.runs.items():
+            waits = [self._rule.deadline_s(run=run, service=service) for service in keyed]
+            if self._gateways.is_silent(now=now - max(waits, default=0.0), run=run):
+                yield LoseGateway(gateway=run.record.id, session=session)
+
+    def _transition_commands(self, *, now: float) -> Iterable[Command]:
+        for ownership in list(self._state.ownerships.values()):
+            target = self._target(now=now, ownership=ownership)
+            if target is not None:
+                yield BeginTransition(service=ownership.service, target=target)
+            elif ownership.pending and self._rule.is_met(now=now, ownership=ownership):
+                yield FinishTransition(service=ownership.service, begun=ownership.pending.begun)
+
+    def _target(self, *, now: float, ownership: Ownership) -> Placement | None:
+        """Return the placement to begin a transition to, None to leave things as they are."""
+        service = self._state.service(ownership.service)
+        document = self._state.document
+        pending = ownership.pending.target if ownership.pending else None
+        if service is None or document is None or service.kind is not RequestKind.KEYED:
+            emptied = pending is not None and not pending.members
+            return None if emptied else Placement()
+        eligible = self._membership.eligible(now=now, service=service, ownership=ownership)
+        if not eligible:
+            return None
+        wanted = plan(document=document, service=service, servers=eligible, hot={})
+        if pending is None:
+            return None if wanted == ownership.current else wanted
+        if wanted == pending or not self._is_urgent(wanted=wanted, ownership=ownership):
+            return None
+        return wanted
+
+    def _is_urgent(self, *, wanted: Placement, ownership: Ownership) -> bool:
+        """Return whether a target must take the place of the pending one."""
+        if ownership.pending is None:
+            return True
+        members = {member.server for member in wanted.members}
+        before = {member.server for member in ownership.pending.target.members}
+        current = {member.server for member in ownership.current.members}
+        gone = before - members
+        back = (members & current) - before
+        return bool(gone or back)
+
+    def _fence_of(self, server: ServerRecord) -> Token:
+        ownership = self._state.ownerships.get(server.service)
+        if ownership is None:
+            return Token(0)
+        moves = self._rule.pending_moves(ownership)
+        if ownership.pending is not None and moves is not None and server.id in moves.losing:
+            return Token(ownership.pending.begun)
+        return ownership.fence
+
+    def gateway_states(self, now: float) -> tuple[GatewayState, ...]:
+        """Return how each gateway run is."""
+        return self._gateways.states(now=now)
+
+    def server_states(self, now: float) -> tuple[ServerState, ...]:
+        """Return how each backend server is."""
+        shares = {name: self._shares(name) for name in self._state.ownerships}
+        document = self._state.document
+        return tuple(
+            ServerState(
+                record=server,
+                leaving=document is not None and document.is_leaving(server.id),
+                share=shares.get(server.service, {}).get(server.id, 0.0),
+                lease_left_ms=self._server_lease_left_ms(now=now, server=server.id),
+            )
+            for server in sorted(self._state.servers.values(), key=lambda server: server.id)
+        )
+
+    def _server_lease_left_ms(self, *, now: float, server: ServerId) -> int:
+        end = self._servers.lease_end(server) - self._timing.drift_s
+        return int((end - now) * 1_000)
+
+    def _shares(self, service: ServiceName) -> dict[ServerId, float]:
+        table = self._state.table(service)
+        return {} if table is None else share_of(table)
+
+    def service_states(self) -> tuple[ServiceState, ...]:
+        """Return how each keyed service is."""
+        return tuple(
+            ServiceState(
+                name=ownership.service,
+                token=ownership.token,
+                moving=self._moving(ownership),
+                hot_keys=len(ownership.current.keys),
+            )
+            for ownership in sorted(self._state.ownerships.values(), key=lambda o: o.service)
+        )
+
+    def _moving(self, ownership: Ownership) -> int:
+        moves = self._rule.pending_moves(ownership)
+        return 0 if moves is None else moves.shards
+
+
+def share_of(table: OwnerTable) -> dict[ServerId, float]:
+    """Return the share of the shards that each server of a placement owns."""
+    counts: dict[ServerId, int] = {}
+    for server in table.servers_by_shard():
+        counts[server] = counts.get(server, 0) + 1
+    return {server: count / table.shards for server, count in counts.items()}
--- /dev/null
+++ b/packages/lychee-owner/src/lychee_owner/evidence.py
@@ -0,0 +1,104 @@
+"""What gateways report of backend servers, combined over failure domains."""
+
+from dataclasses import dataclass
+
+from lychee_types.ids import DomainName, ServerId
+from lychee_types.messages import ServerLoad
+
+WITNESS_DOMAINS = 2
+"""How many failure domains must have seen a server fail before it counts as unreachable."""
+
+REPORT_LIFE_S = 2.0
+"""Age in seconds at which a report no longer counts."""
+
+EXCLUSION_S = 5.0
+"""First time in seconds for which an unreachable server that announces itself is kept out."""
+
+EXCLUSION_LIMIT_S = 300.0
+"""Longest such time in seconds."""
+
+
+@dataclass(kw_only=True, slots=True)
+class Sighting:
+    """What a failure domain's gateways have seen of a server.
+
+    :param failing_since: since when every request has failed, None if one was answered.
+    :param seen_at: when the newest report was received.
+    """
+
+    failing_since: float | None
+    seen_at: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Exclusion:
+    """A server that is kept out.
+
+    :param until: end of the exclusion in seconds.
+    :param length: its length in seconds.
+    """
+
+    until: float
+    length: float
+
+
+class Evidence:
+    """Tells which servers several failure domains cannot reach."""
+
+    def __init__(self) -> None:
+        self._sightings: dict[ServerId, dict[DomainName, Sighting]] = {}
+        self._exclusions: dict[ServerId, Exclusion] = {}
+
+    def note(self, *, now: float, domain: DomainName, load: ServerLoad) -> None:
+        """Take in a gateway's word on one server.
+
+        :param now: when it was received, in seconds.
+        :param domain: the gateway's failure domain.
+        :param load: what the gateway has seen.
+        """
+        if not load.answered and not load.failed:
+            return
+        sightings = self._sightings.setdefault(load.server, {})
+        before = sightings.get(domain)
+        if load.answered:
+            sightings[domain] = Sighting(failing_since=None, seen_at=now)
+            return
+        fresh = before is not None and now < before.seen_at + REPORT_LIFE_S
+        since = before.failing_since if before is not None and fresh else None
+        sightings[domain] = Sighting(failing_since=now if since is None else since, seen_at=now)
+
+    def is_unreachable(self, *, now: float, server: ServerId, for_s: float) -> bool:
+        """Return whether several failure domains have only seen a server fail.
+
+        :param now: the leader's time in seconds.
+        :param server: the server's id.
+        :param for_s: for how long at least, in seconds.
+        """
+        fresh = [
+            sighting
+            for sighting in self._sightings.get(server, {}).values()
+            if now < sighting.seen_at + REPORT_LIFE_S
+        ]
+        failing = [s for s in fresh if s.failing_since is not None]
+        lasting = [s for s in failing if s.failing_since is not None]
+        lasting = [s for s in lasting if now >= (s.failing_since or 0.0) + for_s]
+        return len(failing) == len(fresh) and len(lasting) >= WITNESS_DOMAINS
+
+    def exclude(self, *, now: float, server: ServerId) -> None:
+        """Keep a server out for a time that doubles with each exclusion."""
+        before = self._exclusions.get(server)
+        if before is not None and now < before.until:
+            return
+        length = EXCLUSION_S if before is None else min(2 * before.length, EXCLUSION_LIMIT_S)
+        self._exclusions[server] = Exclusion(until=now + length, length=length)
+        self._sightings.pop(server, None)
+
+    def is_excluded(self, *, now: float, server: ServerId) -> bool:
+        """Return whether a server is kept out."""
+        exclusion = self._exclusions.get(server)
+        return exclusion is not None and now < exclusion.until
+
+    def forget(self, server: ServerId) -> None:
+        """Drop what is known of a server."""
+        self._sightings.pop(server, None)
+        self._exclusions.pop(server, None)
--- a/packages/lychee-owner/src/lychee_owner/placement.py
+++ b/packages/lychee-owner/src/lychee_owner/placement.py
@@ -82,6 +82,25 @@
             return None
         return self._servers[self.owners[key & (self.shards - 1)]]
 
+    @property
+    def placed_keys(self) -> frozenset[KeyHash]:
+        """The keys that are placed apart from their shard."""
+        return frozenset(self._keys)
+
+    def spread(self, shards: int) -> npt.NDArray[np.str_]:
+        """Return the owner of each shard by name, empty where there is none.
+
+        :param shards: a multiple of this table's shards.
+        """
+        if not self.owners:
+            return np.full(shards, "", dtype=np.str_)
+        names = np.array(self._servers, dtype=np.str_)[np.array(self.owners)]
+        return np.tile(names, shards // self.shards)
+
+    def servers_by_shard(self) -> list[ServerId]:
+        """Return the owner of each shard, an empty list if the placement has no member."""
+        return [self._servers[owner] for owner in self.owners]
+
     def shard_owner(self, shard: Shard) -> ServerId | None:
         """Return the owner of a shard, or None if the placement has no member."""
         return self._servers[self.owners[shard]] if self.owners else None
--- /dev/null
+++ b/packages/lychee-owner/src/lychee_owner/servers.py
@@ -0,0 +1,184 @@
+"""Session leases and liveness of backend servers, as the leader sees them."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from msgspec.structs import replace
+
+from lychee_owner.state import ClusterState
+from lychee_types.commands import JoinServer
+from lychee_types.exceptions import require
+from lychee_types.ids import Incarnation, ServerId, Token
+from lychee_types.messages import Announcement, ServerGrant
+from lychee_types.records import ServerRecord, ServerStatus
+from lychee_types.timing import Timing
+
+
+@dataclass(kw_only=True, slots=True)
+class ServerRun:
+    """What the leader knows of a backend server; times are the leader's, in seconds.
+
+    :param incarnation: its run.
+    :param number: number of its newest announcement.
+    :param heard_at: when that announcement was received.
+    :param fence: the fence that this run has confirmed.
+    :param granted_fence: the highest fence granted to this run.
+    :param in_flight: requests that it holds, by its own word.
+    """
+
+    incarnation: Incarnation
+    number: int
+    heard_at: float
+    fence: Token = Token(0)
+    granted_fence: Token = Token(0)
+    in_flight: int = 0
+
+
+class ServerRuns:
+    """Answers announcements and tracks the session leases of backend servers.
+
+    :param state: the replicated state, after the leader's first entry.
+    :param timing: time limits.
+    :param now: when this replica became leader, in seconds.
+    :param fence_of: gives the fence that a server must take over.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: ClusterState,
+        timing: Timing,
+        now: float,
+        fence_of: Callable[[ServerRecord], Token],
+    ) -> None:
+        self._state = state
+        self._timing = timing
+        self._started = now
+        self._fence_of = fence_of
+        self._lease_ends: dict[ServerId, float] = {}
+        self._announced: dict[ServerId, ServerRecord] = {}
+        self._blocked: set[ServerId] = set()
+        self.runs: dict[ServerId, ServerRun] = {}
+
+    def announce(self, *, now: float, announcement: Announcement) -> ServerGrant | None:
+        """Answer an announcement, or return None until the server's record is committed.
+
+        :param now: when it was received, in seconds.
+        :param announcement: the announcement.
+        """
+        record = announcement.server
+        known = self._state.servers.get(record.id)
+        reason = self._refusal(known=known, record=record)
+        if reason:
+            return self.refuse(announcement=announcement, reason=reason)
+        self._hear(now=now, announcement=announcement)
+        if known is not None and self._state.is_move_needed(known=known, new=record):
+            self._blocked.add(record.id)
+            reason = "its former run still owns keys; they move away first"
+            return self.refuse(announcement=announcement, reason=reason)
+        self._blocked.discard(record.id)
+        if known is None or not _is_same(known=known, record=record):
+            self._announced[record.id] = record
+            return None
+        return self._renew(now=now, announcement=announcement, known=known)
+
+    def refuse(self, *, announcement: Announcement, reason: str) -> ServerGrant:
+        """Return an answer that grants no lease.
+
+        :param announcement: the announcement.
+        :param reason: why, for the server's operators.
+        """
+        return self._grant(announcement=announcement, fence=Token(0), reason=reason)
+
+    def _refusal(self, *, known: ServerRecord | None, record: ServerRecord) -> str:
+        if known is not None and record.incarnation < known.incarnation:
+            return "a later run of this server has joined"
+        run = self.runs.get(record.id)
+        if run is not None and record.incarnation < run.incarnation:
+            return "a later run of this server has announced itself"
+        if self._state.service(record.service) is None:
+            return f"the document has no service {record.service}"
+        return ""
+
+    def _hear(self, *, now: float, announcement: Announcement) -> None:
+        record = announcement.server
+        run = self.runs.get(record.id)
+        if run is None or run.incarnation < record.incarnation:
+            run = ServerRun(incarnation=record.incarnation, number=-1, heard_at=now)
+            self.runs[record.id] = run
+        run.fence = max(run.fence, announcement.fence)
+        if announcement.number > run.number:
+            run.number = announcement.number
+            run.heard_at = now
+            run.in_flight = announcement.in_flight
+
+    def _renew(self, *, now: float, announcement: Announcement, known: ServerRecord) -> ServerGrant:
+        run = self.runs[known.id]
+        fence = max(run.granted_fence, self._fence_of(known))
+        require(fence <= self._state.index, f"the fence of server {known.id} is in the future")
+        run.granted_fence = fence
+        lease_end = now + self._timing.lease_s + self._timing.drift_s
+        self._lease_ends[known.id] = max(lease_end, self.lease_end(known.id))
+        return self._grant(announcement=announcement, fence=fence, reason="")
+
+    def _grant(self, *, announcement: Announcement, fence: Token, reason: str) -> ServerGrant:
+        document = self._state.document
+        server = announcement.server
+        return ServerGrant(
+            server=server.id,
+            incarnation=server.incarnation,
+            number=announcement.number,
+            lease_ms=0 if reason else self._timing.lease_ms,
+            fence=fence,
+            leaving=document is not None and document.is_leaving(server.id),
+            reason=reason,
+        )
+
+    def lease_end(self, server: ServerId) -> float:
+        """Return when the last lease of a server is over for certain, in seconds.
+
+        A former leader may have granted one until this leader began.
+        """
+        first = self._started + self._timing.lease_s + self._timing.drift_s
+        return self._lease_ends.get(server, first)
+
+    def confirmed_fence(self, server: ServerId) -> Token:
+        """Return the fence that the server's committed run has confirmed."""
+        run = self.runs.get(server)
+        known = self._state.servers.get(server)
+        if run is None or known is None or run.incarnation != known.incarnation:
+            return Token(0)
+        return run.fence
+
+    def silent_s(self, *, now: float, server: ServerRecord) -> float:
+        """Return for how long a server's committed run has not been heard, in seconds."""
+        run = self.runs.get(server.id)
+        heard = self._started if run is None else run.heard_at
+        return now - max(heard, self._started)
+
+    def is_replaced(self, server: ServerRecord) -> bool:
+        """Return whether another run waits until the keys of this record have moved away."""
+        return server.id in self._blocked
+
+    def joins(self) -> Iterable[JoinServer]:
+        """Return the announced records that are not committed yet."""
+        for record in list(self._announced.values()):
+            known = self._state.servers.get(record.id)
+            stale = known is not None and known.incarnation > record.incarnation
+            if stale or (known is not None and _is_same(known=known, record=record)):
+                del self._announced[record.id]
+                continue
+            speed = record.speed if known is None else known.speed
+            yield JoinServer(server=replace(record, speed=speed))
+
+    def forget(self, server: ServerId) -> None:
+        """Drop what is known of a server that has been removed from the state."""
+        self.runs.pop(server, None)
+        self._announced.pop(server, None)
+
+
+def _is_same(*, known: ServerRecord, record: ServerRecord) -> bool:
+    """Return whether a committed record says what the server announces, its speed aside."""
+    if known.status is ServerStatus.LOST:
+        return False
+    return known == replace(record, speed=known.speed)
--- a/packages/lychee-owner/src/lychee_owner/state.py
+++ b/packages/lychee-owner/src/lychee_owner/state.py
@@ -11,6 +11,7 @@
     Command,
     DocumentAccepted,
     DocumentConflict,
+    DocumentRefused,
     Done,
     ExpireLedger,
     FinishTransition,
@@ -74,7 +75,7 @@
         self.history = list(image.history)
         self.submissions = {record.submission: record for record in image.submissions}
         self.servers = {record.id: record for record in image.servers}
-        self.gateways = {record.id: record for record in image.gateways}
+        self.gateways = {record.session: record for record in image.gateways}
         self.ownerships = {record.service: record for record in image.ownerships}
         self.ledger = {entry.key: entry for entry in image.ledger}
         self._tables: dict[ServiceName, tuple[Placement, OwnerTable]] = {}
@@ -128,7 +129,7 @@
             case SetSpeed():
                 return self._set_speed(command)
             case JoinGateway():
-                self.gateways[command.gateway.id] = command.gateway
+                self.gateways[command.gateway.session] = command.gateway
                 return Done()
             case LoseGateway():
                 return self._lose_gateway(command)
@@ -192,10 +193,7 @@
         cached = tables.get(name)
         if cached is not None and cached[0] is placement:
             return cached[1]
-        service = self.service(name)
-        require(service is not None, f"service {name} has owners but is not in the document")
-        assert service is not None
-        table = OwnerTable(placement=placement, shards=service.shards)
+        table = OwnerTable(placement=placement, shards=placement.shards or 1)
         tables[name] = (placement, table)
         return table
 
@@ -203,8 +201,10 @@
         known = self.submissions.get(command.submission)
         if known is not None:
             return _submission_outcome(known)
-        accepted = command.based_on == self.document_version
-        winner = "" if accepted or not self.history else self.history[-1].author
+        current = command.based_on == self.document_version
+        winner = "" if current or not self.history else self.history[-1].author
+        refusal = self._refusal(command.document) if current else None
+        accepted = current and refusal is None
         if accepted:
             self._install(index, command)
         record = SubmissionRecord(
@@ -214,12 +214,31 @@
             accepted=accepted,
             version=self.document_version,
             winner=winner,
+            refusal=refusal.reason if refusal else "",
+            remedy=refusal.remedy if refusal else "",
         )
         self.submissions[record.submission] = record
         while len(self.submissions) > SUBMISSION_LIMIT:
             del self.submissions[next(iter(self.submissions))]
         return _submission_outcome(record)
 
+    def _refusal(self, document: Document) -> DocumentRefused | None:
+        """Return why a document does not fit the state, or None.
+
+        A free service that became keyed could be sent anywhere by a gateway that lags behind.
+        """
+        kinds = {service.name: service.kind for service in document.services}
+        for version in self.history:
+            for known in version.document.services:
+                kind = kinds.get(known.name, known.kind)
+                if kind is not known.kind:
+                    return DocumentRefused(
+                        reason=f"service {known.name} was {known.kind.value} in version"
+                        f" {version.version} and would become {kind.value}",
+                        remedy="give the service a new name, or keep its kind",
+                    )
+        return None
+
     def _install(self, index: LogIndex, command: SubmitDocument) -> None:
         version = DocumentVersion(
             version=self.document_version + 1,
@@ -228,11 +247,9 @@
             document=command.document,
         )
         self.history = [*self.history[-(HISTORY_LIMIT - 1) :], version]
-        self._tables.clear()
-        self._pending_tables.clear()
         keyed = {s.name for s in command.document.services if s.kind is RequestKind.KEYED}
         for name in list(self.ownerships):
-            if name not in keyed:
+            if name not in keyed and not has_owners(self.ownerships[name]):
                 del self.ownerships[name]
         for name in sorted(keyed - set(self.ownerships)):
             self.ownerships[name] = Ownership(service=name, token=Token(index), current=Placement())
@@ -241,9 +258,23 @@
         known = self.servers.get(command.server.id)
         if known is not None and known.incarnation > command.server.incarnation:
             return Ignored(reason=f"a later run of server {known.id} has joined")
+        if known is not None and self.is_move_needed(known=known, new=command.server):
+            return Ignored(reason=f"server {known.id} owns keys at its former endpoint or service")
         self.servers[command.server.id] = command.server
         return Done()
 
+    def is_move_needed(self, *, known: ServerRecord, new: ServerRecord) -> bool:
+        """Return whether a server's keys must move away before its new record may join.
+
+        The former run may still be alive at another endpoint, with requests unread.
+        """
+        same = known.endpoint == new.endpoint and known.service == new.service
+        return not same and self.owns_keys(known.id)
+
+    def owns_keys(self, server: ServerId) -> bool:
+        """Return whether a server takes part in any placement, in force or pending."""
+        return any(server in placed_servers(o) for o in self.ownerships.values())
+
     def _lose_server(self, command: LoseServer) -> Outcome:
         known = self.servers.get(command.server)
         if known is None or known.incarnation != command.incarnation:
@@ -255,7 +286,7 @@
         known = self.servers.get(command.server)
         if known is None or known.status is not ServerStatus.LOST:
             return Ignored(reason="the server is not lost")
-        if any(known.id in _owners(ownership) for ownership in self.ownerships.values()):
+        if self.owns_keys(known.id):
             return Ignored(reason="the server still owns keys")
         del self.servers[known.id]
         return Done()
@@ -268,17 +299,23 @@
         return Done()
 
     def _lose_gateway(self, command: LoseGateway) -> Outcome:
-        known = self.gateways.get(command.gateway)
-        if known is None or known.session != command.session:
-            return Ignored(reason="another run of the gateway has joined")
-        del self.gateways[command.gateway]
+        if command.session not in self.gateways:
+            return Ignored(reason="the run of the gateway is not known")
+        del self.gateways[command.session]
         return Done()
 
     def _begin(self, index: LogIndex, command: BeginTransition) -> Outcome:
         ownership = self.ownerships.get(command.service)
         if ownership is None:
             return Ignored(reason="the service is not keyed or not in the document")
-        transition = Transition(begun=index, target=command.target)
+        service = self.service(command.service)
+        if service is None and (command.target.members or command.target.keys):
+            return Ignored(reason="the service is not in the document any more")
+        target = command.target
+        if not target.shards:
+            shards = service.shards if service is not None else ownership.current.shards
+            target = replace(target, shards=shards)
+        transition = Transition(begun=index, target=target)
         self.ownerships[command.service] = replace(ownership, pending=transition)
         return Done()
 
@@ -289,8 +326,13 @@
             return Ignored(reason="another transition has taken its place")
         require(index > ownership.token, "a fencing token does not grow")
         self.ownerships[command.service] = Ownership(
-            service=command.service, token=Token(index), current=pending.target
+            service=command.service,
+            token=Token(index),
+            current=pending.target,
+            fence=Token(pending.begun),
         )
+        if self.service(command.service) is None and not pending.target.members:
+            del self.ownerships[command.service]
         return Done()
 
     def _open_ledger(self, command: OpenLedger) -> Outcome:
@@ -316,7 +358,13 @@
         return Done()
 
 
-def _owners(ownership: Ownership) -> set[ServerId]:
+def has_owners(ownership: Ownership) -> bool:
+    """Return whether any server owns keys of a service or is about to."""
+    return bool(placed_servers(ownership))
+
+
+def placed_servers(ownership: Ownership) -> set[ServerId]:
+    """Return the servers in the placement in force and in the pending one."""
     placements = [ownership.current]
     if ownership.pending is not None:
         placements.append(ownership.pending.target)
@@ -327,4 +375,6 @@
 def _submission_outcome(record: SubmissionRecord) -> Outcome:
     if record.accepted:
         return DocumentAccepted(version=record.version)
+    if record.refusal:
+        return DocumentRefused(reason=record.refusal, remedy=record.remedy)
     return DocumentConflict(version=record.version, author=record.winner)
--- /dev/null
+++ b/packages/lychee-owner/src/lychee_owner/transitions.py
@@ -0,0 +1,189 @@
+"""When a change of placement may be finished."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import numpy as np
+
+from lychee_owner.gateways import GatewayRun, GatewayRuns
+from lychee_owner.placement import OwnerTable
+from lychee_owner.servers import ServerRuns
+from lychee_owner.state import ClusterState
+from lychee_types.document import Document
+from lychee_types.ids import LogIndex, ServerId, ServiceName
+from lychee_types.records import Ownership
+from lychee_types.timing import Timing
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Moves:
+    """Which keys a change of placement moves.
+
+    :param shards: how many shards change their owner.
+    :param keys: how many keys placed apart change their owner.
+    :param losing: the servers that lose keys.
+    """
+
+    shards: int
+    keys: int
+    losing: frozenset[ServerId]
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no key changes its owner."""
+        return not self.shards and not self.keys
+
+
+def moves(*, current: OwnerTable, target: OwnerTable) -> Moves:
+    """Return what changes owner between two placements, which may differ in their shards."""
+    shards = max(current.shards, target.shards)
+    before, after = current.spread(shards), target.spread(shards)
+    changed = before != after
+    losing = {str(server) for server in np.unique(before[changed]) if server}
+    keys = current.placed_keys | target.placed_keys
+    moved = {key for key in keys if current.owner(key) != target.owner(key)}
+    losing |= {owner for key in moved if (owner := current.owner(key)) is not None}
+    return Moves(
+        shards=int(changed.sum()),
+        keys=len(moved),
+        losing=frozenset(ServerId(server) for server in losing),
+    )
+
+
+class FinishRule:
+    """Decides whether the old owners of moving keys can run no request any more.
+
+    :param state: the replicated state.
+    :param gateways: session leases of gateways.
+    :param servers: session leases of backend servers.
+    :param timing: time limits.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: ClusterState,
+        gateways: GatewayRuns,
+        servers: ServerRuns,
+        timing: Timing,
+    ) -> None:
+        self._state = state
+        self._gateways = gateways
+        self._servers = servers
+        self._timing = timing
+        self._moves: dict[ServiceName, tuple[LogIndex, Moves]] = {}
+
+    def is_met(self, *, now: float, ownership: Ownership) -> bool:
+        """Return whether the pending transition of a service may be finished.
+
+        :param now: the leader's time in seconds.
+        :param ownership: the service's ownership, with a transition pending.
+        """
+        moves = self.pending_moves(ownership)
+        if moves is None or moves.is_empty:
+            return moves is not None
+        return all(
+            self.is_drained(now=now, run=run, ownership=ownership)
+            or self.is_run_over(now=now, run=run, ownership=ownership, losing=moves.losing)
+            for run in self._gateways.runs.values()
+        )
+
+    def pending_moves(self, ownership: Ownership) -> Moves | None:
+        """Return what the pending transition moves, None without one."""
+        pending = ownership.pending
+        if pending is None:
+            return None
+        cached = self._moves.get(ownership.service)
+        if cached is not None and cached[0] == pending.begun:
+            return cached[1]
+        current = self._state.table(ownership.service)
+        target = self._state.pending_table(ownership.service)
+        if current is None or target is None:
+            return None
+        found = moves(current=current, target=target)
+        self._moves[ownership.service] = (pending.begun, found)
+        return found
+
+    def is_drained(self, *, now: float, run: GatewayRun, ownership: Ownership) -> bool:
+        """Return whether a run can have no request for moving keys under way.
+
+        Either it says so, or every request that it sent before it knew of the transition has
+        passed its deadline.
+        """
+        pending = ownership.pending
+        if pending is None:
+            return False
+        if run.drained.get(ownership.service) == pending.begun:
+            return True
+        reached = run.reached.get(ownership.service)
+        if reached is None or reached[0] != pending.begun:
+            return False
+        return now >= reached[1] + self.deadline_s(run=run, service=ownership.service)
+
+    def is_run_over(
+        self,
+        *,
+        now: float,
+        run: GatewayRun,
+        ownership: Ownership,
+        losing: Iterable[ServerId],
+    ) -> bool:
+        """Return whether a run's lease is over and no old owner takes what it may still write."""
+        if now < self.gateway_lease_end(run):
+            return False
+        deadline = self.deadline_s(run=run, service=ownership.service)
+        if now >= self.gateway_lease_end(run) + deadline:
+            return True
+        return all(
+            self.checks_tokens(ownership=ownership, server=server)
+            and self.is_fenced(now=now, ownership=ownership, server=server)
+            for server in losing
+        )
+
+    def gateway_lease_end(self, run: GatewayRun) -> float:
+        """Return when a run's lease is over for certain, in seconds."""
+        return run.lease_end
+
+    def is_fenced(self, *, now: float, ownership: Ownership, server: ServerId) -> bool:
+        """Return whether a server that checks tokens refuses those of the current placement."""
+        pending = ownership.pending
+        if pending is None:
+            return False
+        confirmed = self._servers.confirmed_fence(server) >= pending.begun
+        return confirmed or now >= self._servers.lease_end(server)
+
+    def deadline_s(self, *, run: GatewayRun, service: ServiceName) -> float:
+        """Return the longest deadline that a run may have given a request, margin included.
+
+        :param run: the run; documents before the version that it reported no longer count.
+        :param service: the service's name.
+        """
+        deadlines = [
+            found.deadline_ms
+            for version in self._state.history
+            if version.version >= run.document_version
+            and (found := version.document.service(service)) is not None
+        ]
+        if not deadlines:
+            deadlines = [self._longest_deadline_ms(service)]
+        return max(deadlines) / 1_000 + self._timing.drift_s
+
+    def _longest_deadline_ms(self, service: ServiceName) -> int:
+        found = [version.document.service(service) for version in self._state.history]
+        return max((known.deadline_ms for known in found if known is not None), default=0)
+
+    def checks_tokens(self, *, ownership: Ownership, server: ServerId) -> bool:
+        """Return whether every document since the transition began says that a server checks."""
+        documents = list(self._documents_since(ownership))
+        return bool(documents) and all(
+            document.checks_tokens(ownership.service, server) for document in documents
+        )
+
+    def _documents_since(self, ownership: Ownership) -> Iterable[Document]:
+        pending = ownership.pending
+        history = self._state.history
+        for position, version in enumerate(history):
+            following = history[position + 1] if position + 1 < len(history) else None
+            replaced = following is not None and pending and following.index <= pending.begun
+            if not replaced:
+                yield version.document
--- a/packages/lychee-types/src/lychee_types/commands.py
+++ b/packages/lychee-types/src/lychee_types/commands.py
@@ -208,6 +208,17 @@
     author: str
 
 
+class DocumentRefused(Struct, frozen=True, kw_only=True, tag=True):
+    """The document does not fit the state and changed nothing.
+
+    :param reason: what is wrong.
+    :param remedy: what the operator can do.
+    """
+
+    reason: str
+    remedy: str
+
+
 class LedgerOpened(Struct, frozen=True, kw_only=True, tag=True):
     """The request may be sent."""
 
@@ -221,7 +232,15 @@
     entry: LedgerEntry
 
 
-Outcome = Done | Ignored | DocumentAccepted | DocumentConflict | LedgerOpened | LedgerFound
+Outcome = (
+    Done
+    | Ignored
+    | DocumentAccepted
+    | DocumentConflict
+    | DocumentRefused
+    | LedgerOpened
+    | LedgerFound
+)
 
 _ENCODER = Encoder()
 _DECODER: Decoder[Command] = Decoder(Command)
--- a/packages/lychee-types/src/lychee_types/records.py
+++ b/packages/lychee-types/src/lychee_types/records.py
@@ -104,10 +104,16 @@
 
     :param members: servers with their weights, in order of id.
     :param keys: keys placed apart from their shard, in order of hash.
+    :param shards: number of hash ranges, a power of two; 0 means the service's number when the
+        transition to this placement began.
+    :param bounded_load: highest share of shards over the fair share of a member's weight;
+        0 for no bound.
     """
 
     members: tuple[Member, ...] = ()
     keys: tuple[KeyOwner, ...] = ()
+    shards: int = 0
+    bounded_load: float = 0.0
 
 
 class Transition(Struct, frozen=True, kw_only=True):
@@ -128,12 +134,15 @@
     :param token: fencing token of the current placement.
     :param current: the placement in force.
     :param pending: the change under way, or None.
+    :param fence: log index at which the last finished transition began; a server that lost keys
+        in it refuses older tokens.
     """
 
     service: ServiceName
     token: Token
     current: Placement
     pending: Transition | None = None
+    fence: Token = Token(0)
 
 
 class LedgerStatus(Enum):
--- a/packages/lychee-types/src/lychee_types/state.py
+++ b/packages/lychee-types/src/lychee_types/state.py
@@ -16,6 +16,8 @@
     :param accepted: whether it won.
     :param version: the version it became, or the version that it lost to.
     :param winner: who submitted the version that it lost to, empty if it won.
+    :param refusal: why the document did not fit the state, empty otherwise.
+    :param remedy: what the operator can do about a refusal, empty otherwise.
     """
 
     submission: str
@@ -24,6 +26,8 @@
     accepted: bool
     version: int
     winner: str = ""
+    refusal: str = ""
+    remedy: str = ""
 
 
 class DocumentVersion(Struct, frozen=True, kw_only=True):
@@ -48,8 +52,9 @@
     :param history: accepted documents, oldest first; the last one is in force.
     :param submissions: answers to submissions, oldest first.
     :param servers: backend servers in order of id.
-    :param gateways: gateway runs in order of id.
-    :param ownerships: one for each keyed service in order of name.
+    :param gateways: gateway runs in order of session; a gateway may have several.
+    :param ownerships: one for each keyed service in order of name, and for services that are no
+        longer keyed until nobody owns their keys.
     :param ledger: entries of non-idempotent requests; empty in images for gateways.
     """
 
