Add the stand-in backend server

Cause: nothing outside the product could play a backend server, so no path could be tried. Ruled out: h11 on the stand-in's side; httptools costs less CPU per request, and the stand-in must not be what the experiments measure. Change: `lychee-bench server` announces itself, holds a lease and a fence, runs requests in slots, sheds, refuses late or fenced requests, ends runs whose connection closed, and writes each run to a file. A fence is confirmed only once no request below it runs.

--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/announcer.py
@@ -0,0 +1,118 @@
+"""The announcements of a stand-in server to the entry VMs."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from lychee_bench.http_client import (
+    ClientConnection,
+    ConnectionBrokenError,
+    ConnectionRefusedByPeerError,
+    connect,
+)
+from lychee_bench.lease import ServerLease
+from lychee_types.clock import Clock
+from lychee_types.messages import Announcement, ServerGrant
+from lychee_types.records import Endpoint, ServerRecord
+
+INTERVAL_S = 0.3
+"""Time between two announcements, in seconds."""
+
+TIMEOUT_S = 0.3
+"""Time for an entry VM to answer, in seconds."""
+
+TARGET = "/_lychee/announce"
+
+
+class Announcer:
+    """Announces a server to one entry VM after another until one answers.
+
+    :param entries: announce addresses of the entry VMs.
+    :param first: index of the entry VM to begin with.
+    :param lease: takes over the grants.
+    :param record: gives the server's record.
+    :param in_flight: gives the number of requests that run or wait.
+    :param clock: source of monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        entries: tuple[Endpoint, ...],
+        first: int,
+        lease: ServerLease,
+        record: Callable[[], ServerRecord],
+        in_flight: Callable[[], int],
+        clock: Clock,
+    ) -> None:
+        self.last_reason = ""
+        self._entries = entries
+        self._next = first
+        self._lease = lease
+        self._record = record
+        self._in_flight = in_flight
+        self._clock = clock
+        self._number = 0
+        self._conn: ClientConnection | None = None
+
+    async def run(self) -> None:
+        """Announce until cancelled."""
+        try:
+            while True:
+                started = self._clock.monotonic()
+                await self._announce_round()
+                spent = self._clock.monotonic() - started
+                await asyncio.sleep(max(0.0, INTERVAL_S - spent))
+        finally:
+            self._drop()
+
+    async def _announce_round(self) -> None:
+        for _ in self._entries:
+            if await self._announce_once():
+                return
+            self._drop()
+            self._next += 1
+
+    async def _announce_once(self) -> bool:
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                conn = await self._connection()
+                sent_at = self._clock.monotonic()
+                answer = await conn.request(
+                    method="POST",
+                    target=TARGET,
+                    headers={"Content-Type": "application/json"},
+                    body=self._announcement(),
+                )
+        except (ConnectionBrokenError, ConnectionRefusedByPeerError, TimeoutError):
+            return False
+        if answer.status != 200:
+            return False
+        grant = msgspec.json.decode(answer.body, type=ServerGrant)
+        if grant.number == self._number:
+            self.last_reason = grant.reason
+            self._lease.take_over(grant, sent_at=sent_at)
+        return True
+
+    def _announcement(self) -> bytes:
+        self._number += 1
+        return msgspec.json.encode(
+            Announcement(
+                server=self._record(),
+                number=self._number,
+                fence=self._lease.confirmed,
+                in_flight=self._in_flight(),
+            )
+        )
+
+    async def _connection(self) -> ClientConnection:
+        if self._conn is None or not self._conn.usable:
+            entry = self._entries[self._next % len(self._entries)]
+            self._conn = await connect(entry, timeout_s=TIMEOUT_S)
+        return self._conn
+
+    def _drop(self) -> None:
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/answers.py
@@ -0,0 +1,61 @@
+"""Bodies of the stand-in servers' answers, and the callers' check of them."""
+
+from typing import Final
+
+import msgspec
+from msgspec import Struct
+
+NEWLINE: Final = b"\n"
+
+
+class AnswerStamp(Struct, frozen=True, kw_only=True):
+    """First line of an answer; it ties the answer to its request.
+
+    :param request: value of the request's Lychee-Request-Id.
+    :param key: last path segment, percent-decoded to bytes and shown as Latin-1.
+    :param server: the server that ran the request.
+    :param run: number of the run at that server.
+    :param size: length of the whole body in bytes.
+    """
+
+    request: str
+    key: str
+    server: str
+    run: int
+    size: int
+
+
+_DECODER = msgspec.json.Decoder(AnswerStamp)
+
+
+def make_answer(*, request: str, key: str, server: str, run: int, size: int) -> bytes:
+    """Return a body of at least ``size`` bytes whose filler depends on the request id."""
+    body = _head(request=request, key=key, server=server, run=run, size=size)
+    if len(body) > size:
+        full = _head(request=request, key=key, server=server, run=run, size=len(body))
+        return _head(request=request, key=key, server=server, run=run, size=len(full))
+    return body + _filler(request, size - len(body))
+
+
+def check_answer(body: bytes, *, request: str, key: str) -> AnswerStamp | None:
+    """Return the stamp of an answer that is whole and the request's own, else None."""
+    head, found, filler = body.partition(NEWLINE)
+    try:
+        stamp = _DECODER.decode(head)
+    except msgspec.MsgspecError:
+        return None
+    own = stamp.request == request and stamp.key == key
+    whole = bool(found) and len(body) == stamp.size
+    if own and whole and filler == _filler(request, len(filler)):
+        return stamp
+    return None
+
+
+def _head(*, request: str, key: str, server: str, run: int, size: int) -> bytes:
+    stamp = AnswerStamp(request=request, key=key, server=server, run=run, size=size)
+    return msgspec.json.encode(stamp) + NEWLINE
+
+
+def _filler(request: str, size: int) -> bytes:
+    unit = request.encode() + b"."
+    return (unit * (size // len(unit) + 1))[:size]
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/http_server.py
@@ -0,0 +1,188 @@
+"""HTTP/1.1 server connections of the bench, over asyncio and httptools."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import httptools
+from msgspec import Struct
+
+REASONS = {200: b"OK", 404: b"Not Found", 503: b"Service Unavailable"}
+BACKLOG = 512
+"""Connections that wait to be accepted."""
+
+
+class Request(Struct, frozen=True, kw_only=True):
+    """One request.
+
+    :param method: its method.
+    :param target: path and query as they came.
+    :param headers: values by lower-case name.
+    :param body: the whole body.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Response(Struct, frozen=True, kw_only=True):
+    """One answer.
+
+    :param status: HTTP status.
+    :param headers: names and values besides the body's framing.
+    :param body: the whole body.
+    :param chunk_bytes: length of the chunks that it is streamed in, 0 for one piece.
+    """
+
+    status: int = 200
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    chunk_bytes: int = 0
+
+
+class Connection(Protocol):
+    """What a handler may know of the connection that a request came on."""
+
+    over_limit: bool
+    opened_at: float
+
+
+RequestHandler = Callable[[Request, Connection], Awaitable[Response]]
+"""Answers one request; it is cancelled when the connection is lost."""
+
+
+class ServerConnection(asyncio.Protocol):
+    """One accepted connection; it answers its requests one by one.
+
+    :param server: the server that accepted it.
+    """
+
+    def __init__(self, *, server: "HttpServer") -> None:
+        self.over_limit = False
+        self.opened_at = 0.0
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._requests: deque[tuple[Request, bool]] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._writable = asyncio.Event()
+        self._reset()
+
+    def _reset(self) -> None:
+        self._target = b""
+        self._headers: dict[str, str] = {}
+        self._body: list[bytes] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note the new connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._writable.set()
+        self.opened_at = asyncio.get_running_loop().time()
+        self.over_limit = len(self._server.open) >= self._server.connections
+        self._server.open.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the request that runs."""
+        self._server.open.discard(self)
+        self._writable.set()
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came; close on a malformed request."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._transport.close()
+
+    def pause_writing(self) -> None:
+        """Stop the stream until the peer has read."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Go on with the stream."""
+        self._writable.set()
+
+    def on_message_begin(self) -> None:
+        """Start a new request."""
+        self._reset()
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        """Collect the body."""
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the request."""
+        request = Request(
+            method=self._parser.get_method().decode("ascii"),
+            target=self._target.decode("latin-1"),
+            headers=self._headers,
+            body=b"".join(self._body),
+        )
+        self._requests.append((request, self._parser.should_keep_alive()))
+        if self._task is None:
+            self._task = asyncio.create_task(self._answer_all())
+
+    async def _answer_all(self) -> None:
+        try:
+            while self._requests and not self._transport.is_closing():
+                request, keep = self._requests.popleft()
+                response = await self._server.handler(request, self)
+                await self._write(request, response)
+                if not keep:
+                    self._transport.close()
+        finally:
+            self._task = None
+
+    async def _write(self, request: Request, response: Response) -> None:
+        lines = [b"HTTP/1.1 %d %s" % (response.status, REASONS.get(response.status, b"Other"))]
+        lines += [f"{name}: {value}".encode("latin-1") for name, value in response.headers]
+        streamed = response.chunk_bytes > 0
+        framing = b"Transfer-Encoding: chunked" if streamed else b"Content-Length: "
+        lines.append(framing if streamed else framing + b"%d" % len(response.body))
+        head = b"\r\n".join(lines) + b"\r\n\r\n"
+        if request.method == "HEAD":
+            self._transport.write(head)
+        elif streamed:
+            self._transport.write(head)
+            await self._write_chunks(response)
+        else:
+            self._transport.write(head + response.body)
+
+    async def _write_chunks(self, response: Response) -> None:
+        for start in range(0, len(response.body), response.chunk_bytes):
+            await self._writable.wait()
+            chunk = response.body[start : start + response.chunk_bytes]
+            self._transport.write(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+        self._transport.write(b"0\r\n\r\n")
+
+
+class HttpServer:
+    """The connections of one listener.
+
+    :param handler: answers one request.
+    :param connections: number of connections that are served; later ones are marked.
+    """
+
+    def __init__(self, *, handler: RequestHandler, connections: int) -> None:
+        self.handler = handler
+        self.connections = connections
+        self.open: set[ServerConnection] = set()
+
+    async def listen(self, host: str, port: int) -> asyncio.Server:
+        """Start to listen."""
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(
+            lambda: ServerConnection(server=self), host, port, backlog=BACKLOG
+        )
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/server.py
@@ -0,0 +1,257 @@
+"""A stand-in for one backend server, in one process."""
+
+import asyncio
+import random
+import signal
+import time
+from pathlib import Path
+from urllib.parse import parse_qs, unquote_to_bytes, urlsplit
+
+import msgspec
+import xxhash
+from msgspec import Struct
+
+from lychee_bench.announcer import INTERVAL_S, Announcer
+from lychee_bench.answers import make_answer
+from lychee_bench.http_server import Connection, HttpServer, Request, Response
+from lychee_bench.lease import ServerLease
+from lychee_bench.runs import RunBegan, RunEnded, RunWriter, ServerBegan, open_runs
+from lychee_bench.server_settings import Behaviour, ServerSettings
+from lychee_bench.slots import ShedError, Slots
+from lychee_types.clock import SystemClock
+from lychee_types.exceptions import LycheeError
+from lychee_types.ids import DomainName, Incarnation, ServerId, ServiceName, Token
+from lychee_types.records import ServerRecord, ServerStatus
+
+CHUNK_BYTES = 8_192
+"""Length of the chunks of a streamed answer."""
+
+JITTER = 0.2
+"""Random share of the time to run a request, to both sides."""
+
+QUIET_S = 1.0
+"""Time without work after which a drain ends, in seconds."""
+
+
+class RefusedError(LycheeError):
+    """The server did not run the request.
+
+    :param reason: value of Lychee-Refused.
+    """
+
+    def __init__(self, *, reason: str) -> None:
+        self.reason = reason
+        super().__init__(message=f"refused: {reason}", remedy="ask another server")
+
+
+class LoadReport(Struct, frozen=True, kw_only=True):
+    """What the load endpoint says.
+
+    :param in_flight: requests that run or wait.
+    :param slots: how many run at once.
+    :param connections: open connections.
+    """
+
+    in_flight: int
+    slots: int
+    connections: int
+
+
+class BackendServer:
+    """A server with slots, a lease and a record of its runs.
+
+    :param cfg: its settings.
+    :param runs: takes the records of its runs.
+    """
+
+    def __init__(self, *, cfg: ServerSettings, runs: RunWriter) -> None:
+        self.behaviour = cfg.behaviour
+        self.last_work = 0.0
+        self._cfg = cfg
+        self._runs = runs
+        self._clock = SystemClock()
+        self._lease = ServerLease(clock=self._clock)
+        self._slots = Slots(count=cfg.slots, queue=cfg.queue)
+        self._random = random.Random(cfg.id)
+        self._incarnation = Incarnation(time.time_ns() // 1_000_000)
+        self._began = self._clock.monotonic()
+        self._run = 0
+        self._status = ServerStatus.JOINED
+        self._refuse_all = False
+        self.http = HttpServer(handler=self.handle, connections=cfg.connections)
+        self.announcer = Announcer(
+            entries=cfg.entries,
+            first=xxhash.xxh32_intdigest(cfg.id.encode()),
+            lease=self._lease,
+            record=self.record,
+            in_flight=lambda: self._slots.in_flight,
+            clock=self._clock,
+        )
+        runs.write(
+            ServerBegan(
+                server=cfg.id,
+                incarnation=self._incarnation,
+                service=cfg.service,
+                checks_tokens=cfg.checks_tokens,
+            )
+        )
+
+    def record(self) -> ServerRecord:
+        """Return the server's record."""
+        cfg = self._cfg
+        return ServerRecord(
+            id=ServerId(cfg.id),
+            incarnation=self._incarnation,
+            endpoint=cfg.listen,
+            domain=DomainName(cfg.domain),
+            service=ServiceName(cfg.service),
+            slots=cfg.slots,
+            connections=cfg.connections,
+            speed=cfg.announced_speed,
+            status=self._status,
+        )
+
+    async def drain(self) -> None:
+        """Announce that the server leaves, and wait until no work comes any more."""
+        self._status = ServerStatus.LEAVING
+        begun = self._clock.monotonic()
+        self.last_work = begun
+        while self._clock.monotonic() - begun < self._cfg.drain_s:
+            await asyncio.sleep(INTERVAL_S)
+            quiet = self._clock.monotonic() - self.last_work > QUIET_S
+            if quiet and not self._slots.in_flight:
+                return
+        self._refuse_all = True
+        await asyncio.sleep(INTERVAL_S)
+
+    async def handle(self, request: Request, conn: Connection) -> Response:
+        """Answer one request."""
+        match urlsplit(request.target).path:
+            case "/_lychee/health":
+                return self._health()
+            case "/_lychee/load":
+                return await self._load()
+            case "/_bench/behaviour":
+                self.behaviour = msgspec.json.decode(request.body, type=Behaviour)
+                return Response()
+        try:
+            return await self._work(request, conn)
+        except RefusedError as exc:
+            return Response(status=503, headers=(("Lychee-Refused", exc.reason),))
+
+    def _health(self) -> Response:
+        return Response(status=200 if self.behaviour.health_ok else 503, body=b"ok")
+
+    async def _load(self) -> Response:
+        report = LoadReport(
+            in_flight=self._slots.in_flight,
+            slots=self._cfg.slots,
+            connections=len(self.http.open),
+        )
+        await asyncio.sleep(self.behaviour.load_lag_ms / 1_000)
+        return Response(body=msgspec.json.encode(report))
+
+    async def _work(self, request: Request, conn: Connection) -> Response:
+        token = Token(int(request.headers.get("lychee-token", "0")))
+        keyed = "lychee-token" in request.headers
+        self._check(request, token=token, keyed=keyed)
+        if conn.over_limit:
+            raise RefusedError(reason="shed")
+        await self._wait_open(conn)
+        with self._slots.admitted():
+            try:
+                await self._slots.take()
+            except ShedError as exc:
+                raise RefusedError(reason="shed") from exc
+            try:
+                self._check(request, token=token, keyed=keyed)
+                return await self._run_request(request, token=token, keyed=keyed)
+            finally:
+                self._slots.release()
+
+    async def _wait_open(self, conn: Connection) -> None:
+        left = conn.opened_at + self._cfg.open_ms / 1_000 - asyncio.get_running_loop().time()
+        if left > 0:
+            await asyncio.sleep(left)
+
+    def _check(self, request: Request, *, token: Token, keyed: bool) -> None:
+        if self._refuse_all:
+            raise RefusedError(reason="draining")
+        deadline_ms = request.headers.get("lychee-deadline")
+        if deadline_ms is not None and self._clock.wall() * 1_000 > float(deadline_ms):
+            raise RefusedError(reason="deadline")
+        if keyed and self._cfg.checks_tokens:
+            if token < self._lease.fence:
+                raise RefusedError(reason="token")
+            if not self._lease.held:
+                raise RefusedError(reason="lease")
+
+    async def _run_request(self, request: Request, *, token: Token, keyed: bool) -> Response:
+        self._run += 1
+        run = self._run
+        key = request_key(request.target)
+        self.last_work = self._clock.monotonic()
+        request_id = request.headers.get("lychee-request-id", "")
+        self._runs.write(
+            RunBegan(
+                run=run,
+                request=request_id,
+                idempotency_key=request.headers.get("idempotency-key", ""),
+                key=key,
+                token=token,
+                at=self._clock.wall(),
+                leased=self._lease.held,
+            )
+        )
+        done = False
+        self._lease.begin(token)
+        try:
+            await asyncio.sleep(self._service_s())
+            done = not (keyed and self._cfg.checks_tokens) or self._lease.held
+        finally:
+            self._lease.end(token)
+            self._runs.write(RunEnded(run=run, at=self._clock.wall(), done=done))
+        if not done:
+            raise RefusedError(reason="lease")
+        body = make_answer(
+            request=request_id, key=key, server=self._cfg.id, run=run, size=self._size(request)
+        )
+        chunk_bytes = CHUNK_BYTES if self._cfg.streamed else 0
+        kind = (("Content-Type", "application/octet-stream"),)
+        return Response(headers=kind, body=body, chunk_bytes=chunk_bytes)
+
+    def _service_s(self) -> float:
+        base = self.behaviour.service_ms / 1_000 * self.behaviour.slowdown / self._cfg.speed
+        if self._clock.monotonic() - self._began < self._cfg.cold_s:
+            base *= self._cfg.cold_factor
+        return base * self._random.uniform(1 - JITTER, 1 + JITTER)
+
+    def _size(self, request: Request) -> int:
+        asked = parse_qs(urlsplit(request.target).query).get("size")
+        return int(asked[0]) if asked else self._cfg.answer_bytes
+
+
+def request_key(target: str) -> str:
+    """Return the key of a target: its last path segment as bytes, shown as Latin-1."""
+    segment = urlsplit(target).path.rpartition("/")[2]
+    return unquote_to_bytes(segment).decode("latin-1")
+
+
+async def run_server(cfg: ServerSettings) -> None:
+    """Run a server until SIGTERM, then drain it.
+
+    :param cfg: its settings.
+    """
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    with open_runs(Path(cfg.runs)) as runs:
+        server = BackendServer(cfg=cfg, runs=runs)
+        listener = await server.http.listen(cfg.listen.host, cfg.listen.port)
+        announcing = asyncio.create_task(server.announcer.run())
+        try:
+            await stop.wait()
+            await server.drain()
+        finally:
+            announcing.cancel()
+            await asyncio.gather(announcing, return_exceptions=True)
+            listener.close()
