Add callers, the audit, deployments and the demo

Cause: the path needs callers that check their answers, and a verdict over what servers ran. Change: open-loop callers behind a balancer that watches readiness, an audit of doubled, lost, wrong and not-owner runs, deployments as processes with YAML settings, and `lychee-bench demo`. Also: uvloop's transports are no asyncio.Transport, so the stand-in failed on its first connection; its tests now run on uvloop and failed before the change. The demo is not run yet: the daemons are not there.

--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the bench, one module each."""
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/demo.py
@@ -0,0 +1,99 @@
+"""A short run of a whole deployment that loses an owner and the control leader."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+from msgspec import Struct
+
+from lychee_bench.deployment import Deployment, deployed, load_document, run_folder
+from lychee_bench.load import Callers
+from lychee_bench.report import faults, make_report, show_services, show_table, show_verdict
+from lychee_bench.runs import read_runs
+from lychee_bench.sizes import Sizes
+
+OWNER_KILLED_AT_S = 6.0
+"""Time from the first request to the loss of an owner, in seconds."""
+
+LEADER_KILLED_AT_S = 12.0
+"""Time from the first request to the loss of the control leader, in seconds."""
+
+Print = Callable[[str], None]
+
+
+class DemoPlan(Struct, frozen=True, kw_only=True):
+    """What a demo runs.
+
+    :param sizes: the deployment.
+    :param document: file with the operators' document.
+    :param seconds: how long requests are sent.
+    :param seed: seed of arrivals and keys.
+    """
+
+    sizes: Sizes
+    document: Path
+    seconds: float
+    seed: int
+
+
+async def run_demo(plan: DemoPlan, *, out: Print) -> bool:
+    """Run the demo and return whether its verdict is ok.
+
+    :param plan: what to run.
+    :param out: takes the lines to print.
+    """
+    document = load_document(plan.document)
+    with run_folder() as folder:
+        out(f"run folder {folder.path}")
+        async with deployed(folder=folder.path, sizes=plan.sizes, document=document) as deployment:
+            out(f"served: {_count(plan.sizes)}; sending requests for {plan.seconds:g} s")
+            callers = await _send(deployment, plan, out=out)
+            deployment.processes.check()
+            exits = tuple(deployment.processes.unexpected)
+        runs = read_runs(deployment.run_files())
+        report = make_report(callers=callers, runs=runs, exits=exits)
+        reasons = faults(report, services=[group.service for group in plan.sizes.groups])
+        out(show_services(report, callers.latency))
+        out(show_table(report))
+        folder.passed = not reasons
+        if reasons:
+            out(f"logs kept in {folder.path}")
+        out(show_verdict(reasons))
+        return not reasons
+
+
+def _count(sizes: Sizes) -> str:
+    servers = sum(group.count for group in sizes.groups)
+    return f"{sizes.controls} control replicas, {sizes.gateways} gateways, {servers} servers"
+
+
+async def _send(deployment: Deployment, plan: DemoPlan, *, out: Print) -> Callers:
+    balancer = deployment.balancer()
+    callers = Callers(balancer=balancer, traffic=deployment.traffic(), seed=plan.seed)
+    watching = asyncio.create_task(balancer.watch())
+    killing = asyncio.create_task(_kill(deployment, callers, out=out))
+    try:
+        await callers.run(plan.seconds)
+        await killing
+    finally:
+        for task in (watching, killing):
+            task.cancel()
+        await asyncio.gather(watching, killing, return_exceptions=True)
+    return callers
+
+
+async def _kill(deployment: Deployment, callers: Callers, *, out: Print) -> None:
+    await asyncio.sleep(OWNER_KILLED_AT_S)
+    owner = busiest_owner(callers)
+    deployment.processes.kill(owner)
+    out(f"{OWNER_KILLED_AT_S:5.1f} s: killed owner {owner}")
+    await asyncio.sleep(LEADER_KILLED_AT_S - OWNER_KILLED_AT_S)
+    leader = (await deployment.operator.status(timeout_s=5.0)).leader
+    deployment.processes.kill(leader)
+    out(f"{LEADER_KILLED_AT_S:5.1f} s: killed control leader {leader}")
+
+
+def busiest_owner(callers: Callers) -> str:
+    """Return the server that owns most of the keys that callers asked for."""
+    owners = [server for group, server in callers.owner_of.items() if "/" in group]
+    return max(sorted(set(owners)), key=owners.count)
--- a/packages/lychee-bench/src/lychee_bench/http_client.py
+++ b/packages/lychee-bench/src/lychee_bench/http_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Mapping
+from typing import cast
 
 import httptools
 from msgspec import Struct
@@ -50,8 +51,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note that the connection is open."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        self._transport = cast(asyncio.Transport, transport)
         self.usable = True
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/packages/lychee-bench/src/lychee_bench/http_server.py
+++ b/packages/lychee-bench/src/lychee_bench/http_server.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import Protocol
+from typing import Protocol, cast
 
 import httptools
 from msgspec import Struct
@@ -77,8 +77,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note the new connection."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        self._transport = cast(asyncio.Transport, transport)
         self._writable.set()
         self.opened_at = asyncio.get_running_loop().time()
         self.over_limit = len(self._server.open) >= self._server.connections
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/load.py
@@ -0,0 +1,242 @@
+"""Callers: requests that arrive at a given rate, whether or not earlier ones are answered."""
+
+import asyncio
+import time
+from collections.abc import Iterator
+from urllib.parse import quote
+
+import numpy as np
+from hdrh.histogram import HdrHistogram
+from msgspec import Struct
+
+from lychee_bench.answers import check_answer
+from lychee_bench.audit import Call, Outcome
+from lychee_bench.availability import Availability
+from lychee_bench.balancer import Balancer
+from lychee_bench.http_client import Answer, ClientConnection, ConnectionBrokenError
+from lychee_types.exceptions import UnavailableError
+from lychee_types.records import Endpoint
+
+ATTEMPTS = 6
+"""How often a caller sends one request at most."""
+
+RESEND_S = 0.3
+"""Wait before a resend, in seconds."""
+
+PATIENCE_S = 0.5
+"""How long after the deadline a caller waits for an answer, in seconds."""
+
+ASK_AGAIN_S = 0.15
+"""Wait before a caller asks again for a key that was not served, in seconds."""
+
+ASK_AGAIN_LIMIT_S = 15.0
+"""How long callers ask again for one key, in seconds."""
+
+HIGHEST_US = 60_000_000
+"""Largest latency in a histogram, in microseconds."""
+
+
+class Traffic(Struct, frozen=True, kw_only=True):
+    """Requests for one service.
+
+    :param service: the service's name.
+    :param path: its URL prefix.
+    :param rate: requests a second.
+    :param keys: number of keys.
+    :param zipf: exponent of the keys' popularity.
+    :param deadline_s: the service's deadline in seconds.
+    :param keyed: whether requests are bound to their key's owner.
+    :param booking: whether requests must run at most once.
+    :param size: length of the answers in bytes, 0 for the server's own.
+    """
+
+    service: str
+    path: str
+    rate: float
+    deadline_s: float
+    keys: int = 200
+    zipf: float = 1.1
+    keyed: bool = False
+    booking: bool = False
+    size: int = 0
+
+
+class Reply(Struct, frozen=True, kw_only=True):
+    """What one sending of a request came to.
+
+    :param outcome: what the caller was told.
+    :param detail: the server that answered, or what went wrong.
+    :param resend: whether the caller sends the request again.
+    """
+
+    outcome: Outcome
+    detail: str
+    resend: bool = False
+
+
+class Callers:
+    """Sends requests and keeps what became of them.
+
+    :param balancer: gives connections.
+    :param traffic: the services' requests.
+    :param seed: seed of arrivals and keys.
+    """
+
+    def __init__(self, *, balancer: Balancer, traffic: tuple[Traffic, ...], seed: int) -> None:
+        self.calls: list[Call] = []
+        self.availability = Availability()
+        self.latency = {item.service: HdrHistogram(1, HIGHEST_US, 3) for item in traffic}
+        self.owner_of: dict[str, str] = {}
+        self._balancer = balancer
+        self._traffic = traffic
+        self._seed = seed
+        self._number = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._asking: set[str] = set()
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait for their answer."""
+        return len(self._tasks)
+
+    async def run(self, seconds: float) -> None:
+        """Send requests for that long, then wait for the answers."""
+        await self._balancer.open_idle(4 * len(self._traffic))
+        generators = [
+            asyncio.create_task(self._arrive(item, seconds, self._seed + place))
+            for place, item in enumerate(self._traffic)
+        ]
+        try:
+            await asyncio.gather(*generators)
+            while self._tasks:
+                await asyncio.wait(self._tasks)
+        finally:
+            for task in [*generators, *self._tasks]:
+                task.cancel()
+            self.availability.close(time.monotonic())
+
+    async def _arrive(self, item: Traffic, seconds: float, seed: int) -> None:
+        began = time.monotonic()
+        for at, key in arrivals(item, seconds=seconds, seed=seed):
+            await asyncio.sleep(max(0.0, began + at - time.monotonic()))
+            self._spawn(item, key)
+
+    def _spawn(self, item: Traffic, key: str) -> None:
+        task = asyncio.create_task(self._call_and_follow(item, key))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _call_and_follow(self, item: Traffic, key: str) -> None:
+        group = f"{item.service}/{key}" if item.keyed else item.service
+        call = await self._call(item, key, group)
+        if call.outcome is Outcome.ANSWERED or not item.keyed or group in self._asking:
+            return
+        self._asking.add(group)
+        try:
+            until = time.monotonic() + ASK_AGAIN_LIMIT_S
+            while self.availability.is_down(group) and time.monotonic() < until:
+                await asyncio.sleep(ASK_AGAIN_S)
+                await self._call(item, key, group)
+        finally:
+            self._asking.discard(group)
+
+    async def _call(self, item: Traffic, key: str, group: str) -> Call:
+        self._number += 1
+        request = f"r{self._seed}-{self._number}"
+        sent_at = time.monotonic()
+        reply, attempts = await self._send_until_final(item, request, key)
+        call = Call(
+            request=request,
+            service=item.service,
+            key=key,
+            idempotency_key=request if item.booking else "",
+            outcome=reply.outcome,
+            sent_at=sent_at,
+            ended_at=time.monotonic(),
+            attempts=attempts,
+            detail=reply.detail,
+        )
+        self._note(call, group)
+        return call
+
+    def _note(self, call: Call, group: str) -> None:
+        self.calls.append(call)
+        if call.outcome is not Outcome.ANSWERED:
+            self.availability.failed(group, sent_at=call.sent_at)
+            return
+        self.availability.served(group, sent_at=call.sent_at, ended_at=call.ended_at)
+        self.owner_of[group] = call.detail
+        micros = round((call.ended_at - call.sent_at) * 1_000_000)
+        self.latency[call.service].record_value(min(max(micros, 1), HIGHEST_US))
+
+    async def _send_until_final(self, item: Traffic, request: str, key: str) -> tuple[Reply, int]:
+        reply = Reply(outcome=Outcome.LOST, detail="nothing was sent")
+        used: Endpoint | None = None
+        may_have_run = False
+        for attempt in range(1, ATTEMPTS + 1):
+            try:
+                conn = await self._balancer.take(avoid=used)
+            except UnavailableError as exc:
+                last = Reply(outcome=Outcome.LOST, detail=exc.message, resend=True)
+            else:
+                used = conn.endpoint
+                last = await self._send(conn, item, request, key)
+            reply = after_uncertainty(last) if may_have_run and item.booking else last
+            if not reply.resend:
+                return reply, attempt
+            may_have_run = may_have_run or last.outcome in (Outcome.LOST, Outcome.UNKNOWN)
+            await asyncio.sleep(RESEND_S)
+        return reply, ATTEMPTS
+
+    async def _send(self, conn: ClientConnection, item: Traffic, request: str, key: str) -> Reply:
+        headers = {"Lychee-Request-Id": request}
+        if item.booking:
+            headers["Idempotency-Key"] = request
+        target = item.path + quote(key) + (f"?size={item.size}" if item.size else "")
+        try:
+            async with asyncio.timeout(item.deadline_s + PATIENCE_S):
+                answer = await conn.request(
+                    method="POST" if item.booking else "GET",
+                    target=target,
+                    headers=headers,
+                    body=b"{}" if item.booking else b"",
+                )
+        except ConnectionBrokenError as exc:
+            return Reply(outcome=Outcome.LOST, detail=exc.message, resend=True)
+        except TimeoutError:
+            return Reply(outcome=Outcome.LOST, detail="no answer in time", resend=True)
+        self._balancer.give_back(conn)
+        return judge(answer, request=request, key=key, booking=item.booking)
+
+
+def judge(answer: Answer, *, request: str, key: str, booking: bool) -> Reply:
+    """Return what an answer tells the caller."""
+    told = answer.headers.get("lychee-outcome", "")
+    detail = f"{answer.status} {told} {answer.body[:200]!r}"
+    if answer.status == 200:
+        stamp = check_answer(answer.body, request=request, key=key)
+        if stamp is None:
+            return Reply(outcome=Outcome.WRONG, detail=detail)
+        return Reply(outcome=Outcome.ANSWERED, detail=stamp.server)
+    if told == "not-run":
+        return Reply(outcome=Outcome.NOT_RUN, detail=detail)
+    if told == "unknown":
+        return Reply(outcome=Outcome.UNKNOWN, detail=detail, resend=booking)
+    return Reply(outcome=Outcome.WRONG, detail=f"no outcome is told: {detail}")
+
+
+def after_uncertainty(reply: Reply) -> Reply:
+    """Return what an answer to a resend tells of a booking that may have been run before."""
+    if reply.outcome is Outcome.NOT_RUN:
+        return Reply(outcome=Outcome.UNKNOWN, detail=reply.detail, resend=True)
+    return reply
+
+
+def arrivals(item: Traffic, *, seconds: float, seed: int) -> Iterator[tuple[float, str]]:
+    """Yield time and key of each request, the same ones for the same seed."""
+    rng = np.random.default_rng(seed)
+    shares = 1.0 / np.arange(1, item.keys + 1) ** item.zipf
+    shares /= shares.sum()
+    at = 0.0
+    while (at := at + rng.exponential(1.0 / item.rate)) < seconds:
+        yield at, f"{item.service}-{rng.choice(item.keys, p=shares)}"
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/processes.py
@@ -0,0 +1,149 @@
+"""Processes that the bench starts, signals and ends by their id."""
+
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from msgspec import Struct
+
+STOP_S = 8.0
+"""Time for a graceful stop before a process is killed, in seconds."""
+
+
+class Exit(Struct, frozen=True, kw_only=True):
+    """A process that ended without our doing.
+
+    :param name: the process's name.
+    :param code: its exit code; negative for a signal.
+    :param log: the file with its log.
+    """
+
+    name: str
+    code: int
+    log: str
+
+
+def executable(program: str) -> str:
+    """Return the path of a program that is installed beside this one."""
+    return str(Path(sys.executable).parent / program)
+
+
+class Processes:
+    """A set of named processes with their logs in one folder.
+
+    :param folder: folder for the logs.
+    """
+
+    def __init__(self, *, folder: Path) -> None:
+        self.unexpected: list[Exit] = []
+        self._folder = folder
+        self._argv: dict[str, tuple[str, ...]] = {}
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+        self._frozen: set[str] = set()
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of the processes that should run."""
+        return tuple(self._running)
+
+    def log(self, name: str) -> Path:
+        """Return the file with a process's log."""
+        return self._folder / f"{name}.log"
+
+    def pid(self, name: str) -> int:
+        """Return the id of a running process."""
+        return self._running[name].pid
+
+    def start(self, name: str, argv: tuple[str, ...]) -> None:
+        """Start a process.
+
+        :param name: its name.
+        :param argv: program and arguments.
+        """
+        self._argv[name] = argv
+        with self.log(name).open("ab") as log:
+            self._running[name] = subprocess.Popen(
+                argv, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True
+            )
+
+    def restart(self, name: str) -> None:
+        """Start a process again with the arguments that it had."""
+        self.start(name, self._argv[name])
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        self._note_exit(name)
+        process = self._running.pop(name, None)
+        self._frozen.discard(name)
+        if process is not None:
+            process.kill()
+            process.wait()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process from running until it is thawed."""
+        if name in self._running:
+            self._frozen.add(name)
+            self._running[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process run again."""
+        if name in self._frozen:
+            self._frozen.discard(name)
+            self._running[name].send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop gracefully; :meth:`finish` waits for it."""
+        self._note_exit(name)
+        if name in self._running:
+            self._running[name].terminate()
+
+    def finish(self, name: str) -> int:
+        """Wait for a terminated process and return its exit code; kill it when it takes long."""
+        process = self._running.pop(name)
+        try:
+            return process.wait(STOP_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
+
+    def check(self) -> None:
+        """Note the processes that ended without our doing."""
+        for name in tuple(self._running):
+            self._note_exit(name)
+
+    def _note_exit(self, name: str) -> None:
+        process = self._running.get(name)
+        code = None if process is None else process.poll()
+        if code is not None:
+            del self._running[name]
+            self.unexpected.append(Exit(name=name, code=code, log=str(self.log(name))))
+
+    def end_all(self) -> None:
+        """End every process: gracefully at first, then at once."""
+        self.check()
+        for name in tuple(self._frozen):
+            self.thaw(name)
+        for process in self._running.values():
+            process.terminate()
+        until = time.monotonic() + STOP_S
+        for process in self._running.values():
+            try:
+                process.wait(max(0.0, until - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self._running.clear()
+
+
+@contextmanager
+def processes(folder: Path) -> Iterator[Processes]:
+    """Hold processes that are all ended when the block ends."""
+    group = Processes(folder=folder)
+    try:
+        yield group
+    finally:
+        group.end_all()
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/report.py
@@ -0,0 +1,125 @@
+"""The table and the verdict of a run."""
+
+from collections.abc import Iterable, Sequence
+
+from hdrh.histogram import HdrHistogram
+from msgspec import Struct
+
+from lychee_bench.audit import (
+    DOUBLED,
+    FALSE_NOT_RUN,
+    LOST,
+    OVERLAP,
+    RUN_NOT_OWNER,
+    WRONG,
+    Breach,
+    Call,
+    Outcome,
+    audit,
+    count,
+)
+from lychee_bench.availability import Span
+from lychee_bench.load import Callers
+from lychee_bench.processes import Exit
+from lychee_bench.runs import Run
+from lychee_types.timing import SERVED_AGAIN_S
+
+REASONS_SHOWN = 12
+"""Reasons printed of one kind."""
+
+
+class Report(Struct, frozen=True, kw_only=True):
+    """What became of the callers' requests in one run.
+
+    :param calls: what the callers were told.
+    :param runs: what the servers ran.
+    :param spans: spans in which callers were not served.
+    :param exits: processes that died without our doing.
+    :param breaches: broken promises.
+    """
+
+    calls: tuple[Call, ...]
+    runs: tuple[Run, ...]
+    spans: tuple[Span, ...]
+    exits: tuple[Exit, ...]
+    breaches: tuple[Breach, ...]
+
+    def told(self, outcome: Outcome, service: str | None = None) -> int:
+        """Return how many requests ended so."""
+        return sum(
+            call.outcome is outcome and service in (None, call.service) for call in self.calls
+        )
+
+    @property
+    def longest(self) -> float:
+        """Length of the longest unavailable span in seconds."""
+        return max((span.length for span in self.spans), default=0.0)
+
+
+def make_report(*, callers: Callers, runs: Sequence[Run], exits: Iterable[Exit]) -> Report:
+    """Return the report of a run that has ended."""
+    return Report(
+        calls=tuple(callers.calls),
+        runs=tuple(runs),
+        spans=tuple(callers.availability.spans),
+        exits=tuple(exits),
+        breaches=audit(calls=callers.calls, runs=runs),
+    )
+
+
+def show_table(report: Report) -> str:
+    """Return the run's table."""
+    rows: list[tuple[str, object]] = [
+        ("requests", len(report.calls)),
+        ("answered", report.told(Outcome.ANSWERED)),
+        ("not run", report.told(Outcome.NOT_RUN)),
+        ("unknown", report.told(Outcome.UNKNOWN)),
+        ("doubled", count(report.breaches, DOUBLED)),
+        ("lost", count(report.breaches, LOST)),
+        ("wrong answers", count(report.breaches, WRONG)),
+        ("run although not run", count(report.breaches, FALSE_NOT_RUN)),
+        ("run while not owner", count(report.breaches, RUN_NOT_OWNER)),
+        ("overlapping runs", count(report.breaches, OVERLAP)),
+        ("longest unavailable time (s)", f"{report.longest:.2f}"),
+    ]
+    return "\n".join(f"{name:<30} {value:>10}" for name, value in rows)
+
+
+def show_services(report: Report, latency: dict[str, HdrHistogram]) -> str:
+    """Return answers and latencies of each service."""
+    lines = [f"{'service':<20} {'answered':>9} {'p50 ms':>8} {'p99 ms':>8} {'max ms':>8}"]
+    for service, histogram in latency.items():
+        answered = report.told(Outcome.ANSWERED, service)
+        times = [histogram.get_value_at_percentile(share) / 1_000 for share in (50, 99, 100)]
+        shown = " ".join(f"{value:>8.1f}" for value in times)
+        lines.append(f"{service:<20} {answered:>9} {shown}")
+    return "\n".join(lines)
+
+
+def faults(report: Report, *, services: Iterable[str]) -> list[str]:
+    """Return why the run failed; empty if it is ok.
+
+    :param report: the run.
+    :param services: services of which answers are expected.
+    """
+    reasons = [f"{breach.kind}: {breach.detail}" for breach in report.breaches]
+    reasons += [f"{item.name} died with code {item.code}, see {item.log}" for item in report.exits]
+    reasons += [
+        f"no answer of {service}"
+        for service in services
+        if not report.told(Outcome.ANSWERED, service)
+    ]
+    reasons += [
+        f"{span.group} was unavailable for {span.length:.2f} s"
+        for span in report.spans
+        if span.length > SERVED_AGAIN_S
+    ]
+    return reasons
+
+
+def show_verdict(reasons: Sequence[str]) -> str:
+    """Return the last lines of a run: the reasons and the verdict."""
+    shown = [f"  {reason}" for reason in reasons[:REASONS_SHOWN]]
+    if len(reasons) > REASONS_SHOWN:
+        shown.append(f"  and {len(reasons) - REASONS_SHOWN} more")
+    return "\n".join([*shown, "verdict: failed" if reasons else "verdict: ok"])
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/sizes.py
@@ -0,0 +1,105 @@
+"""The users' deployments at today's sizes."""
+
+from msgspec import Struct
+
+SPEEDS = (0.5, 1.0, 1.0, 1.5, 2.0)
+"""Speeds of the servers of a group, in turn; they differ by a factor of 4."""
+
+
+class ServerGroup(Struct, frozen=True, kw_only=True):
+    """The stand-in servers of one service.
+
+    :param service: the service's name.
+    :param count: how many there are.
+    :param slots: how many requests each runs at once.
+    :param connections: how many connections each serves.
+    :param service_ms: time to run a request at speed 1, in milliseconds.
+    :param answer_bytes: length of an answer's body.
+    :param rate: requests a second that callers send to the service.
+    """
+
+    service: str
+    count: int
+    slots: int
+    connections: int
+    service_ms: float
+    answer_bytes: int = 512
+    rate: float = 50.0
+
+
+class Sizes(Struct, frozen=True, kw_only=True):
+    """One user's deployment.
+
+    :param document: file name of the document.
+    :param groups: the servers.
+    :param controls: number of control replicas.
+    :param gateways: number of gateways.
+    """
+
+    document: str
+    groups: tuple[ServerGroup, ...]
+    controls: int = 3
+    gateways: int = 3
+
+
+SKAFT = Sizes(
+    document="skaft.yaml",
+    groups=(
+        ServerGroup(
+            service="repair-status",
+            count=17,
+            slots=3,
+            connections=120,
+            service_ms=6.0,
+            rate=150.0,
+        ),
+        ServerGroup(
+            service="bench-booking",
+            count=10,
+            slots=3,
+            connections=120,
+            service_ms=15.0,
+            rate=30.0,
+        ),
+        ServerGroup(
+            service="guides",
+            count=6,
+            slots=3,
+            connections=120,
+            service_ms=15.0,
+            answer_bytes=65_536,
+            rate=20.0,
+        ),
+    ),
+)
+"""Skaftværkstedet Fællesforening."""
+
+KEMER = Sizes(
+    document="kemer.yaml",
+    groups=(
+        ServerGroup(
+            service="truss-drawing", count=17, slots=4, connections=50, service_ms=6.0, rate=150.0
+        ),
+        ServerGroup(
+            service="order-confirmation",
+            count=8,
+            slots=4,
+            connections=50,
+            service_ms=15.0,
+            rate=30.0,
+        ),
+        ServerGroup(
+            service="packs",
+            count=6,
+            slots=4,
+            connections=50,
+            service_ms=15.0,
+            answer_bytes=65_536,
+            rate=20.0,
+        ),
+    ),
+)
+"""Kemer Çatı Makas Tasarım A.Ş."""
+
+USERS = {"skaft": SKAFT, "kemer": KEMER}
+"""Sizes by the user's short name."""
--- /dev/null
+++ b/packages/lychee-bench/tests/test_load.py
@@ -0,0 +1,119 @@
+"""Callers and the balancer in front of stand-in gateways."""
+
+import asyncio
+from itertools import count
+
+import pytest
+import uvloop
+
+from lychee_bench.answers import make_answer
+from lychee_bench.audit import Outcome
+from lychee_bench.balancer import Balancer, Entry
+from lychee_bench.http_client import Answer
+from lychee_bench.http_server import HttpServer, Response
+from lychee_bench.load import Callers, Traffic, after_uncertainty, arrivals, judge
+from lychee_bench.ports import free_endpoints
+from lychee_bench.server import request_key
+
+BOOKINGS = Traffic(service="s", path="/s/", rate=100.0, deadline_s=1.0, booking=True)
+LOOKUPS = Traffic(service="t", path="/t/", rate=100.0, deadline_s=1.0, keyed=True)
+
+
+def body(request: str, key: str) -> bytes:
+    return make_answer(request=request, key=key, server="a", run=1, size=300)
+
+
+CASES = [
+    (200, {}, body("r1", "k"), Outcome.ANSWERED, False),
+    (200, {}, body("r2", "k"), Outcome.WRONG, False),
+    (200, {}, body("r1", "k2"), Outcome.WRONG, False),
+    (200, {}, body("r1", "k")[:-1], Outcome.WRONG, False),
+    (503, {"lychee-outcome": "not-run"}, b"", Outcome.NOT_RUN, False),
+    (504, {"lychee-outcome": "unknown"}, b"", Outcome.UNKNOWN, True),
+    (500, {}, b"", Outcome.WRONG, False),
+]
+
+
+@pytest.mark.parametrize(("status", "headers", "content", "outcome", "resend"), CASES)
+def test_a_caller_judges_an_answer(status, headers, content, outcome, resend) -> None:
+    answer = Answer(status=status, headers=headers, body=content)
+    reply = judge(answer, request="r1", key="k", booking=True)
+    assert (reply.outcome, reply.resend) == (outcome, resend)
+
+
+def test_not_run_after_an_unknown_outcome_stays_unknown() -> None:
+    answer = Answer(status=503, headers={"lychee-outcome": "not-run"}, body=b"")
+    reply = after_uncertainty(judge(answer, request="r1", key="k", booking=True))
+    assert (reply.outcome, reply.resend) == (Outcome.UNKNOWN, True)
+
+
+def test_arrivals_are_the_same_for_the_same_seed() -> None:
+    first, second, other = (list(arrivals(LOOKUPS, seconds=3, seed=n)) for n in (1, 1, 2))
+    assert first == second != other
+    assert 200 < len(first) < 400
+
+
+class Gateway:
+    """Answers as a gateway does; the first answers are those that a test gives."""
+
+    def __init__(self, *first: int) -> None:
+        self.ready = 200
+        self.first = list(first)
+        self.seen: list[str] = []
+
+    async def handle(self, request, conn) -> Response:
+        if request.target == "/_lychee/ready":
+            return Response(status=self.ready)
+        request_id = request.headers["lychee-request-id"]
+        self.seen.append(request_id)
+        if self.first:
+            outcome = "not-run" if self.first[0] == 503 else "unknown"
+            return Response(status=self.first.pop(0), headers=(("Lychee-Outcome", outcome),))
+        return Response(body=body(request_id, request_key(request.target)))
+
+
+async def call_through(gateways: tuple[Gateway, ...], *traffic: Traffic, listening=None) -> Callers:
+    entries, listeners, watching = [], [], None
+    for number, gateway in zip(count(), gateways):
+        listen, announce = free_endpoints(2)
+        entries.append(Entry(name=f"g{number}", listen=listen, announce=announce))
+        server = HttpServer(handler=gateway.handle, connections=100)
+        if listening is None or number in listening:
+            for endpoint in (listen, announce):
+                listeners.append(await server.listen(endpoint.host, endpoint.port))
+    balancer = Balancer(entries=tuple(entries))
+    callers = Callers(balancer=balancer, traffic=traffic, seed=1)
+    watching = asyncio.create_task(balancer.watch())
+    await asyncio.sleep(0.3)
+    try:
+        await asyncio.wait_for(callers.run(1.0), 20)
+    finally:
+        watching.cancel()
+        for listener in listeners:
+            listener.close()
+    return callers
+
+
+def test_a_booking_is_resent_after_an_unknown_outcome() -> None:
+    gateway = Gateway(504)
+    callers = uvloop.run(call_through((gateway,), BOOKINGS))
+    assert {call.outcome for call in callers.calls} == {Outcome.ANSWERED}
+    assert sorted(call.attempts for call in callers.calls)[-2:] == [1, 2]
+    assert len(gateway.seen) == len(callers.calls) + 1
+
+
+def test_a_caller_asks_again_until_its_key_is_served() -> None:
+    gateway = Gateway(503, 503, 503)
+    callers = uvloop.run(call_through((gateway,), LOOKUPS))
+    assert sum(call.outcome is Outcome.NOT_RUN for call in callers.calls) == 3
+    assert not callers.availability.is_down("t/t-0")
+    assert callers.availability.spans
+    assert callers.owner_of["t/t-0"] == "a"
+
+
+def test_connections_go_to_ready_gateways_only() -> None:
+    ready, red, gone = Gateway(), Gateway(), Gateway()
+    red.ready = 503
+    callers = uvloop.run(call_through((ready, red, gone), LOOKUPS, listening={0, 1}))
+    assert {call.outcome for call in callers.calls} == {Outcome.ANSWERED}
+    assert not red.seen and not gone.seen
--- a/packages/lychee-bench/tests/test_server.py
+++ b/packages/lychee-bench/tests/test_server.py
@@ -8,6 +8,7 @@
 
 import msgspec
 import pytest
+import uvloop
 
 from lychee_bench.answers import check_answer
 from lychee_bench.http_client import ClientConnection, ConnectionBrokenError, connect
@@ -88,7 +89,7 @@
 
 
 def run(scenario) -> None:
-    asyncio.run(asyncio.wait_for(scenario, 20))
+    uvloop.run(asyncio.wait_for(scenario, 20))
 
 
 async def until(condition) -> None:
