--- a/packages/lychee-bench/src/lychee_bench/cli.py
+++ b/packages/lychee-bench/src/lychee_bench/cli.py
@@ -1,9 +1,31 @@
-"""Command line of the program."""
+"""Command line of the bench."""
+
+from importlib import import_module
 
 import click
 
+COMMANDS = ("server", "demo")
+"""Names of the commands; each is a module of :mod:`lychee_bench.commands`."""
+
+
+class LazyGroup(click.Group):
+    """A group that imports a command only when it is used.
+
+    A stand-in server starts many times, and does not need what the experiments import.
+    """
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the commands' names."""
+        return list(COMMANDS)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Return a command, or None if there is none of that name."""
+        if cmd_name not in COMMANDS:
+            return None
+        command: click.Command = import_module(f"lychee_bench.commands.{cmd_name}").command
+        return command
+
 
-@click.command()
+@click.group(cls=LazyGroup)
 def main() -> None:
-    """Start the program."""
-    raise click.ClickException("not built yet")
+    """Try lycheescale with stand-in backend servers, callers and faults."""
