--- a/packages/lychee-types/src/lychee_types/timing.py
+++ b/packages/lychee-types/src/lychee_types/timing.py
@@ -26,6 +26,11 @@
     heartbeat_ms: int = 75
     election_ms: int = 400
 
+    @property
+    def longest_election_ms(self) -> int:
+        """Time within which followers elect a leader after losing one, in milliseconds."""
+        return 2 * self.election_ms
+
     @property
     def lease_s(self) -> float:
         """Length of a session lease in seconds."""
