Add the lychee command line and the operators' client

Cause: operators had no program; both the command line and the console need to ask control. Ruled out: a random submission id (a rerun after a lost answer would be a second submission); a file that stores the id (lost with the desk). The id is derived from author, version and document. Change: lychee_runtime.OperatorClient follows a refusal to the leader and passes over replicas that do not answer; lychee check, submit, show, diff, history, status, drain, undrain, replace-control and dump, as text or JSON, with documented exit codes; document_edit has what the console shares. Tests run against a fake control that keeps the real ClusterState.

--- /dev/null
+++ b/packages/conftest.py
@@ -0,0 +1,206 @@
+"""Fixtures that the tests of several packages share."""
+
+import asyncio
+import socket
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from ssl import SSLContext
+
+import pytest
+
+from lychee_owner import ClusterState
+from lychee_runtime import LinkService, serve_links
+from lychee_types.commands import SubmitDocument
+from lychee_types.document_check import check_document
+from lychee_types.messages import (
+    OPERATE,
+    DumpReply,
+    DumpRequest,
+    GatewayState,
+    HistoryReply,
+    HistoryRequest,
+    OperatorReply,
+    OperatorRequest,
+    Refused,
+    ReplaceReply,
+    ReplaceRequest,
+    ReplicaState,
+    ServerState,
+    ServiceState,
+    ShowReply,
+    ShowRequest,
+    StatusReply,
+    StatusRequest,
+    SubmitReply,
+    SubmitRequest,
+)
+from lychee_types.records import Endpoint, ServerRecord
+from lychee_types.timing import Timing
+
+
+def free_endpoint() -> Endpoint:
+    """Return an address on which nobody listens."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return Endpoint(host="127.0.0.1", port=sock.getsockname()[1])
+
+
+class FakeControl:
+    """One control replica with the real state's rules for documents, and faults on request.
+
+    :param ssl: TLS context of its listener.
+    """
+
+    def __init__(self, *, ssl: SSLContext | None = None) -> None:
+        self.endpoint = free_endpoint()
+        self.state = ClusterState()
+        self.lost_answers = 0
+        self.leader: Endpoint | None = None
+        self.requests: list[OperatorRequest] = []
+        self.before_submit: list[SubmitDocument] = []
+        self._ssl = ssl
+
+    @contextmanager
+    def running(self) -> Iterator["FakeControl"]:
+        """Serve from a thread until the block ends."""
+        loop = asyncio.new_event_loop()
+        stop, ready = asyncio.Event(), threading.Event()
+        thread = threading.Thread(target=loop.run_until_complete, args=(self._serve(stop, ready),))
+        thread.start()
+        try:
+            assert ready.wait(10)
+            yield self
+        finally:
+            loop.call_soon_threadsafe(stop.set)
+            thread.join(10)
+            loop.close()
+
+    async def _serve(self, stop: asyncio.Event, ready: threading.Event) -> None:
+        service = LinkService(name="operator")
+        service.add(
+            method=OPERATE, send=OperatorReply, receive=OperatorRequest, handler=self._handle
+        )
+        async with serve_links(service=service, endpoint=self.endpoint, ssl=self._ssl):
+            ready.set()
+            await stop.wait()
+
+    async def _handle(self, link) -> None:
+        for request in await link.receive():
+            reply = self.reply(request)
+            if self.lost_answers:
+                self.lost_answers -= 1
+                return
+            link.post(reply)
+            await link.receive()
+
+    def reply(self, request: OperatorRequest) -> OperatorReply:
+        """Return the answer to a request, and keep the request."""
+        self.requests.append(request)
+        if self.leader is not None:
+            return Refused(message="not the leader", remedy="ask the leader", leader=self.leader)
+        match request:
+            case SubmitRequest():
+                return self._submit(request)
+            case ShowRequest():
+                return self._show(request.version)
+            case HistoryRequest():
+                return HistoryReply(submissions=tuple(self.state.submissions.values()))
+            case StatusRequest():
+                return self._status()
+            case DumpRequest():
+                return DumpReply(text="term: 7\n")
+            case ReplaceRequest():
+                return ReplaceReply(voters=("c2", "c3", request.new))
+
+    def _submit(self, request: SubmitRequest) -> OperatorReply:
+        faults = check_document(request.document, Timing())
+        if faults:
+            return Refused(message=faults[0].show(), remedy="correct the document")
+        for earlier in self.before_submit:
+            self.state.apply(self.state.index + 1, earlier)
+        self.before_submit.clear()
+        command = SubmitDocument(
+            submission=request.submission,
+            based_on=request.based_on,
+            author=request.author,
+            document=request.document,
+        )
+        self.state.apply(self.state.index + 1, command)
+        return SubmitReply(record=self.state.submissions[request.submission])
+
+    def _show(self, version: int) -> OperatorReply:
+        for known in self.state.history:
+            if known.version == (version or self.state.document_version):
+                return ShowReply(
+                    version=known.version, author=known.author, document=known.document
+                )
+        if version == 0:
+            return ShowReply(version=0, author="", document=None)
+        return Refused(message=f"version {version} is not kept", remedy="ask for a later one")
+
+    def _status(self) -> StatusReply:
+        version = self.state.document_version
+        document = self.state.document
+        servers = [
+            ServerRecord(
+                id=name,
+                incarnation=1,
+                endpoint=Endpoint(host="127.0.0.1", port=9),
+                domain="nord",
+                service="repair-status",
+                slots=3,
+                connections=120,
+            )
+            for name in ("repair-1", "repair-2")
+        ]
+        return StatusReply(
+            leader="c1",
+            term=7,
+            commit=self.state.index,
+            document_version=version,
+            replicas=tuple(
+                ReplicaState(id=i, endpoint=self.endpoint, role=r, match=4, silent_ms=12)
+                for i, r in (("c1", "leader"), ("c2", "follower"), ("c3", "follower"))
+            ),
+            gateways=tuple(
+                GatewayState(
+                    id=f"g{n}",
+                    session="s",
+                    domain="nord",
+                    document_version=max(version - n, 0),
+                    applied=3,
+                    lease_left_ms=900,
+                )
+                for n in range(2)
+            ),
+            servers=tuple(
+                ServerState(
+                    record=record,
+                    leaving=document is not None and document.is_leaving(record.id),
+                    share=0.5,
+                    lease_left_ms=800,
+                )
+                for record in servers
+            ),
+            services=(ServiceState(name="repair-status", token=9, moving=0, hot_keys=2),),
+        )
+
+
+@pytest.fixture
+def fake_control() -> Iterator[FakeControl]:
+    """A running fake of one control replica."""
+    with FakeControl().running() as control:
+        yield control
+
+
+@pytest.fixture
+def make_control():
+    """Return the fake's class, for tests that need more than one or TLS."""
+    return FakeControl
+
+
+@pytest.fixture
+def make_endpoint():
+    """Return a function that gives an address on which nobody listens."""
+    return free_endpoint
--- /dev/null
+++ b/packages/lychee-cli/src/lychee_cli/documents.py
@@ -0,0 +1,203 @@
+"""Commands about the operators' document."""
+
+from pathlib import Path
+
+import click
+from expression import Result
+
+from lychee_cli.output import EXIT_CONFLICT, Format, fail_faults, print_json, print_table
+from lychee_cli.session import AUTHOR, Session, author_option, format_option, session_options
+from lychee_runtime import OperatorClient
+from lychee_types.document import Document
+from lychee_types.document_check import DEFAULT_TIMING, read_document
+from lychee_types.document_edit import diff_documents, submission_id
+from lychee_types.exceptions import SettingsError
+from lychee_types.settings import ControlSettings
+from lychee_types.settings_check import read_settings
+from lychee_types.state import SubmissionRecord
+from lychee_types.timing import Timing
+from lychee_types.yamlfile import format_yaml
+
+FILE = click.Path(path_type=Path)
+
+
+def load_document(file: Path, form: Format, *, timing: Timing = DEFAULT_TIMING) -> Document:
+    """Return the document in a file, or print its faults and end the program."""
+    match read_document(file, timing):
+        case Result(tag="ok", ok=document):
+            return document
+        case Result(error=faults):
+            fail_faults(str(file), faults, form)
+
+
+def report_submission(record: SubmissionRecord, form: Format) -> None:
+    """Print what became of a submission; a lost race ends the program with its exit code."""
+    if form is Format.JSON:
+        print_json(record)
+    elif record.accepted:
+        click.echo(f"accepted: version {record.version}")
+    else:
+        click.echo(
+            f"not accepted: {record.winner or 'nobody'} has the version in force, "
+            f"{record.version}; this was based on {record.based_on}",
+        )
+        click.echo(
+            "  remedy: compare with lychee diff, then submit "
+            f"--based-on {record.version}, or leave it",
+        )
+    if not record.accepted:
+        raise click.exceptions.Exit(EXIT_CONFLICT)
+
+
+@click.command()
+@click.argument("file", type=FILE)
+@click.option(
+    "--settings", type=FILE, help="Control settings whose time limits the deployment uses."
+)
+@format_option
+def check(*, file: Path, settings: Path | None, form: Format) -> None:
+    """Check a document; needs no control replica.
+
+    Names every fault with its line and its remedy.
+
+    \b
+    Example:
+      lychee check skaft.yaml
+    """
+    timing = DEFAULT_TIMING
+    if settings is not None:
+        match read_settings(settings, ControlSettings):
+            case Result(tag="ok", ok=found):
+                timing = found.timing
+            case Result(error=faults):
+                fail_faults(str(settings), faults, form)
+    document = load_document(file, form, timing=timing)
+    if form is Format.JSON:
+        print_json(document)
+    else:
+        click.echo(f"{file}: good, {len(document.services)} services")
+
+
+@click.command()
+@click.argument("file", type=FILE)
+@click.option(
+    "--based-on",
+    type=click.IntRange(min=0),
+    required=True,
+    help="Version that the file is based on; 0 for the first.",
+)
+@author_option
+@click.option("--submission", type=AUTHOR, help="Id of an earlier submission that is sent again.")
+@session_options
+def submit(
+    session: Session, *, file: Path, based_on: int, author: str, submission: str | None
+) -> None:
+    """Submit a document, which is accepted or refused whole.
+
+    The submission's id is printed before it is sent. It follows from the file, the version and
+    the author, so the same command after a lost answer is the same submission.
+
+    \b
+    Example:
+      lychee submit skaft.yaml --based-on 4 --author anna
+    """
+    document = load_document(file, session.format)
+    chosen = submission or submission_id(author=author, based_on=based_on, document=document)
+    click.echo(f"submission {chosen}", err=True)
+
+    async def work(client: OperatorClient) -> SubmissionRecord:
+        return await client.submit(
+            submission=chosen, based_on=based_on, author=author, document=document
+        )
+
+    report_submission(session.run(work), session.format)
+
+
+@click.command()
+@click.option(
+    "--version", type=click.IntRange(min=0), default=0, help="Version; 0 for the one in force."
+)
+@session_options
+def show(session: Session, *, version: int) -> None:
+    """Print a version of the document as YAML.
+
+    \b
+    Example:
+      lychee show > current.yaml
+    """
+    reply = session.run(lambda client: client.show(version=version))
+    if session.format is Format.JSON:
+        print_json(reply)
+    elif reply.document is None:
+        click.echo("# no document has been accepted yet")
+    else:
+        click.echo(f"# version {reply.version} by {reply.author}")
+        click.echo(format_yaml(reply.document), nl=False)
+
+
+@click.command()
+@click.argument("new")
+@click.argument("old", type=click.IntRange(min=0), default=0)
+@session_options
+def diff(session: Session, *, new: str, old: int) -> None:
+    """Print what NEW, a file or a version, changes against version OLD.
+
+    OLD is the version in force where it is left out.
+
+    \b
+    Examples:
+      lychee diff skaft.yaml
+      lychee diff 5 4
+    """
+    local = None if new.isdecimal() else load_document(Path(new), session.format)
+
+    async def work(client: OperatorClient) -> str:
+        before = await client.show(version=old)
+        after = local
+        if after is None:
+            after = (await client.show(version=int(new))).document
+        if after is None:
+            raise SettingsError(
+                message="no document has been accepted yet", remedy="submit one, or name a file"
+            )
+        return diff_documents(
+            before.document,
+            after,
+            before_name=f"version {before.version}",
+            after_name=new if local is not None else f"version {new}",
+        )
+
+    text = session.run(work)
+    if session.format is Format.JSON:
+        print_json({"diff": text})
+    else:
+        click.echo(text or "no difference\n", nl=False)
+
+
+@click.command()
+@session_options
+def history(session: Session) -> None:
+    """List the submissions and what became of each, oldest first.
+
+    \b
+    Example:
+      lychee history
+    """
+    records = session.run(lambda client: client.history())
+    if session.format is Format.JSON:
+        print_json(records)
+        return
+    rows = [
+        (
+            record.submission,
+            record.author,
+            record.based_on,
+            (
+                f"version {record.version}"
+                if record.accepted
+                else f"lost to version {record.version} by {record.winner or 'nobody'}"
+            ),
+        )
+        for record in records
+    ]
+    print_table(("submission", "author", "based on", "outcome"), rows)
--- a/packages/lychee-runtime/src/lychee_runtime/__init__.py
+++ b/packages/lychee-runtime/src/lychee_runtime/__init__.py
@@ -4,6 +4,7 @@
 from lychee_runtime.link import Link, LinkService, open_link, serve_links
 from lychee_runtime.logs import configure_logs
 from lychee_runtime.metrics import Metrics, NoMetrics, open_metrics
+from lychee_runtime.operator_client import OperatorClient, RefusedError
 from lychee_runtime.tls import client_context, server_context
 
 __all__ = [
@@ -12,6 +13,8 @@
     "LinkService",
     "Metrics",
     "NoMetrics",
+    "OperatorClient",
+    "RefusedError",
     "client_context",
     "configure_logs",
     "open_link",
