--- a/packages/lychee-runtime/src/lychee_runtime/__init__.py
+++ b/packages/lychee-runtime/src/lychee_runtime/__init__.py
@@ -5,6 +5,7 @@
 from lychee_runtime.link import Link, LinkService, open_link, serve_links
 from lychee_runtime.logs import configure_logs
 from lychee_runtime.metrics import Metrics, NoMetrics, open_metrics
+from lychee_runtime.operator_client import OperatorClient, RefusedError
 from lychee_runtime.tls import client_context, server_context
 
 __all__ = [
@@ -13,6 +14,8 @@
     "LinkService",
     "Metrics",
     "NoMetrics",
+    "OperatorClient",
+    "RefusedError",
     "client_context",
     "configure_logs",
     "format_dump",
