Run the whole path: control replicas, gateways, stand-ins and callers as processes

Cause: the packages had contracts but no program that joined log, ownership and gateways. Ruled out: gateways that talk to the leader only (a follower relays leases and reports, and spreads the applied log itself, so that streams divide over the replicas). Change: lychee-control with its state machine, peer links, attached gateways, the leader's work and the operators' desk; documents are checked again before they are proposed. Before: no path.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := $(sort $(wildcard packages/*))
+PACKAGES := $(patsubst %/pyproject.toml,%,$(sort $(wildcard packages/*/pyproject.toml)))
 SOURCES := $(wildcard packages/*/src)
 SEED ?= 1
 SECONDS ?= 60
--- /dev/null
+++ b/packages/lychee-control/src/lychee_control/leader.py
@@ -0,0 +1,193 @@
+"""What a replica does while it leads: leases, grants, moves of keys, and the ledger."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from loguru import logger
+from msgspec.structs import replace
+
+from lychee_log import Replica
+from lychee_owner.coordinator import Coordinator
+from lychee_owner.state import ClusterState
+from lychee_types.clock import Clock
+from lychee_types.commands import (
+    CloseLedger,
+    Command,
+    Done,
+    ExpireLedger,
+    Ignored,
+    LedgerFound,
+    LedgerOpened,
+    OpenLedger,
+    Outcome,
+    encode_command,
+)
+from lychee_types.exceptions import InvariantError, LycheeError
+from lychee_types.ids import LogIndex, SessionId
+from lychee_types.messages import (
+    Attach,
+    LedgerClosing,
+    LedgerFailed,
+    LedgerReply,
+    LedgerRequest,
+    RenewLease,
+    ReportLoad,
+    ReportServers,
+    ServerGrants,
+    ToControl,
+    ToGateway,
+)
+from lychee_types.timing import Timing
+
+LEDGER_KEEP_S = 86_400.0
+"""How long the outcome of a non-idempotent request is kept, in seconds."""
+
+LEDGER_SWEEP_S = 60.0
+"""Interval between sweeps of the ledger, in seconds."""
+
+Reply = Callable[[SessionId, ToGateway], None]
+"""Sends a message to a gateway, wherever it is attached."""
+
+Spawn = Callable[[Coroutine[Any, Any, None], str], object]
+"""Starts a named task under the daemon."""
+
+
+class Leader:
+    """The leader's work in one term.
+
+    :param replica: the replicated log.
+    :param state: the replicated state, current as of the term's first entry.
+    :param timing: time limits.
+    :param clock: source of time.
+    :param reply: sends a message to a gateway.
+    :param spawn: starts a task.
+    """
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        state: ClusterState,
+        timing: Timing,
+        clock: Clock,
+        reply: Reply,
+        spawn: Spawn,
+    ) -> None:
+        self._replica = replica
+        self._state = state
+        self._timing = timing
+        self._clock = clock
+        self._reply = reply
+        self._spawn = spawn
+        self._ended = False
+        self.coordinator = Coordinator(state=state, timing=timing, now=clock.monotonic())
+
+    def end(self) -> None:
+        """Stop working: another replica may lead."""
+        self._ended = True
+
+    async def run(self) -> None:
+        """Do what is due until the term is over."""
+        next_sweep = self._clock.monotonic() + LEDGER_SWEEP_S
+        while not self._ended:
+            now = self._clock.monotonic()
+            self._propose_due(now)
+            if now >= next_sweep:
+                next_sweep = now + LEDGER_SWEEP_S
+                self._start(ExpireLedger(before=self._clock.wall() - LEDGER_KEEP_S))
+            await asyncio.sleep(self._timing.tick_ms / 1_000)
+
+    def handle(self, session: SessionId, message: ToControl) -> None:
+        """Handle a gateway's message.
+
+        :param session: the gateway's run.
+        :param message: the message.
+        """
+        now = self._clock.monotonic()
+        match message:
+            case Attach(gateway=gateway):
+                self.coordinator.attach(now=now, gateway=gateway)
+            case RenewLease():
+                answer = self.coordinator.renew(now=now, renewal=message)
+                if answer is not None:
+                    self._grant(session, answer)
+            case ReportServers():
+                self._announce(now, session, message)
+            case ReportLoad():
+                self.coordinator.report(now=now, report=message)
+            case LedgerRequest():
+                self._spawn(self._open_ledger(session, message), "ledger")
+            case LedgerClosing():
+                self._spawn(self._close_ledger(session, message), "ledger")
+        self._propose_due(now)
+
+    def applied(self, index: LogIndex, command: Command, outcome: Outcome) -> None:
+        """Take note of an applied command."""
+        now = self._clock.monotonic()
+        self.coordinator.applied(now=now, index=index, command=command, outcome=outcome)
+        self._propose_due(now)
+
+    def _grant(self, session: SessionId, message: ToGateway) -> None:
+        """Send a grant only while no other leader can have been elected."""
+        if self._clock.monotonic() < self._replica.leads_until():
+            self._reply(session, message)
+
+    def _announce(self, now: float, session: SessionId, report: ReportServers) -> None:
+        grants = tuple(
+            grant
+            for announcement in report.announcements
+            if (
+                grant := self.coordinator.announce(
+                    now=now, session=session, announcement=announcement
+                )
+            )
+            is not None
+        )
+        if grants:
+            self._grant(session, ServerGrants(grants=grants))
+
+    def _propose_due(self, now: float) -> None:
+        if self._ended:
+            return
+        for command in self.coordinator.take_commands(now=now):
+            self._start(command)
+
+    def _start(self, command: Command) -> None:
+        self._spawn(self._propose_quietly(command), "propose")
+
+    async def _propose_quietly(self, command: Command) -> None:
+        try:
+            committed = await self._replica.propose(encode_command(command))
+        except InvariantError:
+            raise
+        except LycheeError as exc:
+            logger.warning("{} was not committed: {}", type(command).__name__, exc)
+            return
+        if isinstance(committed.result, Ignored):
+            logger.debug("{} ignored: {}", type(command).__name__, committed.result.reason)
+
+    async def _open_ledger(self, session: SessionId, req: LedgerRequest) -> None:
+        entry = replace(req.entry, session=session, opened_at=self._clock.wall())
+        await self._answer_ledger(session, req.number, OpenLedger(entry=entry))
+
+    async def _close_ledger(self, session: SessionId, req: LedgerClosing) -> None:
+        command = CloseLedger(key=req.key, session=session, answer=req.answer, not_run=req.not_run)
+        await self._answer_ledger(session, req.number, command)
+
+    async def _answer_ledger(self, session: SessionId, number: int, command: Command) -> None:
+        try:
+            committed = await self._replica.propose(encode_command(command))
+        except InvariantError:
+            raise
+        except LycheeError as exc:
+            self._reply(session, LedgerFailed(number=number, reason=str(exc)))
+            return
+        match committed.result:
+            case (LedgerOpened() | LedgerFound() | Done() | Ignored()) as outcome:
+                self._reply(session, LedgerReply(number=number, outcome=outcome))
+            case other:
+                raise InvariantError(
+                    message=f"broken invariant: a ledger command gave {other!r}",
+                    remedy="keep the dump and the log of this process and report them",
+                )
--- /dev/null
+++ b/packages/lychee-control/src/lychee_control/peers.py
@@ -0,0 +1,182 @@
+"""Links between control replicas: the log's messages and relayed messages of gateways."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from ssl import SSLContext
+
+from loguru import logger
+from msgspec import Struct
+
+from lychee_log import PeerMessage, Voter
+from lychee_runtime import Link, open_link
+from lychee_types.exceptions import UnavailableError
+from lychee_types.ids import ReplicaId, SessionId
+from lychee_types.messages import PEER, ToControl, ToGateway
+
+ALIVE_INTERVAL_S = 0.2
+"""Interval at which the receiving end of a link tells that it is alive, in seconds."""
+
+SILENCE_LIMIT_S = 0.8
+"""Silence of the receiving end after which a link is opened anew, in seconds."""
+
+RETRY_MIN_S = 0.05
+"""Least pause before a link is opened anew, in seconds."""
+
+RETRY_MAX_S = 0.25
+"""Longest pause before a link is opened anew, in seconds."""
+
+
+class PeerAlive(Struct, frozen=True, kw_only=True, tag=True):
+    """The receiving end of a link is alive."""
+
+
+class LogMessage(Struct, frozen=True, kw_only=True, tag=True):
+    """A message of the replicated log.
+
+    :param message: the message.
+    """
+
+    message: PeerMessage
+
+
+class RelayUp(Struct, frozen=True, kw_only=True, tag=True):
+    """A gateway's message on its way to the leader.
+
+    :param via: the replica that the gateway is attached to.
+    :param session: the gateway's run.
+    :param message: the message.
+    """
+
+    via: ReplicaId
+    session: SessionId
+    message: ToControl
+
+
+class RelayDown(Struct, frozen=True, kw_only=True, tag=True):
+    """The leader's message on its way to a gateway.
+
+    :param session: the gateway's run.
+    :param message: the message.
+    """
+
+    session: SessionId
+    message: ToGateway
+
+
+PeerFrame = PeerAlive | LogMessage | RelayUp | RelayDown
+"""Messages on a link between two control replicas."""
+
+FrameHandler = Callable[[PeerFrame], None]
+"""Called with each message of a peer."""
+
+
+class PeerLinks:
+    """Outgoing links to the other replicas, opened when first needed.
+
+    :param spawn: starts a task under the daemon.
+    :param ssl: TLS context, None for plain TCP.
+    :param seed: seed of the pauses between attempts.
+    """
+
+    def __init__(
+        self,
+        *,
+        spawn: Callable[["PeerLink"], None],
+        ssl: SSLContext | None,
+        seed: int,
+    ) -> None:
+        self._spawn = spawn
+        self._ssl = ssl
+        self._rng = Random(seed)
+        self._links: dict[ReplicaId, PeerLink] = {}
+
+    def post(self, *, to: Voter, message: PeerMessage) -> None:
+        """Send a message of the log; it is lost while there is no connection."""
+        self.post_frame(to=to, frame=LogMessage(message=message))
+
+    def post_frame(self, *, to: Voter, frame: PeerFrame) -> None:
+        """Send any message; it is lost while there is no connection."""
+        link = self._links.get(to.id)
+        if link is None or link.peer != to:
+            if link is not None:
+                link.stop()
+            link = PeerLink(peer=to, ssl=self._ssl, rng=self._rng)
+            self._links[to.id] = link
+            self._spawn(link)
+        link.post(frame)
+
+
+class PeerLink:
+    """The outgoing link to one replica; it is opened again when it breaks.
+
+    :param peer: the other replica.
+    :param ssl: TLS context, None for plain TCP.
+    :param rng: source of the pauses between attempts.
+    """
+
+    def __init__(self, *, peer: Voter, ssl: SSLContext | None, rng: Random) -> None:
+        self.peer = peer
+        self._ssl = ssl
+        self._rng = rng
+        self._link: Link[PeerFrame, PeerFrame] | None = None
+        self._stopped = False
+
+    def post(self, frame: PeerFrame) -> None:
+        """Send a message; it is lost while there is no connection."""
+        if self._link is not None:
+            self._link.post(frame)
+
+    def stop(self) -> None:
+        """End the link for good, because the replica's address has changed."""
+        self._stopped = True
+        if self._link is not None:
+            self._link.close()
+
+    async def run(self) -> None:
+        """Keep the link open until it is stopped."""
+        while not self._stopped:
+            try:
+                await self._serve_once()
+            except UnavailableError as exc:
+                logger.debug("link to replica {} is down: {}", self.peer.id, exc)
+            self._link = None
+            await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
+
+    async def _serve_once(self) -> None:
+        async with open_link(
+            endpoint=self.peer.endpoint,
+            method=PEER,
+            send=PeerFrame,
+            receive=PeerFrame,
+            ssl=self._ssl,
+        ) as link:
+            self._link = link
+            while not link.closed:
+                try:
+                    async with asyncio.timeout(SILENCE_LIMIT_S):
+                        if not await link.receive():
+                            return
+                except TimeoutError:
+                    return
+
+
+async def serve_peer(link: Link[PeerFrame, PeerFrame], *, handle: FrameHandler) -> None:
+    """Serve the receiving end of another replica's link.
+
+    :param link: the link.
+    :param handle: called with each message.
+    """
+
+    async def tell_alive() -> None:
+        while not link.closed:
+            link.post(PeerAlive())
+            await asyncio.sleep(ALIVE_INTERVAL_S)
+
+    teller = asyncio.create_task(tell_alive())
+    try:
+        while batch := await link.receive():
+            for frame in batch:
+                handle(frame)
+    finally:
+        teller.cancel()
--- a/packages/lychee-gateway/src/lychee_gateway/core.py
+++ b/packages/lychee-gateway/src/lychee_gateway/core.py
@@ -1,11 +1,9 @@
 """The gateway's daemon: its tasks and its life cycle."""
 
 import asyncio
-from io import StringIO
 
 import msgspec
 from loguru import logger
-from ruamel.yaml import YAML
 
 from lychee_gateway.announce import AnnounceServer, Readiness
 from lychee_gateway.callers import Callers
@@ -25,8 +23,7 @@
 from lychee_gateway.servers import ServerBook
 from lychee_gateway.streams import StreamToCaller
 from lychee_gateway.view import StateView
-from lychee_runtime import Daemon, client_context
-from lychee_runtime.daemon import bounded_dump
+from lychee_runtime import Daemon, client_context, format_dump
 from lychee_types.exceptions import InvariantError
 from lychee_types.ids import SessionId
 from lychee_types.messages import ReportLoad
@@ -67,9 +64,7 @@
             on_lease=self._placing.state_changed,
             ssl=client_context(cfg.tls),
         )
-        announce = AnnounceServer(
-            desk=self._desk, readiness=self.readiness, dump=lambda: bounded_dump(self.dump)
-        )
+        announce = AnnounceServer(desk=self._desk, readiness=self.readiness, dump=self.dump)
         self._callers = Callers(handle=self._answer, refuse=self._refuse, fail=self._broken)
         self._announcers = Callers(
             handle=announce.handle, refuse=announce.refuse, fail=self._broken
@@ -141,9 +136,7 @@
                 for server in self._servers
             },
         }
-        out = StringIO()
-        YAML().dump(raw, out)
-        return out.getvalue()
+        return format_dump(raw)
 
     async def _answer(self, head: RequestHead, caller: CallerConnection) -> None:
         call = await self._router.read_call(head, caller)
