Share one look for due work between the leader's messages

Cause: the leader looked through all servers after each gateway message, which grows with the product of gateways and servers. Change: messages set a flag; the leader's task looks at most once each 5 ms.

--- a/packages/lychee-control/src/lychee_control/leader.py
+++ b/packages/lychee-control/src/lychee_control/leader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from typing import Any
 
 from loguru import logger
@@ -46,6 +47,9 @@
 LEDGER_SWEEP_S = 60.0
 """Interval between sweeps of the ledger, in seconds."""
 
+PAUSE_S = 0.005
+"""Least time between two looks for work that is due, in seconds."""
+
 Reply = Callable[[SessionId, ToGateway], None]
 """Sends a message to a gateway, wherever it is attached."""
 
@@ -81,11 +85,13 @@
         self._reply = reply
         self._spawn = spawn
         self._ended = False
+        self._due = asyncio.Event()
         self.coordinator = Coordinator(state=state, timing=timing, now=clock.monotonic())
 
     def end(self) -> None:
         """Stop working: another replica may lead."""
         self._ended = True
+        self._due.set()
 
     async def run(self) -> None:
         """Do what is due until the term is over."""
@@ -96,7 +102,11 @@
             if now >= next_sweep:
                 next_sweep = now + LEDGER_SWEEP_S
                 self._start(ExpireLedger(before=self._clock.wall() - LEDGER_KEEP_S))
-            await asyncio.sleep(self._timing.tick_ms / 1_000)
+            await asyncio.sleep(PAUSE_S)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self._timing.tick_ms / 1_000):
+                    await self._due.wait()
+            self._due.clear()
 
     def handle(self, session: SessionId, message: ToControl) -> None:
         """Handle a gateway's message.
@@ -120,13 +130,14 @@
                 self._spawn(self._open_ledger(session, message), "ledger")
             case LedgerClosing():
                 self._spawn(self._close_ledger(session, message), "ledger")
-        self._propose_due(now)
+        if not isinstance(message, ReportLoad | LedgerRequest | LedgerClosing):
+            self._due.set()
 
     def applied(self, index: LogIndex, command: Command, outcome: Outcome) -> None:
         """Take note of an applied command."""
         now = self._clock.monotonic()
         self.coordinator.applied(now=now, index=index, command=command, outcome=outcome)
-        self._propose_due(now)
+        self._due.set()
 
     def _grant(self, session: SessionId, message: ToGateway) -> None:
         """Send a grant only while no other leader can have been elected."""
