--- /dev/null
+++ b/packages/lychee-console/src/lychee_console/access.py
@@ -0,0 +1,174 @@
+"""Who may use the console: operators' tokens from a file, and sessions."""
+
+import hmac
+import secrets
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from expression import Result
+from msgspec import Struct
+
+from lychee_types.clock import Clock
+from lychee_types.exceptions import SettingsError
+from lychee_types.findings import NAME_LIMIT, Finding, check_unique, locate
+from lychee_types.yamlfile import locate_yaml, read_text
+
+MIN_TOKEN_LENGTH = 16
+"""Shortest access token, in characters."""
+
+SESSION_LIMIT = 1_000
+"""Most sessions kept; the oldest one without an operator goes first."""
+
+SESSION_S = 8 * 3_600.0
+"""Time after which an operator logs in again, in seconds."""
+
+_SECRET_BYTES = 24
+
+
+class OperatorAccess(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """An operator who may use the console.
+
+    :param name: the name that submissions carry.
+    :param token: the access token.
+    """
+
+    name: str
+    token: str
+
+
+class OperatorsFile(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The file of operators.
+
+    :param operators: everybody who may use the console.
+    """
+
+    operators: tuple[OperatorAccess, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Session:
+    """A browser that has been here.
+
+    :param id: the cookie's value.
+    :param csrf: the token that each of its forms carries.
+    :param since: when it began, in monotonic seconds.
+    :param operator: who has logged in, None for nobody.
+    """
+
+    id: str
+    csrf: str
+    since: float
+    operator: str | None = None
+
+    def allows(self, csrf: str) -> bool:
+        """Return whether a form carries this session's token."""
+        return hmac.compare_digest(self.csrf.encode(), csrf.encode("utf-8", "replace"))
+
+
+def load_operators(path: Path) -> tuple[OperatorAccess, ...]:
+    """Return the operators in a file.
+
+    :param path: the YAML file.
+    :raises SettingsError: if the file has faults; the message never holds a token.
+    """
+    match read_text(path).bind(lambda text: locate_yaml(text, OperatorsFile)):
+        case Result(tag="ok", ok=located):
+            faults = locate(_check(located.value.operators), located)
+            if not faults:
+                return located.value.operators
+        case Result(error=faults):
+            pass
+    places = [f"line {f.line}: {f.place}: {f.remedy}" for f in faults]
+    raise SettingsError(
+        message=f"{path} has {len(faults)} fault(s): " + "; ".join(places),
+        remedy="correct the file and start the console again",
+    )
+
+
+def _check(operators: tuple[OperatorAccess, ...]) -> Iterator[Finding]:
+    if not operators:
+        remedy = "add an operator with name and token"
+        yield Finding(place="operators", message="the list is empty", remedy=remedy)
+    for index, operator in enumerate(operators):
+        place = f"operators[{index}]"
+        if not 1 <= len(operator.name) <= NAME_LIMIT or not operator.name.isprintable():
+            remedy = f"write 1 to {NAME_LIMIT} printable characters"
+            yield Finding(place=f"{place}.name", message="not a name", remedy=remedy)
+        if len(operator.token) < MIN_TOKEN_LENGTH:
+            remedy = f"write at least {MIN_TOKEN_LENGTH} characters"
+            yield Finding(place=f"{place}.token", message="the token is short", remedy=remedy)
+    yield from check_unique(
+        (operator.name for operator in operators),
+        lambda index: f"operators[{index}].name",
+        what="the operator",
+    )
+    yield from check_unique(
+        (operator.token for operator in operators),
+        lambda index: f"operators[{index}].token",
+        what="the token",
+    )
+
+
+class Access:
+    """Sessions of browsers and the operators who logged in.
+
+    :param operators: everybody who may log in.
+    :param clock: source of time.
+    """
+
+    def __init__(self, *, operators: tuple[OperatorAccess, ...], clock: Clock) -> None:
+        self._operators = operators
+        self._clock = clock
+        self._sessions: dict[str, Session] = {}
+
+    @property
+    def count(self) -> int:
+        """Number of sessions."""
+        return len(self._sessions)
+
+    def session(self, cookie: str | None) -> Session | None:
+        """Return the session of a cookie while it lasts."""
+        found = self._sessions.get(cookie or "")
+        if found is None or self._clock.monotonic() - found.since <= SESSION_S:
+            return found
+        del self._sessions[found.id]
+        return None
+
+    def open(self, *, operator: str | None = None) -> Session:
+        """Begin a session.
+
+        :param operator: who has logged in, None for nobody.
+        """
+        session = Session(
+            id=secrets.token_urlsafe(_SECRET_BYTES),
+            csrf=secrets.token_urlsafe(_SECRET_BYTES),
+            since=self._clock.monotonic(),
+            operator=operator,
+        )
+        self._make_room()
+        self._sessions[session.id] = session
+        return session
+
+    def log_in(self, session: Session, token: str) -> Session | None:
+        """Return a new session for the operator of a token, or None if it is nobody's.
+
+        :param session: the session before; it ends when the token is right.
+        :param token: what was typed in.
+        """
+        given = token.encode("utf-8", "replace")
+        matches = [hmac.compare_digest(given, op.token.encode()) for op in self._operators]
+        if not any(matches):
+            return None
+        self.close(session)
+        return self.open(operator=self._operators[matches.index(True)].name)
+
+    def close(self, session: Session) -> None:
+        """End a session."""
+        self._sessions.pop(session.id, None)
+
+    def _make_room(self) -> None:
+        if len(self._sessions) < SESSION_LIMIT:
+            return
+        idle = (known.id for known in self._sessions.values() if known.operator is None)
+        del self._sessions[next(idle, next(iter(self._sessions)))]
--- /dev/null
+++ b/packages/lychee-console/src/lychee_console/daemon.py
@@ -0,0 +1,175 @@
+"""The console's process: listener, circuits.web and the site on one asyncio loop."""
+
+import asyncio
+import ssl
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from http import HTTPStatus
+from typing import Any
+
+from circuits import handler
+from circuits.web.events import response
+from circuits.web.wrappers import Request, Response
+from loguru import logger
+from msgspec import Struct
+
+from lychee_console.access import Access
+from lychee_console.layout import page
+from lychee_console.site import Site
+from lychee_console.visit import Answer
+from lychee_console.web import SESSION_COOKIE, WebBridge
+from lychee_runtime import Daemon, format_dump
+from lychee_types.exceptions import SettingsError
+from lychee_types.settings import ConsoleSettings, TlsSettings
+
+STOP_TIMEOUT_S = 20.0
+"""Time that a stop waits for answers under way, in seconds."""
+
+STOP_POLL_S = 0.05
+
+SECURITY_HEADERS = (
+    (
+        "Content-Security-Policy",
+        "default-src 'none'; style-src 'self'; form-action 'self'; frame-ancestors 'none'; "
+        "base-uri 'none'",
+    ),
+    ("X-Content-Type-Options", "nosniff"),
+    ("Referrer-Policy", "no-referrer"),
+    ("Cache-Control", "no-store"),
+)
+
+
+class ConsoleState(Struct, frozen=True, kw_only=True):
+    """The console's state for a dump.
+
+    :param listen: where browsers connect.
+    :param connections: how many connections are open.
+    :param answers_under_way: how many pages are being made.
+    :param sessions: how many sessions are kept, with and without an operator.
+    """
+
+    listen: str
+    connections: int
+    answers_under_way: int
+    sessions: int
+
+
+class ConsoleDaemon(Daemon):
+    """Serves the console until it is asked to stop.
+
+    :param cfg: the settings.
+    :param site: answers requests.
+    :param access: operators and sessions.
+    """
+
+    def __init__(self, *, cfg: ConsoleSettings, site: Site, access: Access) -> None:
+        super().__init__()
+        self._cfg = cfg
+        self._site = site
+        self._access = access
+        self._bridge = WebBridge(secure=cfg.https is not None).register(self)
+        self._answers: set[asyncio.Task[None]] = set()
+
+    async def serve(self) -> None:
+        """Listen until the stop, then let answers under way end."""
+        async with self._listening():
+            logger.info("listening on {}", self._cfg.listen)
+            await self.stopping.wait()
+        await self._end_connections()
+
+    async def _end_connections(self) -> None:
+        deadline = asyncio.get_running_loop().time() + STOP_TIMEOUT_S
+        was_idle = False
+        while self._bridge.connections and asyncio.get_running_loop().time() < deadline:
+            # An answer's events are dispatched within the poll after its task has ended.
+            idle = not self._answers
+            if idle and was_idle:
+                for conn in list(self._bridge.connections):
+                    conn.close()
+            was_idle = idle
+            await asyncio.sleep(STOP_POLL_S)
+
+    def dump(self) -> str:
+        """Return the console's state as YAML."""
+        return format_dump(
+            ConsoleState(
+                listen=str(self._cfg.listen),
+                connections=len(self._bridge.connections),
+                answers_under_way=len(self._answers),
+                sessions=self._access.count,
+            )
+        )
+
+    @asynccontextmanager
+    async def _listening(self) -> AsyncIterator[asyncio.Server]:
+        endpoint = self._cfg.listen
+        loop = asyncio.get_running_loop()
+        try:
+            server = await loop.create_server(
+                self._bridge.connect, endpoint.host, endpoint.port, ssl=_https(self._cfg.https)
+            )
+        except OSError as exc:
+            raise SettingsError(
+                message=f"cannot listen on {endpoint}: {exc}",
+                remedy="end the program that uses the address, or change listen",
+            ) from exc
+        try:
+            yield server
+        finally:
+            server.close()
+
+    @handler("request", channel="web")  # type: ignore[untyped-decorator]
+    def on_request(self, req: Request, res: Response) -> bool:
+        """Begin to answer; the answer follows as a ``response`` event."""
+        task = asyncio.create_task(self._answer(req, res))
+        self._answers.add(task)
+        task.add_done_callback(self._answers.discard)
+        return True
+
+    async def _answer(self, req: Request, res: Response) -> None:
+        conn = req.sock
+        try:
+            answer = await self._site.answer(
+                method=req.method,
+                path=req.path,
+                query=conn.query,
+                body=conn.body.decode("utf-8", "replace"),
+                cookie=conn.cookie,
+            )
+        except Exception:
+            logger.exception("a page failed: {} {}", req.method, req.path)
+            remedy = "Remedy: try again; if it stays, report the console's log."
+            body = page("The console has a fault", remedy)
+            answer = Answer(body=body, status=HTTPStatus.INTERNAL_SERVER_ERROR)
+        self._fill(res, answer)
+        self.fire(response(res), "web")
+
+    def _fill(self, res: Any, answer: Answer) -> None:
+        res.status = answer.status.value
+        res.close = True
+        res.headers["Content-Type"] = answer.kind
+        for name, value in SECURITY_HEADERS:
+            res.headers[name] = value
+        if answer.location:
+            res.headers["Location"] = answer.location
+        if answer.session is not None:
+            secure = "; Secure" if self._cfg.https is not None else ""
+            cookie = f"{SESSION_COOKIE}={answer.session.id}; Path=/; HttpOnly; SameSite=Strict"
+            res.headers["Set-Cookie"] = cookie + secure
+        res.body = answer.body.text.encode()
+
+
+def _https(cfg: TlsSettings | None) -> ssl.SSLContext | None:
+    """Return the context for browsers, which need no certificate of their own."""
+    if cfg is None:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    try:
+        context.load_cert_chain(cfg.certificate, cfg.key)
+    except (OSError, ssl.SSLError) as exc:
+        raise SettingsError(
+            message=f"the https key files cannot be used: {exc}",
+            remedy="name readable PEM files of a matching certificate and key",
+        ) from exc
+    return context
--- /dev/null
+++ b/packages/lychee-console/src/lychee_console/document_pages.py
@@ -0,0 +1,310 @@
+"""Pages with forms for services, limits, servers, drains and the whole document."""
+
+from collections.abc import Mapping, Sequence
+from http import HTTPStatus
+
+from expression import Result
+
+from lychee_console.edits import (
+    NEW_SERVICE,
+    TOKEN_CHOICES,
+    Edited,
+    edit_limits,
+    edit_server,
+    edit_service,
+    remove_service,
+    service_texts,
+)
+from lychee_console.fields import (
+    IDENTITY_FIELDS,
+    LIMIT_FIELDS,
+    PLACEMENT_FIELDS,
+    form_texts,
+    render_fields,
+)
+from lychee_console.html import Html, element, join
+from lychee_console.layout import button, fault_list, form, table
+from lychee_console.submitting import EMPTY, preview
+from lychee_console.visit import Answer, Visit
+from lychee_runtime import OperatorClient
+from lychee_types.document import Document
+from lychee_types.document_check import parse_document
+from lychee_types.exceptions import Fault
+from lychee_types.ids import ServerId
+from lychee_types.messages import ShowReply
+from lychee_types.yamlfile import format_yaml
+
+
+class DocumentPages:
+    """Forms whose one output is a document that passed its check.
+
+    :param client: asks the control replicas.
+    """
+
+    def __init__(self, *, client: OperatorClient) -> None:
+        self._client = client
+
+    async def services(self, visit: Visit) -> Answer:
+        """List the services."""
+        base = await self._client.show()
+        document = base.document or EMPTY
+        rows = [
+            (
+                element("a", service.name, href=f"/service?index={index}"),
+                service.path,
+                service.kind.value,
+                f"{service.deadline_ms} ms",
+                "yes" if service.idempotent else "no",
+            )
+            for index, service in enumerate(document.services)
+        ]
+        heads = ("Name", "URL prefix", "Kind", "Deadline", "May run more than once")
+        add = element("a", "Add a service", href=f"/service?index={len(document.services)}")
+        return visit.page("Services", table("Services", heads, rows), element("p", add))
+
+    async def service(self, visit: Visit) -> Answer:
+        """Show the form of one service."""
+        base = await self._client.show()
+        services = (base.document or EMPTY).services
+        index = _index(visit.query.get("index", ""), len(services))
+        shown = services[index] if index < len(services) else NEW_SERVICE
+        return self._service_form(visit, base, index, service_texts(shown, index), ())
+
+    async def edit_service(self, visit: Visit) -> Answer:
+        """Preview a changed, added or removed service, or show its faults."""
+        base = await self._base(visit)
+        document = base.document or EMPTY
+        index = _index(visit.form.get("index", ""), len(document.services))
+        if visit.form.get("action") == "remove":
+            edited = remove_service(document, index)
+        else:
+            edited = edit_service(document, index, visit.form)
+        if edited.faults:
+            return self._service_form(visit, base, index, visit.form, edited.faults)
+        return await preview(self._client, visit, base, edited)
+
+    def _service_form(
+        self,
+        visit: Visit,
+        base: ShowReply,
+        index: int,
+        texts: Mapping[str, str],
+        faults: Sequence[Fault],
+    ) -> Answer:
+        place = f"services[{index}]"
+        known = index < len((base.document or EMPTY).services)
+        parts = [
+            _fieldset("Service", render_fields(IDENTITY_FIELDS, texts, place, faults)),
+            _fieldset("Limits", render_fields(LIMIT_FIELDS, texts, place, faults)),
+            _fieldset(
+                "Placement of keys",
+                render_fields(PLACEMENT_FIELDS, texts, f"{place}.placement", faults),
+            ),
+        ]
+        hidden: dict[str, str | int] = {"based_on": base.version, "index": index}
+        csrf = visit.session.csrf
+        remove = form("/service", button("Remove this service", plain=True), csrf=csrf,
+                      action="remove", **hidden) if known else None  # fmt: skip
+        return visit.page(
+            "Service" if known else "New service",
+            fault_list(faults),
+            form("/service", *parts, button("Show the difference"), csrf=csrf, **hidden),
+            remove,
+            status=_status(faults),
+        )
+
+    async def limits(self, visit: Visit) -> Answer:
+        """Show the limits of all services."""
+        base = await self._client.show()
+        texts: dict[str, str] = {}
+        for index, service in enumerate((base.document or EMPTY).services):
+            texts |= form_texts(LIMIT_FIELDS, service, f"services[{index}]")
+        return self._limits_form(visit, base, texts, ())
+
+    async def edit_limits(self, visit: Visit) -> Answer:
+        """Preview changed limits, or show their faults."""
+        base = await self._base(visit)
+        edited = edit_limits(base.document or EMPTY, visit.form)
+        if edited.faults:
+            return self._limits_form(visit, base, visit.form, edited.faults)
+        return await preview(self._client, visit, base, edited)
+
+    def _limits_form(
+        self, visit: Visit, base: ShowReply, texts: Mapping[str, str], faults: Sequence[Fault]
+    ) -> Answer:
+        parts = [
+            _fieldset(
+                service.name, render_fields(LIMIT_FIELDS, texts, f"services[{index}]", faults)
+            )
+            for index, service in enumerate((base.document or EMPTY).services)
+        ]
+        content = form(
+            "/limits",
+            *parts,
+            button("Show the difference"),
+            csrf=visit.session.csrf,
+            based_on=base.version,
+        )
+        empty = element("p", "There are no services yet.")
+        return visit.page(
+            "Limits", fault_list(faults), content if parts else empty, status=_status(faults)
+        )
+
+    async def servers(self, visit: Visit) -> Answer:
+        """Show the rules of backend servers, each with its own form."""
+        base, names = await self._servers()
+        document = base.document or EMPTY
+        forms = [self._server_form(visit, base, document, name) for name in names]
+        other = form(
+            "/server",
+            element("label", "Another server's id", for_="other"),
+            element("input", type="text", id="other", name="server", autocomplete="off"),
+            _token_select("other-tokens", "service"),
+            _leaving_box("other-leaving", checked=False),
+            button("Show the difference"),
+            csrf=visit.session.csrf,
+            based_on=base.version,
+        )
+        return visit.page("Servers", *forms, _fieldset("Another server", other))
+
+    def _server_form(self, visit: Visit, base: ShowReply, document: Document, name: str) -> Html:
+        rule = document.rule(ServerId(name))
+        tokens = rule.checks_tokens if rule is not None else None
+        chosen = next(word for word, value in TOKEN_CHOICES.items() if value is tokens)
+        content = form(
+            "/server",
+            _token_select(f"{name}-tokens", chosen),
+            _leaving_box(f"{name}-leaving", checked=document.is_leaving(ServerId(name))),
+            button("Show the difference"),
+            csrf=visit.session.csrf,
+            based_on=base.version,
+            server=name,
+        )
+        return _fieldset(name, content)
+
+    async def drains(self, visit: Visit) -> Answer:
+        """Show which backend servers leave, each with a button that changes it."""
+        base, names = await self._servers()
+        document = base.document or EMPTY
+        rows = [
+            (
+                name,
+                "leaving" if document.is_leaving(ServerId(name)) else "in service",
+                self._drain_form(visit, base, document, name),
+            )
+            for name in names
+        ]
+        return visit.page("Drains", table("Servers", ("Server", "State", "Change"), rows))
+
+    def _drain_form(self, visit: Visit, base: ShowReply, document: Document, name: str) -> Html:
+        rule = document.rule(ServerId(name))
+        leaving = rule is not None and rule.leaving
+        tokens = rule.checks_tokens if rule is not None else None
+        chosen = next(word for word, value in TOKEN_CHOICES.items() if value is tokens)
+        return form(
+            "/server",
+            button(f"Take {name} back" if leaving else f"Drain {name}", plain=True),
+            csrf=visit.session.csrf,
+            based_on=base.version,
+            server=name,
+            checks_tokens=chosen,
+            leaving="" if leaving else "yes",
+        )
+
+    async def edit_server(self, visit: Visit) -> Answer:
+        """Preview the changed rule of one server."""
+        base = await self._base(visit)
+        server = ServerId(visit.form.get("server", ""))
+        edited = edit_server(base.document or EMPTY, server, visit.form)
+        return await self._preview_or_faults(visit, base, edited, "Server")
+
+    async def document(self, visit: Visit) -> Answer:
+        """Show the whole document as text that can be changed."""
+        base = await self._client.show()
+        text = format_yaml(base.document) if base.document is not None else ""
+        return self._document_form(visit, base, text, ())
+
+    async def edit_document(self, visit: Visit) -> Answer:
+        """Preview a changed text, or show its faults."""
+        base = await self._base(visit)
+        text = visit.form.get("text", "")
+        match parse_document(text):
+            case Result(tag="ok", ok=document):
+                edited = Edited(document=document, faults=())
+                return await preview(self._client, visit, base, edited)
+            case Result(error=faults):
+                return self._document_form(visit, base, text, faults)
+
+    def _document_form(
+        self, visit: Visit, base: ShowReply, text: str, faults: Sequence[Fault]
+    ) -> Answer:
+        lines = tuple(Fault(place=f"line {f.line}", message=f"{f.place}: {f.message}",
+                            remedy=f.remedy) for f in faults)  # fmt: skip
+        return visit.page(
+            "Document",
+            fault_list(lines),
+            form(
+                "/document",
+                element("label", f"Document, based on version {base.version}", for_="text"),
+                # The parser drops the first line break of a text area.
+                element("textarea", f"\n{text}", id="text", name="text", spellcheck="false"),
+                element("p", button("Show the difference")),
+                csrf=visit.session.csrf,
+                based_on=base.version,
+            ),
+            status=_status(faults),
+        )
+
+    async def _preview_or_faults(
+        self, visit: Visit, base: ShowReply, edited: Edited, title: str
+    ) -> Answer:
+        if edited.faults:
+            return visit.page(title, fault_list(edited.faults), status=HTTPStatus.BAD_REQUEST)
+        return await preview(self._client, visit, base, edited)
+
+    async def _base(self, visit: Visit) -> ShowReply:
+        """Return the version that the form was based on."""
+        version = visit.number("based_on")
+        if version == 0:
+            return ShowReply(version=0, author="", document=None)
+        return await self._client.show(version=version)
+
+    async def _servers(self) -> tuple[ShowReply, list[str]]:
+        """Return the document in force, and the servers that announced themselves or have rules."""
+        base = await self._client.show()
+        status = await self._client.status()
+        names = {str(state.record.id) for state in status.servers}
+        names |= {str(rule.id) for rule in (base.document or EMPTY).servers}
+        return base, sorted(names)
+
+
+def _index(text: str, count: int) -> int:
+    return min(int(text), count) if text.isascii() and text.isdigit() and len(text) < 9 else count
+
+
+def _status(faults: Sequence[Fault]) -> HTTPStatus:
+    return HTTPStatus.BAD_REQUEST if faults else HTTPStatus.OK
+
+
+def _fieldset(legend: str, content: Html) -> Html:
+    columns = element("div", content, class_="columns")
+    return element("fieldset", element("legend", legend), columns)
+
+
+def _token_select(name: str, chosen: str) -> Html:
+    words = {"service": "as the service says", "yes": "yes", "no": "no"}
+    options = [
+        element("option", words[word], value=word, selected=word == chosen)
+        for word in TOKEN_CHOICES
+    ]
+    return element(
+        "div",
+        element("label", "Checks tokens", for_=name),
+        element("select", *options, id=name, name="checks_tokens"),
+        class_="field",
+    )
+
+
+def _leaving_box(name: str, *, checked: bool) -> Html:
+    box = element("input", type="checkbox", id=name, name="leaving", value="yes", checked=checked)
+    return element("div", join(box, element("label", "Leaving", for_=name)), class_="field check")
--- /dev/null
+++ b/packages/lychee-console/src/lychee_console/fields.py
@@ -0,0 +1,183 @@
+"""Fields of forms: labels, how a value is shown, and how text becomes a value."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from lychee_console.html import Html, element, join
+from lychee_types.document import BodyMode, RequestKind
+from lychee_types.exceptions import Fault
+
+TEXT_LIMIT = 256
+"""Longest text of a field, in characters."""
+
+
+class FieldKind(Enum):
+    """What a field takes."""
+
+    TEXT = "text"
+    WHOLE = "whole number"
+    DECIMAL = "number"
+    CHECK = "yes or no"
+    CHOICE = "one of several"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Field:
+    """One field of a form.
+
+    :param name: name of the value in its Struct.
+    :param label: its label.
+    :param kind: what it takes.
+    :param hint: a further word, empty for none.
+    :param choices: the members of a choice.
+    """
+
+    name: str
+    label: str
+    kind: FieldKind = FieldKind.WHOLE
+    hint: str = ""
+    choices: type[Enum] | None = None
+
+
+IDENTITY_FIELDS = (
+    Field(name="name", label="Name", kind=FieldKind.TEXT, hint="as backend servers announce it"),
+    Field(name="path", label="URL prefix", kind=FieldKind.TEXT, hint="with a slash at both ends"),
+    Field(name="kind", label="Kind", kind=FieldKind.CHOICE, choices=RequestKind),
+    Field(name="idempotent", label="May be run more than once", kind=FieldKind.CHECK),
+    Field(name="body", label="Answers", kind=FieldKind.CHOICE, choices=BodyMode),
+    Field(name="checks_tokens", label="Servers check tokens", kind=FieldKind.CHECK),
+    Field(name="shards", label="Shards", hint="a power of two; keyed services only"),
+)
+LIMIT_FIELDS = (
+    Field(name="deadline_ms", label="Deadline (ms)"),
+    Field(name="max_request_bytes", label="Largest request (bytes)"),
+    Field(name="max_response_bytes", label="Largest whole answer (bytes)"),
+    Field(name="queue", label="Queue at one gateway (requests)"),
+    Field(name="retry_share", label="Retries per request", kind=FieldKind.DECIMAL),
+)
+PLACEMENT_FIELDS = (
+    Field(name="lost_after_ms", label="Server lost after (ms)"),
+    Field(name="settle_ms", label="Wait after a join (ms)"),
+    Field(name="rejoin_ms", label="Wait after a return (ms)"),
+    Field(name="speed_change", label="Least change of speed", kind=FieldKind.DECIMAL),
+    Field(name="bounded_load", label="Highest share of keys", kind=FieldKind.DECIMAL),
+    Field(name="hot_keys", label="Hot keys placed one by one"),
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Parsed:
+    """Values of a form.
+
+    :param values: those that could be read.
+    :param faults: one for each that could not.
+    """
+
+    values: dict[str, Any]
+    faults: tuple[Fault, ...]
+
+
+def parse_fields(fields: Sequence[Field], form: Mapping[str, str], place: str) -> Parsed:
+    """Return the values of a form's fields.
+
+    :param fields: the fields.
+    :param form: the texts that were sent, by place.
+    :param place: place of the Struct in the document, which is part of each input's name.
+    """
+    values: dict[str, Any] = {}
+    faults: list[Fault] = []
+    for field in fields:
+        inner = f"{place}.{field.name}"
+        text = form.get(inner, "").strip()
+        try:
+            values[field.name] = _value(field, text)
+        except ValueError:
+            article = "a " if field.kind in (FieldKind.WHOLE, FieldKind.DECIMAL) else ""
+            message = f"{text[:TEXT_LIMIT]!r} cannot be used for {field.label}"
+            remedy = f"write {article}{field.kind.value}"
+            faults.append(Fault(place=inner, message=message, remedy=remedy))
+    return Parsed(values=values, faults=tuple(faults))
+
+
+def _value(field: Field, text: str) -> Any:
+    match field.kind:
+        case FieldKind.CHECK:
+            return text == "yes"
+        case FieldKind.WHOLE:
+            return int(text) if len(text) <= TEXT_LIMIT else int("")
+        case FieldKind.DECIMAL:
+            return float(text)
+        case FieldKind.CHOICE:
+            assert field.choices is not None
+            return field.choices(text)
+        case FieldKind.TEXT:
+            return text
+
+
+def form_texts(fields: Sequence[Field], value: object, place: str) -> dict[str, str]:
+    """Return the texts with which a Struct's fields are first shown, by place."""
+    return {f"{place}.{field.name}": _text(getattr(value, field.name)) for field in fields}
+
+
+def _text(value: object) -> str:
+    match value:
+        case bool():
+            return "yes" if value else ""
+        case Enum():
+            return str(value.value)
+        case _:
+            return str(value)
+
+
+def render_fields(
+    fields: Sequence[Field], texts: Mapping[str, str], place: str, faults: Sequence[Fault]
+) -> Html:
+    """Return the inputs of fields, each with its label, hint and faults."""
+    return join(*(_render_field(field, texts, f"{place}.{field.name}", faults) for field in fields))
+
+
+def _render_field(
+    field: Field, texts: Mapping[str, str], place: str, faults: Sequence[Fault]
+) -> Html:
+    own = [fault for fault in faults if fault.place == place]
+    notes = [(f"{place}-hint", field.hint)] if field.hint else []
+    notes += [(f"{place}-fault-{n}", f"{f.message}: {f.remedy}") for n, f in enumerate(own)]
+    described = " ".join(note for note, _ in notes) or None
+    control = _control(field, texts.get(place, ""), place, described, bool(own))
+    label = element("label", field.label, for_=place)
+    texts_below = [
+        element("p", text, id=note, class_="fault" if "-fault-" in note else "hint")
+        for note, text in notes
+    ]
+    parts = [control, label] if field.kind is FieldKind.CHECK else [label, control]
+    kind = "field check" if field.kind is FieldKind.CHECK else "field"
+    return element("div", *parts, *texts_below, class_=kind)
+
+
+def _control(field: Field, text: str, place: str, described: str | None, faulty: bool) -> Html:
+    invalid = "true" if faulty else None
+    match field.kind:
+        case FieldKind.CHOICE:
+            assert field.choices is not None
+            options = [
+                element("option", str(m.value), value=str(m.value), selected=str(m.value) == text)
+                for m in field.choices
+            ]
+            return element(
+                "select", *options, id=place, name=place, aria_describedby=described,
+                aria_invalid=invalid,
+            )  # fmt: skip
+        case FieldKind.CHECK:
+            return element(
+                "input", type="checkbox", id=place, name=place, value="yes",
+                checked=text == "yes", aria_describedby=described, aria_invalid=invalid,
+            )  # fmt: skip
+        case _:
+            modes = {FieldKind.WHOLE: "numeric", FieldKind.DECIMAL: "decimal"}
+            return element(
+                "input", type="text", id=place, name=place, value=text, maxlength=TEXT_LIMIT,
+                inputmode=modes.get(field.kind), autocomplete="off",
+                aria_describedby=described, aria_invalid=invalid,
+            )  # fmt: skip
--- /dev/null
+++ b/packages/lychee-console/src/lychee_console/html.py
@@ -0,0 +1,60 @@
+"""HTML elements whose texts and attributes are always escaped."""
+
+from dataclasses import dataclass
+from html import escape
+
+VOID_ELEMENTS = frozenset({"input", "meta", "link", "br"})
+
+
+@dataclass(frozen=True, slots=True)
+class Html:
+    """A piece of HTML that needs no further escaping.
+
+    :param text: the HTML.
+    """
+
+    text: str
+
+
+Child = Html | str | None
+"""What an element may hold: HTML, text that is escaped, or nothing."""
+
+Attribute = str | int | bool | None
+"""An attribute's value; True writes the bare name, False and None leave it out."""
+
+
+def element(name: str, /, *children: Child, **attributes: Attribute) -> Html:
+    """Return an element.
+
+    :param name: its name.
+    :param children: what it holds.
+    :param attributes: its attributes; ``for_`` is written ``for`` and ``a_b`` ``a-b``.
+    """
+    head = name + "".join(_attribute(key, value) for key, value in attributes.items())
+    if name in VOID_ELEMENTS:
+        return Html(f"<{head}>")
+    return Html(f"<{head}>{join(*children).text}</{name}>")
+
+
+def join(*children: Child) -> Html:
+    """Return children one after the other."""
+    return Html("".join(_render(child) for child in children))
+
+
+def _render(child: Child) -> str:
+    match child:
+        case None:
+            return ""
+        case Html():
+            return child.text
+        case _:
+            return escape(child)
+
+
+def _attribute(key: str, value: Attribute) -> str:
+    name = key.rstrip("_").replace("_", "-")
+    if value is True:
+        return f" {name}"
+    if value is None or value is False:
+        return ""
+    return f' {name}="{escape(str(value))}"'
--- /dev/null
+++ b/packages/lychee-console/src/lychee_console/layout.py
@@ -0,0 +1,170 @@
+"""The frame of every page, its style, and pieces that pages share."""
+
+from collections.abc import Sequence
+
+from lychee_console.html import Child, Html, element, join
+from lychee_types.exceptions import Fault
+
+LINKS = (
+    ("/", "Status"),
+    ("/services", "Services"),
+    ("/limits", "Limits"),
+    ("/servers", "Servers"),
+    ("/drains", "Drains"),
+    ("/document", "Document"),
+    ("/history", "History"),
+)
+
+STYLE = """\
+:root { color-scheme: light dark; --line: #8886; --accent: #0b57d0; --bad: #b3261e; }
+@media (prefers-color-scheme: dark) { :root { --accent: #a8c7fa; --bad: #f2b8b5; } }
+* { box-sizing: border-box; }
+body { font: 1rem/1.5 system-ui, sans-serif; margin: 0 auto; max-width: 72rem;
+  padding: 0 1rem 3rem; }
+a { color: var(--accent); }
+.skip { position: absolute; left: -99rem; }
+.skip:focus { left: 1rem; }
+header { border-bottom: 1px solid var(--line); padding: .75rem 0; }
+header form { display: inline; }
+nav a { display: inline-block; padding: .4rem .6rem .4rem 0; }
+nav a[aria-current] { font-weight: bold; text-decoration: none; }
+h1 { font-size: 1.5rem; } h2 { font-size: 1.15rem; margin-top: 2rem; }
+table { border-collapse: collapse; width: 100%; }
+th, td { border-bottom: 1px solid var(--line); padding: .35rem .6rem; text-align: left; }
+.field { margin: .8rem 0; }
+.field label { display: block; font-weight: 600; }
+.check label { display: inline; padding-left: .5rem; }
+input[type=text], input[type=password], select, textarea {
+  font: inherit; padding: .45rem; width: 100%; max-width: 30rem; border: 1px solid #888;
+  border-radius: .25rem; }
+textarea { max-width: none; min-height: 24rem; font-family: monospace; }
+input[type=checkbox] { width: 1.25rem; height: 1.25rem; vertical-align: middle; }
+[aria-invalid=true] { border: 2px solid var(--bad); }
+.columns { display: grid; gap: 0 2rem;
+  grid-template-columns: repeat(auto-fill, minmax(16rem, 1fr)); }
+button { font: inherit; padding: .5rem 1rem; min-height: 2.75rem; border: 1px solid var(--accent);
+  border-radius: .25rem; background: var(--accent); color: Canvas; cursor: pointer; }
+button.plain { background: transparent; color: var(--accent); }
+:focus-visible { outline: 3px solid var(--accent); outline-offset: 2px; }
+.hint { margin: .1rem 0; opacity: .8; }
+.fault { margin: .1rem 0; color: var(--bad); font-weight: 600; }
+.note { border: 2px solid var(--line); border-radius: .25rem; padding: .5rem 1rem; margin: 1rem 0; }
+.note.bad { border-color: var(--bad); }
+pre { overflow-x: auto; border: 1px solid var(--line); padding: .75rem; }
+.add { color: #146c2e; } .remove { color: var(--bad); }
+@media (prefers-color-scheme: dark) { .add { color: #6dd58c; } }
+@media (max-width: 40rem) {
+  thead { position: absolute; left: -99rem; }
+  tr { display: block; border: 1px solid var(--line); margin: .6rem 0; padding: .4rem; }
+  td { display: flex; justify-content: space-between; gap: 1rem; border: 0; padding: .2rem .4rem;
+    overflow-wrap: anywhere; }
+  td::before { content: attr(data-label); font-weight: 600; flex: none; }
+}
+"""
+
+
+def page(
+    title: str, *content: Child, path: str = "", operator: str | None = None, csrf: str = ""
+) -> Html:
+    """Return a whole page.
+
+    :param title: its title and heading.
+    :param content: what it shows.
+    :param path: its own path, marked in the navigation.
+    :param operator: who has logged in, None for nobody.
+    :param csrf: the session's token for forms.
+    """
+    head = element(
+        "head",
+        element("meta", charset="utf-8"),
+        element("meta", name="viewport", content="width=device-width, initial-scale=1"),
+        element("title", f"{title} - lycheescale"),
+        element("link", rel="stylesheet", href="/style.css"),
+    )
+    body = element(
+        "body",
+        element("a", "Skip to content", href="#content", class_="skip"),
+        _header(path, operator, csrf) if operator is not None else None,
+        element("main", element("h1", title), *content, id="content"),
+    )
+    return join(Html("<!DOCTYPE html>\n"), element("html", head, body, lang="en"))
+
+
+def _header(path: str, operator: str, csrf: str) -> Html:
+    links = [
+        element("a", text, href=href, aria_current="page" if href == path else None)
+        for href, text in LINKS
+    ]
+    spaced = [part for link in links for part in (link, " ")]
+    log_out = form("/logout", button("Log out", plain=True), csrf=csrf)
+    return element("header", element("nav", *spaced, aria_label="Pages"), f"{operator} ", log_out)
+
+
+def form(action: str, /, *content: Child, csrf: str, **hidden: str | int) -> Html:
+    """Return a form that posts its fields.
+
+    :param action: the path that it posts to.
+    :param content: what it shows.
+    :param csrf: the session's token.
+    :param hidden: names and values that are sent along.
+    """
+    pairs = {"csrf": csrf, **hidden}
+    inputs = [element("input", type="hidden", name=n, value=v) for n, v in pairs.items()]
+    return element("form", *inputs, *content, method="post", action=action)
+
+
+def button(text: str, *, plain: bool = False) -> Html:
+    """Return a button that sends its form."""
+    return element("button", text, type="submit", class_="plain" if plain else None)
+
+
+def table(caption: str, heads: Sequence[str], rows: Sequence[Sequence[Child]]) -> Html:
+    """Return a table with a heading; on narrow screens each row becomes a card."""
+    if not rows:
+        return join(element("h2", caption), element("p", "None."))
+    head = element("tr", *(element("th", text, scope="col") for text in heads))
+    lines = [
+        element(
+            "tr",
+            *(
+                element("td", element("span", cell), data_label=label)
+                for label, cell in zip(heads, row, strict=True)
+            ),
+        )
+        for row in rows
+    ]
+    return join(
+        element("h2", caption),
+        element("table", element("thead", head), element("tbody", *lines), aria_label=caption),
+    )
+
+
+def note(*content: Child, bad: bool = False) -> Html:
+    """Return a message that stands out and is read aloud."""
+    return element("div", *content, class_="note bad" if bad else "note", role="alert")
+
+
+def fault_list(faults: Sequence[Fault]) -> Html | None:
+    """Return all faults with links to their fields, or None if there are none."""
+    if not faults:
+        return None
+    items = [
+        element(
+            "li", element("a", fault.place, href=f"#{fault.place}"),
+            f": {fault.message}. Remedy: {fault.remedy}.",
+        )  # fmt: skip
+        for fault in faults
+    ]
+    count = f"{len(faults)} fault{'s' if len(faults) != 1 else ''}; nothing was sent"
+    return note(element("p", count), element("ul", *items), bad=True)
+
+
+def difference(text: str) -> Html:
+    """Return a unified difference, with added and removed lines marked."""
+    if not text:
+        return element("p", "No difference.")
+    kinds = {"+": "add", "-": "remove"}
+    lines = [
+        element("span", line, class_=kinds.get(line[:1])) for line in text.splitlines(keepends=True)
+    ]
+    return element("pre", *lines, tabindex="0", aria_label="Difference")
--- /dev/null
+++ b/packages/lychee-console/src/lychee_console/status_pages.py
@@ -0,0 +1,92 @@
+"""Pages that show how the deployment is and what was submitted."""
+
+from lychee_console.html import element
+from lychee_console.layout import note, table
+from lychee_console.visit import Answer, Visit
+from lychee_runtime import OperatorClient
+
+
+class StatusPages:
+    """Pages without forms.
+
+    :param client: asks the control replicas.
+    """
+
+    def __init__(self, *, client: OperatorClient) -> None:
+        self._client = client
+
+    async def status(self, visit: Visit) -> Answer:
+        """Show VMs, versions in force, owners, leaving servers and hot keys."""
+        reply = await self._client.status()
+        lagging = [g.id for g in reply.gateways if g.document_version < reply.document_version]
+        summary = (
+            f"Leader {reply.leader} in term {reply.term}; document version "
+            f"{reply.document_version}; commit index {reply.commit}."
+        )
+        lag = note(f"Behind version {reply.document_version}: {', '.join(lagging)}", bad=True)
+        return visit.page(
+            "Status",
+            element("p", summary),
+            lag if lagging else None,
+            table(
+                "Control replicas",
+                ("Id", "Address", "Role", "On disk", "Silent"),
+                [
+                    (r.id, str(r.endpoint), r.role, str(r.match), f"{r.silent_ms} ms")
+                    for r in reply.replicas
+                ],
+            ),
+            table(
+                "Gateways",
+                ("Id", "Failure domain", "Version", "Applied", "Lease left"),
+                [
+                    (
+                        g.id,
+                        g.domain,
+                        str(g.document_version),
+                        str(g.applied),
+                        f"{g.lease_left_ms} ms",
+                    )
+                    for g in reply.gateways
+                ],
+            ),
+            table(
+                "Backend servers",
+                ("Id", "Service", "Failure domain", "State", "Share of keys", "Speed"),
+                [
+                    (
+                        s.record.id,
+                        s.record.service,
+                        s.record.domain,
+                        "leaving" if s.leaving else s.record.status.value,
+                        f"{s.share:.1%}",
+                        f"{s.record.speed:.2f}",
+                    )
+                    for s in reply.servers
+                ],
+            ),
+            table(
+                "Keyed services",
+                ("Name", "Token", "Shards moving", "Hot keys placed"),
+                [(s.name, str(s.token), str(s.moving), str(s.hot_keys)) for s in reply.services],
+            ),
+        )
+
+    async def history(self, visit: Visit) -> Answer:
+        """Show the submissions and what became of each, newest first."""
+        records = await self._client.history()
+        rows = [
+            (
+                r.submission,
+                r.author,
+                str(r.based_on),
+                (
+                    f"version {r.version}"
+                    if r.accepted
+                    else f"lost to version {r.version} by {r.winner or 'nobody'}"
+                ),
+            )
+            for r in reversed(records)
+        ]
+        heads = ("Submission", "Author", "Based on", "Outcome")
+        return visit.page("History", table("Submissions", heads, rows))
--- /dev/null
+++ b/packages/lychee-console/src/lychee_console/submitting.py
@@ -0,0 +1,147 @@
+"""From an edited document to a submission: preview, sending, and what became of it."""
+
+from http import HTTPStatus
+
+from expression import Result
+
+from lychee_console.edits import Edited
+from lychee_console.html import Child, Html, element
+from lychee_console.layout import button, difference, fault_list, form, note
+from lychee_console.visit import Answer, Visit
+from lychee_runtime import OperatorClient
+from lychee_types.document import Document
+from lychee_types.document_check import parse_document
+from lychee_types.document_edit import diff_documents, submission_id
+from lychee_types.exceptions import UnavailableError
+from lychee_types.messages import ShowReply
+from lychee_types.state import SubmissionRecord
+from lychee_types.yamlfile import format_yaml
+
+EMPTY = Document(organisation="", domains=(), services=())
+"""What the forms begin with before the first document."""
+
+
+async def preview(client: OperatorClient, visit: Visit, base: ShowReply, edited: Edited) -> Answer:
+    """Show what an edit changes, with a form that sends it.
+
+    :param client: asks the control replicas.
+    :param visit: the request.
+    :param base: the version that the edit began with.
+    :param edited: the edit, without faults.
+    """
+    now = await client.show()
+    text = diff_documents(
+        base.document,
+        edited.document,
+        before_name=f"version {base.version}",
+        after_name="your document",
+    )
+    if not text:
+        return visit.page(
+            "Nothing to send", element("p", f"Your document is the same as version {base.version}.")
+        )
+    stale = _stale_note(now, base)
+    return visit.page("Check and send", stale, difference(text), _send_form(visit, base, edited))
+
+
+def _stale_note(now: ShowReply, base: ShowReply) -> Html | None:
+    if now.version == base.version:
+        return None
+    return note(
+        element("p", f"{now.author} has put version {now.version} in force meanwhile. Yours is "
+                f"based on version {base.version} and would not be accepted."),
+        element("p", "Remedy: open the form again and repeat your change."),
+        bad=True,
+    )  # fmt: skip
+
+
+def _send_form(visit: Visit, base: ShowReply, edited: Edited) -> Html:
+    chosen = submission_id(author=visit.operator, based_on=base.version, document=edited.document)
+    return form(
+        "/submit",
+        element("p", f"Submission {chosen}, based on version {base.version}."),
+        button("Send to the system"),
+        csrf=visit.session.csrf,
+        submission=chosen,
+        based_on=base.version,
+        document=format_yaml(edited.document),
+    )
+
+
+async def submit(client: OperatorClient, visit: Visit) -> Answer:
+    """Send the document that a preview showed, and tell what became of it."""
+    match parse_document(visit.form.get("document", "")):
+        case Result(tag="ok", ok=document):
+            return await _send(client, visit, document)
+        case Result(error=faults):
+            return visit.page("Not sent", fault_list(faults), status=HTTPStatus.BAD_REQUEST)
+
+
+async def _send(client: OperatorClient, visit: Visit, document: Document) -> Answer:
+    based_on = visit.number("based_on")
+    chosen = submission_id(author=visit.operator, based_on=based_on, document=document)
+    if visit.form.get("submission") != chosen:
+        return visit.page(
+            "Not sent",
+            note("The form does not belong to this document. Remedy: open it again.", bad=True),
+            status=HTTPStatus.BAD_REQUEST,
+        )
+    try:
+        known = any(record.submission == chosen for record in await client.history())
+        record = await client.submit(
+            submission=chosen, based_on=based_on, author=visit.operator, document=document
+        )
+    except UnavailableError as exc:
+        return _no_answer(visit, exc)
+    resent = (
+        element("p", "This form had been sent before; sending it again has changed nothing.")
+        if known
+        else None
+    )
+    if record.accepted:
+        text = f"Accepted: your document is version {record.version}."
+        return visit.page("Accepted", note(element("p", text), resent))
+    return await _lost(client, visit, record, document, resent)
+
+
+async def _lost(
+    client: OperatorClient,
+    visit: Visit,
+    record: SubmissionRecord,
+    document: Document,
+    resent: Child,
+) -> Answer:
+    now = await client.show()
+    text = diff_documents(
+        now.document,
+        document,
+        before_name=f"version {now.version} by {now.author}",
+        after_name="your document",
+    )
+    message = (
+        f"Not accepted: {record.winner or 'nobody'} was first with version {record.version}. "
+        f"Yours was based on version {record.based_on}."
+    )
+    return visit.page(
+        "Not accepted",
+        note(element("p", message), resent, bad=True),
+        element("p", f"What differs between version {now.version} and yours:"),
+        difference(text),
+        element("p", "Remedy: open the form again and repeat your change, or leave it."),
+        status=HTTPStatus.CONFLICT,
+    )
+
+
+def _no_answer(visit: Visit, exc: UnavailableError) -> Answer:
+    names = ("submission", "based_on", "document")
+    hidden = {name: visit.form.get(name, "") for name in names}
+    return visit.page(
+        "No answer",
+        note(
+            element("p", f"It is not known whether your document was accepted: {exc.message}."),
+            element("p", f"Remedy: {exc.remedy}; then send the same form again, which is safe."),
+            bad=True,
+        ),
+        form("/submit", button("Send the same form again"), csrf=visit.session.csrf, **hidden),
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+    )
--- /dev/null
+++ b/packages/lychee-console/src/lychee_console/web.py
@@ -0,0 +1,258 @@
+"""HTTP for the console: circuits.web behind a guard on the asyncio loop.
+
+circuits.web answers a second request with the first one's answer, keeps no length or time limits,
+accepts ambiguous lengths and returns every cookie that it receives. So h11 reads each request
+here, and circuits.web gets one plain request for each connection, which closes after the answer.
+"""
+
+import asyncio
+import re
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http import HTTPStatus
+from http.cookies import CookieError, SimpleCookie
+from typing import cast
+
+import h11
+from circuits import BaseComponent, handler
+from circuits.net.events import disconnect, read
+from circuits.web.http import HTTP
+
+HEAD_LIMIT_BYTES = 16_384
+"""Largest request line and headers."""
+
+BODY_LIMIT_BYTES = 1_048_576
+"""Largest request body."""
+
+REQUEST_TIMEOUT_S = 15.0
+"""Time for a whole request to arrive, in seconds."""
+
+ANSWER_TIMEOUT_S = 60.0
+"""Time for the answer to be made and read, in seconds."""
+
+CONNECTION_LIMIT = 200
+"""Most connections at once."""
+
+FORM_TYPE = "application/x-www-form-urlencoded"
+
+_CONTROLS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+_PATH = re.compile(rb"/[A-Za-z0-9/._~-]{0,200}")
+_QUERY = re.compile(rb"[A-Za-z0-9=&%+._~-]{0,2000}")
+
+
+class RefusedRequestError(Exception):
+    """A request that circuits.web must not see.
+
+    :param status: the answer's status.
+    :param text: the answer's text.
+    """
+
+    def __init__(self, status: HTTPStatus, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+        self.text = text
+
+
+class Connection(asyncio.Protocol):
+    """One browser's connection, good for one request.
+
+    It stands in for the socket in circuits.web's events.
+
+    :param bridge: the component that it fires events through.
+    """
+
+    def __init__(self, *, bridge: "WebBridge") -> None:
+        self.cookie: str | None = None
+        self.query = ""
+        self.body = b""
+        self._bridge = bridge
+        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT_BYTES)
+        self._transport: asyncio.Transport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._request: h11.Request | None = None
+        self._released = False
+
+    def getpeername(self) -> tuple[str, int]:
+        """Return the browser's address, as circuits.web asks for it."""
+        peer = self._transport.get_extra_info("peername") if self._transport else None
+        return (peer[0], peer[1]) if peer else ("", 0)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to wait for a request."""
+        self._transport = cast(asyncio.Transport, transport)
+        if not self._bridge.add(self):
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, "Too many connections; try again.")
+            return
+        self._limit_time(REQUEST_TIMEOUT_S)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self._transport = None
+        if self._timer is not None:
+            self._timer.cancel()
+        self._bridge.remove(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Read on; what follows the first request is dropped."""
+        if self._released or self._transport is None or self._transport.is_closing():
+            return
+        try:
+            self._parser.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as exc:
+            status = HTTPStatus(exc.error_status_hint or HTTPStatus.BAD_REQUEST)
+            self._refuse(status, "This is no valid HTTP request.")
+        except RefusedRequestError as exc:
+            self._refuse(exc.status, exc.text)
+
+    def write(self, data: bytes) -> None:
+        """Write a part of the answer."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def close(self) -> None:
+        """Close once everything has been written, or when that takes too long."""
+        if self._transport is not None:
+            self._transport.close()
+            self._limit_time(REQUEST_TIMEOUT_S)
+
+    def _read_events(self) -> None:
+        while not self._released:
+            event = self._parser.next_event()
+            match event:
+                case h11.Request():
+                    self._check_head(event)
+                    self._request = event
+                case h11.Data():
+                    self.body += event.data
+                    if len(self.body) > BODY_LIMIT_BYTES:
+                        raise RefusedRequestError(
+                            HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "The form is too large."
+                        )
+                case h11.EndOfMessage():
+                    self._release()
+                case h11.ConnectionClosed():
+                    self.close()
+                    return
+                case _:
+                    return
+
+    def _check_head(self, request: h11.Request) -> None:
+        names = [name for name, _ in request.headers]
+        size = len(request.target) + sum(len(name) + len(text) for name, text in request.headers)
+        if size > HEAD_LIMIT_BYTES:
+            raise RefusedRequestError(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "The headers are too large."
+            )
+        if any(_CONTROLS.search(text) for _, text in request.headers):
+            raise RefusedRequestError(HTTPStatus.BAD_REQUEST, "Send headers as plain text.")
+        headers = dict(request.headers)
+        if b"transfer-encoding" in names or names.count(b"content-length") > 1:
+            raise RefusedRequestError(HTTPStatus.BAD_REQUEST, "Send one Content-Length.")
+        if int(headers.get(b"content-length", b"0")) > BODY_LIMIT_BYTES:
+            raise RefusedRequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "The form is too large.")
+        if request.method not in (b"GET", b"POST"):
+            raise RefusedRequestError(HTTPStatus.METHOD_NOT_ALLOWED, "Use GET or POST.")
+        kind = headers.get(b"content-type", b"").split(b";")[0].strip().lower()
+        if request.method == b"POST" and kind != FORM_TYPE.encode():
+            raise RefusedRequestError(HTTPStatus.UNSUPPORTED_MEDIA_TYPE, "Send a form.")
+        path, _, query = request.target.partition(b"?")
+        if not _PATH.fullmatch(path) or not _QUERY.fullmatch(query):
+            raise RefusedRequestError(HTTPStatus.NOT_FOUND, "There is no such page.")
+        self.query = query.decode()
+        self.cookie = _session_cookie(headers.get(b"cookie", b""))
+
+    def _release(self) -> None:
+        """Pass a plain request on to circuits.web."""
+        request = self._request
+        assert request is not None and self._transport is not None
+        self._released = True
+        self._transport.pause_reading()
+        self._limit_time(ANSWER_TIMEOUT_S)
+        path = request.target.partition(b"?")[0]
+        head = b"%s %s HTTP/1.1\r\nHost: console\r\nConnection: close\r\n\r\n"
+        self._bridge.fire(read(self, head % (bytes(request.method), path)), "web")
+
+    def _refuse(self, status: HTTPStatus, text: str) -> None:
+        self._released = True
+        body = text.encode() + b"\n"
+        head = (
+            f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Type: text/plain\r\n"
+            f"Allow: GET, POST\r\nContent-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        self.write(head.encode() + body)
+        self.close()
+
+    def _limit_time(self, seconds: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_later(seconds, self._abort)
+
+    def _abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class WebBridge(BaseComponent):  # type: ignore[misc]
+    """Carries circuits.web's events to and from connections.
+
+    :param secure: whether browsers use HTTPS.
+    """
+
+    channel = "web"
+    host = "console"
+    port = 0
+    display_banner = False
+
+    def __init__(self, *, secure: bool) -> None:
+        super().__init__()
+        self.secure = secure
+        self.connections: set[Connection] = set()
+        self.http = HTTP(self).register(self)
+
+    def connect(self) -> Connection:
+        """Return a new connection for the listener."""
+        return Connection(bridge=self)
+
+    def add(self, conn: Connection) -> bool:
+        """Take a connection in; False if there are too many."""
+        if len(self.connections) >= CONNECTION_LIMIT:
+            return False
+        self.connections.add(conn)
+        return True
+
+    def remove(self, conn: Connection) -> None:
+        """Forget a connection."""
+        self.connections.discard(conn)
+        self.fire(disconnect(conn), "web")
+
+    @handler("write")  # type: ignore[untyped-decorator]
+    def on_write(self, conn: Connection, data: bytes) -> None:
+        """Write a part of an answer."""
+        conn.write(data)
+
+    @handler("close")  # type: ignore[untyped-decorator]
+    def on_close(self, conn: Connection | None = None) -> None:
+        """Close a connection after its answer."""
+        if conn is not None:
+            conn.close()
+
+
+@contextmanager
+def _no_cookie_error() -> Iterator[None]:
+    try:
+        yield
+    except CookieError:
+        pass
+
+
+def _session_cookie(header: bytes) -> str | None:
+    cookies: SimpleCookie = SimpleCookie()
+    with _no_cookie_error():
+        cookies.load(header.decode("latin-1"))
+    found = cookies.get(SESSION_COOKIE)
+    return found.value if found is not None else None
+
+
+SESSION_COOKIE = "lychee_session"
+"""Name of the cookie that names a session."""
--- /dev/null
+++ b/packages/lychee-console/tests/test_guard.py
@@ -0,0 +1,80 @@
+"""What the guard before circuits.web refuses. Each case once reached circuits.web's faults."""
+
+import socket
+
+import pytest
+
+POST = b"POST /login HTTP/1.1\r\nHost: x\r\nContent-Type: application/x-www-form-urlencoded\r\n"
+GET = b"GET /login HTTP/1.1\r\nHost: x\r\n"
+
+
+def exchange(console, data: bytes) -> bytes:
+    with socket.create_connection((console.host, console.port), timeout=10) as sock:
+        sock.sendall(data)
+        parts = []
+        while part := sock.recv(65_536):
+            parts.append(part)
+    return b"".join(parts)
+
+
+CASES = [
+    (
+        "length and chunks",
+        POST + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        400,
+    ),
+    ("chunks", POST + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+    ("negative length", POST + b"Content-Length: -5\r\n\r\n", 400),
+    ("two lengths", POST + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\na", 400),
+    ("no number as length", POST + b"Content-Length: x\r\n\r\n", 400),
+    ("large length", POST + b"Content-Length: 9999999\r\n\r\n", 413),
+    ("large head", GET + b"X: " + b"a" * 20_000 + b"\r\n\r\n", 431),
+    ("HEAD", b"HEAD /login HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+    ("PUT", b"PUT /login HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+    ("another body type", POST.replace(b"urlencoded", b"xml") + b"Content-Length: 0\r\n\r\n", 415),
+    ("escapes in the path", b"GET /log%69n HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+    ("backslash escapes", b"GET /\\n HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+    ("a whole URL", b"GET http://x/login HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+    ("no host", b"GET /login HTTP/1.1\r\n\r\n", 400),
+    ("no HTTP", b"hello\r\n\r\n", 400),
+    ("TLS on a plain port", b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400),
+    ("unknown page", b"GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n", 303),
+    ("form without a session", POST + b"Content-Length: 1\r\n\r\na", 403),
+    ("faulty cookie", GET + b"Cookie: a=1; =;;\x01; {}=\r\n\r\n", 400),
+    ("odd cookie", GET + b"Cookie: {}=1; (=2\r\n\r\n", 200),
+    ("odd host", b"GET /login HTTP/1.1\r\nHost: [::1]:x\r\n\r\n", 200),
+]
+
+
+@pytest.mark.parametrize(("data", "status"), [c[1:] for c in CASES], ids=[c[0] for c in CASES])
+def test_one_request_gets_one_answer(console, data: bytes, status: int) -> None:
+    answer = exchange(console, data)
+    assert answer.startswith(b"HTTP/1.1 %d " % status), answer[:80]
+    assert answer.count(b"HTTP/1.1 ") == 1 and b"Traceback" not in answer
+    assert exchange(console, GET + b"\r\n").startswith(b"HTTP/1.1 200")
+
+
+def test_a_second_request_during_the_first_gets_no_answer(console) -> None:
+    answer = exchange(console, GET + b"\r\n" + b"GET /style.css HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert answer.count(b"HTTP/1.1 ") == 1 and b"Log in" in answer
+
+
+def test_a_request_in_single_bytes_is_answered(console) -> None:
+    with socket.create_connection((console.host, console.port), timeout=10) as sock:
+        for byte in GET + b"\r\n":
+            sock.sendall(bytes([byte]))
+        assert sock.recv(100).startswith(b"HTTP/1.1 200")
+
+
+def test_browsers_that_vanish_leave_nothing_behind(fake_control, start_console) -> None:
+    with start_console(fake_control.endpoint) as daemon:
+        for data in (b"", b"GET /lo", GET + b"\r\n"):
+            with socket.create_connection(
+                (daemon._cfg.listen.host, daemon._cfg.listen.port)
+            ) as sock:
+                sock.sendall(data)
+        for _ in range(3):
+            assert b"Log in" in exchange(daemon._cfg.listen, GET + b"\r\n")
+    assert daemon._bridge.connections == set()
+    assert daemon._bridge.http._clients == {} and daemon._bridge.http._buffers == {}
+    assert daemon.exit_code == 0
