Tell an operator's program when the same request may be answered later

Cause: a replica without a leader answers Refused, which a client cannot tell from a refusal for good; a submission that may have been committed would have looked refused. Ruled out: reading the remedy's words. Change: Refused.unavailable (False unless a replica sets it; lychee-control does not yet); OperatorClient passes such a replica over and ends as unavailable (exit 75), so the console offers the same form again. The console's faulty fields are framed and fieldsets spaced, after a look in chromium at 390 and 1280 px.

--- a/conftest.py
+++ b/conftest.py
@@ -57,6 +57,7 @@
         self.state = ClusterState()
         self.lost_answers = 0
         self.leader: Endpoint | None = None
+        self.electing = False
         self.requests: list[OperatorRequest] = []
         self.before_submit: list[SubmitDocument] = []
         self._ssl = ssl
@@ -97,6 +98,8 @@
     def reply(self, request: OperatorRequest) -> OperatorReply:
         """Return the answer to a request, and keep the request."""
         self.requests.append(request)
+        if self.electing:
+            return Refused(message="no leader", remedy="wait", unavailable=True)
         if self.leader is not None:
             return Refused(message="not the leader", remedy="ask the leader", leader=self.leader)
         match request:
--- a/packages/lychee-cli/tests/test_commands.py
+++ b/packages/lychee-cli/tests/test_commands.py
@@ -101,6 +101,15 @@
     assert len(fake_control.requests) == 1
 
 
+def test_a_replica_that_waits_for_an_election_is_passed_over(fake_control, make_control) -> None:
+    with make_control().running() as electing:
+        electing.electing = True
+        addresses = f"{electing.endpoint} {fake_control.endpoint}"
+        assert lychee("status", LYCHEE_CONTROL=addresses).exit_code == 0
+        alone = lychee("status", control=electing)
+    assert alone.exit_code == 75 and "answered: no leader" in alone.output
+
+
 def test_an_unreachable_replica_is_passed_over(fake_control, make_endpoint) -> None:
     addresses = f"{make_endpoint()} {fake_control.endpoint}"
     assert lychee("status", LYCHEE_CONTROL=addresses).exit_code == 0
--- a/packages/lychee-console/src/lychee_console/layout.py
+++ b/packages/lychee-console/src/lychee_console/layout.py
@@ -39,7 +39,8 @@
   border-radius: .25rem; }
 textarea { max-width: none; min-height: 24rem; font-family: monospace; }
 input[type=checkbox] { width: 1.25rem; height: 1.25rem; vertical-align: middle; }
-[aria-invalid=true] { border: 2px solid var(--bad); }
+input[aria-invalid=true], select[aria-invalid=true] { border: 2px solid var(--bad); }
+fieldset { border: 1px solid var(--line); margin: 0 0 1rem; }
 .columns { display: grid; gap: 0 2rem;
   grid-template-columns: repeat(auto-fill, minmax(16rem, 1fr)); }
 button { font: inherit; padding: .5rem 1rem; min-height: 2.75rem; border: 1px solid var(--accent);
@@ -58,6 +59,7 @@
   tr { display: block; border: 1px solid var(--line); margin: .6rem 0; padding: .4rem; }
   td { display: flex; justify-content: space-between; gap: 1rem; border: 0; padding: .2rem .4rem;
     overflow-wrap: anywhere; }
+  td span { text-align: right; }
   td::before { content: attr(data-label); font-weight: 600; flex: none; }
 }
 """
--- a/packages/lychee-runtime/src/lychee_runtime/operator_client.py
+++ b/packages/lychee-runtime/src/lychee_runtime/operator_client.py
@@ -148,6 +148,10 @@
     ) -> OperatorReply:
         for _ in range(REDIRECT_LIMIT):
             reply = await self._ask_one(endpoint, request, attempt, timeout_s)
+            if isinstance(reply, Refused) and reply.unavailable:
+                raise UnavailableError(
+                    message=f"{endpoint} answered: {reply.message}", remedy=reply.remedy
+                )
             if not isinstance(reply, Refused) or reply.leader in (None, endpoint):
                 return reply
             endpoint = reply.leader
--- a/packages/lychee-types/src/lychee_types/messages.py
+++ b/packages/lychee-types/src/lychee_types/messages.py
@@ -486,11 +486,14 @@
     :param message: what is wrong.
     :param remedy: what to do.
     :param leader: address of the leader where the request must go there, else None.
+    :param unavailable: whether the same request may be answered later, for example after an
+        election; a submission or replacement may also have been committed.
     """
 
     message: str
     remedy: str
     leader: Endpoint | None = None
+    unavailable: bool = False
 
 
 OperatorReply = (
