--- a/packages/lychee-types/tests/test_settings_check.py
+++ b/packages/lychee-types/tests/test_settings_check.py
@@ -6,7 +6,9 @@
 
 from lychee_types.exceptions import SettingsError
 from lychee_types.settings import ConsoleSettings, ControlSettings, GatewaySettings
-from lychee_types.settings_check import hints, load_settings, parse_settings
+from lychee_types.settings_check import hints, load_settings, parse_settings, read_settings
+
+LOCAL = Path(__file__).parents[3] / "examples" / "local"
 
 CONTROL = """\
 id: c1
@@ -42,6 +44,12 @@
     assert parse_settings(text, kind).is_ok()
 
 
+@pytest.mark.parametrize("path", sorted(LOCAL.glob("*-?.yaml")) + [LOCAL / "console.yaml"])
+def test_the_example_settings_are_accepted(path: Path) -> None:
+    kinds = {"control": ControlSettings, "gateway": GatewaySettings, "console": ConsoleSettings}
+    assert read_settings(path, kinds[path.stem.split("-")[0]]).is_ok()
+
+
 CASES = [
     (CONTROL, "id: c2,", "id: c1,", "replicas[1].id", "change or remove"),
     (CONTROL, "id: c1\n", "id: c11\n", "replicas", "write id: c1"),
