--- a/conftest.py
+++ b/conftest.py
@@ -56,6 +56,7 @@
         self.endpoint = free_endpoint()
         self.state = ClusterState()
         self.lost_answers = 0
+        self.lost_submissions = 0
         self.leader: Endpoint | None = None
         self.electing = False
         self.requests: list[OperatorRequest] = []
@@ -92,6 +93,9 @@
             if self.lost_answers:
                 self.lost_answers -= 1
                 return
+            if self.lost_submissions and isinstance(request, SubmitRequest):
+                self.lost_submissions -= 1
+                return
             link.post(reply)
             await link.receive()
 
--- a/packages/lychee-cli/src/lychee_cli/documents.py
+++ b/packages/lychee-cli/src/lychee_cli/documents.py
@@ -106,6 +106,7 @@
     click.echo(f"submission {chosen}", err=True)
 
     async def work(client: OperatorClient) -> SubmissionRecord:
+        await _require_version(client, based_on)
         return await client.submit(
             submission=chosen, based_on=based_on, author=author, document=document
         )
@@ -113,6 +114,16 @@
     report_submission(session.run(work), session.format)
 
 
+async def _require_version(client: OperatorClient, based_on: int) -> None:
+    """Refuse a version that does not exist yet; its submission would count as lost for good."""
+    now = (await client.show()).version
+    if based_on > now:
+        raise SettingsError(
+            message=f"there is no version {based_on} yet; version {now} is in force",
+            remedy=f"write --based-on {now} if the file is based on that",
+        )
+
+
 @click.command()
 @click.option(
     "--version", type=click.IntRange(min=0), default=0, help="Version; 0 for the one in force."
--- a/packages/lychee-cli/tests/operators.feature
+++ b/packages/lychee-cli/tests/operators.feature
@@ -8,9 +8,10 @@
     And the output says "bo has the version in force, 2; this was based on 1"
 
   Scenario: A submission is sent again after its answer was lost
-    Given the next answers of every replica are lost
+    Given the answer to the next submission is lost
     When anna runs "submit skaft.yaml --based-on 0 --author anna"
     Then the exit code is 75
+    And the version in force is 1
     When anna runs "submit skaft.yaml --based-on 0 --author anna"
     Then the exit code is 0
     And the output says "accepted: version 1"
--- a/packages/lychee-cli/tests/test_commands.py
+++ b/packages/lychee-cli/tests/test_commands.py
@@ -11,7 +11,7 @@
 from lychee_cli.cli import main
 from lychee_types.commands import SubmitDocument
 from lychee_types.document_check import read_document
-from lychee_types.messages import ReplaceRequest
+from lychee_types.messages import ReplaceRequest, SubmitRequest
 
 SKAFT = Path(__file__).parents[3] / "examples" / "skaft.yaml"
 KEMER = SKAFT.with_name("kemer.yaml")
@@ -62,12 +62,19 @@
     words = ("submit", SKAFT, "--based-on", 0, "--author", "anna")
     first, second = (lychee(*words, control=fake_control) for _ in range(2))
     assert first.output == second.output and "accepted: version 1" in first.output
-    ids = {request.submission for request in fake_control.requests}
-    assert len(ids) == 1
+    submits = [r for r in fake_control.requests if isinstance(r, SubmitRequest)]
+    ids = {request.submission for request in submits}
+    assert len(submits) == 2 and len(ids) == 1
     lychee(*words, "--submission", "mine", control=fake_control)
     assert fake_control.requests[-1].submission == "mine"
 
 
+def test_a_version_that_does_not_exist_yet_is_refused_before_it_is_sent(fake_control) -> None:
+    result = lychee("submit", SKAFT, "--based-on", 3, "--author", "anna", control=fake_control)
+    assert result.exit_code == 2 and "remedy: write --based-on 0" in result.output
+    assert not fake_control.state.submissions
+
+
 def test_show_and_diff_and_history(fake_control) -> None:
     assert "no document" in lychee("show", control=fake_control).output
     put(fake_control, SKAFT, "anna")
--- a/packages/lychee-cli/tests/test_operators.py
+++ b/packages/lychee-cli/tests/test_operators.py
@@ -46,9 +46,9 @@
     fake_control.before_submit.append(command)
 
 
-@given("the next answers of every replica are lost")
-def lost_answers(fake_control) -> None:
-    fake_control.lost_answers = 1
+@given("the answer to the next submission is lost")
+def lost_answer(fake_control) -> None:
+    fake_control.lost_submissions = 1
 
 
 @when(parsers.re(r'\w+ runs "(?P<command>.*)"'))
--- a/packages/lychee-console/tests/test_forms.py
+++ b/packages/lychee-console/tests/test_forms.py
@@ -166,18 +166,10 @@
     browser = make_browser("bo")
     form = browser.get("/service?index=0")
     shown = browser.send_form(form, "/service", **{"services[0].queue": "7"})
-    reply, lost = fake_control.reply, []
-
-    def lose_first_submission(request):
-        answer = reply(request)
-        if type(request).__name__ == "SubmitRequest" and not lost:
-            lost.append(request)
-            fake_control.lost_answers = 1
-        return answer
-
-    fake_control.reply = lose_first_submission
+    fake_control.lost_submissions = 1
     unknown = browser.send_form(shown, "/submit")
     assert unknown.status == 503 and "not known whether your document was accepted" in unknown.text
+    assert fake_control.state.document_version == 2
     again = browser.send_form(unknown, "/submit")
     assert "Accepted: your document is version 2." in again.text
     assert fake_control.state.document_version == 2
