--- a/conftest.py
+++ b/conftest.py
@@ -5,9 +5,16 @@
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
+from datetime import UTC, datetime, timedelta
+from ipaddress import ip_address
+from pathlib import Path
 from ssl import SSLContext
 
 import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
 
 from lychee_owner import ClusterState
 from lychee_runtime import LinkService, serve_links
@@ -36,8 +43,11 @@
     SubmitRequest,
 )
 from lychee_types.records import Endpoint, ServerRecord
+from lychee_types.settings import TlsSettings
 from lychee_types.timing import Timing
 
+DAY = timedelta(days=1)
+
 
 def free_endpoint() -> Endpoint:
     """Return an address on which nobody listens."""
@@ -194,6 +204,79 @@
         )
 
 
+@dataclass(frozen=True, kw_only=True)
+class Authority:
+    """A certificate authority that writes key files for processes."""
+
+    folder: Path
+    key: ec.EllipticCurvePrivateKey
+    certificate: x509.Certificate
+
+    def issue(self, name: str, *, host: str = "127.0.0.1", ends: timedelta = DAY) -> TlsSettings:
+        """Write a key and its certificate, and return settings that name them."""
+        key = ec.generate_private_key(ec.SECP256R1())
+        alternative = x509.SubjectAlternativeName([x509.IPAddress(ip_address(host))])
+        builder = _builder(name, self.certificate.subject, key, ends=ends)
+        certificate = builder.add_extension(alternative, False).sign(self.key, hashes.SHA256())
+        paths = {part: self.folder / f"{name}.{part}.pem" for part in ("certificate", "key")}
+        paths["certificate"].write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+        paths["key"].write_bytes(_key_bytes(key))
+        return TlsSettings(
+            certificate=str(paths["certificate"]),
+            key=str(paths["key"]),
+            authorities=str(self.folder / "authority.pem"),
+        )
+
+
+def _builder(name, issuer, key, *, ends: timedelta):
+    now = datetime.now(UTC)
+    return (
+        x509.CertificateBuilder()
+        .subject_name(_name(name))
+        .issuer_name(issuer)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - 10 * DAY)
+        .not_valid_after(now + ends)
+    )
+
+
+def _name(text: str) -> x509.Name:
+    return x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, text)])
+
+
+def _key_bytes(key: ec.EllipticCurvePrivateKey) -> bytes:
+    return key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+
+
+def new_authority(folder: Path) -> Authority:
+    """Return an authority that keeps its files in a new folder."""
+    folder.mkdir()
+    key = ec.generate_private_key(ec.SECP256R1())
+    builder = _builder("authority", _name("authority"), key, ends=DAY)
+    basic = x509.BasicConstraints(ca=True, path_length=0)
+    certificate = builder.add_extension(basic, True).sign(key, hashes.SHA256())
+    pem = certificate.public_bytes(serialization.Encoding.PEM)
+    (folder / "authority.pem").write_bytes(pem)
+    return Authority(folder=folder, key=key, certificate=certificate)
+
+
+@pytest.fixture
+def make_authority(tmp_path: Path):
+    """Return a function that makes a certificate authority of a name."""
+    return lambda name: new_authority(tmp_path / name)
+
+
+@pytest.fixture
+def authority(make_authority) -> Authority:
+    """A certificate authority."""
+    return make_authority("ours")
+
+
 @pytest.fixture
 def fake_control() -> Iterator[FakeControl]:
     """A running fake of one control replica."""
--- a/packages/lychee-console/tests/test_forms.py
+++ b/packages/lychee-console/tests/test_forms.py
@@ -1,6 +1,7 @@
 """Forms of the console, from login to what became of a submission."""
 
 import re
+import ssl
 
 import pytest
 from msgspec.structs import replace
@@ -198,3 +199,18 @@
     fake_control.lost_answers = 1
     page = browser.get("/services")
     assert page.status == 503 and "Remedy: check the addresses" in page.text
+
+
+def test_https_marks_the_cookie_as_secure(
+    authority, fake_control, start_console, browser_class
+) -> None:
+    https = authority.issue("console")
+    context = ssl.create_default_context(cafile=https.authorities)
+    with start_console(fake_control.endpoint, https) as daemon:
+        browser = browser_class(endpoint=daemon._cfg.listen, context=context)
+        page = browser.log_in("anna-token-0123456789")
+        assert "; Secure" in page.headers["Set-Cookie"]
+        assert browser.get("/").status == 200
+        big = "#" * 300_000
+        form = browser.get("/document")
+        assert "the file is empty" in browser.send_form(form, "/document", text=big).text
--- a/packages/lychee-console/tests/test_guard.py
+++ b/packages/lychee-console/tests/test_guard.py
@@ -1,9 +1,18 @@
 """What the guard before circuits.web refuses. Each case once reached circuits.web's faults."""
 
+import asyncio
+import re
 import socket
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from lychee_console.web import Connection
+
+PLAIN = re.compile(
+    rb"(GET|POST) /[A-Za-z0-9/._~-]* HTTP/1.1\r\nHost: console\r\nConnection: close\r\n\r\n"
+)
 POST = b"POST /login HTTP/1.1\r\nHost: x\r\nContent-Type: application/x-www-form-urlencoded\r\n"
 GET = b"GET /login HTTP/1.1\r\nHost: x\r\n"
 
@@ -78,3 +87,65 @@
     assert daemon._bridge.connections == set()
     assert daemon._bridge.http._clients == {} and daemon._bridge.http._buffers == {}
     assert daemon.exit_code == 0
+
+
+class Wire:
+    """A transport that keeps what is written."""
+
+    def __init__(self) -> None:
+        self.written = b""
+        self.closing = False
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    def close(self) -> None:
+        self.closing = True
+
+    def pause_reading(self) -> None: ...
+
+    def get_extra_info(self, name: str) -> None: ...
+
+
+class Released:
+    """Stands in for the bridge and counts the requests that are let through."""
+
+    def __init__(self) -> None:
+        self.events: list[object] = []
+
+    def add(self, conn: Connection) -> bool:
+        return True
+
+    def remove(self, conn: Connection) -> None: ...
+
+    def fire(self, event: object, channel: str) -> None:
+        self.events.append(event)
+
+
+PIECES = st.sampled_from(
+    [
+        *(POST, GET, b"\r\n", b"\r\n\r\n", b"Content-Length: 5\r\n", b"Content-Length: +5\r\n"),
+        *(b"Transfer-Encoding: chunked\r\n", b"Cookie: lychee_session=a\r\n", b"0\r\n\r\n"),
+        *(b"csrf=", b"Host: y\r\n", b" folded\r\n", b"HEAD / HTTP/1.1\r\n", b"\\n: x\r\n"),
+    ]
+)
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=300)
+@given(st.lists(PIECES | st.binary(max_size=12), max_size=12))
+def test_no_bytes_pass_more_than_one_plain_request(pieces: list[bytes]) -> None:
+    async def scenario() -> None:
+        wire, bridge = Wire(), Released()
+        conn = Connection(bridge=bridge)
+        conn.connection_made(wire)
+        for piece in pieces:
+            conn.data_received(piece)
+        conn.connection_lost(None)
+        assert len(bridge.events) + wire.written.count(b"HTTP/1.1 ") <= 1
+        for event in bridge.events:
+            assert PLAIN.fullmatch(event.args[1])
+
+    asyncio.run(scenario())
--- a/packages/lychee-runtime/tests/test_tls.py
+++ b/packages/lychee-runtime/tests/test_tls.py
@@ -1,15 +1,10 @@
 """Mutual TLS between processes, with keys made here."""
 
 import asyncio
-from dataclasses import dataclass
-from datetime import UTC, datetime, timedelta
-from ipaddress import ip_address
+from datetime import timedelta
 from pathlib import Path
 
 import pytest
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.asymmetric import ec
 
 from lychee_runtime import (
     LinkService,
@@ -24,71 +19,7 @@
 from lychee_types.settings import TlsSettings
 
 ECHO = "/t.T/Echo"
-DAY = timedelta(days=1)
-
-
-@dataclass(frozen=True, kw_only=True)
-class Authority:
-    """A certificate authority that writes key files for processes."""
-
-    folder: Path
-    key: ec.EllipticCurvePrivateKey
-    certificate: x509.Certificate
-
-    def issue(self, name: str, *, host: str = "127.0.0.1", ends: timedelta = DAY) -> TlsSettings:
-        key = ec.generate_private_key(ec.SECP256R1())
-        alternative = x509.SubjectAlternativeName([x509.IPAddress(ip_address(host))])
-        builder = _builder(name, self.certificate.subject, key, ends=ends)
-        certificate = builder.add_extension(alternative, False).sign(self.key, hashes.SHA256())
-        paths = {part: self.folder / f"{name}.{part}.pem" for part in ("certificate", "key")}
-        paths["certificate"].write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
-        paths["key"].write_bytes(_key_bytes(key))
-        return TlsSettings(
-            certificate=str(paths["certificate"]),
-            key=str(paths["key"]),
-            authorities=str(self.folder / "authority.pem"),
-        )
-
-
-def _builder(name, issuer, key, *, ends: timedelta):
-    now = datetime.now(UTC)
-    return (
-        x509.CertificateBuilder()
-        .subject_name(_name(name))
-        .issuer_name(issuer)
-        .public_key(key.public_key())
-        .serial_number(x509.random_serial_number())
-        .not_valid_before(now - 10 * DAY)
-        .not_valid_after(now + ends)
-    )
-
-
-def _name(text: str) -> x509.Name:
-    return x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, text)])
-
-
-def _key_bytes(key: ec.EllipticCurvePrivateKey) -> bytes:
-    return key.private_bytes(
-        serialization.Encoding.PEM,
-        serialization.PrivateFormat.PKCS8,
-        serialization.NoEncryption(),
-    )
-
-
-def make_authority(folder: Path) -> Authority:
-    folder.mkdir()
-    key = ec.generate_private_key(ec.SECP256R1())
-    builder = _builder("authority", _name("authority"), key, ends=DAY)
-    basic = x509.BasicConstraints(ca=True, path_length=0)
-    certificate = builder.add_extension(basic, True).sign(key, hashes.SHA256())
-    pem = certificate.public_bytes(serialization.Encoding.PEM)
-    (folder / "authority.pem").write_bytes(pem)
-    return Authority(folder=folder, key=key, certificate=certificate)
-
-
-@pytest.fixture
-def authority(tmp_path: Path) -> Authority:
-    return make_authority(tmp_path / "ours")
+LAST_WEEK = -timedelta(days=7)
 
 
 def exchange(endpoint, *, server: TlsSettings | None, client: TlsSettings | None) -> object:
@@ -136,18 +67,18 @@
 
 @pytest.mark.parametrize("fault", FAULTS)
 def test_a_wrong_or_expired_key_is_refused_with_a_remedy(
-    fault: str, authority, make_endpoint, tmp_path: Path
+    fault: str, authority, make_authority, make_endpoint
 ) -> None:
     server, client = authority.issue("server"), authority.issue("client")
     match fault:
         case "expired client":
-            client = authority.issue("old", ends=-DAY)
+            client = authority.issue("old", ends=LAST_WEEK)
         case "expired server":
-            server = authority.issue("old", ends=-DAY)
+            server = authority.issue("old", ends=LAST_WEEK)
         case "client of another authority":
-            client = make_authority(tmp_path / "theirs").issue("client")
+            client = make_authority("theirs").issue("client")
         case "server of another authority":
-            server = make_authority(tmp_path / "theirs").issue("server")
+            server = make_authority("theirs").issue("server")
         case "server of another address":
             server = authority.issue("elsewhere", host="127.0.0.9")
         case "client without TLS":
