Give each request one outcome, and run keyed-by-header requests once

Cause: requests with an Idempotency-Key were sent without a ledger entry, and a caller that vanished cancelled bookings that might have run.

Ruled out: sending the closing as not run again until taken. A late copy can remove the entry of a later request with the same key, so a third one would run twice; it is sent once and only for an entry known to be open.

--- a/packages/lychee-gateway/src/lychee_gateway/core.py
+++ b/packages/lychee-gateway/src/lychee_gateway/core.py
@@ -50,6 +50,7 @@
             view=self._view,
             dispatcher=self._placing,
             exchange=Exchange(dispatcher=self._placing, flights=self._flights),
+            ledger=self._ledger,
         )
         self._view.listen(lambda: self._servers.sync(self._view.state))
         self._view.listen(self._placing.state_changed)
@@ -139,7 +140,12 @@
         task = asyncio.current_task()
         assert task is not None
         stream = StreamToCaller(caller=caller, pause_s=call.service.deadline_ms / 1_000)
-        with caller.cancelling(task.cancel):
+
+        def vanished() -> None:
+            if _is_cancellable(call):
+                task.cancel()
+
+        with caller.cancelling(vanished):
             return await self._router.run(call, stream.pass_on)
 
     async def _refuse(self, exc: BadRequestError, caller: CallerConnection) -> None:
@@ -158,6 +164,16 @@
         )
 
 
+def _is_cancellable(call: Call) -> bool:
+    """Return whether a request ends when its caller vanishes.
+
+    The outcome of a non-idempotent request that may have been sent is worth knowing.
+    """
+    if call.service.idempotent:
+        return True
+    return not call.maybe_run and call.idempotency_key is None
+
+
 async def _reply(outcome: Outcome, caller: CallerConnection, *, request_id: str = "") -> None:
     match outcome:
         case Answer(head=head, body=body):
--- a/packages/lychee-gateway/src/lychee_gateway/http/inbound.py
+++ b/packages/lychee-gateway/src/lychee_gateway/http/inbound.py
@@ -98,7 +98,6 @@
         self._limits = limits
         self._head: RequestHead | None = None
         self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
-        self._protected = False
 
     @property
     def gone(self) -> bool:
@@ -111,14 +110,9 @@
         return self._head is None and not self._conn.trailing_data[0] and not self._wire.buffered
 
     @contextmanager
-    def cancelling(self, cancel: Callable[[], object]) -> Iterator[None]:
+    def cancelling(self, cancel: Callable[[], None]) -> Iterator[None]:
         """Call ``cancel`` when the caller vanishes inside the block."""
-
-        def gone() -> None:
-            if not self._protected:
-                cancel()
-
-        self._wire.on_gone = gone
+        self._wire.on_gone = cancel
         try:
             if self._wire.eof:
                 raise CallerGoneError()
@@ -126,15 +120,6 @@
         finally:
             self._wire.on_gone = lambda: None
 
-    @contextmanager
-    def protected(self) -> Iterator[None]:
-        """Let the block run to its end even if the caller vanishes."""
-        self._protected = True
-        try:
-            yield
-        finally:
-            self._protected = False
-
     async def read_head(self) -> RequestHead | None:
         """Return the next request's head, or None when the connection is over.
 
--- a/packages/lychee-gateway/src/lychee_gateway/ledger.py
+++ b/packages/lychee-gateway/src/lychee_gateway/ledger.py
@@ -14,7 +14,7 @@
 )
 from lychee_types.records import LedgerEntry, LedgerStatus, StoredAnswer
 
-CLOSING_LIMIT = 10_000
+UNACKNOWLEDGED_LIMIT = 10_000
 """Number of outcomes kept until the ledger has taken them."""
 
 Post = Callable[[ToControl], None]
@@ -24,7 +24,9 @@
 class LedgerCalls:
     """Opens and closes ledger entries over whichever link there is.
 
-    An outcome that could not be written is sent again over the next link.
+    A closing with an answer or with an unknown outcome is sent again until the ledger has taken
+    it. A closing as not run is sent once only, and only for an entry that is known to be open:
+    a second copy could remove the entry of a later request with the same key.
     """
 
     def __init__(self) -> None:
@@ -32,7 +34,7 @@
         self._session = SessionId("")
         self._number = 0
         self._calls: dict[int, asyncio.Future[LedgerOutcome | None]] = {}
-        self._closings: dict[int, LedgerClosing] = {}
+        self._unacknowledged: dict[int, LedgerClosing] = {}
 
     def connected(self, post: Post, session: SessionId) -> None:
         """Use a new link, and send again what the last one may have lost."""
@@ -40,12 +42,6 @@
         self._session = session
         self.resend()
 
-    def resend(self) -> None:
-        """Send outcomes again that the ledger has not taken yet; that is harmless."""
-        if self._post is not None:
-            for closing in self._closings.values():
-                self._post(closing)
-
     def disconnected(self) -> None:
         """Fail the calls that wait for an answer."""
         self._post = None
@@ -53,27 +49,31 @@
             if not call.done():
                 call.set_result(None)
 
+    def resend(self) -> None:
+        """Send outcomes again that the ledger has not taken yet; that is harmless."""
+        if self._post is not None:
+            for closing in self._unacknowledged.values():
+                self._post(closing)
+
     def answer(self, message: LedgerReply | LedgerFailed) -> None:
         """Take the answer to a call."""
         call = self._calls.get(message.number)
         outcome = message.outcome if isinstance(message, LedgerReply) else None
         if outcome is not None:
-            self._closings.pop(message.number, None)
+            self._unacknowledged.pop(message.number, None)
         if call is not None and not call.done():
             call.set_result(outcome)
 
     async def open(self, *, key: str, digest: int, timeout_s: float) -> LedgerOutcome | None:
-        """Open an entry and return LedgerOpened or LedgerFound, None if it cannot be written.
+        """Open an entry and return LedgerOpened or LedgerFound.
 
-        Without an answer the entry may have been written all the same; it is then closed as
-        not run.
+        None means that nobody can tell whether the entry was written; the request must not be
+        sent, and the entry stays if there is one.
 
         :param key: the entry's key.
         :param digest: hash of method, path and body.
         :param timeout_s: longest wait in seconds.
         """
-        if self._post is None:
-            return None
         entry = LedgerEntry(
             key=key,
             digest=digest,
@@ -83,53 +83,35 @@
         )
         number = self._next_number()
         request = LedgerRequest(session=self._session, number=number, entry=entry)
-        outcome: LedgerOutcome | None = None
-        try:
-            outcome = await self._call(number, request, timeout_s)
-        finally:
-            if outcome is None:
-                self._close(key=key, session=entry.session, answer=None, not_run=True)
-        return outcome
+        return await self._call(number, request, timeout_s)
 
     async def close(
         self, *, key: str, answer: StoredAnswer | None, not_run: bool, timeout_s: float
     ) -> None:
-        """Write the outcome of a request, waiting at most for a time.
+        """Write the outcome of a request whose entry is open, waiting at most for a time.
 
         :param key: the entry's key.
         :param answer: the answer, None if the outcome is unknown or the request was not run.
         :param not_run: whether it was not run.
         :param timeout_s: longest wait in seconds.
         """
-        closing = self._close(key=key, session=self._session, answer=answer, not_run=not_run)
-        await self._wait(closing.number, timeout_s)
-
-    def _close(
-        self, *, key: str, session: SessionId, answer: StoredAnswer | None, not_run: bool
-    ) -> LedgerClosing:
         closing = LedgerClosing(
-            session=session,
+            session=self._session,
             number=self._next_number(),
             key=key,
             answer=answer,
             not_run=not_run,
         )
-        if len(self._closings) < CLOSING_LIMIT:
-            self._closings[closing.number] = closing
-        if self._post is not None:
-            self._post(closing)
-        return closing
+        if not not_run and len(self._unacknowledged) < UNACKNOWLEDGED_LIMIT:
+            self._unacknowledged[closing.number] = closing
+        await self._call(closing.number, closing, timeout_s)
 
     async def _call(
         self, number: int, message: ToControl, timeout_s: float
     ) -> LedgerOutcome | None:
-        assert self._post is not None
-        self._post(message)
-        return await self._wait(number, timeout_s)
-
-    async def _wait(self, number: int, timeout_s: float) -> LedgerOutcome | None:
         if self._post is None:
             return None
+        self._post(message)
         reply: asyncio.Future[LedgerOutcome | None] = asyncio.get_running_loop().create_future()
         self._calls[number] = reply
         try:
--- a/packages/lychee-gateway/src/lychee_gateway/problems.py
+++ b/packages/lychee-gateway/src/lychee_gateway/problems.py
@@ -82,3 +82,24 @@
         length=len(body),
     )
     return Answer(head=head, body=body)
+
+
+def body_not_kept(status: int) -> Answer:
+    """Return what a caller gets that resends a request whose answer was too large to keep.
+
+    :param status: status of the answer.
+    """
+    problem = Problem(
+        title="Body not kept",
+        status=status,
+        detail="the request was run and answered with this status; its body was not kept",
+        remedy="ask for its state; do not send it again under another Idempotency-Key",
+        outcome="answered",
+    )
+    body = _ENCODER.encode(problem)
+    head = ResponseHead(
+        status=status,
+        headers=((b"content-type", b"application/problem+json"),),
+        length=len(body),
+    )
+    return Answer(head=head, body=body)
--- a/packages/lychee-gateway/src/lychee_gateway/router.py
+++ b/packages/lychee-gateway/src/lychee_gateway/router.py
@@ -24,6 +24,8 @@
 from lychee_gateway.exceptions import BadRequestError
 from lychee_gateway.exchange import Exchange, PassOn
 from lychee_gateway.http import CallerConnection, RequestHead
+from lychee_gateway.ledger import LedgerCalls
+from lychee_gateway.once import OnceRunner
 from lychee_gateway.requests import (
     find_service,
     idempotency_key,
@@ -57,6 +59,7 @@
     :param view: the replicated state.
     :param dispatcher: gives requests their places.
     :param exchange: sends them.
+    :param ledger: remembers requests with an Idempotency-Key.
     :param draw: source of random numbers.
     """
 
@@ -66,11 +69,13 @@
         view: StateView,
         dispatcher: Dispatcher,
         exchange: Exchange,
+        ledger: LedgerCalls,
         draw: Random | None = None,
     ) -> None:
         self._view = view
         self._dispatcher = dispatcher
         self._exchange = exchange
+        self._once = OnceRunner(ledger=ledger)
         self._draw = draw or Random()
         self._budgets: dict[ServiceName, RetryBudget] = {}
 
@@ -112,6 +117,11 @@
         :param call: the request.
         :param pass_on: streams an answer to the caller.
         """
+        if call.idempotency_key is None:
+            return await self._run(call, pass_on)
+        return await self._once.run(call, lambda call: self._run(call, pass_on))
+
+    async def _run(self, call: Call, pass_on: PassOn) -> Outcome:
         self._budget(call.service).count_request(asyncio.get_running_loop().time())
         while True:
             place = await self._dispatcher.place(call)
