Choose servers by measured speed and leave out those that fail or slow down

Cause: the choice compared measured times with announced speeds in another unit, a server that answered 500 at once looked fastest, and load reports had no hot keys.

Ruled out: decaying the speed of an unused server towards its announced one; leaving it out and probing it with one request at a time tells more, and costs callers less.

Change: answer times per server (5xx never count as fast), warm-up of servers that have just joined, outlier detection from real answers with growing pauses for at most half of a service's servers, a short pause after a refusal, hot keys by a frequent-items sketch in ReportLoad. Unmeasured servers are expected at the median of the measured ones, refreshed on each early answer: a new server was never tried while it was compared at 1 s.

--- a/packages/lychee-gateway/src/lychee_gateway/core.py
+++ b/packages/lychee-gateway/src/lychee_gateway/core.py
@@ -49,7 +49,9 @@
         self._router = Router(
             view=self._view,
             dispatcher=self._placing,
-            exchange=Exchange(dispatcher=self._placing, flights=self._flights),
+            exchange=Exchange(
+                dispatcher=self._placing, servers=self._servers, flights=self._flights
+            ),
             ledger=self._ledger,
         )
         self._view.listen(lambda: self._servers.sync(self._view.state))
@@ -159,8 +161,11 @@
         self.on_task_failed("request", exc)
 
     def _report_load(self, session: SessionId) -> ReportLoad:
+        now = asyncio.get_running_loop().time()
         return ReportLoad(
-            session=session, servers=tuple(server.take_load() for server in self._servers)
+            session=session,
+            servers=self._servers.take_loads(),
+            hot_keys=self._router.take_hot_keys(now),
         )
 
 
--- a/packages/lychee-gateway/src/lychee_gateway/dispatch.py
+++ b/packages/lychee-gateway/src/lychee_gateway/dispatch.py
@@ -9,10 +9,9 @@
 
 from lychee_gateway.calls import Call, NotRun
 from lychee_gateway.lease import SessionLease
-from lychee_gateway.servers import BackendServer, ServerBook
+from lychee_gateway.servers import SHED_PAUSE_S, BackendServer, ServerBook
 from lychee_gateway.view import StateView
 from lychee_policy import (
-    Candidate,
     ChoiceRule,
     DeadlineQueue,
     PowerOfTwo,
@@ -125,6 +124,12 @@
             self._pump(QueueId(service=record.service, server=record.id))
             self._pump(QueueId(service=record.service))
 
+    def pause(self, placed: Placed) -> None:
+        """Spare a server that shed a request, and look at its queue again afterwards."""
+        self._servers.pause(placed.server)
+        where = QueueId(service=placed.server.record.service)
+        asyncio.get_running_loop().call_later(SHED_PAUSE_S, self._pump, where)
+
     def state_changed(self) -> None:
         """Look again at everything that waits, after the state or the lease has changed."""
         for where in list(self._queues):
@@ -157,12 +162,11 @@
         return Placed(server=server, token=route.token)
 
     def _try_any(self, call: Call) -> Placed | QueueId:
-        takers = self._servers.takers(call.service.name)
-        open_ones = [server for server in takers if server.has_room]
-        if not open_ones:
-            return QueueId(service=call.service.name)
-        open_ones = [s for s in open_ones if s.record.id not in call.avoid] or open_ones
-        candidates = [_candidate(server) for server in open_ones]
+        name = call.service.name
+        candidates = self._servers.candidates(name, asyncio.get_running_loop().time())
+        if not candidates:
+            return QueueId(service=name)
+        candidates = [c for c in candidates if c.server not in call.avoid] or candidates
         chosen = choose(self._rule, candidates, draw=self._draw, turn=self._turn)
         self._turn += 1
         server = self._servers.get(chosen.server)
@@ -293,13 +297,8 @@
         return False
 
 
-def _candidate(server: BackendServer) -> Candidate:
-    speed = 1 / server.answer_s if server.answer_s else server.record.speed
-    return Candidate(server=server.record.id, in_flight=server.in_flight, speed=speed)
-
-
 def _mean_answer_s(servers: list[BackendServer]) -> float:
-    known = [server.answer_s for server in servers if server.answer_s]
+    known = [server.time.mean_s for server in servers if server.time.answers]
     return sum(known) / len(known) if known else 0.0
 
 
--- a/packages/lychee-gateway/src/lychee_gateway/dump.py
+++ b/packages/lychee-gateway/src/lychee_gateway/dump.py
@@ -21,6 +21,7 @@
     :param limit: most requests in flight from this gateway.
     :param connections: idle connections.
     :param answer_ms: mean time to an answer.
+    :param standing: in use, left out or probed.
     """
 
     id: ServerId
@@ -31,6 +32,7 @@
     limit: int
     connections: int
     answer_ms: float
+    standing: str
 
 
 class OwnershipDump(Struct, frozen=True, kw_only=True):
@@ -88,7 +90,8 @@
             in_flight=server.in_flight,
             limit=server.limits.in_flight,
             connections=len(server.pool),
-            answer_ms=round(server.answer_s * 1_000, 2),
+            answer_ms=round(server.time.mean_s * 1_000, 2),
+            standing=servers.standing(server),
         )
         for server in list(servers)[:SERVER_LIMIT]
     )
--- a/packages/lychee-gateway/src/lychee_gateway/exchange.py
+++ b/packages/lychee-gateway/src/lychee_gateway/exchange.py
@@ -25,6 +25,7 @@
     forwarded_headers,
     header_value,
 )
+from lychee_gateway.servers import ServerBook
 from lychee_types.document import BodyMode
 from lychee_types.ids import Token
 from lychee_types.records import Endpoint
@@ -73,11 +74,13 @@
     """Sends requests to servers and takes their answers.
 
     :param dispatcher: checks owner and lease just before the write.
+    :param servers: told of answers and failures.
     :param flights: tracks keyed requests.
     """
 
-    def __init__(self, *, dispatcher: Dispatcher, flights: FlightLog) -> None:
+    def __init__(self, *, dispatcher: Dispatcher, servers: ServerBook, flights: FlightLog) -> None:
         self._dispatcher = dispatcher
+        self._servers = servers
         self._flights = flights
 
     async def run(self, call: Call, placed: Placed, pass_on: PassOn) -> Attempt:
@@ -88,15 +91,18 @@
         try:
             conn = await pool.take(timeout_s=call.deadline - began)
         except OSError as exc:
-            placed.server.count_failure()
+            self._servers.note_failure(placed.server)
             return NotSent(reason=f"no connection: {type(exc).__name__}")
         with pool.lent(conn):
             attempt = await self._on_connection(call, placed, conn, pass_on)
         match attempt:
-            case Answer() | StreamSent():
-                placed.server.count_answer(loop.time() - began)
-            case Broken() | Late():
-                placed.server.count_failure()
+            case Answer(head=head):
+                seconds = loop.time() - began
+                self._servers.note_answer(placed.server, seconds=seconds, status=head.status)
+            case Broken() | Late() | StreamSent(whole=False):
+                self._servers.note_failure(placed.server)
+            case Refusal():
+                self._dispatcher.pause(placed)
         return attempt
 
     async def _on_connection(
@@ -111,6 +117,7 @@
             return NotSent(reason="the deadline has passed")
         flight = self._begin_flight(call, placed)
         conn.send(outgoing_head(call, placed.server.record.endpoint, token), call.body)
+        began = asyncio.get_running_loop().time()
         earlier, call.maybe_run = call.maybe_run, True
         try:
             async with asyncio.timeout_at(call.deadline):
@@ -124,6 +131,8 @@
         except ServerAnswerError as exc:
             return Broken(reason=exc.message)
         if body is None:
+            seconds = asyncio.get_running_loop().time() - began
+            self._servers.note_answer(placed.server, seconds=seconds, status=head.status)
             whole = await pass_on(answer_head(head), conn)
             attempt: Attempt = StreamSent(whole=whole)
         else:
--- a/packages/lychee-gateway/src/lychee_gateway/router.py
+++ b/packages/lychee-gateway/src/lychee_gateway/router.py
@@ -35,9 +35,10 @@
     request_path,
 )
 from lychee_gateway.view import StateView
-from lychee_policy import RetryBudget
+from lychee_policy import HotKeyCounter, RetryBudget
 from lychee_types.document import Service
 from lychee_types.ids import ServiceName
+from lychee_types.messages import HotKey
 
 MAX_ATTEMPTS = 3
 """How often a request of a free service is placed at most."""
@@ -45,6 +46,9 @@
 PAUSE_S = 0.03
 """Mean pause before a keyed request is tried again, in seconds."""
 
+HOT_KEYS_SPARE = 2
+"""Hot keys reported for each one that may be moved, since gateways see different ones."""
+
 NO_STATE = NotRun(
     status=503,
     detail="this gateway has not got the configuration yet",
@@ -77,6 +81,7 @@
         self._exchange = exchange
         self._once = OnceRunner(ledger=ledger)
         self._draw = draw or Random()
+        self._counters: dict[ServiceName, HotKeyCounter] = {}
         self._budgets: dict[ServiceName, RetryBudget] = {}
 
     async def read_call(self, head: RequestHead, caller: CallerConnection) -> Call | NotRun:
@@ -117,10 +122,19 @@
         :param call: the request.
         :param pass_on: streams an answer to the caller.
         """
+        if call.key is not None and call.service.placement.hot_keys:
+            self._counter(call.service).count(call.key)
         if call.idempotency_key is None:
             return await self._run(call, pass_on)
         return await self._once.run(call, lambda call: self._run(call, pass_on))
 
+    def take_hot_keys(self, now: float) -> tuple[HotKey, ...]:
+        """Return the hottest keys of each service since the last call.
+
+        :param now: monotonic time in seconds.
+        """
+        return tuple(key for counter in self._counters.values() for key in counter.take(now))
+
     async def _run(self, call: Call, pass_on: PassOn) -> Outcome:
         self._budget(call.service).count_request(asyncio.get_running_loop().time())
         while True:
@@ -178,6 +192,15 @@
                 return None
         return Unknown(status=502, detail=reason)
 
+    def _counter(self, service: Service) -> HotKeyCounter:
+        counter = self._counters.get(service.name)
+        if counter is None:
+            limit = HOT_KEYS_SPARE * service.placement.hot_keys
+            counter = self._counters[service.name] = HotKeyCounter(
+                service=service.name, limit=limit, now=asyncio.get_running_loop().time()
+            )
+        return counter
+
     def _budget(self, service: Service) -> RetryBudget:
         budget = self._budgets.get(service.name)
         if budget is None or budget.share != service.retry_share:
--- a/packages/lychee-gateway/tests/conftest.py
+++ b/packages/lychee-gateway/tests/conftest.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
 
 import uvloop
@@ -88,7 +88,7 @@
     """A control replica that commits at once and grants everything."""
 
     def __init__(self, document):
-        self.endpoint = free_endpoint()
+        self.endpoint = None
         self.log = []
         self.links = set()
         self.granting = True
@@ -121,7 +121,12 @@
     async def running(self):
         service = LinkService(name="gateway")
         service.add(method=ATTACH, send=ToGateway, receive=ToControl, handler=self._serve)
-        async with serve_links(service=service, endpoint=self.endpoint):
+        async with AsyncExitStack() as stack:
+            while self.endpoint is None:
+                endpoint = free_endpoint()
+                with suppress(OSError):
+                    await stack.enter_async_context(serve_links(service=service, endpoint=endpoint))
+                    self.endpoint = endpoint
             yield self
 
     async def _serve(self, link):
@@ -366,7 +371,8 @@
     callers: list = field(default_factory=list)
 
     async def caller(self, *, announce=False):
-        address = self.cfg.announce if announce else self.cfg.listen
+        gateway = self.gateway
+        address = (gateway._announce_listener if announce else gateway._listener).endpoint
         reader, writer = await asyncio.open_connection(address.host, address.port)
         caller = Caller(reader, writer)
         self.callers.append(caller)
@@ -392,17 +398,17 @@
 async def open_world(*servers, document=None, timing=None, stop_notice_ms=20):
     """Run a gateway with fake servers, joined and placed."""
     control = FakeControl(document or services())
-    cfg = GatewaySettings(
-        id="gateway-1",
-        listen=free_endpoint(),
-        announce=free_endpoint(),
-        domain="nord",
-        control=(control.endpoint,),
-        timing=timing or Timing(),
-        stop_notice_ms=stop_notice_ms,
-    )
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(control.running())
+        cfg = GatewaySettings(
+            id="gateway-1",
+            listen=Endpoint(host="127.0.0.1", port=0),
+            announce=Endpoint(host="127.0.0.1", port=0),
+            domain="nord",
+            control=(control.endpoint,),
+            timing=timing or Timing(),
+            stop_notice_ms=stop_notice_ms,
+        )
         for server in servers:
             await stack.enter_async_context(server.running())
             control.join(server.record())
--- a/packages/lychee-gateway/tests/test_drain.py
+++ b/packages/lychee-gateway/tests/test_drain.py
@@ -6,7 +6,7 @@
 from lychee_gateway.lease import SessionLease
 from lychee_owner import ClusterState, hash_key
 from lychee_types.commands import BeginTransition, FinishTransition, SubmitDocument
-from lychee_types.messages import Drained, RenewLease
+from lychee_types.messages import Attach, Drained, EndSession, RenewLease
 from lychee_types.records import Member, Placement
 from lychee_types.timing import Timing
 
@@ -111,8 +111,6 @@
 
 def test_a_declared_lost_run_attaches_as_a_new_one():
     async def scenario():
-        from lychee_types.messages import Attach, EndSession
-
         async with open_world(FakeServer("s1", "status")) as world:
             session = world.gateway._control.session
             for link in world.control.links:
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -9,10 +9,32 @@
     RoundRobin,
     choose,
 )
+from lychee_policy.hotkeys import HotKeyCounter
 from lychee_policy.limits import Limits, limits_for
+from lychee_policy.outliers import (
+    Ejected,
+    InUse,
+    OutlierDetector,
+    Probing,
+    Standing,
+    is_slow,
+)
 from lychee_policy.queue import DeadlineQueue, Waiter, can_make_deadline
+from lychee_policy.tracker import FIRST_ANSWERS, AnswerTime, expected_s, typical_s, warm_share
 
 __all__ = [
+    "FIRST_ANSWERS",
+    "AnswerTime",
+    "Ejected",
+    "HotKeyCounter",
+    "InUse",
+    "OutlierDetector",
+    "Probing",
+    "Standing",
+    "expected_s",
+    "is_slow",
+    "typical_s",
+    "warm_share",
     "Candidate",
     "ChoiceRule",
     "DeadlineQueue",
--- a/packages/lychee-policy/src/lychee_policy/choice.py
+++ b/packages/lychee-policy/src/lychee_policy/choice.py
@@ -13,17 +13,19 @@
 
     :param server: the server's id.
     :param in_flight: requests that this gateway has in flight there.
-    :param speed: measured speed, in any unit common to all candidates.
+    :param answer_s: expected time to an answer in seconds.
+    :param share: share of its usual work that it is to get, below 1 for one that has just joined.
     """
 
     server: ServerId
     in_flight: int
-    speed: float = 1.0
+    answer_s: float = 1.0
+    share: float = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PowerOfTwo:
-    """Take the better of two drawn at random, by (in flight + 1) / speed."""
+    """Take the better of two drawn at random, by (in flight + 1) * expected time to an answer."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -41,7 +43,7 @@
 
 def cost(candidate: Candidate) -> float:
     """Return the expected time that one more request would take there, in relative units."""
-    return (candidate.in_flight + 1) / candidate.speed
+    return (candidate.in_flight + 1) * candidate.answer_s / candidate.share
 
 
 def choose(
--- /dev/null
+++ b/packages/lychee-policy/src/lychee_policy/hotkeys.py
@@ -0,0 +1,48 @@
+"""Counting of hot keys in bounded memory."""
+
+from datasketches import frequent_items_error_type, frequent_strings_sketch
+
+from lychee_types.ids import KeyHash, ServiceName
+from lychee_types.messages import HotKey
+
+SKETCH_LOG2_SIZE = 9
+"""Base-2 logarithm of the number of keys that a sketch can hold."""
+
+HOT_RATE = 5.0
+"""Requests a second from which a key is reported."""
+
+
+class HotKeyCounter:
+    """Counts the requests of each key of one service approximately.
+
+    :param service: the service's name.
+    :param limit: number of keys reported.
+    :param now: monotonic time in seconds.
+    """
+
+    def __init__(self, *, service: ServiceName, limit: int, now: float) -> None:
+        self._service = service
+        self._limit = limit
+        self._sketch = frequent_strings_sketch(SKETCH_LOG2_SIZE)
+        self._since = now
+
+    def count(self, key: KeyHash) -> None:
+        """Count a request."""
+        self._sketch.update(str(key))
+
+    def take(self, now: float) -> tuple[HotKey, ...]:
+        """Return the hottest keys since the last call, hottest first, and begin anew.
+
+        :param now: monotonic time in seconds.
+        """
+        since, self._since = self._since, now
+        sketch, self._sketch = self._sketch, frequent_strings_sketch(SKETCH_LOG2_SIZE)
+        if now <= since:
+            return ()
+        items = sketch.get_frequent_items(frequent_items_error_type.NO_FALSE_POSITIVES)
+        rates = [(int(name), estimate / (now - since)) for name, estimate, *_ in items]
+        hot = sorted((item for item in rates if item[1] >= HOT_RATE), key=lambda item: -item[1])
+        return tuple(
+            HotKey(service=self._service, key=KeyHash(key), rate=rate)
+            for key, rate in hot[: self._limit]
+        )
--- /dev/null
+++ b/packages/lychee-policy/tests/test_policy.py
@@ -0,0 +1,197 @@
+"""Decisions on requests."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lychee_policy import (
+    AnswerTime,
+    Candidate,
+    DeadlineQueue,
+    Ejected,
+    HotKeyCounter,
+    InUse,
+    LeastConnections,
+    OutlierDetector,
+    PowerOfTwo,
+    Probing,
+    RetryBudget,
+    RoundRobin,
+    can_make_deadline,
+    choose,
+    expected_s,
+    is_slow,
+    limits_for,
+    typical_s,
+    warm_share,
+)
+from lychee_types.records import Endpoint, ServerRecord
+
+repeatable = settings(derandomize=True, deadline=None, database=None)
+
+
+def record(**changes):
+    values = dict(
+        id="s",
+        incarnation=1,
+        endpoint=Endpoint(host="127.0.0.1", port=1),
+        domain="nord",
+        service="x",
+        slots=3,
+        connections=120,
+    )
+    return ServerRecord(**{**values, **changes})
+
+
+@pytest.mark.parametrize(
+    ("slots", "connections", "gateways", "in_flight", "share"),
+    [
+        (3, 120, 1, 3, 120),
+        (3, 120, 10, 1, 12),
+        (4, 50, 2, 2, 25),
+        (8, 2, 1, 2, 2),
+        (3, 5, 10, 1, 1),
+    ],
+)
+def test_limits_are_shares_and_at_least_one(slots, connections, gateways, in_flight, share):
+    limits = limits_for(record(slots=slots, connections=connections), gateways=gateways)
+    assert (limits.in_flight, limits.connections) == (in_flight, share)
+
+
+def spread(rule, speeds, requests=4_000, slots=8):
+    """Return each server's share of requests in a closed loop of simulated answers."""
+    draw, in_flight, counts, done = Random(1), [0] * len(speeds), [0] * len(speeds), []
+    now = 0.0
+    for turn in range(requests):
+        now += 0.5
+        for entry in [e for e in done if e[0] <= now]:
+            done.remove(entry)
+            in_flight[entry[1]] -= 1
+        room = [
+            Candidate(server=str(n), in_flight=in_flight[n], answer_s=1 / speed)
+            for n, speed in enumerate(speeds)
+            if in_flight[n] < slots
+        ]
+        if not room:
+            continue
+        n = int(choose(rule, room, draw=draw, turn=turn).server)
+        in_flight[n] += 1
+        counts[n] += 1
+        done.append((now + in_flight[n] / speeds[n], n))
+    return [count / sum(counts) for count in counts]
+
+
+def test_two_choices_follow_speed_where_the_baselines_do_not():
+    speeds = (4.0, 1.0, 1.0, 1.0)
+    fast = {rule: spread(rule, speeds)[0] for rule in (PowerOfTwo(), RoundRobin())}
+    assert fast[RoundRobin()] == pytest.approx(0.25, abs=0.01)
+    assert fast[PowerOfTwo()] > 0.45
+    assert 0.2 < spread(LeastConnections(), (1.0, 1.0, 1.0, 1.0))[0] < 0.3
+
+
+def test_a_retry_budget_is_a_share_of_recent_requests():
+    budget = RetryBudget(share=0.1)
+    for n in range(100):
+        budget.count_request(50.0 + n / 100)
+    assert sum(budget.try_spend(51.0) for _ in range(50)) == 10
+    assert not budget.try_spend(60.9)
+    assert sum(budget.try_spend(75.0) for _ in range(50)) == 3
+
+
+@repeatable
+@given(st.lists(st.tuples(st.integers(0, 9), st.booleans()), max_size=60))
+def test_a_queue_gives_the_earliest_deadline_first(steps):
+    queue, model = DeadlineQueue(), []
+    for n, (deadline, take) in enumerate(steps):
+        if take and model:
+            head = queue.head()
+            assert (head.deadline, head.item) == min(model)
+            queue.remove(head)
+            queue.remove(head)
+            model.remove(min(model))
+        else:
+            queue.push(n, deadline=deadline)
+            model.append((deadline, n))
+        assert len(queue) == len(model)
+        assert [(w.deadline, w.item) for w in queue.waiting()] == sorted(model)
+
+
+def test_what_cannot_make_its_deadline_is_told_apart():
+    common = dict(now=0.0, parallel=2, service_s=0.1)
+    assert can_make_deadline(deadline=0.3, ahead=2, **common)
+    assert not can_make_deadline(deadline=0.3, ahead=4, **common)
+
+
+def detector(count=4):
+    found = OutlierDetector()
+    found.keep_only({f"s{n}" for n in range(count)})
+    return found
+
+
+def test_a_failing_server_is_left_out_and_probed_with_growing_pauses():
+    found, now, pauses = detector(), 100.0, []
+    for _ in range(5):
+        while not found.failed("s0", now):
+            pass
+        pauses.append(found.standing("s0", now).until - now)
+        now += pauses[-1]
+        assert found.standing("s0", now) == Probing()
+    assert pauses == [1, 2, 4, 8, 16]
+    for good in range(3):
+        assert found.standing("s0", now) == Probing(good=good)
+        found.answered("s0", now)
+    assert found.standing("s0", now) == InUse()
+
+
+def test_at_most_half_of_the_servers_are_left_out():
+    found = detector(5)
+    for server in ("s0", "s1", "s2", "s3", "s4"):
+        for _ in range(20):
+            found.failed(server, 10.0)
+    left_out = [s for s in range(5) if isinstance(found.standing(f"s{s}", 10.0), Ejected)]
+    assert left_out == [0, 1]
+
+
+def test_a_server_that_fails_every_other_request_is_left_out():
+    found = detector()
+    for _ in range(10):
+        found.answered("s1", 1.0)
+        found.failed("s1", 1.0)
+    assert isinstance(found.standing("s1", 1.0), Ejected)
+
+
+def test_a_server_slow_by_ten_is_left_out_whatever_it_says_of_itself():
+    slow = is_slow(mean_s=0.5, answers=8, others_s=[0.05, 0.06, 0.04])
+    assert slow and not is_slow(mean_s=0.2, answers=8, others_s=[0.05, 0.06, 0.04])
+    found = detector()
+    assert found.answered("s0", 1.0, slow=slow)
+    assert found.standing("s0", 2.1) == Probing()
+    assert found.answered("s0", 2.1, slow=True)
+    assert found.standing("s0", 2.1) == Ejected(until=4.1)
+
+
+def test_a_new_server_is_expected_to_be_as_fast_as_it_says_and_warms_up():
+    known, new = AnswerTime(), AnswerTime()
+    for _ in range(20):
+        known.add(0.1)
+    typical = typical_s([(known, 2.0), (new, 1.0)])
+    assert typical == pytest.approx(0.2)
+    assert expected_s(measured=new, announced_speed=4.0, typical_s=typical) == pytest.approx(0.05)
+    assert expected_s(measured=known, announced_speed=9.0, typical_s=typical) == pytest.approx(0.1)
+    assert [warm_share(age) for age in (0, 2.5, 5, 99)] == pytest.approx([0.1, 0.55, 1, 1])
+
+
+def test_hot_keys_are_counted_in_bounded_memory():
+    counter = HotKeyCounter(service="x", limit=3, now=0.0)
+    for n in range(20_000):
+        counter.count(n * 7_919)
+        if n % 10 == 0:
+            counter.count(42)
+        if n % 20 == 0:
+            counter.count(43)
+    hot = counter.take(10.0)
+    assert [key.key for key in hot] == [42, 43]
+    assert hot[0].rate == pytest.approx(200, rel=0.2)
+    assert counter.take(11.0) == ()
