--- a/packages/lychee-gateway/src/lychee_gateway/core.py
+++ b/packages/lychee-gateway/src/lychee_gateway/core.py
@@ -29,6 +29,9 @@
 from lychee_types.messages import ReportLoad
 from lychee_types.settings import GatewaySettings
 
+START_LIMIT_S = 5.0
+"""Longest wait for the state and a lease before callers are accepted, in seconds."""
+
 
 class Gateway(Daemon):
     """Serves callers and forwards their requests to backend servers.
@@ -54,8 +57,11 @@
             ),
             ledger=self._ledger,
         )
+        self._accepting = False
+        self._ready_changed = asyncio.Event()
         self._view.listen(lambda: self._servers.sync(self._view.state))
         self._view.listen(self._placing.state_changed)
+        self._view.listen(self._ready_changed.set)
         self._control = ControlClient(
             cfg=cfg,
             view=self._view,
@@ -64,7 +70,7 @@
             desk=self._desk,
             ledger=self._ledger,
             load=self._report_load,
-            on_lease=self._placing.state_changed,
+            on_lease=self._lease_granted,
             ssl=client_context(cfg.tls),
         )
         announce = AnnounceServer(desk=self._desk, readiness=self.readiness, dump=self.dump)
@@ -83,23 +89,47 @@
         lease = self._lease.held(asyncio.get_running_loop().time())
         stopping = self.stopping.is_set()
         return Readiness(
-            ready=state and lease and not stopping, state=state, lease=lease, stopping=stopping
+            ready=state and lease and self._accepting and not stopping,
+            state=state,
+            lease=lease,
+            stopping=stopping,
         )
 
     async def serve(self) -> None:
         """Serve until asked to stop, then finish what is in flight."""
         self.spawn(self._control.run(), name="control")
-        self._listener.start()
+        self.spawn(self._wake_at_stop(), name="stop")
         self._announce_listener.start()
-        logger.info(
-            "serving callers on {} and announcements on {}",
-            self._listener.endpoint,
-            self._announce_listener.endpoint,
-        )
+        logger.info("taking announcements on {}", self._announce_listener.endpoint)
+        await self._until_ready()
+        self._listener.start()
+        self._accepting = True
+        logger.info("serving callers on {}", self._listener.endpoint)
         await self.stopping.wait()
         if self.exit_code == 0:
             await self._stop()
 
+    async def _until_ready(self) -> None:
+        """Wait until callers can be served, or have waited long enough to be told why not.
+
+        On a shared port the operating system gives connections to each process that listens.
+        """
+        try:
+            async with asyncio.timeout(START_LIMIT_S):
+                while not self._is_start_over():
+                    await self._ready_changed.wait()
+                    self._ready_changed.clear()
+        except TimeoutError:
+            logger.warning("not ready after {} s; callers are told so", START_LIMIT_S)
+
+    def _is_start_over(self) -> bool:
+        readiness = self.readiness()
+        return readiness.stopping or (readiness.state and readiness.lease)
+
+    async def _wake_at_stop(self) -> None:
+        await self.stopping.wait()
+        self._ready_changed.set()
+
     async def _stop(self) -> None:
         self._callers.begin_stop()
         await asyncio.sleep(self._cfg.stop_notice_ms / 1_000)
@@ -153,6 +183,10 @@
     async def _refuse(self, exc: BadRequestError, caller: CallerConnection) -> None:
         await _reply(bad_request(exc), caller)
 
+    def _lease_granted(self) -> None:
+        self._ready_changed.set()
+        self._placing.state_changed()
+
     async def _crash(self, caller: CallerConnection) -> None:
         detail = "the gateway failed on this request"
         await _reply(Unknown(status=500, detail=detail), caller)
@@ -188,4 +222,4 @@
             await caller.send(answer.head, answer.body)
         case StreamSent(whole=whole):
             if not whole:
-                caller.abort()
+                caller.truncate()
--- a/packages/lychee-gateway/src/lychee_gateway/http/inbound.py
+++ b/packages/lychee-gateway/src/lychee_gateway/http/inbound.py
@@ -239,9 +239,19 @@
         return not self._wire.lost
 
     def abort(self) -> None:
-        """Close the connection at once; an unfinished answer cannot be taken for whole."""
+        """Close the connection at once."""
         self._wire.abort()
 
+    def truncate(self) -> None:
+        """Close the connection so that the caller cannot take the answer for whole.
+
+        The end of an answer to an HTTP/1.0 caller may be told by the end of the stream only.
+        """
+        if self._head is not None and self._head.version == b"1.0":
+            self._wire.reset()
+        else:
+            self._wire.abort()
+
     async def close(self) -> None:
         """Close after the caller has had the time to read the last answer."""
         if not self._wire.lost and not self._wire.eof and self._unread():
--- a/packages/lychee-gateway/src/lychee_gateway/http/wire.py
+++ b/packages/lychee-gateway/src/lychee_gateway/http/wire.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import select
+import socket
+import struct
 from collections.abc import Callable
 from typing import cast
 
@@ -12,6 +14,9 @@
 """Unsent bytes at which a writer that awaits :meth:`Wire.drain` waits."""
 
 
+_NO_LINGER = struct.pack("ii", 1, 0)
+
+
 def _nothing() -> None:
     """Do nothing."""
 
@@ -144,6 +149,13 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def reset(self) -> None:
+        """Close the connection at once, so that the peer sees an error and no end of stream."""
+        if not self.lost:
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+            self.abort()
+
     def is_quiet(self) -> bool:
         """Return whether the peer has neither sent bytes nor ended the connection.
 
--- /dev/null
+++ b/packages/lychee-gateway/tests/test_streams.py
@@ -0,0 +1,168 @@
+"""Streamed answers: bounded memory, cancellation, and truncation that cannot be missed."""
+
+import asyncio
+
+import pytest
+
+from .conftest import FakeServer, answer, open_world, run
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+SIZED = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"
+BLOCK = b"x" * 65_536
+BLOCKS = 1_000
+
+
+def steps(*parts):
+    """Return a script that writes bytes and sleeps for numbers, then closes."""
+
+    async def script(seen):
+        async def step(writer):
+            for part in parts:
+                if isinstance(part, bytes):
+                    writer.write(part)
+                    await writer.drain()
+                else:
+                    await asyncio.sleep(part)
+            return b""
+
+        return step
+
+    return script
+
+
+def endless(counter):
+    """Return a script that writes blocks and counts them in ``counter``."""
+
+    async def script(seen):
+        async def step(writer):
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (BLOCKS * len(BLOCK)))
+            for _ in range(BLOCKS):
+                writer.write(BLOCK)
+                await writer.drain()
+                counter.append(1)
+            return None
+
+        return step
+
+    return script
+
+
+def request(target=b"/guides/1", version=b"1.1", method=b"GET"):
+    return method + b" " + target + b" HTTP/" + version + b"\r\nHost: h\r\n\r\n"
+
+
+def test_a_large_stream_arrives_whole():
+    async def scenario():
+        async with open_world(FakeServer("g1", "guides", endless([]))) as world:
+            reply = await world.get(b"/guides/1")
+            assert len(reply.body) == BLOCKS * len(BLOCK)
+
+    run(scenario())
+
+
+def test_a_caller_that_does_not_read_holds_the_server_back():
+    async def scenario():
+        written = []
+        server = FakeServer("g1", "guides", endless(written))
+        async with open_world(server) as world:
+            caller = await world.caller()
+            caller.reader._limit = 1_024
+            caller.write(request())
+            await world.until(lambda: written)
+            seen = -1
+            while seen != len(written):
+                seen = len(written)
+                await asyncio.sleep(0.2)
+            assert len(written) < BLOCKS / 2
+            wire = next(iter(world.gateway._callers._tasks.values()))._wire
+            assert wire.unsent < 8 * len(BLOCK)
+            await world.until(lambda: server.closed)
+
+    run(scenario())
+
+
+def test_a_caller_that_leaves_cancels_the_server():
+    async def scenario():
+        written = []
+        server = FakeServer("g1", "guides", endless(written))
+        async with open_world(server) as world:
+            caller = await world.caller()
+            caller.write(request())
+            await caller.reader.readexactly(100_000)
+            caller.close()
+            await world.until(lambda: server.closed)
+            assert len(written) < BLOCKS
+            await world.until(lambda: len(world.gateway._callers) == 0)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("script", "got"),
+    [
+        (steps(CHUNKED, b"5\r\nhello\r\n"), b"5\r\nhello\r\n"),
+        (steps(CHUNKED, b"5\r\nhel"), b""),
+        (steps(SIZED, b"hello"), b"hello"),
+        (steps(SIZED, b"hello", 1.5, b"x" * 95), b"hello"),
+        (steps(CHUNKED, b"5\r\nhello\r\n", b"nonsense\r\n"), b"5\r\nhello\r\n"),
+    ],
+    ids=["chunks", "inside a chunk", "length", "a long pause", "malformed chunk"],
+)
+def test_a_truncated_stream_is_never_passed_off_as_whole(script, got):
+    async def scenario():
+        async with open_world(FakeServer("g1", "guides", script)) as world:
+            caller = await world.caller()
+            caller.write(request())
+            await caller.reader.readuntil(b"\r\n\r\n")
+            rest = b""
+            try:
+                while data := await caller.reader.read(1_000):
+                    rest += data
+            except ConnectionError:
+                pass
+            assert not rest.endswith(b"0\r\n\r\n") and len(rest) < 100
+            assert got == b"" or rest in (got, b"")
+
+    run(scenario())
+
+
+def test_an_old_caller_is_told_of_a_truncated_stream_by_a_reset():
+    async def scenario():
+        script = steps(CHUNKED, b"5\r\nhello\r\n", 0.1)
+        async with open_world(FakeServer("g1", "guides", script)) as world:
+            caller = await world.caller()
+            caller.write(request(version=b"1.0"))
+            with pytest.raises(ConnectionError):
+                while await caller.reader.read(1_000):
+                    pass
+
+    run(scenario())
+
+
+def test_a_stream_may_last_longer_than_its_deadline_without_a_long_pause():
+    async def scenario():
+        parts = [b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"]
+        for _ in range(4):
+            parts += [0.4, b"x"]
+        async with open_world(FakeServer("g1", "guides", steps(*parts))) as world:
+            assert (await world.get(b"/guides/1")).body == b"xxxx"
+
+    run(scenario())
+
+
+def test_a_stream_that_breaks_before_its_head_is_tried_again():
+    async def scenario():
+        tries = []
+
+        async def script(seen):
+            tries.append(seen)
+            if len(tries) == 1:
+                return lambda writer: asyncio.sleep(0, b"")
+            return answer(b"guide")
+
+        async with open_world(FakeServer("g1", "guides", script)) as world:
+            assert (await world.get(b"/guides/1")).body == b"guide"
+            head = await world.get(b"/guides/1", method=b"HEAD")
+            assert (head.status, head.body) == (200, b"")
+
+    run(scenario())
