--- a/packages/lychee-gateway/src/lychee_gateway/core.py
+++ b/packages/lychee-gateway/src/lychee_gateway/core.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import msgspec
 from loguru import logger
 
 from lychee_gateway.announce import AnnounceServer, Readiness
@@ -11,6 +10,7 @@
 from lychee_gateway.control import ControlClient
 from lychee_gateway.dispatch import Dispatcher
 from lychee_gateway.drain import FlightLog
+from lychee_gateway.dump import GatewayDump, dump_ownerships, dump_servers
 from lychee_gateway.exceptions import BadRequestError
 from lychee_gateway.exchange import Exchange
 from lychee_gateway.http import CallerConnection, RequestHead
@@ -29,6 +29,9 @@
 from lychee_types.messages import ReportLoad
 from lychee_types.settings import GatewaySettings
 
+START_LIMIT_S = 5.0
+"""Longest wait for the state and a lease before callers are accepted, in seconds."""
+
 
 class Gateway(Daemon):
     """Serves callers and forwards their requests to backend servers.
@@ -49,10 +52,16 @@
         self._router = Router(
             view=self._view,
             dispatcher=self._placing,
-            exchange=Exchange(dispatcher=self._placing, flights=self._flights),
+            exchange=Exchange(
+                dispatcher=self._placing, servers=self._servers, flights=self._flights
+            ),
+            ledger=self._ledger,
         )
+        self._accepting = False
+        self._ready_changed = asyncio.Event()
         self._view.listen(lambda: self._servers.sync(self._view.state))
         self._view.listen(self._placing.state_changed)
+        self._view.listen(self._ready_changed.set)
         self._control = ControlClient(
             cfg=cfg,
             view=self._view,
@@ -61,13 +70,15 @@
             desk=self._desk,
             ledger=self._ledger,
             load=self._report_load,
-            on_lease=self._placing.state_changed,
+            on_lease=self._lease_granted,
             ssl=client_context(cfg.tls),
         )
         announce = AnnounceServer(desk=self._desk, readiness=self.readiness, dump=self.dump)
-        self._callers = Callers(handle=self._answer, refuse=self._refuse, fail=self._broken)
+        self._callers = Callers(
+            handle=self._answer, refuse=self._refuse, crash=self._crash, fail=self._broken
+        )
         self._announcers = Callers(
-            handle=announce.handle, refuse=announce.refuse, fail=self._broken
+            handle=announce.handle, refuse=announce.refuse, crash=self._crash, fail=self._broken
         )
         self._listener = Listener(endpoint=cfg.listen, accept=self._callers.accept)
         self._announce_listener = Listener(endpoint=cfg.announce, accept=self._announcers.accept)
@@ -78,23 +89,47 @@
         lease = self._lease.held(asyncio.get_running_loop().time())
         stopping = self.stopping.is_set()
         return Readiness(
-            ready=state and lease and not stopping, state=state, lease=lease, stopping=stopping
+            ready=state and lease and self._accepting and not stopping,
+            state=state,
+            lease=lease,
+            stopping=stopping,
         )
 
     async def serve(self) -> None:
         """Serve until asked to stop, then finish what is in flight."""
         self.spawn(self._control.run(), name="control")
-        self._listener.start()
+        self.spawn(self._wake_at_stop(), name="stop")
         self._announce_listener.start()
-        logger.info(
-            "serving callers on {} and announcements on {}",
-            self._listener.endpoint,
-            self._announce_listener.endpoint,
-        )
+        logger.info("taking announcements on {}", self._announce_listener.endpoint)
+        await self._until_ready()
+        self._listener.start()
+        self._accepting = True
+        logger.info("serving callers on {}", self._listener.endpoint)
         await self.stopping.wait()
         if self.exit_code == 0:
             await self._stop()
 
+    async def _until_ready(self) -> None:
+        """Wait until callers can be served, or have waited long enough to be told why not.
+
+        On a shared port the operating system gives connections to each process that listens.
+        """
+        try:
+            async with asyncio.timeout(START_LIMIT_S):
+                while not self._is_start_over():
+                    await self._ready_changed.wait()
+                    self._ready_changed.clear()
+        except TimeoutError:
+            logger.warning("not ready after {} s; callers are told so", START_LIMIT_S)
+
+    def _is_start_over(self) -> bool:
+        readiness = self.readiness()
+        return readiness.stopping or (readiness.state and readiness.lease)
+
+    async def _wake_at_stop(self) -> None:
+        await self.stopping.wait()
+        self._ready_changed.set()
+
     async def _stop(self) -> None:
         self._callers.begin_stop()
         await asyncio.sleep(self._cfg.stop_notice_ms / 1_000)
@@ -107,36 +142,23 @@
     def dump(self) -> str:
         """Return the gateway's state as YAML."""
         state = self._view.state
-        raw = {
-            "gateway": self._cfg.id,
-            "session": self._control.session,
-            "control": self._control.replica,
-            "readiness": msgspec.to_builtins(self.readiness()),
-            "lease_left_ms": round(self._lease.left_s(asyncio.get_running_loop().time()) * 1_000),
-            "applied": state.index,
-            "document_version": state.document_version,
-            "callers": len(self._callers),
-            "keyed_flights": len(self._flights),
-            "ownerships": {
-                name: {
-                    "token": ownership.token,
-                    "pending": ownership.pending.begun if ownership.pending else None,
-                }
-                for name, ownership in state.ownerships.items()
-            },
-            "servers": {
-                server.record.id: {
-                    "endpoint": str(server.record.endpoint),
-                    "service": server.record.service,
-                    "status": server.record.status.value,
-                    "in_flight": server.in_flight,
-                    "limit": server.limits.in_flight,
-                    "answer_ms": round(server.answer_s * 1_000, 2),
-                }
-                for server in self._servers
-            },
-        }
-        return format_dump(raw)
+        left_s = self._lease.left_s(asyncio.get_running_loop().time())
+        return format_dump(
+            GatewayDump(
+                id=self._cfg.id,
+                session=self._control.session,
+                control=self._control.replica,
+                readiness=self.readiness(),
+                lease_left_ms=round(left_s * 1_000),
+                applied=state.index,
+                document_version=state.document_version,
+                callers=len(self._callers),
+                keyed_flights=len(self._flights),
+                waiting=self._placing.waiting_in_all(),
+                ownerships=dump_ownerships(state),
+                servers=dump_servers(self._servers),
+            )
+        )
 
     async def _answer(self, head: RequestHead, caller: CallerConnection) -> None:
         call = await self._router.read_call(head, caller)
@@ -150,21 +172,47 @@
         task = asyncio.current_task()
         assert task is not None
         stream = StreamToCaller(caller=caller, pause_s=call.service.deadline_ms / 1_000)
-        with caller.cancelling(task.cancel):
+
+        def vanished() -> None:
+            if _is_cancellable(call):
+                task.cancel()
+
+        with caller.cancelling(vanished):
             return await self._router.run(call, stream.pass_on)
 
     async def _refuse(self, exc: BadRequestError, caller: CallerConnection) -> None:
         await _reply(bad_request(exc), caller)
 
+    def _lease_granted(self) -> None:
+        self._ready_changed.set()
+        self._placing.state_changed()
+
+    async def _crash(self, caller: CallerConnection) -> None:
+        detail = "the gateway failed on this request"
+        await _reply(Unknown(status=500, detail=detail), caller)
+
     def _broken(self, exc: InvariantError) -> None:
         self.on_task_failed("request", exc)
 
     def _report_load(self, session: SessionId) -> ReportLoad:
+        now = asyncio.get_running_loop().time()
         return ReportLoad(
-            session=session, servers=tuple(server.take_load() for server in self._servers)
+            session=session,
+            servers=self._servers.take_loads(),
+            hot_keys=self._router.take_hot_keys(now),
         )
 
 
+def _is_cancellable(call: Call) -> bool:
+    """Return whether a request ends when its caller vanishes.
+
+    The outcome of a non-idempotent request that may have been sent is worth knowing.
+    """
+    if call.service.idempotent:
+        return True
+    return not call.maybe_run and call.idempotency_key is None
+
+
 async def _reply(outcome: Outcome, caller: CallerConnection, *, request_id: str = "") -> None:
     match outcome:
         case Answer(head=head, body=body):
@@ -174,4 +222,4 @@
             await caller.send(answer.head, answer.body)
         case StreamSent(whole=whole):
             if not whole:
-                caller.abort()
+                caller.truncate()
