--- a/packages/lychee-owner/src/lychee_owner/coordinator.py
+++ b/packages/lychee-owner/src/lychee_owner/coordinator.py
@@ -141,7 +141,7 @@
             return
         match command:
             case JoinGateway():
-                self._gateways.joined(now=now, index=index, gateway=command.gateway)
+                self._gateways.joined(now=now, gateway=command.gateway)
             case LoseGateway():
                 self._gateways.lost(command.session)
             case JoinServer():
@@ -160,10 +160,10 @@
     def _gateway_commands(self, *, now: float) -> Iterable[Command]:
         for gateway in self._gateways.joining():
             yield JoinGateway(gateway=gateway)
-        keyed = [o.service for o in self._state.ownerships.values()]
+        waits = [self._rule.deadline_s(service) for service in self._state.ownerships]
+        wait_s = max(waits, default=0.0)
         for session, run in self._gateways.runs.items():
-            waits = [self._rule.deadline_s(run=run, service=service) for service in keyed]
-            if self._gateways.is_silent(now=now - max(waits, default=0.0), run=run):
+            if self._gateways.is_silent(now=now - wait_s, run=run):
                 yield LoseGateway(gateway=run.record.id, session=session)
 
     def _transition_commands(self, *, now: float) -> Iterable[Command]:
--- a/packages/lychee-owner/src/lychee_owner/gateways.py
+++ b/packages/lychee-owner/src/lychee_owner/gateways.py
@@ -21,9 +21,10 @@
     """What the leader knows of one committed gateway run; times are the leader's, in seconds.
 
     :param record: the run's record.
-    :param floor: log index that the run must have applied before it is granted a lease.
     :param joined_at: when its commit was applied.
-    :param lease_end: when its last lease is over for certain, drift included.
+    :param lease_end: when its last lease is over for certain, drift included; a former leader may
+        have granted it.
+    :param granted_until: end of the last lease that this leader has granted, drift included.
     :param applied: the last log index that it has reported.
     :param document_version: the document version that it has reported.
     :param drained: for each service the last transition that it has drained.
@@ -32,9 +33,9 @@
     """
 
     record: GatewayRecord
-    floor: LogIndex
     joined_at: float
     lease_end: float
+    granted_until: float = NEVER
     applied: LogIndex = LogIndex(0)
     document_version: int = 0
     drained: dict[ServiceName, LogIndex] = field(default_factory=dict)
@@ -56,7 +57,6 @@
         self.runs = {
             session: GatewayRun(
                 record=record,
-                floor=state.index,
                 joined_at=now,
                 lease_end=now + timing.lease_s + timing.drift_s,
             )
@@ -74,18 +74,15 @@
         """Return the runs that are not committed yet."""
         return self._joining.values()
 
-    def joined(self, *, now: float, index: LogIndex, gateway: GatewayRecord) -> None:
+    def joined(self, *, now: float, gateway: GatewayRecord) -> None:
         """Take in a committed run, which has held no lease yet.
 
         :param now: when the commit was applied, in seconds.
-        :param index: log index of its commit.
         :param gateway: its record.
         """
         self._joining.pop(gateway.session, None)
         if gateway.session not in self.runs:
-            self.runs[gateway.session] = GatewayRun(
-                record=gateway, floor=index, joined_at=now, lease_end=NEVER
-            )
+            self.runs[gateway.session] = GatewayRun(record=gateway, joined_at=now, lease_end=NEVER)
 
     def is_silent(self, *, now: float, run: GatewayRun) -> bool:
         """Return whether a run's lease is over, or it has asked for none in a lease's time."""
@@ -103,8 +100,9 @@
     def renew(self, *, now: float, renewal: RenewLease) -> GrantLease | EndSession | None:
         """Answer a renewal.
 
-        A run with an old view of the state gets no lease: it could send a key to an owner that
-        has lost it.
+        A transition may have finished without a run that held no lease. Such a run gets one only
+        when it has applied the last transition: by an older view it could send a key to an owner
+        that has lost it.
 
         :param now: when the renewal was received, in seconds.
         :param renewal: the renewal.
@@ -115,13 +113,21 @@
         if run is None or run.ending:
             return EndSession(session=renewal.session)
         self._note(now=now, run=run, renewal=renewal)
-        if renewal.applied < run.floor or self._lags(now=now, applied=renewal.applied):
+        is_behind = renewal.applied < self.last_begun()
+        if is_behind and (now >= run.granted_until or self._lags(now=now, run=run)):
             return None
-        run.lease_end = now + self._timing.lease_s + self._timing.drift_s
+        run.granted_until = now + self._timing.lease_s + self._timing.drift_s
+        run.lease_end = max(run.lease_end, run.granted_until)
         return GrantLease(
             session=renewal.session, number=renewal.number, lease_ms=self._timing.lease_ms
         )
 
+    def last_begun(self) -> LogIndex:
+        """Return log index of the last transition that has begun, 0 for none."""
+        ownerships = self._state.ownerships.values()
+        begun = [o.pending.begun if o.pending else LogIndex(o.fence) for o in ownerships]
+        return max(begun, default=LogIndex(0))
+
     def _note(self, *, now: float, run: GatewayRun, renewal: RenewLease) -> None:
         run.applied = max(run.applied, renewal.applied)
         run.document_version = max(run.document_version, renewal.document_version)
@@ -138,11 +144,12 @@
             if ownership.pending is not None:
                 yield ownership.pending.begun, ownership.service
 
-    def _lags(self, *, now: float, applied: LogIndex) -> bool:
+    def _lags(self, *, now: float, run: GatewayRun) -> bool:
+        """Return whether a run has held up a pending transition for too long."""
         pending = [begun for begun, _ in self._pending()]
         self._begun_at = {begun: self._begun_at.get(begun, now) for begun in pending}
         return any(
-            applied < begun and now >= since + APPLY_LIMIT_S
+            run.applied < begun and now >= since + APPLY_LIMIT_S
             for begun, since in self._begun_at.items()
         )
 
--- a/packages/lychee-owner/src/lychee_owner/membership.py
+++ b/packages/lychee-owner/src/lychee_owner/membership.py
@@ -18,6 +18,9 @@
 BATCH_LIMIT = 3
 """How many times the settling time a new server waits at most for others that join."""
 
+EXCLUDED_SHARE = 1 / 3
+"""Highest share of a service's servers that are kept out because gateways cannot reach them."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Newcomer:
@@ -104,12 +107,19 @@
         limit_s = self._policy(server).lost_after_ms / 1_000
         if silent_s >= limit_s:
             return True
-        if self._evidence.is_unreachable(now=now, server=server.id, for_s=limit_s):
+        unreachable = self._evidence.is_unreachable(now=now, server=server.id, for_s=limit_s)
+        if unreachable and self._may_exclude(now=now, server=server):
             self._evidence.exclude(now=now, server=server.id)
             return True
         refused = self._evidence.is_unreachable(now=now, server=server.id, for_s=0.0)
         return refused and silent_s >= limit_s / 2
 
+    def _may_exclude(self, *, now: float, server: ServerRecord) -> bool:
+        """Return whether few enough servers of a service are kept out on evidence alone."""
+        peers = [s for s in self._state.servers.values() if s.service == server.service]
+        out = sum(self._evidence.is_excluded(now=now, server=peer.id) for peer in peers)
+        return out + 1 <= len(peers) * EXCLUDED_SHARE
+
     def _is_forgettable(self, *, now: float, server: ServerRecord) -> bool:
         lost_at = self._lost_at.setdefault(server.id, now)
         over = now >= max(lost_at + FORGET_S, self._servers.lease_end(server.id))
--- a/packages/lychee-owner/src/lychee_owner/servers.py
+++ b/packages/lychee-owner/src/lychee_owner/servers.py
@@ -165,6 +165,9 @@
         for record in list(self._announced.values()):
             known = self._state.servers.get(record.id)
             stale = known is not None and known.incarnation > record.incarnation
+            if known is not None and self._state.is_move_needed(known=known, new=record):
+                self._blocked.add(record.id)
+                stale = True
             if stale or (known is not None and _is_same(known=known, record=record)):
                 del self._announced[record.id]
                 continue
--- a/packages/lychee-owner/src/lychee_owner/transitions.py
+++ b/packages/lychee-owner/src/lychee_owner/transitions.py
@@ -118,7 +118,7 @@
         reached = run.reached.get(ownership.service)
         if reached is None or reached[0] != pending.begun:
             return False
-        return now >= reached[1] + self.deadline_s(run=run, service=ownership.service)
+        return now >= reached[1] + self.deadline_s(ownership.service)
 
     def is_run_over(
         self,
@@ -131,7 +131,7 @@
         """Return whether a run's lease is over and no old owner takes what it may still write."""
         if now < self.gateway_lease_end(run):
             return False
-        deadline = self.deadline_s(run=run, service=ownership.service)
+        deadline = self.deadline_s(ownership.service)
         if now >= self.gateway_lease_end(run) + deadline:
             return True
         return all(
@@ -152,25 +152,16 @@
         confirmed = self._servers.confirmed_fence(server) >= pending.begun
         return confirmed or now >= self._servers.lease_end(server)
 
-    def deadline_s(self, *, run: GatewayRun, service: ServiceName) -> float:
-        """Return the longest deadline that a run may have given a request, margin included.
+    def deadline_s(self, service: ServiceName) -> float:
+        """Return the longest deadline that a request may have, margin included, in seconds.
+
+        Former documents count: a request keeps the deadline that it was sent with.
 
-        :param run: the run; documents before the version that it reported no longer count.
         :param service: the service's name.
         """
-        deadlines = [
-            found.deadline_ms
-            for version in self._state.history
-            if version.version >= run.document_version
-            and (found := version.document.service(service)) is not None
-        ]
-        if not deadlines:
-            deadlines = [self._longest_deadline_ms(service)]
-        return max(deadlines) / 1_000 + self._timing.drift_s
-
-    def _longest_deadline_ms(self, service: ServiceName) -> int:
         found = [version.document.service(service) for version in self._state.history]
-        return max((known.deadline_ms for known in found if known is not None), default=0)
+        longest_ms = max((known.deadline_ms for known in found if known is not None), default=0)
+        return longest_ms / 1_000 + self._timing.drift_s
 
     def checks_tokens(self, *, ownership: Ownership, server: ServerId) -> bool:
         """Return whether every document since the transition began says that a server checks."""
--- a/packages/lychee-owner/tests/test_coordinator.py
+++ b/packages/lychee-owner/tests/test_coordinator.py
@@ -125,16 +125,32 @@
     assert leader.owner() in {"r1", "r2"}
 
 
-def test_a_run_is_committed_before_its_lease_and_must_have_applied_its_own_commit() -> None:
+def test_a_run_is_committed_and_knows_the_last_transition_before_its_lease() -> None:
     leader = Leader()
+    leader.run(3.0, "r1", gateway=False)
+    begun = leader.state.ownerships["repair-status"].fence
+    assert begun > 0
     leader.coordinator.attach(now=leader.now, gateway=GATEWAY)
     assert leader.renew() is None
     assert leader.tick() == [JoinGateway(gateway=GATEWAY)]
-    assert leader.renew(applied=1) is None
-    assert isinstance(leader.renew(), GrantLease)
+    assert leader.renew(applied=begun - 1) is None
+    assert isinstance(leader.renew(applied=begun), GrantLease)
     assert leader.renew("run-9") == EndSession(session="run-9")
 
 
+def test_a_run_that_returns_with_an_old_view_gets_no_lease() -> None:
+    leader = Leader()
+    leader.run(3.0, "r1", "r2")
+    view = leader.state.index
+    leader.tick(1.7)
+    owner = leader.owner()
+    leader.run(3.9, "r1" if owner == "r2" else "r2", gateway=False)
+    assert leader.owner() not in {owner, None}
+    leader.coordinator.attach(now=leader.now, gateway=GATEWAY)
+    leader.tick()
+    assert leader.renew(applied=view) is None
+
+
 def test_a_lost_run_stays_in_the_rule_until_its_requests_are_past_their_deadline() -> None:
     leader = Leader()
     leader.coordinator.attach(now=leader.now, gateway=GATEWAY)
