Let a stopping gateway hand its lease back

Cause: a stopped gateway's run delayed every move until its lease and a deadline were over. Change: RenewLease.ending; the coordinator counts the run as drained and removes it at once.

--- a/packages/lychee-owner/src/lychee_owner/gateways.py
+++ b/packages/lychee-owner/src/lychee_owner/gateways.py
@@ -29,7 +29,8 @@
     :param document_version: the document version that it has reported.
     :param drained: for each service the last transition that it has drained.
     :param reached: for each pending transition when the run first reported it as applied.
-    :param ending: whether a command to remove the run has been proposed.
+    :param ending: whether it gets no lease any more, as a command to remove it may be under way.
+    :param released: whether it has handed its lease back.
     """
 
     record: GatewayRecord
@@ -41,6 +42,7 @@
     drained: dict[ServiceName, LogIndex] = field(default_factory=dict)
     reached: dict[ServiceName, tuple[LogIndex, float]] = field(default_factory=dict)
     ending: bool = False
+    released: bool = False
 
 
 class GatewayRuns:
@@ -85,7 +87,9 @@
             self.runs[gateway.session] = GatewayRun(record=gateway, joined_at=now, lease_end=NEVER)
 
     def is_silent(self, *, now: float, run: GatewayRun) -> bool:
-        """Return whether a run's lease is over, or it has asked for none in a lease's time."""
+        """Return whether a run's lease is over or handed back, or was not asked for in time."""
+        if run.released:
+            return True
         return now >= max(run.lease_end, run.joined_at + self._timing.lease_s)
 
     def lost(self, session: SessionId) -> None:
@@ -110,6 +114,8 @@
         run = self.runs.get(renewal.session)
         if run is None and renewal.session in self._joining:
             return None
+        if run is not None and renewal.ending:
+            run.ending = run.released = True
         if run is None or run.ending:
             return EndSession(session=renewal.session)
         self._note(now=now, run=run, renewal=renewal)
--- a/packages/lychee-owner/src/lychee_owner/transitions.py
+++ b/packages/lychee-owner/src/lychee_owner/transitions.py
@@ -113,7 +113,7 @@
         pending = ownership.pending
         if pending is None:
             return False
-        if run.drained.get(ownership.service) == pending.begun:
+        if run.released or run.drained.get(ownership.service) == pending.begun:
             return True
         reached = run.reached.get(ownership.service)
         if reached is None or reached[0] != pending.begun:
--- a/packages/lychee-owner/tests/test_coordinator.py
+++ b/packages/lychee-owner/tests/test_coordinator.py
@@ -1,7 +1,7 @@
 """The leader's decisions, one case at a time."""
 
 from lychee_owner import ClusterState, Coordinator, hash_key
-from lychee_types.commands import JoinGateway, LoseServer, SubmitDocument
+from lychee_types.commands import JoinGateway, LoseGateway, LoseServer, SubmitDocument
 from lychee_types.document import Document, RequestKind, Service
 from lychee_types.messages import Announcement, Drained, EndSession, GrantLease, RenewLease
 from lychee_types.records import Endpoint, GatewayRecord, ServerRecord, ServerStatus
@@ -163,6 +163,15 @@
     assert leader.renew() == EndSession(session="run-1")
 
 
+def test_a_run_that_hands_its_lease_back_leaves_at_once() -> None:
+    leader = Leader()
+    leader.run(3.0, "r1", "r2")
+    ending = RenewLease(session="run-1", number=9, applied=1, document_version=1, ending=True)
+    answer = leader.coordinator.renew(now=leader.now, renewal=ending)
+    assert answer == EndSession(session="run-1")
+    assert leader.tick() == [LoseGateway(gateway="g1", session="run-1")]
+
+
 def test_a_run_at_another_endpoint_waits_until_the_keys_have_moved() -> None:
     leader = Leader()
     leader.run(3.0, "r1", "r2")
--- a/packages/lychee-types/src/lychee_types/messages.py
+++ b/packages/lychee-types/src/lychee_types/messages.py
@@ -66,6 +66,8 @@
     :param applied: the last log index applied.
     :param document_version: the document version in force at the gateway.
     :param drained: transitions for which the gateway is done with the old owners.
+    :param ending: the run ends: every request that it sent has been answered or is past its
+        deadline, it sends no more, and it hands its lease back.
     """
 
     session: SessionId
@@ -73,6 +75,7 @@
     applied: LogIndex
     document_version: int
     drained: tuple[Drained, ...] = ()
+    ending: bool = False
 
 
 class Announcement(Struct, frozen=True, kw_only=True):
