Add the soak: seeded schedules of faults, relays that cut directions, racing operators

Ruled out: one relay address per pair of processes; replicas learn each other's one address from the founding voters, so a relay finds out which process connects by its local port instead. Change: `lychee-bench soak` prints the schedule of its seed, kills, freezes, cuts, isolates, wipes a control replica's disk and replaces it, races operators, tells servers to leave, and lists what broke. The operators' client of lychee-runtime takes the place of the bench's own. The soak is not run yet: the daemons are not there.

--- a/packages/lychee-bench/src/lychee_bench/cli.py
+++ b/packages/lychee-bench/src/lychee_bench/cli.py
@@ -4,7 +4,7 @@
 
 import click
 
-COMMANDS = ("server", "demo")
+COMMANDS = ("server", "demo", "soak")
 """Names of the commands; each is a module of :mod:`lychee_bench.commands`."""
 
 
--- a/packages/lychee-bench/src/lychee_bench/demo.py
+++ b/packages/lychee-bench/src/lychee_bench/demo.py
@@ -6,7 +6,9 @@
 
 from msgspec import Struct
 
-from lychee_bench.deployment import Deployment, deployed, load_document, run_folder
+from lychee_bench.deployment import Deployment
+from lychee_bench.folder import load_document, run_folder
+from lychee_bench.launch import deployed
 from lychee_bench.load import Callers
 from lychee_bench.report import faults, make_report, show_services, show_table, show_verdict
 from lychee_bench.runs import read_runs
@@ -52,7 +54,7 @@
             exits = tuple(deployment.processes.unexpected)
         runs = read_runs(deployment.run_files())
         report = make_report(callers=callers, runs=runs, exits=exits)
-        reasons = faults(report, services=[group.service for group in plan.sizes.groups])
+        reasons = faults(report, spans=report.spans)
         out(show_services(report, callers.latency))
         out(show_table(report))
         folder.passed = not reasons
--- a/packages/lychee-bench/src/lychee_bench/deployment.py
+++ b/packages/lychee-bench/src/lychee_bench/deployment.py
@@ -1,44 +1,25 @@
 """A whole deployment on loopback: control replicas, gateways and stand-in servers."""
 
-import asyncio
-import io
 import shutil
-import tempfile
-import time
-from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager, contextmanager
+from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
 
-import msgspec
 from msgspec import Struct
-from ruamel.yaml import YAML
 
 from lychee_bench.balancer import Balancer, Entry
-from lychee_bench.http_client import (
-    ConnectionBrokenError,
-    ConnectionRefusedByPeerError,
-    connect,
-)
 from lychee_bench.load import Traffic
 from lychee_bench.operator import Operator
 from lychee_bench.ports import free_endpoints
-from lychee_bench.processes import Processes, executable, processes
+from lychee_bench.processes import Processes, executable
+from lychee_bench.relay import Network, Relay
 from lychee_bench.sizes import SPEEDS, ServerGroup, Sizes
 from lychee_types.document import BodyMode, Document, RequestKind, Service
-from lychee_types.exceptions import SettingsError, UnavailableError
+from lychee_types.exceptions import SettingsError
 from lychee_types.ids import DomainName, GatewayId, ReplicaId
-from lychee_types.messages import StatusReply
-from lychee_types.records import Endpoint, ServerStatus
+from lychee_types.records import Endpoint
 from lychee_types.settings import ControlSettings, GatewaySettings, PeerSettings
 from lychee_types.timing import Timing
-from lychee_types.yamlfile import read_yaml
-
-START_TIMEOUT_S = 40.0
-"""Time until a deployment serves every service, in seconds."""
-
-POLL_S = 0.1
-"""Time between two questions whether the deployment serves, in seconds."""
+from lychee_types.yamlfile import format_yaml
 
 
 class Server(Struct, frozen=True, kw_only=True):
@@ -73,14 +54,72 @@
         self.sizes = sizes
         self.timing = Timing()
         self._folder = folder
-        ports = iter(free_endpoints(sizes.controls + 2 * sizes.gateways + _server_count(sizes)))
-        self.controls = {f"c{n}": next(ports) for n in range(1, sizes.controls + 1)}
+        ports = iter(free_endpoints(2 * sizes.controls + 2 * sizes.gateways + _server_count(sizes)))
+        self.listens = {f"c{n}": next(ports) for n in range(1, sizes.controls + 1)}
+        self.controls = dict(self.listens)
         self.entries = tuple(
             Entry(name=f"g{n}", listen=next(ports), announce=next(ports))
             for n in range(1, sizes.gateways + 1)
         )
         self.servers = {server.name: server for server in self._plan_servers(ports)}
         self.operator = Operator(controls=tuple(self.controls.values()))
+        self._replica_of = {name: name for name in self.controls}
+
+    def use_relays(self, network: Network) -> tuple[Relay, ...]:
+        """Put a relay in front of each control replica; call it before the processes start.
+
+        :param network: which directions are cut.
+        """
+        ports = free_endpoints(len(self.listens))
+        self.controls = dict(zip(self.listens, ports, strict=True))
+        self.operator = Operator(controls=ports)
+        return tuple(
+            Relay(
+                name=name,
+                listen=self.controls[name],
+                target=self.listens[name],
+                network=network,
+                pids=self.pids,
+            )
+            for name in self.listens
+        )
+
+    def pids(self) -> dict[str, int]:
+        """Return the ids of the running control replicas and gateways by their place."""
+        names = (*self.controls, *(entry.name for entry in self.entries))
+        places = {name: self._replica_of.get(name, name) for name in names}
+        return {
+            name: self.processes.pid(process)
+            for name, process in places.items()
+            if process in self.processes.names
+        }
+
+    def process_name(self, place: str) -> str:
+        """Return the name of the process at a place; a replaced control replica has a new one."""
+        return self._replica_of.get(place, place)
+
+    def place_of(self, replica: ReplicaId) -> str:
+        """Return the place of a control replica."""
+        return next(place for place, name in self._replica_of.items() if name == replica)
+
+    async def replace_control(self, place: str, *, timeout_s: float) -> None:
+        """Start a new control replica at the place of a lost one, and let it take its part.
+
+        :param place: the place; its process must have ended.
+        :param timeout_s: time for the repair, in seconds.
+        :raises UnavailableError: if the repair takes longer.
+        """
+        old = self._replica_of[place]
+        shutil.rmtree(self._folder / old)
+        new = f"{place}-{len(list(self._folder.glob(f'{place}*.yaml'))) + 1}"
+        self._replica_of[place] = new
+        self._start_control(place, replicas=())
+        await self.operator.replace(
+            old=ReplicaId(old),
+            new=ReplicaId(new),
+            endpoint=self.controls[place],
+            timeout_s=timeout_s,
+        )
 
     def _plan_servers(self, ports: Iterator[Endpoint]) -> Iterator[Server]:
         for group in self.sizes.groups:
@@ -106,23 +145,24 @@
 
     def start_controls(self) -> None:
         """Start the control replicas."""
-        for name in self.controls:
-            settings = ControlSettings(
-                id=ReplicaId(name),
-                listen=self.controls[name],
-                domain=self._domain(int(name[1:])),
-                data=str(self._folder / name),
-                replicas=self.peers(name),
-                timing=self.timing,
-            )
-            self._start_daemon("lychee-control", name, settings)
-
-    def peers(self, name: str) -> tuple[PeerSettings, ...]:
-        """Return the first voters as one replica reaches them."""
-        return tuple(
-            PeerSettings(id=ReplicaId(peer), endpoint=endpoint)
-            for peer, endpoint in self.controls.items()
+        replicas = tuple(
+            PeerSettings(id=ReplicaId(name), endpoint=endpoint)
+            for name, endpoint in self.controls.items()
+        )
+        for place in self.controls:
+            self._start_control(place, replicas=replicas)
+
+    def _start_control(self, place: str, *, replicas: tuple[PeerSettings, ...]) -> None:
+        name = self._replica_of[place]
+        settings = ControlSettings(
+            id=ReplicaId(name),
+            listen=self.listens[place],
+            domain=self._domain(int(place[1:])),
+            data=str(self._folder / name),
+            replicas=replicas,
+            timing=self.timing,
         )
+        self._start_daemon("lychee-control", name, settings)
 
     def start_gateways(self) -> None:
         """Start the gateways."""
@@ -172,80 +212,13 @@
     def _domain(self, number: int) -> DomainName:
         return self.document.domains[(number - 1) % len(self.document.domains)]
 
-    def _start_daemon(self, program: str, name: str, settings: Any) -> None:
+    def _start_daemon(
+        self, program: str, name: str, settings: ControlSettings | GatewaySettings
+    ) -> None:
         path = self._folder / f"{name}.yaml"
-        path.write_text(to_yaml(settings), encoding="utf-8")
+        path.write_text(format_yaml(settings), encoding="utf-8")
         self.processes.start(name, (executable(program), "--settings", str(path)))
 
-    async def submit_first(self) -> None:
-        """Submit the document to the empty deployment.
-
-        :raises UnavailableError: if it is not accepted in time.
-        """
-        record = await self.operator.submit(
-            self.document,
-            submission="bench-first",
-            based_on=0,
-            author="bench",
-            timeout_s=START_TIMEOUT_S,
-        )
-        if not record.accepted:
-            raise UnavailableError(message=f"the document lost: {record}", remedy="read the logs")
-
-    async def wait_until_served(self) -> None:
-        """Wait until every server has joined and each gateway answers for each service.
-
-        :raises UnavailableError: if that does not come about in time.
-        """
-        until = time.monotonic() + START_TIMEOUT_S
-        missing = "nothing was seen"
-        while time.monotonic() < until:
-            self.processes.check()
-            if self.processes.unexpected:
-                raise UnavailableError(
-                    message=f"a process died: {self.processes.unexpected}", remedy="read its log"
-                )
-            missing = await self._missing()
-            if not missing:
-                return
-            await asyncio.sleep(POLL_S)
-        raise UnavailableError(message=f"not served: {missing}", remedy="read the logs")
-
-    async def _missing(self) -> str:
-        try:
-            status = await self.operator.status(timeout_s=5.0)
-        except UnavailableError as exc:
-            return exc.message
-        return self._missing_in(status) or await self._missing_at_gateways()
-
-    def _missing_in(self, status: StatusReply) -> str:
-        joined = {
-            state.record.id
-            for state in status.servers
-            if state.record.status is ServerStatus.JOINED
-        }
-        absent = sorted(set(self.servers) - joined)
-        if absent:
-            return f"servers that have not joined: {', '.join(absent)}"
-        moving = [state.name for state in status.services if state.moving]
-        return f"keys that move: {', '.join(moving)}" if moving else ""
-
-    async def _missing_at_gateways(self) -> str:
-        for entry in self.entries:
-            for item in self.document.services:
-                try:
-                    async with asyncio.timeout(item.deadline_ms / 1_000 + 1):
-                        conn = await connect(entry.listen)
-                        answer = await conn.request(
-                            method="GET", target=f"{item.path}first", headers={}
-                        )
-                        conn.close()
-                except (TimeoutError, ConnectionBrokenError, ConnectionRefusedByPeerError) as exc:
-                    return f"{item.name} at {entry.name}: {type(exc).__name__} {exc}"
-                if answer.status != 200:
-                    return f"{item.name} at {entry.name}: {answer.status} {answer.body[:200]!r}"
-        return ""
-
     def traffic(self, *, factor: float = 1.0) -> tuple[Traffic, ...]:
         """Return the callers' requests for every service.
 
@@ -277,60 +250,3 @@
 
 def _server_count(sizes: Sizes) -> int:
     return sum(group.count for group in sizes.groups)
-
-
-def to_yaml(value: Any) -> str:
-    """Return a typed value as YAML text."""
-    text = io.StringIO()
-    YAML(typ="safe", pure=True).dump(msgspec.to_builtins(value), text)
-    return text.getvalue()
-
-
-def load_document(path: Path) -> Document:
-    """Return the document in a file.
-
-    :raises SettingsError: if the file holds none.
-    """
-    result = read_yaml(path, Document)
-    if result.is_error():
-        faults = "; ".join(fault.show() for fault in result.error)
-        raise SettingsError(message=f"{path} cannot be used: {faults}", remedy="correct the file")
-    return result.ok
-
-
-class RunFolder:
-    """The folder of one run.
-
-    :param path: the folder.
-    """
-
-    def __init__(self, *, path: Path) -> None:
-        self.path = path
-        self.passed = False
-
-
-@contextmanager
-def run_folder() -> Iterator[RunFolder]:
-    """Create a folder for one run; it is removed at the end if the run has passed."""
-    folder = RunFolder(path=Path(tempfile.mkdtemp(prefix="lychee-bench-")))
-    try:
-        yield folder
-    finally:
-        if folder.passed:
-            shutil.rmtree(folder.path, ignore_errors=True)
-
-
-@asynccontextmanager
-async def deployed(*, folder: Path, sizes: Sizes, document: Document) -> AsyncIterator[Deployment]:
-    """Run a deployment until the block ends; it serves when the block begins.
-
-    :raises UnavailableError: if it does not serve in time.
-    """
-    with processes(folder) as group:
-        deployment = Deployment(folder=folder, sizes=sizes, document=document, group=group)
-        deployment.start_controls()
-        deployment.start_gateways()
-        deployment.start_servers()
-        await deployment.submit_first()
-        await deployment.wait_until_served()
-        yield deployment
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/injector.py
@@ -0,0 +1,229 @@
+"""Carrying out of planned faults on a running deployment."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from msgspec import structs
+
+from lychee_bench.audit import Breach
+from lychee_bench.deployment import Deployment
+from lychee_bench.documents import DocumentBook
+from lychee_bench.relay import Direction, Network
+from lychee_bench.schedule import (
+    Cut,
+    Fault,
+    Freeze,
+    Isolate,
+    Kill,
+    Leave,
+    Race,
+    Wipe,
+    describe,
+)
+from lychee_types.document import Document
+from lychee_types.document_edit import with_leaving
+from lychee_types.exceptions import UnavailableError
+from lychee_types.ids import ServerId
+
+REPAIR_S = 20.0
+"""Time for the replacement of a control replica, in seconds."""
+
+ANSWER_S = 15.0
+"""Time for an operator's request, in seconds."""
+
+LEAVING_S = 4.0
+"""Time after which a leaving server gets no new work, in seconds."""
+
+LOST_ANSWER_S = 0.05
+"""Time after which an operator loses the answer and resends the form, in seconds."""
+
+DOWN_AFTER_REPAIR_S = 2.0
+"""How long the second control replica is down that is lost after a repair, in seconds."""
+
+NOT_REPAIRED = "a lost control replica was not replaced"
+NOT_ANSWERED = "operators got no answer"
+
+
+class LeavingSpan:
+    """Time in which a server must get no new work.
+
+    :param server: its id.
+    :param began: wall time from which it must not, in seconds.
+    """
+
+    def __init__(self, *, server: str, began: float) -> None:
+        self.server = server
+        self.began = began
+        self.ended = float("inf")
+
+
+class Injector:
+    """Carries out faults and notes what operators were told.
+
+    :param deployment: the deployment.
+    :param network: the network between its processes.
+    :param out: takes the lines to print.
+    """
+
+    def __init__(
+        self, *, deployment: Deployment, network: Network, out: Callable[[str], None]
+    ) -> None:
+        self.book = DocumentBook()
+        self.breaches: list[Breach] = []
+        self.leaving: list[LeavingSpan] = []
+        self.windows: dict[Fault, tuple[float, float]] = {}
+        self._deployment = deployment
+        self._network = network
+        self._out = out
+        self._submissions = 0
+        self._began = 0.0
+
+    async def run(self, faults: tuple[Fault, ...]) -> None:
+        """Carry out a schedule that begins now."""
+        self._began = time.monotonic()
+        async with asyncio.TaskGroup() as tasks:
+            for fault in faults:
+                tasks.create_task(self._carry_out(fault))
+
+    async def watch(self) -> None:
+        """Note the versions in force until cancelled."""
+        while True:
+            try:
+                self.book.note_status(await self._deployment.operator.status(timeout_s=5.0))
+            except UnavailableError:
+                pass
+            await asyncio.sleep(0.5)
+
+    async def check_documents(self) -> None:
+        """Compare every accepted document with the one that is kept."""
+        for version in sorted(self.book.accepted):
+            try:
+                reply = await self._deployment.operator.show(version, timeout_s=ANSWER_S)
+                self.book.note_shown(version, reply.document)
+            except UnavailableError as exc:
+                self._broken(NOT_ANSWERED, f"version {version}: {exc.message}")
+
+    async def _carry_out(self, fault: Fault) -> None:
+        await asyncio.sleep(max(0.0, self._began + fault.at - time.monotonic()))
+        self._out(f"{time.monotonic() - self._began:7.2f} s: {describe(fault.action)}")
+        began = time.monotonic()
+        try:
+            await self._act(fault)
+        except UnavailableError as exc:
+            self._broken(NOT_ANSWERED, f"{describe(fault.action)}: {exc.message}")
+        self.windows[fault] = (began, time.monotonic())
+        self._out(f"{time.monotonic() - self._began:7.2f} s: over: {describe(fault.action)}")
+
+    async def _act(self, fault: Fault) -> None:
+        match fault.action:
+            case Kill(process=process):
+                await self._kill(process, fault.lasts)
+            case Freeze(process=process):
+                name = self._deployment.process_name(process)
+                self._deployment.processes.freeze(name)
+                await asyncio.sleep(fault.lasts)
+                self._deployment.processes.thaw(name)
+            case Cut(process=process, control=control, there=there, back=back):
+                ways = (
+                    Direction(source=process, target=control),
+                    Direction(source=control, target=process),
+                )
+                chosen = [way for way, cut in zip(ways, (there, back), strict=True) if cut]
+                await self._cut(tuple(chosen), fault.lasts)
+            case Isolate(control=control):
+                await self._cut(self._around(control), fault.lasts)
+            case Wipe(control=control, then=then):
+                await self._wipe(control, then)
+            case Race(operators=operators):
+                await self._race(operators)
+            case Leave(server=server):
+                await self._leave(server, fault.lasts)
+
+    async def _kill(self, place: str, seconds: float) -> None:
+        name = self._deployment.process_name(place)
+        self._deployment.processes.kill(name)
+        await asyncio.sleep(seconds)
+        self._deployment.processes.restart(name)
+
+    async def _cut(self, ways: tuple[Direction, ...], seconds: float) -> None:
+        self._network.cut(*ways)
+        await asyncio.sleep(seconds)
+        self._network.heal(*ways)
+
+    def _around(self, control: str) -> tuple[Direction, ...]:
+        deployment = self._deployment
+        others = [name for name in deployment.controls if name != control]
+        others += [entry.name for entry in deployment.entries]
+        there = [Direction(source=other, target=control) for other in others]
+        back = [Direction(source=control, target=other) for other in others]
+        return (*there, *back)
+
+    async def _wipe(self, place: str, then: str | None) -> None:
+        self._deployment.processes.kill(self._deployment.process_name(place))
+        await asyncio.sleep(1.0)
+        try:
+            await self._deployment.replace_control(place, timeout_s=REPAIR_S)
+        except UnavailableError as exc:
+            self._broken(NOT_REPAIRED, exc.message)
+        if then is not None:
+            self._out(f"{time.monotonic() - self._began:7.2f} s: repaired; killing {then}")
+            await self._kill(then, DOWN_AFTER_REPAIR_S)
+
+    async def _race(self, operators: int) -> None:
+        shown = await self._deployment.operator.show(0, timeout_s=ANSWER_S)
+        if shown.document is None:
+            self._broken(NOT_ANSWERED, "no document is in force")
+            return
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(operators):
+                document = self._with_own_change(shown.document)
+                tasks.create_task(self._submit(document, shown.version))
+
+    def _with_own_change(self, document: Document) -> Document:
+        first, *rest = document.services
+        changed = structs.replace(first, queue=first.queue + 1 + self._submissions)
+        self._submissions += 1
+        return structs.replace(document, services=(changed, *rest))
+
+    async def _submit(self, document: Document, based_on: int) -> bool:
+        """Submit a document twice under one id; the first answer may be lost."""
+        self._submissions += 1
+        submission = f"bench-{self._submissions}"
+        operator = self._deployment.operator
+        accepted = False
+        for timeout_s in (LOST_ANSWER_S, ANSWER_S, ANSWER_S):
+            try:
+                record = await operator.submit(
+                    document,
+                    submission=submission,
+                    based_on=based_on,
+                    author=f"operator {submission}",
+                    timeout_s=timeout_s,
+                )
+            except UnavailableError:
+                if timeout_s == LOST_ANSWER_S:
+                    continue
+                raise
+            self.book.note_answer(record, document)
+            accepted = record.accepted
+        return accepted
+
+    async def _leave(self, server: str, seconds: float) -> None:
+        await self._set_leaving(server, leaving=True)
+        span = LeavingSpan(server=server, began=time.time() + LEAVING_S)
+        self.leaving.append(span)
+        await asyncio.sleep(seconds)
+        span.ended = time.time()
+        await self._set_leaving(server, leaving=False)
+
+    async def _set_leaving(self, server: str, *, leaving: bool) -> None:
+        while True:
+            shown = await self._deployment.operator.show(0, timeout_s=ANSWER_S)
+            assert shown.document is not None
+            document = with_leaving(shown.document, ServerId(server), leaving=leaving)
+            if await self._submit(document, shown.version):
+                return
+
+    def _broken(self, kind: str, detail: str) -> None:
+        self.breaches.append(Breach(kind=kind, detail=detail))
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/launch.py
@@ -0,0 +1,124 @@
+"""Starting a deployment, and waiting until it serves."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from lychee_bench.deployment import Deployment
+from lychee_bench.http_client import (
+    ConnectionBrokenError,
+    ConnectionRefusedByPeerError,
+    connect,
+)
+from lychee_bench.processes import processes
+from lychee_bench.relay import Network
+from lychee_bench.relay import running as running_relays
+from lychee_bench.sizes import Sizes
+from lychee_types.document import Document
+from lychee_types.exceptions import UnavailableError
+from lychee_types.messages import StatusReply
+from lychee_types.records import ServerStatus
+
+START_TIMEOUT_S = 40.0
+"""Time until a deployment serves every service, in seconds."""
+
+POLL_S = 0.1
+"""Time between two questions whether the deployment serves, in seconds."""
+
+
+@asynccontextmanager
+async def deployed(
+    *, folder: Path, sizes: Sizes, document: Document, network: Network | None = None
+) -> AsyncIterator[Deployment]:
+    """Run a deployment until the block ends; it serves when the block begins.
+
+    :param folder: the run's folder.
+    :param sizes: how many processes of each kind.
+    :param document: the operators' document.
+    :param network: relays are put in front of the control replicas if it is given.
+    :raises UnavailableError: if it does not serve in time.
+    """
+    with processes(folder) as group:
+        deployment = Deployment(folder=folder, sizes=sizes, document=document, group=group)
+        relays = () if network is None else deployment.use_relays(network)
+        async with running_relays(relays):
+            deployment.start_controls()
+            deployment.start_gateways()
+            deployment.start_servers()
+            await submit_first(deployment)
+            await wait_until_served(deployment)
+            yield deployment
+
+
+async def submit_first(deployment: Deployment) -> None:
+    """Submit the document to the empty deployment.
+
+    :raises UnavailableError: if it is not accepted in time.
+    """
+    record = await deployment.operator.submit(
+        deployment.document,
+        submission="bench-first",
+        based_on=0,
+        author="bench",
+        timeout_s=START_TIMEOUT_S,
+    )
+    if not record.accepted:
+        raise UnavailableError(message=f"the document lost: {record}", remedy="read the logs")
+
+
+async def wait_until_served(deployment: Deployment) -> None:
+    """Wait until every server has joined and each gateway answers for each service.
+
+    :raises UnavailableError: if that does not come about in time.
+    """
+    until = time.monotonic() + START_TIMEOUT_S
+    missing = "nothing was seen"
+    while time.monotonic() < until:
+        deployment.processes.check()
+        if deployment.processes.unexpected:
+            raise UnavailableError(
+                message=f"a process died: {deployment.processes.unexpected}", remedy="read its log"
+            )
+        missing = await _missing(deployment)
+        if not missing:
+            return
+        await asyncio.sleep(POLL_S)
+    raise UnavailableError(message=f"not served: {missing}", remedy="read the logs")
+
+
+async def _missing(deployment: Deployment) -> str:
+    try:
+        status = await deployment.operator.status(timeout_s=5.0)
+    except UnavailableError as exc:
+        return exc.message
+    return _missing_in(deployment, status) or await _missing_at_gateways(deployment)
+
+
+def _missing_in(deployment: Deployment, status: StatusReply) -> str:
+    joined = {
+        state.record.id for state in status.servers if state.record.status is ServerStatus.JOINED
+    }
+    absent = sorted(set(deployment.servers) - joined)
+    if absent:
+        return f"servers that have not joined: {', '.join(absent)}"
+    moving = [state.name for state in status.services if state.moving]
+    return f"keys that move: {', '.join(moving)}" if moving else ""
+
+
+async def _missing_at_gateways(deployment: Deployment) -> str:
+    for entry in deployment.entries:
+        for item in deployment.document.services:
+            try:
+                async with asyncio.timeout(item.deadline_ms / 1_000 + 1):
+                    conn = await connect(entry.listen)
+                    answer = await conn.request(
+                        method="GET", target=f"{item.path}first", headers={}
+                    )
+                    conn.close()
+            except (TimeoutError, ConnectionBrokenError, ConnectionRefusedByPeerError) as exc:
+                return f"{item.name} at {entry.name}: {type(exc).__name__} {exc}"
+            if answer.status != 200:
+                return f"{item.name} at {entry.name}: {answer.status} {answer.body[:200]!r}"
+    return ""
--- a/packages/lychee-bench/src/lychee_bench/operator.py
+++ b/packages/lychee-bench/src/lychee_bench/operator.py
@@ -1,42 +1,31 @@
-"""An operator's program that talks to the control replicas."""
+"""An operator who asks until the control replicas have answered."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from lychee_runtime import open_link
+from lychee_runtime import OperatorClient
 from lychee_types.document import Document
-from lychee_types.exceptions import UnavailableError
-from lychee_types.messages import (
-    OPERATE,
-    OperatorReply,
-    OperatorRequest,
-    Refused,
-    StatusReply,
-    StatusRequest,
-    SubmitReply,
-    SubmitRequest,
-)
+from lychee_types.exceptions import LycheeError, UnavailableError
+from lychee_types.ids import ReplicaId
+from lychee_types.messages import ShowReply, StatusReply
 from lychee_types.records import Endpoint
 from lychee_types.state import SubmissionRecord
 
-ANSWER_TIMEOUT_S = 3.0
-"""Time for one control replica to answer, in seconds."""
-
 PAUSE_S = 0.1
-"""Wait after all control replicas have refused, in seconds."""
+"""Wait after a request that was refused or not answered, in seconds."""
 
 T = TypeVar("T")
 
 
 class Operator:
-    """Asks control replicas until the leader has answered.
+    """Asks the same again until it is answered.
 
-    :param controls: their addresses.
+    :param controls: addresses of the control replicas.
     """
 
     def __init__(self, *, controls: tuple[Endpoint, ...]) -> None:
-        self._controls = controls
-        self._turn = 0
+        self._client = OperatorClient(control=controls)
 
     async def submit(
         self, document: Document, *, submission: str, based_on: int, author: str, timeout_s: float
@@ -45,58 +34,51 @@
 
         :raises UnavailableError: if there is no answer in time.
         """
-        request = SubmitRequest(
-            submission=submission, based_on=based_on, author=author, document=document
+        return await _until_answered(
+            lambda: self._client.submit(
+                submission=submission, based_on=based_on, author=author, document=document
+            ),
+            timeout_s,
         )
-        return (await self.ask(request, SubmitReply, timeout_s=timeout_s)).record
 
     async def status(self, *, timeout_s: float) -> StatusReply:
         """Return how the deployment is.
 
         :raises UnavailableError: if there is no answer in time.
         """
-        return await self.ask(StatusRequest(), StatusReply, timeout_s=timeout_s)
+        return await _until_answered(self._client.status, timeout_s)
 
-    async def ask(self, request: OperatorRequest, kind: type[T], *, timeout_s: float) -> T:
-        """Return the reply of the leader.
+    async def show(self, version: int, *, timeout_s: float) -> ShowReply:
+        """Return a version of the document, 0 for the one in force.
 
-        :param request: what is asked.
-        :param kind: type of the reply.
-        :param timeout_s: time for all attempts, in seconds.
-        :raises UnavailableError: if there is no such reply in time.
+        :raises UnavailableError: if there is no answer in time.
         """
-        last = "nobody was asked"
-        try:
-            async with asyncio.timeout(timeout_s):
-                endpoint = self._next()
-                while True:
-                    reply = await self._ask_once(endpoint, request)
-                    if isinstance(reply, kind):
-                        return reply
-                    last = f"{endpoint}: {reply}"
-                    leader = reply.leader if isinstance(reply, Refused) else None
-                    endpoint = leader or self._next()
-                    await asyncio.sleep(PAUSE_S)
-        except TimeoutError as exc:
-            raise UnavailableError(
-                message=f"no {kind.__name__} within {timeout_s:g} s; last: {last}",
-                remedy="read the logs of the control replicas",
-            ) from exc
-
-    def _next(self) -> Endpoint:
-        self._turn += 1
-        return self._controls[self._turn % len(self._controls)]
-
-    async def _ask_once(self, endpoint: Endpoint, request: OperatorRequest) -> OperatorReply | str:
-        try:
-            async with (
-                asyncio.timeout(ANSWER_TIMEOUT_S),
-                open_link(
-                    endpoint=endpoint, method=OPERATE, send=OperatorRequest, receive=OperatorReply
-                ) as link,
-            ):
-                link.post(request)
-                replies: tuple[OperatorReply, ...] = await link.receive()
-                return replies[0] if replies else "the stream ended"
-        except (UnavailableError, TimeoutError) as exc:
-            return f"{type(exc).__name__} {exc}"
+        return await _until_answered(lambda: self._client.show(version=version), timeout_s)
+
+    async def replace(
+        self, *, old: ReplicaId, new: ReplicaId, endpoint: Endpoint, timeout_s: float
+    ) -> tuple[ReplicaId, ...]:
+        """Replace a control replica and return the voters.
+
+        :raises UnavailableError: if there is no answer in time.
+        """
+        return await _until_answered(
+            lambda: self._client.replace(old=old, new=new, endpoint=endpoint), timeout_s
+        )
+
+
+async def _until_answered(work: Callable[[], Awaitable[T]], timeout_s: float) -> T:
+    last = "nothing was answered"
+    try:
+        async with asyncio.timeout(timeout_s):
+            while True:
+                try:
+                    return await work()
+                except LycheeError as exc:
+                    last = str(exc)
+                await asyncio.sleep(PAUSE_S)
+    except TimeoutError as exc:
+        raise UnavailableError(
+            message=f"no answer of the control replicas within {timeout_s:g} s; last: {last}",
+            remedy="read the logs of the control replicas",
+        ) from exc
--- a/packages/lychee-bench/src/lychee_bench/report.py
+++ b/packages/lychee-bench/src/lychee_bench/report.py
@@ -36,6 +36,7 @@
     :param spans: spans in which callers were not served.
     :param exits: processes that died without our doing.
     :param breaches: broken promises.
+    :param services: services that were asked.
     """
 
     calls: tuple[Call, ...]
@@ -43,6 +44,7 @@
     spans: tuple[Span, ...]
     exits: tuple[Exit, ...]
     breaches: tuple[Breach, ...]
+    services: tuple[str, ...]
 
     def told(self, outcome: Outcome, service: str | None = None) -> int:
         """Return how many requests ended so."""
@@ -64,6 +66,7 @@
         spans=tuple(callers.availability.spans),
         exits=tuple(exits),
         breaches=audit(calls=callers.calls, runs=runs),
+        services=tuple(callers.latency),
     )
 
 
@@ -96,22 +99,22 @@
     return "\n".join(lines)
 
 
-def faults(report: Report, *, services: Iterable[str]) -> list[str]:
+def faults(report: Report, *, spans: Iterable[Span]) -> list[str]:
     """Return why the run failed; empty if it is ok.
 
     :param report: the run.
-    :param services: services of which answers are expected.
+    :param spans: unavailable spans to which the bound applies.
     """
     reasons = [f"{breach.kind}: {breach.detail}" for breach in report.breaches]
     reasons += [f"{item.name} died with code {item.code}, see {item.log}" for item in report.exits]
     reasons += [
         f"no answer of {service}"
-        for service in services
+        for service in report.services
         if not report.told(Outcome.ANSWERED, service)
     ]
     reasons += [
         f"{span.group} was unavailable for {span.length:.2f} s"
-        for span in report.spans
+        for span in spans
         if span.length > SERVED_AGAIN_S
     ]
     return reasons
--- a/packages/lychee-bench/src/lychee_bench/sizes.py
+++ b/packages/lychee-bench/src/lychee_bench/sizes.py
@@ -1,6 +1,6 @@
 """The users' deployments at today's sizes."""
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 SPEEDS = (0.5, 1.0, 1.0, 1.5, 2.0)
 """Speeds of the servers of a group, in turn; they differ by a factor of 4."""
@@ -103,3 +103,13 @@
 
 USERS = {"skaft": SKAFT, "kemer": KEMER}
 """Sizes by the user's short name."""
+
+
+def halved(sizes: Sizes) -> Sizes:
+    """Return a deployment with half the servers."""
+    groups = tuple(structs.replace(group, count=group.count // 2) for group in sizes.groups)
+    return structs.replace(sizes, groups=groups)
+
+
+SOAK_USERS = {name: halved(sizes) for name, sizes in USERS.items()}
+"""Sizes for long runs, by the user's short name."""
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/soak.py
@@ -0,0 +1,164 @@
+"""A randomised run of a whole deployment under faults."""
+
+import asyncio
+from collections.abc import Callable, Iterator, Sequence
+from pathlib import Path
+
+from msgspec import Struct
+
+from lychee_bench.audit import Breach
+from lychee_bench.availability import Span
+from lychee_bench.deployment import Deployment
+from lychee_bench.folder import load_document, run_folder
+from lychee_bench.injector import Injector, LeavingSpan
+from lychee_bench.launch import deployed, wait_until_served
+from lychee_bench.load import Callers
+from lychee_bench.relay import Network
+from lychee_bench.report import (
+    Report,
+    faults,
+    make_report,
+    show_services,
+    show_table,
+    show_verdict,
+)
+from lychee_bench.runs import Run, read_runs
+from lychee_bench.schedule import (
+    RECOVERY_S,
+    Fault,
+    Roster,
+    describe,
+    make_schedule,
+    show_schedule,
+)
+from lychee_bench.sizes import Sizes
+from lychee_types.exceptions import UnavailableError
+from lychee_types.timing import SERVED_AGAIN_S
+
+WORK_WHILE_LEAVING = "a leaving server got new work"
+NOT_SERVED_AFTERWARDS = "not served after the faults"
+
+
+class SoakPlan(Struct, frozen=True, kw_only=True):
+    """What a soak runs.
+
+    :param sizes: the deployment.
+    :param document: file with the operators' document.
+    :param seconds: how long requests are sent.
+    :param seed: seed of faults, arrivals and keys.
+    :param rate: factor on the sizes' rates of requests.
+    """
+
+    sizes: Sizes
+    document: Path
+    seconds: float
+    seed: int
+    rate: float
+
+
+async def run_soak(plan: SoakPlan, *, out: Callable[[str], None]) -> bool:
+    """Run a soak and return whether every invariant held.
+
+    :param plan: what to run.
+    :param out: takes the lines to print.
+    """
+    document = load_document(plan.document)
+    network = Network()
+    with run_folder() as folder:
+        async with deployed(
+            folder=folder.path, sizes=plan.sizes, document=document, network=network
+        ) as deployment:
+            schedule = make_schedule(
+                seed=plan.seed, seconds=plan.seconds, roster=make_roster(deployment)
+            )
+            out(f"seed {plan.seed}, run folder {folder.path}\n{show_schedule(schedule)}")
+            injector = Injector(deployment=deployment, network=network, out=out)
+            callers = await _send(deployment, injector, plan, schedule)
+            afterwards = await _check_afterwards(deployment, injector)
+            exits = tuple(deployment.processes.unexpected)
+        runs = read_runs(deployment.run_files())
+        report = make_report(callers=callers, runs=runs, exits=exits)
+        breaches = [*injector.breaches, *injector.book.breaches, *afterwards]
+        breaches += work_while_leaving(runs, injector.leaving)
+        reasons = [f"{breach.kind}: {breach.detail}" for breach in breaches]
+        reasons += faults(report, spans=_single_fault_spans(report, injector))
+        out(show_services(report, callers.latency))
+        out(show_table(report))
+        out(show_spans(report, injector))
+        folder.passed = not reasons
+        if reasons:
+            out(f"logs kept in {folder.path}")
+        out(show_verdict(reasons))
+        return not reasons
+
+
+def make_roster(deployment: Deployment) -> Roster:
+    """Return what faults may hit in a deployment."""
+    return Roster(
+        controls=tuple(deployment.controls),
+        gateways=tuple(entry.name for entry in deployment.entries),
+        servers=tuple(deployment.servers),
+    )
+
+
+async def _send(
+    deployment: Deployment, injector: Injector, plan: SoakPlan, schedule: tuple[Fault, ...]
+) -> Callers:
+    balancer = deployment.balancer()
+    callers = Callers(
+        balancer=balancer, traffic=deployment.traffic(factor=plan.rate), seed=plan.seed
+    )
+    watching = [asyncio.create_task(balancer.watch()), asyncio.create_task(injector.watch())]
+    injecting = asyncio.create_task(injector.run(schedule))
+    try:
+        await callers.run(plan.seconds)
+        await injecting
+    finally:
+        tasks = [*watching, injecting]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    return callers
+
+
+async def _check_afterwards(deployment: Deployment, injector: Injector) -> list[Breach]:
+    try:
+        await wait_until_served(deployment)
+    except UnavailableError as exc:
+        return [Breach(kind=NOT_SERVED_AFTERWARDS, detail=exc.message)]
+    finally:
+        await injector.check_documents()
+    return []
+
+
+def work_while_leaving(runs: Sequence[Run], spans: Sequence[LeavingSpan]) -> Iterator[Breach]:
+    """Yield the runs that began while their server had to get no new work."""
+    for span in spans:
+        for run in runs:
+            if run.server == span.server and span.began < run.began.at < span.ended:
+                detail = f"{run.server} request {run.began.request} at {run.began.at:.3f}"
+                yield Breach(kind=WORK_WHILE_LEAVING, detail=detail)
+
+
+def active_faults(span: Span, windows: dict[Fault, tuple[float, float]]) -> list[Fault]:
+    """Return the faults whose consequences may show in a span."""
+    return [
+        fault
+        for fault, (began, ended) in windows.items()
+        if began < span.ended and span.began < ended + RECOVERY_S
+    ]
+
+
+def _single_fault_spans(report: Report, injector: Injector) -> tuple[Span, ...]:
+    return tuple(span for span in report.spans if len(active_faults(span, injector.windows)) <= 1)
+
+
+def show_spans(report: Report, injector: Injector) -> str:
+    """Return the longest unavailable spans with the faults that were active."""
+    spans = sorted(report.spans, key=lambda span: -span.length)
+    lines = [f"unavailable spans: {len(spans)}, bound {SERVED_AGAIN_S:g} s under a single fault"]
+    for span in spans[:5]:
+        active = active_faults(span, injector.windows)
+        shown = " + ".join(describe(fault.action) for fault in active) or "no fault"
+        lines.append(f"  {span.length:6.2f} s {span.group}: {shown}")
+    return "\n".join(lines)
--- /dev/null
+++ b/packages/lychee-bench/tests/test_faults.py
@@ -0,0 +1,136 @@
+"""Schedules, relays, processes and the book of documents."""
+
+import asyncio
+import os
+import sys
+
+import pytest
+import uvloop
+
+from lychee_bench.documents import CHANGED_ANSWER, DIFFERENT, MISSING, REVERTED, DocumentBook
+from lychee_bench.ports import free_endpoints
+from lychee_bench.processes import processes
+from lychee_bench.relay import Direction, Network, Relay, find_process, running
+from lychee_bench.schedule import Roster, make_schedule, show_schedule
+from lychee_types.document import Document
+from lychee_types.messages import StatusReply
+from lychee_types.state import SubmissionRecord
+
+ROSTER = Roster(controls=("c1", "c2", "c3"), gateways=("g1", "g2"), servers=("s1", "s2"))
+
+
+def test_a_seed_gives_one_schedule() -> None:
+    first, second, other = (
+        show_schedule(make_schedule(seed=seed, seconds=120, roster=ROSTER)) for seed in (1, 1, 2)
+    )
+    assert first == second != other
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_every_fault_ends_within_the_run(seed) -> None:
+    schedule = make_schedule(seed=seed, seconds=90, roster=ROSTER)
+    assert schedule
+    assert all(0 < fault.at and fault.until < 90 for fault in schedule)
+
+
+async def echo(reader, writer) -> None:
+    while data := await reader.read(100):
+        writer.write(data)
+
+
+async def relayed(steps) -> None:
+    listen, target = free_endpoints(2)
+    network = Network()
+    relay = Relay(
+        name="c1", listen=listen, target=target, network=network, pids=lambda: {"me": os.getpid()}
+    )
+    server = await asyncio.start_server(echo, target.host, target.port)
+    async with running((relay,)):
+        reader, writer = await asyncio.open_connection(listen.host, listen.port)
+        await asyncio.wait_for(steps(network, reader, writer), 10)
+        writer.close()
+    assert relay.carried == {"me": 1}
+    server.close()
+
+
+@pytest.mark.parametrize(
+    "way", [Direction(source="me", target="c1"), Direction(source="c1", target="me")]
+)
+def test_a_cut_holds_bytes_until_it_heals(way) -> None:
+    async def steps(network, reader, writer):
+        writer.write(b"one")
+        assert await reader.readexactly(3) == b"one"
+        network.cut(way)
+        writer.write(b"two")
+        reading = asyncio.create_task(reader.readexactly(3))
+        await asyncio.sleep(0.2)
+        assert not reading.done()
+        network.heal(way)
+        assert await reading == b"two"
+
+    uvloop.run(relayed(steps))
+
+
+def test_a_port_of_no_process_has_no_name() -> None:
+    (endpoint,) = free_endpoints(1)
+    assert find_process(endpoint.port, {"me": os.getpid()}) == "unknown"
+
+
+def test_every_process_is_ended_and_a_death_is_noted(tmp_path) -> None:
+    sleep = (sys.executable, "-c", "import time; time.sleep(60)")
+    fail = (sys.executable, "-c", "raise SystemExit(3)")
+    with processes(tmp_path) as group:
+        for name, argv in {"a": sleep, "b": sleep, "c": sleep, "d": fail}.items():
+            group.start(name, argv)
+        group.kill("a")
+        group.freeze("b")
+        pids = [group.pid(name) for name in ("b", "c")]
+        os.waitid(os.P_PID, group.pid("d"), os.WEXITED | os.WNOWAIT)
+        group.check()
+        assert [(item.name, item.code) for item in group.unexpected] == [("d", 3)]
+    for pid in pids:
+        with pytest.raises(ProcessLookupError):
+            os.kill(pid, 0)
+
+
+def document(name: str) -> Document:
+    return Document(organisation=name, domains=("nord",), services=())
+
+
+def record(version: int, *, submission: str = "s", accepted: bool = True) -> SubmissionRecord:
+    return SubmissionRecord(
+        submission=submission, author="a", based_on=0, accepted=accepted, version=version
+    )
+
+
+def status(version: int, *, term: int) -> StatusReply:
+    return StatusReply(
+        leader="c1",
+        term=term,
+        commit=1,
+        document_version=version,
+        replicas=(),
+        gateways=(),
+        servers=(),
+        services=(),
+    )
+
+
+def kinds(book: DocumentBook) -> list[str]:
+    return [breach.kind for breach in book.breaches]
+
+
+def test_documents_and_versions_that_break_a_promise_are_noted() -> None:
+    book = DocumentBook()
+    book.note_answer(record(1), document("x"))
+    book.note_answer(record(1), document("x"))
+    book.note_answer(record(1, submission="t", accepted=False), document("y"))
+    book.note_shown(1, document("x"))
+    book.note_status(status(2, term=3))
+    book.note_status(status(1, term=2))
+    assert kinds(book) == []
+    book.note_answer(record(2), document("x"))
+    book.note_answer(record(1, submission="u"), document("y"))
+    book.note_shown(1, None)
+    book.note_status(status(1, term=4))
+    assert kinds(book) == [CHANGED_ANSWER, DIFFERENT, MISSING, REVERTED]
