Add experiments as data with recorded results, comparison and pictures

Change: `lychee-bench bench` prints name, value, unit, bound and verdict of each figure; path cost, added latency, memory, unavailable time by loss, drain, forcing a configuration, control cost, commits and recovery. `compare` and `plot` read the recorded results. No experiment is run yet.

--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/bench.py
@@ -0,0 +1,54 @@
+"""Running of experiments one after another."""
+
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+from lychee_bench.experiments.catalog import EXPERIMENTS, run_experiment
+from lychee_bench.experiments.setting import Setting
+from lychee_bench.folder import run_folder
+from lychee_bench.measure import Measure, Results, write_results
+from lychee_types.exceptions import LycheeError
+
+FAILED = "failed"
+"""Verdict of an experiment that gave no figure."""
+
+
+async def run_bench(
+    names: Sequence[str],
+    *,
+    examples: Path,
+    result: Path | None,
+    out: Callable[[str], None],
+) -> bool:
+    """Run experiments and return whether each gave its figures.
+
+    :param names: the experiments' names.
+    :param examples: folder with the users' documents.
+    :param result: file for the results, None for none.
+    :param out: takes the lines to print.
+    """
+    measures: list[Measure] = []
+    complete = True
+    for name in names:
+        try:
+            found = await _run_one(name, examples)
+        except LycheeError as exc:
+            out(f"{name} - - - {FAILED}")
+            out(exc.show())
+            complete = False
+            continue
+        measures += found
+        for measure in found:
+            out(measure.show())
+    if result is not None:
+        write_results(result, Results(at=time.time(), measures=tuple(measures)))
+    return complete
+
+
+async def _run_one(name: str, examples: Path) -> list[Measure]:
+    with run_folder() as folder:
+        setting = Setting(folder=folder.path, examples=examples)
+        measures = await run_experiment(EXPERIMENTS[name], setting)
+        folder.passed = True
+        return measures
--- a/packages/lychee-bench/src/lychee_bench/deployment.py
+++ b/packages/lychee-bench/src/lychee_bench/deployment.py
@@ -12,7 +12,7 @@
 from lychee_bench.ports import free_endpoints
 from lychee_bench.processes import Processes, executable
 from lychee_bench.relay import Network, Relay
-from lychee_bench.sizes import SPEEDS, ServerGroup, Sizes
+from lychee_bench.sizes import ServerGroup, Sizes
 from lychee_types.document import BodyMode, Document, RequestKind, Service
 from lychee_types.exceptions import SettingsError
 from lychee_types.ids import DomainName, GatewayId, ReplicaId
@@ -63,6 +63,7 @@
         )
         self.servers = {server.name: server for server in self._plan_servers(ports)}
         self.operator = Operator(controls=tuple(self.controls.values()))
+        self.relays: tuple[Relay, ...] = ()
         self._replica_of = {name: name for name in self.controls}
 
     def use_relays(self, network: Network) -> tuple[Relay, ...]:
@@ -73,7 +74,7 @@
         ports = free_endpoints(len(self.listens))
         self.controls = dict(zip(self.listens, ports, strict=True))
         self.operator = Operator(controls=ports)
-        return tuple(
+        self.relays = tuple(
             Relay(
                 name=name,
                 listen=self.controls[name],
@@ -83,6 +84,7 @@
             )
             for name in self.listens
         )
+        return self.relays
 
     def pids(self) -> dict[str, int]:
         """Return the ids of the running control replicas and gateways by their place."""
@@ -181,7 +183,7 @@
         """Start the stand-in servers."""
         for group in self.sizes.groups:
             for number, server in enumerate(self.group_servers(group)):
-                argv = self._server_argv(group, server, SPEEDS[number % len(SPEEDS)])
+                argv = self._server_argv(group, server, group.speeds[number % len(group.speeds)])
                 self.processes.start(server.name, argv)
 
     def group_servers(self, group: ServerGroup) -> tuple[Server, ...]:
@@ -198,6 +200,7 @@
             "--runs": server.runs,
             "--slots": group.slots,
             "--connections": group.connections,
+            "--queue": group.queue,
             "--speed": speed,
             "--service-ms": group.service_ms,
             "--answer-bytes": group.answer_bytes,
@@ -219,6 +222,13 @@
         path.write_text(format_yaml(settings), encoding="utf-8")
         self.processes.start(name, (executable(program), "--settings", str(path)))
 
+    def names_in(self, domain: DomainName) -> list[str]:
+        """Return the names of the running processes of a failure domain."""
+        numbered = [*self.controls, *(entry.name for entry in self.entries)]
+        daemons = [name for name in numbered if self._domain(int(name[1:])) == domain]
+        servers = [item.name for item in self.servers.values() if item.domain == domain]
+        return [self.process_name(name) for name in daemons] + servers
+
     def traffic(self, *, factor: float = 1.0) -> tuple[Traffic, ...]:
         """Return the callers' requests for every service.
 
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/experiments/catalog.py
@@ -0,0 +1,87 @@
+"""The registry of experiments, and how each kind is run."""
+
+from collections.abc import Mapping
+
+from lychee_bench.experiments.control import (
+    Commits,
+    ControlCost,
+    Force,
+    Recovery,
+    measure_commits,
+    measure_cost,
+    measure_force,
+    measure_recovery,
+)
+from lychee_bench.experiments.loss import (
+    Lost,
+    PlannedDrain,
+    Unavailable,
+    measure_drain,
+    measure_loss,
+)
+from lychee_bench.experiments.path import (
+    AddedLatency,
+    CallerMemory,
+    ProxySpeed,
+    measure_latency,
+    measure_memory,
+    measure_speed,
+)
+from lychee_bench.experiments.setting import Setting
+from lychee_bench.measure import Measure
+
+Experiment = (
+    ProxySpeed
+    | AddedLatency
+    | CallerMemory
+    | Unavailable
+    | PlannedDrain
+    | Force
+    | ControlCost
+    | Commits
+    | Recovery
+)
+
+EXPERIMENTS: Mapping[str, Experiment] = {
+    "path-small": ProxySpeed(answer_bytes=512),
+    "path-64k": ProxySpeed(answer_bytes=65_536),
+    "latency": AddedLatency(),
+    "memory": CallerMemory(),
+    "lost-server": Unavailable(lost=Lost.SERVER),
+    "lost-gateway": Unavailable(lost=Lost.GATEWAY),
+    "lost-leader": Unavailable(lost=Lost.LEADER),
+    "lost-domain": Unavailable(lost=Lost.DOMAIN),
+    "drain": PlannedDrain(),
+    "force": Force(),
+    "control": ControlCost(),
+    "commits": Commits(),
+    "recovery": Recovery(),
+}
+"""Experiments by name."""
+
+
+async def run_experiment(experiment: Experiment, setting: Setting) -> list[Measure]:
+    """Run one experiment and return its figures.
+
+    :param experiment: what to measure.
+    :param setting: where it runs.
+    """
+    match experiment:
+        case ProxySpeed():
+            return await measure_speed(experiment, setting)
+        case AddedLatency():
+            return await measure_latency(experiment, setting)
+        case CallerMemory():
+            return await measure_memory(experiment, setting)
+        case Unavailable():
+            return await measure_loss(experiment, setting)
+        case PlannedDrain():
+            return await measure_drain(experiment, setting)
+        case Force():
+            return await measure_force(experiment, setting)
+        case ControlCost():
+            return await measure_cost(experiment, setting)
+        case Commits():
+            return await measure_commits(experiment, setting)
+        case Recovery():
+            return await measure_recovery(experiment, setting)
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/experiments/control.py
@@ -0,0 +1,275 @@
+"""Cost and speed of the control replicas."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import psutil
+from msgspec import structs
+
+from lychee_bench.deployment import Deployment
+from lychee_bench.experiments.setting import Setting
+from lychee_bench.launch import deployed
+from lychee_bench.light_gateways import LightGateway, attached
+from lychee_bench.measure import Measure
+from lychee_bench.relay import Network
+from lychee_bench.sizes import SKAFT
+from lychee_types.commands import LedgerOpened
+from lychee_types.document import Document
+from lychee_types.exceptions import UnavailableError
+
+IN_FORCE_S = 4.0
+"""Bound on the time until a configuration is in force everywhere, in seconds."""
+
+CPU_SHARE = 0.03
+"""Bound on the CPU for control work, as a share of a core."""
+
+MEMORY_MB = 128.0
+"""Bound on the memory for control work, in megabytes."""
+
+STREAM_BYTES = 4_096.0
+"""Bound on the control traffic of one daemon, in bytes a second."""
+
+SETTLE_S = 3.0
+"""Time after attaching until costs are measured, in seconds."""
+
+WATCH_S = 5.0
+"""Time over which costs are measured, in seconds."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Force:
+    """Time until a configuration is in force at every gateway.
+
+    :param gateways: number of real gateways.
+    :param streams: numbers of light gateways besides them.
+    :param submissions: how many documents are submitted at each number.
+    """
+
+    gateways: int = 10
+    streams: tuple[int, ...] = (0, 100, 300)
+    submissions: int = 5
+
+
+@dataclass(frozen=True, kw_only=True)
+class ControlCost:
+    """CPU, memory and bytes of control replicas, by number of attached daemons.
+
+    :param streams: numbers of light gateways.
+    """
+
+    streams: tuple[int, ...] = (10, 100, 300)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Commits:
+    """Synced commits a second through one stream.
+
+    :param pending: how many calls wait at a time.
+    :param seconds: length of the run.
+    """
+
+    pending: int = 64
+    seconds: float = 5.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Recovery:
+    """Time from the start of a lone control replica until it serves, by length of its log.
+
+    :param entries: numbers of entries in the log.
+    """
+
+    entries: tuple[int, ...] = (100, 2_000, 10_000)
+
+
+@asynccontextmanager
+async def _controls(
+    setting: Setting, *, controls: int, gateways: int, relayed: bool = False
+) -> AsyncIterator[Deployment]:
+    groups = tuple(structs.replace(group, count=1) for group in SKAFT.groups)
+    sizes = structs.replace(SKAFT, groups=groups, controls=controls, gateways=gateways)
+    async with deployed(
+        folder=setting.folder,
+        sizes=sizes,
+        document=setting.document(sizes),
+        network=Network() if relayed else None,
+    ) as deployment:
+        yield deployment
+
+
+async def measure_force(experiment: Force, setting: Setting) -> list[Measure]:
+    """Return the longest time until a document was in force, by number of streams."""
+    measures: list[Measure] = []
+    async with _controls(setting, controls=3, gateways=experiment.gateways) as deployment:
+        for number in experiment.streams:
+            async with _light(deployment, number) as gateways:
+                await _wait_attached(gateways)
+                times = [
+                    await _force_once(deployment, gateways) for _ in range(experiment.submissions)
+                ]
+            name = f"force.{experiment.gateways}+{number}"
+            bound = IN_FORCE_S
+            measures.append(Measure(name=name, value=max(times), unit="s", bound=bound))
+    spread = measures[-1].value - measures[0].value
+    streams = experiment.streams[-1] - experiment.streams[0]
+    measures.append(
+        Measure(name="force.slope", value=spread / streams * 1e5, unit="ms/100-streams")
+    )
+    return measures
+
+
+async def _force_once(deployment: Deployment, gateways: tuple[LightGateway, ...]) -> float:
+    operator = deployment.operator
+    shown = await operator.show(0, timeout_s=5.0)
+    assert shown.document is not None
+    began = time.monotonic()
+    record = await operator.submit(
+        _changed(shown.document),
+        submission=f"force-{time.time_ns()}",
+        based_on=shown.version,
+        author="bench",
+        timeout_s=10.0,
+    )
+    while True:
+        status = await operator.status(timeout_s=5.0)
+        real = [state for state in status.gateways if not state.id.startswith("light-")]
+        lags = [state.document_version < record.version for state in real]
+        lags += [gateway.version < record.version for gateway in gateways]
+        if not any(lags):
+            return time.monotonic() - began
+        if time.monotonic() - began > 3 * IN_FORCE_S:
+            raise UnavailableError(
+                message=f"version {record.version} is not in force at {sum(lags)} gateways",
+                remedy="read the gateways' logs",
+            )
+        await asyncio.sleep(0.02)
+
+
+def _changed(document: Document) -> Document:
+    first, *rest = document.services
+    return structs.replace(
+        document, services=(structs.replace(first, queue=first.queue + 1), *rest)
+    )
+
+
+async def measure_cost(experiment: ControlCost, setting: Setting) -> list[Measure]:
+    """Return the leader's CPU and memory and the bytes a second of each daemon."""
+    measures: list[Measure] = []
+    async with _controls(setting, controls=3, gateways=1, relayed=True) as deployment:
+        for number in experiment.streams:
+            async with _light(deployment, number) as gateways:
+                await _wait_attached(gateways)
+                await asyncio.sleep(SETTLE_S)
+                measures += await _costs(deployment, number)
+    return measures + _slopes(experiment.streams, measures)
+
+
+async def _costs(deployment: Deployment, number: int) -> list[Measure]:
+    leader = (await deployment.operator.status(timeout_s=5.0)).leader
+    process = psutil.Process(deployment.processes.pid(leader))
+    bytes_before = sum(relay.bytes for relay in deployment.relays)
+    process.cpu_percent()
+    await asyncio.sleep(WATCH_S)
+    cpu = process.cpu_percent() / 100
+    sent = sum(relay.bytes for relay in deployment.relays) - bytes_before
+    memory = process.memory_info().rss / 1e6
+    rate = sent / WATCH_S / (number + 1)
+    name = f"control.{number}"
+    return [
+        Measure(name=f"{name}.cpu", value=cpu, unit="cores", bound=CPU_SHARE),
+        Measure(name=f"{name}.memory", value=memory, unit="MB", bound=MEMORY_MB),
+        Measure(name=f"{name}.bytes", value=rate, unit="B/s/daemon", bound=STREAM_BYTES),
+    ]
+
+
+def _slopes(streams: tuple[int, ...], measures: list[Measure]) -> list[Measure]:
+    per_step = len(measures) // len(streams)
+    pairs = zip(measures[:per_step], measures[-per_step:], strict=True)
+    return [
+        Measure(
+            name=f"control.slope.{first.name.rpartition('.')[2]}",
+            value=(last.value - first.value) / (streams[-1] - streams[0]) * 100,
+            unit=f"{first.unit}/100-streams",
+        )
+        for first, last in pairs
+    ]
+
+
+async def measure_commits(experiment: Commits, setting: Setting) -> list[Measure]:
+    """Return acknowledged ledger entries a second over one stream, with 3 replicas."""
+    async with _controls(setting, controls=3, gateways=1) as deployment:
+        async with _light(deployment, 1) as gateways:
+            await _wait_attached(gateways)
+            batched = await _open_entries(
+                gateways[0], pending=experiment.pending, seconds=experiment.seconds
+            )
+            single = await _open_entries(gateways[0], pending=1, seconds=experiment.seconds)
+    return [
+        Measure(name=f"commits.{experiment.pending}", value=batched, unit="commits/s"),
+        Measure(name="commits.1", value=single, unit="commits/s"),
+    ]
+
+
+async def _open_entries(
+    gateway: LightGateway, *, pending: int, seconds: float, limit: int | None = None
+) -> float:
+    """Open ledger entries for a time, or up to a number, and return how many a second."""
+    opened = 0
+    began = time.monotonic()
+
+    async def work() -> None:
+        nonlocal opened
+        while time.monotonic() - began < seconds and (limit is None or opened < limit):
+            if isinstance(await gateway.open_ledger(f"bench/{time.time_ns()}"), LedgerOpened):
+                opened += 1
+
+    async with asyncio.TaskGroup() as tasks:
+        for _ in range(pending):
+            tasks.create_task(work())
+    return opened / (time.monotonic() - began)
+
+
+async def measure_recovery(experiment: Recovery, setting: Setting) -> list[Measure]:
+    """Return the time until a restarted replica serves, by length of its log."""
+    measures = []
+    async with _controls(setting, controls=1, gateways=1) as deployment:
+        for number in experiment.entries:
+            async with _light(deployment, 1) as gateways:
+                await _wait_attached(gateways)
+                length = (await deployment.operator.status(timeout_s=5.0)).commit
+                missing = number - length
+                if missing > 0:
+                    await _open_entries(gateways[0], pending=256, seconds=60.0, limit=missing)
+            deployment.processes.kill("c1")
+            began = time.monotonic()
+            deployment.processes.restart("c1")
+            status = await deployment.operator.status(timeout_s=30.0)
+            name = f"recovery.{number}"
+            measures += [
+                Measure(name=name, value=time.monotonic() - began, unit="s"),
+                Measure(name=f"{name}.commit", value=status.commit, unit="entries"),
+            ]
+    return measures
+
+
+@asynccontextmanager
+async def _light(deployment: Deployment, number: int) -> AsyncIterator[tuple[LightGateway, ...]]:
+    async with attached(
+        number=number,
+        controls=tuple(deployment.controls.values()),
+        domains=deployment.document.domains,
+    ) as gateways:
+        yield gateways
+
+
+async def _wait_attached(gateways: tuple[LightGateway, ...]) -> None:
+    for _ in range(300):
+        if all(gateway.version for gateway in gateways):
+            return
+        await asyncio.sleep(0.1)
+    raise UnavailableError(
+        message="light gateways got no document within 30 s", remedy="read the controls' logs"
+    )
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/experiments/loss.py
@@ -0,0 +1,145 @@
+"""Unavailable time after losses, and during a planned drain."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from enum import Enum
+
+from msgspec import structs
+
+from lychee_bench.audit import Outcome
+from lychee_bench.demo import busiest_owner
+from lychee_bench.deployment import Deployment
+from lychee_bench.experiments.setting import Setting
+from lychee_bench.launch import deployed
+from lychee_bench.load import Callers
+from lychee_bench.measure import Measure
+from lychee_bench.sizes import SKAFT
+from lychee_types.document_edit import with_leaving
+from lychee_types.ids import ServerId
+from lychee_types.timing import SERVED_AGAIN_S
+
+WARM_S = 3.0
+"""Time of load before the loss, in seconds."""
+
+AFTER_S = 7.0
+"""Time of load after the loss, in seconds."""
+
+
+class Lost(Enum):
+    """What is lost."""
+
+    SERVER = "server"
+    GATEWAY = "gateway"
+    LEADER = "leader"
+    DOMAIN = "domain"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Unavailable:
+    """Unavailable time after a loss.
+
+    :param lost: what is lost.
+    :param gateways: number of gateways.
+    """
+
+    lost: Lost
+    gateways: int = 10
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlannedDrain:
+    """Longest gap in service while operators drain the busiest owner.
+
+    :param gateways: number of gateways.
+    """
+
+    gateways: int = 3
+
+
+async def measure_loss(experiment: Unavailable, setting: Setting) -> list[Measure]:
+    """Return the longest unavailable time after the loss."""
+    async with _loaded(experiment.gateways, setting) as (deployment, callers):
+        for name in await _victims(experiment.lost, deployment, callers):
+            deployment.processes.kill(name)
+    name = f"unavailable.{experiment.lost.value}"
+    return [
+        Measure(name=name, value=_longest(callers), unit="s", bound=SERVED_AGAIN_S),
+        *_answers(name, callers),
+    ]
+
+
+async def measure_drain(experiment: PlannedDrain, setting: Setting) -> list[Measure]:
+    """Return the longest gap while a server leaves."""
+    async with _loaded(experiment.gateways, setting) as (deployment, callers):
+        operator = deployment.operator
+        shown = await operator.show(0, timeout_s=5.0)
+        assert shown.document is not None
+        server = ServerId(busiest_owner(callers))
+        await operator.submit(
+            with_leaving(shown.document, server, leaving=True),
+            submission=f"drain-{time.time_ns()}",
+            based_on=shown.version,
+            author="bench",
+            timeout_s=5.0,
+        )
+    slowest = max(call.ended_at - call.sent_at for call in callers.calls)
+    return [
+        Measure(name="unavailable.drain", value=_longest(callers), unit="s", bound=SERVED_AGAIN_S),
+        Measure(name="drain.slowest_answer", value=slowest, unit="s"),
+        *_answers("drain", callers),
+    ]
+
+
+@asynccontextmanager
+async def _loaded(gateways: int, setting: Setting) -> AsyncIterator[tuple[Deployment, Callers]]:
+    """Load a deployment; the block is run after the warm-up, and load goes on after it."""
+    sizes = structs.replace(SKAFT, gateways=gateways)
+    async with deployed(
+        folder=setting.folder, sizes=sizes, document=setting.document(sizes)
+    ) as deployment:
+        balancer = deployment.balancer()
+        callers = Callers(balancer=balancer, traffic=deployment.traffic(), seed=setting.seed)
+        watching = asyncio.create_task(balancer.watch())
+        running = asyncio.create_task(callers.run(WARM_S + AFTER_S))
+        try:
+            await asyncio.sleep(WARM_S)
+            yield deployment, callers
+            await running
+        finally:
+            for task in (watching, running):
+                task.cancel()
+            await asyncio.gather(watching, running, return_exceptions=True)
+
+
+async def _victims(lost: Lost, deployment: Deployment, callers: Callers) -> list[str]:
+    status = await deployment.operator.status(timeout_s=5.0)
+    match lost:
+        case Lost.SERVER:
+            return [busiest_owner(callers)]
+        case Lost.GATEWAY:
+            return [deployment.entries[0].name]
+        case Lost.LEADER:
+            return [status.leader]
+        case Lost.DOMAIN:
+            return deployment.names_in(deployment.document.domains[0])
+
+
+def _longest(callers: Callers) -> float:
+    span = callers.availability.longest
+    return 0.0 if span is None else span.length
+
+
+def _answers(name: str, callers: Callers) -> list[Measure]:
+    counted = {
+        outcome: sum(call.outcome is outcome for call in callers.calls) for outcome in Outcome
+    }
+    failed = len(callers.calls) - counted[Outcome.ANSWERED]
+    wrong = counted[Outcome.WRONG] + counted[Outcome.LOST]
+    return [
+        Measure(name=f"{name}.calls", value=len(callers.calls), unit="req"),
+        Measure(name=f"{name}.not_answered", value=failed, unit="req"),
+        Measure(name=f"{name}.lost_or_wrong", value=wrong, unit="req", bound=0),
+    ]
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/experiments/path.py
@@ -0,0 +1,170 @@
+"""Cost of the request path: a gateway against the direct path, in one run."""
+
+import asyncio
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import psutil
+from msgspec import structs
+
+from lychee_bench.deployment import Deployment
+from lychee_bench.experiments.setting import Setting
+from lychee_bench.hammer import Hammered, hammer
+from lychee_bench.http_client import ClientConnection, connect
+from lychee_bench.launch import deployed
+from lychee_bench.measure import Measure
+from lychee_bench.sizes import SKAFT, ServerGroup, Sizes
+from lychee_types.records import Endpoint
+
+ADDED_MS = 12.0
+"""Bound on the time that a gateway adds for 99 in 100 requests, in milliseconds."""
+
+FAST_SERVER = ServerGroup(
+    service="repair-status",
+    count=2,
+    slots=64,
+    connections=400,
+    service_ms=0.0,
+    speeds=(1.0,),
+    queue=1_000,
+)
+"""Servers that answer at once, so that the path's own cost shows."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class ProxySpeed:
+    """Requests a second and CPU of one gateway process.
+
+    :param answer_bytes: length of the answers.
+    :param connections: number of callers' connections.
+    :param seconds: length of each of the two runs.
+    """
+
+    answer_bytes: int
+    connections: int = 32
+    seconds: float = 5.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class AddedLatency:
+    """Time that a gateway adds at a moderate rate.
+
+    :param connections: number of callers' connections.
+    :param pause_s: pause of each connection between two requests, in seconds.
+    :param seconds: length of each of the two runs.
+    """
+
+    connections: int = 20
+    pause_s: float = 0.1
+    seconds: float = 6.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallerMemory:
+    """Memory of a gateway for idle callers' connections.
+
+    :param steps: numbers of connections.
+    """
+
+    steps: tuple[int, ...] = (0, 1_000, 2_000)
+
+
+@asynccontextmanager
+async def _one_gateway(setting: Setting) -> AsyncIterator[Deployment]:
+    others = tuple(
+        structs.replace(group, count=1)
+        for group in SKAFT.groups
+        if group.service != "repair-status"
+    )
+    sizes = Sizes(document=SKAFT.document, groups=(FAST_SERVER, *others), controls=1, gateways=1)
+    async with deployed(
+        folder=setting.folder, sizes=sizes, document=setting.document(sizes)
+    ) as deployment:
+        yield deployment
+
+
+async def measure_speed(experiment: ProxySpeed, setting: Setting) -> list[Measure]:
+    """Return requests a second directly and through a gateway, and the gateway's CPU."""
+    size = experiment.answer_bytes
+    target = f"/repair-status/?size={size}"
+    async with _one_gateway(setting) as deployment:
+        entry = deployment.entries[0]
+        process = psutil.Process(deployment.processes.pid(entry.name))
+        direct = await _run(experiment, _first_server(deployment), target)
+        busy = _cpu_s(process)
+        through = await _run(experiment, entry.listen, target)
+        busy = _cpu_s(process) - busy
+    name = f"path.{size}B"
+    return [
+        Measure(name=f"{name}.direct", value=direct.rate, unit="req/s"),
+        Measure(name=f"{name}.gateway", value=through.rate, unit="req/s"),
+        Measure(name=f"{name}.ratio", value=through.rate / direct.rate, unit="of-direct"),
+        Measure(name=f"{name}.cpu", value=busy / through.answered * 1e6, unit="us/req"),
+        Measure(name=f"{name}.failed", value=through.failed, unit="req", bound=0),
+    ]
+
+
+async def _run(experiment: ProxySpeed, endpoint: Endpoint, target: str) -> Hammered:
+    return await hammer(
+        endpoint,
+        target=target,
+        connections=experiment.connections,
+        seconds=experiment.seconds,
+    )
+
+
+async def measure_latency(experiment: AddedLatency, setting: Setting) -> list[Measure]:
+    """Return the time that a gateway adds at the middle and for 99 in 100."""
+    async with _one_gateway(setting) as deployment:
+        endpoints = (_first_server(deployment), deployment.entries[0].listen)
+        direct, through = [
+            await hammer(
+                endpoint,
+                target="/repair-status/",
+                connections=experiment.connections,
+                seconds=experiment.seconds,
+                pause_s=experiment.pause_s,
+            )
+            for endpoint in endpoints
+        ]
+    p50, p99 = (through.percentile_ms(n) - direct.percentile_ms(n) for n in (50, 99))
+    return [
+        Measure(name="latency.rate", value=through.rate, unit="req/s"),
+        Measure(name="latency.direct.p99", value=direct.percentile_ms(99), unit="ms"),
+        Measure(name="latency.added.p50", value=p50, unit="ms"),
+        Measure(name="latency.added.p99", value=p99, unit="ms", bound=ADDED_MS),
+    ]
+
+
+async def measure_memory(experiment: CallerMemory, setting: Setting) -> list[Measure]:
+    """Return a gateway's memory for idle connections, and its slope."""
+    used: list[float] = []
+    async with _one_gateway(setting) as deployment:
+        entry = deployment.entries[0]
+        process = psutil.Process(deployment.processes.pid(entry.name))
+        conns: list[ClientConnection] = []
+        for step in experiment.steps:
+            while len(conns) < step:
+                conns.append(await connect(entry.listen, timeout_s=5.0))
+            await asyncio.sleep(1.0)
+            used.append(process.memory_info().rss / 1e6)
+        for conn in conns:
+            conn.close()
+    return list(_memory_measures(experiment.steps, used))
+
+
+def _memory_measures(steps: tuple[int, ...], used: list[float]) -> Iterator[Measure]:
+    for step, value in zip(steps, used, strict=True):
+        yield Measure(name=f"memory.{step}", value=value, unit="MB")
+    slope = (used[-1] - used[0]) / (steps[-1] - steps[0]) * 1_000
+    yield Measure(name="memory.slope", value=slope, unit="MB/1000-connections")
+
+
+def _first_server(deployment: Deployment) -> Endpoint:
+    return deployment.servers["repair-status-1"].listen
+
+
+def _cpu_s(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return float(times.user + times.system)
--- a/packages/lychee-bench/src/lychee_bench/relay.py
+++ b/packages/lychee-bench/src/lychee_bench/relay.py
@@ -71,6 +71,7 @@
         self, *, name: str, listen: Endpoint, target: Endpoint, network: Network, pids: NamePid
     ) -> None:
         self.carried: dict[str, int] = {}
+        self.bytes = 0
         self._name = name
         self._listen = listen
         self._target = target
@@ -121,6 +122,7 @@
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
             await self._network.wait_open(way)
+            self.bytes += len(data)
             writer.write(data)
             await writer.drain()
         await self._network.wait_open(way)
--- a/packages/lychee-bench/src/lychee_bench/sizes.py
+++ b/packages/lychee-bench/src/lychee_bench/sizes.py
@@ -16,6 +16,8 @@
     :param service_ms: time to run a request at speed 1, in milliseconds.
     :param answer_bytes: length of an answer's body.
     :param rate: requests a second that callers send to the service.
+    :param speeds: speeds of the servers, in turn.
+    :param queue: how many requests wait for a slot at each.
     """
 
     service: str
@@ -25,6 +27,8 @@
     service_ms: float
     answer_bytes: int = 512
     rate: float = 50.0
+    speeds: tuple[float, ...] = SPEEDS
+    queue: int = 64
 
 
 class Sizes(Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/packages/lychee-bench/tests/test_measure.py
@@ -0,0 +1,72 @@
+"""Figures, their verdicts, comparison and pictures."""
+
+import pytest
+import uvloop
+from click.testing import CliRunner
+
+from lychee_bench.cli import main
+from lychee_bench.experiments.catalog import EXPERIMENTS, run_experiment
+from lychee_bench.hammer import hammer
+from lychee_bench.http_server import HttpServer, Response
+from lychee_bench.measure import Measure, Results, write_results
+from lychee_bench.ports import free_endpoints
+
+
+@pytest.mark.parametrize(
+    ("measure", "verdict"),
+    [
+        (Measure(name="a", value=4.1, unit="s", bound=4.0), "missed"),
+        (Measure(name="a", value=4.0, unit="s", bound=4.0), "ok"),
+        (Measure(name="a", value=4.0, unit="s"), "info"),
+        (Measure(name="a", value=3.0, unit="req/s", bound=4.0, at_least=True), "missed"),
+    ],
+)
+def test_verdict(measure, verdict) -> None:
+    assert measure.verdict == verdict
+    assert len(measure.show().split()) == 5
+
+
+def test_results_are_compared_and_drawn(tmp_path) -> None:
+    old, new = tmp_path / "old.json", tmp_path / "new.json"
+    for path, value in ((old, 2.0), (new, 1.0)):
+        measure = Measure(name="unavailable.server", value=value, unit="s", bound=4.0)
+        write_results(path, Results(at=1.0, measures=(measure,)))
+    compared = CliRunner().invoke(main, ["compare", str(old), str(new)])
+    assert compared.output.split() == ["unavailable.server", "2", "1", "s", "0.500"]
+    picture = tmp_path / "new.png"
+    drawn = CliRunner().invoke(main, ["plot", str(new), "--out", str(picture)])
+    assert drawn.exit_code == 0, drawn.output
+    assert picture.read_bytes().startswith(b"\x89PNG")
+
+
+def test_an_unknown_experiment_is_refused_with_the_known_ones() -> None:
+    result = CliRunner().invoke(main, ["bench", "--only", "nothing"])
+    assert result.exit_code == 2
+    assert "lost-server" in result.output
+
+
+def test_hammer_counts_answers() -> None:
+    async def handle(request, conn) -> Response:
+        return Response(status=503 if request.target.endswith("3") else 200)
+
+    async def scenario():
+        (endpoint,) = free_endpoints(1)
+        listener = await HttpServer(handler=handle, connections=9).listen(
+            "127.0.0.1", endpoint.port
+        )
+        found = await hammer(endpoint, target="/x/", connections=3, seconds=0.2)
+        listener.close()
+        return found
+
+    found = uvloop.run(scenario())
+    assert found.answered > found.failed > 0
+    assert found.latency.get_total_count() == found.answered + found.failed
+
+
+def test_every_experiment_has_a_way_to_run() -> None:
+    async def scenario():
+        for experiment in EXPERIMENTS.values():
+            with pytest.raises(AttributeError):
+                await run_experiment(experiment, None)
+
+    uvloop.run(scenario())
