Let a soak's faults hit the leader, and tell not sent from lost

Cause: the first soaks showed faults of the bench: a relay wrote to a closed connection; an operator always began with the same control replica; a replacement's task vanished, because grpclib leaves the task of a broken link cancelled; a gateway that a new leader has not heard of yet (applied 0) counted as reverted; a request that no gateway took, so that nothing was sent, counted as lost. Ruled out: ignoring version 0; a gateway that has applied entries and shows version 0 still fails. Change: each attempt of an operator is a task of its own and begins with the next replica; faults may hit the leader; what is known after several sendings is one function with a table of cases. ControlSettings gains `advertise`, where peers reach a replica, which relays need.

--- a/packages/lychee-bench/src/lychee_bench/deployment.py
+++ b/packages/lychee-bench/src/lychee_bench/deployment.py
@@ -162,6 +162,7 @@
             domain=self._domain(int(place[1:])),
             data=str(self._folder / name),
             replicas=replicas,
+            advertise=self.controls[place],
             timing=self.timing,
         )
         self._start_daemon("lychee-control", name, settings)
--- a/packages/lychee-bench/src/lychee_bench/documents.py
+++ b/packages/lychee-bench/src/lychee_bench/documents.py
@@ -30,14 +30,18 @@
             self._note_document(record.version, document)
 
     def note_status(self, status: StatusReply) -> None:
-        """Note the versions in force at the leader and at the gateways."""
+        """Note the versions in force at the leader and at the gateways.
+
+        A new leader knows nothing of a gateway, not even an applied index, before its renewal.
+        """
         term, version = status.term, status.document_version
         earlier = max((seen for at, seen in self._seen_in_term.items() if at <= term), default=0)
         if version < earlier:
             self._broken(REVERTED, f"{status.leader} in term {term}: {earlier} to {version}")
         self._seen_in_term[term] = max(version, self._seen_in_term.get(term, 0))
         for gateway in status.gateways:
-            self._note_version(f"{gateway.id} {gateway.session}", gateway.document_version)
+            if gateway.applied:
+                self._note_version(f"{gateway.id} {gateway.session}", gateway.document_version)
 
     def note_shown(self, version: int, document: Document | None) -> None:
         """Note the document that is kept under an accepted version."""
--- a/packages/lychee-bench/src/lychee_bench/injector.py
+++ b/packages/lychee-bench/src/lychee_bench/injector.py
@@ -11,6 +11,7 @@
 from lychee_bench.documents import DocumentBook
 from lychee_bench.relay import Direction, Network
 from lychee_bench.schedule import (
+    LEADER,
     Cut,
     Fault,
     Freeze,
@@ -118,9 +119,9 @@
     async def _act(self, fault: Fault) -> None:
         match fault.action:
             case Kill(process=process):
-                await self._kill(process, fault.lasts)
+                await self._kill(await self._place(process), fault.lasts)
             case Freeze(process=process):
-                name = self._deployment.process_name(process)
+                name = self._deployment.process_name(await self._place(process))
                 self._deployment.processes.freeze(name)
                 await asyncio.sleep(fault.lasts)
                 self._deployment.processes.thaw(name)
@@ -132,7 +133,7 @@
                 chosen = [way for way, cut in zip(ways, (there, back), strict=True) if cut]
                 await self._cut(tuple(chosen), fault.lasts)
             case Isolate(control=control):
-                await self._cut(self._around(control), fault.lasts)
+                await self._cut(self._around(await self._place(control)), fault.lasts)
             case Wipe(control=control, then=then):
                 await self._wipe(control, then)
             case Race(operators=operators):
@@ -140,6 +141,13 @@
             case Leave(server=server):
                 await self._leave(server, fault.lasts)
 
+    async def _place(self, name: str) -> str:
+        if name != LEADER:
+            return name
+        status = await self._deployment.operator.status(timeout_s=ANSWER_S)
+        self._out(f"{time.monotonic() - self._began:7.2f} s: the leader is {status.leader}")
+        return self._deployment.place_of(status.leader)
+
     async def _kill(self, place: str, seconds: float) -> None:
         name = self._deployment.process_name(place)
         self._deployment.processes.kill(name)
--- a/packages/lychee-bench/src/lychee_bench/load.py
+++ b/packages/lychee-bench/src/lychee_bench/load.py
@@ -7,7 +7,7 @@
 
 import numpy as np
 from hdrh.histogram import HdrHistogram
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from lychee_bench.answers import check_answer
 from lychee_bench.audit import Call, Outcome
@@ -67,11 +67,13 @@
     :param outcome: what the caller was told.
     :param detail: the server that answered, or what went wrong.
     :param resend: whether the caller sends the request again.
+    :param sent: whether anything was sent.
     """
 
     outcome: Outcome
     detail: str
     resend: bool = False
+    sent: bool = True
 
 
 class Callers:
@@ -170,21 +172,19 @@
         self.latency[call.service].record_value(min(max(micros, 1), HIGHEST_US))
 
     async def _send_until_final(self, item: Traffic, request: str, key: str) -> tuple[Reply, int]:
-        reply = Reply(outcome=Outcome.LOST, detail="nothing was sent")
+        reply = Reply(outcome=Outcome.NOT_RUN, detail="nothing was sent", sent=False)
         used: Endpoint | None = None
-        may_have_run = False
         for attempt in range(1, ATTEMPTS + 1):
             try:
                 conn = await self._balancer.take(avoid=used)
             except UnavailableError as exc:
-                last = Reply(outcome=Outcome.LOST, detail=exc.message, resend=True)
+                last = Reply(outcome=Outcome.NOT_RUN, detail=exc.message, resend=True, sent=False)
             else:
                 used = conn.endpoint
                 last = await self._send(conn, item, request, key)
-            reply = after_uncertainty(last) if may_have_run and item.booking else last
+            reply = after(reply, last, booking=item.booking)
             if not reply.resend:
                 return reply, attempt
-            may_have_run = may_have_run or last.outcome in (Outcome.LOST, Outcome.UNKNOWN)
             await asyncio.sleep(RESEND_S)
         return reply, ATTEMPTS
 
@@ -225,11 +225,21 @@
     return Reply(outcome=Outcome.WRONG, detail=f"no outcome is told: {detail}")
 
 
-def after_uncertainty(reply: Reply) -> Reply:
-    """Return what an answer to a resend tells of a booking that may have been run before."""
-    if reply.outcome is Outcome.NOT_RUN:
-        return Reply(outcome=Outcome.UNKNOWN, detail=reply.detail, resend=True)
-    return reply
+def after(earlier: Reply, last: Reply, *, booking: bool) -> Reply:
+    """Return what is known of a request after one more sending.
+
+    :param earlier: what was known before.
+    :param last: what the last sending came to.
+    :param booking: whether an earlier sending that may have been run matters.
+    """
+    uncertain = earlier.outcome in (Outcome.LOST, Outcome.UNKNOWN)
+    if not uncertain or last.outcome is not Outcome.NOT_RUN:
+        return last
+    if not last.sent:
+        return structs.replace(earlier, resend=True)
+    if booking:
+        return Reply(outcome=Outcome.UNKNOWN, detail=last.detail, resend=True)
+    return last
 
 
 def arrivals(item: Traffic, *, seconds: float, seed: int) -> Iterator[tuple[float, str]]:
--- a/packages/lychee-bench/src/lychee_bench/operator.py
+++ b/packages/lychee-bench/src/lychee_bench/operator.py
@@ -1,8 +1,8 @@
 """An operator who asks until the control replicas have answered."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
 
 from lychee_runtime import OperatorClient
 from lychee_types.document import Document
@@ -25,7 +25,13 @@
     """
 
     def __init__(self, *, controls: tuple[Endpoint, ...]) -> None:
-        self._client = OperatorClient(control=controls)
+        self._controls = controls
+        self._turn = 0
+
+    def _client(self) -> OperatorClient:
+        """Return a client that begins with the next control replica."""
+        self._turn = (self._turn + 1) % len(self._controls)
+        return OperatorClient(control=self._controls[self._turn :] + self._controls[: self._turn])
 
     async def submit(
         self, document: Document, *, submission: str, based_on: int, author: str, timeout_s: float
@@ -35,7 +41,7 @@
         :raises UnavailableError: if there is no answer in time.
         """
         return await _until_answered(
-            lambda: self._client.submit(
+            lambda: self._client().submit(
                 submission=submission, based_on=based_on, author=author, document=document
             ),
             timeout_s,
@@ -46,14 +52,14 @@
 
         :raises UnavailableError: if there is no answer in time.
         """
-        return await _until_answered(self._client.status, timeout_s)
+        return await _until_answered(lambda: self._client().status(), timeout_s)
 
     async def show(self, version: int, *, timeout_s: float) -> ShowReply:
         """Return a version of the document, 0 for the one in force.
 
         :raises UnavailableError: if there is no answer in time.
         """
-        return await _until_answered(lambda: self._client.show(version=version), timeout_s)
+        return await _until_answered(lambda: self._client().show(version=version), timeout_s)
 
     async def replace(
         self, *, old: ReplicaId, new: ReplicaId, endpoint: Endpoint, timeout_s: float
@@ -63,17 +69,21 @@
         :raises UnavailableError: if there is no answer in time.
         """
         return await _until_answered(
-            lambda: self._client.replace(old=old, new=new, endpoint=endpoint), timeout_s
+            lambda: self._client().replace(old=old, new=new, endpoint=endpoint), timeout_s
         )
 
 
-async def _until_answered(work: Callable[[], Awaitable[T]], timeout_s: float) -> T:
+async def _until_answered(work: Callable[[], Coroutine[Any, Any, T]], timeout_s: float) -> T:
+    """Ask until there is an answer.
+
+    Each attempt is a task of its own: grpclib cancels the task whose connection broke.
+    """
     last = "nothing was answered"
     try:
         async with asyncio.timeout(timeout_s):
             while True:
                 try:
-                    return await work()
+                    return await asyncio.create_task(work())
                 except LycheeError as exc:
                     last = str(exc)
                 await asyncio.sleep(PAUSE_S)
--- a/packages/lychee-bench/src/lychee_bench/relay.py
+++ b/packages/lychee-bench/src/lychee_bench/relay.py
@@ -122,6 +122,8 @@
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
             await self._network.wait_open(way)
+            if writer.is_closing():
+                break
             self.bytes += len(data)
             writer.write(data)
             await writer.drain()
--- a/packages/lychee-bench/src/lychee_bench/report.py
+++ b/packages/lychee-bench/src/lychee_bench/report.py
@@ -57,6 +57,12 @@
         """Length of the longest unavailable span in seconds."""
         return max((span.length for span in self.spans), default=0.0)
 
+    @property
+    def slowest(self) -> float:
+        """Longest time from a request's first sending to its answer in seconds."""
+        answered = (call for call in self.calls if call.outcome is Outcome.ANSWERED)
+        return max((call.ended_at - call.sent_at for call in answered), default=0.0)
+
 
 def make_report(*, callers: Callers, runs: Sequence[Run], exits: Iterable[Exit]) -> Report:
     """Return the report of a run that has ended."""
@@ -83,6 +89,7 @@
         ("run although not run", count(report.breaches, FALSE_NOT_RUN)),
         ("run while not owner", count(report.breaches, RUN_NOT_OWNER)),
         ("overlapping runs", count(report.breaches, OVERLAP)),
+        ("slowest answer (s)", f"{report.slowest:.2f}"),
         ("longest unavailable time (s)", f"{report.longest:.2f}"),
     ]
     return "\n".join(f"{name:<30} {value:>10}" for name, value in rows)
--- a/packages/lychee-bench/src/lychee_bench/schedule.py
+++ b/packages/lychee-bench/src/lychee_bench/schedule.py
@@ -11,10 +11,17 @@
 FIRST_AT_S = 3.0
 """Time of the first fault, in seconds."""
 
+LEADER_SHARE = 0.4
+"""Share of the control replicas' faults that hit the leader."""
+
 OVERLAP_SHARE = 0.3
 """Share of faults during which a second one begins."""
 
 
+LEADER = "leader"
+"""Stands for the control replica that leads when the fault begins."""
+
+
 class Kill(Struct, frozen=True, kw_only=True, tag=True):
     """Kill a process and start it again when the fault ends.
 
@@ -137,8 +144,10 @@
         return bool(self._rng.random() < share)
 
     def process(self) -> str:
-        roster = self._roster
-        return self.one((self.one(roster.controls), self.one(roster.gateways), self.server()))
+        return self.one((self.control(), self.one(self._roster.gateways), self.server()))
+
+    def control(self) -> str:
+        return LEADER if self.happens(LEADER_SHARE) else self.one(self._roster.controls)
 
     def server(self) -> str:
         return self.one(self._roster.servers)
@@ -172,9 +181,9 @@
         return Cut(process=process, control=control, there=there, back=back)
 
     def _disk_or_isolation(self) -> Action:
-        control = self.one(self._roster.controls)
         if self.happens(0.5):
-            return Isolate(control=control)
+            return Isolate(control=self.control())
+        control = self.one(self._roster.controls)
         others = [name for name in self._roster.controls if name != control]
         return Wipe(control=control, then=self.one(others) if self.happens(0.5) else None)
 
--- a/packages/lychee-bench/tests/test_faults.py
+++ b/packages/lychee-bench/tests/test_faults.py
@@ -13,7 +13,7 @@
 from lychee_bench.relay import Direction, Network, Relay, find_process, running
 from lychee_bench.schedule import Roster, make_schedule, show_schedule
 from lychee_types.document import Document
-from lychee_types.messages import StatusReply
+from lychee_types.messages import GatewayState, StatusReply
 from lychee_types.state import SubmissionRecord
 
 ROSTER = Roster(controls=("c1", "c2", "c3"), gateways=("g1", "g2"), servers=("s1", "s2"))
@@ -103,14 +103,25 @@
     )
 
 
-def status(version: int, *, term: int) -> StatusReply:
+def gateway(version: int, *, applied: int) -> GatewayState:
+    return GatewayState(
+        id="g1",
+        session="x",
+        domain="nord",
+        document_version=version,
+        applied=applied,
+        lease_left_ms=1,
+    )
+
+
+def status(version: int, *, term: int, gateways=()) -> StatusReply:
     return StatusReply(
         leader="c1",
         term=term,
         commit=1,
         document_version=version,
         replicas=(),
-        gateways=(),
+        gateways=gateways,
         servers=(),
         services=(),
     )
@@ -128,9 +139,12 @@
     book.note_shown(1, document("x"))
     book.note_status(status(2, term=3))
     book.note_status(status(1, term=2))
+    for version, applied in ((2, 9), (0, 0)):
+        book.note_status(status(2, term=5, gateways=(gateway(version, applied=applied),)))
     assert kinds(book) == []
     book.note_answer(record(2), document("x"))
     book.note_answer(record(1, submission="u"), document("y"))
     book.note_shown(1, None)
-    book.note_status(status(1, term=4))
-    assert kinds(book) == [CHANGED_ANSWER, DIFFERENT, MISSING, REVERTED]
+    book.note_status(status(1, term=6))
+    book.note_status(status(2, term=6, gateways=(gateway(1, applied=9),)))
+    assert kinds(book) == [CHANGED_ANSWER, DIFFERENT, MISSING, REVERTED, REVERTED]
--- a/packages/lychee-bench/tests/test_load.py
+++ b/packages/lychee-bench/tests/test_load.py
@@ -11,7 +11,7 @@
 from lychee_bench.balancer import Balancer, Entry
 from lychee_bench.http_client import Answer
 from lychee_bench.http_server import HttpServer, Response
-from lychee_bench.load import Callers, Traffic, after_uncertainty, arrivals, judge
+from lychee_bench.load import Callers, Reply, Traffic, after, arrivals, judge
 from lychee_bench.ports import free_endpoints
 from lychee_bench.server import request_key
 
@@ -41,10 +41,30 @@
     assert (reply.outcome, reply.resend) == (outcome, resend)
 
 
-def test_not_run_after_an_unknown_outcome_stays_unknown() -> None:
-    answer = Answer(status=503, headers={"lychee-outcome": "not-run"}, body=b"")
-    reply = after_uncertainty(judge(answer, request="r1", key="k", booking=True))
-    assert (reply.outcome, reply.resend) == (Outcome.UNKNOWN, True)
+UNSENT = Reply(outcome=Outcome.NOT_RUN, detail="", resend=True, sent=False)
+NOT_RUN = Reply(outcome=Outcome.NOT_RUN, detail="")
+LOST = Reply(outcome=Outcome.LOST, detail="", resend=True)
+UNKNOWN = Reply(outcome=Outcome.UNKNOWN, detail="", resend=True)
+ANSWERED = Reply(outcome=Outcome.ANSWERED, detail="")
+
+
+@pytest.mark.parametrize(
+    ("replies", "booking", "outcome", "resend"),
+    [
+        ([UNSENT, UNSENT], True, Outcome.NOT_RUN, True),
+        ([UNSENT, ANSWERED], True, Outcome.ANSWERED, False),
+        ([LOST, UNSENT], True, Outcome.LOST, True),
+        ([LOST, UNSENT, NOT_RUN], True, Outcome.UNKNOWN, True),
+        ([UNKNOWN, NOT_RUN], True, Outcome.UNKNOWN, True),
+        ([UNKNOWN, NOT_RUN, ANSWERED], True, Outcome.ANSWERED, False),
+        ([LOST, NOT_RUN], False, Outcome.NOT_RUN, False),
+    ],
+)
+def test_what_is_known_after_resends(replies, booking, outcome, resend) -> None:
+    known = UNSENT
+    for reply in replies:
+        known = after(known, reply, booking=booking)
+    assert (known.outcome, known.resend) == (outcome, resend)
 
 
 def test_arrivals_are_the_same_for_the_same_seed() -> None:
--- a/packages/lychee-types/src/lychee_types/settings.py
+++ b/packages/lychee-types/src/lychee_types/settings.py
@@ -61,6 +61,7 @@
     :param domain: this VM's failure domain.
     :param data: folder for the replicated log and snapshots.
     :param replicas: the first voters; empty for a replica that joins a running deployment.
+    :param advertise: where peers reach this replica, None for the address that it listens on.
     :param timing: time limits, the same on every replica and gateway.
     :param log: logging.
     :param statsd: metrics, None for none.
@@ -72,6 +73,7 @@
     domain: DomainName
     data: str
     replicas: tuple[PeerSettings, ...] = ()
+    advertise: Endpoint | None = None
     timing: Timing = Timing()
     log: LogSettings = LogSettings()
     statsd: StatsdSettings | None = None
