Keep a task's cancel count right when a link breaks; bound the closing of listeners

A control replica under 400 attached gateways did not end on SIGTERM while a peer read nothing: the server waits for every connection's buffer. Ruled out: our own cancellation (the reproduction has none). The hang was seen once in a trial; a test with one unread connection does not show it, so the bound is not proved by a test. Change: the count is restored when the error is translated, with a test that failed first (1 != 0); closing a listener takes 1 s at most; replicas are reached at 'advertise'; a replica without a known leader answers 'unavailable', so operators' programs ask the next one; control checks its settings like the other daemons; errors with a remedy are logged without a traceback.

--- a/packages/lychee-control/src/lychee_control/cli.py
+++ b/packages/lychee-control/src/lychee_control/cli.py
@@ -7,8 +7,9 @@
 
 from lychee_control.core import ControlDaemon
 from lychee_runtime import configure_logs, run_daemon
+from lychee_types.exceptions import LycheeError
 from lychee_types.settings import ControlSettings
-from lychee_types.yamlfile import read_yaml
+from lychee_types.settings_check import hints, load_settings
 
 
 @click.command()
@@ -22,14 +23,19 @@
 @click.option("--check-settings", is_flag=True, help="Check the settings and exit.")
 def main(path: Path, check_settings: bool) -> None:
     """Run one control replica."""
-    result = read_yaml(path, ControlSettings)
-    if result.is_error():
-        for fault in result.error:
-            click.echo(f"{path}: {fault.show()}", err=True)
-        sys.exit(2)
-    cfg = result.ok
-    if check_settings:
-        click.echo(f"{path}: ok")
-        return
-    configure_logs(program="lychee-control", name=cfg.id, cfg=cfg.log)
-    sys.exit(run_daemon(lambda: ControlDaemon(cfg=cfg)))
+    try:
+        cfg = load_settings(path, ControlSettings)
+        if check_settings:
+            for hint in hints(cfg):
+                click.echo(f"{path}: hint: {hint.show()}")
+            click.echo(f"{path}: good")
+            return
+        configure_logs(program="lychee-control", name=cfg.id, cfg=cfg.log)
+        sys.exit(run_daemon(lambda: ControlDaemon(cfg=cfg)))
+    except LycheeError as exc:
+        click.echo(f"Error: {exc.show()}", err=True)
+        sys.exit(exc.exit_code)
+    except OSError as exc:
+        click.echo(f"Error: cannot listen on the address in {path}: {exc}", err=True)
+        click.echo("  remedy: free the address or change it in the settings", err=True)
+        sys.exit(1)
--- a/packages/lychee-control/src/lychee_control/core.py
+++ b/packages/lychee-control/src/lychee_control/core.py
@@ -56,7 +56,7 @@
 
     :param id: its id.
     :param leads: whether it does the leader's work.
-    :param leads_for_ms: time left of its quorum lease; negative once it is over.
+    :param leads_for_ms: time left of its quorum lease; 0 without one.
     :param attached: number of gateways attached to it.
     :param ledger: number of ledger entries.
     :param log: the replicated log's own dump, None before it has started.
@@ -95,7 +95,7 @@
         self._peers = PeerLinks(spawn=self._spawn_peer_link, ssl=client_context(cfg.tls), seed=seed)
         self._replica = Replica(
             id=cfg.id,
-            endpoint=cfg.listen,
+            endpoint=cfg.advertise or cfg.listen,
             data=Path(cfg.data),
             voters=tuple(Voter(id=peer.id, endpoint=peer.endpoint) for peer in cfg.replicas),
             timing=cfg.timing,
@@ -138,7 +138,7 @@
             ControlDump(
                 id=self._cfg.id,
                 leads=leader is not None,
-                leads_for_ms=int((self._replica.leads_until() - now) * 1_000),
+                leads_for_ms=max(0, int((self._replica.leads_until() - now) * 1_000)),
                 attached=len(self._attachments),
                 ledger=len(self._machine.state.ledger),
                 log=self._replica.dump(),
--- a/packages/lychee-control/src/lychee_control/desk.py
+++ b/packages/lychee-control/src/lychee_control/desk.py
@@ -9,7 +9,7 @@
 from lychee_types.clock import Clock
 from lychee_types.commands import SubmitDocument, encode_command
 from lychee_types.document_check import check_document
-from lychee_types.exceptions import InvariantError, LycheeError, NotLeaderError
+from lychee_types.exceptions import InvariantError, LycheeError, NotLeaderError, UnavailableError
 from lychee_types.ids import ReplicaId
 from lychee_types.messages import (
     DumpReply,
@@ -79,7 +79,8 @@
         except NotLeaderError:
             return self._not_leader()
         except LycheeError as exc:
-            return Refused(message=exc.message, remedy=exc.remedy)
+            waits = isinstance(exc, UnavailableError)
+            return Refused(message=exc.message, remedy=exc.remedy, unavailable=waits)
 
     async def _answer_as_leader(self, leader: Leader, req: OperatorRequest) -> OperatorReply:
         state = self._machine.state
@@ -148,4 +149,5 @@
             message="this replica does not lead",
             remedy="ask the leader" if endpoint else "wait for the election and ask again",
             leader=endpoint,
+            unavailable=endpoint is None,
         )
--- a/packages/lychee-gateway/src/lychee_gateway/cli.py
+++ b/packages/lychee-gateway/src/lychee_gateway/cli.py
@@ -28,7 +28,7 @@
         click.echo(exc.show(), err=True)
         sys.exit(exc.exit_code)
     if check_settings:
-        click.echo(f"{settings}: ok")
+        click.echo(f"{settings}: good")
         return
     configure_logs(program="lychee-gateway", name=cfg.id, cfg=cfg.log)
     try:
--- a/packages/lychee-runtime/src/lychee_runtime/daemon.py
+++ b/packages/lychee-runtime/src/lychee_runtime/daemon.py
@@ -112,7 +112,8 @@
     @handler("task_failed")  # type: ignore[untyped-decorator]
     def on_task_failed(self, name: str, exc: BaseException) -> None:
         """Stop with the error's exit code."""
-        logger.opt(exception=exc).error("task {} failed: {}", name, exc)
+        expected = isinstance(exc, LycheeError) and not isinstance(exc, InvariantError)
+        logger.opt(exception=None if expected else exc).error("task {} failed: {}", name, exc)
         self.exit_code = exc.exit_code if isinstance(exc, LycheeError) else 1
         if isinstance(exc, InvariantError):
             self.on_dump_requested()
--- a/packages/lychee-runtime/src/lychee_runtime/link.py
+++ b/packages/lychee-runtime/src/lychee_runtime/link.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Mapping
-from contextlib import asynccontextmanager, contextmanager
+from contextlib import asynccontextmanager, contextmanager, suppress
 from ssl import SSLContext
 from typing import Any, Generic, Protocol, TypeVar
 
@@ -29,6 +29,9 @@
 CONNECT_TIMEOUT_S = 1.0
 """Time to open a connection, in seconds."""
 
+CLOSE_TIMEOUT_S = 1.0
+"""Time for peers to read what is left when a listener closes, in seconds."""
+
 
 class _Stream(Protocol):
     async def send_message(self, message: Any) -> None: ...
@@ -39,6 +42,8 @@
 @contextmanager
 def _as_unavailable(peer: str) -> Iterator[None]:
     """Turn the errors of a broken connection into :class:`UnavailableError`."""
+    task = asyncio.current_task()
+    cancelling = task.cancelling() if task is not None else 0
     try:
         yield
     except (
@@ -50,6 +55,9 @@
         ValidationError,
         DecodeError,
     ) as exc:
+        # grpclib ends a waiting call by cancelling its task and never takes that back.
+        if task is not None and task.cancelling() > cancelling:
+            task.uncancel()
         raise UnavailableError(
             message=f"the stream with {peer} broke: {type(exc).__name__} {exc}".rstrip(),
             remedy="check that the process runs, its address, and the key files",
@@ -217,4 +225,7 @@
         yield server
     finally:
         server.close()
-        await server.wait_closed()
+        # A peer that reads nothing would keep its connection from ever closing.
+        with suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await server.wait_closed()
--- a/packages/lychee-runtime/tests/test_link.py
+++ b/packages/lychee-runtime/tests/test_link.py
@@ -54,3 +54,22 @@
 
     with pytest.raises(UnavailableError, match="check that the process runs"):
         asyncio.run(scenario())
+
+
+def test_a_broken_link_leaves_the_task_uncancelled() -> None:
+    async def reset(reader, writer):
+        await asyncio.sleep(0.1)
+        writer.transport.abort()
+
+    async def scenario() -> int:
+        endpoint = free_endpoint()
+        server = await asyncio.start_server(reset, endpoint.host, endpoint.port)
+        with pytest.raises(UnavailableError):
+            async with open_link(
+                endpoint=endpoint, method="/t.T/Echo", send=ToGateway, receive=ToGateway
+            ) as link:
+                await link.receive()
+        server.close()
+        return asyncio.current_task().cancelling()
+
+    assert asyncio.run(scenario()) == 0
