--- a/packages/lychee-types/src/lychee_types/messages.py
+++ b/packages/lychee-types/src/lychee_types/messages.py
@@ -66,6 +66,8 @@
     :param applied: the last log index applied.
     :param document_version: the document version in force at the gateway.
     :param drained: transitions for which the gateway is done with the old owners.
+    :param ending: the run ends: every request that it sent has been answered or is past its
+        deadline, it sends no more, and it hands its lease back.
     """
 
     session: SessionId
@@ -73,6 +75,7 @@
     applied: LogIndex
     document_version: int
     drained: tuple[Drained, ...] = ()
+    ending: bool = False
 
 
 class Announcement(Struct, frozen=True, kw_only=True):
@@ -486,11 +489,14 @@
     :param message: what is wrong.
     :param remedy: what to do.
     :param leader: address of the leader where the request must go there, else None.
+    :param unavailable: whether the same request may be answered later, for example after an
+        election; a submission or replacement may also have been committed.
     """
 
     message: str
     remedy: str
     leader: Endpoint | None = None
+    unavailable: bool = False
 
 
 OperatorReply = (
