--- a/packages/lychee-gateway/src/lychee_gateway/http/inbound.py
+++ b/packages/lychee-gateway/src/lychee_gateway/http/inbound.py
@@ -18,6 +18,13 @@
 """Most bytes read and dropped before a connection closes."""
 
 
+_READ_WHOLE = (
+    h11.DONE,
+    h11.MUST_CLOSE,
+    h11.CLOSED,
+    h11.MIGHT_SWITCH_PROTOCOL,  # type: ignore[attr-defined]
+)
+
 _Next = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
@@ -50,8 +57,15 @@
     return header_value(head.headers, b"content-length") not in (None, b"0")
 
 
-def _check_framing(head: RequestHead) -> None:
-    """Refuse framings that two parsers may read differently."""
+def _check_head(head: RequestHead, limit: int) -> None:
+    """Refuse a large head, and framings that two parsers may read differently."""
+    size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
+    if size > limit:
+        raise BadRequestError(
+            status=431,
+            message="the request's head is too large",
+            remedy=f"send at most {limit} bytes of headers",
+        )
     coded = header_value(head.headers, b"transfer-encoding") is not None
     if coded and header_value(head.headers, b"content-length") is not None:
         raise BadRequestError(
@@ -84,7 +98,6 @@
         self._limits = limits
         self._head: RequestHead | None = None
         self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
-        self._protected = False
 
     @property
     def gone(self) -> bool:
@@ -97,14 +110,9 @@
         return self._head is None and not self._conn.trailing_data[0] and not self._wire.buffered
 
     @contextmanager
-    def cancelling(self, cancel: Callable[[], object]) -> Iterator[None]:
+    def cancelling(self, cancel: Callable[[], None]) -> Iterator[None]:
         """Call ``cancel`` when the caller vanishes inside the block."""
-
-        def gone() -> None:
-            if not self._protected:
-                cancel()
-
-        self._wire.on_gone = gone
+        self._wire.on_gone = cancel
         try:
             if self._wire.eof:
                 raise CallerGoneError()
@@ -112,15 +120,6 @@
         finally:
             self._wire.on_gone = lambda: None
 
-    @contextmanager
-    def protected(self) -> Iterator[None]:
-        """Let the block run to its end even if the caller vanishes."""
-        self._protected = True
-        try:
-            yield
-        finally:
-            self._protected = False
-
     async def read_head(self) -> RequestHead | None:
         """Return the next request's head, or None when the connection is over.
 
@@ -136,7 +135,7 @@
         if not isinstance(event, h11.Request):
             return None
         self._head = _as_head(event)
-        _check_framing(self._head)
+        _check_head(self._head, self._limits.head_bytes)
         if not _has_body(self._head):
             self._next_event()
         return self._head
@@ -164,7 +163,7 @@
         :raises CallerGoneError: if the caller closed the connection first.
         """
         assert self._head is not None
-        if self._conn.their_state is h11.DONE:
+        if self._conn.their_state in _READ_WHOLE:
             return b""
         declared = header_value(self._head.headers, b"content-length")
         if declared is not None and int(declared) > limit:
@@ -208,7 +207,7 @@
             headers.append((b"content-length", b"%d" % head.length))
         elif head.status not in (204, 304):
             headers.append((b"transfer-encoding", b"chunked"))
-        if self.closing or self._conn.their_state is not h11.DONE:
+        if self.closing or self._conn.their_state not in _READ_WHOLE:
             headers.append((b"connection", b"close"))
         event = h11.Response(status_code=head.status, headers=headers, reason=head.reason)
         self._wire.write(self._conn.send(event))
@@ -226,6 +225,11 @@
         """End the answer."""
         self._wire.write(self._conn.send(h11.EndOfMessage()))
 
+    @property
+    def answering(self) -> bool:
+        """Whether the head of an answer has been sent."""
+        return self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
     def next_request(self) -> bool:
         """Return whether the connection can take another request, and get ready for it."""
         self._head = None
@@ -235,9 +239,19 @@
         return not self._wire.lost
 
     def abort(self) -> None:
-        """Close the connection at once; an unfinished answer cannot be taken for whole."""
+        """Close the connection at once."""
         self._wire.abort()
 
+    def truncate(self) -> None:
+        """Close the connection so that the caller cannot take the answer for whole.
+
+        The end of an answer to an HTTP/1.0 caller may be told by the end of the stream only.
+        """
+        if self._head is not None and self._head.version == b"1.0":
+            self._wire.reset()
+        else:
+            self._wire.abort()
+
     async def close(self) -> None:
         """Close after the caller has had the time to read the last answer."""
         if not self._wire.lost and not self._wire.eof and self._unread():
@@ -259,7 +273,8 @@
             return
 
     def _unread(self) -> bool:
-        return self._conn.their_state is not h11.DONE
+        whole = self._conn.their_state in _READ_WHOLE
+        return not whole or bool(self._conn.trailing_data[0]) or bool(self._wire.buffered)
 
     def _is_to_head(self) -> bool:
         return self._head is not None and self._head.method == b"HEAD"
--- a/packages/lychee-log/src/lychee_log/storage.py
+++ b/packages/lychee-log/src/lychee_log/storage.py
@@ -28,6 +28,7 @@
     MANIFEST_NAME,
     Loaded,
     Manifest,
+    Sealed,
     encode_record,
     is_new,
     load,
@@ -61,8 +62,10 @@
         end = loaded.ends[-1]
         self._mark = MarkFile(folder=folder)
         self._writer = SegmentWriter(folder=folder, number=end.number, size=end.size, disk=disk)
+        if loaded.unmarked:
+            self._store_again(loaded.unmarked)
         self._set_mark()
-        self._remove_unlisted()
+        self._remove_left_over()
 
     def write(self, write: Write) -> None:
         """Store a write.
@@ -82,7 +85,7 @@
             number = self._writer.number
             self._lasts[number] = max(self._lasts[number], write.entries[-1].index)
         if self._writer.size >= SEGMENT_BYTES:
-            self._begin_segment(self._manifest.segments, self._manifest.snapshot)
+            self._begin_segment(self._sealed_from(LogIndex(0)), self._manifest.snapshot)
 
     def save_snapshot(self, save: SaveSnapshot) -> None:
         """Store a snapshot and drop the segments that it makes needless.
@@ -93,7 +96,7 @@
         index = save.snapshot.index
         path = snapshot_path(self._folder, index)
         replace_file(path, encode_record(save.snapshot), disk=self._disk)
-        kept = () if save.keep_from is None else self._segments_from(save.keep_from)
+        kept = () if save.keep_from is None else self._sealed_from(save.keep_from)
         self._begin_segment(kept, index)
         self._remove_unlisted()
 
@@ -102,18 +105,33 @@
         self._writer.close()
         self._mark.close()
 
-    def _segments_from(self, index: LogIndex) -> tuple[int, ...]:
-        segments = self._manifest.segments
-        needed = [number for number in segments if self._lasts[number] >= index]
-        return tuple(number for number in segments if needed and number >= needed[0])
-
-    def _begin_segment(self, kept: tuple[int, ...], snapshot: LogIndex) -> None:
+    def _store_again(self, batches: tuple[Batch, ...]) -> None:
+        """Write batches anew that a failed sync may have left in memory only."""
+        entries = tuple(entry for batch in batches for entry in batch.entries)
+        self._begin_segment(
+            self._sealed_from(LogIndex(0)), self._manifest.snapshot, batches=batches
+        )
+        highest = max((entry.index for entry in entries), default=LogIndex(0))
+        self._lasts[self._writer.number] = highest
+
+    def _sealed_from(self, index: LogIndex) -> tuple[Sealed, ...]:
+        """Return the segments needed for the entries from an index on, all of them as sealed."""
+        last = Sealed(number=self._writer.number, size=self._writer.size)
+        segments = (*self._manifest.sealed, last)
+        needed = [each.number for each in segments if self._lasts[each.number] >= index]
+        return tuple(each for each in segments if needed and each.number >= needed[0])
+
+    def _begin_segment(
+        self, sealed: tuple[Sealed, ...], snapshot: LogIndex, *, batches: tuple[Batch, ...] = ()
+    ) -> None:
         number = self._writer.number + 1
         writer = SegmentWriter.create(
             folder=self._folder, number=number, hard_state=self._hard_state, disk=self._disk
         )
         try:
-            manifest = Manifest(segments=(*kept, number), snapshot=snapshot)
+            for batch in batches:
+                writer.append(batch)
+            manifest = Manifest(current=number, sealed=sealed, snapshot=snapshot)
             _store_manifest(self._folder, manifest, disk=self._disk)
         except BaseException:
             writer.close()
@@ -131,14 +149,24 @@
     def _store_identity(self, identity: Identity) -> None:
         replace_file(self._folder / IDENTITY_NAME, encode_record(identity), disk=self._disk)
 
+    def _remove_left_over(self) -> None:
+        """Remove what an interrupted call left, once the manifest is surely on the disk."""
+        if self._unlisted():
+            _store_manifest(self._folder, self._manifest, disk=self._disk)
+            self._remove_unlisted()
+
     def _remove_unlisted(self) -> None:
+        with disk_errors(self._folder):
+            for path in self._unlisted():
+                path.unlink()
+
+    def _unlisted(self) -> list[Path]:
         listed = {segment_path(self._folder, number) for number in self._manifest.segments}
         listed.add(snapshot_path(self._folder, self._manifest.snapshot))
         fixed = {IDENTITY_NAME, MANIFEST_NAME, MARK_NAME, LOCK_NAME}
         with disk_errors(self._folder):
-            for path in self._folder.iterdir():
-                if path not in listed and path.name not in fixed:
-                    path.unlink()
+            files = list(self._folder.iterdir())
+        return [path for path in files if path not in listed and path.name not in fixed]
 
 
 @contextmanager
@@ -189,7 +217,7 @@
     mark.sync()
     mark.close()
     writer.close()
-    _store_manifest(folder, Manifest(segments=(1,)), disk=disk)
+    _store_manifest(folder, Manifest(current=1), disk=disk)
     identity = Identity(replica=replica, storage=StorageId(secrets.randbits(62) + 1))
     replace_file(folder / IDENTITY_NAME, encode_record(identity), disk=disk)
 
