Ask the ledger again while an election is on, as the same opening

Ruled out: a slow election (keyed lookups went on; the next opening after the election was answered in milliseconds). Change: a ledger entry carries its gateway's attempt; asking again with the same attempt while the entry is open is the same opening, so gateways ask every 0.2 s. Entries are closed under the session that opened them, also after the gateway's session has changed. A copy overtaken by its own closing over a leader change could leave an open entry behind; a resend then gets 'unknown', never a second run.

--- a/packages/lychee-control/src/lychee_control/leader.py
+++ b/packages/lychee-control/src/lychee_control/leader.py
@@ -179,11 +179,13 @@
             logger.debug("{} ignored: {}", type(command).__name__, committed.result.reason)
 
     async def _open_ledger(self, session: SessionId, req: LedgerRequest) -> None:
-        entry = replace(req.entry, session=session, opened_at=self._clock.wall())
+        entry = replace(req.entry, opened_at=self._clock.wall())
         await self._answer_ledger(session, req.number, OpenLedger(entry=entry))
 
     async def _close_ledger(self, session: SessionId, req: LedgerClosing) -> None:
-        command = CloseLedger(key=req.key, session=session, answer=req.answer, not_run=req.not_run)
+        command = CloseLedger(
+            key=req.key, session=req.session, answer=req.answer, not_run=req.not_run
+        )
         await self._answer_ledger(session, req.number, command)
 
     async def _answer_ledger(self, session: SessionId, number: int, command: Command) -> None:
--- a/packages/lychee-gateway/src/lychee_gateway/ledger.py
+++ b/packages/lychee-gateway/src/lychee_gateway/ledger.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from loguru import logger
+
 from lychee_types.commands import Outcome as LedgerOutcome
 from lychee_types.ids import SessionId
 from lychee_types.messages import (
@@ -14,6 +16,9 @@
 )
 from lychee_types.records import LedgerEntry, LedgerStatus, StoredAnswer
 
+ASK_AGAIN_S = 0.2
+"""Time without an answer after which an opening is asked for again, in seconds."""
+
 UNACKNOWLEDGED_LIMIT = 10_000
 """Number of outcomes kept until the ledger has taken them."""
 
@@ -24,6 +29,8 @@
 class LedgerCalls:
     """Opens and closes ledger entries over whichever link there is.
 
+    An opening is asked for again until it is answered, since an election or a broken link may
+    have lost it; the entry carries the number of the attempt, so that this is harmless.
     A closing with an answer or with an unknown outcome is sent again until the ledger has taken
     it. A closing as not run is sent once only, and only for an entry that is known to be open:
     a second copy could remove the entry of a later request with the same key.
@@ -43,11 +50,8 @@
         self.resend()
 
     def disconnected(self) -> None:
-        """Fail the calls that wait for an answer."""
+        """Keep messages back until there is a link again."""
         self._post = None
-        for call in self._calls.values():
-            if not call.done():
-                call.set_result(None)
 
     def resend(self) -> None:
         """Send outcomes again that the ledger has not taken yet; that is harmless."""
@@ -57,12 +61,13 @@
 
     def answer(self, message: LedgerReply | LedgerFailed) -> None:
         """Take the answer to a call."""
+        if isinstance(message, LedgerFailed):
+            logger.debug("ledger call {} failed: {}", message.number, message.reason)
+            return
+        self._unacknowledged.pop(message.number, None)
         call = self._calls.get(message.number)
-        outcome = message.outcome if isinstance(message, LedgerReply) else None
-        if outcome is not None:
-            self._unacknowledged.pop(message.number, None)
         if call is not None and not call.done():
-            call.set_result(outcome)
+            call.set_result(message.outcome)
 
     async def open(self, *, key: str, digest: int, timeout_s: float) -> LedgerOutcome | None:
         """Open an entry and return LedgerOpened or LedgerFound.
@@ -74,16 +79,21 @@
         :param digest: hash of method, path and body.
         :param timeout_s: longest wait in seconds.
         """
+        number = self._next_number()
         entry = LedgerEntry(
             key=key,
             digest=digest,
             session=self._session,
             status=LedgerStatus.OPEN,
             opened_at=0.0,
+            attempt=number,
         )
-        number = self._next_number()
         request = LedgerRequest(session=self._session, number=number, entry=entry)
-        return await self._call(number, request, timeout_s)
+        until = _now() + timeout_s
+        outcome = None
+        while outcome is None and _now() < until:
+            outcome = await self._call(number, request, min(ASK_AGAIN_S, until - _now()))
+        return outcome
 
     async def close(
         self, *, key: str, answer: StoredAnswer | None, not_run: bool, timeout_s: float
@@ -109,9 +119,8 @@
     async def _call(
         self, number: int, message: ToControl, timeout_s: float
     ) -> LedgerOutcome | None:
-        if self._post is None:
-            return None
-        self._post(message)
+        if self._post is not None:
+            self._post(message)
         reply: asyncio.Future[LedgerOutcome | None] = asyncio.get_running_loop().create_future()
         self._calls[number] = reply
         try:
@@ -125,3 +134,7 @@
     def _next_number(self) -> int:
         self._number += 1
         return self._number
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/lychee-gateway/tests/test_once.py
+++ b/packages/lychee-gateway/tests/test_once.py
@@ -92,6 +92,26 @@
     run(scenario())
 
 
+def test_an_opening_that_an_election_lost_is_asked_for_again():
+    async def scenario():
+        server = FakeServer("b1", "booking", lambda seen: answer(b"booked"))
+        async with open_world(server) as world:
+            lost = []
+            real = world.control._take
+
+            def lose_first(link, message):
+                if isinstance(message, LedgerRequest) and not lost:
+                    lost.append(message)
+                else:
+                    real(link, message)
+
+            world.control._take = lose_first
+            assert (await book(world, b"k")).body == b"booked"
+        assert lost and len(server.seen) == 1
+
+    run(scenario())
+
+
 def test_a_request_whose_first_copy_runs_is_unknown_at_once():
     async def scenario():
         release = asyncio.Event()
--- a/packages/lychee-owner/src/lychee_owner/state.py
+++ b/packages/lychee-owner/src/lychee_owner/state.py
@@ -33,6 +33,7 @@
 from lychee_types.exceptions import require
 from lychee_types.ids import KeyHash, LogIndex, ServerId, ServiceName, Token
 from lychee_types.records import (
+    LedgerEntry,
     LedgerStatus,
     Ownership,
     Placement,
@@ -337,7 +338,7 @@
 
     def _open_ledger(self, command: OpenLedger) -> Outcome:
         known = self.ledger.get(command.entry.key)
-        if known is not None:
+        if known is not None and not _is_same_opening(known, command.entry):
             return LedgerFound(entry=known)
         self.ledger[command.entry.key] = command.entry
         return LedgerOpened()
@@ -378,3 +379,9 @@
     if record.refusal:
         return DocumentRefused(reason=record.refusal, remedy=record.remedy)
     return DocumentConflict(version=record.version, author=record.winner)
+
+
+def _is_same_opening(known: LedgerEntry, entry: LedgerEntry) -> bool:
+    """Return whether a gateway asks again for the entry that it has opened itself."""
+    same_run = (known.session, known.attempt) == (entry.session, entry.attempt)
+    return same_run and known.status is LedgerStatus.OPEN
--- a/packages/lychee-types/src/lychee_types/records.py
+++ b/packages/lychee-types/src/lychee_types/records.py
@@ -172,6 +172,7 @@
     :param key: service name and Idempotency-Key, joined by a slash.
     :param digest: hash of method, path and body; a reused key with another digest is refused.
     :param session: the gateway's run that opened the entry.
+    :param attempt: that run's number for the opening; asking again with it is harmless.
     :param status: open, answered or unknown.
     :param opened_at: wall time of the leader when it was opened, in seconds.
     :param answer: the stored answer where there is one.
@@ -182,4 +183,5 @@
     session: SessionId
     status: LedgerStatus
     opened_at: float
+    attempt: int = 0
     answer: StoredAnswer | None = None
