--- a/packages/lychee-owner/src/lychee_owner/coordinator.py
+++ b/packages/lychee-owner/src/lychee_owner/coordinator.py
@@ -4,27 +4,34 @@
 
 from lychee_owner.evidence import Evidence
 from lychee_owner.gateways import GatewayRuns
+from lychee_owner.hashing import hash_key
+from lychee_owner.hotkeys import HotKeys
+from lychee_owner.loads import Loads
 from lychee_owner.membership import Membership
 from lychee_owner.outbox import Outbox
 from lychee_owner.placement import OwnerTable
 from lychee_owner.planner import plan
 from lychee_owner.servers import ServerRuns
+from lychee_owner.speeds import Speeds
 from lychee_owner.state import ClusterState
 from lychee_owner.transitions import FinishRule
 from lychee_types.commands import (
     BeginTransition,
+    CloseLedger,
     Command,
     Done,
+    ExpireLedger,
     FinishTransition,
     ForgetServer,
     JoinGateway,
     JoinServer,
     LoseGateway,
     LoseServer,
+    OpenLedger,
     Outcome,
 )
-from lychee_types.document import RequestKind
-from lychee_types.ids import LogIndex, ServerId, ServiceName, SessionId, Token
+from lychee_types.document import RequestKind, Service
+from lychee_types.ids import KeyHash, LogIndex, ServerId, ServiceName, SessionId, Token
 from lychee_types.messages import (
     Announcement,
     EndSession,
@@ -59,8 +66,13 @@
         self._membership = Membership(
             state=state, servers=self._servers, evidence=self._evidence, timing=timing, now=now
         )
+        self._loads = Loads()
+        self._speeds = Speeds(loads=self._loads)
+        self._hot_keys = HotKeys(loads=self._loads)
         self._rule = self._finish_rule()
         self._outbox = Outbox()
+        self._is_changed = True
+        self._look_at = now
 
     def _finish_rule(self) -> FinishRule:
         return FinishRule(
@@ -77,6 +89,7 @@
         :param gateway: its record.
         """
         self._gateways.attach(gateway)
+        self._is_changed = True
 
     def renew(self, *, now: float, renewal: RenewLease) -> GrantLease | EndSession | None:
         """Answer a renewal, or return None where no lease can be granted yet.
@@ -84,7 +97,9 @@
         :param now: when it was received, in seconds.
         :param renewal: the renewal.
         """
-        return self._gateways.renew(now=now, renewal=renewal)
+        answer = self._gateways.renew(now=now, renewal=renewal)
+        self._is_changed |= isinstance(answer, EndSession)
+        return answer
 
     def announce(
         self, *, now: float, session: SessionId, announcement: Announcement
@@ -98,7 +113,9 @@
         if self._evidence.is_excluded(now=now, server=announcement.server.id):
             reason = "gateways of several failure domains cannot reach it"
             return self._servers.refuse(announcement=announcement, reason=reason)
-        return self._servers.announce(now=now, announcement=announcement)
+        grant = self._servers.announce(now=now, announcement=announcement)
+        self._is_changed |= grant is None or not grant.lease_ms
+        return grant
 
     def report(self, *, now: float, report: ReportLoad) -> None:
         """Take in a gateway's report of load.
@@ -109,6 +126,7 @@
         run = self._gateways.runs.get(report.session)
         if run is None:
             return
+        self._loads.note(now=now, report=report)
         for load in report.servers:
             self._evidence.note(now=now, domain=run.record.domain, load=load)
 
@@ -117,17 +135,25 @@
 
         :param now: the leader's time in seconds.
         """
-        wanted = [
-            *self._gateway_commands(now=now),
-            *self._membership.commands(now=now),
-            *self._transition_commands(now=now),
-        ]
+        if self._is_changed or now >= self._look_at:
+            self._is_changed = False
+            self._look_at = now + self._timing.tick_ms / 1_000
+            wanted = list(self._due_commands(now=now))
+        else:
+            wanted = list(self._finish_commands(now=now))
         taken = tuple(c for c in wanted if self._outbox.offer(now=now, command=c))
         for command in taken:
             if isinstance(command, LoseGateway):
                 self._gateways.runs[command.session].ending = True
         return taken
 
+    def _due_commands(self, *, now: float) -> Iterable[Command]:
+        yield from self._gateway_commands(now=now)
+        yield from self._membership.commands(now=now)
+        yield from self._speed_commands(now=now)
+        yield from self._begin_commands(now=now)
+        yield from self._finish_commands(now=now)
+
     def applied(self, *, now: float, index: LogIndex, command: Command, outcome: Outcome) -> None:
         """Take in a command that has just been applied to the state.
 
@@ -137,6 +163,9 @@
         :param outcome: what applying it gave.
         """
         self._outbox.applied(command)
+        if isinstance(command, OpenLedger | CloseLedger | ExpireLedger):
+            return
+        self._is_changed = True
         if not isinstance(outcome, Done):
             return
         match command:
@@ -144,6 +173,7 @@
                 self._gateways.joined(now=now, gateway=command.gateway)
             case LoseGateway():
                 self._gateways.lost(command.session)
+                self._loads.forget_gateway(command.session)
             case JoinServer():
                 self._membership.joined(now=now, server=command.server)
             case LoseServer():
@@ -152,6 +182,7 @@
                 self._membership.forgotten(command.server)
                 self._servers.forget(command.server)
                 self._evidence.forget(command.server)
+                self._loads.forget_server(command.server)
             case BeginTransition():
                 self._gateways.begun(now=now, index=index)
             case _:
@@ -166,12 +197,23 @@
             if self._gateways.is_silent(now=now - wait_s, run=run):
                 yield LoseGateway(gateway=run.record.id, session=session)
 
-    def _transition_commands(self, *, now: float) -> Iterable[Command]:
+    def _speed_commands(self, *, now: float) -> Iterable[Command]:
+        for name in self._state.ownerships:
+            service = self._state.service(name)
+            if service is not None:
+                servers = self._membership.present(service)
+                change = service.placement.speed_change
+                yield from self._speeds.commands(now=now, servers=servers, change=change)
+
+    def _begin_commands(self, *, now: float) -> Iterable[Command]:
         for ownership in list(self._state.ownerships.values()):
             target = self._target(now=now, ownership=ownership)
             if target is not None:
                 yield BeginTransition(service=ownership.service, target=target)
-            elif ownership.pending and self._rule.is_met(now=now, ownership=ownership):
+
+    def _finish_commands(self, *, now: float) -> Iterable[Command]:
+        for ownership in list(self._state.ownerships.values()):
+            if ownership.pending and self._rule.is_met(now=now, ownership=ownership):
                 yield FinishTransition(service=ownership.service, begun=ownership.pending.begun)
 
     def _target(self, *, now: float, ownership: Ownership) -> Placement | None:
@@ -185,13 +227,39 @@
         eligible = self._membership.eligible(now=now, service=service, ownership=ownership)
         if not eligible:
             return None
-        wanted = plan(document=document, service=service, servers=eligible, hot={})
+        hot = self._hot(now=now, service=service, ownership=ownership, eligible=eligible)
+        wanted = plan(document=document, service=service, servers=eligible, hot=hot)
         if pending is None:
             return None if wanted == ownership.current else wanted
         if wanted == pending or not self._is_urgent(wanted=wanted, ownership=ownership):
             return None
         return wanted
 
+    def _hot(
+        self,
+        *,
+        now: float,
+        service: Service,
+        ownership: Ownership,
+        eligible: list[ServerRecord],
+    ) -> dict[KeyHash, ServerId]:
+        table = self._state.pending_table(service.name) or self._state.table(service.name)
+        if table is None:
+            return {}
+        return self._hot_keys.choose(
+            now=now,
+            service=service,
+            table=table,
+            pins=self._pins(service.name),
+            servers=eligible,
+            is_settled=ownership.pending is None,
+        )
+
+    def _pins(self, service: ServiceName) -> frozenset[KeyHash]:
+        document = self._state.document
+        pins = () if document is None else document.pins
+        return frozenset(hash_key(pin.key.encode()) for pin in pins if pin.service == service)
+
     def _is_urgent(self, *, wanted: Placement, ownership: Ownership) -> bool:
         """Return whether a target must take the place of the pending one."""
         if ownership.pending is None:
--- a/packages/lychee-owner/src/lychee_owner/membership.py
+++ b/packages/lychee-owner/src/lychee_owner/membership.py
@@ -132,15 +132,19 @@
         :param service: a keyed service.
         :param ownership: its ownership.
         """
-        present = {
-            server.id: server
-            for server in self._state.servers.values()
-            if server.service == service.name and self._is_present(server)
-        }
+        present = {server.id: server for server in self.present(service)}
         placed = placed_servers(ownership)
         due = self._due(now=now, service=service, present=present, placed=placed)
         return [server for server in present.values() if server.id in placed or server.id in due]
 
+    def present(self, service: Service) -> list[ServerRecord]:
+        """Return the servers of a service that are neither lost nor leaving."""
+        return [
+            server
+            for server in self._state.servers.values()
+            if server.service == service.name and self._is_present(server)
+        ]
+
     def _is_present(self, server: ServerRecord) -> bool:
         document = self._state.document
         told = document is not None and document.is_leaving(server.id)
--- a/packages/lychee-owner/src/lychee_owner/placement.py
+++ b/packages/lychee-owner/src/lychee_owner/placement.py
@@ -56,6 +56,10 @@
             server = self._keys.get(key)
             if server is not None:
                 return server
+        return self.shard_owner_of(key)
+
+    def shard_owner_of(self, key: KeyHash) -> ServerId | None:
+        """Return the owner of a key's shard, whether or not the key is placed apart from it."""
         if not self.owners:
             return None
         return self._servers[self.owners[key & (self.shards - 1)]]
