--- a/packages/lychee-bench/src/lychee_bench/sizes.py
+++ b/packages/lychee-bench/src/lychee_bench/sizes.py
@@ -1,6 +1,6 @@
 """The users' deployments at today's sizes."""
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 SPEEDS = (0.5, 1.0, 1.0, 1.5, 2.0)
 """Speeds of the servers of a group, in turn; they differ by a factor of 4."""
@@ -16,6 +16,8 @@
     :param service_ms: time to run a request at speed 1, in milliseconds.
     :param answer_bytes: length of an answer's body.
     :param rate: requests a second that callers send to the service.
+    :param speeds: speeds of the servers, in turn.
+    :param queue: how many requests wait for a slot at each.
     """
 
     service: str
@@ -25,6 +27,8 @@
     service_ms: float
     answer_bytes: int = 512
     rate: float = 50.0
+    speeds: tuple[float, ...] = SPEEDS
+    queue: int = 64
 
 
 class Sizes(Struct, frozen=True, kw_only=True):
@@ -103,3 +107,13 @@
 
 USERS = {"skaft": SKAFT, "kemer": KEMER}
 """Sizes by the user's short name."""
+
+
+def halved(sizes: Sizes) -> Sizes:
+    """Return a deployment with half the servers."""
+    groups = tuple(structs.replace(group, count=group.count // 2) for group in sizes.groups)
+    return structs.replace(sizes, groups=groups)
+
+
+SOAK_USERS = {name: halved(sizes) for name, sizes in USERS.items()}
+"""Sizes for long runs, by the user's short name."""
--- a/packages/lychee-log/src/lychee_log/recovery.py
+++ b/packages/lychee-log/src/lychee_log/recovery.py
@@ -7,9 +7,9 @@
 
 from lychee_log.exceptions import StorageError
 from lychee_log.files import TEMPORARY, damaged, disk_errors, read_file
-from lychee_log.mark import MARK_NAME, Mark, read_mark
+from lychee_log.mark import MARK_NAME, read_mark
 from lychee_log.records import Entry, HardState, Identity, Recovered, Snapshot
-from lychee_log.segment import Batch, read_segment
+from lychee_log.segment import Batch, SegmentContents, read_current, read_sealed
 from lychee_types.ids import LogIndex, ReplicaId
 
 IDENTITY_NAME = "identity"
@@ -17,16 +17,34 @@
 LOCK_NAME = "lock"
 
 
+class Sealed(Struct, frozen=True, kw_only=True):
+    """A segment to which nothing is appended any more.
+
+    :param number: its number.
+    :param size: its length in bytes.
+    """
+
+    number: int
+    size: int
+
+
 class Manifest(Struct, frozen=True, kw_only=True):
     """Which files are in force.
 
-    :param segments: numbers of the segments, oldest first.
+    :param current: number of the segment to which batches are appended.
+    :param sealed: the segments before it, oldest first.
     :param snapshot: index of the snapshot, 0 for none.
     """
 
-    segments: tuple[int, ...]
+    current: int
+    sealed: tuple[Sealed, ...] = ()
     snapshot: LogIndex = LogIndex(0)
 
+    @property
+    def segments(self) -> tuple[int, ...]:
+        """Return the numbers of all segments, oldest first."""
+        return (*(segment.number for segment in self.sealed), self.current)
+
 
 class SegmentEnd(Struct, frozen=True, kw_only=True):
     """Where a segment ends.
@@ -47,11 +65,13 @@
     :param recovered: what the replica starts from.
     :param manifest: which files are in force.
     :param ends: where each segment ends, oldest first.
+    :param unmarked: the last batches, which are not known to have been synced.
     """
 
     recovered: Recovered
     manifest: Manifest
     ends: tuple[SegmentEnd, ...]
+    unmarked: tuple[Batch, ...]
 
 
 _ENCODER = Encoder()
@@ -105,7 +125,9 @@
         snapshot=snapshot,
         entries=_after(folder, snapshot, log.entries),
     )
-    return Loaded(recovered=recovered, manifest=manifest, ends=tuple(log.ends))
+    return Loaded(
+        recovered=recovered, manifest=manifest, ends=tuple(log.ends), unmarked=log.unmarked
+    )
 
 
 class _StoredLog:
@@ -115,10 +137,21 @@
         self.hard_state = HardState()
         self.entries: list[Entry] = []
         self.ends: list[SegmentEnd] = []
+        self.unmarked: tuple[Batch, ...] = ()
         self._folder = folder
 
-    def add(self, batch: Batch) -> None:
-        """Take over a batch."""
+    def add_segment(self, number: int, contents: SegmentContents) -> None:
+        """Take over a segment's batches."""
+        highest = LogIndex(0)
+        for batch in contents.batches:
+            self._add(batch)
+            highest = max((entry.index for entry in batch.entries), default=highest)
+        self.ends.append(SegmentEnd(number=number, size=contents.size, last=highest))
+        self.unmarked = contents.unmarked
+        for batch in contents.unmarked:
+            self._add(batch)
+
+    def _add(self, batch: Batch) -> None:
         if batch.hard_state is not None:
             self.hard_state = batch.hard_state
         for entry in batch.entries:
@@ -136,29 +169,18 @@
 
 def _read_segments(folder: Path, manifest: Manifest) -> _StoredLog:
     mark = read_mark(folder)
-    last = manifest.segments[-1]
-    if mark.segment > last:
+    if mark.segment > manifest.current:
         raise damaged(folder / MANIFEST_NAME, "is older than the log")
     log = _StoredLog(folder=folder)
-    for number in manifest.segments:
-        contents = read_segment(
-            folder=folder,
-            number=number,
-            synced=_synced_size(mark, number),
-            may_be_torn=number == last,
-        )
-        highest = LogIndex(0)
-        for batch in contents.batches:
-            log.add(batch)
-            highest = max((entry.index for entry in batch.entries), default=highest)
-        log.ends.append(SegmentEnd(number=number, size=contents.size, last=highest))
+    for sealed in manifest.sealed:
+        contents = read_sealed(folder=folder, number=sealed.number, size=sealed.size)
+        log.add_segment(sealed.number, contents)
+    synced = mark.size if mark.segment == manifest.current else 0
+    current = read_current(folder=folder, number=manifest.current, synced=synced)
+    log.add_segment(manifest.current, current)
     return log
 
 
-def _synced_size(mark: Mark, number: int) -> int:
-    return mark.size if mark.segment == number else 0
-
-
 def _read_snapshot(folder: Path, manifest: Manifest) -> Snapshot | None:
     if not manifest.snapshot:
         return None
@@ -177,7 +199,7 @@
     if "segment-0000000001" not in names:
         return False
     try:
-        contents = read_segment(folder=folder, number=1, synced=0, may_be_torn=True)
+        contents = read_current(folder=folder, number=1, synced=0)
     except StorageError:
         return (folder / MANIFEST_NAME).exists()
-    return len(contents.batches) > 1
+    return bool(contents.unmarked)
