--- /dev/null
+++ b/packages/lychee-owner/src/lychee_owner/experiment/__init__.py
@@ -0,0 +1,21 @@
+"""Experiments on placement, revocation and the leader's cost, with typed result rows.
+
+They take no part in the daemons. Each is seeded and returns the same owners on each run; only
+times differ.
+"""
+
+from lychee_owner.experiment.cost import CostRow, measure_cost
+from lychee_owner.experiment.hotkeys import HotKeyRow, follow_hot_keys
+from lychee_owner.experiment.placement import PlacementRow, compare_placements
+from lychee_owner.experiment.revocation import RevocationRow, compare_revocations
+
+__all__ = [
+    "CostRow",
+    "HotKeyRow",
+    "PlacementRow",
+    "RevocationRow",
+    "compare_placements",
+    "compare_revocations",
+    "follow_hot_keys",
+    "measure_cost",
+]
--- /dev/null
+++ b/packages/lychee-owner/src/lychee_owner/experiment/hotkeys.py
@@ -0,0 +1,187 @@
+"""How hot keys that change are followed under Zipf traffic."""
+
+from dataclasses import dataclass
+
+import numpy as np
+import numpy.typing as npt
+
+from lychee_owner.experiment.placement import SIZES, Size, members_of
+from lychee_owner.hotkeys import HotKeys
+from lychee_owner.loads import Loads
+from lychee_owner.placement import OwnerTable
+from lychee_types.document import PlacementPolicy, RequestKind, Service
+from lychee_types.ids import DomainName, Incarnation, KeyHash, ServerId, ServiceName, SessionId
+from lychee_types.messages import HotKey, ReportLoad, ServerLoad
+from lychee_types.records import Endpoint, KeyOwner, Placement, ServerRecord
+
+KEYS = 100_000
+ZIPF_EXPONENT = 0.9
+RATE = 4_000.0
+"""Requests a second of the service."""
+
+CHANGE_S = 120
+"""Interval in seconds at which other keys become the hottest ten."""
+
+CHANGES = 4
+REPORTED = 20
+"""Number of hot keys in a report."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HotKeyRow:
+    """One way to treat hot keys.
+
+    :param size: name of the deployment.
+    :param budget: how many hot keys may be placed apart.
+    :param imbalance: mean over time of the highest over the mean load over speed.
+    :param settled: the same over the second half of the time between two changes.
+    :param settle_s: mean time in seconds from a change until the load has settled within 2 %.
+    :param moved: keys moved for one change of the hottest ten.
+    """
+
+    size: str
+    budget: int
+    imbalance: float
+    settled: float
+    settle_s: float
+    moved: float
+
+
+def follow_hot_keys(
+    sizes: tuple[Size, ...] = SIZES[:2], *, budgets: tuple[int, ...] = (0, 10, 20), seed: int = 7
+) -> tuple[HotKeyRow, ...]:
+    """Return a row for each size and number of keys that may be placed apart."""
+    return tuple(_Run(size=size, budget=b, seed=seed).row() for size in sizes for b in budgets)
+
+
+class _Run:
+    """One simulated run of ``CHANGE_S * CHANGES`` seconds."""
+
+    def __init__(self, *, size: Size, budget: int, seed: int) -> None:
+        self._size = size
+        self._budget = budget
+        self._random = np.random.default_rng(seed)
+        self._hashes = self._random.integers(0, 2**63, size=KEYS, dtype=np.uint64)
+        shares = 1.0 / np.arange(1, KEYS + 1) ** ZIPF_EXPONENT
+        self._shares = shares / shares.sum()
+        self._service = _service(size, budget)
+        self._servers = [_server(m.server, m.weight) for m in members_of(size)]
+        self._table = self._table_with({})
+
+    def _table_with(self, keys: dict[KeyHash, ServerId]) -> OwnerTable:
+        placement = Placement(
+            members=members_of(self._size),
+            keys=tuple(KeyOwner(key=key, server=keys[key]) for key in sorted(keys)),
+            shards=self._size.shards,
+            bounded_load=self._size.bounded_load,
+        )
+        return OwnerTable(placement=placement, shards=self._size.shards)
+
+    def row(self) -> HotKeyRow:
+        """Return the result of the run."""
+        loads = Loads()
+        hot_keys = HotKeys(loads=loads)
+        placed: dict[KeyHash, ServerId] = {}
+        moved, series = 0, []
+        for now in range(CHANGE_S * CHANGES):
+            if now % CHANGE_S == 0:
+                order = self._order()
+            counts = self._random.poisson(RATE * self._shares)
+            series.append(self._report(loads=loads, now=float(now), order=order, counts=counts))
+            chosen = hot_keys.choose(
+                now=float(now),
+                service=self._service,
+                table=self._table,
+                pins=(),
+                servers=self._servers,
+                is_settled=True,
+            )
+            if chosen != placed:
+                moved += len(set(chosen.items()) ^ set(placed.items()))
+                placed, self._table = chosen, self._table_with(chosen)
+        return self._summary(series=np.array(series), moved=moved)
+
+    def _order(self) -> npt.NDArray[np.uint64]:
+        """Return the keys from the most to the least popular, with ten new ones in front."""
+        fresh = self._random.choice(np.arange(100, KEYS), size=10, replace=False)
+        rest = np.setdiff1d(np.arange(KEYS), fresh)
+        order: npt.NDArray[np.uint64] = self._hashes[np.concatenate([fresh, rest])]
+        return order
+
+    def _report(
+        self,
+        *,
+        loads: Loads,
+        now: float,
+        order: npt.NDArray[np.uint64],
+        counts: npt.NDArray[np.int64],
+    ) -> float:
+        """Report one second of traffic and return its expected imbalance."""
+        owners = np.array(self._table.owners)[order & np.uint64(self._size.shards - 1)]
+        names = {server.id: position for position, server in enumerate(self._servers)}
+        for position in range(2 * REPORTED * 10):
+            owner = self._table.owner(KeyHash(int(order[position])))
+            owners[position] = names[owner] if owner is not None else owners[position]
+        answered = np.bincount(owners, weights=counts, minlength=len(self._servers))
+        expected = np.bincount(owners, weights=self._shares, minlength=len(self._servers))
+        hottest = np.argsort(-counts)[:REPORTED]
+        report = ReportLoad(
+            session=SessionId("g"),
+            servers=tuple(
+                ServerLoad(
+                    server=server.id, answered=int(count), failed=0, busy_ms=1.0, in_flight=0
+                )
+                for server, count in zip(self._servers, answered, strict=True)
+            ),
+            hot_keys=tuple(
+                HotKey(
+                    service=self._service.name,
+                    key=KeyHash(int(order[position])),
+                    rate=float(counts[position]),
+                )
+                for position in hottest
+            ),
+        )
+        loads.note(now=now, report=report)
+        speeds = np.array([server.speed for server in self._servers])
+        return float((expected / speeds).max() / (expected.sum() / speeds.sum()))
+
+    def _summary(self, *, series: npt.NDArray[np.float64], moved: int) -> HotKeyRow:
+        spans = series.reshape(CHANGES, CHANGE_S)
+        settled = spans[:, CHANGE_S // 2 :].mean(axis=1)
+        settle_s = [
+            int(np.argmax(span <= level * 1.02)) for span, level in zip(spans, settled, strict=True)
+        ]
+        return HotKeyRow(
+            size=self._size.name,
+            budget=self._budget,
+            imbalance=float(series.mean()),
+            settled=float(settled.mean()),
+            settle_s=float(np.mean(settle_s)),
+            moved=moved / CHANGES,
+        )
+
+
+def _service(size: Size, budget: int) -> Service:
+    return Service(
+        name=ServiceName(size.name),
+        path=f"/{size.name}/",
+        kind=RequestKind.KEYED,
+        idempotent=True,
+        deadline_ms=1_000,
+        shards=size.shards,
+        placement=PlacementPolicy(bounded_load=size.bounded_load, hot_keys=budget),
+    )
+
+
+def _server(name: ServerId, speed: float) -> ServerRecord:
+    return ServerRecord(
+        id=name,
+        incarnation=Incarnation(1),
+        endpoint=Endpoint(host="127.0.0.1", port=1),
+        domain=DomainName("nord"),
+        service=ServiceName("hot"),
+        slots=1,
+        connections=50,
+        speed=speed,
+    )
--- /dev/null
+++ b/packages/lychee-owner/src/lychee_owner/experiment/placement.py
@@ -0,0 +1,191 @@
+"""Comparison of ways to place shards on imbalance, churn and bytes shipped."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from time import perf_counter
+
+import numpy as np
+
+from lychee_owner.experiment.policies import Assignment, Policy, policies
+from lychee_types.ids import ServerId
+from lychee_types.records import Member
+
+DOMAINS = 3
+SPEEDS = (1.0, 2.0, 3.0, 4.0)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Size:
+    """A deployment.
+
+    :param name: its name in result rows.
+    :param servers: number of backend servers, with speeds from 1 to 4 in three domains.
+    :param shards: number of shards.
+    :param bounded_load: highest share over the fair share.
+    """
+
+    name: str
+    servers: int
+    shards: int
+    bounded_load: float
+
+
+SIZES = (
+    Size(name="skaft", servers=17, shards=1_024, bounded_load=1.1),
+    Size(name="kemer", servers=17, shards=4_096, bounded_load=1.05),
+    Size(name="two-years-400", servers=400, shards=65_536, bounded_load=1.1),
+    Size(name="two-years-1000", servers=1_000, shards=65_536, bounded_load=1.1),
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlacementRow:
+    """One way to place shards after one event.
+
+    :param size: name of the deployment.
+    :param policy: name of the way.
+    :param event: what happened.
+    :param imbalance: highest over mean of shards over speed.
+    :param moved: shards that changed owner.
+    :param least: the least that must.
+    :param shipped_bytes: bytes that each gateway is sent.
+    :param compute_ms: time to compute the owners afresh, in milliseconds.
+    """
+
+    size: str
+    policy: str
+    event: str
+    imbalance: float
+    moved: int
+    least: int
+    shipped_bytes: int
+    compute_ms: float
+
+    @property
+    def churn(self) -> float:
+        """Shards moved over the least possible."""
+        return self.moved / self.least if self.least else 1.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Event:
+    """A change of the members.
+
+    :param name: its name in result rows.
+    :param members: the members afterwards.
+    """
+
+    name: str
+    members: tuple[Member, ...]
+
+
+def compare_placements(
+    sizes: Sequence[Size] = SIZES, *, repeats: int = 5
+) -> tuple[PlacementRow, ...]:
+    """Return a row for each size, way and event.
+
+    :param sizes: the deployments.
+    :param repeats: how many servers each event of one server is tried on; rows hold the means.
+    """
+    return tuple(
+        row
+        for size in sizes
+        for policy in policies(size.bounded_load)
+        for row in _rows(size=size, policy=policy, repeats=repeats)
+    )
+
+
+def members_of(size: Size) -> tuple[Member, ...]:
+    """Return the members of a deployment."""
+    return tuple(
+        Member(server=ServerId(f"s{position:04d}"), weight=SPEEDS[position % len(SPEEDS)])
+        for position in range(size.servers)
+    )
+
+
+def _rows(*, size: Size, policy: Policy, repeats: int) -> Iterable[PlacementRow]:
+    members = members_of(size)
+    before = policy.place(members, size.shards, None)
+    names = ("loss", "leave", "join", "speed halved", "domain lost", "domain back")
+    for name in names:
+        victims = range(0, repeats) if name not in {"domain lost", "domain back"} else range(1)
+        found = [
+            _row(size=size, policy=policy, name=name, before=before, victim=3 * victim + victim % 3)
+            for victim in victims
+        ]
+        yield _mean(found)
+
+
+def _row(*, size: Size, policy: Policy, name: str, before: Assignment, victim: int) -> PlacementRow:
+    members = _members_after(name=name, members=before.members, victim=victim)
+    if name == "domain back":
+        lost = _members_after(name="domain lost", members=before.members, victim=victim)
+        before = policy.place(lost, size.shards, before)
+    started = perf_counter()
+    after = policy.place(members, size.shards, before)
+    compute_ms = (perf_counter() - started) * 1_000
+    return PlacementRow(
+        size=size.name,
+        policy=policy.name,
+        event=name,
+        imbalance=imbalance(after),
+        moved=int((before.owners != after.owners).sum()),
+        least=least_moves(before=before, after=after),
+        shipped_bytes=policy.shipped_bytes(before=before, after=after),
+        compute_ms=compute_ms,
+    )
+
+
+def _members_after(*, name: str, members: tuple[Member, ...], victim: int) -> tuple[Member, ...]:
+    match name:
+        case "loss" | "leave":
+            return members[:victim] + members[victim + 1 :]
+        case "join":
+            newcomer = Member(server=ServerId(f"t{victim:04d}"), weight=SPEEDS[victim % 4])
+            return (*members, newcomer)
+        case "speed halved":
+            slowed = members[victim]
+            half = Member(server=slowed.server, weight=slowed.weight / 2)
+            return (*members[:victim], half, *members[victim + 1 :])
+        case "domain lost":
+            return tuple(m for i, m in enumerate(members) if i % DOMAINS)
+        case _:
+            return members
+
+
+def _mean(rows: Sequence[PlacementRow]) -> PlacementRow:
+    first = rows[0]
+    return PlacementRow(
+        size=first.size,
+        policy=first.policy,
+        event=first.event,
+        imbalance=float(np.mean([row.imbalance for row in rows])),
+        moved=round(float(np.mean([row.moved for row in rows]))),
+        least=round(float(np.mean([row.least for row in rows]))),
+        shipped_bytes=round(float(np.mean([row.shipped_bytes for row in rows]))),
+        compute_ms=float(np.mean([row.compute_ms for row in rows])),
+    )
+
+
+def imbalance(assignment: Assignment) -> float:
+    """Return the highest over the mean of shards over speed."""
+    counts = assignment.counts()
+    total = sum(member.weight for member in assignment.members)
+    fair = len(assignment.owners) / total
+    return max(counts[member.server] / member.weight for member in assignment.members) / fair
+
+
+def least_moves(*, before: Assignment, after: Assignment) -> int:
+    """Return how many shards must move: those of members that went, and newcomers' fair shares."""
+    counts = before.counts()
+    kept = {member.server: member.weight for member in after.members}
+    was = {member.server: member.weight for member in before.members}
+    gone = sum(count for server, count in counts.items() if server not in kept)
+    gained = _fair_gain(kept=kept, was=was, shards=len(after.owners))
+    return max(gone, gained)
+
+
+def _fair_gain(*, kept: dict[ServerId, float], was: dict[ServerId, float], shards: int) -> int:
+    total, before = sum(kept.values()), sum(was.values())
+    gains = [shards * (w / total - was.get(server, 0.0) / before) for server, w in kept.items()]
+    return int(sum(gain for gain in gains if gain > 0))
--- /dev/null
+++ b/packages/lychee-owner/src/lychee_owner/experiment/revocation.py
@@ -0,0 +1,151 @@
+"""Group-wise against per-key revocation of a lost server's keys."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from time import perf_counter
+from typing import TypeVar
+
+from msgspec import Struct
+from msgspec.msgpack import Encoder
+
+from lychee_owner.experiment.placement import Size, members_of
+from lychee_owner.hashing import hash_key
+from lychee_owner.placement import OwnerTable
+from lychee_types.commands import BeginTransition, encode_command
+from lychee_types.ids import KeyHash, LogIndex, ServiceName, Token
+from lychee_types.records import Placement
+
+REVOCATION_SIZE = Size(name="kemer", servers=17, shards=4_096, bounded_load=1.05)
+
+ENCODER = Encoder()
+
+T = TypeVar("T")
+
+
+class RevokedKeys(Struct, frozen=True, kw_only=True, tag=True):
+    """Owners of single keys that are void.
+
+    :param begun: log index of the revocation.
+    :param keys: hashes of the keys.
+    """
+
+    begun: LogIndex
+    keys: tuple[KeyHash, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RevocationRow:
+    """One way to revoke the keys of a lost server at one gateway.
+
+    :param way: name of the way.
+    :param cached: owners of keys that the gateway has cached.
+    :param revoked: how many of them are revoked.
+    :param messages: messages to the gateway.
+    :param sent_bytes: bytes to the gateway.
+    :param leader_ms: time to make the messages, in milliseconds.
+    :param gateway_ms: time to apply them, in milliseconds.
+    """
+
+    way: str
+    cached: int
+    revoked: int
+    messages: int
+    sent_bytes: int
+    leader_ms: float
+    gateway_ms: float
+
+
+def compare_revocations(
+    cached: Sequence[int] = (1_000, 10_000, 100_000), *, size: Size = REVOCATION_SIZE
+) -> tuple[RevocationRow, ...]:
+    """Return rows for each way and number of cached owners.
+
+    One message a key, one message with all keys, and one target placement for all keys that
+    carries the log index: a cached owner of an older index is looked up afresh.
+    """
+    ways = (_one_by_one, _all_keys, _by_version)
+    return tuple(way(count, size) for count in cached for way in ways)
+
+
+def _tables(size: Size) -> tuple[OwnerTable, OwnerTable]:
+    members = members_of(size)
+    placements = [
+        Placement(members=chosen, shards=size.shards, bounded_load=size.bounded_load)
+        for chosen in (members, members[1:])
+    ]
+    before = OwnerTable(placement=placements[0], shards=size.shards)
+    return before, OwnerTable(placement=placements[1], shards=size.shards, near=before)
+
+
+def _keys(count: int) -> list[KeyHash]:
+    return [hash_key(f"key-{position}".encode()) for position in range(count)]
+
+
+def _moved(before: OwnerTable, after: OwnerTable, keys: Sequence[KeyHash]) -> list[KeyHash]:
+    return [key for key in keys if before.owner(key) != after.owner(key)]
+
+
+def _timed(work: Callable[[], T]) -> tuple[T, float]:
+    started = perf_counter()
+    result = work()
+    return result, (perf_counter() - started) * 1_000
+
+
+def _one_by_one(count: int, size: Size) -> RevocationRow:
+    return _per_key("one message a key", count, size, keys_per_message=1)
+
+
+def _all_keys(count: int, size: Size) -> RevocationRow:
+    return _per_key("one message with all keys", count, size, keys_per_message=count)
+
+
+def _per_key(way: str, count: int, size: Size, *, keys_per_message: int) -> RevocationRow:
+    before, after = _tables(size)
+    keys = _keys(count)
+    cache = {key: before.owner(key) for key in keys}
+
+    def make() -> list[bytes]:
+        moved = _moved(before, after, keys)
+        groups = range(0, len(moved), keys_per_message)
+        return [
+            ENCODER.encode(
+                RevokedKeys(begun=LogIndex(9), keys=tuple(moved[at : at + keys_per_message]))
+            )
+            for at in groups
+        ]
+
+    moved = _moved(before, after, keys)
+    messages, leader_ms = _timed(make)
+    _, gateway_ms = _timed(lambda: [cache.pop(key) for key in moved])
+    return RevocationRow(
+        way=way,
+        cached=count,
+        revoked=len(moved),
+        messages=len(messages),
+        sent_bytes=sum(map(len, messages)),
+        leader_ms=leader_ms,
+        gateway_ms=gateway_ms,
+    )
+
+
+def _by_version(count: int, size: Size) -> RevocationRow:
+    before, after = _tables(size)
+    keys = _keys(count)
+    cache = {key: (Token(1), before.owner(key)) for key in keys}
+    command = BeginTransition(service=ServiceName(size.name), target=after.placement)
+    message, leader_ms = _timed(lambda: encode_command(command))
+
+    def apply() -> OwnerTable:
+        return OwnerTable(placement=command.target, shards=size.shards, near=before)
+
+    table, gateway_ms = _timed(apply)
+    stale = sum(1 for key, (_, owner) in cache.items() if table.owner(key) != owner)
+    return RevocationRow(
+        way="one placement with its version",
+        cached=count,
+        revoked=stale,
+        messages=1,
+        sent_bytes=len(message),
+        leader_ms=leader_ms,
+        gateway_ms=gateway_ms,
+    )
