Name the gateway's metrics and log what matters with the request's id

Cause: no metrics, and refusals under load would have written a line each.

Change: metrics.py holds every name as an Enum and collects counters and times for one flush a second. Unknown outcomes and truncated streams are warnings with the request's id; refusals are counted, and logged at DEBUG only. A control replica that is left is named with the reason.

--- a/packages/lychee-gateway/src/lychee_gateway/control.py
+++ b/packages/lychee-gateway/src/lychee_gateway/control.py
@@ -115,8 +115,10 @@
                     ssl=self._ssl,
                 ) as link:
                     await self._use(link)
-            except (UnavailableError, TimeoutError) as exc:
-                logger.debug("no link to control replica {}: {}", endpoint, exc)
+            except TimeoutError:
+                logger.info("control replica {} was silent for {} s", endpoint, SILENCE_S)
+            except UnavailableError as exc:
+                logger.info("no link to control replica {}: {}", endpoint, exc)
             await asyncio.sleep(self._draw.uniform(*BACKOFF_S))
 
     async def _use(self, link: Link[ToControl, ToGateway]) -> None:
--- a/packages/lychee-gateway/src/lychee_gateway/core.py
+++ b/packages/lychee-gateway/src/lychee_gateway/core.py
@@ -17,13 +17,14 @@
 from lychee_gateway.lease import SessionLease
 from lychee_gateway.ledger import LedgerCalls
 from lychee_gateway.listener import Listener
+from lychee_gateway.metrics import FLUSH_S, GatewayMetrics, StateMetric
 from lychee_gateway.problems import answer_for
 from lychee_gateway.reports import AnnouncementDesk
 from lychee_gateway.router import Router, bad_request
 from lychee_gateway.servers import ServerBook
 from lychee_gateway.streams import StreamToCaller
 from lychee_gateway.view import StateView
-from lychee_runtime import Daemon, client_context, format_dump
+from lychee_runtime import Daemon, client_context, format_dump, open_metrics
 from lychee_types.exceptions import InvariantError
 from lychee_types.ids import SessionId
 from lychee_types.messages import ReportLoad
@@ -57,6 +58,7 @@
             ),
             ledger=self._ledger,
         )
+        self._metrics = GatewayMetrics(client=open_metrics(cfg.statsd))
         self._accepting = False
         self._ready_changed = asyncio.Event()
         self._view.listen(lambda: self._servers.sync(self._view.state))
@@ -99,6 +101,7 @@
         """Serve until asked to stop, then finish what is in flight."""
         self.spawn(self._control.run(), name="control")
         self.spawn(self._wake_at_stop(), name="stop")
+        self.spawn(self._flush_metrics(), name="metrics")
         self._announce_listener.start()
         logger.info("taking announcements on {}", self._announce_listener.endpoint)
         await self._until_ready()
@@ -166,6 +169,9 @@
             await _reply(call, caller)
             return
         outcome = await self._run(call, caller)
+        seconds = asyncio.get_running_loop().time() - call.arrived
+        self._metrics.count(call.service.name, outcome, seconds)
+        _log_outcome(call, outcome)
         await _reply(outcome, caller, request_id=call.request_id)
 
     async def _run(self, call: Call, caller: CallerConnection) -> Outcome:
@@ -191,6 +197,22 @@
         detail = "the gateway failed on this request"
         await _reply(Unknown(status=500, detail=detail), caller)
 
+    async def _flush_metrics(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(FLUSH_S)
+            state = self._view.state
+            self._metrics.flush(
+                {
+                    StateMetric.CALLERS: len(self._callers),
+                    StateMetric.WAITING: self._placing.waiting_in_all(),
+                    StateMetric.KEYED_FLIGHTS: len(self._flights),
+                    StateMetric.LEASE_LEFT_MS: self._lease.left_s(loop.time()) * 1_000,
+                    StateMetric.APPLIED: state.index,
+                    StateMetric.DOCUMENT_VERSION: state.document_version,
+                }
+            )
+
     def _broken(self, exc: InvariantError) -> None:
         self.on_task_failed("request", exc)
 
@@ -213,6 +235,23 @@
     return not call.maybe_run and call.idempotency_key is None
 
 
+def _log_outcome(call: Call, outcome: Outcome) -> None:
+    """Log what a caller cannot tell from the answer; refusals under load are counted only."""
+    match outcome:
+        case Unknown(status=status, detail=detail):
+            logger.bind(request=call.request_id).warning(
+                "a request to {} ended as unknown {}: {}", call.service.name, status, detail
+            )
+        case StreamSent(whole=False):
+            logger.bind(request=call.request_id).warning(
+                "a streamed answer of {} was cut short", call.service.name
+            )
+        case NotRun(status=status, detail=detail):
+            logger.bind(request=call.request_id).debug(
+                "a request to {} was not run, {}: {}", call.service.name, status, detail
+            )
+
+
 async def _reply(outcome: Outcome, caller: CallerConnection, *, request_id: str = "") -> None:
     match outcome:
         case Answer(head=head, body=body):
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/metrics.py
@@ -0,0 +1,115 @@
+"""Names of the gateway's metrics, and their collection between two flushes to statsd.
+
+Counters and times are collected in memory and sent once an interval, since a datagram for each
+request would cost more than many requests do.
+"""
+
+from collections import Counter
+from enum import Enum
+
+from lychee_gateway.calls import Answer, NotRun, Outcome, StreamSent, Unknown
+from lychee_runtime import Metrics
+from lychee_types.ids import ServiceName
+
+FLUSH_S = 1.0
+"""Interval between flushes, in seconds."""
+
+TIMES_LIMIT = 100
+"""Number of times a service sends in one interval; later ones of the interval are dropped."""
+
+
+class RequestMetric(Enum):
+    """Counters of requests, one for each service: ``<name>.<service>``."""
+
+    ANSWERED = "gateway.requests.answered"
+    """The server's whole answer was passed on."""
+
+    TRUNCATED = "gateway.requests.truncated"
+    """A streamed answer was cut short."""
+
+    NOT_RUN = "gateway.requests.not_run"
+    """The request was refused and not run."""
+
+    UNKNOWN = "gateway.requests.unknown"
+    """The request may have been run."""
+
+
+class TimeMetric(Enum):
+    """Times in milliseconds, one for each service: ``<name>.<service>``."""
+
+    REQUEST = "gateway.requests.time"
+    """From a request's head to its outcome."""
+
+
+class StateMetric(Enum):
+    """Gauges of the process."""
+
+    CALLERS = "gateway.callers"
+    """Open connections of callers."""
+
+    WAITING = "gateway.waiting"
+    """Requests that wait for a place."""
+
+    KEYED_FLIGHTS = "gateway.keyed_flights"
+    """Keyed requests that a server may still run."""
+
+    LEASE_LEFT_MS = "gateway.lease_left_ms"
+    """Time left of the session lease."""
+
+    APPLIED = "gateway.applied"
+    """Last log index applied."""
+
+    DOCUMENT_VERSION = "gateway.document_version"
+    """Version of the document in force."""
+
+
+def metric_of(outcome: Outcome) -> RequestMetric:
+    """Return the counter of an outcome."""
+    match outcome:
+        case Answer() | StreamSent(whole=True):
+            return RequestMetric.ANSWERED
+        case StreamSent():
+            return RequestMetric.TRUNCATED
+        case NotRun():
+            return RequestMetric.NOT_RUN
+        case Unknown():
+            return RequestMetric.UNKNOWN
+
+
+class GatewayMetrics:
+    """Collects counters and times and sends them in one go.
+
+    :param client: where they go.
+    """
+
+    def __init__(self, *, client: Metrics) -> None:
+        self._client = client
+        self._counts: Counter[tuple[RequestMetric, ServiceName]] = Counter()
+        self._times: dict[ServiceName, list[float]] = {}
+
+    def count(self, service: ServiceName, outcome: Outcome, seconds: float) -> None:
+        """Count a request's outcome.
+
+        :param service: its service.
+        :param outcome: its outcome.
+        :param seconds: time from its head to its outcome.
+        """
+        self._counts[metric_of(outcome), service] += 1
+        times = self._times.setdefault(service, [])
+        if len(times) < TIMES_LIMIT:
+            times.append(seconds)
+
+    def flush(self, gauges: dict[StateMetric, float]) -> None:
+        """Send everything counted since the last flush.
+
+        :param gauges: the process's state now.
+        """
+        for (metric, service), count in self._counts.items():
+            self._client.incr(f"{metric.value}.{service}", count)
+        for service, times in self._times.items():
+            for seconds in times:
+                self._client.timing(f"{TimeMetric.REQUEST.value}.{service}", seconds * 1_000)
+        for gauge, value in gauges.items():
+            self._client.gauge(gauge.value, value)
+        self._counts.clear()
+        self._times.clear()
--- a/packages/lychee-gateway/src/lychee_gateway/router.py
+++ b/packages/lychee-gateway/src/lychee_gateway/router.py
@@ -168,7 +168,7 @@
 
     async def _try_elsewhere(self, call: Call, place: Placed, reason: str) -> Outcome | None:
         """Decide on a request that the last server did not run."""
-        _log_attempt(call, place, reason)
+        _log_attempt("DEBUG", call, place, reason)
         call.avoid.add(place.server.record.id)
         if call.key is None:
             if call.attempts < MAX_ATTEMPTS:
@@ -184,7 +184,7 @@
 
     def _try_again(self, call: Call, place: Placed, reason: str) -> Outcome | None:
         """Decide on a request that the last server may have run."""
-        _log_attempt(call, place, reason)
+        _log_attempt("INFO", call, place, reason)
         now = asyncio.get_running_loop().time()
         if call.service.idempotent and now < call.deadline:
             call.avoid.add(place.server.record.id)
@@ -224,8 +224,9 @@
     return Unknown(status=502, detail=f"an earlier attempt broke; then {outcome.detail}")
 
 
-def _log_attempt(call: Call, place: Placed, reason: str) -> None:
-    logger.bind(request=call.request_id).info(
+def _log_attempt(level: str, call: Call, place: Placed, reason: str) -> None:
+    logger.bind(request=call.request_id).log(
+        level,
         "attempt {} of {} at {} failed: {}",
         call.attempts,
         call.service.name,
--- a/packages/lychee-gateway/src/lychee_gateway/streams.py
+++ b/packages/lychee-gateway/src/lychee_gateway/streams.py
@@ -31,7 +31,7 @@
             while chunk := await self._next_chunk(conn):
                 await self._send(chunk)
         except (ServerAnswerError, TimeoutError) as exc:
-            logger.warning("an answer was cut short: {}", exc)
+            logger.info("a server's answer broke off: {}", exc or "a pause was too long")
             return False
         await self._caller.finish()
         return True
