Read the clock afresh for leases and deadlines, and bound slow readers

Cause: times came from the loop, in whole milliseconds; a caller that stopped reading a whole answer held its connection for ever; a refused accept (file limit) spun the loop; announcements that nobody waited for any more were still reported; tokens and versions were not asserted.

Change: time.monotonic at each check; a caller that reads nothing for 10 s counts as gone; a pause of 0.1 s after a refused accept; stale announcements are dropped; fencing tokens sent and document versions are required never to go back.

--- a/packages/lychee-gateway/src/lychee_gateway/control.py
+++ b/packages/lychee-gateway/src/lychee_gateway/control.py
@@ -5,6 +5,7 @@
 from itertools import cycle
 from random import Random
 from ssl import SSLContext
+from time import monotonic
 from uuid import uuid4
 
 from loguru import logger
@@ -178,8 +179,8 @@
 
     def _renew(self, link: Link[ToControl, ToGateway]) -> None:
         state = self._view.state
-        self._told = self._flights.drained(state, _now())
-        number = self._lease.renewal_sent(_now())
+        self._told = self._flights.drained(state, monotonic())
+        number = self._lease.renewal_sent(monotonic())
         link.post(
             RenewLease(
                 session=self.session,
@@ -193,12 +194,12 @@
     async def _renew_often(self, link: Link[ToControl, ToGateway]) -> None:
         """Renew the lease at its interval, and at once when a transition has drained."""
         renew_s = self._cfg.timing.renew_ms / 1_000
-        due = _now()
+        due = monotonic()
         while True:
-            drained = self._flights.drained(self._view.state, _now())
-            if _now() >= due or drained != self._told:
+            drained = self._flights.drained(self._view.state, monotonic())
+            if monotonic() >= due or drained != self._told:
                 self._renew(link)
-                due = _now() + renew_s
+                due = monotonic() + renew_s
             await asyncio.sleep(DRAIN_CHECK_S)
 
     async def _report_servers(self, link: Link[ToControl, ToGateway]) -> None:
@@ -217,7 +218,3 @@
     """Return a broken invariant of the group, else its first error."""
     broken = group.subgroup(InvariantError)
     return (broken or group).exceptions[0]
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/lychee-gateway/src/lychee_gateway/core.py
+++ b/packages/lychee-gateway/src/lychee_gateway/core.py
@@ -1,6 +1,7 @@
 """The gateway's daemon: its tasks and its life cycle."""
 
 import asyncio
+from time import monotonic
 
 from loguru import logger
 
@@ -88,7 +89,7 @@
     def readiness(self) -> Readiness:
         """Return whether callers may be sent here."""
         state = self._view.state.document is not None
-        lease = self._lease.held(asyncio.get_running_loop().time())
+        lease = self._lease.held(monotonic())
         stopping = self.stopping.is_set()
         return Readiness(
             ready=state and lease and self._accepting and not stopping,
@@ -145,7 +146,7 @@
     def dump(self) -> str:
         """Return the gateway's state as YAML."""
         state = self._view.state
-        left_s = self._lease.left_s(asyncio.get_running_loop().time())
+        left_s = self._lease.left_s(monotonic())
         return format_dump(
             GatewayDump(
                 id=self._cfg.id,
@@ -169,7 +170,7 @@
             await _reply(call, caller)
             return
         outcome = await self._run(call, caller)
-        seconds = asyncio.get_running_loop().time() - call.arrived
+        seconds = monotonic() - call.arrived
         self._metrics.count(call.service.name, outcome, seconds)
         _log_outcome(call, outcome)
         await _reply(outcome, caller, request_id=call.request_id)
@@ -198,7 +199,6 @@
         await _reply(Unknown(status=500, detail=detail), caller)
 
     async def _flush_metrics(self) -> None:
-        loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(FLUSH_S)
             state = self._view.state
@@ -207,7 +207,7 @@
                     StateMetric.CALLERS: len(self._callers),
                     StateMetric.WAITING: self._placing.waiting_in_all(),
                     StateMetric.KEYED_FLIGHTS: len(self._flights),
-                    StateMetric.LEASE_LEFT_MS: self._lease.left_s(loop.time()) * 1_000,
+                    StateMetric.LEASE_LEFT_MS: self._lease.left_s(monotonic()) * 1_000,
                     StateMetric.APPLIED: state.index,
                     StateMetric.DOCUMENT_VERSION: state.document_version,
                 }
@@ -217,7 +217,7 @@
         self.on_task_failed("request", exc)
 
     def _report_load(self, session: SessionId) -> ReportLoad:
-        now = asyncio.get_running_loop().time()
+        now = monotonic()
         return ReportLoad(
             session=session,
             servers=self._servers.take_loads(),
--- a/packages/lychee-gateway/src/lychee_gateway/dispatch.py
+++ b/packages/lychee-gateway/src/lychee_gateway/dispatch.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from math import ceil
 from random import Random
+from time import monotonic
 
 from lychee_gateway.calls import Call, NotRun
 from lychee_gateway.lease import SessionLease
@@ -19,6 +20,7 @@
     can_make_deadline,
     choose,
 )
+from lychee_types.exceptions import require
 from lychee_types.ids import ServerId, ServiceName, Token
 from lychee_types.records import ServerStatus
 
@@ -85,6 +87,7 @@
         self._rule: ChoiceRule = rule or PowerOfTwo()
         self._draw = draw or Random()
         self._turn = 0
+        self._tokens: dict[ServiceName, Token] = {}
         self._queues: dict[QueueId, DeadlineQueue[_Waiting]] = {}
         self._waiting: dict[ServiceName, int] = {}
 
@@ -106,13 +109,19 @@
         Only for keyed requests: the lease must last and the owner must be the same.
         """
         assert call.key is not None
-        if not self._lease.held(asyncio.get_running_loop().time()):
+        if not self._lease.held(monotonic()):
             return None
         route = self._view.state.route(call.service.name, call.key)
         if route.server is None or self._servers.get(route.server.id) is not placed.server:
             return None
+        self._check_token(call.service.name, route.token)
         return route.token
 
+    def _check_token(self, service: ServiceName, token: Token) -> None:
+        last = self._tokens.get(service, token)
+        require(token >= last, f"fencing token {token} of {service} sent after {last}")
+        self._tokens[service] = token
+
     @contextmanager
     def occupied(self, placed: Placed) -> Iterator[None]:
         """Give a place back when the block ends, to the next request that waits for it."""
@@ -151,7 +160,7 @@
     def _try_owner(self, call: Call) -> Placed | QueueId:
         assert call.key is not None
         name = call.service.name
-        if not self._lease.held(asyncio.get_running_loop().time()):
+        if not self._lease.held(monotonic()):
             return QueueId(service=name)
         route = self._view.state.route(name, call.key)
         server = self._servers.get(route.server.id) if route.server is not None else None
@@ -163,7 +172,7 @@
 
     def _try_any(self, call: Call) -> Placed | QueueId:
         name = call.service.name
-        candidates = self._servers.candidates(name, asyncio.get_running_loop().time())
+        candidates = self._servers.candidates(name, monotonic())
         if not candidates:
             return QueueId(service=name)
         candidates = [c for c in candidates if c.server not in call.avoid] or candidates
@@ -201,7 +210,7 @@
                 retry_after_s=1,
             )
         if takers and not can_make_deadline(
-            now=asyncio.get_running_loop().time(),
+            now=monotonic(),
             deadline=call.deadline,
             ahead=len(self._queue(where)),
             parallel=sum(server.limits.in_flight for server in takers),
--- a/packages/lychee-gateway/src/lychee_gateway/exchange.py
+++ b/packages/lychee-gateway/src/lychee_gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from time import monotonic
 
 from lychee_gateway.calls import (
     Answer,
@@ -85,9 +86,8 @@
 
     async def run(self, call: Call, placed: Placed, pass_on: PassOn) -> Attempt:
         """Send a request to the server of its place and return what became of it."""
-        loop = asyncio.get_running_loop()
         pool = placed.server.pool
-        began = loop.time()
+        began = monotonic()
         try:
             conn = await pool.take(timeout_s=call.deadline - began)
         except OSError as exc:
@@ -97,7 +97,7 @@
             attempt = await self._on_connection(call, placed, conn, pass_on)
         match attempt:
             case Answer(head=head):
-                seconds = loop.time() - began
+                seconds = monotonic() - began
                 self._servers.note_answer(placed.server, seconds=seconds, status=head.status)
             case Broken() | Late() | StreamSent(whole=False):
                 self._servers.note_failure(placed.server)
@@ -113,11 +113,11 @@
             token = self._dispatcher.still_holds(call, placed)
             if token is None:
                 return Moved()
-        if asyncio.get_running_loop().time() >= call.deadline:
+        if monotonic() >= call.deadline:
             return NotSent(reason="the deadline has passed")
         flight = self._begin_flight(call, placed)
         conn.send(outgoing_head(call, placed.server.record.endpoint, token), call.body)
-        began = asyncio.get_running_loop().time()
+        began = monotonic()
         earlier, call.maybe_run = call.maybe_run, True
         try:
             async with asyncio.timeout_at(call.deadline):
@@ -131,7 +131,7 @@
         except ServerAnswerError as exc:
             return Broken(reason=exc.message)
         if body is None:
-            seconds = asyncio.get_running_loop().time() - began
+            seconds = monotonic() - began
             self._servers.note_answer(placed.server, seconds=seconds, status=head.status)
             whole = await pass_on(answer_head(head), conn)
             attempt: Attempt = StreamSent(whole=whole)
--- a/packages/lychee-gateway/src/lychee_gateway/http/inbound.py
+++ b/packages/lychee-gateway/src/lychee_gateway/http/inbound.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
+from time import monotonic
 
 from lychee_gateway.exceptions import BadRequestError, CallerGoneError
 from lychee_gateway.http.framing import check_head, declared_length
@@ -31,11 +32,13 @@
     :param head_bytes: largest request head.
     :param head_s: time from a request's first byte to the end of its head, in seconds.
     :param idle_s: time without a request after which the connection closes, in seconds.
+    :param stall_s: time without reading after which a caller counts as gone, in seconds.
     """
 
     head_bytes: int = 16_384
     head_s: float = 5.0
     idle_s: float = 60.0
+    stall_s: float = 10.0
 
 
 class CallerConnection:
@@ -110,8 +113,7 @@
             self._wire.write(CONTINUE)
         parts: list[bytes] = []
         size = 0
-        loop = asyncio.get_running_loop()
-        until = loop.time() + timeout_s
+        until = monotonic() + timeout_s
         while True:
             event = self._next_event()
             if isinstance(event, EndOfMessage):
@@ -122,13 +124,13 @@
                 size += len(event)
                 if size > limit:
                     raise _too_large(limit)
-            elif not await self._feed(until - loop.time()):
+            elif not await self._feed(until - monotonic()):
                 raise self._cut("body")
 
     async def send(self, head: ResponseHead, body: bytes) -> None:
         """Send a whole answer.
 
-        :raises ConnectionError: if the connection is lost.
+        :raises CallerGoneError: if the caller has left or reads too slowly.
         """
         if self._is_to_head() or head.status in BODILESS:
             body = b""
@@ -136,7 +138,7 @@
             head = replace(head, length=len(body))
         self._wire.write(self._begin_answer(head) + body)
         self._answered = True
-        await self._wire.drain()
+        await self._drain()
 
     def send_head(self, head: ResponseHead) -> None:
         """Send the head of an answer whose body follows in chunks."""
@@ -145,11 +147,11 @@
     async def send_chunk(self, data: bytes) -> None:
         """Send a part of the body, waiting while the caller reads slowly.
 
-        :raises ConnectionError: if the connection is lost.
+        :raises CallerGoneError: if the caller has left or reads too slowly.
         """
         if not self._is_to_head():
             self._wire.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
-            await self._wire.drain()
+            await self._drain()
 
     async def finish(self) -> None:
         """End the answer."""
@@ -214,13 +216,21 @@
         return self._head is not None and self._head.method == b"HEAD"
 
     async def _read_rest_of_head(self) -> RequestEvent:
-        loop = asyncio.get_running_loop()
-        until = loop.time() + self._limits.head_s
+        until = monotonic() + self._limits.head_s
         while (event := self._next_event()) is None:
-            if not await self._feed(until - loop.time()):
+            if not await self._feed(until - monotonic()):
                 raise self._cut("head")
         return event
 
+    async def _drain(self) -> None:
+        if not self._wire.is_congested:
+            return
+        try:
+            async with asyncio.timeout(self._limits.stall_s):
+                await self._wire.drain()
+        except (TimeoutError, ConnectionError) as exc:
+            raise CallerGoneError() from exc
+
     async def _drop_rest(self) -> None:
         dropped = 0
         try:
--- a/packages/lychee-gateway/src/lychee_gateway/http/wire.py
+++ b/packages/lychee-gateway/src/lychee_gateway/http/wire.py
@@ -62,6 +62,11 @@
         """Number of bytes written and not yet taken by the operating system."""
         return self.transport.get_write_buffer_size()
 
+    @property
+    def is_congested(self) -> bool:
+        """Whether a writer has to wait for the peer, or the connection is lost."""
+        return self._writable is not None or self.lost
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = cast(asyncio.Transport, transport)
--- a/packages/lychee-gateway/src/lychee_gateway/listener.py
+++ b/packages/lychee-gateway/src/lychee_gateway/listener.py
@@ -14,6 +14,9 @@
 ACCEPTS_PER_TURN = 64
 """Connections accepted before the loop does other work."""
 
+PAUSE_S = 0.1
+"""Pause after the operating system refused to accept a connection, in seconds."""
+
 Accept = Callable[[socket.socket], Awaitable[None]]
 """Takes over an accepted connection."""
 
@@ -66,6 +69,7 @@
             return False
         except OSError as exc:
             logger.warning("a connection cannot be accepted: {}; raise the file limit", exc)
+            self._pause()
             return False
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -74,6 +78,16 @@
         task.add_done_callback(self._tasks.discard)
         return True
 
+    def _pause(self) -> None:
+        """Let some connections end before others are accepted."""
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._sock.fileno())
+        loop.call_later(PAUSE_S, self._go_on)
+
+    def _go_on(self) -> None:
+        if self._sock.fileno() >= 0:
+            asyncio.get_running_loop().add_reader(self._sock.fileno(), self._accept_some)
+
     async def _take_over(self, sock: socket.socket) -> None:
         try:
             await self._accept(sock)
--- a/packages/lychee-gateway/src/lychee_gateway/once.py
+++ b/packages/lychee-gateway/src/lychee_gateway/once.py
@@ -1,7 +1,7 @@
 """Running a request with an Idempotency-Key at most once, by means of the ledger."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
+from time import monotonic
 
 from loguru import logger
 from xxhash import xxh3_64_intdigest
@@ -42,7 +42,7 @@
         :param run: takes it to its outcome.
         """
         digest = call_digest(call)
-        left_s = call.deadline - asyncio.get_running_loop().time()
+        left_s = call.deadline - monotonic()
         found = await self._ledger.open(key=entry_key(call), digest=digest, timeout_s=left_s)
         match found:
             case LedgerOpened():
--- a/packages/lychee-gateway/src/lychee_gateway/reports.py
+++ b/packages/lychee-gateway/src/lychee_gateway/reports.py
@@ -15,6 +15,12 @@
 """Server, run and number of an announcement."""
 
 
+def announcement_id(announcement: Announcement) -> AnnouncementId:
+    """Return what an announcement's grant is found by."""
+    server = announcement.server
+    return (server.id, server.incarnation, announcement.number)
+
+
 class AnnouncementDesk:
     """Collects announcements and hands each grant to the server that waits for it."""
 
@@ -27,8 +33,7 @@
         """Report an announcement and return the leader's answer, None without one in time."""
         if len(self._pending) >= PENDING_LIMIT:
             return None
-        server = announcement.server
-        key = (server.id, server.incarnation, announcement.number)
+        key = announcement_id(announcement)
         reply: asyncio.Future[ServerGrant] = asyncio.get_running_loop().create_future()
         self._waiting[key] = reply
         self._pending.append(announcement)
@@ -43,12 +48,15 @@
                 del self._waiting[key]
 
     async def batch(self) -> tuple[Announcement, ...]:
-        """Return the announcements of the next few milliseconds, at least one."""
+        """Wait for an announcement, and return those of the next few milliseconds.
+
+        Those whose server has been told to ask elsewhere are left out.
+        """
         await self._wake.wait()
         await asyncio.sleep(BATCH_S)
-        batch, self._pending = tuple(self._pending), []
+        pending, self._pending = self._pending, []
         self._wake.clear()
-        return batch
+        return tuple(a for a in pending if announcement_id(a) in self._waiting)
 
     def answer(self, grants: tuple[ServerGrant, ...]) -> None:
         """Hand out the leader's answers."""
--- a/packages/lychee-gateway/src/lychee_gateway/router.py
+++ b/packages/lychee-gateway/src/lychee_gateway/router.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from random import Random
+from time import monotonic
 
 from loguru import logger
 
@@ -90,7 +91,7 @@
         :raises BadRequestError: if the request cannot be taken.
         :raises CallerGoneError: if the caller left before its body was there.
         """
-        arrived = asyncio.get_running_loop().time()
+        arrived = monotonic()
         wall = time.time()
         document = self._view.state.document
         if document is None:
@@ -136,7 +137,7 @@
         return tuple(key for counter in self._counters.values() for key in counter.take(now))
 
     async def _run(self, call: Call, pass_on: PassOn) -> Outcome:
-        self._budget(call.service).count_request(asyncio.get_running_loop().time())
+        self._budget(call.service).count_request(monotonic())
         while True:
             place = await self._dispatcher.place(call)
             if isinstance(place, NotRun):
@@ -177,7 +178,7 @@
         if "shed" in reason:
             return _given_up(call, _refused(reason))
         pause_s = PAUSE_S * (0.5 + self._draw.random())
-        if asyncio.get_running_loop().time() + pause_s >= call.deadline:
+        if monotonic() + pause_s >= call.deadline:
             return _given_up(call, _refused(reason))
         await asyncio.sleep(pause_s)
         return None
@@ -185,7 +186,7 @@
     def _try_again(self, call: Call, place: Placed, reason: str) -> Outcome | None:
         """Decide on a request that the last server may have run."""
         _log_attempt("INFO", call, place, reason)
-        now = asyncio.get_running_loop().time()
+        now = monotonic()
         if call.service.idempotent and now < call.deadline:
             call.avoid.add(place.server.record.id)
             if self._budget(call.service).try_spend(now):
@@ -197,7 +198,7 @@
         if counter is None:
             limit = HOT_KEYS_SPARE * service.placement.hot_keys
             counter = self._counters[service.name] = HotKeyCounter(
-                service=service.name, limit=limit, now=asyncio.get_running_loop().time()
+                service=service.name, limit=limit, now=monotonic()
             )
         return counter
 
--- a/packages/lychee-gateway/src/lychee_gateway/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/servers.py
@@ -1,7 +1,7 @@
 """What this gateway knows of each backend server: limits, load, connections and standing."""
 
-import asyncio
 from collections.abc import Iterator
+from time import monotonic
 
 from loguru import logger
 
@@ -138,7 +138,7 @@
         if detector is None:
             return
         slow = self._is_slow(server)
-        if detector.answered(server.record.id, _now(), slow=slow):
+        if detector.answered(server.record.id, monotonic(), slow=slow):
             self._left_out(server, "it is slow beside the others")
 
     def note_failure(self, server: BackendServer, *, reached: bool = False) -> None:
@@ -152,23 +152,23 @@
         else:
             server.count_failure()
         detector = self._detectors.get(server.record.service)
-        if detector is not None and detector.failed(server.record.id, _now()):
+        if detector is not None and detector.failed(server.record.id, monotonic()):
             self._left_out(server, "it fails")
 
     def pause(self, server: BackendServer) -> None:
         """Send a server that shed a request no other one for a short time."""
-        server.paused_until = _now() + SHED_PAUSE_S
+        server.paused_until = monotonic() + SHED_PAUSE_S
 
     def standing(self, server: BackendServer) -> str:
         """Return how a server stands, for a dump."""
         detector = self._detectors.get(server.record.service)
         if detector is None:
             return "in use"
-        match detector.standing(server.record.id, _now()):
+        match detector.standing(server.record.id, monotonic()):
             case InUse():
                 return "in use"
             case Ejected(until=until):
-                return f"left out for {until - _now():.1f} s"
+                return f"left out for {until - monotonic():.1f} s"
             case Probing():
                 return "probed"
 
@@ -204,7 +204,9 @@
                 detector = self._detectors.get(record.service)
                 if detector is not None:
                     detector.forget(record.id)
-            self._servers[record.id] = BackendServer(record=record, limits=limits, since=_now())
+            self._servers[record.id] = BackendServer(
+                record=record, limits=limits, since=monotonic()
+            )
             return
         if known.record.endpoint != record.endpoint:
             known.pool.close()
@@ -272,7 +274,3 @@
 
 def _may_take_work(record: ServerRecord, document: Document) -> bool:
     return record.status is ServerStatus.JOINED and not document.is_leaving(record.id)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/lychee-gateway/src/lychee_gateway/streams.py
+++ b/packages/lychee-gateway/src/lychee_gateway/streams.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from lychee_gateway.exceptions import CallerGoneError, ServerAnswerError
+from lychee_gateway.exceptions import ServerAnswerError
 from lychee_gateway.http import CallerConnection, ResponseHead, ServerConnection
 
 
@@ -14,7 +14,7 @@
     The next part is read from the server only once the caller has room for it.
 
     :param caller: the caller's connection.
-    :param pause_s: longest pause of the server or of the caller, in seconds.
+    :param pause_s: longest pause of the server, in seconds.
     """
 
     def __init__(self, *, caller: CallerConnection, pause_s: float) -> None:
@@ -29,7 +29,7 @@
         self._caller.send_head(head)
         try:
             while chunk := await self._next_chunk(conn):
-                await self._send(chunk)
+                await self._caller.send_chunk(chunk)
         except (ServerAnswerError, TimeoutError) as exc:
             logger.info("a server's answer broke off: {}", exc or "a pause was too long")
             return False
@@ -39,10 +39,3 @@
     async def _next_chunk(self, conn: ServerConnection) -> bytes:
         async with asyncio.timeout(self._pause_s):
             return await conn.read_chunk()
-
-    async def _send(self, chunk: bytes) -> None:
-        try:
-            async with asyncio.timeout(self._pause_s):
-                await self._caller.send_chunk(chunk)
-        except (TimeoutError, ConnectionError) as exc:
-            raise CallerGoneError() from exc
--- a/packages/lychee-gateway/src/lychee_gateway/view.py
+++ b/packages/lychee-gateway/src/lychee_gateway/view.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from lychee_owner import ClusterState
+from lychee_types.exceptions import require
 from lychee_types.ids import LogIndex
 from lychee_types.messages import Deltas, Snapshot
 
@@ -12,6 +13,7 @@
 
     def __init__(self) -> None:
         self.state = ClusterState()
+        self._version = 0
         self._listeners: list[Callable[[], None]] = []
 
     def listen(self, listener: Callable[[], None]) -> None:
@@ -36,5 +38,8 @@
             self._changed()
 
     def _changed(self) -> None:
+        version = self.state.document_version
+        require(version >= self._version, f"document version {version} after {self._version}")
+        self._version = version
         for listener in self._listeners:
             listener()
