--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/report.py
@@ -0,0 +1,135 @@
+"""The table and the verdict of a run."""
+
+from collections.abc import Iterable, Sequence
+
+from hdrh.histogram import HdrHistogram
+from msgspec import Struct
+
+from lychee_bench.audit import (
+    DOUBLED,
+    FALSE_NOT_RUN,
+    LOST,
+    OVERLAP,
+    RUN_NOT_OWNER,
+    WRONG,
+    Breach,
+    Call,
+    Outcome,
+    audit,
+    count,
+)
+from lychee_bench.availability import Span
+from lychee_bench.load import Callers
+from lychee_bench.processes import Exit
+from lychee_bench.runs import Run
+from lychee_types.timing import SERVED_AGAIN_S
+
+REASONS_SHOWN = 12
+"""Reasons printed of one kind."""
+
+
+class Report(Struct, frozen=True, kw_only=True):
+    """What became of the callers' requests in one run.
+
+    :param calls: what the callers were told.
+    :param runs: what the servers ran.
+    :param spans: spans in which callers were not served.
+    :param exits: processes that died without our doing.
+    :param breaches: broken promises.
+    :param services: services that were asked.
+    """
+
+    calls: tuple[Call, ...]
+    runs: tuple[Run, ...]
+    spans: tuple[Span, ...]
+    exits: tuple[Exit, ...]
+    breaches: tuple[Breach, ...]
+    services: tuple[str, ...]
+
+    def told(self, outcome: Outcome, service: str | None = None) -> int:
+        """Return how many requests ended so."""
+        return sum(
+            call.outcome is outcome and service in (None, call.service) for call in self.calls
+        )
+
+    @property
+    def longest(self) -> float:
+        """Length of the longest unavailable span in seconds."""
+        return max((span.length for span in self.spans), default=0.0)
+
+    @property
+    def slowest(self) -> float:
+        """Longest time from a request's first sending to its answer in seconds."""
+        answered = (call for call in self.calls if call.outcome is Outcome.ANSWERED)
+        return max((call.ended_at - call.sent_at for call in answered), default=0.0)
+
+
+def make_report(*, callers: Callers, runs: Sequence[Run], exits: Iterable[Exit]) -> Report:
+    """Return the report of a run that has ended."""
+    return Report(
+        calls=tuple(callers.calls),
+        runs=tuple(runs),
+        spans=tuple(callers.availability.spans),
+        exits=tuple(exits),
+        breaches=audit(calls=callers.calls, runs=runs),
+        services=tuple(callers.latency),
+    )
+
+
+def show_table(report: Report) -> str:
+    """Return the run's table."""
+    rows: list[tuple[str, object]] = [
+        ("requests", len(report.calls)),
+        ("answered", report.told(Outcome.ANSWERED)),
+        ("not run", report.told(Outcome.NOT_RUN)),
+        ("unknown", report.told(Outcome.UNKNOWN)),
+        ("doubled", count(report.breaches, DOUBLED)),
+        ("lost", count(report.breaches, LOST)),
+        ("wrong answers", count(report.breaches, WRONG)),
+        ("run although not run", count(report.breaches, FALSE_NOT_RUN)),
+        ("run while not owner", count(report.breaches, RUN_NOT_OWNER)),
+        ("overlapping runs", count(report.breaches, OVERLAP)),
+        ("slowest answer (s)", f"{report.slowest:.2f}"),
+        ("longest unavailable time (s)", f"{report.longest:.2f}"),
+    ]
+    return "\n".join(f"{name:<30} {value:>10}" for name, value in rows)
+
+
+def show_services(report: Report, latency: dict[str, HdrHistogram]) -> str:
+    """Return answers and latencies of each service."""
+    lines = [f"{'service':<20} {'answered':>9} {'p50 ms':>8} {'p99 ms':>8} {'max ms':>8}"]
+    for service, histogram in latency.items():
+        answered = report.told(Outcome.ANSWERED, service)
+        times = [histogram.get_value_at_percentile(share) / 1_000 for share in (50, 99, 100)]
+        shown = " ".join(f"{value:>8.1f}" for value in times)
+        lines.append(f"{service:<20} {answered:>9} {shown}")
+    return "\n".join(lines)
+
+
+def faults(report: Report, *, spans: Iterable[Span]) -> list[str]:
+    """Return why the run failed; empty if it is ok.
+
+    :param report: the run.
+    :param spans: unavailable spans to which the bound applies.
+    """
+    reasons = [f"{breach.kind}: {breach.detail}" for breach in report.breaches]
+    reasons += [f"{item.name} died with code {item.code}, see {item.log}" for item in report.exits]
+    reasons += [
+        f"no answer of {service}"
+        for service in report.services
+        if not report.told(Outcome.ANSWERED, service)
+    ]
+    reasons += [
+        f"{span.group} was unavailable for {span.length:.2f} s"
+        for span in spans
+        if span.length > SERVED_AGAIN_S
+    ]
+    return reasons
+
+
+def show_verdict(reasons: Sequence[str]) -> str:
+    """Return the last lines of a run: the reasons and the verdict."""
+    shown = [f"  {reason}" for reason in reasons[:REASONS_SHOWN]]
+    if len(reasons) > REASONS_SHOWN:
+        shown.append(f"  and {len(reasons) - REASONS_SHOWN} more")
+    return "\n".join([*shown, "verdict: failed" if reasons else "verdict: ok"])
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/http/inbound.py
@@ -0,0 +1,285 @@
+"""HTTP/1.1 on a caller's connection."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
+from time import monotonic
+
+from lychee_gateway.exceptions import BadRequestError, CallerGoneError
+from lychee_gateway.http.framing import check_head, declared_length
+from lychee_gateway.http.messages import RequestHead, ResponseHead, header_tokens, header_value
+from lychee_gateway.http.parser import EndOfMessage, MalformedError, RequestEvent, RequestParser
+from lychee_gateway.http.wire import Wire
+
+LINGER_S = 1.0
+"""Longest time to read and drop what a caller still sends before its connection closes."""
+
+LINGER_BYTES = 1_048_576
+"""Most bytes read and dropped before a connection closes."""
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""The interim answer to Expect: 100-continue."""
+
+BODILESS = frozenset((204, 304))
+"""Statuses whose answers have neither body nor length."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerLimits:
+    """Limits on a caller's connection.
+
+    :param head_bytes: largest request head.
+    :param head_s: time from a request's first byte to the end of its head, in seconds.
+    :param idle_s: time without a request after which the connection closes, in seconds.
+    :param stall_s: time without reading after which a caller counts as gone, in seconds.
+    """
+
+    head_bytes: int = 16_384
+    head_s: float = 5.0
+    idle_s: float = 60.0
+    stall_s: float = 10.0
+
+
+class CallerConnection:
+    """One caller's connection; a single task reads requests and writes answers in turn.
+
+    :param wire: the connection.
+    :param limits: limits on heads and idle time.
+    """
+
+    def __init__(self, *, wire: Wire, limits: CallerLimits) -> None:
+        self.closing = False
+        self.answering = False
+        self._wire = wire
+        self._limits = limits
+        self._parser = RequestParser(head_limit=limits.head_bytes)
+        self._head: RequestHead | None = None
+        self._read_whole = False
+        self._answered = False
+        self._chunked = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        busy = self._head is not None or self._parser.pending or self._parser.in_head
+        return not busy and not self._wire.buffered
+
+    @contextmanager
+    def cancelling(self, cancel: Callable[[], None]) -> Iterator[None]:
+        """Call ``cancel`` when the caller vanishes inside the block."""
+        self._wire.on_gone = cancel
+        try:
+            if self._wire.eof:
+                raise CallerGoneError()
+            yield
+        finally:
+            self._wire.on_gone = lambda: None
+
+    async def read_head(self) -> RequestHead | None:
+        """Return the next request's head, or None when the connection is over.
+
+        :raises BadRequestError: if the request cannot be taken.
+        :raises CallerGoneError: if the connection ended inside the head.
+        """
+        event = self._next_event()
+        if event is None and not self._parser.in_head:
+            if not await self._feed(self._limits.idle_s):
+                return None
+            event = self._next_event()
+        if event is None:
+            event = await self._read_rest_of_head()
+        assert isinstance(event, RequestHead)
+        self._head = event
+        check_head(event, limit=self._limits.head_bytes)
+        if not _has_body(event):
+            self._read_whole = isinstance(self._next_event(), EndOfMessage)
+        return event
+
+    async def read_body(self, *, limit: int, timeout_s: float) -> bytes:
+        """Return the whole body of the current request.
+
+        :param limit: largest body in bytes.
+        :param timeout_s: longest wait in seconds.
+        :raises BadRequestError: if the body is too large, too slow or malformed.
+        :raises CallerGoneError: if the caller closed the connection first.
+        """
+        if self._read_whole:
+            return b""
+        assert self._head is not None
+        if (declared_length(self._head) or 0) > limit:
+            raise _too_large(limit)
+        if b"100-continue" in header_tokens(self._head.headers, b"expect"):
+            self._wire.write(CONTINUE)
+        parts: list[bytes] = []
+        size = 0
+        until = monotonic() + timeout_s
+        while True:
+            event = self._next_event()
+            if isinstance(event, EndOfMessage):
+                self._read_whole = True
+                return b"".join(parts)
+            if isinstance(event, bytes):
+                parts.append(event)
+                size += len(event)
+                if size > limit:
+                    raise _too_large(limit)
+            elif not await self._feed(until - monotonic()):
+                raise self._cut("body")
+
+    async def send(self, head: ResponseHead, body: bytes) -> None:
+        """Send a whole answer.
+
+        :raises CallerGoneError: if the caller has left or reads too slowly.
+        """
+        if self._is_to_head() or head.status in BODILESS:
+            body = b""
+        elif head.length is None:
+            head = replace(head, length=len(body))
+        self._wire.write(self._begin_answer(head) + body)
+        self._answered = True
+        await self._drain()
+
+    def send_head(self, head: ResponseHead) -> None:
+        """Send the head of an answer whose body follows in chunks."""
+        self._wire.write(self._begin_answer(head))
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Send a part of the body, waiting while the caller reads slowly.
+
+        :raises CallerGoneError: if the caller has left or reads too slowly.
+        """
+        if not self._is_to_head():
+            self._wire.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+            await self._drain()
+
+    async def finish(self) -> None:
+        """End the answer."""
+        if self._chunked and not self._is_to_head():
+            self._wire.write(b"0\r\n\r\n")
+        self._answered = True
+
+    def next_request(self) -> bool:
+        """Return whether the connection can take another request, and get ready for it."""
+        if not (self._read_whole and self._answered) or self.closing or self._wire.lost:
+            return False
+        self._head = None
+        self._read_whole = self.answering = self._answered = self._chunked = False
+        return True
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._wire.abort()
+
+    def truncate(self) -> None:
+        """Close the connection so that the caller cannot take the answer for whole.
+
+        The end of an answer to an HTTP/1.0 caller may be told by the end of the stream only.
+        """
+        if self._head is not None and self._head.version == b"1.0":
+            self._wire.reset()
+        else:
+            self._wire.abort()
+
+    async def close(self) -> None:
+        """Close after the caller has had the time to read the last answer."""
+        unread = not self._read_whole or self._parser.pending or self._wire.buffered
+        if unread and not self._wire.eof:
+            if self._wire.transport.can_write_eof():
+                self._wire.transport.write_eof()
+            await self._drop_rest()
+        self._wire.close()
+
+    def _begin_answer(self, head: ResponseHead) -> bytes:
+        """Return the bytes of an answer's head, and note how its body is framed."""
+        self.answering = True
+        lines = [b"HTTP/1.1 %d %b\r\n" % (head.status, head.reason)]
+        lines += [b"%b: %b\r\n" % header for header in head.headers]
+        if head.length is not None and head.status not in BODILESS:
+            lines.append(b"content-length: %d\r\n" % head.length)
+        elif head.status not in BODILESS:
+            self._chunked = self._head is None or self._head.version != b"1.0"
+            lines.append(b"transfer-encoding: chunked\r\n" if self._chunked else b"")
+        if self.closing or not self._read_whole or not self._keeps_alive():
+            self.closing = True
+            lines.append(b"connection: close\r\n")
+        lines.append(b"\r\n")
+        return b"".join(lines)
+
+    def _keeps_alive(self) -> bool:
+        """Return whether the caller may send another request; HTTP/1.0 callers may not."""
+        if self._head is None or self._head.version == b"1.0":
+            return False
+        return b"close" not in header_tokens(self._head.headers, b"connection")
+
+    def _is_to_head(self) -> bool:
+        return self._head is not None and self._head.method == b"HEAD"
+
+    async def _read_rest_of_head(self) -> RequestEvent:
+        until = monotonic() + self._limits.head_s
+        while (event := self._next_event()) is None:
+            if not await self._feed(until - monotonic()):
+                raise self._cut("head")
+        return event
+
+    async def _drain(self) -> None:
+        if not self._wire.is_congested:
+            return
+        try:
+            async with asyncio.timeout(self._limits.stall_s):
+                await self._wire.drain()
+        except (TimeoutError, ConnectionError) as exc:
+            raise CallerGoneError() from exc
+
+    async def _drop_rest(self) -> None:
+        dropped = 0
+        try:
+            async with asyncio.timeout(LINGER_S):
+                while dropped < LINGER_BYTES:
+                    data = await self._wire.read()
+                    if not data:
+                        return
+                    dropped += len(data)
+        except TimeoutError:
+            return
+
+    def _next_event(self) -> RequestEvent | None:
+        try:
+            return self._parser.next_event()
+        except MalformedError as exc:
+            raise BadRequestError(
+                status=exc.status,
+                message=f"the request is malformed: {exc.message}",
+                remedy="send a well-formed HTTP/1.1 request",
+            ) from exc
+
+    async def _feed(self, timeout_s: float) -> bool:
+        """Wait for bytes; False at the end of the stream or of the time."""
+        try:
+            async with asyncio.timeout(max(timeout_s, 0)):
+                data = await self._wire.read()
+        except TimeoutError:
+            return False
+        self._parser.feed(data)
+        return bool(data)
+
+    def _cut(self, part: str) -> BadRequestError | CallerGoneError:
+        if self._wire.eof:
+            return CallerGoneError()
+        return BadRequestError(
+            status=408, message=f"the request's {part} took too long", remedy="send it faster"
+        )
+
+
+def _has_body(head: RequestHead) -> bool:
+    if header_value(head.headers, b"transfer-encoding") is not None:
+        return True
+    return header_value(head.headers, b"content-length") not in (None, b"0")
+
+
+def _too_large(limit: int) -> BadRequestError:
+    return BadRequestError(
+        status=413,
+        message="the request's body is too large",
+        remedy=f"send at most {limit} bytes",
+    )
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/http/outbound.py
@@ -0,0 +1,132 @@
+"""HTTP/1.1 on a connection to a backend server."""
+
+import asyncio
+from dataclasses import replace
+
+from lychee_gateway.exceptions import ServerAnswerError
+from lychee_gateway.http.messages import RequestHead, ResponseHead, header_value, header_values
+from lychee_gateway.http.parser import EndOfMessage, MalformedError, ResponseEvent, ResponseParser
+from lychee_gateway.http.wire import Wire
+from lychee_types.records import Endpoint
+
+HEAD_LIMIT_BYTES = 65_536
+"""Largest head of a backend server's answer."""
+
+BODILESS = frozenset((204, 304))
+"""Statuses whose answers have no body."""
+
+
+def _broken(message: str) -> ServerAnswerError:
+    return ServerAnswerError(
+        message=f"the backend server's answer is unusable: {message}",
+        remedy="look at the backend server's log for this request id",
+    )
+
+
+class ServerConnection:
+    """One connection to a backend server; it carries one exchange at a time.
+
+    :param wire: the connection.
+    """
+
+    def __init__(self, *, wire: Wire) -> None:
+        self._wire = wire
+        self._parser: ResponseParser | None = None
+        self._method = b""
+
+    @property
+    def wire(self) -> Wire:
+        """The connection's transport."""
+        return self._wire
+
+    def is_fresh(self) -> bool:
+        """Return whether the server has neither closed the connection nor sent unasked bytes."""
+        return self._wire.is_quiet()
+
+    def send(self, head: RequestHead, body: bytes) -> None:
+        """Write a whole request; the headers must hold the body's length."""
+        self._method = head.method
+        self._parser = ResponseParser(head_limit=HEAD_LIMIT_BYTES, to_head=head.method == b"HEAD")
+        lines = [b"%b %b HTTP/1.1\r\n" % (head.method, head.target)]
+        lines += [b"%b: %b\r\n" % header for header in head.headers]
+        lines += (b"\r\n", body)
+        self._wire.write(b"".join(lines))
+
+    async def read_head(self) -> ResponseHead:
+        """Return the head of the answer.
+
+        :raises ServerAnswerError: if the connection ends or the answer is malformed.
+        """
+        event = await self._next_event()
+        if not isinstance(event, ResponseHead):
+            raise _broken("it has no head")
+        return self._checked(event)
+
+    async def read_chunk(self) -> bytes:
+        """Return the next part of the body, empty at its end.
+
+        :raises ServerAnswerError: if the answer is cut short or malformed.
+        """
+        event = await self._next_event()
+        if isinstance(event, EndOfMessage):
+            return b""
+        if isinstance(event, ResponseHead):
+            raise _broken("it has a second head")
+        return event
+
+    def reset(self) -> bool:
+        """Get ready for the next exchange; False if the connection must not be reused."""
+        parser, self._parser = self._parser, None
+        if parser is not None and not (parser.complete and parser.keep_alive):
+            return False
+        if parser is not None and parser.surplus:
+            return False
+        return not self._wire.unsent and self._wire.is_quiet()
+
+    def close(self) -> None:
+        """Close at once; the server takes this as the request's cancellation."""
+        self._wire.abort()
+
+    def _checked(self, head: ResponseHead) -> ResponseHead:
+        codings = header_values(head.headers, b"transfer-encoding")
+        declared = header_value(head.headers, b"content-length")
+        if codings and declared is not None:
+            raise _broken("it has both Content-Length and Transfer-Encoding")
+        if codings and [coding.lower() for coding in codings] != [b"chunked"]:
+            raise _broken("its Transfer-Encoding is not chunked")
+        if sum(len(n) + len(v) for n, v in head.headers) > HEAD_LIMIT_BYTES:
+            raise _broken("its head is too large")
+        bodiless = head.status in BODILESS or self._method == b"HEAD"
+        if declared is None:
+            if not codings and not bodiless:
+                raise _broken("it has neither Content-Length nor chunks, so its end is unknown")
+            return head
+        if not declared.isdigit():
+            raise _broken("its Content-Length is malformed")
+        return replace(head, length=int(declared))
+
+    async def _next_event(self) -> ResponseEvent:
+        parser = self._parser
+        assert parser is not None
+        try:
+            while (event := parser.next_event()) is None:
+                data = await self._wire.read()
+                if not data:
+                    raise _broken("it was cut short")
+                parser.feed(data)
+        except MalformedError as exc:
+            raise _broken(exc.message) from exc
+        return event
+
+
+async def open_server_connection(endpoint: Endpoint, *, timeout_s: float) -> ServerConnection:
+    """Connect to a backend server.
+
+    :param endpoint: its address.
+    :param timeout_s: longest wait in seconds.
+    :raises OSError: if it cannot be reached in time; a TimeoutError is one.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(timeout_s):
+        _, wire = await loop.create_connection(Wire, endpoint.host, endpoint.port)
+    return ServerConnection(wire=wire)
