--- a/packages/lychee-log/src/lychee_log/core.py
+++ b/packages/lychee-log/src/lychee_log/core.py
@@ -144,8 +144,8 @@
                 self._refuse_work(reason, now)
             case Applied(index=index):
                 self._note_applied(index)
-            case SnapshotTaken(index=index, data=data):
-                self._keep_snapshot(index, data)
+            case SnapshotTaken(snapshot=snapshot):
+                self._keep_snapshot(snapshot)
 
     def flush(self, now: float) -> tuple[Effect, ...]:
         """Return the effects of the events since the last call, in order."""
@@ -177,6 +177,18 @@
             return Error(pending_change())
         return check_change(old=state.members, new=members).map(self._leader.change_members)
 
+    def snapshot_at(self, index: LogIndex, data: bytes) -> Snapshot | None:
+        """Return a snapshot of the machine, None if the log no longer knows the entry.
+
+        :param index: the last applied entry.
+        :param data: the machine's state.
+        """
+        log = self.state.log
+        term = log.term_at(index)
+        if term is None:
+            return None
+        return Snapshot(index=index, term=term, members=log.members_at(index), data=data)
+
     def greet(self, newcomer: Voter) -> None:
         """Ask a replica that is to join for its storage number."""
         self._newcomer = None
@@ -325,15 +337,16 @@
         if self._leader is not None:
             self._leader.note_applied()
 
-    def _keep_snapshot(self, index: LogIndex, data: bytes) -> None:
+    def _keep_snapshot(self, snapshot: Snapshot) -> None:
         state = self.state
-        term = state.log.term_at(index)
-        if term is None or state.durability.is_saving_snapshot or self._follower.is_restoring:
+        is_known = state.log.term_at(snapshot.index) == snapshot.term
+        is_later = state.snapshot is None or snapshot.index > state.snapshot.index
+        if not (is_known and is_later) or state.durability.is_saving_snapshot:
+            return
+        if self._follower.is_restoring:
             return
-        require(index <= state.applied, "only applied entries are in a snapshot")
-        members = state.log.members_at(index)
-        snapshot = Snapshot(index=index, term=term, members=members, data=data)
-        keep_from = LogIndex(max(1, index - KEPT_ENTRIES))
+        require(snapshot.index <= state.applied, "only applied entries are in a snapshot")
+        keep_from = LogIndex(max(1, snapshot.index - KEPT_ENTRIES))
         state.snapshot = snapshot
         state.durability.keep_snapshot(snapshot, keep_from=keep_from)
 
--- a/packages/lychee-log/src/lychee_log/effects.py
+++ b/packages/lychee-log/src/lychee_log/effects.py
@@ -50,14 +50,12 @@
 
 
 class SnapshotTaken(Struct, frozen=True, kw_only=True):
-    """The machine's state has been captured.
+    """A snapshot of the machine has been taken.
 
-    :param index: the last applied entry.
-    :param data: the state.
+    :param snapshot: the snapshot, from :meth:`~lychee_log.core.Core.snapshot_at`.
     """
 
-    index: LogIndex
-    data: bytes
+    snapshot: Snapshot
 
 
 Event = Tick | Received | Written | WriteRefused | Applied | SnapshotTaken
--- a/packages/lychee-log/src/lychee_log/files.py
+++ b/packages/lychee-log/src/lychee_log/files.py
@@ -147,6 +147,9 @@
         try:
             disk.write(fd, pack_frame(payload, number=0, offset=0))
             disk.sync(fd)
+        except OSError:
+            temporary.unlink()
+            raise
         finally:
             os.close(fd)
         os.replace(temporary, path)
--- a/packages/lychee-log/src/lychee_log/replica.py
+++ b/packages/lychee-log/src/lychee_log/replica.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 from pathlib import Path
+from random import Random
 
 from loguru import logger
 
@@ -53,6 +54,9 @@
 SNAPSHOT_ENTRIES = 10_000
 """Number of entries after which a snapshot is taken."""
 
+SNAPSHOT_SPREAD = 0.3
+"""Share by which replicas take snapshots earlier, so that they do not all do so at once."""
+
 SNAPSHOT_BYTES = 8_388_608
 """Size of entries in bytes after which a snapshot is taken."""
 
@@ -106,7 +110,8 @@
         self._seed = seed
         self._on_leadership = on_leadership
         self._on_applied = on_applied
-        self._snapshot_entries = snapshot_entries
+        spread = Random(seed).uniform(1.0 - SNAPSHOT_SPREAD, 1.0)
+        self._snapshot_after = max(1, int(snapshot_entries * spread))
         self._inline_sync = inline_sync
         self._disk = disk
         self._core: Core | None = None
@@ -115,6 +120,7 @@
         self._wake = asyncio.Event()
         self._proposals = Proposals()
         self._writing: asyncio.Task[None] | None = None
+        self._snapshotting: asyncio.Task[None] | None = None
         self._ticked_at = 0.0
         self._entries_since_snapshot = 0
         self._bytes_since_snapshot = 0
@@ -262,8 +268,9 @@
 
     def _turn(self, core: Core, tick_s: float) -> None:
         """Handle all that waits, then perform what follows."""
-        if self._writing is not None and self._writing.done():
-            self._writing.result()
+        for task in (self._writing, self._snapshotting):
+            if task is not None and task.done():
+                task.result()
         events, self._inbox = self._inbox, deque()
         batch = self._proposals.take_new()
         now = self._clock.monotonic()
@@ -288,7 +295,7 @@
             case Write() | SaveSnapshot():
                 self._writing = asyncio.create_task(self._write(effect), name="log write")
             case Apply(entries=entries):
-                self._apply(entries)
+                self._apply(core, entries)
             case Restore(snapshot=snapshot):
                 self._restore(snapshot)
             case Lead(term=term):
@@ -300,7 +307,7 @@
                 if was_ready:
                     self._on_leadership(False, term)
 
-    def _apply(self, entries: tuple[Entry, ...]) -> None:
+    def _apply(self, core: Core, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
             result: object = None
             if entry.data:
@@ -311,12 +318,31 @@
         self._entries_since_snapshot += len(entries)
         last = entries[-1].index
         self._put(Applied(index=last))
-        if (
-            self._entries_since_snapshot >= self._snapshot_entries
-            or self._bytes_since_snapshot >= SNAPSHOT_BYTES
-        ):
-            self._put(SnapshotTaken(index=last, data=self._machine.snapshot()))
-            self._entries_since_snapshot = self._bytes_since_snapshot = 0
+        is_long = self._entries_since_snapshot >= self._snapshot_after
+        if is_long or self._bytes_since_snapshot >= SNAPSHOT_BYTES:
+            self._take_snapshot(core, last)
+
+    def _take_snapshot(self, core: Core, index: LogIndex) -> None:
+        if self._snapshotting is not None and not self._snapshotting.done():
+            return
+        self._entries_since_snapshot = self._bytes_since_snapshot = 0
+        snapshot = core.snapshot_at(index, self._machine.snapshot())
+        if snapshot is not None:
+            work = self._prepare_snapshot(snapshot)
+            self._snapshotting = asyncio.create_task(work, name="snapshot")
+
+    async def _prepare_snapshot(self, snapshot: Snapshot) -> None:
+        """Store a snapshot beside the log, so that commits go on."""
+        assert self._storage is not None
+        try:
+            await asyncio.to_thread(self._storage.prepare_snapshot, snapshot)
+        except DiskFullError as exc:
+            logger.error("{}", exc)
+        except BaseException:
+            self._wake.set()
+            raise
+        else:
+            self._put(SnapshotTaken(snapshot=snapshot))
 
     def _restore(self, snapshot: Snapshot) -> None:
         logger.info("replica restores the snapshot at {}", snapshot.index)
@@ -356,8 +382,8 @@
     async def _stop(self) -> None:
         self._is_stopping = True
         self._proposals.close()
-        if self._writing is not None:
-            await asyncio.gather(self._writing, return_exceptions=True)
+        tasks = [task for task in (self._writing, self._snapshotting) if task is not None]
+        await asyncio.gather(*tasks, return_exceptions=True)
         if self.is_leader and self._core is not None:
             self._on_leadership(False, self._core.state.term)
         self._core = None
--- a/packages/lychee-log/src/lychee_log/storage.py
+++ b/packages/lychee-log/src/lychee_log/storage.py
@@ -19,9 +19,9 @@
 
 from lychee_log.effects import SaveSnapshot, Write
 from lychee_log.exceptions import StorageError
-from lychee_log.files import Disk, SystemDisk, disk_errors, replace_file
+from lychee_log.files import TEMPORARY, Disk, SystemDisk, disk_errors, replace_file
 from lychee_log.mark import MARK_NAME, Mark, MarkFile
-from lychee_log.records import HardState, Identity, Recovered, StorageId
+from lychee_log.records import HardState, Identity, Recovered, Snapshot, StorageId
 from lychee_log.recovery import (
     IDENTITY_NAME,
     LOCK_NAME,
@@ -87,18 +87,27 @@
         if self._writer.size >= SEGMENT_BYTES:
             self._begin_segment(self._sealed_from(LogIndex(0)), self._manifest.snapshot)
 
+    def prepare_snapshot(self, snapshot: Snapshot) -> None:
+        """Store a snapshot that is not in force yet; may run beside the other calls.
+
+        :raises DiskFullError: if there is no room.
+        :raises StorageError: if the disk fails.
+        """
+        path = snapshot_path(self._folder, snapshot.index)
+        replace_file(path, encode_record(snapshot), disk=self._disk)
+
     def save_snapshot(self, save: SaveSnapshot) -> None:
-        """Store a snapshot and drop the segments that it makes needless.
+        """Put a snapshot in force and drop the segments that it makes needless.
 
         :raises DiskFullError: if there is no room; the folder is as before.
         :raises StorageError: if the disk fails.
         """
         index = save.snapshot.index
-        path = snapshot_path(self._folder, index)
-        replace_file(path, encode_record(save.snapshot), disk=self._disk)
+        if save.keep_from is None or not snapshot_path(self._folder, index).exists():
+            self.prepare_snapshot(save.snapshot)
         kept = () if save.keep_from is None else self._sealed_from(save.keep_from)
         self._begin_segment(kept, index)
-        self._remove_unlisted()
+        self._remove_old()
 
     def close(self) -> None:
         """Close the files."""
@@ -141,7 +150,6 @@
         self._writer.close()
         self._writer = writer
         self._set_mark()
-        self._mark.sync()
 
     def _set_mark(self) -> None:
         self._mark.write(Mark(segment=self._writer.number, size=self._writer.size))
@@ -153,13 +161,21 @@
         """Remove what an interrupted call left, once the manifest is surely on the disk."""
         if self._unlisted():
             _store_manifest(self._folder, self._manifest, disk=self._disk)
-            self._remove_unlisted()
-
-    def _remove_unlisted(self) -> None:
         with disk_errors(self._folder):
             for path in self._unlisted():
                 path.unlink()
 
+    def _remove_old(self) -> None:
+        """Remove the segments and snapshots before those in force."""
+        first = segment_path(self._folder, self._manifest.segments[0])
+        snapshot = snapshot_path(self._folder, self._manifest.snapshot)
+        with disk_errors(self._folder):
+            segments = [path for path in self._folder.glob("segment-*") if path < first]
+            snapshots = [path for path in self._folder.glob("snapshot-*") if path < snapshot]
+            for path in segments + snapshots:
+                if path.suffix != TEMPORARY:
+                    path.unlink()
+
     def _unlisted(self) -> list[Path]:
         listed = {segment_path(self._folder, number) for number in self._manifest.segments}
         listed.add(snapshot_path(self._folder, self._manifest.snapshot))
--- a/packages/lychee-log/src/lychee_log/testing.py
+++ b/packages/lychee-log/src/lychee_log/testing.py
@@ -146,7 +146,9 @@
         """Take a snapshot of the machine."""
         if node.core is not None and node.core.state.applied:
             data = b"\n".join(node.items)
-            self.step(node, SnapshotTaken(index=node.core.state.applied, data=data))
+            snapshot = node.core.snapshot_at(node.core.state.applied, data)
+            if snapshot is not None:
+                self.step(node, SnapshotTaken(snapshot=snapshot))
 
     def deliver(self, position: int, *, keep: bool = False) -> None:
         """Deliver one waiting message, and keep it for another delivery if asked."""
