Let a voter stand for election while its removal may not be committed

By its own log it was no voter and did not stand; the others needed its vote, which they could not get with shorter logs. Ruled out: letting it vote for shorter logs (it would lose what was acknowledged). Change: a replica stands if any membership since its commit index has it as a voter. Conclusion: as Raft's rules ask. The two-of-two group that is left when a group of three removes a member still needs both, as it must.

--- a/packages/lychee-log/src/lychee_log/candidate.py
+++ b/packages/lychee-log/src/lychee_log/candidate.py
@@ -18,9 +18,12 @@
 
     @property
     def may_stand(self) -> bool:
-        """Return whether this replica may stand for election."""
+        """Return whether this replica may stand for election.
+
+        A voter whose removal may not be committed still may: the others may need its log.
+        """
         state = self._state
-        return state.identity.group != 0 and state.is_voter and state.fault is None
+        return state.identity.group != 0 and state.may_be_voter and state.fault is None
 
     def ask_first(self, now: float) -> None:
         """Ask the other voters whether they would vote for this replica."""
--- a/packages/lychee-log/src/lychee_log/entries.py
+++ b/packages/lychee-log/src/lychee_log/entries.py
@@ -52,6 +52,11 @@
         """Return the membership at an index not before the base."""
         return next(change.members for change in reversed(self._changes) if change.index <= index)
 
+    def members_since(self, index: LogIndex) -> tuple[Membership, ...]:
+        """Return the membership at an index and all later ones."""
+        later = (change.members for change in self._changes if change.index > index)
+        return (self.members_at(index), *later)
+
     def term_at(self, index: LogIndex) -> int | None:
         """Return the term of an entry, None if the log does not hold it."""
         if index == self.base.index:
--- a/packages/lychee-log/src/lychee_log/state.py
+++ b/packages/lychee-log/src/lychee_log/state.py
@@ -76,6 +76,12 @@
         """Return the membership in force."""
         return self.log.members
 
+    @property
+    def may_be_voter(self) -> bool:
+        """Return whether this replica votes by a membership that may be the committed one."""
+        possible = self.log.members_since(self.commit)
+        return any(members.is_voter(self.id) for members in possible)
+
     @property
     def is_voter(self) -> bool:
         """Return whether this replica votes by the membership in force."""
--- a/packages/lychee-log/tests/test_core.py
+++ b/packages/lychee-log/tests/test_core.py
@@ -251,6 +251,21 @@
     assert core_of(group.settle()).state.term == term
 
 
+def test_a_leader_whose_own_removal_was_not_committed_can_still_be_elected() -> None:
+    group = group_of("abcd")
+    leader = group.settle()
+    group.isolate(leader)
+    core = core_of(leader)
+    group.crash(others(group, leader)[0], is_stored=True)
+    assert core.change_members(without(core.state.members, leader.voter.id)).is_ok()
+    group.run(1.0)
+    assert core.leader is None
+    group.cuts.clear()
+    commit(group, b"kept")
+    assert group.settle() is not leader
+    assert group.settle().items == [b"kept"]
+
+
 @pytest.mark.parametrize("faulty_leader", [True, False])
 def test_a_full_disk_acknowledges_nothing_and_recovers(faulty_leader: bool) -> None:
     group = group_of("abc")
