--- a/packages/lychee-log/src/lychee_log/measure.py
+++ b/packages/lychee-log/src/lychee_log/measure.py
@@ -196,7 +196,7 @@
     with _quiet():
         asyncio.run(_recover(folder))
         with open_storage(folder=folder / "r0", replica=ReplicaId("r0")) as storage:
-            recovered = storage.recovered
+            recovered = storage.take_recovered()
             first = recovered.entries[-1].index + 1
             term = recovered.hard_state.term
             for start in range(first, first + entries, batch):
--- a/packages/lychee-log/src/lychee_log/replica.py
+++ b/packages/lychee-log/src/lychee_log/replica.py
@@ -244,7 +244,7 @@
         self._storage = storage
         self._core = Core(
             endpoint=self._endpoint,
-            recovered=storage.recovered,
+            recovered=storage.take_recovered(),
             first=self._first,
             timing=self._timing,
             seed=self._seed,
--- a/packages/lychee-log/src/lychee_log/storage.py
+++ b/packages/lychee-log/src/lychee_log/storage.py
@@ -53,7 +53,7 @@
     """
 
     def __init__(self, *, folder: Path, loaded: Loaded, disk: Disk) -> None:
-        self.recovered: Recovered = loaded.recovered
+        self._recovered: Recovered | None = loaded.recovered
         self._folder = folder
         self._disk = disk
         self._manifest = loaded.manifest
@@ -67,6 +67,16 @@
         self._set_mark()
         self._remove_left_over()
 
+    def take_recovered(self) -> Recovered:
+        """Return what was found in the folder; only once, so that it does not stay in memory."""
+        recovered, self._recovered = self._recovered, None
+        if recovered is None:
+            raise StorageError(
+                message=f"what {self._folder} held has been taken already",
+                remedy="open the folder again",
+            )
+        return recovered
+
     def write(self, write: Write) -> None:
         """Store a write.
 
--- a/packages/lychee-log/tests/test_core.py
+++ b/packages/lychee-log/tests/test_core.py
@@ -291,6 +291,21 @@
     assert faulty.items[-1] == b"second"
 
 
+def test_a_leader_whose_disk_hangs_gives_way() -> None:
+    group = group_of("abc")
+    leader = group.settle()
+    assert group.propose(leader, b"kept")
+    write, leader.write = leader.write, None
+    group.run(3.0)
+    assert "does not finish" in (core_of(leader).state.fault or "")
+    new = group.settle()
+    assert new is not leader and new.items == [b"kept"]
+    leader.write = write
+    group.run(0.5)
+    assert core_of(leader).state.fault is None
+    assert leader.items == [b"kept"]
+
+
 def test_a_replica_far_behind_gets_a_snapshot() -> None:
     group = group_of("abc")
     behind = group.settle()
--- a/packages/lychee-log/tests/test_storage.py
+++ b/packages/lychee-log/tests/test_storage.py
@@ -64,7 +64,7 @@
 
 def recover(folder: Path) -> Recovered:
     with open_storage(folder=folder, replica=ME) as storage:
-        return storage.recovered
+        return storage.take_recovered()
 
 
 def fill(folder: Path) -> None:
