--- a/packages/lychee-types/tests/test_settings_check.py
+++ b/packages/lychee-types/tests/test_settings_check.py
@@ -36,9 +36,20 @@
 """
 
 
+ADVERTISED = CONTROL.replace(
+    "listen: {host: 10.0.0.1, port: 7100}",
+    "listen: {host: 0.0.0.0, port: 7200}\nadvertise: {host: 10.0.0.1, port: 7100}",
+)
+
+
 @pytest.mark.parametrize(
     ("text", "kind"),
-    [(CONTROL, ControlSettings), (GATEWAY, GatewaySettings), (CONSOLE, ConsoleSettings)],
+    [
+        (CONTROL, ControlSettings),
+        (ADVERTISED, ControlSettings),
+        (GATEWAY, GatewaySettings),
+        (CONSOLE, ConsoleSettings),
+    ],
 )
 def test_good_settings_are_accepted(text: str, kind: type) -> None:
     assert parse_settings(text, kind).is_ok()
@@ -50,6 +61,8 @@
     assert read_settings(path, kinds[path.stem.split("-")[0]]).is_ok()
 
 
+ADVERTISED_PLACE = "replicas[0].endpoint"
+
 CASES = [
     (CONTROL, "id: c2,", "id: c1,", "replicas[1].id", "change or remove"),
     (CONTROL, "id: c1\n", "id: c11\n", "replicas", "write id: c1"),
@@ -58,6 +71,13 @@
     (CONTROL, "listen: {host: 10.0.0.1", "listen: {host: 10.0.0.9", "replicas[0].endpoint", "same"),
     (CONTROL, "listen: {host: 10.0.0.1", "listen: {host: 0.0.0.0", "listen.host", "own IP number"),
     (CONTROL, "data: /var/lib/lychee", "data: ''", "data", "name a folder"),
+    (
+        ADVERTISED,
+        "advertise: {host: 10.0.0.1",
+        "advertise: {host: 10.0.0.9",
+        ADVERTISED_PLACE,
+        "same",
+    ),
     (CONTROL, "domain: nord", "domain: 'a b'", "domain", "letters, digits"),
     (CONTROL, "lease_ms: 1500", "renew_ms: 750", "timing.renew_ms", "less than half of lease_ms"),
     (CONTROL, "lease_ms: 1500", "heartbeat_ms: 200", "timing.election_ms", "over twice heartbeat"),
@@ -82,7 +102,12 @@
 def test_a_fault_names_its_place_and_remedy(
     text: str, old: str, new: str, place: str, remedy: str
 ) -> None:
-    kinds = {CONTROL: ControlSettings, GATEWAY: GatewaySettings, CONSOLE: ConsoleSettings}
+    kinds = {
+        CONTROL: ControlSettings,
+        ADVERTISED: ControlSettings,
+        GATEWAY: GatewaySettings,
+        CONSOLE: ConsoleSettings,
+    }
     assert text.count(old) >= 1
     faults = parse_settings(text.replace(old, new, 1), kinds[text]).error
     assert any(f.place == place and remedy in f.remedy and f.line for f in faults), faults
