--- a/packages/lychee-owner/src/lychee_owner/coordinator.py
+++ b/packages/lychee-owner/src/lychee_owner/coordinator.py
@@ -10,7 +10,7 @@
 from lychee_owner.membership import Membership
 from lychee_owner.outbox import Outbox
 from lychee_owner.placement import OwnerTable
-from lychee_owner.planner import plan
+from lychee_owner.planner import difference, plan
 from lychee_owner.servers import ServerRuns
 from lychee_owner.speeds import Speeds
 from lychee_owner.state import ClusterState
@@ -46,6 +46,9 @@
 from lychee_types.records import GatewayRecord, Ownership, Placement, ServerRecord
 from lychee_types.timing import Timing
 
+MEASURE_S = 1.0
+"""Interval in seconds at which measured speeds are looked at."""
+
 
 class Coordinator:
     """Decides while this replica leads; built after the leader's first entry has been applied.
@@ -73,6 +76,7 @@
         self._outbox = Outbox()
         self._is_changed = True
         self._look_at = now
+        self._measure_at = now
 
     def _finish_rule(self) -> FinishRule:
         return FinishRule(
@@ -198,6 +202,9 @@
                 yield LoseGateway(gateway=run.record.id, session=session)
 
     def _speed_commands(self, *, now: float) -> Iterable[Command]:
+        if now < self._measure_at:
+            return
+        self._measure_at = now + MEASURE_S
         for name in self._state.ownerships:
             service = self._state.service(name)
             if service is not None:
@@ -209,7 +216,8 @@
         for ownership in list(self._state.ownerships.values()):
             target = self._target(now=now, ownership=ownership)
             if target is not None:
-                yield BeginTransition(service=ownership.service, target=target)
+                change = difference(current=ownership.current, token=ownership.token, target=target)
+                yield BeginTransition(service=ownership.service, change=change)
 
     def _finish_commands(self, *, now: float) -> Iterable[Command]:
         for ownership in list(self._state.ownerships.values()):
--- a/packages/lychee-owner/src/lychee_owner/evidence.py
+++ b/packages/lychee-owner/src/lychee_owner/evidence.py
@@ -62,11 +62,17 @@
         before = sightings.get(domain)
         if load.answered:
             sightings[domain] = Sighting(failing_since=None, seen_at=now)
+            self._drop_reachable(load.server)
             return
         fresh = before is not None and now < before.seen_at + REPORT_LIFE_S
         since = before.failing_since if before is not None and fresh else None
         sightings[domain] = Sighting(failing_since=now if since is None else since, seen_at=now)
 
+    def _drop_reachable(self, server: ServerId) -> None:
+        """Drop the sightings of a server that no failure domain sees fail."""
+        if all(s.failing_since is None for s in self._sightings[server].values()):
+            del self._sightings[server]
+
     def is_unreachable(self, *, now: float, server: ServerId, for_s: float) -> bool:
         """Return whether several failure domains have only seen a server fail.
 
@@ -74,10 +80,11 @@
         :param server: the server's id.
         :param for_s: for how long at least, in seconds.
         """
+        sightings = self._sightings.get(server)
+        if not sightings:
+            return False
         fresh = [
-            sighting
-            for sighting in self._sightings.get(server, {}).values()
-            if now < sighting.seen_at + REPORT_LIFE_S
+            sighting for sighting in sightings.values() if now < sighting.seen_at + REPORT_LIFE_S
         ]
         failing = [s for s in fresh if s.failing_since is not None]
         lasting = [s for s in failing if s.failing_since is not None]
--- a/packages/lychee-owner/src/lychee_owner/experiment/cost.py
+++ b/packages/lychee-owner/src/lychee_owner/experiment/cost.py
@@ -6,6 +6,7 @@
 from time import perf_counter
 
 from lychee_owner.coordinator import Coordinator
+from lychee_owner.hashing import all_draws
 from lychee_owner.state import ClusterState
 from lychee_types.commands import BeginTransition, Command, SubmitDocument, encode_command
 from lychee_types.document import Document, PlacementPolicy, RequestKind, Service
@@ -104,6 +105,7 @@
         self._size = size
         self._now = 0.0
         self._number = 0
+        all_draws.cache_clear()
         tracemalloc.start()
         self._state = ClusterState()
         self._apply_alone(_submission(size))
@@ -170,7 +172,13 @@
 
     def _report(self, gateway: GatewayRecord) -> None:
         servers = tuple(
-            ServerLoad(server=server.id, answered=10, failed=0, busy_ms=100.0, in_flight=1)
+            ServerLoad(
+                server=server.id,
+                answered=10,
+                failed=0,
+                busy_ms=100.0 / server.speed,
+                in_flight=1,
+            )
             for server in self._servers
         )
         hot = tuple(
--- a/packages/lychee-owner/src/lychee_owner/experiment/policies.py
+++ b/packages/lychee-owner/src/lychee_owner/experiment/policies.py
@@ -133,6 +133,9 @@
 class MinimalTable(Policy):
     """An explicit table from which only the shards move that must.
 
+    Members over their bound give up shards, and members that are as far below their fair share
+    get some from the others.
+
     :param bounded_load: highest share over the fair share.
     """
 
@@ -144,7 +147,8 @@
         self, members: tuple[Member, ...], shards: int, before: Assignment | None
     ) -> Assignment:
         """Return the owners of all shards."""
-        owners = [""] * shards if before is None else before.owners.tolist()
+        nobody = ServerId("")
+        owners = [nobody] * shards if before is None else list(map(ServerId, before.owners))
         limits = dict(
             zip(
                 [member.server for member in members],
@@ -159,12 +163,33 @@
                 held[owner] += 1
             else:
                 homeless.append(shard)
+        self._level(owners, members, held)
         self._fill(owners, homeless, members, held)
         return Assignment(members=members, owners=np.array(owners))
 
+    def _level(
+        self, owners: list[ServerId], members: tuple[Member, ...], held: dict[ServerId, int]
+    ) -> None:
+        """Give members far below their fair share shards of the members with the most."""
+        least = dict(zip(held, _limits(members, len(owners), 1 / self._bounded_load), strict=True))
+        weights = {member.server: member.weight for member in members}
+        total = sum(weights.values())
+        spare = [
+            (shard, owner)
+            for shard, owner in enumerate(owners)
+            if owner in held and held[owner] > len(owners) * weights[owner] / total
+        ]
+        for server in held:
+            while held[server] < least[server] and spare:
+                shard, owner = spare.pop()
+                if held[owner] > len(owners) * weights[owner] / total and owners[shard] == owner:
+                    owners[shard] = server
+                    held[owner] -= 1
+                    held[server] += 1
+
     def _fill(
         self,
-        owners: list[str],
+        owners: list[ServerId],
         homeless: list[int],
         members: tuple[Member, ...],
         held: dict[ServerId, int],
--- a/packages/lychee-owner/src/lychee_owner/experiment/revocation.py
+++ b/packages/lychee-owner/src/lychee_owner/experiment/revocation.py
@@ -11,9 +11,10 @@
 from lychee_owner.experiment.placement import Size, members_of
 from lychee_owner.hashing import hash_key
 from lychee_owner.placement import OwnerTable
+from lychee_owner.planner import changed, difference
 from lychee_types.commands import BeginTransition, encode_command
 from lychee_types.ids import KeyHash, LogIndex, ServiceName, Token
-from lychee_types.records import Placement
+from lychee_types.records import Placement, PlacementChange
 
 REVOCATION_SIZE = Size(name="kemer", servers=17, shards=4_096, bounded_load=1.05)
 
@@ -132,11 +133,17 @@
     before, after = _tables(size)
     keys = _keys(count)
     cache = {key: (Token(1), before.owner(key)) for key in keys}
-    command = BeginTransition(service=ServiceName(size.name), target=after.placement)
-    message, leader_ms = _timed(lambda: encode_command(command))
+
+    def make() -> PlacementChange:
+        return difference(current=before.placement, token=Token(1), target=after.placement)
 
     def apply() -> OwnerTable:
-        return OwnerTable(placement=command.target, shards=size.shards, near=before)
+        target = changed(current=before.placement, change=change)
+        return OwnerTable(placement=target, shards=size.shards, near=before)
+
+    change, leader_ms = _timed(make)
+    command = BeginTransition(service=ServiceName(size.name), change=change)
+    message = encode_command(command)
 
     table, gateway_ms = _timed(apply)
     stale = sum(1 for key, (_, owner) in cache.items() if table.owner(key) != owner)
--- a/packages/lychee-owner/src/lychee_owner/hotkeys.py
+++ b/packages/lychee-owner/src/lychee_owner/hotkeys.py
@@ -16,7 +16,7 @@
 MOVES_PER_REVIEW = 2
 """Number of hot keys that one decision moves at most: the churn budget."""
 
-LEAST_GAIN = 0.1
+LEAST_GAIN = 0.03
 """Least drop of the busiest server's load, as a share of the mean load, that is worth a move."""
 
 COLD_SHARE = 0.02
--- a/packages/lychee-owner/src/lychee_owner/membership.py
+++ b/packages/lychee-owner/src/lychee_owner/membership.py
@@ -8,7 +8,7 @@
 from lychee_owner.state import ClusterState, placed_servers
 from lychee_types.commands import Command, ForgetServer, JoinServer, LoseServer
 from lychee_types.document import PlacementPolicy, Service
-from lychee_types.ids import ServerId
+from lychee_types.ids import ServerId, ServiceName
 from lychee_types.records import Ownership, ServerRecord, ServerStatus
 from lychee_types.timing import Timing
 
@@ -90,21 +90,28 @@
         for join in self._servers.joins():
             if self._may_join(now=now, join=join):
                 yield join
+        limits_s = self._loss_limits_s()
         for server in self._state.servers.values():
+            limit_s = limits_s.get(server.service, PlacementPolicy().lost_after_ms / 1_000)
             if server.status is ServerStatus.LOST:
                 if self._is_forgettable(now=now, server=server):
                     yield ForgetServer(server=server.id)
-            elif self._is_lost(now=now, server=server):
+            elif self._is_lost(now=now, server=server, limit_s=limit_s):
                 yield LoseServer(server=server.id, incarnation=server.incarnation)
 
     def _may_join(self, *, now: float, join: JoinServer) -> bool:
         return not self._evidence.is_excluded(now=now, server=join.server.id)
 
-    def _is_lost(self, *, now: float, server: ServerRecord) -> bool:
+    def _loss_limits_s(self) -> dict[ServiceName, float]:
+        """Return for each service the silence after which a server is lost, in seconds."""
+        document = self._state.document
+        services = () if document is None else document.services
+        return {s.name: s.placement.lost_after_ms / 1_000 for s in services}
+
+    def _is_lost(self, *, now: float, server: ServerRecord, limit_s: float) -> bool:
         if self._servers.is_replaced(server):
             return True
         silent_s = self._servers.silent_s(now=now, server=server)
-        limit_s = self._policy(server).lost_after_ms / 1_000
         if silent_s >= limit_s:
             return True
         unreachable = self._evidence.is_unreachable(now=now, server=server.id, for_s=limit_s)
@@ -139,17 +146,17 @@
 
     def present(self, service: Service) -> list[ServerRecord]:
         """Return the servers of a service that are neither lost nor leaving."""
+        document = self._state.document
+        rules = () if document is None else document.servers
+        leaving = {rule.id for rule in rules if rule.leaving}
         return [
             server
             for server in self._state.servers.values()
-            if server.service == service.name and self._is_present(server)
+            if server.service == service.name
+            and server.status is ServerStatus.JOINED
+            and server.id not in leaving
         ]
 
-    def _is_present(self, server: ServerRecord) -> bool:
-        document = self._state.document
-        told = document is not None and document.is_leaving(server.id)
-        return server.status is ServerStatus.JOINED and not told
-
     def _due(
         self,
         *,
--- a/packages/lychee-owner/src/lychee_owner/planner.py
+++ b/packages/lychee-owner/src/lychee_owner/planner.py
@@ -4,8 +4,14 @@
 
 from lychee_owner.placement import hash_key
 from lychee_types.document import Document, Service
-from lychee_types.ids import KeyHash, ServerId
-from lychee_types.records import KeyOwner, Member, Placement, ServerRecord
+from lychee_types.ids import KeyHash, ServerId, Token
+from lychee_types.records import (
+    KeyOwner,
+    Member,
+    Placement,
+    PlacementChange,
+    ServerRecord,
+)
 
 
 def plan(
@@ -41,3 +47,37 @@
 def capacity(server: ServerRecord) -> float:
     """Return a server's capacity: its slots times its speed."""
     return max(server.slots * server.speed, 1e-3)
+
+
+def difference(*, current: Placement, token: Token, target: Placement) -> PlacementChange:
+    """Return what turns one placement into another.
+
+    :param current: the placement in force.
+    :param token: its fencing token.
+    :param target: the other placement.
+    """
+    before, after = set(current.members), {member.server for member in target.members}
+    return PlacementChange(
+        token=token,
+        gone=tuple(m.server for m in current.members if m.server not in after),
+        members=tuple(member for member in target.members if member not in before),
+        keys=target.keys,
+        shards=target.shards,
+        bounded_load=target.bounded_load,
+    )
+
+
+def changed(*, current: Placement, change: PlacementChange) -> Placement:
+    """Return the placement that a change leads to.
+
+    :param current: the placement that it is based on.
+    :param change: the change.
+    """
+    weights = {member.server: member for member in current.members}
+    weights |= {member.server: member for member in change.members}
+    return Placement(
+        members=tuple(weights[server] for server in sorted(weights.keys() - set(change.gone))),
+        keys=change.keys,
+        shards=change.shards,
+        bounded_load=change.bounded_load,
+    )
--- a/packages/lychee-owner/src/lychee_owner/state.py
+++ b/packages/lychee-owner/src/lychee_owner/state.py
@@ -5,6 +5,7 @@
 from msgspec.structs import replace
 
 from lychee_owner.placement import OwnerTable
+from lychee_owner.planner import changed
 from lychee_types.commands import (
     BeginTransition,
     CloseLedger,
@@ -310,12 +311,16 @@
         if ownership is None:
             return Ignored(reason="the service is not keyed or not in the document")
         service = self.service(command.service)
-        if service is None and (command.target.members or command.target.keys):
-            return Ignored(reason="the service is not in the document any more")
         target = command.target
+        if command.change is not None:
+            if command.change.token != ownership.token:
+                return Ignored(reason="another placement has come into force")
+            target = changed(current=ownership.current, change=command.change)
         if not target.shards:
             shards = service.shards if service is not None else ownership.current.shards
             target = replace(target, shards=shards)
+        if service is None and target.members:
+            return Ignored(reason="the service is not in the document any more")
         transition = Transition(begun=index, target=target)
         self.ownerships[command.service] = replace(ownership, pending=transition)
         return Done()
--- a/packages/lychee-owner/tests/test_coordinator.py
+++ b/packages/lychee-owner/tests/test_coordinator.py
@@ -101,7 +101,7 @@
     leader.run(3.0, "r1", "r2", "r3")
     begun = [c for c in leader.log if type(c).__name__ == "BeginTransition"]
     assert len(begun) == 1
-    assert [member.server for member in begun[0].target.members] == ["r1", "r2", "r3"]
+    assert [member.server for member in begun[0].change.members] == ["r1", "r2", "r3"]
     assert leader.owner() in {"r1", "r2", "r3"}
 
 
--- a/packages/lychee-owner/tests/test_placement.py
+++ b/packages/lychee-owner/tests/test_placement.py
@@ -6,6 +6,7 @@
 
 from lychee_owner.hashing import negative_log
 from lychee_owner.placement import OwnerTable
+from lychee_owner.planner import changed, difference
 from lychee_owner.rendezvous import bounds, rank, rendezvous, rerank
 from lychee_types.records import KeyOwner, Member, Placement
 
@@ -55,3 +56,13 @@
     table = OwnerTable(placement=apart, shards=4)
     assert table.owner(7) == "r2" and table.owner(3) == "r1"
     assert table.spread(8).tolist() == ["r1"] * 8
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=60)
+@given(before=MEMBERS, after=MEMBERS)
+def test_a_change_leads_to_the_same_placement_as_the_target(before, after) -> None:
+    current = Placement(members=before, shards=8)
+    keys = (KeyOwner(key=7, server=after[0].server),)
+    target = Placement(members=after, keys=keys, shards=16, bounded_load=1.1)
+    change = difference(current=current, token=3, target=target)
+    assert changed(current=current, change=change) == target
--- a/packages/lychee-types/src/lychee_types/commands.py
+++ b/packages/lychee-types/src/lychee_types/commands.py
@@ -19,6 +19,7 @@
     GatewayRecord,
     LedgerEntry,
     Placement,
+    PlacementChange,
     ServerRecord,
     StoredAnswer,
 )
@@ -106,12 +107,17 @@
 class BeginTransition(Struct, frozen=True, kw_only=True, tag=True):
     """Begin to change a placement; it takes the place of a change already under way.
 
+    Either the target or its difference from the placement in force is given: with many servers
+    the difference is far shorter.
+
     :param service: the service's name.
     :param target: the new placement.
+    :param change: the difference, None where the target is given.
     """
 
     service: ServiceName
-    target: Placement
+    target: Placement = Placement()
+    change: PlacementChange | None = None
 
 
 class FinishTransition(Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/lychee-types/src/lychee_types/records.py
+++ b/packages/lychee-types/src/lychee_types/records.py
@@ -116,6 +116,25 @@
     bounded_load: float = 0.0
 
 
+class PlacementChange(Struct, frozen=True, kw_only=True):
+    """The difference of a placement from the one in force.
+
+    :param token: fencing token of the placement that it is based on.
+    :param gone: servers that take part no more.
+    :param members: servers that are new or whose weight has changed.
+    :param keys: all keys placed apart from their shard, in order of hash.
+    :param shards: number of hash ranges.
+    :param bounded_load: highest share of shards over the fair share of a member's weight.
+    """
+
+    token: Token
+    gone: tuple[ServerId, ...] = ()
+    members: tuple[Member, ...] = ()
+    keys: tuple[KeyOwner, ...] = ()
+    shards: int = 0
+    bounded_load: float = 0.0
+
+
 class Transition(Struct, frozen=True, kw_only=True):
     """A change of placement under way. Keys whose owner differs are sent to nobody.
 
