Finish connections that are being taken over when a gateway stops

The stop cancelled connections whose task had not begun (accepted from the queue in the last turn): no code of the task ran, so its connection was neither served nor closed. It also closed connections that had been opened but had not sent their request yet.

Ruled out: the lease and the control link (both alive in the dump of the hung run).

Change: the stop waits for accepted connections to be taken over, closes a connection only while its task waits for a request and the operating system holds none, and leaves 0.5 s to connections that have not sent their first request.

--- a/packages/lychee-gateway/src/lychee_gateway/callers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from time import monotonic
 
 from loguru import logger
 
@@ -13,6 +14,12 @@
 STOP_LIMIT_S = 60.0
 """Longest wait at a stop for answers that are still being sent, in seconds."""
 
+STOP_CHECK_S = 0.02
+"""Interval at which a stop looks for connections that have become idle, in seconds."""
+
+FRESH_S = 0.5
+"""Time that a stop leaves to a connection to send its first request, in seconds."""
+
 Handle = Callable[[RequestHead, CallerConnection], Awaitable[None]]
 """Answers one request on its connection."""
 
@@ -65,13 +72,17 @@
             conn.closing = True
 
     async def finish(self) -> None:
-        """Close idle connections and wait until the last answer has been sent."""
+        """Close idle connections and wait until the last answer has been sent.
+
+        A connection that has just been opened is given some time to send its request.
+        """
         self.begin_stop()
-        for task, conn in list(self._tasks.items()):
-            if conn.idle:
-                task.cancel()
-        if self._tasks:
-            await asyncio.wait(list(self._tasks), timeout=STOP_LIMIT_S)
+        began = monotonic()
+        while self._tasks and monotonic() < began + STOP_LIMIT_S:
+            fresh = monotonic() >= began + FRESH_S
+            for conn in list(self._tasks.values()):
+                conn.close_if_idle(fresh=fresh)
+            await asyncio.wait(list(self._tasks), timeout=STOP_CHECK_S)
 
     def _made(self, wire: Wire) -> None:
         conn = CallerConnection(wire=wire, limits=self._limits)
--- a/packages/lychee-gateway/src/lychee_gateway/core.py
+++ b/packages/lychee-gateway/src/lychee_gateway/core.py
@@ -137,9 +137,9 @@
     async def _stop(self) -> None:
         self._callers.begin_stop()
         await asyncio.sleep(self._cfg.stop_notice_ms / 1_000)
-        self._listener.stop()
+        await self._listener.stop()
         await self._callers.finish()
-        self._announce_listener.stop()
+        await self._announce_listener.stop()
         await self._announcers.finish()
         logger.info("stopped with nothing in flight")
 
--- a/packages/lychee-gateway/src/lychee_gateway/http/inbound.py
+++ b/packages/lychee-gateway/src/lychee_gateway/http/inbound.py
@@ -55,15 +55,19 @@
         self._limits = limits
         self._parser = RequestParser(head_limit=limits.head_bytes)
         self._head: RequestHead | None = None
+        self._waiting = False
+        self._served = False
         self._read_whole = False
         self._answered = False
         self._chunked = False
 
-    @property
-    def idle(self) -> bool:
-        """Whether no request is being read or answered."""
-        busy = self._head is not None or self._parser.pending or self._parser.in_head
-        return not busy and not self._wire.buffered
+    def close_if_idle(self, *, fresh: bool) -> None:
+        """Close the connection if the task waits for a request and none has arrived.
+
+        :param fresh: whether to close a connection as well that has not sent any request yet.
+        """
+        if self._waiting and (fresh or self._served) and self._wire.is_quiet():
+            self._wire.abort()
 
     @contextmanager
     def cancelling(self, cancel: Callable[[], None]) -> Iterator[None]:
@@ -84,7 +88,7 @@
         """
         event = self._next_event()
         if event is None and not self._parser.in_head:
-            if not await self._feed(self._limits.idle_s):
+            if not await self._wait_for_request():
                 return None
             event = self._next_event()
         if event is None:
@@ -164,6 +168,7 @@
         if not (self._read_whole and self._answered) or self.closing or self._wire.lost:
             return False
         self._head = None
+        self._served = True
         self._read_whole = self.answering = self._answered = self._chunked = False
         return True
 
@@ -215,6 +220,13 @@
     def _is_to_head(self) -> bool:
         return self._head is not None and self._head.method == b"HEAD"
 
+    async def _wait_for_request(self) -> bool:
+        self._waiting = True
+        try:
+            return await self._feed(self._limits.idle_s)
+        finally:
+            self._waiting = False
+
     async def _read_rest_of_head(self) -> RequestEvent:
         until = monotonic() + self._limits.head_s
         while (event := self._next_event()) is None:
--- a/packages/lychee-gateway/src/lychee_gateway/listener.py
+++ b/packages/lychee-gateway/src/lychee_gateway/listener.py
@@ -50,12 +50,13 @@
         self._sock.listen(BACKLOG)
         asyncio.get_running_loop().add_reader(self._sock.fileno(), self._accept_some)
 
-    def stop(self) -> None:
-        """Accept what is queued, then close."""
+    async def stop(self) -> None:
+        """Accept what is queued, close, and wait until all connections are taken over."""
         asyncio.get_running_loop().remove_reader(self._sock.fileno())
         while self._accept_one():
             pass
         self._sock.close()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def _accept_some(self) -> None:
         for _ in range(ACCEPTS_PER_TURN):
--- a/packages/lychee-gateway/tests/test_stop.py
+++ b/packages/lychee-gateway/tests/test_stop.py
@@ -147,3 +147,16 @@
             assert [reply.status for reply in replies] == [200] * 5
 
     run(scenario())
+
+
+def test_a_connection_opened_just_before_the_close_gets_its_answer():
+    async def scenario():
+        async with open_world(FakeServer("s1", "status")) as world:
+            caller = await world.caller()
+            world.gateway.request_stop()
+            await world.until(lambda: world.gateway._listener._sock.fileno() < 0)
+            reply = await caller.get(b"/repair-status/a")
+            assert (reply.status, reply.headers[b"connection"]) == (200, b"close")
+            await world.task
+
+    run(scenario())
