Leave out a server that keeps requests waiting before they time out

Change: a server whose oldest request without an answer is older than five usual times gets no other one while there are others; three failures in a row count; services that are not idempotent probe after 5 s first, then 10, 20, 30.

--- a/packages/lychee-gateway/src/lychee_gateway/exchange.py
+++ b/packages/lychee-gateway/src/lychee_gateway/exchange.py
@@ -121,7 +121,8 @@
         earlier, call.maybe_run = call.maybe_run, True
         try:
             async with asyncio.timeout_at(call.deadline):
-                head = await conn.read_head()
+                with placed.server.awaited():
+                    head = await conn.read_head()
                 if _is_streamed(call, head):
                     body = None
                 else:
--- a/packages/lychee-gateway/src/lychee_gateway/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/servers.py
@@ -1,6 +1,7 @@
 """What this gateway knows of each backend server: limits, load, connections and standing."""
 
 from collections.abc import Iterator
+from contextlib import contextmanager
 from time import monotonic
 
 from loguru import logger
@@ -8,6 +9,8 @@
 from lychee_gateway.pool import ServerPool
 from lychee_owner import ClusterState
 from lychee_policy import (
+    CAUTIOUS_EJECTION_S,
+    EJECTION_S,
     FIRST_ANSWERS,
     AnswerTime,
     Candidate,
@@ -18,6 +21,7 @@
     Probing,
     expected_s,
     is_slow,
+    is_stuck,
     limits_for,
     typical_s,
     warm_share,
@@ -50,10 +54,28 @@
         self.time = AnswerTime()
         self.in_flight = 0
         self.paused_until = float("-inf")
+        self._awaited: dict[object, float] = {}
         self._answered = 0
         self._failed = 0
         self._busy_s = 0.0
 
+    @contextmanager
+    def awaited(self) -> Iterator[None]:
+        """Count a request without an answer while the block runs."""
+        mark = object()
+        self._awaited[mark] = monotonic()
+        try:
+            yield
+        finally:
+            del self._awaited[mark]
+
+    def oldest_s(self, now: float) -> float:
+        """Return the age of the oldest request without an answer, 0 without one.
+
+        :param now: monotonic time in seconds.
+        """
+        return now - next(iter(self._awaited.values())) if self._awaited else 0.0
+
     @property
     def has_room(self) -> bool:
         """Whether another request may be sent now."""
@@ -112,14 +134,22 @@
     def candidates(self, service: ServiceName, now: float) -> list[Candidate]:
         """Return the servers of a free service that may be sent a request now.
 
+        One that keeps a request waiting for long is left out while there are others.
+
         :param service: the service's name.
         :param now: monotonic time in seconds.
         """
-        return [
-            self._candidate(server, now)
+        usable = [
+            server
             for server in self.takers(service)
             if server.has_room and server.paused_until <= now and self._stands(server, now)
         ]
+        lively = [
+            server
+            for server in usable
+            if not is_stuck(oldest_s=server.oldest_s(now), typical_s=self._typical(server))
+        ]
+        return [self._candidate(server, now) for server in lively or usable]
 
     def note_answer(self, server: BackendServer, *, seconds: float, status: int) -> None:
         """Take note of a whole answer.
@@ -216,11 +246,14 @@
         known.pool.keep_at_most(limits.connections)
 
     def _sync_detectors(self, document: Document) -> None:
-        free = {s.name for s in document.services if s.kind is RequestKind.FREE}
-        for name in set(self._detectors) - free:
+        free = {s.name: s for s in document.services if s.kind is RequestKind.FREE}
+        for name in set(self._detectors) - set(free):
             del self._detectors[name]
-        for name in free:
-            detector = self._detectors.setdefault(name, OutlierDetector())
+        for name, service in free.items():
+            detector = self._detectors.get(name)
+            if detector is None:
+                first_s = EJECTION_S if service.idempotent else CAUTIOUS_EJECTION_S
+                detector = self._detectors[name] = OutlierDetector(first_s=first_s)
             detector.keep_only({server.record.id for server in self.takers(name)})
 
     def _stands(self, server: BackendServer, now: float) -> bool:
--- a/packages/lychee-gateway/tests/test_dispatch.py
+++ b/packages/lychee-gateway/tests/test_dispatch.py
@@ -94,7 +94,7 @@
         failing = FakeServer("b1", "booking", lambda seen: answer(b"no", b"500 Error"))
         good = [FakeServer(f"b{n}", "booking", Busy(0.005)) for n in (2, 3, 4)]
         async with open_world(failing, *good) as world:
-            while len(failing.seen) < 5:
+            while len(failing.seen) < 3:
                 await post_all(world, 4)
             seen = len(failing.seen)
             await post_all(world, 20)
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -12,17 +12,22 @@
 from lychee_policy.hotkeys import HotKeyCounter
 from lychee_policy.limits import Limits, limits_for
 from lychee_policy.outliers import (
+    CAUTIOUS_EJECTION_S,
+    EJECTION_S,
     Ejected,
     InUse,
     OutlierDetector,
     Probing,
     Standing,
     is_slow,
+    is_stuck,
 )
 from lychee_policy.queue import DeadlineQueue, Waiter, can_make_deadline
 from lychee_policy.tracker import FIRST_ANSWERS, AnswerTime, expected_s, typical_s, warm_share
 
 __all__ = [
+    "CAUTIOUS_EJECTION_S",
+    "EJECTION_S",
     "FIRST_ANSWERS",
     "AnswerTime",
     "Ejected",
@@ -33,6 +38,7 @@
     "Standing",
     "expected_s",
     "is_slow",
+    "is_stuck",
     "typical_s",
     "warm_share",
     "Candidate",
--- a/packages/lychee-policy/src/lychee_policy/outliers.py
+++ b/packages/lychee-policy/src/lychee_policy/outliers.py
@@ -8,7 +8,7 @@
 
 from lychee_types.ids import ServerId
 
-FAILURES_IN_A_ROW = 5
+FAILURES_IN_A_ROW = 3
 """Failures in a row after which a server is left out."""
 
 RECENT_RESULTS = 20
@@ -29,6 +29,9 @@
 EJECTION_S = 1.0
 """First time for which a server is left out, in seconds; it doubles each time."""
 
+CAUTIOUS_EJECTION_S = 5.0
+"""The same for services whose probes are not idempotent, and so may end as unknown."""
+
 EJECTION_LIMIT_S = 30.0
 """Longest time for which a server is left out, in seconds."""
 
@@ -79,9 +82,13 @@
 
 
 class OutlierDetector:
-    """Decides which servers of one service are left out; never more than half of them."""
+    """Decides which servers of one service are left out; never more than half of them.
 
-    def __init__(self) -> None:
+    :param first_s: first time for which a server is left out, in seconds.
+    """
+
+    def __init__(self, *, first_s: float = EJECTION_S) -> None:
+        self._first_s = first_s
         self._records: dict[ServerId, _Record] = {}
 
     def keep_only(self, servers: set[ServerId]) -> None:
@@ -162,7 +169,7 @@
             record.ejections = 0
         record.ejections += 1
         record.ejected_at = now
-        length = min(EJECTION_LIMIT_S, EJECTION_S * 2 ** (record.ejections - 1))
+        length = min(EJECTION_LIMIT_S, self._first_s * 2 ** (record.ejections - 1))
         record.standing = Ejected(until=now + length)
         record.in_a_row = 0
         record.results.clear()
@@ -174,6 +181,15 @@
     return full and record.results.count(False) >= FAILURE_SHARE * RECENT_RESULTS
 
 
+def is_stuck(*, oldest_s: float, typical_s: float) -> bool:
+    """Return whether a server keeps a request waiting so long that it should get no other one.
+
+    :param oldest_s: age of its oldest request without an answer, in seconds.
+    :param typical_s: usual time to an answer in seconds, 0 if unknown.
+    """
+    return typical_s > 0 and oldest_s > SLOW_FACTOR * max(typical_s, SLOW_FLOOR_S)
+
+
 def is_slow(*, mean_s: float, answers: int, others_s: list[float]) -> bool:
     """Return whether a server's answers are slow beside the others'.
 
--- a/packages/lychee-policy/tests/test_policy.py
+++ b/packages/lychee-policy/tests/test_policy.py
@@ -23,6 +23,7 @@
     choose,
     expected_s,
     is_slow,
+    is_stuck,
     limits_for,
     typical_s,
     warm_share,
@@ -164,6 +165,8 @@
 
 def test_a_server_slow_by_ten_is_left_out_whatever_it_says_of_itself():
     slow = is_slow(mean_s=0.5, answers=8, others_s=[0.05, 0.06, 0.04])
+    assert is_stuck(oldest_s=0.3, typical_s=0.05) and not is_stuck(oldest_s=0.2, typical_s=0.05)
+    assert not is_stuck(oldest_s=9.0, typical_s=0.0)
     assert slow and not is_slow(mean_s=0.2, answers=8, others_s=[0.05, 0.06, 0.04])
     found = detector()
     assert found.answered("s0", 1.0, slow=slow)
