Compare rules for the choice of a server over real processes

Cause: the policy's figures were not measured against round robin and least-connections. Ruled out: a setting for the rule; operators have no use for it, so the bench runs a gateway process with another rule of its own. Change: four scenarios as data (speeds differing 4x, one server that slows 10x with a green health page, a cold start, 2x overload), each with three rules; slowest answers in the figures of losses.

--- a/packages/lychee-bench/src/lychee_bench/cli.py
+++ b/packages/lychee-bench/src/lychee_bench/cli.py
@@ -4,7 +4,7 @@
 
 import click
 
-COMMANDS = ("server", "demo", "soak", "bench", "compare", "plot")
+COMMANDS = ("server", "gateway", "demo", "soak", "bench", "compare", "plot")
 """Names of the commands; each is a module of :mod:`lychee_bench.commands`."""
 
 
--- a/packages/lychee-bench/src/lychee_bench/deployment.py
+++ b/packages/lychee-bench/src/lychee_bench/deployment.py
@@ -53,6 +53,7 @@
         self.processes = group
         self.sizes = sizes
         self.timing = Timing()
+        self.rule = ""
         self._folder = folder
         ports = iter(free_endpoints(2 * sizes.controls + 2 * sizes.gateways + _server_count(sizes)))
         self.listens = {f"c{n}": next(ports) for n in range(1, sizes.controls + 1)}
@@ -178,7 +179,15 @@
                 control=tuple(self.controls.values()),
                 timing=self.timing,
             )
-            self._start_daemon("lychee-gateway", entry.name, settings)
+            self._start_gateway(entry.name, settings)
+
+    def _start_gateway(self, name: str, settings: GatewaySettings) -> None:
+        if not self.rule:
+            self._start_daemon("lychee-gateway", name, settings)
+            return
+        path = self._write_settings(name, settings)
+        words = ("gateway", "--settings", str(path), "--rule", self.rule)
+        self.processes.start(name, (executable("lychee-bench"), *words))
 
     def start_servers(self) -> None:
         """Start the stand-in servers."""
@@ -216,12 +225,21 @@
     def _domain(self, number: int) -> DomainName:
         return self.document.domains[(number - 1) % len(self.document.domains)]
 
+    def restart_cold(self, name: str, *, cold_s: float) -> None:
+        """Start a server that was killed again, with a cold start of that length."""
+        argv = self.processes.argv(name)
+        self.processes.start(name, (*argv, "--cold-s", str(cold_s)))
+
     def _start_daemon(
         self, program: str, name: str, settings: ControlSettings | GatewaySettings
     ) -> None:
+        path = self._write_settings(name, settings)
+        self.processes.start(name, (executable(program), "--settings", str(path)))
+
+    def _write_settings(self, name: str, settings: ControlSettings | GatewaySettings) -> Path:
         path = self._folder / f"{name}.yaml"
         path.write_text(format_yaml(settings), encoding="utf-8")
-        self.processes.start(name, (executable(program), "--settings", str(path)))
+        return path
 
     def names_in(self, domain: DomainName) -> list[str]:
         """Return the names of the running processes of a failure domain."""
--- a/packages/lychee-bench/src/lychee_bench/experiments/catalog.py
+++ b/packages/lychee-bench/src/lychee_bench/experiments/catalog.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from lychee_bench.experiments.choice import Choice, Scenario, measure_choice
 from lychee_bench.experiments.control import (
     Commits,
     ControlCost,
@@ -40,6 +41,7 @@
     | ControlCost
     | Commits
     | Recovery
+    | Choice
 )
 
 EXPERIMENTS: Mapping[str, Experiment] = {
@@ -56,6 +58,10 @@
     "control": ControlCost(),
     "commits": Commits(),
     "recovery": Recovery(),
+    "choice-speeds": Choice(scenario=Scenario.SPEEDS),
+    "choice-slow": Choice(scenario=Scenario.SLOW),
+    "choice-cold": Choice(scenario=Scenario.COLD),
+    "choice-overload": Choice(scenario=Scenario.OVERLOAD, load=2.0),
 }
 """Experiments by name."""
 
@@ -85,3 +91,5 @@
             return await measure_commits(experiment, setting)
         case Recovery():
             return await measure_recovery(experiment, setting)
+        case Choice():
+            return await measure_choice(experiment, setting)
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/experiments/choice.py
@@ -0,0 +1,169 @@
+"""Choice of a server for free requests, by rule: imbalance, answers in time, p99."""
+
+import asyncio
+import time
+from collections import defaultdict
+from dataclasses import dataclass
+from enum import Enum
+from pathlib import Path
+
+import msgspec
+from msgspec import structs
+
+from lychee_bench.audit import Outcome
+from lychee_bench.deployment import Deployment
+from lychee_bench.experiments.setting import Setting
+from lychee_bench.http_client import connect
+from lychee_bench.launch import deployed
+from lychee_bench.load import Callers, Traffic
+from lychee_bench.measure import Measure
+from lychee_bench.runs import read_runs
+from lychee_bench.server_settings import Behaviour
+from lychee_bench.sizes import SKAFT, ServerGroup, Sizes
+
+RULES = ("power-of-two", "round-robin", "least-connections")
+"""Rules that are compared."""
+
+SERVICE = "guides"
+
+SERVICE_MS = 60.0
+"""Time to run a request at speed 1, in milliseconds."""
+
+GROUP = ServerGroup(
+    service=SERVICE,
+    count=8,
+    slots=3,
+    connections=120,
+    service_ms=SERVICE_MS,
+    speeds=(0.5, 1.0, 1.0, 2.0),
+)
+"""Servers whose speeds differ by a factor of 4."""
+
+SECONDS = 10.0
+"""Length of each run, in seconds."""
+
+CHANGE_AT_S = 3.0
+"""Time at which a server slows down or joins, in seconds."""
+
+SLOWDOWN = 10.0
+"""Factor on the time of the server that slows down."""
+
+DEADLINE_S = 2.0
+"""Deadline of a request, in seconds."""
+
+
+class Scenario(Enum):
+    """What the servers do, and how much is asked of them."""
+
+    SPEEDS = "speeds"
+    SLOW = "slow"
+    COLD = "cold"
+    OVERLOAD = "overload"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Choice:
+    """Each rule under one scenario.
+
+    :param scenario: the scenario.
+    :param load: requests asked, as a share of what the servers can run.
+    """
+
+    scenario: Scenario
+    load: float = 0.6
+
+
+async def measure_choice(experiment: Choice, setting: Setting) -> list[Measure]:
+    """Return each rule's figures."""
+    measures: list[Measure] = []
+    for rule in RULES:
+        folder = setting.folder / rule
+        folder.mkdir()
+        measures += await _run_rule(experiment, structs.replace(setting, folder=folder), rule)
+    return measures
+
+
+async def _run_rule(experiment: Choice, setting: Setting, rule: str) -> list[Measure]:
+    others = (structs.replace(group, count=1) for group in SKAFT.groups if group.service != SERVICE)
+    sizes = Sizes(document=SKAFT.document, groups=(GROUP, *others), controls=1, gateways=2)
+    document = setting.document(sizes)
+    services = tuple(
+        (
+            structs.replace(item, deadline_ms=round(DEADLINE_S * 1_000))
+            if item.name == SERVICE
+            else item
+        )
+        for item in document.services
+    )
+    document = structs.replace(document, services=services)
+    async with deployed(
+        folder=setting.folder, sizes=sizes, document=document, rule=rule
+    ) as deployment:
+        began = time.time()
+        callers = await _load(experiment, deployment, setting.seed)
+    files = [server.runs for server in deployment.group_servers(GROUP)]
+    name = f"choice.{experiment.scenario.value}.{rule}"
+    return _measures(name, callers, _busy_shares(files, since=began))
+
+
+async def _load(experiment: Choice, deployment: Deployment, seed: int) -> Callers:
+    balancer = deployment.balancer()
+    traffic = Traffic(
+        service=SERVICE,
+        path=deployment.service(SERVICE).path,
+        rate=capacity(GROUP) * experiment.load,
+        deadline_s=DEADLINE_S,
+    )
+    callers = Callers(balancer=balancer, traffic=(traffic,), seed=seed)
+    changing = asyncio.create_task(_change(experiment.scenario, deployment))
+    await callers.run(SECONDS)
+    await changing
+    return callers
+
+
+async def _change(scenario: Scenario, deployment: Deployment) -> None:
+    await asyncio.sleep(CHANGE_AT_S)
+    victim = deployment.group_servers(GROUP)[-1]
+    match scenario:
+        case Scenario.SLOW:
+            conn = await connect(victim.listen)
+            behaviour = Behaviour(service_ms=SERVICE_MS, slowdown=SLOWDOWN)
+            await conn.request(
+                method="POST",
+                target="/_bench/behaviour",
+                headers={},
+                body=msgspec.json.encode(behaviour),
+            )
+            conn.close()
+        case Scenario.COLD:
+            deployment.processes.kill(victim.name)
+            deployment.restart_cold(victim.name, cold_s=SECONDS)
+        case Scenario.SPEEDS | Scenario.OVERLOAD:
+            pass
+
+
+def capacity(group: ServerGroup) -> float:
+    """Return how many requests a second a group can run."""
+    speeds = [group.speeds[number % len(group.speeds)] for number in range(group.count)]
+    return sum(speeds) * group.slots / (group.service_ms / 1_000)
+
+
+def _busy_shares(files: list[Path], *, since: float) -> list[float]:
+    """Return for each server the time that its slots ran requests."""
+    busy: dict[str, float] = defaultdict(float)
+    for run in read_runs(files):
+        if run.began.at >= since and run.ended is not None:
+            busy[run.server] += run.ended.at - run.began.at
+    return list(busy.values())
+
+
+def _measures(name: str, callers: Callers, busy: list[float]) -> list[Measure]:
+    answered = [call for call in callers.calls if call.outcome is Outcome.ANSWERED]
+    in_time = [call for call in answered if call.ended_at - call.sent_at <= DEADLINE_S]
+    histogram = callers.latency[SERVICE]
+    return [
+        Measure(name=f"{name}.imbalance", value=max(busy) * len(busy) / sum(busy), unit="max/mean"),
+        Measure(name=f"{name}.in_time", value=len(in_time) / len(callers.calls), unit="share"),
+        Measure(name=f"{name}.answered", value=len(answered) / SECONDS, unit="req/s"),
+        Measure(name=f"{name}.p99", value=histogram.get_value_at_percentile(99) / 1_000, unit="ms"),
+    ]
--- a/packages/lychee-bench/src/lychee_bench/experiments/loss.py
+++ b/packages/lychee-bench/src/lychee_bench/experiments/loss.py
@@ -85,11 +85,9 @@
             author="bench",
             timeout_s=5.0,
         )
-    slowest = max(call.ended_at - call.sent_at for call in callers.calls)
     return [
         Measure(name="unavailable.drain", value=_longest(callers), unit="s", bound=SERVED_AGAIN_S),
-        Measure(name="drain.slowest_answer", value=slowest, unit="s"),
-        *_answers("drain", callers),
+        *_answers("unavailable.drain", callers),
     ]
 
 
@@ -136,9 +134,11 @@
     counted = {
         outcome: sum(call.outcome is outcome for call in callers.calls) for outcome in Outcome
     }
+    slowest = max(call.ended_at - call.sent_at for call in callers.calls)
     failed = len(callers.calls) - counted[Outcome.ANSWERED]
     wrong = counted[Outcome.WRONG] + counted[Outcome.LOST]
     return [
+        Measure(name=f"{name}.slowest_answer", value=slowest, unit="s"),
         Measure(name=f"{name}.calls", value=len(callers.calls), unit="req"),
         Measure(name=f"{name}.not_answered", value=failed, unit="req"),
         Measure(name=f"{name}.lost_or_wrong", value=wrong, unit="req", bound=0),
--- a/packages/lychee-bench/src/lychee_bench/launch.py
+++ b/packages/lychee-bench/src/lychee_bench/launch.py
@@ -30,7 +30,12 @@
 
 @asynccontextmanager
 async def deployed(
-    *, folder: Path, sizes: Sizes, document: Document, network: Network | None = None
+    *,
+    folder: Path,
+    sizes: Sizes,
+    document: Document,
+    network: Network | None = None,
+    rule: str = "",
 ) -> AsyncIterator[Deployment]:
     """Run a deployment until the block ends; it serves when the block begins.
 
@@ -38,10 +43,12 @@
     :param sizes: how many processes of each kind.
     :param document: the operators' document.
     :param network: relays are put in front of the control replicas if it is given.
+    :param rule: rule for the choice of a server, empty for the product's own.
     :raises UnavailableError: if it does not serve in time.
     """
     with processes(folder) as group:
         deployment = Deployment(folder=folder, sizes=sizes, document=document, group=group)
+        deployment.rule = rule
         relays = () if network is None else deployment.use_relays(network)
         async with running_relays(relays):
             deployment.start_controls()
--- a/packages/lychee-bench/src/lychee_bench/processes.py
+++ b/packages/lychee-bench/src/lychee_bench/processes.py
@@ -58,6 +58,10 @@
         """Return the id of a running process."""
         return self._running[name].pid
 
+    def argv(self, name: str) -> tuple[str, ...]:
+        """Return program and arguments that a process was last started with."""
+        return self._argv[name]
+
     def start(self, name: str, argv: tuple[str, ...]) -> None:
         """Start a process.
 
