Keep a peer's link when only its storage number becomes known

Cause: PeerLinks compared whole voters. While a group is founded the same replica is addressed as a voter of the settings (storage 0) and as the origin of a hello (its storage), in turn, so each message closed the link that the one before had opened and was lost with it. Ruled out: the founding rules themselves; with the links kept they need no second greeting. Change: a link is opened anew only when the address differs.

--- a/packages/lychee-control/src/lychee_control/peers.py
+++ b/packages/lychee-control/src/lychee_control/peers.py
@@ -98,7 +98,7 @@
     def post_frame(self, *, to: Voter, frame: PeerFrame) -> None:
         """Send any message; it is lost while there is no connection."""
         link = self._links.get(to.id)
-        if link is None or link.peer != to:
+        if link is None or link.peer.endpoint != to.endpoint:
             if link is not None:
                 link.stop()
             link = PeerLink(peer=to, ssl=self._ssl, rng=self._rng)
