Do not send operators from a new leader to itself

Cause: a replica that has won its election and not yet applied its first entry told operators to ask the leader, at its own address. The client takes a word that names the answering replica as final, so an operator's resent form was refused in place of being asked again. Seen in the test with a form resent after its leader was lost: RefusedError, this replica does not lead. Ruled out: the client's handling, which rightly does not ask the same address for ever. Change: the address is given only when another replica leads; else the refusal says that the same request may be answered later. The test failed first for the case of its own id.

--- a/packages/lychee-control/src/lychee_control/desk.py
+++ b/packages/lychee-control/src/lychee_control/desk.py
@@ -143,7 +143,7 @@
     def _not_leader(self) -> Refused:
         known = self._replica.leader
         endpoint: Endpoint | None = None
-        if known is not None and not self._replica.is_leader:
+        if known is not None and known.id != self._replica.id:
             endpoint = known.endpoint
         return Refused(
             message="this replica does not lead",
--- /dev/null
+++ b/packages/lychee-control/tests/test_proof_desk.py
@@ -0,0 +1,48 @@
+"""What a replica tells operators while it cannot answer them."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from lychee_control.desk import OperatorDesk
+from lychee_control.machine import ControlMachine
+from lychee_log import Voter
+from lychee_types.clock import SystemClock
+from lychee_types.messages import ShowRequest
+from lychee_types.records import Endpoint
+from lychee_types.timing import Timing
+
+ENDPOINTS = {name: Endpoint(host="127.0.0.1", port=n) for n, name in enumerate(("c1", "c2"), 1)}
+
+
+class OneRequest:
+    """A stream with one request."""
+
+    def __init__(self) -> None:
+        self.replies: list[object] = []
+
+    async def receive(self) -> tuple[ShowRequest, ...]:
+        return () if self.replies else (ShowRequest(),)
+
+    def post(self, reply: object) -> None:
+        self.replies.append(reply)
+
+
+@pytest.mark.parametrize(
+    ("known", "leader", "unavailable"),
+    [("c1", None, True), ("c2", ENDPOINTS["c2"], False), (None, None, True)],
+)
+def test_a_replica_sends_operators_to_another_leader_only(known, leader, unavailable) -> None:
+    voter = Voter(id=known, endpoint=ENDPOINTS[known]) if known else None
+    desk = OperatorDesk(
+        replica=SimpleNamespace(id="c1", leader=voter, is_leader=False, leads_until=lambda: 0.0),
+        machine=ControlMachine(on_applied=lambda *args: None, on_restored=lambda: None),
+        timing=Timing(),
+        clock=SystemClock(),
+        leader=lambda: None,
+        dump=lambda: "",
+    )
+    link = OneRequest()
+    asyncio.run(desk.serve(link))
+    assert (link.replies[0].leader, link.replies[0].unavailable) == (leader, unavailable)
