Check a control replica's place among the voters by the address that it advertises

Cause: the check of settings compared the voter's address with listen only, so no settings with another advertise address passed, and a replica could not listen on 0.0.0.0 behind one. Ruled out: the relays and the founding. Change: where advertise is given it is what must stand among the replicas and be reachable.

--- a/packages/lychee-types/src/lychee_types/settings_check.py
+++ b/packages/lychee-types/src/lychee_types/settings_check.py
@@ -114,7 +114,11 @@
 def _check_control(settings: ControlSettings) -> Iterator[Finding]:
     yield from check_name(settings.id, "id")
     yield from check_name(settings.domain, "domain")
-    yield from _check_reachable(settings.listen, "listen")
+    if settings.advertise is None:
+        yield from _check_reachable(settings.listen, "listen")
+    else:
+        yield from _check_endpoint(settings.listen, "listen")
+        yield from _check_reachable(settings.advertise, "advertise")
     if not settings.data:
         yield Finding(place="data", message="the folder is empty", remedy="name a folder")
     yield from _check_replicas(settings)
@@ -149,13 +153,15 @@
             ),
             needs=("id", *(f"replicas[{index}].id" for index in range(len(ids)))),
         )
+    field = "listen" if settings.advertise is None else "advertise"
+    reached = settings.advertise or settings.listen
     for index, peer in enumerate(settings.replicas):
-        if peer.id == settings.id and peer.endpoint != settings.listen:
+        if peer.id == settings.id and peer.endpoint != reached:
             yield Finding(
                 place=f"replicas[{index}].endpoint",
-                message=f"{peer.endpoint} is not this replica's listen address {settings.listen}",
+                message=f"{peer.endpoint} is not this replica's {field} address {reached}",
                 remedy="write the same address in both places",
-                needs=("id", "listen", f"replicas[{index}].id"),
+                needs=("id", field, f"replicas[{index}].id"),
             )
 
 
