Let a new replica hear the log late when a repair is proved

Without the wait for the new replica the former test passed, because the wait's place was taken by the quorum that needs the new replica while the old one is down.

--- a/packages/lychee-control/tests/test_proof_replicas.py
+++ b/packages/lychee-control/tests/test_proof_replicas.py
@@ -10,7 +10,9 @@
 import pytest
 
 from lychee_control.core import ControlDaemon
+from lychee_control.peers import LogMessage
 from lychee_gateway.view import StateView
+from lychee_log.messages import Hello
 from lychee_runtime import open_link
 from lychee_runtime.operator_client import OperatorClient
 from lychee_types.commands import SubmitDocument, encode_command
@@ -39,18 +41,23 @@
 
 
 class Cuttable(ControlDaemon):
-    """A control replica that a partition can cut off from its peers, and that notes its grants."""
+    """A control replica with faults on request, which notes its grants.
+
+    A partition can cut it off from its peers; while deaf it learns nothing of the log.
+    """
 
     def __init__(self, *, cfg: ControlSettings) -> None:
         super().__init__(cfg=cfg)
         self.cut = False
+        self.deaf = False
         self.late_grants: list[float] = []
         self.grants = 0
         post = self._peers.post_frame
         self._peers.post_frame = lambda **frame: None if self.cut else post(**frame)
 
     def _handle_frame(self, frame) -> None:
-        if not self.cut:
+        appends = isinstance(frame, LogMessage) and not isinstance(frame.message, Hello)
+        if not self.cut and not (self.deaf and appends):
             super()._handle_frame(frame)
 
     def _reply(self, session, message) -> None:
@@ -72,6 +79,12 @@
     def version(self) -> int:
         return self._machine.state.document_version
 
+    @property
+    def held(self) -> int:
+        """The last entry in its log."""
+        core = self._replica._core
+        return core.state.log.last.index if core else 0
+
     async def change(self, *, count: int) -> None:
         """Commit further versions of the document."""
         first = self.version
@@ -240,24 +253,37 @@
     run(scenario())
 
 
-def test_a_vm_lost_right_after_a_repair_takes_nothing_with_it(tmp_path, make_endpoint):
+async def hear_later(leader: Cuttable, learner: Cuttable) -> None:
+    """Let a learner hear the log only some time after it was added."""
+    members = leader._replica._core.state
+    await until(lambda: members.members.find(learner._cfg.id) is not None)
+    await asyncio.sleep(0.3)
+    learner.deaf = False
+
+
+@pytest.mark.parametrize("planned", [True, False])
+def test_a_vm_lost_right_after_a_repair_takes_nothing_with_it(tmp_path, make_endpoint, planned):
     async def scenario() -> None:
         async with running_group(tmp_path, make_endpoint) as group:
             leader = await group.leader()
-            lost, kept = (name for name in ("c1", "c2", "c3") if name != leader)
-            await group.kill(lost)
-            rmtree(tmp_path / lost)
+            old, kept = (name for name in ("c1", "c2", "c3") if name != leader)
+            if not planned:
+                await group.kill(old)
+                rmtree(tmp_path / old)
             await group.daemons[leader].change(count=300)
-            group.start("c4", first=())
+            new = group.start("c4", first=())
+            new.deaf = True
+            hearing = asyncio.create_task(hear_later(group.daemons[leader], new))
             voters = await patiently(
                 lambda: group.operator(leader).replace(
-                    old=lost, new="c4", endpoint=group.endpoints["c4"]
+                    old=old, new="c4", endpoint=group.endpoints["c4"]
                 )
             )
-            held = group.daemons["c4"]._replica._core.state.log.last.index
-            assert held >= group.daemons[leader]._replica.commit
-            assert set(voters) == {leader, kept, "c4"}
-            await group.kill(leader)
+            assert new.held >= group.daemons[leader]._replica.commit
+            assert set(voters) == {leader, kept, "c4"} and hearing.done()
+            for name in (leader, old):
+                if name in group.daemons:
+                    await group.kill(name)
             assert (await patiently(group.operator().show)).version == 300
             assert (await group.submit(**form("anna", based_on=300))).version == 301
 
