--- a/packages/lychee-types/src/lychee_types/settings_check.py
+++ b/packages/lychee-types/src/lychee_types/settings_check.py
@@ -153,16 +153,15 @@
             ),
             needs=("id", *(f"replicas[{index}].id" for index in range(len(ids)))),
         )
-    own, place = settings.listen, "listen"
-    if settings.advertise is not None:
-        own, place = settings.advertise, "advertise"
+    field = "listen" if settings.advertise is None else "advertise"
+    reached = settings.advertise or settings.listen
     for index, peer in enumerate(settings.replicas):
-        if peer.id == settings.id and peer.endpoint != own:
+        if peer.id == settings.id and peer.endpoint != reached:
             yield Finding(
                 place=f"replicas[{index}].endpoint",
-                message=f"{peer.endpoint} is not this replica's {place} address {own}",
+                message=f"{peer.endpoint} is not this replica's {field} address {reached}",
                 remedy="write the same address in both places",
-                needs=("id", place, f"replicas[{index}].id"),
+                needs=("id", field, f"replicas[{index}].id"),
             )
 
 
