Bound the ledger of requests in time and number

Ruled out: dropping the oldest entries when full, since a late resend could then run a second time. Change: entries are kept for one hour, 100,000 at most; a full ledger refuses further requests with an Idempotency-Key as not run.

--- a/packages/lychee-control/src/lychee_control/leader.py
+++ b/packages/lychee-control/src/lychee_control/leader.py
@@ -19,6 +19,7 @@
     ExpireLedger,
     Ignored,
     LedgerFound,
+    LedgerFull,
     LedgerOpened,
     OpenLedger,
     Outcome,
@@ -41,7 +42,7 @@
 )
 from lychee_types.timing import Timing
 
-LEDGER_KEEP_S = 86_400.0
+LEDGER_KEEP_S = 3_600.0
 """How long the outcome of a non-idempotent request is kept, in seconds."""
 
 LEDGER_SWEEP_S = 60.0
@@ -197,7 +198,7 @@
             self._reply(session, LedgerFailed(number=number, reason=str(exc)))
             return
         match committed.result:
-            case (LedgerOpened() | LedgerFound() | Done() | Ignored()) as outcome:
+            case (LedgerOpened() | LedgerFound() | LedgerFull() | Done() | Ignored()) as outcome:
                 self._reply(session, LedgerReply(number=number, outcome=outcome))
             case other:
                 raise InvariantError(
--- a/packages/lychee-owner/src/lychee_owner/state.py
+++ b/packages/lychee-owner/src/lychee_owner/state.py
@@ -21,6 +21,7 @@
     JoinGateway,
     JoinServer,
     LedgerFound,
+    LedgerFull,
     LedgerOpened,
     LoseGateway,
     LoseServer,
@@ -47,6 +48,9 @@
 HISTORY_LIMIT = 64
 """Number of document versions kept."""
 
+LEDGER_LIMIT = 100_000
+"""Number of ledger entries kept; further requests with an Idempotency-Key are not run."""
+
 SUBMISSION_LIMIT = 4_096
 """Number of answers to submissions kept."""
 
@@ -345,6 +349,8 @@
         known = self.ledger.get(command.entry.key)
         if known is not None and not _is_same_opening(known, command.entry):
             return LedgerFound(entry=known)
+        if known is None and len(self.ledger) >= LEDGER_LIMIT:
+            return LedgerFull()
         self.ledger[command.entry.key] = command.entry
         return LedgerOpened()
 
--- a/packages/lychee-types/src/lychee_types/commands.py
+++ b/packages/lychee-types/src/lychee_types/commands.py
@@ -238,6 +238,10 @@
     entry: LedgerEntry
 
 
+class LedgerFull(Struct, frozen=True, kw_only=True, tag=True):
+    """The ledger holds as many entries as it may; the request must not be sent."""
+
+
 Outcome = (
     Done
     | Ignored
@@ -246,6 +250,7 @@
     | DocumentRefused
     | LedgerOpened
     | LedgerFound
+    | LedgerFull
 )
 
 _ENCODER = Encoder()
