--- a/packages/lychee-owner/src/lychee_owner/state.py
+++ b/packages/lychee-owner/src/lychee_owner/state.py
@@ -5,6 +5,7 @@
 from msgspec.structs import replace
 
 from lychee_owner.placement import OwnerTable
+from lychee_owner.planner import changed
 from lychee_types.commands import (
     BeginTransition,
     CloseLedger,
@@ -20,6 +21,7 @@
     JoinGateway,
     JoinServer,
     LedgerFound,
+    LedgerFull,
     LedgerOpened,
     LoseGateway,
     LoseServer,
@@ -46,6 +48,9 @@
 HISTORY_LIMIT = 64
 """Number of document versions kept."""
 
+LEDGER_LIMIT = 100_000
+"""Number of ledger entries kept; further requests with an Idempotency-Key are not run."""
+
 SUBMISSION_LIMIT = 4_096
 """Number of answers to submissions kept."""
 
@@ -310,12 +315,16 @@
         if ownership is None:
             return Ignored(reason="the service is not keyed or not in the document")
         service = self.service(command.service)
-        if service is None and (command.target.members or command.target.keys):
-            return Ignored(reason="the service is not in the document any more")
         target = command.target
+        if command.change is not None:
+            if command.change.token != ownership.token:
+                return Ignored(reason="another placement has come into force")
+            target = changed(current=ownership.current, change=command.change)
         if not target.shards:
             shards = service.shards if service is not None else ownership.current.shards
             target = replace(target, shards=shards)
+        if service is None and target.members:
+            return Ignored(reason="the service is not in the document any more")
         transition = Transition(begun=index, target=target)
         self.ownerships[command.service] = replace(ownership, pending=transition)
         return Done()
@@ -340,6 +349,8 @@
         known = self.ledger.get(command.entry.key)
         if known is not None and not _is_same_opening(known, command.entry):
             return LedgerFound(entry=known)
+        if known is None and len(self.ledger) >= LEDGER_LIMIT:
+            return LedgerFull()
         self.ledger[command.entry.key] = command.entry
         return LedgerOpened()
 
