Check acknowledgements against the log that they acknowledge

The check was wrong: a learner acknowledged entry 39 of term 1 to the leader of term 1, truthfully; a majority that the old leader could not reach had committed another entry 39 in term 2. The check compared with that one. Ruled out: a fault of the core; the printed disk, log and durable index of the replica agreed. Change: up to the replica's own commit index the disk is compared with the committed entries, after it with the replica's log; a reply of an earlier term that waited for a sync is left out, since it was true in that term.

--- a/packages/lychee-log/src/lychee_log/testing.py
+++ b/packages/lychee-log/src/lychee_log/testing.py
@@ -25,7 +25,7 @@
 )
 from lychee_log.exceptions import LostStorageError
 from lychee_log.messages import AppendReply, PeerMessage, VoteReply
-from lychee_log.records import Entry, HardState, Identity, Recovered, StorageId, Voter
+from lychee_log.records import Entry, EntryId, HardState, Identity, Recovered, StorageId, Voter
 from lychee_log.state import Role
 from lychee_types.exceptions import require
 from lychee_types.ids import LogIndex, ReplicaId
@@ -248,15 +248,22 @@
             is_kept = disk.hard_state == promised or disk.hard_state.term > message.term
             require(is_kept, "a vote is on disk before it is given")
         if isinstance(message, AppendReply) and message.match:
-            held = [entry.id for entry in disk.entries]
-            last = disk.snapshot.index if disk.snapshot else 0
-            known = self.committed.get(message.match)
-            on_disk = message.match <= last or any(
-                each.index == message.match and (known is None or each.term == known.term)
-                for each in held
-            )
+            on_disk = self._is_on_disk(node, message)
             require(on_disk, "an entry is on disk before it is acknowledged")
 
+    def _is_on_disk(self, node: Node, reply: AppendReply) -> bool:
+        """Return whether the disk holds the entry that a reply acknowledges.
+
+        A reply of an earlier term that waited for a sync was true in that term.
+        """
+        assert node.core is not None
+        state, disk, index = node.core.state, node.disk, reply.match
+        if reply.term < state.term or (disk.snapshot and index <= disk.snapshot.index):
+            return True
+        is_committed = index <= state.commit
+        term = self.committed[index].term if is_committed else state.log.term_at(index)
+        return any(entry.id == EntryId(index=index, term=term or 0) for entry in disk.entries)
+
     def _check_commits(self, node: Node) -> None:
         if node.core is None:
             return
