Test what a leader counts itself for and what a follower commits

Cause: with the hypothesis machine left out, two removals on a scratch copy passed the tests: a leader that counts itself before its sync, and a follower that commits beyond what was verified. Change: one direct case for each.

--- a/packages/lychee-log/tests/test_core.py
+++ b/packages/lychee-log/tests/test_core.py
@@ -547,3 +547,34 @@
     group.run(0.5)
     assert old.items == [b"%d" % number for number in range(9)]
     assert [entry.data for entry in old.disk.entries if entry.data] == old.items
+
+
+def test_a_leader_counts_itself_only_for_what_is_on_its_disk() -> None:
+    group = group_of("a")
+    leader = group.settle()
+    before = core_of(leader).state.commit
+    assert group.propose(leader, b"x")
+    assert core_of(leader).state.commit == before
+    group.finish_write(leader)
+    assert core_of(leader).state.commit == before + 1
+
+
+def test_a_follower_commits_only_what_the_leader_has_verified() -> None:
+    group = group_of("abc")
+    old = group.settle()
+    group.isolate(old)
+    assert group.propose(old, b"lost")
+    group.run(2.0)
+    new, state = core_of(group.settle()).state, core_of(old).state
+    before = state.commit
+    heartbeat = new.build(
+        AppendRequest,
+        state.me,
+        prev_index=LogIndex(0),
+        prev_term=0,
+        entries=(),
+        commit=state.log.last.index,
+        sent=group.now,
+    )
+    group.step(old, Received(message=heartbeat))
+    assert state.leader is not None and state.commit == before
