--- a/packages/lychee-log/tests/test_core.py
+++ b/packages/lychee-log/tests/test_core.py
@@ -251,6 +251,21 @@
     assert core_of(group.settle()).state.term == term
 
 
+def test_a_leader_whose_own_removal_was_not_committed_can_still_be_elected() -> None:
+    group = group_of("abcd")
+    leader = group.settle()
+    group.isolate(leader)
+    core = core_of(leader)
+    group.crash(others(group, leader)[0], is_stored=True)
+    assert core.change_members(without(core.state.members, leader.voter.id)).is_ok()
+    group.run(1.0)
+    assert core.leader is None
+    group.cuts.clear()
+    commit(group, b"kept")
+    assert group.settle() is not leader
+    assert group.settle().items == [b"kept"]
+
+
 @pytest.mark.parametrize("faulty_leader", [True, False])
 def test_a_full_disk_acknowledges_nothing_and_recovers(faulty_leader: bool) -> None:
     group = group_of("abc")
@@ -276,6 +291,21 @@
     assert faulty.items[-1] == b"second"
 
 
+def test_a_leader_whose_disk_hangs_gives_way() -> None:
+    group = group_of("abc")
+    leader = group.settle()
+    assert group.propose(leader, b"kept")
+    write, leader.write = leader.write, None
+    group.run(3.0)
+    assert "does not finish" in (core_of(leader).state.fault or "")
+    new = group.settle()
+    assert new is not leader and new.items == [b"kept"]
+    leader.write = write
+    group.run(0.5)
+    assert core_of(leader).state.fault is None
+    assert leader.items == [b"kept"]
+
+
 def test_a_replica_far_behind_gets_a_snapshot() -> None:
     group = group_of("abc")
     behind = group.settle()
