--- a/packages/lychee-owner/src/lychee_owner/coordinator.py
+++ b/packages/lychee-owner/src/lychee_owner/coordinator.py
@@ -31,6 +31,7 @@
     Outcome,
 )
 from lychee_types.document import RequestKind, Service
+from lychee_types.exceptions import require
 from lychee_types.ids import KeyHash, LogIndex, ServerId, ServiceName, SessionId, Token
 from lychee_types.messages import (
     Announcement,
@@ -74,6 +75,7 @@
         self._hot_keys = HotKeys(loads=self._loads)
         self._rule = self._finish_rule()
         self._outbox = Outbox()
+        self._finishable: set[LogIndex] = set()
         self._is_changed = True
         self._look_at = now
         self._measure_at = now
@@ -189,6 +191,9 @@
                 self._loads.forget_server(command.server)
             case BeginTransition():
                 self._gateways.begun(now=now, index=index)
+            case FinishTransition():
+                require(command.begun in self._finishable, "a transition finished without the rule")
+                self._finishable.discard(command.begun)
             case _:
                 pass
 
@@ -222,6 +227,7 @@
     def _finish_commands(self, *, now: float) -> Iterable[Command]:
         for ownership in list(self._state.ownerships.values()):
             if ownership.pending and self._rule.is_met(now=now, ownership=ownership):
+                self._finishable.add(ownership.pending.begun)
                 yield FinishTransition(service=ownership.service, begun=ownership.pending.begun)
 
     def _target(self, *, now: float, ownership: Ownership) -> Placement | None:
--- a/packages/lychee-owner/src/lychee_owner/experiment/policies.py
+++ b/packages/lychee-owner/src/lychee_owner/experiment/policies.py
@@ -6,12 +6,15 @@
 
 import numpy as np
 import numpy.typing as npt
+from msgspec.msgpack import Encoder
 from xxhash import xxh3_64_intdigest
 
 from lychee_owner.hashing import all_shards
+from lychee_owner.planner import difference
 from lychee_owner.rendezvous import rendezvous
-from lychee_types.ids import ServerId
-from lychee_types.records import Member
+from lychee_types.commands import BeginTransition, encode_command
+from lychee_types.ids import ServerId, ServiceName, Token
+from lychee_types.records import Member, Placement
 
 Names = npt.NDArray[np.str_]
 """For each shard the name of its owner."""
@@ -19,11 +22,7 @@
 RING_POINTS = 100
 """Points on the ring for a member of mean weight."""
 
-MEMBER_BYTES = 32
-"""Size in bytes of the record of one member that joined, left or changed."""
-
-ENTRY_BYTES = 8
-"""Size in bytes of one entry of a table: a shard and a server."""
+_ENCODER = Encoder()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -69,7 +68,12 @@
 
         Owners are computed, so only the members that changed are sent.
         """
-        return MEMBER_BYTES * len(set(before.members) ^ set(after.members))
+        change = difference(
+            current=Placement(members=before.members),
+            token=Token(1),
+            target=Placement(members=after.members),
+        )
+        return len(encode_command(BeginTransition(service=ServiceName("lookup"), change=change)))
 
 
 class Modulo(Policy):
@@ -202,9 +206,10 @@
             owners[shard] = members[position].server
 
     def shipped_bytes(self, *, before: Assignment, after: Assignment) -> int:
-        """Return how many bytes one gateway is sent: an entry for each shard that moves."""
-        moved = int((before.owners != after.owners).sum())
-        return ENTRY_BYTES * moved
+        """Return how many bytes one gateway is sent: shard and owner of each that moves."""
+        positions = {member.server: position for position, member in enumerate(after.members)}
+        moved = np.flatnonzero(before.owners != after.owners).tolist()
+        return len(_ENCODER.encode([(shard, positions[after.owners[shard]]) for shard in moved]))
 
 
 def _limits(members: tuple[Member, ...], shards: int, bounded_load: float) -> list[int]:
--- a/packages/lychee-owner/src/lychee_owner/gateways.py
+++ b/packages/lychee-owner/src/lychee_owner/gateways.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from lychee_owner.state import ClusterState
+from lychee_types.exceptions import require
 from lychee_types.ids import LogIndex, ServiceName, SessionId
 from lychee_types.messages import EndSession, GatewayState, GrantLease, RenewLease
 from lychee_types.records import GatewayRecord
@@ -124,6 +125,10 @@
             return None
         run.granted_until = now + self._timing.lease_s + self._timing.drift_s
         run.lease_end = max(run.lease_end, run.granted_until)
+        require(
+            renewal.session in self._state.gateways and not run.ending,
+            "a lease for a run that is not committed",
+        )
         return GrantLease(
             session=renewal.session, number=renewal.number, lease_ms=self._timing.lease_ms
         )
--- a/packages/lychee-owner/src/lychee_owner/servers.py
+++ b/packages/lychee-owner/src/lychee_owner/servers.py
@@ -13,6 +13,10 @@
 from lychee_types.records import ServerRecord, ServerStatus
 from lychee_types.timing import Timing
 
+LEAST_SPEED = 0.01
+MOST_SPEED = 100.0
+"""Range of speeds that a server may announce."""
+
 
 @dataclass(kw_only=True, slots=True)
 class ServerRun:
@@ -98,6 +102,8 @@
             return "a later run of this server has announced itself"
         if self._state.service(record.service) is None:
             return f"the document has no service {record.service}"
+        if not (LEAST_SPEED <= record.speed <= MOST_SPEED and record.slots > 0):
+            return f"speed must be from {LEAST_SPEED} to {MOST_SPEED}, and slots at least 1"
         return ""
 
     def _hear(self, *, now: float, announcement: Announcement) -> None:
--- a/packages/lychee-owner/src/lychee_owner/state.py
+++ b/packages/lychee-owner/src/lychee_owner/state.py
@@ -248,6 +248,8 @@
             index=index,
             document=command.document,
         )
+        before = self.history[-1] if self.history else None
+        require(before is None or index > before.index, "a document version goes back")
         self.history = [*self.history[-(HISTORY_LIMIT - 1) :], version]
         keyed = {s.name for s in command.document.services if s.kind is RequestKind.KEYED}
         for name in list(self.ownerships):
@@ -321,6 +323,7 @@
             target = replace(target, shards=shards)
         if service is None and target.members:
             return Ignored(reason="the service is not in the document any more")
+        _require_placement(target)
         transition = Transition(begun=index, target=target)
         self.ownerships[command.service] = replace(ownership, pending=transition)
         return Done()
@@ -330,7 +333,8 @@
         pending = ownership.pending if ownership is not None else None
         if ownership is None or pending is None or pending.begun != command.begun:
             return Ignored(reason="another transition has taken its place")
-        require(index > ownership.token, "a fencing token does not grow")
+        require(index > pending.begun > ownership.token, "a fencing token does not grow")
+        require(pending.begun > ownership.fence, "a fence does not grow")
         self.ownerships[command.service] = Ownership(
             service=command.service,
             token=Token(index),
@@ -364,6 +368,17 @@
         return Done()
 
 
+def _require_placement(placement: Placement) -> None:
+    """Check that every replica and gateway computes one and the same owner a key."""
+    servers = [member.server for member in placement.members]
+    keys = [key.key for key in placement.keys]
+    require(servers == sorted(set(servers)), "members of a placement are not in order of id")
+    require(keys == sorted(set(keys)), "a key of a placement has two owners")
+    require(all(m.weight > 0 for m in placement.members), "a member has no weight")
+    shards = placement.shards
+    require(shards & (shards - 1) == 0, "the number of shards is not a power of two")
+
+
 def has_owners(ownership: Ownership) -> bool:
     """Return whether any server owns keys of a service or is about to."""
     return bool(placed_servers(ownership))
--- a/packages/lychee-owner/tests/test_coordinator.py
+++ b/packages/lychee-owner/tests/test_coordinator.py
@@ -1,7 +1,15 @@
 """The leader's decisions, one case at a time."""
 
+from msgspec.structs import replace
+
 from lychee_owner import ClusterState, Coordinator, hash_key
-from lychee_types.commands import JoinGateway, LoseGateway, LoseServer, SubmitDocument
+from lychee_types.commands import (
+    DocumentRefused,
+    JoinGateway,
+    LoseGateway,
+    LoseServer,
+    SubmitDocument,
+)
 from lychee_types.document import Document, RequestKind, Service
 from lychee_types.messages import Announcement, Drained, EndSession, GrantLease, RenewLease
 from lychee_types.records import Endpoint, GatewayRecord, ServerRecord, ServerStatus
@@ -197,3 +205,52 @@
     assert leader.announce("r1", incarnation=2).lease_ms > 0
     leader.tick()
     assert leader.state.ownerships["repair-status"] == before
+
+
+def test_a_record_without_a_usable_speed_is_refused() -> None:
+    leader = Leader()
+    for speed in (float("nan"), float("inf"), 0.0, -1.0):
+        grant = leader.announce("r1", speed=speed)
+        assert grant.lease_ms == 0 and "speed" in grant.reason
+    assert leader.tick() == []
+
+
+def test_a_server_that_leaves_gives_up_its_keys_while_it_still_answers() -> None:
+    leader = Leader()
+    leader.run(3.0, "r1", "r2")
+    name = leader.owner()
+    leader.announce(name, status=ServerStatus.LEAVING)
+    leader.tick()
+    leader.announce(name, status=ServerStatus.LEAVING)
+    leader.run(1.0, "r1" if name == "r2" else "r2")
+    assert leader.owner() not in {name, None}
+    assert leader.state.servers[name].status is ServerStatus.LEAVING
+
+
+def test_a_server_that_is_back_before_the_move_finished_keeps_its_keys() -> None:
+    leader = Leader()
+    leader.run(3.0, "r1", "r2")
+    name, before = leader.owner(), leader.state.ownerships["repair-status"].current
+    other = "r1" if name == "r2" else "r2"
+    leader.run(1.2, other, gateway=False)
+    assert leader.owner() is None
+    leader.run(0.3, "r1", "r2", gateway=False)
+    assert leader.owner() == name
+    assert leader.state.ownerships["repair-status"].current == before
+
+
+def test_a_document_cannot_turn_a_free_service_into_a_keyed_one() -> None:
+    leader = Leader()
+    free = replace(document().services[0], kind=RequestKind.FREE)
+    changed = replace(document(), services=(free,))
+    for version, services in ((1, ()), (2, (free,))):
+        command = SubmitDocument(
+            submission=f"s{version}",
+            based_on=version,
+            author="a",
+            document=replace(changed, services=services),
+        )
+        outcome = leader.state.apply(leader.state.index + 1, command)
+    assert isinstance(outcome, DocumentRefused) and "new name" in outcome.remedy
+    again = leader.state.apply(leader.state.index + 1, command)
+    assert again == outcome and leader.state.document_version == 2
