Close a ledger entry under the session that opened it

Cause: the closing carried the gateway's current session. After a run was declared lost in the middle of a booking, the closing was ignored and the entry stayed open (test test_an_entry_is_closed_under_the_session_that_opened_it failed first: no answer within 20 s).

Change: the opening's session is kept with the key. An unreachable control replica is logged once until there is a link again.

--- a/packages/lychee-gateway/src/lychee_gateway/control.py
+++ b/packages/lychee-gateway/src/lychee_gateway/control.py
@@ -35,7 +35,7 @@
     ToControl,
     ToGateway,
 )
-from lychee_types.records import GatewayRecord
+from lychee_types.records import Endpoint, GatewayRecord
 from lychee_types.settings import GatewaySettings
 
 SILENCE_S = 0.6
@@ -95,6 +95,7 @@
         self._ssl = ssl
         self._draw = Random()
         self._link: Link[ToControl, ToGateway] | None = None
+        self._unreachable: set[Endpoint] = set()
         self._told: tuple[Drained, ...] = ()
 
     @property
@@ -119,13 +120,20 @@
             except TimeoutError:
                 logger.info("control replica {} was silent for {} s", endpoint, SILENCE_S)
             except UnavailableError as exc:
-                logger.info("no link to control replica {}: {}", endpoint, exc)
+                self._log_no_link(endpoint, exc)
             await asyncio.sleep(self._draw.uniform(*BACKOFF_S))
 
+    def _log_no_link(self, endpoint: Endpoint, exc: UnavailableError) -> None:
+        """Log each replica once until there is a link again."""
+        if endpoint not in self._unreachable:
+            self._unreachable.add(endpoint)
+            logger.info("no link to control replica {}: {}", endpoint, exc)
+
     async def _use(self, link: Link[ToControl, ToGateway]) -> None:
         record = GatewayRecord(id=self._cfg.id, session=self.session, domain=self._cfg.domain)
         link.post(Attach(gateway=record, have=self._view.state.index))
         self._link = link
+        self._unreachable.clear()
         self._ledger.connected(link.post, self.session)
         logger.info("attached to control replica {}", link.peer)
         try:
--- a/packages/lychee-gateway/src/lychee_gateway/ledger.py
+++ b/packages/lychee-gateway/src/lychee_gateway/ledger.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from time import monotonic
 
 from loguru import logger
 
+from lychee_types.commands import LedgerOpened
 from lychee_types.commands import Outcome as LedgerOutcome
 from lychee_types.ids import SessionId
 from lychee_types.messages import (
@@ -39,6 +41,7 @@
     def __init__(self) -> None:
         self._post: Post | None = None
         self._session = SessionId("")
+        self._sessions: dict[str, SessionId] = {}
         self._number = 0
         self._calls: dict[int, asyncio.Future[LedgerOutcome | None]] = {}
         self._unacknowledged: dict[int, LedgerClosing] = {}
@@ -89,10 +92,12 @@
             attempt=number,
         )
         request = LedgerRequest(session=self._session, number=number, entry=entry)
-        until = _now() + timeout_s
+        until = monotonic() + timeout_s
         outcome = None
-        while outcome is None and _now() < until:
-            outcome = await self._call(number, request, min(ASK_AGAIN_S, until - _now()))
+        while outcome is None and monotonic() < until:
+            outcome = await self._call(number, request, min(ASK_AGAIN_S, until - monotonic()))
+        if isinstance(outcome, LedgerOpened):
+            self._sessions[key] = entry.session
         return outcome
 
     async def close(
@@ -106,7 +111,7 @@
         :param timeout_s: longest wait in seconds.
         """
         closing = LedgerClosing(
-            session=self._session,
+            session=self._sessions.pop(key, self._session),
             number=self._next_number(),
             key=key,
             answer=answer,
@@ -134,7 +139,3 @@
     def _next_number(self) -> int:
         self._number += 1
         return self._number
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/lychee-gateway/tests/test_once.py
+++ b/packages/lychee-gateway/tests/test_once.py
@@ -4,7 +4,7 @@
 
 from msgspec.json import decode
 
-from lychee_types.messages import LedgerRequest
+from lychee_types.messages import EndSession, LedgerRequest
 from lychee_types.records import LedgerStatus
 
 from .conftest import FakeServer, answer, open_world, run
@@ -156,3 +156,29 @@
         assert len(server.seen) == 1
 
     run(scenario())
+
+
+def test_an_entry_is_closed_under_the_session_that_opened_it():
+    async def scenario():
+        release = asyncio.Event()
+
+        async def held(seen):
+            await release.wait()
+            return answer(b"booked")
+
+        server = FakeServer("b1", "booking", held)
+        async with open_world(server) as world:
+            session = world.gateway._control.session
+            first = asyncio.create_task(book(world, b"k"))
+            await world.until(lambda: server.seen)
+            for link in world.control.links:
+                link.post(EndSession(session=session))
+            await world.until(lambda: world.gateway._control.session != session)
+            await world.until(lambda: world.gateway._control.replica)
+            release.set()
+            assert (await first).body == b"booked"
+            await world.until(
+                lambda: world.control.ledger["booking/k"].status is LedgerStatus.ANSWERED
+            )
+
+    run(scenario())
