Prove kills and pauses of gateways as processes

Cause: kills of a gateway in the middle of a booking, and a paused gateway with a request in its socket, were not tested. The fake ledger took any first attempt for the same opening, which let a booking run twice in the new tests; the real state compares the session as well.

Change: the fake control applies ledger commands by the real ClusterState. Tests: a booking whose gateway is killed while the server runs it, or after the answer, is run once and its resend gets unknown or the stored answer; a gateway paused past its lease sends nothing on it.

--- a/packages/lychee-gateway/tests/conftest.py
+++ b/packages/lychee-gateway/tests/conftest.py
@@ -6,20 +6,19 @@
 from dataclasses import dataclass, field
 
 import uvloop
-from msgspec.structs import replace
 
 from lychee_gateway.core import Gateway
+from lychee_owner import ClusterState
 from lychee_runtime import LinkService, serve_links
 from lychee_types.commands import (
     BeginTransition,
+    CloseLedger,
     FinishTransition,
     JoinGateway,
     JoinServer,
-    LedgerFound,
-    LedgerOpened,
+    OpenLedger,
     SubmitDocument,
 )
-from lychee_types.commands import Done as DoneOutcome
 from lychee_types.document import BodyMode, Document, RequestKind, Service
 from lychee_types.messages import (
     ATTACH,
@@ -38,7 +37,7 @@
     ToControl,
     ToGateway,
 )
-from lychee_types.records import Endpoint, LedgerStatus, Member, Placement, ServerRecord
+from lychee_types.records import Endpoint, Member, Placement, ServerRecord
 from lychee_types.settings import GatewaySettings
 from lychee_types.timing import Timing
 
@@ -92,7 +91,7 @@
         self.log = []
         self.links = set()
         self.granting = True
-        self.ledger = {}
+        self._booked = ClusterState()
         self.got = []
         self.attached = asyncio.Event()
         self.commit(SubmitDocument(submission="s", based_on=0, author="a", document=document))
@@ -155,29 +154,26 @@
                 grants = [self._grant(a) for a in message.announcements]
                 link.post(ServerGrants(grants=tuple(grants)))
             case LedgerRequest(entry=entry):
-                known = self.ledger.get(entry.key)
-                again = known is not None and known.attempt == entry.attempt
-                outcome = LedgerFound(entry=known) if known and not again else LedgerOpened()
-                self.ledger.setdefault(entry.key, entry)
-                link.post(LedgerReply(number=message.number, outcome=outcome))
+                self._book(link, message.number, OpenLedger(entry=entry))
             case LedgerClosing():
-                self._close(message)
-                link.post(LedgerReply(number=message.number, outcome=DoneOutcome()))
+                command = CloseLedger(
+                    key=message.key,
+                    session=message.session,
+                    answer=message.answer,
+                    not_run=message.not_run,
+                )
+                self._book(link, message.number, command)
             case ReportLoad():
                 pass
 
-    def _close(self, closing):
-        entry = self.ledger.get(closing.key)
-        if entry is None or entry.session != closing.session:
-            return
-        if closing.not_run:
-            del self.ledger[closing.key]
-        elif closing.answer is not None:
-            self.ledger[closing.key] = replace(
-                entry, status=LedgerStatus.ANSWERED, answer=closing.answer
-            )
-        else:
-            self.ledger[closing.key] = replace(entry, status=LedgerStatus.UNKNOWN)
+    @property
+    def ledger(self):
+        """The entries by key, by the rules of the real state."""
+        return self._booked.ledger
+
+    def _book(self, link, number, command):
+        outcome = self._booked.apply(self._booked.index + 1, command)
+        link.post(LedgerReply(number=number, outcome=outcome))
 
     def _grant(self, announcement):
         return ServerGrant(
--- /dev/null
+++ b/packages/lychee-gateway/tests/test_kill.py
@@ -0,0 +1,103 @@
+"""Gateways that are killed or paused as processes, at each point of an exchange."""
+
+import asyncio
+import signal
+import sys
+from contextlib import asynccontextmanager
+
+import pytest
+from msgspec.structs import replace
+
+from lychee_types.records import LedgerStatus
+from lychee_types.yamlfile import format_yaml
+
+from .conftest import Caller, FakeServer, answer, free_endpoint, open_world, run
+
+START = "from lychee_gateway.cli import main; main()"
+BOOKING = (
+    b"POST /bench-booking/1 HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\n"
+    b"Content-Length: 6\r\n\r\nmonday"
+)
+
+
+@asynccontextmanager
+async def other_gateway(world, tmp_path):
+    """Run a second gateway as a process, and yield it with a connection to it."""
+    listen = free_endpoint()
+    cfg = replace(world.cfg, id="gateway-2", listen=listen, announce=free_endpoint())
+    path = tmp_path / "gateway.yaml"
+    path.write_text(format_yaml(cfg))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        START,
+        "--settings",
+        str(path),
+        stderr=asyncio.subprocess.PIPE,
+    )
+    try:
+        line = b""
+        while b"serving callers" not in line:
+            line = await process.stderr.readline()
+            assert line, "the program ended"
+        yield process, Caller(*await asyncio.open_connection(listen.host, listen.port))
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.communicate()
+
+
+def resend(world):
+    headers = (b"Idempotency-Key: k",)
+    return world.get(b"/bench-booking/1", method=b"POST", body=b"monday", headers=headers)
+
+
+@pytest.mark.parametrize("point", ["while the server runs it", "after the answer"])
+def test_a_booking_is_run_once_when_its_gateway_is_killed(tmp_path, point):
+    async def scenario():
+        release = asyncio.Event()
+
+        async def held(seen):
+            await release.wait()
+            return answer(b"booked")
+
+        server = FakeServer("b1", "booking", held)
+        async with open_world(server) as world:
+            async with other_gateway(world, tmp_path) as (process, caller):
+                caller.write(BOOKING)
+                await world.until(lambda: server.seen)
+                if point == "after the answer":
+                    release.set()
+                    assert (await caller.reply()).body == b"booked"
+                    entry = world.control.ledger["booking/k"]
+                    assert entry.status is LedgerStatus.ANSWERED
+                process.kill()
+                await process.wait()
+            reply = await resend(world)
+            release.set()
+            if point == "after the answer":
+                assert (reply.status, reply.body) == (200, b"booked")
+            else:
+                assert (reply.status, reply.headers[b"lychee-outcome"]) == (502, b"unknown")
+        assert len(server.seen) == 1
+
+    run(scenario())
+
+
+def test_a_paused_gateway_sends_nothing_on_its_old_lease(tmp_path):
+    async def scenario():
+        server = FakeServer("s1", "status")
+        async with open_world(server) as world:
+            async with other_gateway(world, tmp_path) as (process, caller):
+                caller.write(b"GET /repair-status/a HTTP/1.1\r\nHost: h\r\n\r\n")
+                assert (await caller.reply()).status == 200
+                process.send_signal(signal.SIGSTOP)
+                caller.write(b"GET /repair-status/b HTTP/1.1\r\nHost: h\r\n\r\n")
+                world.control.granting = False
+                await asyncio.sleep(1.6)
+                process.send_signal(signal.SIGCONT)
+                reply = await caller.reply()
+                assert (reply.status, reply.headers[b"lychee-outcome"]) == (503, b"not-run")
+        assert len(server.seen) == 1
+
+    run(scenario())
