Drive the dispatcher at random and assert places inside the program

Cause: queues, hand-overs, cancellations, moves and lost leases were tested one by one only.

Change: a seeded random test of 12 x 400 steps that no place is lost, doubled or left unused while a request waits; the dispatcher requires that no server is given more than its limit and no place is given back twice. A refusal's Retry-After is passed on.

--- a/packages/lychee-gateway/src/lychee_gateway/dispatch.py
+++ b/packages/lychee-gateway/src/lychee_gateway/dispatch.py
@@ -129,6 +129,7 @@
             yield
         finally:
             placed.server.in_flight -= 1
+            require(placed.server.in_flight >= 0, "a place was given back twice")
             record = placed.server.record
             self._pump(QueueId(service=record.service, server=record.id))
             self._pump(QueueId(service=record.service))
@@ -195,7 +196,12 @@
         return queue
 
     def _occupy(self, placed: Placed) -> Placed:
-        placed.server.in_flight += 1
+        server = placed.server
+        server.in_flight += 1
+        require(
+            server.in_flight <= server.limits.in_flight,
+            f"server {server.record.id} was given more requests than its limit",
+        )
         return placed
 
     def _refuse_wait(self, call: Call, where: QueueId) -> NotRun | None:
--- a/packages/lychee-gateway/src/lychee_gateway/router.py
+++ b/packages/lychee-gateway/src/lychee_gateway/router.py
@@ -160,26 +160,29 @@
                 return None
             case NotSent(reason=reason):
                 return await self._try_elsewhere(call, place, reason)
-            case Refusal(reason=reason):
-                return await self._try_elsewhere(call, place, f"the server refused it: {reason}")
+            case Refusal(reason=reason, retry_after_s=retry_after_s):
+                text = f"the server refused it: {reason}"
+                return await self._try_elsewhere(call, place, text, retry_after_s or 1)
             case Late():
                 return Unknown(status=504, detail="no whole answer came before the deadline")
             case Broken(reason=reason):
                 return self._try_again(call, place, reason)
 
-    async def _try_elsewhere(self, call: Call, place: Placed, reason: str) -> Outcome | None:
+    async def _try_elsewhere(
+        self, call: Call, place: Placed, reason: str, retry_after_s: int = 1
+    ) -> Outcome | None:
         """Decide on a request that the last server did not run."""
         _log_attempt("DEBUG", call, place, reason)
         call.avoid.add(place.server.record.id)
         if call.key is None:
             if call.attempts < MAX_ATTEMPTS:
                 return None
-            return _given_up(call, _refused(reason))
+            return _given_up(call, _refused(reason, retry_after_s))
         if "shed" in reason:
-            return _given_up(call, _refused(reason))
+            return _given_up(call, _refused(reason, retry_after_s))
         pause_s = PAUSE_S * (0.5 + self._draw.random())
         if monotonic() + pause_s >= call.deadline:
-            return _given_up(call, _refused(reason))
+            return _given_up(call, _refused(reason, retry_after_s))
         await asyncio.sleep(pause_s)
         return None
 
@@ -214,8 +217,13 @@
     return NotRun(status=exc.status, detail=exc.message, remedy=exc.remedy)
 
 
-def _refused(reason: str) -> NotRun:
-    return NotRun(status=503, detail=reason, remedy="come back after Retry-After", retry_after_s=1)
+def _refused(reason: str, retry_after_s: int) -> NotRun:
+    return NotRun(
+        status=503,
+        detail=reason,
+        remedy="come back after Retry-After",
+        retry_after_s=retry_after_s,
+    )
 
 
 def _given_up(call: Call, outcome: NotRun) -> NotRun | Unknown:
--- a/packages/lychee-gateway/tests/test_contract_servers.py
+++ b/packages/lychee-gateway/tests/test_contract_servers.py
@@ -99,7 +99,7 @@
                 assert reply.body == case.body
             refused = case.outcome == b"not-run"
             assert len(server.seen) == (3 if refused else 1)
-            assert (b"retry-after" in reply.headers) == refused
+            assert reply.headers.get(b"retry-after") == (b"3" if refused else None)
             opened = server.opened
             server.script = plain(b"b1")
             again = await caller.get(b"/bench-booking/again", method=b"POST", body=b"c")
--- /dev/null
+++ b/packages/lychee-gateway/tests/test_dispatch_random.py
@@ -0,0 +1,167 @@
+"""Random requests, cancellations, moves and lost leases against the dispatcher."""
+
+import asyncio
+from random import Random
+from time import monotonic
+
+import pytest
+
+from lychee_gateway.calls import Call, NotRun
+from lychee_gateway.dispatch import Dispatcher, QueueId
+from lychee_gateway.lease import SessionLease
+from lychee_gateway.servers import ServerBook
+from lychee_gateway.view import StateView
+from lychee_owner import hash_key
+from lychee_types.commands import (
+    BeginTransition,
+    FinishTransition,
+    JoinServer,
+    LoseServer,
+    SubmitDocument,
+)
+from lychee_types.messages import Delta, Deltas
+from lychee_types.records import Endpoint, Member, Placement, ServerRecord
+from lychee_types.timing import Timing
+
+from .conftest import run, services
+
+STEPS = 400
+SERVICES = ("status", "booking")
+
+
+class Model:
+    """Drives a dispatcher and keeps what was handed out."""
+
+    def __init__(self, seed):
+        self.draw = Random(seed)
+        self.view, self.servers = StateView(), ServerBook()
+        self.lease = SessionLease(timing=Timing())
+        self.dispatcher = Dispatcher(
+            view=self.view, lease=self.lease, servers=self.servers, draw=self.draw
+        )
+        self.view.listen(lambda: self.servers.sync(self.view.state))
+        self.view.listen(self.dispatcher.state_changed)
+        self.document = services(queue=30)
+        self.index = 0
+        self.begun = {}
+        self.held = []
+        self.pending = {}
+
+    def commit(self, command):
+        self.index += 1
+        delta = Delta(index=self.index, command=command)
+        self.view.extend(Deltas(entries=(delta,), upto=self.index))
+        return self.index
+
+    def join(self, number):
+        self.commit(
+            JoinServer(
+                server=ServerRecord(
+                    id=f"s{number}",
+                    incarnation=self.index + 1,
+                    endpoint=Endpoint(host="127.0.0.1", port=1),
+                    domain="nord",
+                    service=SERVICES[number % 2],
+                    slots=self.draw.randint(1, 3),
+                    connections=50,
+                )
+            )
+        )
+
+    def begin(self):
+        names = [f"s{n}" for n in (0, 2, 4) if self.draw.random() < 0.7] or ["s0"]
+        target = Placement(members=tuple(Member(server=s, weight=1.0) for s in names))
+        self.begun["status"] = self.commit(BeginTransition(service="status", target=target))
+
+    def finish(self):
+        if self.begun:
+            self.commit(FinishTransition(service="status", begun=self.begun.pop("status")))
+
+    def request(self):
+        name = self.draw.choice(SERVICES)
+        key = hash_key(b"%d" % self.draw.randint(0, 20)) if name == "status" else None
+        now = monotonic()
+        call = Call(
+            request_id="r",
+            service=self.document.service(name),
+            key=key,
+            head=None,
+            body=b"",
+            arrived=now,
+            deadline=now + self.draw.choice((0.05, 60.0)),
+            deadline_ms=0,
+        )
+        self.pending[asyncio.create_task(self._place(call))] = call
+
+    async def _place(self, call):
+        place = await self.dispatcher.place(call)
+        if not isinstance(place, NotRun):
+            self.held.append((call, place))
+
+    def release(self):
+        if self.held:
+            call, place = self.held.pop(self.draw.randrange(len(self.held)))
+            with self.dispatcher.occupied(place):
+                pass
+
+    def cancel(self):
+        if self.pending:
+            self.draw.choice(list(self.pending)).cancel()
+
+    def toggle_lease(self):
+        if self.lease.held(monotonic()):
+            self.lease.end()
+        else:
+            self.lease.granted(number=self.lease.renewal_sent(monotonic()), lease_ms=600_000)
+            self.dispatcher.state_changed()
+
+    def lose(self):
+        record = self.draw.choice(list(self.view.state.servers.values()))
+        self.commit(LoseServer(server=record.id, incarnation=record.incarnation))
+
+    async def settle(self):
+        for _ in range(4):
+            await asyncio.sleep(0)
+        self.pending = {task: call for task, call in self.pending.items() if not task.done()}
+
+    def check(self):
+        for name in SERVICES:
+            waiting = [call for call in self.pending.values() if call.service.name == name]
+            assert self.dispatcher.waiting(name) == len(waiting)
+            for call in waiting:
+                assert isinstance(self.dispatcher._try(call), QueueId), "room is left unused"
+        for server in self.servers:
+            held = sum(place.server is server for _, place in self.held)
+            assert server.in_flight == held
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_places_are_neither_lost_nor_doubled_nor_left_unused(seed):
+    async def scenario():
+        model = Model(seed)
+        model.commit(
+            SubmitDocument(submission="s", based_on=0, author="a", document=model.document)
+        )
+        for number in range(6):
+            model.join(number)
+        model.begin()
+        model.finish()
+        model.toggle_lease()
+        steps = [model.request] * 8 + [model.release] * 5 + [model.cancel]
+        rare = [model.begin, model.finish, model.finish, model.toggle_lease, model.lose]
+        for _ in range(STEPS):
+            if model.draw.random() < 0.05:
+                model.draw.choice([*rare, lambda: model.join(model.draw.randrange(6))])()
+            else:
+                model.draw.choice(steps)()
+            await model.settle()
+            model.check()
+        for task in model.pending:
+            task.cancel()
+        await model.settle()
+        while model.held:
+            model.release()
+        model.check()
+        assert not model.pending and all(server.in_flight == 0 for server in model.servers)
+
+    run(scenario())
