--- a/packages/lychee-gateway/tests/test_dispatch_random.py
+++ b/packages/lychee-gateway/tests/test_dispatch_random.py
@@ -108,6 +108,13 @@
         if self.pending:
             self.draw.choice(list(self.pending)).cancel()
 
+    def release_and_cancel(self):
+        """Cancel requests that may just have been given a place and have not used it."""
+        self.release()
+        for task in self.pending:
+            if self.draw.random() < 0.3:
+                task.cancel()
+
     def toggle_lease(self):
         if self.lease.held(monotonic()):
             self.lease.end()
@@ -147,7 +154,7 @@
         model.begin()
         model.finish()
         model.toggle_lease()
-        steps = [model.request] * 8 + [model.release] * 5 + [model.cancel]
+        steps = [model.request] * 8 + [model.release] * 5 + [model.cancel, model.release_and_cancel]
         rare = [model.begin, model.finish, model.finish, model.toggle_lease, model.lose]
         for _ in range(STEPS):
             if model.draw.random() < 0.05:
