Run the ownership experiments in the bench

Change: placement, revocation, hot keys and the leader's cost as experiments of the registry; a picture shows a placement's events as their mean for each policy.

--- a/packages/lychee-bench/src/lychee_bench/experiments/catalog.py
+++ b/packages/lychee-bench/src/lychee_bench/experiments/catalog.py
@@ -20,6 +20,18 @@
     measure_drain,
     measure_loss,
 )
+from lychee_bench.experiments.ownership import (
+    LARGE,
+    TODAY,
+    HotKeys,
+    LeaderCost,
+    Placements,
+    Revocations,
+    measure_hot_keys,
+    measure_leader_cost,
+    measure_placements,
+    measure_revocations,
+)
 from lychee_bench.experiments.path import (
     AddedLatency,
     CallerMemory,
@@ -42,6 +54,10 @@
     | Commits
     | Recovery
     | Choice
+    | Placements
+    | Revocations
+    | HotKeys
+    | LeaderCost
 )
 
 EXPERIMENTS: Mapping[str, Experiment] = {
@@ -62,6 +78,11 @@
     "choice-slow": Choice(scenario=Scenario.SLOW),
     "choice-cold": Choice(scenario=Scenario.COLD),
     "choice-overload": Choice(scenario=Scenario.OVERLOAD, load=2.0),
+    "placement": Placements(sizes=TODAY),
+    "placement-large": Placements(sizes=LARGE, repeats=1),
+    "revocation": Revocations(),
+    "hot-keys": HotKeys(),
+    "leader-cost": LeaderCost(),
 }
 """Experiments by name."""
 
@@ -93,3 +114,11 @@
             return await measure_recovery(experiment, setting)
         case Choice():
             return await measure_choice(experiment, setting)
+        case Placements():
+            return list(measure_placements(experiment))
+        case Revocations():
+            return list(measure_revocations())
+        case HotKeys():
+            return list(measure_hot_keys())
+        case LeaderCost():
+            return list(measure_leader_cost())
--- /dev/null
+++ b/packages/lychee-bench/src/lychee_bench/experiments/ownership.py
@@ -0,0 +1,95 @@
+"""Decisions on ownership, measured without processes: placement, revocation, hot keys, cost."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from lychee_bench.measure import Measure
+from lychee_owner.experiment import (
+    compare_placements,
+    compare_revocations,
+    follow_hot_keys,
+    measure_cost,
+)
+from lychee_owner.experiment.placement import SIZES, Size
+
+TODAY = SIZES[:2]
+"""Both users' sizes of today."""
+
+LARGE = SIZES[2:3]
+"""A size of hundreds of servers."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Placements:
+    """Imbalance, churn and bytes shipped of each way to place shards.
+
+    :param sizes: the deployments.
+    :param repeats: how many servers each event of one server is tried on.
+    """
+
+    sizes: tuple[Size, ...]
+    repeats: int = 5
+
+
+@dataclass(frozen=True, kw_only=True)
+class Revocations:
+    """Messages, bytes and time of each way to revoke a lost server's keys."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class HotKeys:
+    """Imbalance while the hottest keys change."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeaderCost:
+    """CPU and memory of the leader's decisions by the deployment's size."""
+
+
+def measure_placements(experiment: Placements) -> Iterator[Measure]:
+    """Yield the figures of each size, way and event."""
+    for row in compare_placements(experiment.sizes, repeats=experiment.repeats):
+        name = _dotted("placement", row.size, row.policy, row.event)
+        churn = row.moved / row.least if row.least else 0.0
+        yield Measure(name=f"{name}.imbalance", value=row.imbalance, unit="max/mean")
+        yield Measure(name=f"{name}.churn", value=churn, unit="moved/least")
+        yield Measure(name=f"{name}.shipped", value=row.shipped_bytes, unit="B/gateway")
+        yield Measure(name=f"{name}.compute", value=row.compute_ms, unit="ms")
+
+
+def measure_revocations() -> Iterator[Measure]:
+    """Yield the figures of each way and number of cached owners."""
+    for row in compare_revocations():
+        name = _dotted("revocation", row.way, str(row.cached))
+        yield Measure(name=f"{name}.messages", value=row.messages, unit="messages/gateway")
+        yield Measure(name=f"{name}.bytes", value=row.sent_bytes, unit="B/gateway")
+        yield Measure(name=f"{name}.leader", value=row.leader_ms, unit="ms")
+        yield Measure(name=f"{name}.gateway", value=row.gateway_ms, unit="ms")
+
+
+def measure_hot_keys() -> Iterator[Measure]:
+    """Yield the figures of each size and budget of hot keys."""
+    for row in follow_hot_keys():
+        name = _dotted("hot-keys", row.size, str(row.budget))
+        yield Measure(name=f"{name}.imbalance", value=row.imbalance, unit="max/mean")
+        yield Measure(name=f"{name}.imbalance_settled", value=row.settled, unit="max/mean")
+        yield Measure(name=f"{name}.settles", value=row.settle_s, unit="s")
+        yield Measure(name=f"{name}.churn", value=row.moved, unit="keys/change")
+
+
+def measure_leader_cost() -> Iterator[Measure]:
+    """Yield the figures of each size of deployment."""
+    for row in measure_cost():
+        size = f"g{row.gateways}-s{row.servers}-h{row.shards}-k{row.hot_keys}"
+        name = _dotted("leader", size)
+        yield Measure(name=f"{name}.renewal", value=row.renewal_us, unit="us")
+        yield Measure(name=f"{name}.announcement", value=row.announcement_us, unit="us")
+        yield Measure(name=f"{name}.report", value=row.report_us, unit="us")
+        yield Measure(name=f"{name}.look", value=row.look_us, unit="us/tick")
+        yield Measure(name=f"{name}.loss", value=row.loss_ms, unit="ms")
+        yield Measure(name=f"{name}.begin", value=row.begin_bytes, unit="B")
+        yield Measure(name=f"{name}.state", value=row.state_bytes / 1e6, unit="MB")
+
+
+def _dotted(*parts: str) -> str:
+    return ".".join(part.replace(" ", "-") for part in parts)
--- a/packages/lychee-bench/src/lychee_bench/plot.py
+++ b/packages/lychee-bench/src/lychee_bench/plot.py
@@ -1,9 +1,12 @@
 """Pictures of results: unavailable time, imbalance and churn."""
 
+from collections.abc import Sequence
 from pathlib import Path
+from statistics import fmean
 
 import matplotlib
 from matplotlib.axes import Axes
+from msgspec import structs
 
 from lychee_bench.measure import Measure, Results
 
@@ -12,7 +15,7 @@
 from matplotlib import pyplot
 
 TOPICS = ("unavailable", "imbalance", "churn")
-"""What the pictures show: the figures whose name has the word."""
+"""What the pictures show: the figures whose dotted name has the word."""
 
 
 def plot_results(results: Results, path: Path) -> None:
@@ -23,12 +26,29 @@
     """
     figure, axes = pyplot.subplots(len(TOPICS), 1, figsize=(10, 4 * len(TOPICS)))
     for axis, topic in zip(axes, TOPICS, strict=True):
-        _plot_topic(axis, topic, [item for item in results.measures if topic in item.name])
+        _plot_topic(axis, topic, by_policy(results.measures, topic))
     figure.tight_layout()
     figure.savefig(path, dpi=100)
     pyplot.close(figure)
 
 
+def by_policy(measures: Sequence[Measure], topic: str) -> list[Measure]:
+    """Return the topic's figures, those of a placement's events as their mean for each policy."""
+    groups: dict[str, list[Measure]] = {}
+    for measure in measures:
+        name = measure.name
+        if topic not in name.split(".") or measure.unit == "req":
+            continue
+        if name.startswith("placement."):
+            size, policy = name.split(".")[1:3]
+            name = f"placement.{size}.{policy}.{topic}"
+        groups.setdefault(name, []).append(measure)
+    return [
+        structs.replace(group[0], name=name, value=fmean(item.value for item in group))
+        for name, group in groups.items()
+    ]
+
+
 def _plot_topic(axis: Axes, topic: str, measures: list[Measure]) -> None:
     names = [f"{item.name} ({item.unit})" for item in measures]
     axis.barh(names, [item.value for item in measures])
--- a/packages/lychee-bench/tests/test_measure.py
+++ b/packages/lychee-bench/tests/test_measure.py
@@ -1,14 +1,18 @@
 """Figures, their verdicts, comparison and pictures."""
 
+from functools import partial
+
 import pytest
 import uvloop
 from click.testing import CliRunner
 
 from lychee_bench.cli import main
+from lychee_bench.experiments import catalog
 from lychee_bench.experiments.catalog import EXPERIMENTS, run_experiment
 from lychee_bench.hammer import hammer
 from lychee_bench.http_server import HttpServer, Response
 from lychee_bench.measure import Measure, Results, write_results
+from lychee_bench.plot import by_policy
 from lychee_bench.ports import free_endpoints
 
 
@@ -39,6 +43,18 @@
     assert picture.read_bytes().startswith(b"\x89PNG")
 
 
+def test_a_placement_is_drawn_as_the_mean_of_its_events() -> None:
+    measures = [
+        Measure(name=f"placement.skaft.modulo.{event}.churn", value=value, unit="moved/least")
+        for event, value in (("loss", 1.0), ("join", 3.0))
+    ]
+    found = by_policy([*measures, Measure(name="other.churn", value=1.0, unit="x")], "churn")
+    assert [(item.name, item.value) for item in found] == [
+        ("placement.skaft.modulo.churn", 2.0),
+        ("other.churn", 1.0),
+    ]
+
+
 def test_an_unknown_experiment_is_refused_with_the_known_ones() -> None:
     result = CliRunner().invoke(main, ["bench", "--only", "nothing"])
     assert result.exit_code == 2
@@ -63,10 +79,21 @@
     assert found.latency.get_total_count() == found.answered + found.failed
 
 
-def test_every_experiment_has_a_way_to_run() -> None:
-    async def scenario():
-        for experiment in EXPERIMENTS.values():
-            with pytest.raises(AttributeError):
-                await run_experiment(experiment, None)
+@pytest.mark.parametrize("name", EXPERIMENTS)
+def test_every_experiment_has_a_way_to_run(name, monkeypatch) -> None:
+    ways = [word for word in vars(catalog) if word.startswith("measure_")]
+    for word in ways:
+        monkeypatch.setattr(catalog, word, partial(_called, word))
+    found = uvloop.run(run_experiment(EXPERIMENTS[name], None))
+    assert found in [list(word) for word in ways]
+
+
+def _called(word: str, *args: object) -> object:
+    """Stand for a way to measure: awaitable, and iterable over its own name."""
+    return _Called(word)
+
 
-    uvloop.run(scenario())
+class _Called(str):
+    def __await__(self):
+        yield from ()
+        return list(self)
