--- a/packages/lychee-bench/tests/test_proof_stop.py
+++ b/packages/lychee-bench/tests/test_proof_stop.py
@@ -130,13 +130,13 @@
         assert daemon.exit_code == 0
         assert not isinstance(daemon, Gateway) or len(daemon._callers) == 0
 
-    def callers(self, *, bookings: float = 5.0) -> Callers:
+    def callers(self, *, bookings: float = 5.0, seed: int = 5) -> Callers:
         """Return callers with that many bookings a second."""
         booking = Traffic(
             service="booking", path="/booking/", rate=bookings, deadline_s=3.0, booking=True
         )
         balancer = Balancer(entries=self.entries)
-        return Callers(balancer=balancer, traffic=(LOOKUPS, booking), seed=5)
+        return Callers(balancer=balancer, traffic=(LOOKUPS, booking), seed=seed)
 
     def _serves(self, status: StatusReply) -> bool:
         shares = [state.share for state in status.servers if state.record.service == "status"]
@@ -218,7 +218,7 @@
             await sending
             runs = tuple(Path(cfg.runs) for cfg in deployed.servers if cfg.id in leaving)
             before = len(read_runs(runs))
-            callers = deployed.callers(bookings=40.0)
+            callers = deployed.callers(bookings=40.0, seed=6)
             await send(callers, 0.5)
             assert failures(callers) == []
             assert before and len(read_runs(runs)) == before
