Log a lost proposal quietly when the leadership was lost

Change: proposals lost with the leadership are logged at debug level; the change of leader keeps its one line.

--- a/packages/lychee-control/src/lychee_control/leader.py
+++ b/packages/lychee-control/src/lychee_control/leader.py
@@ -25,7 +25,12 @@
     Outcome,
     encode_command,
 )
-from lychee_types.exceptions import InvariantError, LycheeError
+from lychee_types.exceptions import (
+    InvariantError,
+    LycheeError,
+    NotLeaderError,
+    UnavailableError,
+)
 from lychee_types.ids import LogIndex, SessionId
 from lychee_types.messages import (
     Attach,
@@ -173,6 +178,9 @@
             committed = await self._replica.propose(encode_command(command))
         except InvariantError:
             raise
+        except (NotLeaderError, UnavailableError) as exc:
+            logger.debug("{} was not committed: {}", type(command).__name__, exc)
+            return
         except LycheeError as exc:
             logger.warning("{} was not committed: {}", type(command).__name__, exc)
             return
