Name a wrong number of shards also when the service's kind is wrong

Cause: tried as a new user, a document with three faults got two named: the check of shards was made for keyed services only, and a misspelt kind left it out. Change: every service's shards are checked.

--- a/packages/lychee-types/src/lychee_types/document_check.py
+++ b/packages/lychee-types/src/lychee_types/document_check.py
@@ -162,6 +162,7 @@
     )
     for name, value, least, most in limits:
         yield from check_range(value, f"{place}.{name}", least=least, most=most)
+    yield from _check_shards(service.shards, f"{place}.shards")
     if service.kind is RequestKind.KEYED:
         yield from _check_keyed(service, place, timing)
     yield from _check_placement(service.placement, f"{place}.placement")
@@ -183,16 +184,17 @@
         )
 
 
-def _check_keyed(service: Service, place: str, timing: Timing) -> Iterator[Finding]:
-    kind = f"{place}.kind"
-    shards = service.shards
+def _check_shards(shards: int, place: str) -> Iterator[Finding]:
     if not 1 <= shards <= MAX_SHARDS or shards & (shards - 1):
         yield Finding(
-            place=f"{place}.shards",
+            place=place,
             message=f"{shards} is not a power of two from 1 to {MAX_SHARDS}",
             remedy=f"write {nearest_power_of_two(shards)}",
-            needs=(kind,),
         )
+
+
+def _check_keyed(service: Service, place: str, timing: Timing) -> Iterator[Finding]:
+    kind = f"{place}.kind"
     if service.body is BodyMode.STREAMED:
         yield Finding(
             place=f"{place}.body",
--- a/packages/lychee-types/tests/test_document_check.py
+++ b/packages/lychee-types/tests/test_document_check.py
@@ -143,3 +143,10 @@
 def test_the_nearest_power_of_two() -> None:
     numbers = [-1, 1, 3, 5, 6, 7, 1_000, 70_000]
     assert [nearest_power_of_two(n) for n in numbers] == [1, 1, 2, 4, 4, 8, 1_024, 65_536]
+
+
+def test_a_wrong_kind_hides_no_other_fault_of_the_service() -> None:
+    text = (EXAMPLES / "skaft.yaml").read_text(encoding="utf-8")
+    bad = text.replace("kind: keyed", "kind: kayed").replace("shards: 1024", "shards: 1000")
+    faults = parse_document(bad).error
+    assert [fault.place for fault in faults] == ["services[0].kind", "services[0].shards"]
