Keep servers that are lost again and again out for longer; give the ledger its own module

Change: each return within a minute doubles the wait before keys move back, up to a minute, and from the third on the server also loses keys that it still holds, unless no other is left. The ledger's functions moved to ledger.py unchanged; its test patches the limit there.

--- a/packages/lychee-owner/src/lychee_owner/membership.py
+++ b/packages/lychee-owner/src/lychee_owner/membership.py
@@ -18,6 +18,15 @@
 BATCH_LIMIT = 3
 """How many times the settling time a new server waits at most for others that join."""
 
+RETURN_MEMORY_S = 60.0
+"""Time in seconds for which the returns of a lost server count."""
+
+RETURN_LIMIT = 2
+"""Number of recent returns from which a server must first stay for long before it gets keys."""
+
+LONGEST_REJOIN_S = 60.0
+"""Longest wait in seconds before keys move back to a server that was lost again and again."""
+
 EXCLUDED_SHARE = 1 / 3
 """Highest share of a service's servers that are kept out because gateways cannot reach them."""
 
@@ -60,6 +69,7 @@
         self._started = now
         self._newcomers: dict[ServerId, Newcomer] = {}
         self._lost_at: dict[ServerId, float] = {}
+        self._returns: dict[ServerId, list[float]] = {}
         self._status = {server.id: server.status for server in state.servers.values()}
 
     def joined(self, *, now: float, server: ServerRecord) -> None:
@@ -67,12 +77,27 @@
         policy = self._policy(server)
         before = self._status.get(server.id)
         returned = before is ServerStatus.LOST
-        wait_ms = policy.rejoin_ms if returned else policy.settle_ms
+        wait_s = policy.settle_ms / 1_000
+        if returned:
+            wait_s = self._rejoin_s(now=now, server=server.id, policy=policy)
         if before is None or returned:
-            self._newcomers[server.id] = Newcomer(joined_at=now, due_at=now + wait_ms / 1_000)
+            self._newcomers[server.id] = Newcomer(joined_at=now, due_at=now + wait_s)
         self._status[server.id] = server.status
         self._lost_at.pop(server.id, None)
 
+    def _rejoin_s(self, *, now: float, server: ServerId, policy: PlacementPolicy) -> float:
+        """Return how long a server that is back waits for keys; it doubles with each return."""
+        returns = [at for at in self._returns.get(server, []) if now < at + RETURN_MEMORY_S]
+        self._returns[server] = [*returns, now]
+        doubled = float(policy.rejoin_ms * 2 ** len(returns))
+        return min(doubled / 1_000, LONGEST_REJOIN_S)
+
+    def _is_unsteady(self, *, now: float, server: ServerId) -> bool:
+        """Return whether a server was lost again and again and has not stayed long enough since."""
+        newcomer = self._newcomers.get(server)
+        waits = newcomer is not None and now < newcomer.due_at
+        return waits and len(self._returns.get(server, [])) > RETURN_LIMIT
+
     def lost(self, *, now: float, server: ServerId) -> None:
         """Take in that a server has been marked as lost."""
         self._status[server] = ServerStatus.LOST
@@ -82,6 +107,7 @@
     def forgotten(self, server: ServerId) -> None:
         """Take in that a server has been removed from the state."""
         self._status.pop(server, None)
+        self._returns.pop(server, None)
         self._lost_at.pop(server, None)
         self._newcomers.pop(server, None)
 
@@ -142,7 +168,9 @@
         present = {server.id: server for server in self.present(service)}
         placed = placed_servers(ownership)
         due = self._due(now=now, service=service, present=present, placed=placed)
-        return [server for server in present.values() if server.id in placed or server.id in due]
+        found = [server for server in present.values() if server.id in placed or server.id in due]
+        steady = [s for s in found if not self._is_unsteady(now=now, server=s.id)]
+        return steady or found
 
     def present(self, service: Service) -> list[ServerRecord]:
         """Return the servers of a service that are neither lost nor leaving."""
--- a/packages/lychee-owner/src/lychee_owner/state.py
+++ b/packages/lychee-owner/src/lychee_owner/state.py
@@ -4,6 +4,7 @@
 
 from msgspec.structs import replace
 
+from lychee_owner.ledger import close_entry, expire_entries, open_entry
 from lychee_owner.placement import OwnerTable
 from lychee_owner.planner import changed
 from lychee_types.commands import (
@@ -20,9 +21,6 @@
     Ignored,
     JoinGateway,
     JoinServer,
-    LedgerFound,
-    LedgerFull,
-    LedgerOpened,
     LoseGateway,
     LoseServer,
     Noop,
@@ -35,8 +33,6 @@
 from lychee_types.exceptions import require
 from lychee_types.ids import KeyHash, LogIndex, ServerId, ServiceName, Token
 from lychee_types.records import (
-    LedgerEntry,
-    LedgerStatus,
     Ownership,
     Placement,
     ServerRecord,
@@ -48,9 +44,6 @@
 HISTORY_LIMIT = 64
 """Number of document versions kept."""
 
-LEDGER_LIMIT = 100_000
-"""Number of ledger entries kept; further requests with an Idempotency-Key are not run."""
-
 SUBMISSION_LIMIT = 4_096
 """Number of answers to submissions kept."""
 
@@ -146,13 +139,11 @@
             case FinishTransition():
                 return self._finish(index, command)
             case OpenLedger():
-                return self._open_ledger(command)
+                return open_entry(self.ledger, command)
             case CloseLedger():
-                return self._close_ledger(command)
+                return close_entry(self.ledger, command)
             case ExpireLedger():
-                keep = {k: e for k, e in self.ledger.items() if e.opened_at >= command.before}
-                self.ledger = keep
-                return Done()
+                return expire_entries(self.ledger, command)
 
     def service(self, name: ServiceName) -> Service | None:
         """Return a service of the document in force, or None."""
@@ -349,30 +340,6 @@
             del self.ownerships[command.service]
         return Done()
 
-    def _open_ledger(self, command: OpenLedger) -> Outcome:
-        known = self.ledger.get(command.entry.key)
-        if known is not None and not _is_same_opening(known, command.entry):
-            return LedgerFound(entry=known)
-        if known is None and len(self.ledger) >= LEDGER_LIMIT:
-            return LedgerFull()
-        self.ledger[command.entry.key] = command.entry
-        return LedgerOpened()
-
-    def _close_ledger(self, command: CloseLedger) -> Outcome:
-        known = self.ledger.get(command.key)
-        if known is None or known.session != command.session:
-            return Ignored(reason="the entry is not this gateway's")
-        if known.status is not LedgerStatus.OPEN:
-            return Ignored(reason="the entry is closed")
-        if command.not_run:
-            del self.ledger[command.key]
-        elif command.answer is not None:
-            answered = replace(known, status=LedgerStatus.ANSWERED, answer=command.answer)
-            self.ledger[command.key] = answered
-        else:
-            self.ledger[command.key] = replace(known, status=LedgerStatus.UNKNOWN)
-        return Done()
-
 
 def _require_placement(placement: Placement) -> None:
     """Check that every replica and gateway computes one and the same owner a key."""
@@ -405,9 +372,3 @@
     if record.refusal:
         return DocumentRefused(reason=record.refusal, remedy=record.remedy)
     return DocumentConflict(version=record.version, author=record.winner)
-
-
-def _is_same_opening(known: LedgerEntry, entry: LedgerEntry) -> bool:
-    """Return whether a gateway asks again for the entry that it has opened itself."""
-    same_run = (known.session, known.attempt) == (entry.session, entry.attempt)
-    return same_run and known.status is LedgerStatus.OPEN
--- a/packages/lychee-owner/tests/test_coordinator.py
+++ b/packages/lychee-owner/tests/test_coordinator.py
@@ -239,6 +239,21 @@
     assert leader.state.ownerships["repair-status"].current == before
 
 
+def test_a_server_that_is_lost_again_and_again_is_kept_out_for_longer() -> None:
+    leader = Leader()
+    leader.run(3.0, "r1", "r2")
+    name = leader.owner()
+    other = "r1" if name == "r2" else "r2"
+    waits = []
+    for _ in range(4):
+        leader.run(3.0, other)
+        left = leader.now
+        while leader.owner() != name and leader.now < left + 30.0:
+            leader.run(0.1, "r1", "r2")
+        waits.append(leader.now - left)
+    assert waits == sorted(waits) and waits[3] > 4 * waits[0]
+
+
 def test_a_document_cannot_turn_a_free_service_into_a_keyed_one() -> None:
     leader = Leader()
     free = replace(document().services[0], kind=RequestKind.FREE)
--- a/packages/lychee-owner/tests/test_state.py
+++ b/packages/lychee-owner/tests/test_state.py
@@ -113,7 +113,7 @@
 
 
 def test_a_full_ledger_opens_nothing_new_and_forgets_nothing(monkeypatch) -> None:
-    monkeypatch.setattr("lychee_owner.state.LEDGER_LIMIT", 1)
+    monkeypatch.setattr("lychee_owner.ledger.LEDGER_LIMIT", 1)
     state = ClusterState()
     assert state.apply(1, opening("s1", 1)) == LedgerOpened()
     other = OpenLedger(entry=replace(opening("s1", 2).entry, key="booking/other"))
