--- a/packages/lychee-owner/src/lychee_owner/state.py
+++ b/packages/lychee-owner/src/lychee_owner/state.py
@@ -4,7 +4,7 @@
 
 from msgspec.structs import replace
 
-from lychee_owner.ledger import close_entry, expire_entries, open_entry
+from lychee_owner.ledger import Ledger
 from lychee_owner.placement import OwnerTable
 from lychee_owner.planner import changed
 from lychee_types.commands import (
@@ -79,7 +79,7 @@
         self.servers = {record.id: record for record in image.servers}
         self.gateways = {record.session: record for record in image.gateways}
         self.ownerships = {record.service: record for record in image.ownerships}
-        self.ledger = {entry.key: entry for entry in image.ledger}
+        self.ledger = Ledger(entries=image.ledger)
         self._tables: dict[ServiceName, list[OwnerTable]] = {}
 
     @property
@@ -104,7 +104,7 @@
             servers=tuple(self.servers[key] for key in sorted(self.servers)),
             gateways=tuple(self.gateways[key] for key in sorted(self.gateways)),
             ownerships=tuple(self.ownerships[key] for key in sorted(self.ownerships)),
-            ledger=tuple(self.ledger.values()) if with_ledger else (),
+            ledger=self.ledger.entries if with_ledger else (),
         )
 
     def apply(self, index: LogIndex, command: Command) -> Outcome:
@@ -139,11 +139,11 @@
             case FinishTransition():
                 return self._finish(index, command)
             case OpenLedger():
-                return open_entry(self.ledger, command)
+                return self.ledger.open(command)
             case CloseLedger():
-                return close_entry(self.ledger, command)
+                return self.ledger.close(command)
             case ExpireLedger():
-                return expire_entries(self.ledger, command)
+                return self.ledger.expire(command)
 
     def service(self, name: ServiceName) -> Service | None:
         """Return a service of the document in force, or None."""
