--- a/packages/lychee-owner/src/lychee_owner/ledger.py
+++ b/packages/lychee-owner/src/lychee_owner/ledger.py
@@ -37,6 +37,9 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    def __getitem__(self, key: str) -> LedgerEntry:
+        return self._entries[key]
+
     @property
     def entries(self) -> tuple[LedgerEntry, ...]:
         """All entries, in order of opening."""
