--- a/packages/lychee-owner/src/lychee_owner/membership.py
+++ b/packages/lychee-owner/src/lychee_owner/membership.py
@@ -170,7 +170,17 @@
         due = self._due(now=now, service=service, present=present, placed=placed)
         found = [server for server in present.values() if server.id in placed or server.id in due]
         steady = [s for s in found if not self._is_unsteady(now=now, server=s.id)]
-        return steady or found
+        return steady or found or self._settled(now=now, service=service, present=present)
+
+    def _settled(
+        self, *, now: float, service: Service, present: Mapping[ServerId, ServerRecord]
+    ) -> list[ServerRecord]:
+        """Return the servers that must own keys at once because there is no other owner."""
+        settle_s = service.placement.settle_ms / 1_000
+        joined = {name: self._newcomer(name).joined_at for name in present}
+        settled = [s for s in present.values() if joined[s.id] <= now - settle_s]
+        waits = len(settled) < len(joined) and now < min(joined.values()) + BATCH_LIMIT * settle_s
+        return [] if waits else settled
 
     def present(self, service: Service) -> list[ServerRecord]:
         """Return the servers of a service that are neither lost nor leaving."""
--- a/packages/lychee-owner/tests/test_coordinator.py
+++ b/packages/lychee-owner/tests/test_coordinator.py
@@ -10,7 +10,7 @@
     LoseServer,
     SubmitDocument,
 )
-from lychee_types.document import Document, RequestKind, Service
+from lychee_types.document import Document, PlacementPolicy, RequestKind, Service
 from lychee_types.messages import Announcement, Drained, EndSession, GrantLease, RenewLease
 from lychee_types.records import Endpoint, GatewayRecord, ServerRecord, ServerStatus
 from lychee_types.timing import Timing
@@ -254,6 +254,16 @@
     assert waits == sorted(waits) and waits[3] > 4 * waits[0]
 
 
+def test_a_server_that_is_back_serves_at_once_when_there_is_no_other() -> None:
+    leader = Leader(placement=PlacementPolicy(rejoin_ms=10_000))
+    leader.run(3.0, "r1")
+    leader.run(3.0, "r2")
+    leader.run(3.0, "r2")
+    assert leader.owner() == "r2"
+    leader.run(3.9, "r1")
+    assert leader.owner() == "r1"
+
+
 def test_a_document_cannot_turn_a_free_service_into_a_keyed_one() -> None:
     leader = Leader()
     free = replace(document().services[0], kind=RequestKind.FREE)
