--- a/packages/lychee-gateway/src/lychee_gateway/http/inbound.py
+++ b/packages/lychee-gateway/src/lychee_gateway/http/inbound.py
@@ -32,7 +32,8 @@
     :param head_bytes: largest request head.
     :param head_s: time from a request's first byte to the end of its head, in seconds.
     :param idle_s: time without a request after which the connection closes, in seconds.
-    :param stall_s: time without reading after which a caller counts as gone, in seconds.
+    :param stall_s: time without reading a whole answer after which a caller counts as gone, in
+        seconds.
     """
 
     head_bytes: int = 16_384
@@ -142,20 +143,22 @@
             head = replace(head, length=len(body))
         self._wire.write(self._begin_answer(head) + body)
         self._answered = True
-        await self._drain()
+        await self._drain(self._limits.stall_s)
 
     def send_head(self, head: ResponseHead) -> None:
         """Send the head of an answer whose body follows in chunks."""
         self._wire.write(self._begin_answer(head))
 
-    async def send_chunk(self, data: bytes) -> None:
+    async def send_chunk(self, data: bytes, *, stall_s: float) -> None:
         """Send a part of the body, waiting while the caller reads slowly.
 
+        :param data: the part.
+        :param stall_s: time without reading after which the caller counts as gone, in seconds.
         :raises CallerGoneError: if the caller has left or reads too slowly.
         """
         if not self._is_to_head():
             self._wire.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
-            await self._drain()
+            await self._drain(stall_s)
 
     async def finish(self) -> None:
         """End the answer."""
@@ -234,11 +237,11 @@
                 raise self._cut("head")
         return event
 
-    async def _drain(self) -> None:
+    async def _drain(self, stall_s: float) -> None:
         if not self._wire.is_congested:
             return
         try:
-            async with asyncio.timeout(self._limits.stall_s):
+            async with asyncio.timeout(stall_s):
                 await self._wire.drain()
         except (TimeoutError, ConnectionError) as exc:
             raise CallerGoneError() from exc
--- a/packages/lychee-gateway/src/lychee_gateway/streams.py
+++ b/packages/lychee-gateway/src/lychee_gateway/streams.py
@@ -14,7 +14,7 @@
     The next part is read from the server only once the caller has room for it.
 
     :param caller: the caller's connection.
-    :param pause_s: longest pause of the server, in seconds.
+    :param pause_s: longest pause of the server or of the caller, in seconds.
     """
 
     def __init__(self, *, caller: CallerConnection, pause_s: float) -> None:
@@ -29,7 +29,7 @@
         self._caller.send_head(head)
         try:
             while chunk := await self._next_chunk(conn):
-                await self._caller.send_chunk(chunk)
+                await self._caller.send_chunk(chunk, stall_s=self._pause_s)
         except (ServerAnswerError, TimeoutError) as exc:
             logger.info("a server's answer broke off: {}", exc or "a pause was too long")
             return False
--- a/packages/lychee-gateway/tests/conftest.py
+++ b/packages/lychee-gateway/tests/conftest.py
@@ -52,13 +52,13 @@
 
 def services(**changes):
     """Return one service of each kind; changes apply to all of them."""
+    changes.setdefault("deadline_ms", 1_000)
     kinds = [
         Service(
             name="status",
             path="/repair-status/",
             kind=RequestKind.KEYED,
             idempotent=True,
-            deadline_ms=changes.pop("deadline_ms", 1_000),
             shards=64,
             **changes,
         ),
@@ -67,7 +67,6 @@
             path="/bench-booking/",
             kind=RequestKind.FREE,
             idempotent=False,
-            deadline_ms=1_000,
             **changes,
         ),
         Service(
@@ -76,7 +75,6 @@
             kind=RequestKind.FREE,
             idempotent=True,
             body=BodyMode.STREAMED,
-            deadline_ms=1_000,
             **changes,
         ),
     ]
@@ -91,6 +89,7 @@
         self.log = []
         self.links = set()
         self.granting = True
+        self.lease_ms = 1_500
         self._booked = ClusterState()
         self.got = []
         self.attached = asyncio.Event()
@@ -146,7 +145,7 @@
                 self.commit(JoinGateway(gateway=message.gateway))
                 self.attached.set()
             case RenewLease():
-                lease_ms = 1_500 if self.granting else 0
+                lease_ms = self.lease_ms if self.granting else 0
                 link.post(
                     GrantLease(session=message.session, number=message.number, lease_ms=lease_ms)
                 )
--- a/packages/lychee-gateway/tests/test_contract_callers.py
+++ b/packages/lychee-gateway/tests/test_contract_callers.py
@@ -7,7 +7,7 @@
 
 from lychee_gateway.http import CallerLimits
 
-from .conftest import FakeServer, answer, open_world, run
+from .conftest import FakeServer, answer, open_world, run, services
 
 BIG_HEAD = b"X-Big: " + b"x" * 20_000 + b"\r\n"
 
@@ -182,7 +182,7 @@
 def test_a_slow_body_is_timed_out_as_not_run():
     async def scenario():
         server = FakeServer("b1", "booking")
-        async with open_world(server) as world:
+        async with open_world(server, document=services(deadline_ms=400)) as world:
             caller = await world.caller()
             caller.write(post(b"Content-Length: 5\r\n", b"ab"))
             reply = await caller.reply()
--- a/packages/lychee-gateway/tests/test_contract_servers.py
+++ b/packages/lychee-gateway/tests/test_contract_servers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from .conftest import FakeServer, answer, open_world, plain, run
+from .conftest import FakeServer, answer, open_world, plain, run, services
 
 OK = answer(b"ok")
 
@@ -112,11 +112,11 @@
 def test_a_late_answer_is_unknown_and_reaches_nobody():
     async def scenario():
         async def late(seen):
-            await asyncio.sleep(1.2 if b"late" in seen.target else 0)
+            await asyncio.sleep(0.5 if b"late" in seen.target else 0)
             return answer(seen.target)
 
         server = FakeServer("b1", "booking", late)
-        async with open_world(server) as world:
+        async with open_world(server, document=services(deadline_ms=400)) as world:
             caller = await world.caller()
             reply = await caller.get(b"/bench-booking/late", method=b"POST", body=b"x")
             assert (reply.status, reply.headers[b"lychee-outcome"]) == (504, b"unknown")
--- a/packages/lychee-gateway/tests/test_kill.py
+++ b/packages/lychee-gateway/tests/test_kill.py
@@ -11,7 +11,7 @@
 from lychee_types.records import LedgerStatus
 from lychee_types.yamlfile import format_yaml
 
-from .conftest import Caller, FakeServer, answer, free_endpoint, open_world, run
+from .conftest import Caller, FakeServer, answer, free_endpoint, open_world, run, services
 
 START = "from lychee_gateway.cli import main; main()"
 BOOKING = (
@@ -87,14 +87,15 @@
 def test_a_paused_gateway_sends_nothing_on_its_old_lease(tmp_path):
     async def scenario():
         server = FakeServer("s1", "status")
-        async with open_world(server) as world:
+        async with open_world(server, document=services(deadline_ms=400)) as world:
+            world.control.lease_ms = 700
             async with other_gateway(world, tmp_path) as (process, caller):
                 caller.write(b"GET /repair-status/a HTTP/1.1\r\nHost: h\r\n\r\n")
                 assert (await caller.reply()).status == 200
                 process.send_signal(signal.SIGSTOP)
                 caller.write(b"GET /repair-status/b HTTP/1.1\r\nHost: h\r\n\r\n")
                 world.control.granting = False
-                await asyncio.sleep(1.6)
+                await asyncio.sleep(0.8)
                 process.send_signal(signal.SIGCONT)
                 reply = await caller.reply()
                 assert (reply.status, reply.headers[b"lychee-outcome"]) == (503, b"not-run")
--- a/packages/lychee-gateway/tests/test_once.py
+++ b/packages/lychee-gateway/tests/test_once.py
@@ -7,7 +7,7 @@
 from lychee_types.messages import EndSession, LedgerRequest
 from lychee_types.records import LedgerStatus
 
-from .conftest import FakeServer, answer, open_world, run
+from .conftest import FakeServer, answer, open_world, run, services
 
 
 def book(world, key, body=b"monday"):
@@ -73,7 +73,7 @@
 def test_without_a_ledger_nothing_is_sent():
     async def scenario():
         server = FakeServer("b1", "booking")
-        async with open_world(server) as world:
+        async with open_world(server, document=services(deadline_ms=400)) as world:
             taken = []
             real = world.control._take
 
--- a/packages/lychee-gateway/tests/test_path.py
+++ b/packages/lychee-gateway/tests/test_path.py
@@ -6,7 +6,7 @@
 
 from lychee_types.messages import Announcement
 
-from .conftest import FakeServer, open_world, run
+from .conftest import FakeServer, open_world, run, services
 
 
 def test_keyed_and_free_requests_are_answered():
@@ -63,7 +63,7 @@
 def test_a_keyed_request_without_a_lease_is_not_run():
     async def scenario():
         server = FakeServer("s1", "status")
-        async with open_world(server) as world:
+        async with open_world(server, document=services(deadline_ms=400)) as world:
             world.control.granting = False
             await world.until(lambda: not world.gateway.readiness().lease)
             reply = await world.get(b"/repair-status/k")
