Bound the sum of request bodies that a gateway holds

Cause: bodies are held whole, up to max_request_bytes for each connection, without a bound on all.

Change: a gateway sets aside the declared length, or 1 MB, for each body and refuses what would pass 256 MB as not run with Retry-After. The fake control follows the ledger's own module.

--- a/packages/lychee-gateway/src/lychee_gateway/core.py
+++ b/packages/lychee-gateway/src/lychee_gateway/core.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from lychee_gateway.announce import AnnounceServer, Readiness
+from lychee_gateway.bodies import TOO_MANY_BODIES, BodyBudget, expected_bytes
 from lychee_gateway.callers import Callers
 from lychee_gateway.calls import Answer, Call, NotRun, Outcome, StreamSent, Unknown
 from lychee_gateway.control import ControlClient
@@ -60,6 +61,7 @@
             ledger=self._ledger,
         )
         self._metrics = GatewayMetrics(client=open_metrics(cfg.statsd))
+        self._bodies = BodyBudget()
         self._accepting = False
         self._ready_changed = asyncio.Event()
         self._view.listen(lambda: self._servers.sync(self._view.state))
@@ -165,6 +167,13 @@
         )
 
     async def _answer(self, head: RequestHead, caller: CallerConnection) -> None:
+        with self._bodies.reserved(expected_bytes(head)) as granted:
+            if granted:
+                await self._answer_held(head, caller)
+            else:
+                await _reply(TOO_MANY_BODIES, caller)
+
+    async def _answer_held(self, head: RequestHead, caller: CallerConnection) -> None:
         call = await self._router.read_call(head, caller)
         if isinstance(call, NotRun):
             await _reply(call, caller)
--- a/packages/lychee-gateway/tests/conftest.py
+++ b/packages/lychee-gateway/tests/conftest.py
@@ -168,7 +168,7 @@
     @property
     def ledger(self):
         """The entries by key, by the rules of the real state."""
-        return self._booked.ledger
+        return {entry.key: entry for entry in self._booked.ledger.entries}
 
     def _book(self, link, number, command):
         outcome = self._booked.apply(self._booked.index + 1, command)
--- a/packages/lychee-gateway/tests/test_dispatch.py
+++ b/packages/lychee-gateway/tests/test_dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from lychee_gateway.bodies import BodyBudget
 from lychee_owner import hash_key
 from lychee_types.messages import ReportLoad
 
@@ -147,3 +148,19 @@
             assert report.servers[0].answered == 30
 
     run(scenario())
+
+
+def test_request_bodies_are_bounded_in_sum():
+    async def scenario():
+        server = FakeServer("b1", "booking", Busy(0.2))
+        async with open_world(server) as world:
+            world.gateway._bodies = BodyBudget(limit=25)
+            posts = [
+                world.get(b"/bench-booking/1", method=b"POST", body=b"x" * 10) for _ in range(3)
+            ]
+            replies = await asyncio.gather(*posts)
+            assert sorted(reply.status for reply in replies) == [200, 200, 503]
+            assert (await world.get(b"/bench-booking/1", method=b"POST", body=b"x")).status == 200
+        assert len(server.seen) == 3
+
+    run(scenario())
