Measure unavailable spans from the calls, and count no operators' work as a fault

The 4.86 s were no span of the service: a caller of a frozen server learned of its failure 4.86 s after it had sent, and answers of requests sent in between no longer counted. And the 5.98 s passed because a race or a leaving server counted as a second fault next to one cut. Ruled out: shorter resends; the spans must not depend on when a failure becomes known. Change: a span is computed from all calls, from the first failed request to the first answer of a request sent after it; races and leaving servers excuse nothing; cuts may hit the leader; the slowest final outcome covers every request, not only answered ones.

--- a/packages/lychee-bench/src/lychee_bench/audit.py
+++ b/packages/lychee-bench/src/lychee_bench/audit.py
@@ -27,6 +27,7 @@
 
     :param request: its id.
     :param service: the service's name.
+    :param group: service and key, or the service alone where requests are not keyed.
     :param key: its key.
     :param idempotency_key: its Idempotency-Key, empty if there is none.
     :param outcome: what the caller was told.
@@ -38,6 +39,7 @@
 
     request: str
     service: str
+    group: str
     key: str
     idempotency_key: str
     outcome: Outcome
--- a/packages/lychee-bench/src/lychee_bench/availability.py
+++ b/packages/lychee-bench/src/lychee_bench/availability.py
@@ -1,7 +1,12 @@
 """Spans of time in which callers could not be served."""
 
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Sequence
+
 from msgspec import Struct
 
+from lychee_bench.audit import Call, Outcome
+
 
 class Span(Struct, frozen=True, kw_only=True):
     """One span in which a group of requests was not served.
@@ -21,36 +26,27 @@
         return self.ended - self.began
 
 
-class Availability:
-    """Collects the spans from a first failed request to the group's next success."""
-
-    def __init__(self) -> None:
-        self.spans: list[Span] = []
-        self._down: dict[str, float] = {}
-
-    def is_down(self, group: str) -> bool:
-        """Return whether the group's last known request failed."""
-        return group in self._down
+def unavailable_spans(calls: Iterable[Call]) -> tuple[Span, ...]:
+    """Return the spans from a first failed request to the next success of its group.
 
-    def failed(self, group: str, *, sent_at: float) -> None:
-        """Note a failed request."""
-        began = self._down.get(group)
-        self._down[group] = sent_at if began is None else min(began, sent_at)
+    The next success is the answer to a request that was sent after the failed one, whenever the
+    failure itself became known. Where there is none the span ends with the last call.
 
-    def served(self, group: str, *, sent_at: float, ended_at: float) -> None:
-        """Note a success; one that was sent before the failure proves nothing."""
-        began = self._down.get(group)
-        if began is not None and sent_at >= began:
-            del self._down[group]
-            self.spans.append(Span(group=group, began=began, ended=ended_at))
-
-    def close(self, now: float) -> None:
-        """End every span that is still open."""
-        for group, began in self._down.items():
-            self.spans.append(Span(group=group, began=began, ended=now))
-        self._down.clear()
-
-    @property
-    def longest(self) -> Span | None:
-        """The longest span, or None."""
-        return max(self.spans, key=lambda span: span.length, default=None)
+    :param calls: what the callers were told.
+    """
+    groups: dict[str, list[Call]] = defaultdict(list)
+    for call in calls:
+        groups[call.group].append(call)
+    return tuple(span for group in groups.values() for span in _spans(group))
+
+
+def _spans(group: Sequence[Call]) -> Iterator[Span]:
+    calls = sorted(group, key=lambda call: call.sent_at)
+    last = max(call.ended_at for call in calls)
+    served_until = float("-inf")
+    for place, call in enumerate(calls):
+        if call.outcome is Outcome.ANSWERED or call.sent_at < served_until:
+            continue
+        later = (item for item in calls[place:] if item.outcome is Outcome.ANSWERED)
+        served_until = min((item.ended_at for item in later), default=last)
+        yield Span(group=call.group, began=call.sent_at, ended=served_until)
--- a/packages/lychee-bench/src/lychee_bench/experiments/loss.py
+++ b/packages/lychee-bench/src/lychee_bench/experiments/loss.py
@@ -10,6 +10,7 @@
 from msgspec import structs
 
 from lychee_bench.audit import Outcome
+from lychee_bench.availability import unavailable_spans
 from lychee_bench.demo import busiest_owner
 from lychee_bench.deployment import Deployment
 from lychee_bench.experiments.setting import Setting
@@ -126,8 +127,7 @@
 
 
 def _longest(callers: Callers) -> float:
-    span = callers.availability.longest
-    return 0.0 if span is None else span.length
+    return max((span.length for span in unavailable_spans(callers.calls)), default=0.0)
 
 
 def _answers(name: str, callers: Callers) -> list[Measure]:
@@ -138,7 +138,7 @@
     failed = len(callers.calls) - counted[Outcome.ANSWERED]
     wrong = counted[Outcome.WRONG] + counted[Outcome.LOST]
     return [
-        Measure(name=f"{name}.slowest_answer", value=slowest, unit="s"),
+        Measure(name=f"{name}.slowest_outcome", value=slowest, unit="s"),
         Measure(name=f"{name}.calls", value=len(callers.calls), unit="req"),
         Measure(name=f"{name}.not_answered", value=failed, unit="req"),
         Measure(name=f"{name}.lost_or_wrong", value=wrong, unit="req", bound=0),
--- a/packages/lychee-bench/src/lychee_bench/injector.py
+++ b/packages/lychee-bench/src/lychee_bench/injector.py
@@ -126,6 +126,9 @@
                 await asyncio.sleep(fault.lasts)
                 self._deployment.processes.thaw(name)
             case Cut(process=process, control=control, there=there, back=back):
+                control = await self._place(control)
+                if process == control:
+                    process = next(name for name in self._deployment.controls if name != control)
                 ways = (
                     Direction(source=process, target=control),
                     Direction(source=control, target=process),
--- a/packages/lychee-bench/src/lychee_bench/load.py
+++ b/packages/lychee-bench/src/lychee_bench/load.py
@@ -11,7 +11,6 @@
 
 from lychee_bench.answers import check_answer
 from lychee_bench.audit import Call, Outcome
-from lychee_bench.availability import Availability
 from lychee_bench.balancer import Balancer
 from lychee_bench.http_client import Answer, ClientConnection, ConnectionBrokenError
 from lychee_types.exceptions import UnavailableError
@@ -86,7 +85,6 @@
 
     def __init__(self, *, balancer: Balancer, traffic: tuple[Traffic, ...], seed: int) -> None:
         self.calls: list[Call] = []
-        self.availability = Availability()
         self.latency = {item.service: HdrHistogram(1, HIGHEST_US, 3) for item in traffic}
         self.owner_of: dict[str, str] = {}
         self._balancer = balancer
@@ -115,7 +113,6 @@
         finally:
             for task in [*generators, *self._tasks]:
                 task.cancel()
-            self.availability.close(time.monotonic())
 
     async def _arrive(self, item: Traffic, seconds: float, seed: int) -> None:
         began = time.monotonic()
@@ -136,9 +133,10 @@
         self._asking.add(group)
         try:
             until = time.monotonic() + ASK_AGAIN_LIMIT_S
-            while self.availability.is_down(group) and time.monotonic() < until:
+            outcome: Outcome = call.outcome
+            while outcome is not Outcome.ANSWERED and time.monotonic() < until:
                 await asyncio.sleep(ASK_AGAIN_S)
-                await self._call(item, key, group)
+                outcome = (await self._call(item, key, group)).outcome
         finally:
             self._asking.discard(group)
 
@@ -150,6 +148,7 @@
         call = Call(
             request=request,
             service=item.service,
+            group=group,
             key=key,
             idempotency_key=request if item.booking else "",
             outcome=reply.outcome,
@@ -158,16 +157,14 @@
             attempts=attempts,
             detail=reply.detail,
         )
-        self._note(call, group)
+        self._note(call)
         return call
 
-    def _note(self, call: Call, group: str) -> None:
+    def _note(self, call: Call) -> None:
         self.calls.append(call)
         if call.outcome is not Outcome.ANSWERED:
-            self.availability.failed(group, sent_at=call.sent_at)
             return
-        self.availability.served(group, sent_at=call.sent_at, ended_at=call.ended_at)
-        self.owner_of[group] = call.detail
+        self.owner_of[call.group] = call.detail
         micros = round((call.ended_at - call.sent_at) * 1_000_000)
         self.latency[call.service].record_value(min(max(micros, 1), HIGHEST_US))
 
--- a/packages/lychee-bench/src/lychee_bench/report.py
+++ b/packages/lychee-bench/src/lychee_bench/report.py
@@ -18,7 +18,7 @@
     audit,
     count,
 )
-from lychee_bench.availability import Span
+from lychee_bench.availability import Span, unavailable_spans
 from lychee_bench.load import Callers
 from lychee_bench.processes import Exit
 from lychee_bench.runs import Run
@@ -59,9 +59,8 @@
 
     @property
     def slowest(self) -> float:
-        """Longest time from a request's first sending to its answer in seconds."""
-        answered = (call for call in self.calls if call.outcome is Outcome.ANSWERED)
-        return max((call.ended_at - call.sent_at for call in answered), default=0.0)
+        """Longest time from a request's first sending to its final outcome in seconds."""
+        return max((call.ended_at - call.sent_at for call in self.calls), default=0.0)
 
 
 def make_report(*, callers: Callers, runs: Sequence[Run], exits: Iterable[Exit]) -> Report:
@@ -69,7 +68,7 @@
     return Report(
         calls=tuple(callers.calls),
         runs=tuple(runs),
-        spans=tuple(callers.availability.spans),
+        spans=unavailable_spans(callers.calls),
         exits=tuple(exits),
         breaches=audit(calls=callers.calls, runs=runs),
         services=tuple(callers.latency),
@@ -89,7 +88,7 @@
         ("run although not run", count(report.breaches, FALSE_NOT_RUN)),
         ("run while not owner", count(report.breaches, RUN_NOT_OWNER)),
         ("overlapping runs", count(report.breaches, OVERLAP)),
-        ("slowest answer (s)", f"{report.slowest:.2f}"),
+        ("slowest final outcome (s)", f"{report.slowest:.2f}"),
         ("longest unavailable time (s)", f"{report.longest:.2f}"),
     ]
     return "\n".join(f"{name:<30} {value:>10}" for name, value in rows)
--- a/packages/lychee-bench/src/lychee_bench/schedule.py
+++ b/packages/lychee-bench/src/lychee_bench/schedule.py
@@ -174,7 +174,7 @@
         return Fault(at=round(at, 2), lasts=lasts, action=action)
 
     def _cut(self) -> Cut:
-        control = self.one(self._roster.controls)
+        control = self.control()
         others = [name for name in self._roster.controls if name != control]
         process = self.one((self.one(others), self.one(self._roster.gateways)))
         there, back = ((True, True), (True, False), (False, True))[int(self._rng.integers(3))]
--- a/packages/lychee-bench/src/lychee_bench/soak.py
+++ b/packages/lychee-bench/src/lychee_bench/soak.py
@@ -26,6 +26,8 @@
 from lychee_bench.schedule import (
     RECOVERY_S,
     Fault,
+    Leave,
+    Race,
     Roster,
     describe,
     make_schedule,
@@ -141,11 +143,16 @@
 
 
 def active_faults(span: Span, windows: dict[Fault, tuple[float, float]]) -> list[Fault]:
-    """Return the faults whose consequences may show in a span."""
+    """Return the faults whose consequences may show in a span.
+
+    Operators' work is no fault: it must not cost callers their service.
+    """
     return [
         fault
         for fault, (began, ended) in windows.items()
-        if began < span.ended and span.began < ended + RECOVERY_S
+        if not isinstance(fault.action, Race | Leave)
+        and began < span.ended
+        and span.began < ended + RECOVERY_S
     ]
 
 
--- a/packages/lychee-bench/tests/test_audit.py
+++ b/packages/lychee-bench/tests/test_audit.py
@@ -1,6 +1,7 @@
 """The audit of runs against what callers were told, as a table of cases."""
 
 import pytest
+from msgspec import structs
 
 from lychee_bench.audit import (
     DOUBLED,
@@ -13,7 +14,7 @@
     Outcome,
     audit,
 )
-from lychee_bench.availability import Availability
+from lychee_bench.availability import unavailable_spans
 from lychee_bench.runs import Run, RunBegan, RunEnded, RunWriter, ServerBegan, open_runs, read_runs
 
 
@@ -21,6 +22,7 @@
     return Call(
         request="r1",
         service="s",
+        group="s",
         key="k",
         idempotency_key=key,
         outcome=outcome,
@@ -91,17 +93,21 @@
     ]
 
 
-def test_a_span_lasts_from_the_first_failure_to_a_later_success() -> None:
-    availability = Availability()
-    availability.failed("k", sent_at=2.0)
-    availability.failed("k", sent_at=1.0)
-    availability.served("k", sent_at=0.5, ended_at=2.5)
-    assert availability.is_down("k")
-    availability.served("k", sent_at=3.0, ended_at=3.5)
-    availability.failed("other", sent_at=4.0)
-    availability.close(4.5)
-    assert [(span.group, span.length) for span in availability.spans] == [
-        ("k", 2.5),
-        ("other", 0.5),
-    ]
-    assert availability.longest.group == "k"
+def sent(at: float, ended: float, outcome: Outcome, *, group: str = "s") -> Call:
+    return structs.replace(call(outcome), sent_at=at, ended_at=ended, group=group)
+
+
+OK, BAD = Outcome.ANSWERED, Outcome.UNKNOWN
+SPANS = [
+    ([sent(0, 1, OK)], []),
+    ([sent(1, 9, BAD), sent(2, 3, OK)], [2.0]),
+    ([sent(0.5, 2.5, OK), sent(1, 2, BAD), sent(2, 3, BAD), sent(3, 3.5, OK)], [2.5]),
+    ([sent(1, 2, BAD), sent(2, 3, OK), sent(4, 5, BAD), sent(5, 6, OK)], [2.0, 2.0]),
+    ([sent(1, 2, BAD), sent(3, 4, BAD)], [3.0]),
+    ([sent(1, 2, BAD), sent(3, 4, OK, group="t")], [1.0]),
+]
+
+
+@pytest.mark.parametrize(("calls", "lengths"), SPANS)
+def test_spans_last_from_a_failure_to_the_answer_of_a_later_request(calls, lengths) -> None:
+    assert [span.length for span in unavailable_spans(calls)] == lengths
--- a/packages/lychee-bench/tests/test_faults.py
+++ b/packages/lychee-bench/tests/test_faults.py
@@ -7,11 +7,21 @@
 import pytest
 import uvloop
 
+from lychee_bench.availability import Span
 from lychee_bench.documents import CHANGED_ANSWER, DIFFERENT, MISSING, REVERTED, DocumentBook
 from lychee_bench.ports import free_endpoints
 from lychee_bench.processes import processes
 from lychee_bench.relay import Direction, Network, Relay, find_process, running
-from lychee_bench.schedule import Roster, make_schedule, show_schedule
+from lychee_bench.schedule import (
+    Fault,
+    Kill,
+    Leave,
+    Race,
+    Roster,
+    make_schedule,
+    show_schedule,
+)
+from lychee_bench.soak import active_faults
 from lychee_types.document import Document
 from lychee_types.messages import GatewayState, StatusReply
 from lychee_types.state import SubmissionRecord
@@ -148,3 +158,14 @@
     book.note_status(status(1, term=6))
     book.note_status(status(2, term=6, gateways=(gateway(1, applied=9),)))
     assert kinds(book) == [CHANGED_ANSWER, DIFFERENT, MISSING, REVERTED, REVERTED]
+
+
+def test_operators_work_is_no_fault_under_which_callers_may_wait() -> None:
+    span = Span(group="s", began=10.0, ended=15.0)
+    windows = {
+        Fault(at=1, lasts=1, action=Race(operators=2)): (9.0, 10.0),
+        Fault(at=2, lasts=1, action=Leave(server="s1")): (9.0, 10.0),
+        Fault(at=3, lasts=1, action=Kill(process="g1")): (9.0, 10.0),
+        Fault(at=4, lasts=1, action=Kill(process="g2")): (1.0, 2.0),
+    }
+    assert [fault.at for fault in active_faults(span, windows)] == [3]
--- a/packages/lychee-bench/tests/test_load.py
+++ b/packages/lychee-bench/tests/test_load.py
@@ -126,8 +126,10 @@
     gateway = Gateway(503, 503, 503)
     callers = uvloop.run(call_through((gateway,), LOOKUPS))
     assert sum(call.outcome is Outcome.NOT_RUN for call in callers.calls) == 3
-    assert not callers.availability.is_down("t/t-0")
-    assert callers.availability.spans
+    failed = {call.group for call in callers.calls if call.outcome is Outcome.NOT_RUN}
+    for group in failed:
+        last = [call for call in callers.calls if call.group == group][-1]
+        assert last.outcome is Outcome.ANSWERED
     assert callers.owner_of["t/t-0"] == "a"
 
 
