--- a/packages/lychee-bench/src/lychee_bench/soak.py
+++ b/packages/lychee-bench/src/lychee_bench/soak.py
@@ -147,12 +147,16 @@
 
     Operators' work is no fault: it must not cost callers their service.
     """
+    active = under_way(span, windows)
+    return [fault for fault in active if not isinstance(fault.action, Race | Leave)]
+
+
+def under_way(span: Span, windows: dict[Fault, tuple[float, float]]) -> list[Fault]:
+    """Return the faults and the operators' work around a span."""
     return [
         fault
         for fault, (began, ended) in windows.items()
-        if not isinstance(fault.action, Race | Leave)
-        and began < span.ended
-        and span.began < ended + RECOVERY_S
+        if began < span.ended and span.began < ended + RECOVERY_S
     ]
 
 
@@ -165,7 +169,7 @@
     spans = sorted(report.spans, key=lambda span: -span.length)
     lines = [f"unavailable spans: {len(spans)}, bound {SERVED_AGAIN_S:g} s under a single fault"]
     for span in spans[:5]:
-        active = active_faults(span, injector.windows)
-        shown = " + ".join(describe(fault.action) for fault in active) or "no fault"
+        active = under_way(span, injector.windows)
+        shown = " + ".join(describe(fault.action) for fault in active) or "nothing"
         lines.append(f"  {span.length:6.2f} s {span.group}: {shown}")
     return "\n".join(lines)
