--- a/packages/lychee-control/src/lychee_control/leader.py
+++ b/packages/lychee-control/src/lychee_control/leader.py
@@ -19,12 +19,18 @@
     ExpireLedger,
     Ignored,
     LedgerFound,
+    LedgerFull,
     LedgerOpened,
     OpenLedger,
     Outcome,
     encode_command,
 )
-from lychee_types.exceptions import InvariantError, LycheeError
+from lychee_types.exceptions import (
+    InvariantError,
+    LycheeError,
+    NotLeaderError,
+    UnavailableError,
+)
 from lychee_types.ids import LogIndex, SessionId
 from lychee_types.messages import (
     Attach,
@@ -41,7 +47,7 @@
 )
 from lychee_types.timing import Timing
 
-LEDGER_KEEP_S = 86_400.0
+LEDGER_KEEP_S = 3_600.0
 """How long the outcome of a non-idempotent request is kept, in seconds."""
 
 LEDGER_SWEEP_S = 60.0
@@ -172,6 +178,9 @@
             committed = await self._replica.propose(encode_command(command))
         except InvariantError:
             raise
+        except (NotLeaderError, UnavailableError) as exc:
+            logger.debug("{} was not committed: {}", type(command).__name__, exc)
+            return
         except LycheeError as exc:
             logger.warning("{} was not committed: {}", type(command).__name__, exc)
             return
@@ -197,7 +206,7 @@
             self._reply(session, LedgerFailed(number=number, reason=str(exc)))
             return
         match committed.result:
-            case (LedgerOpened() | LedgerFound() | Done() | Ignored()) as outcome:
+            case (LedgerOpened() | LedgerFound() | LedgerFull() | Done() | Ignored()) as outcome:
                 self._reply(session, LedgerReply(number=number, outcome=outcome))
             case other:
                 raise InvariantError(
--- a/packages/lychee-owner/src/lychee_owner/state.py
+++ b/packages/lychee-owner/src/lychee_owner/state.py
@@ -4,6 +4,7 @@
 
 from msgspec.structs import replace
 
+from lychee_owner.ledger import Ledger
 from lychee_owner.placement import OwnerTable
 from lychee_owner.planner import changed
 from lychee_types.commands import (
@@ -20,8 +21,6 @@
     Ignored,
     JoinGateway,
     JoinServer,
-    LedgerFound,
-    LedgerOpened,
     LoseGateway,
     LoseServer,
     Noop,
@@ -34,8 +33,6 @@
 from lychee_types.exceptions import require
 from lychee_types.ids import KeyHash, LogIndex, ServerId, ServiceName, Token
 from lychee_types.records import (
-    LedgerEntry,
-    LedgerStatus,
     Ownership,
     Placement,
     ServerRecord,
@@ -82,7 +79,7 @@
         self.servers = {record.id: record for record in image.servers}
         self.gateways = {record.session: record for record in image.gateways}
         self.ownerships = {record.service: record for record in image.ownerships}
-        self.ledger = {entry.key: entry for entry in image.ledger}
+        self.ledger = Ledger(entries=image.ledger)
         self._tables: dict[ServiceName, list[OwnerTable]] = {}
 
     @property
@@ -107,7 +104,7 @@
             servers=tuple(self.servers[key] for key in sorted(self.servers)),
             gateways=tuple(self.gateways[key] for key in sorted(self.gateways)),
             ownerships=tuple(self.ownerships[key] for key in sorted(self.ownerships)),
-            ledger=tuple(self.ledger.values()) if with_ledger else (),
+            ledger=self.ledger.entries if with_ledger else (),
         )
 
     def apply(self, index: LogIndex, command: Command) -> Outcome:
@@ -142,13 +139,11 @@
             case FinishTransition():
                 return self._finish(index, command)
             case OpenLedger():
-                return self._open_ledger(command)
+                return self.ledger.open(command)
             case CloseLedger():
-                return self._close_ledger(command)
+                return self.ledger.close(command)
             case ExpireLedger():
-                keep = {k: e for k, e in self.ledger.items() if e.opened_at >= command.before}
-                self.ledger = keep
-                return Done()
+                return self.ledger.expire(command)
 
     def service(self, name: ServiceName) -> Service | None:
         """Return a service of the document in force, or None."""
@@ -248,6 +243,8 @@
             index=index,
             document=command.document,
         )
+        before = self.history[-1] if self.history else None
+        require(before is None or index > before.index, "a document version goes back")
         self.history = [*self.history[-(HISTORY_LIMIT - 1) :], version]
         keyed = {s.name for s in command.document.services if s.kind is RequestKind.KEYED}
         for name in list(self.ownerships):
@@ -321,6 +318,7 @@
             target = replace(target, shards=shards)
         if service is None and target.members:
             return Ignored(reason="the service is not in the document any more")
+        _require_placement(target)
         transition = Transition(begun=index, target=target)
         self.ownerships[command.service] = replace(ownership, pending=transition)
         return Done()
@@ -330,7 +328,8 @@
         pending = ownership.pending if ownership is not None else None
         if ownership is None or pending is None or pending.begun != command.begun:
             return Ignored(reason="another transition has taken its place")
-        require(index > ownership.token, "a fencing token does not grow")
+        require(index > pending.begun > ownership.token, "a fencing token does not grow")
+        require(pending.begun > ownership.fence, "a fence does not grow")
         self.ownerships[command.service] = Ownership(
             service=command.service,
             token=Token(index),
@@ -341,27 +340,16 @@
             del self.ownerships[command.service]
         return Done()
 
-    def _open_ledger(self, command: OpenLedger) -> Outcome:
-        known = self.ledger.get(command.entry.key)
-        if known is not None and not _is_same_opening(known, command.entry):
-            return LedgerFound(entry=known)
-        self.ledger[command.entry.key] = command.entry
-        return LedgerOpened()
-
-    def _close_ledger(self, command: CloseLedger) -> Outcome:
-        known = self.ledger.get(command.key)
-        if known is None or known.session != command.session:
-            return Ignored(reason="the entry is not this gateway's")
-        if known.status is not LedgerStatus.OPEN:
-            return Ignored(reason="the entry is closed")
-        if command.not_run:
-            del self.ledger[command.key]
-        elif command.answer is not None:
-            answered = replace(known, status=LedgerStatus.ANSWERED, answer=command.answer)
-            self.ledger[command.key] = answered
-        else:
-            self.ledger[command.key] = replace(known, status=LedgerStatus.UNKNOWN)
-        return Done()
+
+def _require_placement(placement: Placement) -> None:
+    """Check that every replica and gateway computes one and the same owner a key."""
+    servers = [member.server for member in placement.members]
+    keys = [key.key for key in placement.keys]
+    require(servers == sorted(set(servers)), "members of a placement are not in order of id")
+    require(keys == sorted(set(keys)), "a key of a placement has two owners")
+    require(all(m.weight > 0 for m in placement.members), "a member has no weight")
+    shards = placement.shards
+    require(shards & (shards - 1) == 0, "the number of shards is not a power of two")
 
 
 def has_owners(ownership: Ownership) -> bool:
@@ -384,9 +372,3 @@
     if record.refusal:
         return DocumentRefused(reason=record.refusal, remedy=record.remedy)
     return DocumentConflict(version=record.version, author=record.winner)
-
-
-def _is_same_opening(known: LedgerEntry, entry: LedgerEntry) -> bool:
-    """Return whether a gateway asks again for the entry that it has opened itself."""
-    same_run = (known.session, known.attempt) == (entry.session, entry.attempt)
-    return same_run and known.status is LedgerStatus.OPEN
