--- a/packages/lychee-control/tests/test_proof_replicas.py
+++ b/packages/lychee-control/tests/test_proof_replicas.py
@@ -1,6 +1,8 @@
 """Three control replicas with real files under the losses that operators and gateways meet."""
 
 import asyncio
+import os
+import threading
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -226,6 +228,31 @@
     run(scenario())
 
 
+def test_nothing_is_acknowledged_before_a_majority_has_synced_it(
+    tmp_path, make_endpoint, monkeypatch
+):
+    gate, sync, synced = threading.Event(), os.fdatasync, []
+
+    def wait_and_sync(fd: int) -> None:
+        gate.wait(LIMIT_S)
+        sync(fd)
+        synced.append(fd)
+
+    async def scenario() -> None:
+        async with running_group(tmp_path, make_endpoint) as group:
+            leader = await group.leader()
+            monkeypatch.setattr(os, "fdatasync", wait_and_sync)
+            try:
+                sending = asyncio.create_task(group.submit(leader, **form("anna", based_on=0)))
+                await asyncio.sleep(0.3)
+                assert not sending.done() and group.daemons[leader].version == 0
+            finally:
+                gate.set()
+            assert (await sending).accepted and len(synced) >= 2
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("committed", [True, False])
 def test_a_form_sent_again_after_its_leader_was_lost_counts_once(
     tmp_path, make_endpoint, committed
