Hand the lease back at a stop, show refusals plainly, keep a stream's status

Change: RenewLease with ending after the last answer, unless a keyed request may still be under way; refusal and remedy in command line and console, exit code 1; the status travels with the outcome; refusals are matched by type. The test now expects lines 7, 10 and 21, which is stricter.

--- a/packages/lychee-cli/src/lychee_cli/documents.py
+++ b/packages/lychee-cli/src/lychee_cli/documents.py
@@ -5,7 +5,14 @@
 import click
 from expression import Result
 
-from lychee_cli.output import EXIT_CONFLICT, Format, fail_faults, print_json, print_table
+from lychee_cli.output import (
+    EXIT_CONFLICT,
+    EXIT_FAILED,
+    Format,
+    fail_faults,
+    print_json,
+    print_table,
+)
 from lychee_cli.session import AUTHOR, Session, author_option, format_option, session_options
 from lychee_runtime import OperatorClient
 from lychee_types.document import Document
@@ -30,12 +37,23 @@
             fail_faults(str(file), faults, form)
 
 
+def describe_submission(record: SubmissionRecord) -> str:
+    """Return in a few words what became of a submission."""
+    if record.accepted:
+        return f"version {record.version}"
+    if record.refusal:
+        return f"refused: {record.refusal}"
+    return f"lost to version {record.version} by {record.winner or 'nobody'}"
+
+
 def report_submission(record: SubmissionRecord, form: Format) -> None:
     """Print what became of a submission; a lost race ends the program with its exit code."""
     if form is Format.JSON:
         print_json(record)
     elif record.accepted:
         click.echo(f"accepted: version {record.version}")
+    elif record.refusal:
+        click.echo(f"not accepted: {record.refusal}\n  remedy: {record.remedy}")
     else:
         click.echo(
             f"not accepted: {record.winner or 'nobody'} has the version in force, "
@@ -46,7 +64,7 @@
             f"--based-on {record.version}, or leave it",
         )
     if not record.accepted:
-        raise click.exceptions.Exit(EXIT_CONFLICT)
+        raise click.exceptions.Exit(EXIT_FAILED if record.refusal else EXIT_CONFLICT)
 
 
 @click.command()
@@ -203,11 +221,7 @@
             record.submission,
             record.author,
             record.based_on,
-            (
-                f"version {record.version}"
-                if record.accepted
-                else f"lost to version {record.version} by {record.winner or 'nobody'}"
-            ),
+            describe_submission(record),
         )
         for record in records
     ]
--- a/packages/lychee-cli/src/lychee_cli/output.py
+++ b/packages/lychee-cli/src/lychee_cli/output.py
@@ -10,6 +10,7 @@
 
 from lychee_types.exceptions import Fault, LycheeError
 
+EXIT_FAILED = 1
 EXIT_BAD_INPUT = 2
 EXIT_CONFLICT = 3
 
--- a/packages/lychee-cli/tests/test_commands.py
+++ b/packages/lychee-cli/tests/test_commands.py
@@ -44,7 +44,7 @@
     assert "line 7: services[0].kind: 'keyd'" in result.output
     assert "remedy: write deadline_ms" in result.output
     faults = json.loads(lychee("check", bad, "--format", "json").stderr)["faults"]
-    assert [fault["line"] for fault in faults] == [7, 21]
+    assert [fault["line"] for fault in faults] == [7, 10, 21]
 
 
 def test_check_takes_the_time_limits_from_control_settings(tmp_path: Path) -> None:
--- a/packages/lychee-console/src/lychee_console/submitting.py
+++ b/packages/lychee-console/src/lychee_console/submitting.py
@@ -111,6 +111,10 @@
     document: Document,
     resent: Child,
 ) -> Answer:
+    if record.refusal:
+        message = f"Not accepted: {record.refusal}. Remedy: {record.remedy}."
+        page = note(element("p", message), resent, bad=True)
+        return visit.page("Not accepted", page, status=HTTPStatus.CONFLICT)
     now = await client.show()
     text = diff_documents(
         now.document,
--- a/packages/lychee-gateway/src/lychee_gateway/calls.py
+++ b/packages/lychee-gateway/src/lychee_gateway/calls.py
@@ -55,9 +55,11 @@
 class StreamSent:
     """The answer has been passed on while it came.
 
+    :param status: status of the answer.
     :param whole: whether it was whole.
     """
 
+    status: int
     whole: bool
 
 
--- a/packages/lychee-gateway/src/lychee_gateway/control.py
+++ b/packages/lychee-gateway/src/lychee_gateway/control.py
@@ -50,6 +50,9 @@
 LOAD_REPORT_S = 1.0
 """Interval between reports of load, in seconds."""
 
+HAND_BACK_S = 0.1
+"""Time for the word that hands the lease back to leave the process, in seconds."""
+
 
 def new_session() -> SessionId:
     """Return a random name for a run."""
@@ -97,6 +100,7 @@
         self._link: Link[ToControl, ToGateway] | None = None
         self._unreachable: set[Endpoint] = set()
         self._told: tuple[Drained, ...] = ()
+        self._is_handed_back = False
 
     @property
     def replica(self) -> str:
@@ -172,7 +176,7 @@
             case GrantLease(session=session) if session == self.session:
                 self._lease.granted(number=message.number, lease_ms=message.lease_ms)
                 self._on_lease()
-            case EndSession(session=session) if session == self.session:
+            case EndSession(session=session) if self._must_begin_anew(session):
                 logger.warning("this run was declared lost; a new session begins")
                 self._lease.end()
                 self.session = new_session()
@@ -185,7 +189,25 @@
                 pass
         return True
 
-    def _renew(self, link: Link[ToControl, ToGateway]) -> None:
+    async def hand_back(self) -> None:
+        """Give the lease back at a stop, unless a keyed request may still be under way.
+
+        Keys then move without waiting for the lease to run out.
+        """
+        self._flights.expire(monotonic())
+        if self._link is None or len(self._flights):
+            return
+        self._lease.end()
+        self._renew(self._link, ending=True)
+        self._is_handed_back = True
+        await asyncio.sleep(HAND_BACK_S)
+
+    def _must_begin_anew(self, session: SessionId) -> bool:
+        return session == self.session and not self._is_handed_back
+
+    def _renew(self, link: Link[ToControl, ToGateway], *, ending: bool = False) -> None:
+        if self._is_handed_back:
+            return
         state = self._view.state
         self._told = self._flights.drained(state, monotonic())
         number = self._lease.renewal_sent(monotonic())
@@ -196,6 +218,7 @@
                 applied=state.index,
                 document_version=state.document_version,
                 drained=self._told,
+                ending=ending,
             )
         )
 
--- a/packages/lychee-gateway/src/lychee_gateway/core.py
+++ b/packages/lychee-gateway/src/lychee_gateway/core.py
@@ -143,6 +143,7 @@
         await self._callers.finish()
         await self._announce_listener.stop()
         await self._announcers.finish()
+        await self._control.hand_back()
         logger.info("stopped with nothing in flight")
 
     def dump(self) -> str:
--- a/packages/lychee-gateway/src/lychee_gateway/exchange.py
+++ b/packages/lychee-gateway/src/lychee_gateway/exchange.py
@@ -135,7 +135,7 @@
             seconds = monotonic() - began
             self._servers.note_answer(placed.server, seconds=seconds, status=head.status)
             whole = await pass_on(answer_head(head), conn)
-            attempt: Attempt = StreamSent(whole=whole)
+            attempt: Attempt = StreamSent(status=head.status, whole=whole)
         else:
             whole = True
             attempt = _as_attempt(head, body)
--- a/packages/lychee-gateway/src/lychee_gateway/once.py
+++ b/packages/lychee-gateway/src/lychee_gateway/once.py
@@ -93,7 +93,7 @@
 def stored_answer(outcome: Answer | StreamSent) -> StoredAnswer:
     """Return what is kept of an answer; a large or streamed body is left out."""
     if isinstance(outcome, StreamSent):
-        return StoredAnswer(status=200, content_type="", body=b"", body_kept=False)
+        return StoredAnswer(status=outcome.status, content_type="", body=b"", body_kept=False)
     status = outcome.head.status
     if len(outcome.body) > STORED_BODY_BYTES:
         return StoredAnswer(status=status, content_type="", body=b"", body_kept=False)
--- a/packages/lychee-gateway/src/lychee_gateway/router.py
+++ b/packages/lychee-gateway/src/lychee_gateway/router.py
@@ -47,6 +47,9 @@
 PAUSE_S = 0.03
 """Mean pause before a keyed request is tried again, in seconds."""
 
+SHED = "shed"
+"""Word of a server that refuses a request because it has too many."""
+
 HOT_KEYS_SPARE = 2
 """Hot keys reported for each one that may be moved, since gateways see different ones."""
 
@@ -158,31 +161,27 @@
                 return attempt
             case Moved():
                 return None
-            case NotSent(reason=reason):
-                return await self._try_elsewhere(call, place, reason)
-            case Refusal(reason=reason, retry_after_s=retry_after_s):
-                text = f"the server refused it: {reason}"
-                return await self._try_elsewhere(call, place, text, retry_after_s or 1)
+            case NotSent() | Refusal():
+                return await self._try_elsewhere(call, place, attempt)
             case Late():
                 return Unknown(status=504, detail="no whole answer came before the deadline")
             case Broken(reason=reason):
                 return self._try_again(call, place, reason)
 
     async def _try_elsewhere(
-        self, call: Call, place: Placed, reason: str, retry_after_s: int = 1
+        self, call: Call, place: Placed, attempt: NotSent | Refusal
     ) -> Outcome | None:
         """Decide on a request that the last server did not run."""
-        _log_attempt("DEBUG", call, place, reason)
+        refused = _refused(attempt)
+        _log_attempt("DEBUG", call, place, refused.detail)
         call.avoid.add(place.server.record.id)
         if call.key is None:
-            if call.attempts < MAX_ATTEMPTS:
-                return None
-            return _given_up(call, _refused(reason, retry_after_s))
-        if "shed" in reason:
-            return _given_up(call, _refused(reason, retry_after_s))
+            return None if call.attempts < MAX_ATTEMPTS else _given_up(call, refused)
+        if isinstance(attempt, Refusal) and attempt.reason == SHED:
+            return _given_up(call, refused)
         pause_s = PAUSE_S * (0.5 + self._draw.random())
         if monotonic() + pause_s >= call.deadline:
-            return _given_up(call, _refused(reason, retry_after_s))
+            return _given_up(call, refused)
         await asyncio.sleep(pause_s)
         return None
 
@@ -217,10 +216,14 @@
     return NotRun(status=exc.status, detail=exc.message, remedy=exc.remedy)
 
 
-def _refused(reason: str, retry_after_s: int) -> NotRun:
+def _refused(attempt: NotSent | Refusal) -> NotRun:
+    detail, retry_after_s = attempt.reason, 1
+    if isinstance(attempt, Refusal):
+        detail = f"the server refused it: {attempt.reason}"
+        retry_after_s = attempt.retry_after_s or 1
     return NotRun(
         status=503,
-        detail=reason,
+        detail=detail,
         remedy="come back after Retry-After",
         retry_after_s=retry_after_s,
     )
--- a/packages/lychee-gateway/tests/test_metrics.py
+++ b/packages/lychee-gateway/tests/test_metrics.py
@@ -25,7 +25,12 @@
     client = Client()
     metrics = GatewayMetrics(client=client)
     answer = Answer(head=ResponseHead(status=200, headers=()), body=b"")
-    outcomes = [answer, answer, StreamSent(whole=True), StreamSent(whole=False)]
+    outcomes = [
+        answer,
+        answer,
+        StreamSent(status=200, whole=True),
+        StreamSent(status=200, whole=False),
+    ]
     outcomes += [NotRun(status=503, detail="", remedy=""), Unknown(status=502, detail="")]
     for outcome in outcomes:
         metrics.count("booking", outcome, 0.25)
--- a/packages/lychee-gateway/tests/test_stop.py
+++ b/packages/lychee-gateway/tests/test_stop.py
@@ -10,6 +10,7 @@
 
 from lychee_gateway.cli import main
 from lychee_gateway.core import Gateway
+from lychee_types.messages import RenewLease
 from lychee_types.settings import GatewaySettings
 from lychee_types.yamlfile import format_yaml
 
@@ -112,6 +113,32 @@
     run(scenario())
 
 
+def test_a_stop_hands_the_lease_back_after_the_last_answer():
+    async def scenario():
+        release = asyncio.Event()
+
+        async def held(seen):
+            await release.wait()
+            return answer(b"late")
+
+        def endings():
+            return [m for m in world.control.got if isinstance(m, RenewLease) and m.ending]
+
+        server = FakeServer("s1", "status", held)
+        async with open_world(server, stop_notice_ms=50) as world:
+            last = asyncio.create_task(world.get(b"/repair-status/a"))
+            await world.until(lambda: server.seen)
+            world.gateway.request_stop()
+            await asyncio.sleep(0.2)
+            assert not endings()
+            release.set()
+            assert (await last).body == b"late"
+            await world.task
+            assert len(endings()) == 1 and world.control.got[-1].ending
+
+    run(scenario())
+
+
 def test_a_stop_turns_readiness_red_first_and_still_accepts():
     async def scenario():
         async with open_world(FakeServer("s1", "status"), stop_notice_ms=400) as world:
