--- a/packages/lychee-control/src/lychee_control/core.py
+++ b/packages/lychee-control/src/lychee_control/core.py
@@ -1,6 +1,7 @@
 """The control daemon: one replica of the log, its links, and the gateways attached to it."""
 
-from collections.abc import Coroutine
+import asyncio
+from collections.abc import Coroutine, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -11,6 +12,7 @@
 from lychee_control.desk import OperatorDesk
 from lychee_control.leader import Leader
 from lychee_control.machine import ControlMachine, concerns_gateways
+from lychee_control.metrics import FLUSH_S, StateMetric
 from lychee_control.peers import (
     LogMessage,
     PeerAlive,
@@ -28,6 +30,7 @@
     LinkService,
     client_context,
     format_dump,
+    open_metrics,
     serve_links,
     server_context,
 )
@@ -87,6 +90,7 @@
         super().__init__()
         self._cfg = cfg
         self._clock = clock or SystemClock()
+        self._metrics = open_metrics(cfg.statsd)
         self._leader: Leader | None = None
         self._origins: dict[SessionId, ReplicaId] = {}
         self._machine = ControlMachine(on_applied=self._on_applied, on_restored=self._on_restored)
@@ -126,6 +130,7 @@
         ssl = server_context(self._cfg.tls)
         async with serve_links(service=service, endpoint=self._cfg.listen, ssl=ssl):
             self.spawn(self._replica.run(), name="replica")
+            self.spawn(self._flush_metrics(), name="metrics")
             logger.info("control replica listens on {}", self._cfg.listen)
             await self.stopping.wait()
             await self.cancel_tasks()
@@ -148,6 +153,21 @@
             )
         )
 
+    async def _flush_metrics(self) -> None:
+        while True:
+            await asyncio.sleep(FLUSH_S)
+            for metric, value in self._gauges():
+                self._metrics.gauge(metric.value, value)
+
+    def _gauges(self) -> Iterator[tuple[StateMetric, float]]:
+        state = self._machine.state
+        yield StateMetric.LEADS, float(self._leader is not None)
+        yield StateMetric.TERM, self._replica.term
+        yield StateMetric.COMMIT, self._replica.commit
+        yield StateMetric.ATTACHED, len(self._attachments)
+        yield StateMetric.LEDGER, len(state.ledger)
+        yield StateMetric.DOCUMENT_VERSION, state.document_version
+
     async def _attach(self, link: Link[ToGateway, ToControl]) -> None:
         """Serve a gateway's stream."""
         first = await link.receive()
