Split the operators' messages from the gateways'

Change: lychee_types.operator_messages holds what operators' programs send and get; nothing else changes.

--- a/conftest.py
+++ b/conftest.py
@@ -20,7 +20,7 @@
 from lychee_runtime import LinkService, serve_links
 from lychee_types.commands import SubmitDocument
 from lychee_types.document_check import check_document
-from lychee_types.messages import (
+from lychee_types.operator_messages import (
     OPERATE,
     DumpReply,
     DumpRequest,
--- a/examples/embed_ownership.py
+++ b/examples/embed_ownership.py
@@ -22,7 +22,11 @@
     SessionId,
     Token,
 )
-from lychee_types.messages import Announcement, Drained, RenewLease
+from lychee_types.messages import (
+    Announcement,
+    Drained,
+    RenewLease,
+)
 from lychee_types.records import Endpoint, GatewayRecord, ServerRecord
 from lychee_types.timing import Timing
 
--- a/packages/lychee-bench/src/lychee_bench/announcer.py
+++ b/packages/lychee-bench/src/lychee_bench/announcer.py
@@ -13,7 +13,10 @@
 )
 from lychee_bench.lease import ServerLease
 from lychee_types.clock import Clock
-from lychee_types.messages import Announcement, ServerGrant
+from lychee_types.messages import (
+    Announcement,
+    ServerGrant,
+)
 from lychee_types.records import Endpoint, ServerRecord
 
 INTERVAL_S = 0.3
--- a/packages/lychee-bench/src/lychee_bench/documents.py
+++ b/packages/lychee-bench/src/lychee_bench/documents.py
@@ -2,7 +2,9 @@
 
 from lychee_bench.audit import Breach
 from lychee_types.document import Document
-from lychee_types.messages import StatusReply
+from lychee_types.operator_messages import (
+    StatusReply,
+)
 from lychee_types.state import SubmissionRecord
 
 REVERTED = "a document version reverted"
--- a/packages/lychee-bench/src/lychee_bench/launch.py
+++ b/packages/lychee-bench/src/lychee_bench/launch.py
@@ -18,7 +18,9 @@
 from lychee_bench.sizes import Sizes
 from lychee_types.document import Document
 from lychee_types.exceptions import UnavailableError
-from lychee_types.messages import StatusReply
+from lychee_types.operator_messages import (
+    StatusReply,
+)
 from lychee_types.records import ServerStatus
 
 START_TIMEOUT_S = 40.0
--- a/packages/lychee-bench/src/lychee_bench/lease.py
+++ b/packages/lychee-bench/src/lychee_bench/lease.py
@@ -4,7 +4,9 @@
 
 from lychee_types.clock import Clock
 from lychee_types.ids import Token
-from lychee_types.messages import ServerGrant
+from lychee_types.messages import (
+    ServerGrant,
+)
 
 
 class ServerLease:
--- a/packages/lychee-bench/src/lychee_bench/operator.py
+++ b/packages/lychee-bench/src/lychee_bench/operator.py
@@ -8,7 +8,10 @@
 from lychee_types.document import Document
 from lychee_types.exceptions import LycheeError, UnavailableError
 from lychee_types.ids import ReplicaId
-from lychee_types.messages import ShowReply, StatusReply
+from lychee_types.operator_messages import (
+    ShowReply,
+    StatusReply,
+)
 from lychee_types.records import Endpoint
 from lychee_types.state import SubmissionRecord
 
--- a/packages/lychee-bench/tests/test_faults.py
+++ b/packages/lychee-bench/tests/test_faults.py
@@ -23,7 +23,10 @@
 )
 from lychee_bench.soak import active_faults
 from lychee_types.document import Document
-from lychee_types.messages import GatewayState, StatusReply
+from lychee_types.operator_messages import (
+    GatewayState,
+    StatusReply,
+)
 from lychee_types.state import SubmissionRecord
 
 ROSTER = Roster(controls=("c1", "c2", "c3"), gateways=("g1", "g2"), servers=("s1", "s2"))
--- a/packages/lychee-bench/tests/test_proof_stop.py
+++ b/packages/lychee-bench/tests/test_proof_stop.py
@@ -20,7 +20,9 @@
 from lychee_runtime import Daemon
 from lychee_types.document import Document, RequestKind, Service
 from lychee_types.document_edit import with_leaving
-from lychee_types.messages import StatusReply
+from lychee_types.operator_messages import (
+    StatusReply,
+)
 from lychee_types.settings import ControlSettings, GatewaySettings, PeerSettings
 
 LIMIT_S = 20
--- a/packages/lychee-bench/tests/test_server.py
+++ b/packages/lychee-bench/tests/test_server.py
@@ -16,7 +16,10 @@
 from lychee_bench.runs import open_runs, read_runs
 from lychee_bench.server import BackendServer
 from lychee_bench.server_settings import Behaviour, ServerSettings
-from lychee_types.messages import Announcement, ServerGrant
+from lychee_types.messages import (
+    Announcement,
+    ServerGrant,
+)
 from lychee_types.records import Endpoint
 
 
--- a/packages/lychee-cli/src/lychee_cli/deployment.py
+++ b/packages/lychee-cli/src/lychee_cli/deployment.py
@@ -8,7 +8,9 @@
 from lychee_cli.session import ENDPOINT, Session, session_options
 from lychee_types.exceptions import UnavailableError
 from lychee_types.ids import ReplicaId
-from lychee_types.messages import StatusReply
+from lychee_types.operator_messages import (
+    StatusReply,
+)
 from lychee_types.records import Endpoint
 
 DUMP_PATH = "/_lychee/dump"
--- a/packages/lychee-cli/tests/test_commands.py
+++ b/packages/lychee-cli/tests/test_commands.py
@@ -11,7 +11,10 @@
 from lychee_cli.cli import main
 from lychee_types.commands import SubmitDocument
 from lychee_types.document_check import read_document
-from lychee_types.messages import ReplaceRequest, SubmitRequest
+from lychee_types.operator_messages import (
+    ReplaceRequest,
+    SubmitRequest,
+)
 
 SKAFT = Path(__file__).parents[3] / "examples" / "skaft.yaml"
 KEMER = SKAFT.with_name("kemer.yaml")
--- a/packages/lychee-console/src/lychee_console/document_pages.py
+++ b/packages/lychee-console/src/lychee_console/document_pages.py
@@ -32,7 +32,9 @@
 from lychee_types.document_check import parse_document
 from lychee_types.exceptions import Fault
 from lychee_types.ids import ServerId
-from lychee_types.messages import ShowReply
+from lychee_types.operator_messages import (
+    ShowReply,
+)
 from lychee_types.yamlfile import format_yaml
 
 
--- a/packages/lychee-console/src/lychee_console/submitting.py
+++ b/packages/lychee-console/src/lychee_console/submitting.py
@@ -13,7 +13,9 @@
 from lychee_types.document_check import parse_document
 from lychee_types.document_edit import diff_documents, submission_id
 from lychee_types.exceptions import UnavailableError
-from lychee_types.messages import ShowReply
+from lychee_types.operator_messages import (
+    ShowReply,
+)
 from lychee_types.state import SubmissionRecord
 from lychee_types.yamlfile import format_yaml
 
--- a/packages/lychee-control/src/lychee_control/attachments.py
+++ b/packages/lychee-control/src/lychee_control/attachments.py
@@ -9,7 +9,12 @@
 from lychee_runtime import Link
 from lychee_types.commands import Command
 from lychee_types.ids import LogIndex, SessionId
-from lychee_types.messages import Delta, Deltas, ToControl, ToGateway
+from lychee_types.messages import (
+    Delta,
+    Deltas,
+    ToControl,
+    ToGateway,
+)
 from lychee_types.records import GatewayRecord
 
 
--- a/packages/lychee-control/src/lychee_control/core.py
+++ b/packages/lychee-control/src/lychee_control/core.py
@@ -39,16 +39,18 @@
 from lychee_types.ids import LogIndex, ReplicaId, SessionId
 from lychee_types.messages import (
     ATTACH,
-    OPERATE,
     PEER,
     Attach,
+    RenewLease,
+    ToControl,
+    ToGateway,
+)
+from lychee_types.operator_messages import (
+    OPERATE,
     GatewayState,
     OperatorReply,
     OperatorRequest,
-    RenewLease,
     ServerState,
-    ToControl,
-    ToGateway,
 )
 from lychee_types.settings import ControlSettings
 from lychee_types.state import StateImage
--- a/packages/lychee-control/src/lychee_control/desk.py
+++ b/packages/lychee-control/src/lychee_control/desk.py
@@ -11,7 +11,7 @@
 from lychee_types.document_check import check_document
 from lychee_types.exceptions import InvariantError, LycheeError, NotLeaderError, UnavailableError
 from lychee_types.ids import ReplicaId
-from lychee_types.messages import (
+from lychee_types.operator_messages import (
     DumpReply,
     DumpRequest,
     HistoryReply,
--- a/packages/lychee-control/src/lychee_control/machine.py
+++ b/packages/lychee-control/src/lychee_control/machine.py
@@ -16,7 +16,11 @@
     decode_command,
 )
 from lychee_types.ids import LogIndex
-from lychee_types.messages import Delta, Deltas, Snapshot
+from lychee_types.messages import (
+    Delta,
+    Deltas,
+    Snapshot,
+)
 from lychee_types.state import StateImage
 
 DELTA_LIMIT = 4_096
--- a/packages/lychee-control/src/lychee_control/peers.py
+++ b/packages/lychee-control/src/lychee_control/peers.py
@@ -12,7 +12,11 @@
 from lychee_runtime import Link, open_link
 from lychee_types.exceptions import UnavailableError
 from lychee_types.ids import ReplicaId, SessionId
-from lychee_types.messages import PEER, ToControl, ToGateway
+from lychee_types.messages import (
+    PEER,
+    ToControl,
+    ToGateway,
+)
 
 ALIVE_INTERVAL_S = 0.2
 """Interval at which the receiving end of a link tells that it is alive, in seconds."""
--- a/packages/lychee-control/tests/test_machine.py
+++ b/packages/lychee-control/tests/test_machine.py
@@ -11,7 +11,10 @@
     OpenLedger,
     encode_command,
 )
-from lychee_types.messages import Deltas, Snapshot
+from lychee_types.messages import (
+    Deltas,
+    Snapshot,
+)
 from lychee_types.records import GatewayRecord, LedgerEntry, LedgerStatus
 
 
--- a/packages/lychee-control/tests/test_proof_desk.py
+++ b/packages/lychee-control/tests/test_proof_desk.py
@@ -9,7 +9,9 @@
 from lychee_control.machine import ControlMachine
 from lychee_log import Voter
 from lychee_types.clock import SystemClock
-from lychee_types.messages import ShowRequest
+from lychee_types.operator_messages import (
+    ShowRequest,
+)
 from lychee_types.records import Endpoint
 from lychee_types.timing import Timing
 
--- a/packages/lychee-control/tests/test_proof_replicas.py
+++ b/packages/lychee-control/tests/test_proof_replicas.py
@@ -22,18 +22,20 @@
 from lychee_types.exceptions import UnavailableError
 from lychee_types.messages import (
     ATTACH,
-    OPERATE,
     Attach,
     Deltas,
     GrantLease,
-    OperatorReply,
-    OperatorRequest,
     RenewLease,
     Snapshot,
-    SubmitRequest,
     ToControl,
     ToGateway,
 )
+from lychee_types.operator_messages import (
+    OPERATE,
+    OperatorReply,
+    OperatorRequest,
+    SubmitRequest,
+)
 from lychee_types.records import GatewayRecord
 from lychee_types.settings import ControlSettings, PeerSettings
 from lychee_types.state import SubmissionRecord
--- a/packages/lychee-gateway/src/lychee_gateway/announce.py
+++ b/packages/lychee-gateway/src/lychee_gateway/announce.py
@@ -10,7 +10,9 @@
 from lychee_gateway.http import CallerConnection, RequestHead, ResponseHead
 from lychee_gateway.problems import answer_for
 from lychee_gateway.reports import AnnouncementDesk
-from lychee_types.messages import Announcement
+from lychee_types.messages import (
+    Announcement,
+)
 
 ANNOUNCE_PATH = b"/_lychee/announce"
 READY_PATH = b"/_lychee/ready"
--- a/packages/lychee-gateway/src/lychee_gateway/core.py
+++ b/packages/lychee-gateway/src/lychee_gateway/core.py
@@ -29,7 +29,9 @@
 from lychee_runtime import Daemon, client_context, format_dump, open_metrics
 from lychee_types.exceptions import InvariantError
 from lychee_types.ids import SessionId
-from lychee_types.messages import ReportLoad
+from lychee_types.messages import (
+    ReportLoad,
+)
 from lychee_types.settings import GatewaySettings
 
 START_LIMIT_S = 5.0
--- a/packages/lychee-gateway/src/lychee_gateway/drain.py
+++ b/packages/lychee-gateway/src/lychee_gateway/drain.py
@@ -5,7 +5,9 @@
 
 from lychee_owner import ClusterState
 from lychee_types.ids import KeyHash, ServerId, ServiceName
-from lychee_types.messages import Drained
+from lychee_types.messages import (
+    Drained,
+)
 
 
 @dataclass(eq=False, kw_only=True, slots=True)
--- a/packages/lychee-gateway/src/lychee_gateway/reports.py
+++ b/packages/lychee-gateway/src/lychee_gateway/reports.py
@@ -3,7 +3,10 @@
 import asyncio
 
 from lychee_types.ids import Incarnation, ServerId
-from lychee_types.messages import Announcement, ServerGrant
+from lychee_types.messages import (
+    Announcement,
+    ServerGrant,
+)
 
 BATCH_S = 0.02
 """Time in which announcements are collected into one report, in seconds."""
--- a/packages/lychee-gateway/src/lychee_gateway/router.py
+++ b/packages/lychee-gateway/src/lychee_gateway/router.py
@@ -39,7 +39,9 @@
 from lychee_policy import HotKeyCounter, RetryBudget
 from lychee_types.document import Service
 from lychee_types.ids import ServiceName
-from lychee_types.messages import HotKey
+from lychee_types.messages import (
+    HotKey,
+)
 
 MAX_ATTEMPTS = 3
 """How often a request of a free service is placed at most."""
--- a/packages/lychee-gateway/src/lychee_gateway/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/servers.py
@@ -28,7 +28,9 @@
 )
 from lychee_types.document import Document, RequestKind
 from lychee_types.ids import ServerId, ServiceName
-from lychee_types.messages import ServerLoad
+from lychee_types.messages import (
+    ServerLoad,
+)
 from lychee_types.records import ServerRecord, ServerStatus
 
 SHED_PAUSE_S = 0.1
--- a/packages/lychee-gateway/src/lychee_gateway/view.py
+++ b/packages/lychee-gateway/src/lychee_gateway/view.py
@@ -5,7 +5,10 @@
 from lychee_owner import ClusterState
 from lychee_types.exceptions import require
 from lychee_types.ids import LogIndex
-from lychee_types.messages import Deltas, Snapshot
+from lychee_types.messages import (
+    Deltas,
+    Snapshot,
+)
 
 
 class StateView:
--- a/packages/lychee-gateway/tests/test_dispatch.py
+++ b/packages/lychee-gateway/tests/test_dispatch.py
@@ -4,7 +4,9 @@
 
 from lychee_gateway.bodies import BodyBudget
 from lychee_owner import hash_key
-from lychee_types.messages import ReportLoad
+from lychee_types.messages import (
+    ReportLoad,
+)
 
 from .conftest import FakeServer, answer, open_world, run, services
 
--- a/packages/lychee-gateway/tests/test_dispatch_random.py
+++ b/packages/lychee-gateway/tests/test_dispatch_random.py
@@ -19,7 +19,10 @@
     LoseServer,
     SubmitDocument,
 )
-from lychee_types.messages import Delta, Deltas
+from lychee_types.messages import (
+    Delta,
+    Deltas,
+)
 from lychee_types.records import Endpoint, Member, Placement, ServerRecord
 from lychee_types.timing import Timing
 
--- a/packages/lychee-gateway/tests/test_drain.py
+++ b/packages/lychee-gateway/tests/test_drain.py
@@ -6,7 +6,12 @@
 from lychee_gateway.lease import SessionLease
 from lychee_owner import ClusterState, hash_key
 from lychee_types.commands import BeginTransition, FinishTransition, SubmitDocument
-from lychee_types.messages import Attach, Drained, EndSession, RenewLease
+from lychee_types.messages import (
+    Attach,
+    Drained,
+    EndSession,
+    RenewLease,
+)
 from lychee_types.records import Member, Placement
 from lychee_types.timing import Timing
 
--- a/packages/lychee-gateway/tests/test_once.py
+++ b/packages/lychee-gateway/tests/test_once.py
@@ -4,7 +4,10 @@
 
 from msgspec.json import decode
 
-from lychee_types.messages import EndSession, LedgerRequest
+from lychee_types.messages import (
+    EndSession,
+    LedgerRequest,
+)
 from lychee_types.records import LedgerStatus
 
 from .conftest import FakeServer, answer, open_world, run, services
--- a/packages/lychee-gateway/tests/test_path.py
+++ b/packages/lychee-gateway/tests/test_path.py
@@ -4,7 +4,9 @@
 
 from msgspec.json import decode, encode
 
-from lychee_types.messages import Announcement
+from lychee_types.messages import (
+    Announcement,
+)
 
 from .conftest import FakeServer, open_world, run, services
 
--- a/packages/lychee-gateway/tests/test_stop.py
+++ b/packages/lychee-gateway/tests/test_stop.py
@@ -10,7 +10,9 @@
 
 from lychee_gateway.cli import main
 from lychee_gateway.core import Gateway
-from lychee_types.messages import RenewLease
+from lychee_types.messages import (
+    RenewLease,
+)
 from lychee_types.settings import GatewaySettings
 from lychee_types.yamlfile import format_yaml
 
--- a/packages/lychee-log/src/lychee_log/dump.py
+++ b/packages/lychee-log/src/lychee_log/dump.py
@@ -5,7 +5,9 @@
 from lychee_log.core import Core
 from lychee_log.records import GroupId, Membership, StorageId
 from lychee_types.ids import LogIndex, ReplicaId
-from lychee_types.messages import ReplicaState
+from lychee_types.operator_messages import (
+    ReplicaState,
+)
 
 UNKNOWN_MS = -1
 """Silence of a replica that only the leader hears."""
--- a/packages/lychee-log/src/lychee_log/replica.py
+++ b/packages/lychee-log/src/lychee_log/replica.py
@@ -38,7 +38,9 @@
 from lychee_types.clock import Clock
 from lychee_types.exceptions import NotLeaderError
 from lychee_types.ids import LogIndex, ReplicaId
-from lychee_types.messages import ReplicaState
+from lychee_types.operator_messages import (
+    ReplicaState,
+)
 from lychee_types.records import Endpoint
 from lychee_types.timing import Timing
 
--- a/packages/lychee-owner/src/lychee_owner/coordinator.py
+++ b/packages/lychee-owner/src/lychee_owner/coordinator.py
@@ -36,11 +36,13 @@
 from lychee_types.messages import (
     Announcement,
     EndSession,
-    GatewayState,
     GrantLease,
     RenewLease,
     ReportLoad,
     ServerGrant,
+)
+from lychee_types.operator_messages import (
+    GatewayState,
     ServerState,
     ServiceState,
 )
--- a/packages/lychee-owner/src/lychee_owner/evidence.py
+++ b/packages/lychee-owner/src/lychee_owner/evidence.py
@@ -3,7 +3,9 @@
 from dataclasses import dataclass
 
 from lychee_types.ids import DomainName, ServerId
-from lychee_types.messages import ServerLoad
+from lychee_types.messages import (
+    ServerLoad,
+)
 
 WITNESS_DOMAINS = 2
 """How many failure domains must have seen a server fail before it counts as unreachable."""
--- a/packages/lychee-owner/src/lychee_owner/experiment/hotkeys.py
+++ b/packages/lychee-owner/src/lychee_owner/experiment/hotkeys.py
@@ -11,7 +11,11 @@
 from lychee_owner.placement import OwnerTable
 from lychee_types.document import PlacementPolicy, RequestKind, Service
 from lychee_types.ids import DomainName, Incarnation, KeyHash, ServerId, ServiceName, SessionId
-from lychee_types.messages import HotKey, ReportLoad, ServerLoad
+from lychee_types.messages import (
+    HotKey,
+    ReportLoad,
+    ServerLoad,
+)
 from lychee_types.records import Endpoint, KeyOwner, Placement, ServerRecord
 
 KEYS = 100_000
--- a/packages/lychee-owner/src/lychee_owner/gateways.py
+++ b/packages/lychee-owner/src/lychee_owner/gateways.py
@@ -6,7 +6,14 @@
 from lychee_owner.state import ClusterState
 from lychee_types.exceptions import require
 from lychee_types.ids import LogIndex, ServiceName, SessionId
-from lychee_types.messages import EndSession, GatewayState, GrantLease, RenewLease
+from lychee_types.messages import (
+    EndSession,
+    GrantLease,
+    RenewLease,
+)
+from lychee_types.operator_messages import (
+    GatewayState,
+)
 from lychee_types.records import GatewayRecord
 from lychee_types.timing import Timing
 
--- a/packages/lychee-owner/src/lychee_owner/loads.py
+++ b/packages/lychee-owner/src/lychee_owner/loads.py
@@ -5,7 +5,11 @@
 from math import exp
 
 from lychee_types.ids import KeyHash, ServerId, ServiceName, SessionId
-from lychee_types.messages import HotKey, ReportLoad, ServerLoad
+from lychee_types.messages import (
+    HotKey,
+    ReportLoad,
+    ServerLoad,
+)
 
 MEMORY_S = 10.0
 """Time constant in seconds with which past load is forgotten."""
--- a/packages/lychee-owner/src/lychee_owner/servers.py
+++ b/packages/lychee-owner/src/lychee_owner/servers.py
@@ -9,7 +9,10 @@
 from lychee_types.commands import JoinServer
 from lychee_types.exceptions import require
 from lychee_types.ids import Incarnation, ServerId, Token
-from lychee_types.messages import Announcement, ServerGrant
+from lychee_types.messages import (
+    Announcement,
+    ServerGrant,
+)
 from lychee_types.records import ServerRecord, ServerStatus
 from lychee_types.timing import Timing
 
--- a/packages/lychee-owner/tests/test_coordinator.py
+++ b/packages/lychee-owner/tests/test_coordinator.py
@@ -11,7 +11,13 @@
     SubmitDocument,
 )
 from lychee_types.document import Document, PlacementPolicy, RequestKind, Service
-from lychee_types.messages import Announcement, Drained, EndSession, GrantLease, RenewLease
+from lychee_types.messages import (
+    Announcement,
+    Drained,
+    EndSession,
+    GrantLease,
+    RenewLease,
+)
 from lychee_types.records import Endpoint, GatewayRecord, ServerRecord, ServerStatus
 from lychee_types.timing import Timing
 
--- a/packages/lychee-owner/tests/test_load.py
+++ b/packages/lychee-owner/tests/test_load.py
@@ -7,7 +7,11 @@
 from lychee_owner.speeds import SUSTAIN_S, Speeds
 from lychee_types.commands import SetSpeed
 from lychee_types.document import RequestKind, Service
-from lychee_types.messages import HotKey, ReportLoad, ServerLoad
+from lychee_types.messages import (
+    HotKey,
+    ReportLoad,
+    ServerLoad,
+)
 from lychee_types.records import Endpoint, Member, Placement, ServerRecord
 
 SERVICE = Service(
--- a/packages/lychee-policy/src/lychee_policy/hotkeys.py
+++ b/packages/lychee-policy/src/lychee_policy/hotkeys.py
@@ -3,7 +3,9 @@
 from datasketches import frequent_items_error_type, frequent_strings_sketch
 
 from lychee_types.ids import KeyHash, ServiceName
-from lychee_types.messages import HotKey
+from lychee_types.messages import (
+    HotKey,
+)
 
 SKETCH_LOG2_SIZE = 9
 """Base-2 logarithm of the number of keys that a sketch can hold."""
--- a/packages/lychee-runtime/src/lychee_runtime/operator_client.py
+++ b/packages/lychee-runtime/src/lychee_runtime/operator_client.py
@@ -10,7 +10,7 @@
 from lychee_types.document import Document
 from lychee_types.exceptions import LycheeError, UnavailableError
 from lychee_types.ids import ReplicaId
-from lychee_types.messages import (
+from lychee_types.operator_messages import (
     OPERATE,
     DumpReply,
     DumpRequest,
--- a/packages/lychee-runtime/tests/test_link.py
+++ b/packages/lychee-runtime/tests/test_link.py
@@ -7,7 +7,11 @@
 
 from lychee_runtime import LinkService, open_link, serve_links
 from lychee_types.exceptions import UnavailableError
-from lychee_types.messages import EndSession, GrantLease, ToGateway
+from lychee_types.messages import (
+    EndSession,
+    GrantLease,
+    ToGateway,
+)
 from lychee_types.records import Endpoint
 
 
--- a/packages/lychee-runtime/tests/test_tls.py
+++ b/packages/lychee-runtime/tests/test_tls.py
@@ -15,7 +15,10 @@
     server_context,
 )
 from lychee_types.exceptions import SettingsError, UnavailableError
-from lychee_types.messages import EndSession, ToGateway
+from lychee_types.messages import (
+    EndSession,
+    ToGateway,
+)
 from lychee_types.settings import TlsSettings
 
 ECHO = "/t.T/Echo"
--- /dev/null
+++ b/packages/lychee-types/src/lychee_types/operator_messages.py
@@ -0,0 +1,226 @@
+"""Messages between control replicas and operators' programs."""
+
+from msgspec import Struct
+
+from lychee_types.document import Document
+from lychee_types.ids import GatewayId, LogIndex, ReplicaId, ServiceName, SessionId, Token
+from lychee_types.records import Endpoint, ServerRecord
+from lychee_types.state import SubmissionRecord
+
+OPERATE = "/lychee.Control/Operate"
+"""Stream method between an operator's program and a control replica; one reply per request."""
+
+
+class SubmitRequest(Struct, frozen=True, kw_only=True, tag=True):
+    """Submit a document.
+
+    :param submission: the operator's id of this submission.
+    :param based_on: the version it is based on, 0 for the first.
+    :param author: who submits.
+    :param document: the document.
+    """
+
+    submission: str
+    based_on: int
+    author: str
+    document: Document
+
+
+class ShowRequest(Struct, frozen=True, kw_only=True, tag=True):
+    """Ask for a version of the document.
+
+    :param version: the version, 0 for the one in force.
+    """
+
+    version: int = 0
+
+
+class HistoryRequest(Struct, frozen=True, kw_only=True, tag=True):
+    """Ask for the history of the document."""
+
+
+class StatusRequest(Struct, frozen=True, kw_only=True, tag=True):
+    """Ask how the deployment is."""
+
+
+class DumpRequest(Struct, frozen=True, kw_only=True, tag=True):
+    """Ask for a dump of the replica's state."""
+
+
+class ReplaceRequest(Struct, frozen=True, kw_only=True, tag=True):
+    """Replace a control replica by a new one that has already been started.
+
+    :param old: the replica that leaves, empty to add one.
+    :param new: the replica that joins, empty to remove one.
+    :param endpoint: address of the new replica.
+    """
+
+    old: ReplicaId
+    new: ReplicaId
+    endpoint: Endpoint
+
+
+OperatorRequest = (
+    SubmitRequest | ShowRequest | HistoryRequest | StatusRequest | DumpRequest | ReplaceRequest
+)
+"""Requests of an operator's program to a control replica."""
+
+
+class SubmitReply(Struct, frozen=True, kw_only=True, tag=True):
+    """The answer to a submission.
+
+    :param record: whether it won, and which version it became or lost to.
+    """
+
+    record: SubmissionRecord
+
+
+class ShowReply(Struct, frozen=True, kw_only=True, tag=True):
+    """A version of the document.
+
+    :param version: the version, 0 if there is none yet.
+    :param author: who submitted it.
+    :param document: the document, None if there is none of that version.
+    """
+
+    version: int
+    author: str
+    document: Document | None
+
+
+class HistoryReply(Struct, frozen=True, kw_only=True, tag=True):
+    """The answers to past submissions, oldest first.
+
+    :param submissions: the records.
+    """
+
+    submissions: tuple[SubmissionRecord, ...]
+
+
+class ReplicaState(Struct, frozen=True, kw_only=True):
+    """How a control replica is.
+
+    :param id: its id.
+    :param endpoint: its address.
+    :param role: leader, follower, candidate or learner.
+    :param match: last log index known to be on its disk.
+    :param silent_ms: time since it was last heard of.
+    """
+
+    id: ReplicaId
+    endpoint: Endpoint
+    role: str
+    match: LogIndex
+    silent_ms: int
+
+
+class GatewayState(Struct, frozen=True, kw_only=True):
+    """How a gateway is.
+
+    :param id: its id.
+    :param session: its run.
+    :param domain: its failure domain.
+    :param document_version: the version in force there.
+    :param applied: last log index applied.
+    :param lease_left_ms: time left of its lease; negative once it is over.
+    """
+
+    id: GatewayId
+    session: SessionId
+    domain: str
+    document_version: int
+    applied: LogIndex
+    lease_left_ms: int
+
+
+class ServerState(Struct, frozen=True, kw_only=True):
+    """How a backend server is.
+
+    :param record: its record.
+    :param leaving: whether it has been told to leave.
+    :param share: share of its service's shards that it owns.
+    :param lease_left_ms: time left of its lease; negative once it is over.
+    """
+
+    record: ServerRecord
+    leaving: bool
+    share: float
+    lease_left_ms: int
+
+
+class ServiceState(Struct, frozen=True, kw_only=True):
+    """How the keys of a service are.
+
+    :param name: its name.
+    :param token: the fencing token in force.
+    :param moving: how many shards are moving.
+    :param hot_keys: how many keys are placed apart from their shard.
+    """
+
+    name: ServiceName
+    token: Token
+    moving: int
+    hot_keys: int
+
+
+class StatusReply(Struct, frozen=True, kw_only=True, tag=True):
+    """How the deployment is, as the leader sees it.
+
+    :param leader: the leader's id.
+    :param term: its term.
+    :param commit: the last committed log index.
+    :param document_version: the version in force.
+    :param replicas: the control replicas.
+    :param gateways: the gateways.
+    :param servers: the backend servers.
+    :param services: the keyed services.
+    """
+
+    leader: ReplicaId
+    term: int
+    commit: LogIndex
+    document_version: int
+    replicas: tuple[ReplicaState, ...]
+    gateways: tuple[GatewayState, ...]
+    servers: tuple[ServerState, ...]
+    services: tuple[ServiceState, ...]
+
+
+class DumpReply(Struct, frozen=True, kw_only=True, tag=True):
+    """A dump of a process's state.
+
+    :param text: YAML, bounded in size.
+    """
+
+    text: str
+
+
+class ReplaceReply(Struct, frozen=True, kw_only=True, tag=True):
+    """The replica has been replaced; the new one holds everything acknowledged.
+
+    :param voters: the voters now.
+    """
+
+    voters: tuple[ReplicaId, ...]
+
+
+class Refused(Struct, frozen=True, kw_only=True, tag=True):
+    """The request was refused.
+
+    :param message: what is wrong.
+    :param remedy: what to do.
+    :param leader: address of the leader where the request must go there, else None.
+    :param unavailable: whether the same request may be answered later, for example after an
+        election; a submission or replacement may also have been committed.
+    """
+
+    message: str
+    remedy: str
+    leader: Endpoint | None = None
+    unavailable: bool = False
+
+
+OperatorReply = (
+    SubmitReply | ShowReply | HistoryReply | StatusReply | DumpReply | ReplaceReply | Refused
+)
+"""Replies of a control replica to an operator's program."""
