--- a/packages/lychee-bench/src/lychee_bench/operator.py
+++ b/packages/lychee-bench/src/lychee_bench/operator.py
@@ -77,16 +77,13 @@
 
 
 async def _until_answered(work: Callable[[], Coroutine[Any, Any, T]], timeout_s: float) -> T:
-    """Ask until there is an answer.
-
-    Each attempt is a task of its own: grpclib cancels the task whose connection broke.
-    """
+    """Ask until there is an answer."""
     last = "nothing was answered"
     try:
         async with asyncio.timeout(timeout_s):
             while True:
                 try:
-                    return await asyncio.create_task(work())
+                    return await work()
                 except LycheeError as exc:
                     last = str(exc)
                 await asyncio.sleep(PAUSE_S)
--- a/packages/lychee-cli/src/lychee_cli/deployment.py
+++ b/packages/lychee-cli/src/lychee_cli/deployment.py
@@ -9,6 +9,7 @@
 from lychee_types.exceptions import UnavailableError
 from lychee_types.ids import ReplicaId
 from lychee_types.operator_messages import (
+    GatewayState,
     StatusReply,
 )
 from lychee_types.records import Endpoint
@@ -52,10 +53,7 @@
     click.echo("gateways")
     print_table(
         ("id", "failure domain", "version", "applied", "lease left ms"),
-        [
-            (g.id, g.domain, _version(g.document_version, reply), g.applied, g.lease_left_ms)
-            for g in reply.gateways
-        ],
+        [(g.id, g.domain, _version(g, reply), g.applied, g.lease_left_ms) for g in reply.gateways],
     )
     click.echo("backend servers")
     print_table(
@@ -81,7 +79,10 @@
     )
 
 
-def _version(version: int, reply: StatusReply) -> str:
+def _version(gateway: GatewayState, reply: StatusReply) -> str:
+    if not gateway.is_heard:
+        return "not heard yet"
+    version = gateway.document_version
     behind = reply.document_version - version
     return f"{version} (lags by {behind})" if behind > 0 else str(version)
 
--- a/packages/lychee-cli/tests/test_commands.py
+++ b/packages/lychee-cli/tests/test_commands.py
@@ -7,6 +7,7 @@
 
 import pytest
 from click.testing import CliRunner, Result
+from msgspec.structs import replace
 
 from lychee_cli.cli import main
 from lychee_types.commands import SubmitDocument
@@ -104,6 +105,17 @@
     assert reply["document_version"] == 2 and len(reply["gateways"]) == 2
 
 
+def test_status_tells_a_gateway_that_the_leader_has_not_heard_from_one_that_lags(
+    fake_control, monkeypatch
+) -> None:
+    put(fake_control, SKAFT, "anna")
+    status = fake_control._status()
+    silent = replace(status.gateways[0], applied=0, document_version=0)
+    monkeypatch.setattr(fake_control, "_status", lambda: replace(status, gateways=(silent,)))
+    text = lychee("status", control=fake_control).output
+    assert "not heard yet" in text and "lags" not in text
+
+
 def test_a_follower_sends_the_request_to_the_leader(fake_control, make_control) -> None:
     with make_control().running() as follower:
         follower.leader = fake_control.endpoint
--- a/packages/lychee-console/src/lychee_console/status_pages.py
+++ b/packages/lychee-console/src/lychee_console/status_pages.py
@@ -18,7 +18,11 @@
     async def status(self, visit: Visit) -> Answer:
         """Show VMs, versions in force, owners, leaving servers and hot keys."""
         reply = await self._client.status()
-        lagging = [g.id for g in reply.gateways if g.document_version < reply.document_version]
+        lagging = [
+            g.id
+            for g in reply.gateways
+            if g.is_heard and g.document_version < reply.document_version
+        ]
         summary = (
             f"Leader {reply.leader} in term {reply.term}; document version "
             f"{reply.document_version}; commit index {reply.commit}."
@@ -43,7 +47,7 @@
                     (
                         g.id,
                         g.domain,
-                        str(g.document_version),
+                        str(g.document_version) if g.is_heard else "not heard yet",
                         str(g.applied),
                         f"{g.lease_left_ms} ms",
                     )
--- a/packages/lychee-types/src/lychee_types/operator_messages.py
+++ b/packages/lychee-types/src/lychee_types/operator_messages.py
@@ -132,6 +132,11 @@
     applied: LogIndex
     lease_left_ms: int
 
+    @property
+    def is_heard(self) -> bool:
+        """Whether the present leader has heard what the gateway has applied."""
+        return self.applied > 0
+
 
 class ServerState(Struct, frozen=True, kw_only=True):
     """How a backend server is.
