Refuse servers whose clock is off where only deadlines protect their keys

Cause: a server that does not check tokens and was frozen is kept from running old requests by their deadline alone, which is wall time; a server whose clock is behind would run them, and nothing noticed. Ruled out: deadlines in each server's own clock (the offset would have to reach all gateways from the one that hears the server; to be weighed next); counting the lag of single messages (one late message says nothing, so an agreement in the last 5 s excuses it, and a clock that is behind never agrees). Change: announcements carry wall_ms; gateways answer 503 with the difference and the remedy for keyed services without token checks; readiness turns red when several servers disagree and none agrees.

--- a/packages/lychee-bench/src/lychee_bench/announcer.py
+++ b/packages/lychee-bench/src/lychee_bench/announcer.py
@@ -106,6 +106,7 @@
                 number=self._number,
                 fence=self._lease.confirmed,
                 in_flight=self._in_flight(),
+                wall_ms=int(self._clock.wall() * 1_000),
             )
         )
 
--- a/packages/lychee-gateway/src/lychee_gateway/announce.py
+++ b/packages/lychee-gateway/src/lychee_gateway/announce.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable
 
+from loguru import logger
 from msgspec import DecodeError, Struct
 from msgspec.json import Decoder, Encoder
 
 from lychee_gateway.calls import Answer, NotRun
+from lychee_gateway.clocks import ServerClocks
 from lychee_gateway.exceptions import BadRequestError
 from lychee_gateway.http import CallerConnection, RequestHead, ResponseHead
 from lychee_gateway.problems import answer_for
@@ -37,12 +39,14 @@
     :param ready: whether it may.
     :param state: whether it has the configuration.
     :param lease: whether it holds its session lease.
+    :param clock: whether its VM's clock agrees with those of backend servers.
     :param stopping: whether it is about to stop.
     """
 
     ready: bool
     state: bool
     lease: bool
+    clock: bool
     stopping: bool
 
 
@@ -50,6 +54,7 @@
     """Answers the requests of the announce listener.
 
     :param desk: where announcements go.
+    :param clocks: checks the clocks of servers that do not check tokens.
     :param readiness: returns the readiness.
     :param dump: returns the dump of the process's state.
     """
@@ -58,10 +63,12 @@
         self,
         *,
         desk: AnnouncementDesk,
+        clocks: ServerClocks,
         readiness: Callable[[], Readiness],
         dump: Callable[[], str],
     ) -> None:
         self._desk = desk
+        self._clocks = clocks
         self._readiness = readiness
         self._dump = dump
 
@@ -98,6 +105,11 @@
             announcement = _ANNOUNCEMENT.decode(body)
         except (DecodeError, UnicodeDecodeError) as exc:
             return _problem(400, f"the announcement cannot be read: {exc}", "correct this value")
+        fault = self._clocks.fault(announcement)
+        if fault:
+            logger.warning("announcement of {} refused: {}", announcement.server.id, fault)
+            remedy = "set the clocks of the server and of the VM, and announce again"
+            return _problem(503, fault, remedy, retry_after_s=1)
         grant = await self._desk.announce(announcement, timeout_s=GRANT_TIMEOUT_S)
         if grant is None:
             return _problem(
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/clocks.py
@@ -0,0 +1,53 @@
+"""Refusal of announcements whose server has a wall clock that cannot be relied upon."""
+
+from time import time
+
+from lychee_gateway.view import StateView
+from lychee_policy import ClockWatch
+from lychee_types.document import RequestKind
+from lychee_types.messages import Announcement
+
+
+class ServerClocks:
+    """Checks the clocks of servers that only the deadline on each request protects.
+
+    :param view: the replicated state, which says which servers check tokens.
+    :param limit_ms: largest difference of two clocks, in milliseconds.
+    """
+
+    def __init__(self, *, view: StateView, limit_ms: int) -> None:
+        self._view = view
+        self._limit_ms = limit_ms
+        self._watch = ClockWatch(limit_ms=limit_ms)
+
+    def fault(self, announcement: Announcement) -> str:
+        """Return why an announcement must not be passed on, empty if it may."""
+        if not self._depends_on_clock(announcement):
+            return ""
+        if not announcement.wall_ms:
+            return "the announcement has no wall_ms, and the server does not check tokens"
+        now_ms = _wall_ms()
+        server = announcement.server.id
+        if self._watch.agrees(server=server, sent_ms=announcement.wall_ms, received_ms=now_ms):
+            return ""
+        lag_ms = now_ms - announcement.wall_ms
+        word = "behind" if lag_ms > 0 else "ahead of"
+        return (
+            f"the server's clock is {abs(lag_ms)} ms {word} this VM's, "
+            f"and at most {self._limit_ms} ms are safe"
+        )
+
+    def are_own_in_doubt(self) -> bool:
+        """Return whether this VM's own clock is likely to be wrong."""
+        return self._watch.doubts_itself(_wall_ms())
+
+    def _depends_on_clock(self, announcement: Announcement) -> bool:
+        record, document = announcement.server, self._view.state.document
+        service = document.service(record.service) if document is not None else None
+        if document is None or service is None or service.kind is not RequestKind.KEYED:
+            return False
+        return not document.checks_tokens(service.name, record.id)
+
+
+def _wall_ms() -> int:
+    return int(time() * 1_000)
--- a/packages/lychee-gateway/src/lychee_gateway/core.py
+++ b/packages/lychee-gateway/src/lychee_gateway/core.py
@@ -9,6 +9,7 @@
 from lychee_gateway.bodies import TOO_MANY_BODIES, BodyBudget, expected_bytes
 from lychee_gateway.callers import Callers
 from lychee_gateway.calls import Answer, Call, NotRun, Outcome, StreamSent, Unknown
+from lychee_gateway.clocks import ServerClocks
 from lychee_gateway.control import ControlClient
 from lychee_gateway.dispatch import Dispatcher
 from lychee_gateway.drain import FlightLog
@@ -53,6 +54,7 @@
         self._servers = ServerBook()
         self._desk = AnnouncementDesk()
         self._ledger = LedgerCalls()
+        self._clocks = ServerClocks(view=self._view, limit_ms=cfg.timing.drift_ms)
         self._placing = Dispatcher(view=self._view, lease=self._lease, servers=self._servers)
         self._router = Router(
             view=self._view,
@@ -80,7 +82,9 @@
             on_lease=self._lease_granted,
             ssl=client_context(cfg.tls),
         )
-        announce = AnnounceServer(desk=self._desk, readiness=self.readiness, dump=self.dump)
+        announce = AnnounceServer(
+            desk=self._desk, clocks=self._clocks, readiness=self.readiness, dump=self.dump
+        )
         self._callers = Callers(
             handle=self._answer, refuse=self._refuse, crash=self._crash, fail=self._broken
         )
@@ -94,11 +98,13 @@
         """Return whether callers may be sent here."""
         state = self._view.state.document is not None
         lease = self._lease.held(monotonic())
+        clock = not self._clocks.are_own_in_doubt()
         stopping = self.stopping.is_set()
         return Readiness(
-            ready=state and lease and self._accepting and not stopping,
+            ready=state and lease and clock and self._accepting and not stopping,
             state=state,
             lease=lease,
+            clock=clock,
             stopping=stopping,
         )
 
--- a/packages/lychee-gateway/tests/test_path.py
+++ b/packages/lychee-gateway/tests/test_path.py
@@ -1,7 +1,9 @@
 """The whole path: caller, gateway, backend server."""
 
 import asyncio
+from time import time
 
+import pytest
 from msgspec.json import decode, encode
 
 from lychee_types.messages import (
@@ -43,12 +45,53 @@
     run(scenario())
 
 
+def now_ms() -> int:
+    return int(time() * 1_000)
+
+
+@pytest.mark.parametrize(
+    ("service", "lag_ms", "status"),
+    [
+        ("status", 0, 200),
+        ("status", 3_000, 503),
+        ("status", -3_000, 503),
+        ("status", None, 503),
+        ("booking", 3_000, 200),
+        ("booking", None, 200),
+    ],
+)
+def test_a_clock_that_is_off_is_refused_where_only_deadlines_protect(service, lag_ms, status):
+    async def scenario():
+        server = FakeServer("s1", service)
+        async with open_world(server) as world:
+            wall_ms = 0 if lag_ms is None else now_ms() - lag_ms
+            word = Announcement(server=server.record(), number=7, wall_ms=wall_ms)
+            caller = await world.caller(announce=True)
+            reply = await caller.get(b"/_lychee/announce", method=b"POST", body=encode(word))
+            assert reply.status == status
+            assert (b"clock" in reply.body) is (status == 503)
+
+    run(scenario())
+
+
+def test_a_server_that_checks_tokens_may_have_any_clock():
+    async def scenario():
+        server = FakeServer("s1", "status")
+        async with open_world(server, document=services(checks_tokens=True)) as world:
+            word = Announcement(server=server.record(), number=7, wall_ms=1)
+            caller = await world.caller(announce=True)
+            reply = await caller.get(b"/_lychee/announce", method=b"POST", body=encode(word))
+            assert reply.status == 200
+
+    run(scenario())
+
+
 def test_an_announcement_gets_the_leaders_grant():
     async def scenario():
         server = FakeServer("s1", "status")
         async with open_world(server) as world:
             caller = await world.caller(announce=True)
-            body = encode(Announcement(server=server.record(), number=7))
+            body = encode(Announcement(server=server.record(), number=7, wall_ms=now_ms()))
             reply = await caller.get(b"/_lychee/announce", method=b"POST", body=body)
             assert reply.status == 200
             assert decode(reply.body)["number"] == 7
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -9,6 +9,7 @@
     RoundRobin,
     choose,
 )
+from lychee_policy.clocks import ClockWatch
 from lychee_policy.hotkeys import HotKeyCounter
 from lychee_policy.limits import Limits, limits_for
 from lychee_policy.outliers import (
@@ -42,6 +43,7 @@
     "typical_s",
     "warm_share",
     "Candidate",
+    "ClockWatch",
     "ChoiceRule",
     "DeadlineQueue",
     "LeastConnections",
--- a/packages/lychee-types/src/lychee_types/messages.py
+++ b/packages/lychee-types/src/lychee_types/messages.py
@@ -78,12 +78,15 @@
     :param number: number of the announcement in this run; the lease counts from its sending.
     :param fence: the highest fence that the server has confirmed.
     :param in_flight: how many requests it runs or holds, by its own word.
+    :param wall_ms: its wall time at the sending, Unix ms; 0 for unknown, which is refused for a
+        server of a keyed service that does not check tokens.
     """
 
     server: ServerRecord
     number: int
     fence: Token = Token(0)
     in_flight: int = 0
+    wall_ms: int = 0
 
 
 class ReportServers(Struct, frozen=True, kw_only=True, tag=True):
