Draw one chart a unit, as high as its bars

Cause: looked at, the picture of a whole bench had names over one another, and keys a change beside moves over the least in one chart, where modulo's 300 hid the rest. Measured: tests only; the picture was looked at again.

--- a/packages/lychee-bench/src/lychee_bench/plot.py
+++ b/packages/lychee-bench/src/lychee_bench/plot.py
@@ -1,8 +1,9 @@
 """Pictures of results: unavailable time, imbalance and churn."""
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 from pathlib import Path
-from statistics import fmean
+from statistics import fmean, median
 
 import matplotlib
 from matplotlib.axes import Axes
@@ -17,21 +18,66 @@
 TOPICS = ("unavailable", "imbalance", "churn")
 """What the pictures show: the figures whose dotted name has the word."""
 
+PICTURE_WIDTH_IN = 10.0
+"""Width of the picture, in inches."""
+
+ROW_HEIGHT_IN = 0.24
+"""Height of one bar with its name, in inches."""
+
+PANEL_EDGE_ROWS = 4
+"""Height of a chart's title and axis, in bars."""
+
+LOG_SCALE_RATIO = 30.0
+"""Ratio of the largest figure to the median above which a chart's scale is logarithmic."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Panel:
+    """One bar chart: the figures of one topic that have one unit.
+
+    :param topic: the topic.
+    :param unit: the figures' unit.
+    :param measures: the figures.
+    """
+
+    topic: str
+    unit: str
+    measures: tuple[Measure, ...]
+
 
 def plot_results(results: Results, path: Path) -> None:
-    """Write a PNG with one bar chart for each topic.
+    """Write a PNG with a bar chart for each topic and unit.
 
     :param results: the figures.
     :param path: the file to write.
     """
-    figure, axes = pyplot.subplots(len(TOPICS), 1, figsize=(10, 4 * len(TOPICS)))
-    for axis, topic in zip(axes, TOPICS, strict=True):
-        _plot_topic(axis, topic, by_policy(results.measures, topic))
+    panels = make_panels(results)
+    rows = [len(panel.measures) + PANEL_EDGE_ROWS for panel in panels]
+    figure, axes = pyplot.subplots(
+        max(len(panels), 1),
+        1,
+        figsize=(PICTURE_WIDTH_IN, max(sum(rows), 1) * ROW_HEIGHT_IN),
+        height_ratios=rows or None,
+        squeeze=False,
+    )
+    for axis, panel in zip(axes[:, 0], panels, strict=False):
+        _plot_panel(axis, panel)
     figure.tight_layout()
     figure.savefig(path, dpi=100)
     pyplot.close(figure)
 
 
+def make_panels(results: Results) -> tuple[Panel, ...]:
+    """Return the charts to draw, in order of topic; topics without figures are left out."""
+    panels: list[Panel] = []
+    for topic in TOPICS:
+        measures = by_policy(results.measures, topic)
+        for unit in dict.fromkeys(measure.unit for measure in measures):
+            chosen = tuple(measure for measure in measures if measure.unit == unit)
+            panels.append(Panel(topic=topic, unit=unit, measures=chosen))
+    return tuple(panels)
+
+
 def by_policy(measures: Sequence[Measure], topic: str) -> list[Measure]:
     """Return the topic's figures, those of a placement's events as their mean for each policy."""
     groups: dict[str, list[Measure]] = {}
@@ -49,11 +95,14 @@
     ]
 
 
-def _plot_topic(axis: Axes, topic: str, measures: list[Measure]) -> None:
-    names = [f"{item.name} ({item.unit})" for item in measures]
-    axis.barh(names, [item.value for item in measures])
-    for place, item in enumerate(measures):
-        if item.bound is not None:
-            axis.plot([item.bound] * 2, [place - 0.4, place + 0.4], color="black")
-    axis.set_title(topic)
+def _plot_panel(axis: Axes, panel: Panel) -> None:
+    values = [measure.value for measure in panel.measures]
+    axis.barh([measure.name for measure in panel.measures], values)
+    for place, measure in enumerate(panel.measures):
+        if measure.bound is not None:
+            axis.plot([measure.bound] * 2, [place - 0.4, place + 0.4], color="black")
+    positive = [value for value in values if value > 0]
+    if positive and max(positive) > LOG_SCALE_RATIO * median(positive):
+        axis.set_xscale("symlog", linthresh=1.0)
+    axis.set_title(f"{panel.topic} ({panel.unit})")
     axis.invert_yaxis()
--- a/packages/lychee-bench/tests/test_measure.py
+++ b/packages/lychee-bench/tests/test_measure.py
@@ -12,7 +12,7 @@
 from lychee_bench.hammer import hammer
 from lychee_bench.http_server import HttpServer, Response
 from lychee_bench.measure import Measure, Results, write_results
-from lychee_bench.plot import by_policy
+from lychee_bench.plot import by_policy, make_panels
 from lychee_bench.ports import free_endpoints
 
 
@@ -55,6 +55,18 @@
     ]
 
 
+def test_figures_of_different_units_are_drawn_apart() -> None:
+    measures = tuple(
+        Measure(name=f"{name}.churn", value=1.0, unit=unit)
+        for name, unit in (("a", "moved/least"), ("b", "keys/change"), ("c", "moved/least"))
+    )
+    panels = make_panels(Results(at=1.0, measures=measures))
+    assert [(panel.unit, len(panel.measures)) for panel in panels] == [
+        ("moved/least", 2),
+        ("keys/change", 1),
+    ]
+
+
 def test_an_unknown_experiment_is_refused_with_the_known_ones() -> None:
     result = CliRunner().invoke(main, ["bench", "--only", "nothing"])
     assert result.exit_code == 2
