Move HTTP connections into a package that the control replica can use too

Cause: the control replica is to answer servers and operators over HTTP and to call servers; the connections, the pool and the listener stood in lychee-gateway, which it may not import. Change: lychee-http holds them unchanged; SystemClock counts the time that a VM was suspended (CLOCK_BOOTTIME), as the leader's leases are judged by it. Types of routes, registered servers and key ranges are new and not used by a program yet.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := $(patsubst %/pyproject.toml,%,$(sort $(wildcard packages/*/pyproject.toml)))
-SOURCES := $(wildcard packages/*/src)
+PACKAGES := $(patsubst %/pyproject.toml,%,$(sort $(wildcard packages/*/pyproject.toml))) platform
+SOURCES := $(wildcard packages/*/src) platform/src
 SEED ?= 1
 SECONDS ?= 60
 ONLY ?=
@@ -10,15 +10,15 @@
 
 install: $(VENV)/.installed
 
-$(VENV)/.installed: requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(addprefix -e ,$(PACKAGES))
 	touch $@
 
 lint: install
-	$(BIN)/black --check --quiet packages
-	$(BIN)/ruff check --quiet packages
+	$(BIN)/black --check --quiet packages platform
+	$(BIN)/ruff check --quiet packages platform
 	$(BIN)/lint-imports --no-cache
 
 types: install
--- a/packages/lychee-gateway/src/lychee_gateway/announce.py
+++ b/packages/lychee-gateway/src/lychee_gateway/announce.py
@@ -8,10 +8,10 @@
 
 from lychee_gateway.calls import Answer, NotRun
 from lychee_gateway.clocks import ServerClocks
-from lychee_gateway.exceptions import BadRequestError
-from lychee_gateway.http import CallerConnection, RequestHead, ResponseHead
 from lychee_gateway.problems import answer_for
 from lychee_gateway.reports import AnnouncementDesk
+from lychee_http import CallerConnection, RequestHead, ResponseHead
+from lychee_http.exceptions import BadRequestError
 from lychee_types.messages import (
     Announcement,
 )
--- a/packages/lychee-gateway/src/lychee_gateway/bodies.py
+++ b/packages/lychee-gateway/src/lychee_gateway/bodies.py
@@ -4,7 +4,7 @@
 from contextlib import contextmanager
 
 from lychee_gateway.calls import NotRun
-from lychee_gateway.http import RequestHead, header_value
+from lychee_http import RequestHead, header_value
 
 BODIES_LIMIT_BYTES = 268_435_456
 """Most bytes of request bodies held at once."""
--- a/packages/lychee-gateway/src/lychee_gateway/calls.py
+++ b/packages/lychee-gateway/src/lychee_gateway/calls.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from lychee_gateway.http import RequestHead, ResponseHead
+from lychee_http import RequestHead, ResponseHead
 from lychee_types.document import Service
 from lychee_types.ids import KeyHash, ServerId
 
--- a/packages/lychee-gateway/src/lychee_gateway/core.py
+++ b/packages/lychee-gateway/src/lychee_gateway/core.py
@@ -7,19 +7,15 @@
 
 from lychee_gateway.announce import AnnounceServer, Readiness
 from lychee_gateway.bodies import TOO_MANY_BODIES, BodyBudget, expected_bytes
-from lychee_gateway.callers import Callers
 from lychee_gateway.calls import Answer, Call, NotRun, Outcome, StreamSent, Unknown
 from lychee_gateway.clocks import ServerClocks
 from lychee_gateway.control import ControlClient
 from lychee_gateway.dispatch import Dispatcher
 from lychee_gateway.drain import FlightLog
 from lychee_gateway.dump import GatewayDump, dump_ownerships, dump_servers
-from lychee_gateway.exceptions import BadRequestError
 from lychee_gateway.exchange import Exchange
-from lychee_gateway.http import CallerConnection, RequestHead
 from lychee_gateway.lease import SessionLease
 from lychee_gateway.ledger import LedgerCalls
-from lychee_gateway.listener import Listener
 from lychee_gateway.metrics import FLUSH_S, GatewayMetrics, StateMetric
 from lychee_gateway.problems import answer_for
 from lychee_gateway.reports import AnnouncementDesk
@@ -27,6 +23,10 @@
 from lychee_gateway.servers import ServerBook
 from lychee_gateway.streams import StreamToCaller
 from lychee_gateway.view import StateView
+from lychee_http import CallerConnection, RequestHead
+from lychee_http.callers import Callers
+from lychee_http.exceptions import BadRequestError
+from lychee_http.listener import Listener
 from lychee_runtime import Daemon, client_context, format_dump, open_metrics
 from lychee_types.exceptions import InvariantError
 from lychee_types.ids import SessionId
--- a/packages/lychee-gateway/src/lychee_gateway/exchange.py
+++ b/packages/lychee-gateway/src/lychee_gateway/exchange.py
@@ -17,8 +17,8 @@
 )
 from lychee_gateway.dispatch import Dispatcher, Placed
 from lychee_gateway.drain import FlightLog, KeyedFlight
-from lychee_gateway.exceptions import ServerAnswerError
-from lychee_gateway.http import (
+from lychee_gateway.servers import ServerBook
+from lychee_http import (
     Header,
     RequestHead,
     ResponseHead,
@@ -26,7 +26,7 @@
     forwarded_headers,
     header_value,
 )
-from lychee_gateway.servers import ServerBook
+from lychee_http.exceptions import ServerAnswerError
 from lychee_types.document import BodyMode
 from lychee_types.ids import Token
 from lychee_types.records import Endpoint
--- a/packages/lychee-gateway/src/lychee_gateway/once.py
+++ b/packages/lychee-gateway/src/lychee_gateway/once.py
@@ -7,9 +7,9 @@
 from xxhash import xxh3_64_intdigest
 
 from lychee_gateway.calls import Answer, Call, NotRun, Outcome, StreamSent, Unknown
-from lychee_gateway.http import Headers, ResponseHead, header_value
 from lychee_gateway.ledger import LedgerCalls
 from lychee_gateway.problems import body_not_kept
+from lychee_http import Headers, ResponseHead, header_value
 from lychee_types.commands import LedgerFound, LedgerOpened
 from lychee_types.records import LedgerEntry, LedgerStatus, StoredAnswer
 
--- a/packages/lychee-gateway/src/lychee_gateway/problems.py
+++ b/packages/lychee-gateway/src/lychee_gateway/problems.py
@@ -4,7 +4,7 @@
 from msgspec.json import Encoder
 
 from lychee_gateway.calls import Answer, NotRun, Unknown
-from lychee_gateway.http import Header, ResponseHead
+from lychee_http import Header, ResponseHead
 
 _ENCODER = Encoder()
 
--- a/packages/lychee-gateway/src/lychee_gateway/requests.py
+++ b/packages/lychee-gateway/src/lychee_gateway/requests.py
@@ -5,8 +5,8 @@
 from urllib.parse import unquote_to_bytes
 from uuid import uuid4
 
-from lychee_gateway.exceptions import BadRequestError
-from lychee_gateway.http import RequestHead, header_value
+from lychee_http import RequestHead, header_value
+from lychee_http.exceptions import BadRequestError
 from lychee_owner import hash_key
 from lychee_types.document import Document, RequestKind, Service
 from lychee_types.ids import KeyHash
--- a/packages/lychee-gateway/src/lychee_gateway/router.py
+++ b/packages/lychee-gateway/src/lychee_gateway/router.py
@@ -22,9 +22,7 @@
     Unknown,
 )
 from lychee_gateway.dispatch import Dispatcher, Placed
-from lychee_gateway.exceptions import BadRequestError
 from lychee_gateway.exchange import Exchange, PassOn
-from lychee_gateway.http import CallerConnection, RequestHead
 from lychee_gateway.ledger import LedgerCalls
 from lychee_gateway.once import OnceRunner
 from lychee_gateway.requests import (
@@ -36,6 +34,8 @@
     request_path,
 )
 from lychee_gateway.view import StateView
+from lychee_http import CallerConnection, RequestHead
+from lychee_http.exceptions import BadRequestError
 from lychee_policy import HotKeyCounter, RetryBudget
 from lychee_types.document import Service
 from lychee_types.ids import ServiceName
--- a/packages/lychee-gateway/src/lychee_gateway/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/servers.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from lychee_gateway.pool import ServerPool
+from lychee_http.pool import ServerPool
 from lychee_owner import ClusterState
 from lychee_policy import (
     CAUTIOUS_EJECTION_S,
--- a/packages/lychee-gateway/src/lychee_gateway/streams.py
+++ b/packages/lychee-gateway/src/lychee_gateway/streams.py
@@ -4,8 +4,8 @@
 
 from loguru import logger
 
-from lychee_gateway.exceptions import ServerAnswerError
-from lychee_gateway.http import CallerConnection, ResponseHead, ServerConnection
+from lychee_http import CallerConnection, ResponseHead, ServerConnection
+from lychee_http.exceptions import ServerAnswerError
 
 
 class StreamToCaller:
--- a/packages/lychee-gateway/tests/test_contract_callers.py
+++ b/packages/lychee-gateway/tests/test_contract_callers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lychee_gateway.http import CallerLimits
+from lychee_http import CallerLimits
 
 from .conftest import FakeServer, answer, open_world, run, services
 
--- a/packages/lychee-gateway/tests/test_metrics.py
+++ b/packages/lychee-gateway/tests/test_metrics.py
@@ -1,8 +1,8 @@
 """Metrics by name."""
 
 from lychee_gateway.calls import Answer, NotRun, StreamSent, Unknown
-from lychee_gateway.http import ResponseHead
 from lychee_gateway.metrics import TIMES_LIMIT, GatewayMetrics, StateMetric
+from lychee_http import ResponseHead
 
 
 class Client:
--- a/packages/lychee-gateway/src/lychee_gateway/http/__init__.py
+++ b/packages/lychee-http/src/lychee_http/__init__.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 towards callers and backend servers: the one interface of the data path to HTTP."""
 
-from lychee_gateway.http.inbound import CallerConnection, CallerLimits
-from lychee_gateway.http.messages import (
+from lychee_http.inbound import CallerConnection, CallerLimits
+from lychee_http.messages import (
     Header,
     Headers,
     RequestHead,
@@ -9,8 +9,8 @@
     forwarded_headers,
     header_value,
 )
-from lychee_gateway.http.outbound import ServerConnection, open_server_connection
-from lychee_gateway.http.wire import Wire
+from lychee_http.outbound import ServerConnection, open_server_connection
+from lychee_http.wire import Wire
 
 __all__ = [
     "CallerConnection",
--- a/packages/lychee-gateway/src/lychee_gateway/callers.py
+++ b/packages/lychee-http/src/lychee_http/callers.py
@@ -7,8 +7,8 @@
 
 from loguru import logger
 
-from lychee_gateway.exceptions import BadRequestError, CallerGoneError
-from lychee_gateway.http import CallerConnection, CallerLimits, RequestHead, Wire
+from lychee_http import CallerConnection, CallerLimits, RequestHead, Wire
+from lychee_http.exceptions import BadRequestError, CallerGoneError
 from lychee_types.exceptions import InvariantError
 
 STOP_LIMIT_S = 60.0
--- a/packages/lychee-gateway/src/lychee_gateway/http/framing.py
+++ b/packages/lychee-http/src/lychee_http/framing.py
@@ -3,8 +3,8 @@
 import re
 from collections.abc import Iterator
 
-from lychee_gateway.exceptions import BadRequestError
-from lychee_gateway.http.messages import RequestHead, header_value, header_values
+from lychee_http.exceptions import BadRequestError
+from lychee_http.messages import RequestHead, header_value, header_values
 
 _TARGET = re.compile(rb"[\x21-\x7e]+\Z")
 _LENGTH = re.compile(rb"[0-9]{1,18}\Z")
--- a/packages/lychee-gateway/src/lychee_gateway/http/inbound.py
+++ b/packages/lychee-http/src/lychee_http/inbound.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass, replace
 from time import monotonic
 
-from lychee_gateway.exceptions import BadRequestError, CallerGoneError
-from lychee_gateway.http.framing import check_head, declared_length
-from lychee_gateway.http.messages import RequestHead, ResponseHead, header_tokens, header_value
-from lychee_gateway.http.parser import EndOfMessage, MalformedError, RequestEvent, RequestParser
-from lychee_gateway.http.wire import Wire
+from lychee_http.exceptions import BadRequestError, CallerGoneError
+from lychee_http.framing import check_head, declared_length
+from lychee_http.messages import RequestHead, ResponseHead, header_tokens, header_value
+from lychee_http.parser import EndOfMessage, MalformedError, RequestEvent, RequestParser
+from lychee_http.wire import Wire
 
 LINGER_S = 1.0
 """Longest time to read and drop what a caller still sends before its connection closes."""
--- a/packages/lychee-gateway/src/lychee_gateway/http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -3,10 +3,10 @@
 import asyncio
 from dataclasses import replace
 
-from lychee_gateway.exceptions import ServerAnswerError
-from lychee_gateway.http.messages import RequestHead, ResponseHead, header_value, header_values
-from lychee_gateway.http.parser import EndOfMessage, MalformedError, ResponseEvent, ResponseParser
-from lychee_gateway.http.wire import Wire
+from lychee_http.exceptions import ServerAnswerError
+from lychee_http.messages import RequestHead, ResponseHead, header_value, header_values
+from lychee_http.parser import EndOfMessage, MalformedError, ResponseEvent, ResponseParser
+from lychee_http.wire import Wire
 from lychee_types.records import Endpoint
 
 HEAD_LIMIT_BYTES = 65_536
--- a/packages/lychee-gateway/src/lychee_gateway/http/parser.py
+++ b/packages/lychee-http/src/lychee_http/parser.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from lychee_gateway.http.messages import Header, RequestHead, ResponseHead, header_value
+from lychee_http.messages import Header, RequestHead, ResponseHead, header_value
 from lychee_types.exceptions import LycheeError
 
 
--- a/packages/lychee-gateway/src/lychee_gateway/pool.py
+++ b/packages/lychee-http/src/lychee_http/pool.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from lychee_gateway.http import ServerConnection, open_server_connection
+from lychee_http import ServerConnection, open_server_connection
 from lychee_types.records import Endpoint
 
 CONNECT_TIMEOUT_S = 0.5
--- /dev/null
+++ b/packages/lychee-ranges/src/lychee_ranges/__init__.py
@@ -0,0 +1,23 @@
+"""Decisions on routes, registered servers and granted key ranges. No I/O."""
+
+from lychee_ranges.exposure import Exposures, hold_limit_s
+from lychee_ranges.loads import BUCKET_KEYS, LoadBook, bucket_of
+from lychee_ranges.matching import RouteMatcher
+from lychee_ranges.planner import Candidate, Move, Plan, first_split
+from lychee_ranges.state import RoutedState
+from lychee_ranges.table import KeyTable
+
+__all__ = [
+    "BUCKET_KEYS",
+    "Candidate",
+    "Exposures",
+    "KeyTable",
+    "LoadBook",
+    "Move",
+    "Plan",
+    "RouteMatcher",
+    "RoutedState",
+    "bucket_of",
+    "first_split",
+    "hold_limit_s",
+]
--- /dev/null
+++ b/packages/lychee-ranges/src/lychee_ranges/state.py
@@ -0,0 +1,145 @@
+"""The replicated state behind routes: configuration, registered servers, key ranges."""
+
+from msgspec.structs import replace
+
+from lychee_ranges.checks import find_fault
+from lychee_ranges.patching import apply_patch
+from lychee_ranges.table import KeyTable
+from lychee_types.ids import LogIndex, ServerId, ServiceName, Token
+from lychee_types.registry import (
+    AcceptedChange,
+    GrantPhase,
+    KeyRange,
+    RangeTable,
+    RegisteredServer,
+    RoutedImage,
+)
+from lychee_types.registry_commands import (
+    Applied,
+    ChangeRouting,
+    Obsolete,
+    RegisterServer,
+    RemoveServer,
+    RoutedCommand,
+    RoutedOutcome,
+    RoutingAccepted,
+    RoutingConflict,
+    RoutingRefused,
+    SetRanges,
+)
+from lychee_types.routing import Routing, RoutingPatch, RoutingVersion
+
+ACCEPTED_KEPT = 4_096
+"""Number of accepted changes that are known again when they are resent."""
+
+
+class RoutedState:
+    """State that every replica and every gateway holds alike at the same log index.
+
+    :param image: the state to begin with.
+    """
+
+    def __init__(self, *, image: RoutedImage | None = None) -> None:
+        image = image or RoutedImage()
+        self.index = image.index
+        self.version = image.version
+        self.servers: dict[ServerId, RegisteredServer] = {
+            server.run.server: server for server in image.servers
+        }
+        self.tables: dict[ServiceName, KeyTable] = {
+            table.service: KeyTable(ranges=table.ranges) for table in image.tables
+        }
+        self._accepted: dict[int, AcceptedChange] = {
+            change.number: change for change in image.accepted
+        }
+
+    @property
+    def routing(self) -> Routing:
+        """Return the configuration in force."""
+        return self.version.routing
+
+    def image(self) -> RoutedImage:
+        """Return the whole state."""
+        return RoutedImage(
+            index=self.index,
+            version=self.version,
+            accepted=tuple(self._accepted.values()),
+            servers=tuple(sorted(self.servers.values(), key=lambda server: server.run.server)),
+            tables=tuple(
+                RangeTable(service=name, ranges=self.tables[name].ranges)
+                for name in sorted(self.tables)
+            ),
+        )
+
+    def apply(self, index: LogIndex, command: RoutedCommand) -> RoutedOutcome:
+        """Apply one committed command and return what came of it.
+
+        :param index: its log index.
+        :param command: the command.
+        """
+        self.index = index
+        match command:
+            case ChangeRouting():
+                return self._change(command)
+            case RegisterServer(server=server):
+                return self._register(server)
+            case RemoveServer(run=run):
+                known = self.servers.get(run.server)
+                if known is None or known.run != run:
+                    return Obsolete(reason="another run is registered")
+                del self.servers[run.server]
+                return Applied()
+            case SetRanges():
+                return self._set_ranges(index, command)
+
+    def accepted(self, number: int, digest: bytes) -> bool:
+        """Return whether exactly this change was accepted before."""
+        known = self._accepted.get(number)
+        return known is not None and known.digest == digest
+
+    def _change(self, command: ChangeRouting) -> RoutedOutcome:
+        if self.accepted(command.number, command.digest):
+            return RoutingAccepted(number=command.number, is_repeat=True)
+        if command.based_on != self.version.number:
+            return RoutingConflict(number=self.version.number)
+        if command.number <= self.version.number:
+            reason = f"version {command.number} is not above {self.version.number}"
+            return RoutingRefused(reason=reason)
+        change = command.change
+        routing = apply_patch(self.routing, change) if isinstance(change, RoutingPatch) else change
+        fault = find_fault(routing)
+        if fault is not None:
+            return RoutingRefused(reason=fault)
+        self.version = RoutingVersion(number=command.number, routing=routing)
+        self._accepted[command.number] = AcceptedChange(
+            number=command.number, digest=command.digest
+        )
+        if len(self._accepted) > ACCEPTED_KEPT:
+            del self._accepted[next(iter(self._accepted))]
+        return RoutingAccepted(number=command.number)
+
+    def _register(self, server: RegisteredServer) -> RoutedOutcome:
+        """Keep the newest run of an id and of an address; older ones are gone."""
+        known = self.servers.get(server.run.server)
+        if known is not None and known.run.incarnation > server.run.incarnation:
+            return Obsolete(reason="a later run is registered")
+        for other in tuple(self.servers.values()):
+            if other.endpoint != server.endpoint or other.run.server == server.run.server:
+                continue
+            if other.run.incarnation > server.run.incarnation:
+                return Obsolete(reason="a later run has this address")
+            del self.servers[other.run.server]
+        self.servers[server.run.server] = server
+        return Applied()
+
+    def _set_ranges(self, index: LogIndex, command: SetRanges) -> RoutedOutcome:
+        table = self.tables.setdefault(command.service, KeyTable())
+        token = Token(index)
+        table.put(_with_token(key_range, token) for key_range in command.ranges)
+        return Applied()
+
+
+def _with_token(key_range: KeyRange, token: Token) -> KeyRange:
+    if key_range.phase is GrantPhase.GRANTING and key_range.token == 0:
+        return replace(key_range, token=token)
+    return key_range
--- a/packages/lychee-types/src/lychee_types/clock.py
+++ b/packages/lychee-types/src/lychee_types/clock.py
@@ -17,11 +17,14 @@
 
 
 class SystemClock:
-    """The clock of this VM."""
+    """The clock of this VM.
+
+    Leases are judged by it, so it counts the time that the VM was suspended.
+    """
 
     def monotonic(self) -> float:
-        """Return the operating system's monotonic time in seconds."""
-        return time.monotonic()
+        """Return seconds since the VM was started, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """Return the operating system's time in seconds since the Unix epoch."""
