--- /dev/null
+++ b/deploy/build.py
@@ -0,0 +1,60 @@
+"""Puts the libraries and the workspace's packages into target/deps.
+
+Libraries are installed again only when deploy/requirements.txt has changed; the packages are
+copied each time, which takes a moment.
+"""
+
+import compileall
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+TARGET = ROOT / "target"
+DEPS = TARGET / "deps"
+REQUIREMENTS = ROOT / "deploy" / "requirements.txt"
+STAMP = TARGET / "requirements.installed"
+PACKAGES = (
+    "packages/lychee-types/src/lychee_types",
+    "packages/lychee-http/src/lychee_http",
+    "packages/lychee-log/src/lychee_log",
+    "packages/lychee-policy/src/lychee_policy",
+    "packages/lychee-ranges/src/lychee_ranges",
+    "packages/lychee-runtime/src/lychee_runtime",
+    "packages/lychee-control/src/lychee_control",
+    "packages/lychee-gateway/src/lychee_gateway",
+    "platform/src/lychee_platform",
+)
+
+
+def main() -> None:
+    """Build target/deps."""
+    install_libraries()
+    for package in PACKAGES:
+        copy_package(ROOT / package)
+    if not compileall.compile_dir(DEPS, quiet=1, workers=0):
+        sys.exit("a source file does not compile")
+
+
+def install_libraries() -> None:
+    """Install the libraries if they have changed since the last build."""
+    wanted = REQUIREMENTS.read_text()
+    if STAMP.exists() and STAMP.read_text() == wanted:
+        return
+    shutil.rmtree(DEPS, ignore_errors=True)
+    command = [sys.executable, "-m", "pip", "install", "--quiet", "--disable-pip-version-check"]
+    command += ["--target", str(DEPS), "-r", str(REQUIREMENTS)]
+    subprocess.run(command, check=True)
+    STAMP.write_text(wanted)
+
+
+def copy_package(source: Path) -> None:
+    """Replace a package by its present sources."""
+    target = DEPS / source.name
+    shutil.rmtree(target, ignore_errors=True)
+    shutil.copytree(source, target, ignore=shutil.ignore_patterns("__pycache__"))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/lychee-control/src/lychee_control/peers.py
+++ b/packages/lychee-control/src/lychee_control/peers.py
@@ -17,6 +17,7 @@
     ToControl,
     ToGateway,
 )
+from lychee_types.registry_messages import LoadReport
 
 ALIVE_INTERVAL_S = 0.2
 """Interval at which the receiving end of a link tells that it is alive, in seconds."""
@@ -68,7 +69,16 @@
     message: ToGateway
 
 
-PeerFrame = PeerAlive | LogMessage | RelayUp | RelayDown
+class ReportUp(Struct, frozen=True, kw_only=True, tag=True):
+    """A gateway's load report on its way to the leader.
+
+    :param report: the report.
+    """
+
+    report: LoadReport
+
+
+PeerFrame = PeerAlive | LogMessage | RelayUp | RelayDown | ReportUp
 """Messages on a link between two control replicas."""
 
 FrameHandler = Callable[[PeerFrame], None]
--- /dev/null
+++ b/packages/lychee-control/src/lychee_control/registry/calls.py
@@ -0,0 +1,149 @@
+"""Calls to backend servers that grant key ranges and take them back."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Protocol
+
+from loguru import logger
+
+from lychee_http import RequestHead, ResponseHead, ServerConnection
+from lychee_http.exceptions import ServerAnswerError
+from lychee_http.pool import ServerPool
+from lychee_types.records import Endpoint
+from lychee_types.registry import KeyRange
+
+GRANT_TIMEOUT_S = 0.6
+"""Longest wait for the answer to a grant, in seconds."""
+
+RELEASE_TIMEOUT_S = 3.0
+"""Longest wait until running work on released keys has ended, in seconds."""
+
+ANSWER_LIMIT_BYTES = 65_536
+"""Largest body of an answer."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WireCall:
+    """A call as it goes over the wire.
+
+    :param head: its head, with the body's length.
+    :param body: its body.
+    """
+
+    head: RequestHead
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GrantAccepted:
+    """The server holds the keys."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GrantStale:
+    """The server has seen a higher token on one of the keys."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Released:
+    """The server has given the keys up.
+
+    :param handover: what it left for the next owner, empty without.
+    """
+
+    handover: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OtherServer:
+    """Another server answers at the address."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Unusable:
+    """No answer that says what the server did.
+
+    :param reason: what happened.
+    :param maybe_sent: whether the server may have read the call.
+    """
+
+    reason: str
+    maybe_sent: bool
+
+
+CallReply = GrantAccepted | GrantStale | Released | OtherServer | Unusable
+"""What became of a call."""
+
+
+class GrantCodec(Protocol):
+    """Translates grants and releases."""
+
+    def grant(self, *, key_range: KeyRange, endpoint: Endpoint, hold_s: float) -> WireCall:
+        """Return the call that grants a range to its owner."""
+        ...
+
+    def release(self, *, key_range: KeyRange, endpoint: Endpoint) -> WireCall:
+        """Return the call that takes a range back from its owner."""
+        ...
+
+    def read_grant(self, head: ResponseHead) -> CallReply:
+        """Return what the answer to a grant says."""
+        ...
+
+    def read_release(self, head: ResponseHead) -> CallReply:
+        """Return what the answer to a release says."""
+        ...
+
+
+class ServerCalls:
+    """Calls to one run of a server over connections that are kept open.
+
+    :param endpoint: its address.
+    :param codec: translates the calls.
+    """
+
+    def __init__(self, *, endpoint: Endpoint, codec: GrantCodec) -> None:
+        self._endpoint = endpoint
+        self._codec = codec
+        self._pool = ServerPool(endpoint=endpoint)
+
+    async def grant(self, key_range: KeyRange, *, hold_s: float) -> CallReply:
+        """Grant a range to its owner, or renew the grant."""
+        call = self._codec.grant(key_range=key_range, endpoint=self._endpoint, hold_s=hold_s)
+        answer = await self._send(call, GRANT_TIMEOUT_S)
+        return answer if isinstance(answer, Unusable) else self._codec.read_grant(answer)
+
+    async def release(self, key_range: KeyRange) -> CallReply:
+        """Take a range back; the answer comes when running work on it has ended."""
+        call = self._codec.release(key_range=key_range, endpoint=self._endpoint)
+        answer = await self._send(call, RELEASE_TIMEOUT_S)
+        return answer if isinstance(answer, Unusable) else self._codec.read_release(answer)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.close()
+
+    async def _send(self, call: WireCall, timeout_s: float) -> ResponseHead | Unusable:
+        try:
+            conn = await self._pool.take(timeout_s=timeout_s)
+        except OSError as exc:
+            return Unusable(reason=f"no connection: {type(exc).__name__}", maybe_sent=False)
+        with self._pool.lent(conn):
+            try:
+                async with asyncio.timeout(timeout_s):
+                    return await self._exchange(conn, call)
+            except TimeoutError:
+                return Unusable(reason=f"no answer in {timeout_s} s", maybe_sent=True)
+            except ServerAnswerError as exc:
+                logger.debug("an answer of {} is unusable: {}", self._endpoint, exc)
+                return Unusable(reason=exc.message, maybe_sent=True)
+
+    async def _exchange(self, conn: ServerConnection, call: WireCall) -> ResponseHead | Unusable:
+        conn.send(call.head, call.body)
+        head = await conn.read_head()
+        size = 0
+        while chunk := await conn.read_chunk():
+            size += len(chunk)
+            if size > ANSWER_LIMIT_BYTES:
+                return Unusable(reason="the answer is too large", maybe_sent=True)
+        return head
--- /dev/null
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -0,0 +1,290 @@
+"""The daemon of a control replica of a routed deployment."""
+
+import asyncio
+from pathlib import Path
+
+from loguru import logger
+from msgspec import Struct
+
+from lychee_control.peers import (
+    LogMessage,
+    PeerFrame,
+    PeerLink,
+    PeerLinks,
+    ReportUp,
+    serve_peer,
+)
+from lychee_control.registry.calls import GrantCodec
+from lychee_control.registry.leader import RegistryLeader
+from lychee_control.registry.machine import RoutedMachine
+from lychee_control.registry.orders import (
+    ApiCodec,
+    BadOrder,
+    ChangeOrder,
+    Heartbeat,
+    Leave,
+    NotLeader,
+    OrderReply,
+    ReadOrder,
+    Refused,
+    Unavailable,
+    UnknownCall,
+)
+from lychee_control.registry.subscribers import Subscribers
+from lychee_http import CallerConnection, CallerLimits, RequestHead, ResponseHead
+from lychee_http.callers import Callers
+from lychee_http.exceptions import BadRequestError
+from lychee_http.listener import Listener
+from lychee_log import Replica, ReplicaDump, Voter
+from lychee_runtime import Daemon, Link, LinkService, format_dump, serve_links
+from lychee_types.clock import Clock, SystemClock
+from lychee_types.exceptions import InvariantError
+from lychee_types.ids import DomainName
+from lychee_types.messages import PEER
+from lychee_types.records import Endpoint
+from lychee_types.registry import RoutedImage
+from lychee_types.registry_commands import RoutedOutcome
+from lychee_types.registry_messages import (
+    SUBSCRIBE,
+    FromGateway,
+    LoadReport,
+    Pulse,
+    RoutedDelta,
+    ToSubscriber,
+)
+from lychee_types.routed_settings import RegistrySettings, replica_id
+
+PULSE_S = 0.2
+"""Interval at which gateways are told that this replica is alive, in seconds."""
+
+BODY_LIMIT_BYTES = 8_388_608
+"""Largest body of a call: a configuration of a few thousand routes."""
+
+BODY_TIMEOUT_S = 5.0
+"""Longest wait for the body of a call, in seconds."""
+
+LEADER_WAIT_S = 0.6
+"""Longest wait for a leader before a caller is told that there is none, in seconds."""
+
+LEADER_CHECK_S = 0.05
+"""Interval at which a leader is looked for, in seconds."""
+
+API_LIMITS = CallerLimits(idle_s=30.0)
+"""Limits on the connections of servers and operators."""
+
+
+class RegistryDump(Struct, frozen=True, kw_only=True):
+    """A dump of a control replica of a routed deployment.
+
+    :param id: its id.
+    :param domain: its failure domain.
+    :param leads: whether it does the leader's work.
+    :param gateways: number of gateways attached to it.
+    :param log: the replicated log's own dump, None before it has started.
+    :param image: the replicated state.
+    """
+
+    id: str
+    domain: DomainName
+    leads: bool
+    gateways: int
+    log: ReplicaDump | None
+    image: RoutedImage
+
+
+class RegistryDaemon(Daemon):
+    """One control replica.
+
+    :param cfg: its settings.
+    :param api: translates calls of servers and operators.
+    :param grants: translates calls to servers.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: RegistrySettings,
+        api: ApiCodec,
+        grants: GrantCodec,
+        clock: Clock | None = None,
+    ) -> None:
+        super().__init__()
+        self._cfg = cfg
+        self._api = api
+        self._grants = grants
+        self._clock = clock or SystemClock()
+        self._id = replica_id(cfg.endpoint)
+        self._leader: RegistryLeader | None = None
+        self._leader_heard_at = 0.0
+        self._machine = RoutedMachine(on_applied=self._on_applied, on_restored=self._on_restored)
+        self._subscribers = Subscribers(
+            machine=self._machine, on_report=self._take_report, pulse=self._pulse
+        )
+        seed = hash(self._id)
+        self._peers = PeerLinks(spawn=self._spawn_peer_link, ssl=None, seed=seed)
+        self._replica = Replica(
+            id=self._id,
+            endpoint=cfg.peer_endpoint,
+            data=Path(cfg.data),
+            voters=self._first_voters(),
+            timing=cfg.timing,
+            machine=self._machine,
+            transport=self._peers,
+            clock=self._clock,
+            seed=seed & 0x7FFF_FFFF_FFFF_FFFF,
+            on_leadership=self._on_leadership,
+            on_applied=lambda index, data: None,
+        )
+        self._callers = Callers(
+            handle=self._handle,
+            refuse=self._refuse,
+            crash=self._crash,
+            fail=self._broken,
+            limits=API_LIMITS,
+        )
+        self._listener = Listener(endpoint=cfg.endpoint, accept=self._callers.accept)
+
+    async def serve(self) -> None:
+        """Serve until a stop is requested."""
+        service = LinkService(name=self._cfg.id)
+        service.add(
+            method=SUBSCRIBE,
+            send=ToSubscriber,
+            receive=FromGateway,
+            handler=self._subscribers.serve,
+        )
+        service.add(method=PEER, send=PeerFrame, receive=PeerFrame, handler=self._serve_peer)
+        async with serve_links(service=service, endpoint=self._cfg.peer_endpoint):
+            self.spawn(self._replica.run(), name="replica")
+            self.spawn(self._beat(), name="pulse")
+            self._listener.start()
+            logger.bind(event="start", listen=self._cfg.listen).info("control replica serves")
+            await self.stopping.wait()
+            logger.bind(event="stop").info("control replica stops")
+            await self._listener.stop()
+            await self._callers.finish()
+            await self.cancel_tasks()
+
+    def dump(self) -> str:
+        """Return the replica's state as YAML."""
+        return format_dump(
+            RegistryDump(
+                id=self._cfg.id,
+                domain=self._cfg.domain,
+                leads=self._leader is not None,
+                gateways=len(self._subscribers),
+                log=self._replica.dump(),
+                image=self._machine.state.image(),
+            )
+        )
+
+    def _first_voters(self) -> tuple[Voter, ...]:
+        """Return the first voters; none for a replica that is not among the seeds."""
+        seeds = self._cfg.seed_endpoints
+        if not self._cfg.is_first_start or self._cfg.peer_endpoint not in seeds:
+            return ()
+        return tuple(Voter(id=replica_id(seed), endpoint=seed) for seed in seeds)
+
+    async def _handle(self, head: RequestHead, caller: CallerConnection) -> None:
+        body = await caller.read_body(limit=BODY_LIMIT_BYTES, timeout_s=BODY_TIMEOUT_S)
+        order = self._api.read(head, body)
+        match order:
+            case UnknownCall():
+                answer = self._api.not_found(head)
+            case BadOrder(reason=reason):
+                logger.bind(event="bad_call", target=head.target.decode("latin-1")).warning(
+                    "a call cannot be read: {}", reason
+                )
+                answer = self._api.reply(head, Refused(reason=reason))
+            case _:
+                answer = self._api.reply(head, await self._answer(order))
+        await caller.send(*answer)
+
+    async def _answer(self, order: Heartbeat | Leave | ChangeOrder | ReadOrder) -> OrderReply:
+        until = self._clock.monotonic() + LEADER_WAIT_S
+        while self._clock.monotonic() < until:
+            if self._leader is not None:
+                return await self._leader.answer(order)
+            leader = self._replica.leader
+            if leader is not None and leader.id != self._id:
+                at = Endpoint(host=leader.endpoint.host, port=self._cfg.endpoint.port)
+                return NotLeader(leader=at)
+            await asyncio.sleep(LEADER_CHECK_S)
+        return Unavailable(reason="there is no leader now")
+
+    async def _refuse(self, exc: BadRequestError, caller: CallerConnection) -> None:
+        logger.bind(event="bad_call").warning("a call cannot be taken: {}", exc)
+        await caller.send(ResponseHead(status=exc.status, headers=()), b"")
+
+    async def _crash(self, caller: CallerConnection) -> None:
+        await caller.send(ResponseHead(status=500, headers=()), b"")
+
+    def _broken(self, exc: InvariantError) -> None:
+        self.on_task_failed("call", exc)
+
+    async def _serve_peer(self, link: Link[PeerFrame, PeerFrame]) -> None:
+        await serve_peer(link, handle=self._handle_frame)
+
+    def _handle_frame(self, frame: PeerFrame) -> None:
+        match frame:
+            case LogMessage(message=message):
+                leader = self._replica.leader
+                if leader is not None and message.sender == leader.id:
+                    self._leader_heard_at = self._clock.monotonic()
+                self._replica.receive(message)
+            case ReportUp(report=report):
+                if self._leader is not None:
+                    self._leader.report(report)
+            case _:
+                pass
+
+    def _take_report(self, report: LoadReport) -> None:
+        """Hand a gateway's report to the leader, here or elsewhere."""
+        if self._leader is not None:
+            self._leader.report(report)
+            return
+        leader = self._replica.leader
+        if leader is not None and leader.id != self._id:
+            self._peers.post_frame(to=leader, frame=ReportUp(report=report))
+
+    def _pulse(self) -> Pulse:
+        silence_s = 0.0
+        if self._leader is None:
+            silence_s = self._clock.monotonic() - self._leader_heard_at
+        replicas = tuple(voter.endpoint for voter in self._replica.voters)
+        return Pulse(silence_ms=int(silence_s * 1_000), replicas=replicas)
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(PULSE_S)
+            self._subscribers.beat()
+
+    def _on_leadership(self, leads: bool, term: int) -> None:
+        if self._leader is not None:
+            self._leader.end()
+            self._leader = None
+        logger.bind(event="leadership", term=term, leads=leads).info(
+            "this replica {}", "leads" if leads else "follows"
+        )
+        if not leads:
+            return
+        self._leader = RegistryLeader(
+            cfg=self._cfg,
+            replica=self._replica,
+            state=self._machine.state,
+            codec=self._grants,
+            clock=self._clock,
+        )
+        self.spawn(self._leader.run(), name="leader")
+
+    def _on_applied(self, delta: RoutedDelta, outcome: RoutedOutcome) -> None:
+        self._subscribers.spread(delta)
+        if self._leader is not None:
+            self._leader.applied(delta.command, outcome)
+
+    def _on_restored(self) -> None:
+        self._subscribers.resend_all()
+
+    def _spawn_peer_link(self, link: PeerLink) -> None:
+        self.spawn(link.run(), name=f"peer {link.peer.id}")
--- /dev/null
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -0,0 +1,297 @@
+"""What a replica does while it leads: heartbeats, operators' changes, keys."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from loguru import logger
+from msgspec.msgpack import Encoder
+from msgspec.structs import replace
+from xxhash import xxh3_128_digest
+
+from lychee_control.registry.calls import GrantCodec
+from lychee_control.registry.heartbeats import HeartbeatBook
+from lychee_control.registry.keeper import HOLD_S, Keeper
+from lychee_control.registry.orders import (
+    Accepted,
+    ChangeOrder,
+    Conflict,
+    CurrentRouting,
+    Heard,
+    Heartbeat,
+    Leave,
+    OrderReply,
+    ReadOrder,
+    Refused,
+    Unavailable,
+)
+from lychee_log import Replica
+from lychee_ranges import LoadBook, RoutedState
+from lychee_types.clock import Clock
+from lychee_types.exceptions import InvariantError, LycheeError
+from lychee_types.ids import ServiceName
+from lychee_types.registry import RegisteredServer, ServerRun
+from lychee_types.registry_commands import (
+    Applied,
+    ChangeRouting,
+    Obsolete,
+    RegisterServer,
+    RemoveServer,
+    RoutedCommand,
+    RoutedOutcome,
+    RoutingAccepted,
+    RoutingConflict,
+    RoutingRefused,
+    encode_routed,
+)
+from lychee_types.registry_messages import LoadReport
+from lychee_types.routed_settings import RegistrySettings
+
+COMMIT_TIMEOUT_S = 0.9
+"""Longest wait for a commit before a caller is told that the outcome is not known, in seconds."""
+
+FORGET_BEATS = 20.0
+"""Missed heartbeats after which a server's record is removed."""
+
+SWEEP_S = 0.5
+"""Interval between looks for servers to forget, in seconds."""
+
+_ENCODER = Encoder()
+
+
+class RegistryLeader:
+    """The leader's work in one term.
+
+    :param cfg: the replica's settings.
+    :param replica: the replicated log.
+    :param state: the replicated state, current as of the term's first entry.
+    :param codec: translates calls to servers.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: RegistrySettings,
+        replica: Replica,
+        state: RoutedState,
+        codec: GrantCodec,
+        clock: Clock,
+    ) -> None:
+        self._cfg = cfg
+        self._replica = replica
+        self._state = state
+        self._codec = codec
+        self._clock = clock
+        self._beats = HeartbeatBook(now=clock.monotonic())
+        self._loads = LoadBook(now=clock.monotonic())
+        self._keepers: dict[ServiceName, Keeper] = {}
+        self._tasks: dict[asyncio.Task[None], str] = {}
+        self._left_at: dict[ServerRun, float] = {}
+        self._failure: BaseException | None = None
+        self._ended = asyncio.Event()
+
+    async def run(self) -> None:
+        """Work until the term is over.
+
+        :raises InvariantError: if a condition that must always hold does not.
+        """
+        try:
+            while not self._ended.is_set():
+                self._sync_keepers()
+                self._forget_silent()
+                self._loads.forget_cold(self._clock.monotonic())
+                try:
+                    async with asyncio.timeout(SWEEP_S):
+                        await self._ended.wait()
+                except TimeoutError:
+                    continue
+        finally:
+            tasks = list(self._tasks)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        if self._failure is not None:
+            raise self._failure
+
+    def end(self) -> None:
+        """Stop working: another replica may lead."""
+        self._ended.set()
+
+    def applied(self, command: RoutedCommand, outcome: RoutedOutcome) -> None:
+        """Take note of an applied command."""
+        if isinstance(command, ChangeRouting) and isinstance(outcome, RoutingAccepted):
+            self._sync_keepers()
+        for keeper in self._keepers.values():
+            keeper.wake()
+
+    def report(self, report: LoadReport) -> None:
+        """Take a gateway's load report."""
+        self._loads.take(report, self._clock.monotonic())
+
+    async def answer(self, order: Heartbeat | Leave | ChangeOrder | ReadOrder) -> OrderReply:
+        """Answer a call of a server or an operator."""
+        match order:
+            case Heartbeat():
+                return await self._hear(order)
+            case Leave():
+                return await self._let_go(order)
+            case ChangeOrder():
+                return await self._change(order)
+            case ReadOrder():
+                return self._read()
+
+    async def _hear(self, beat: Heartbeat) -> OrderReply:
+        server = beat.server
+        now = self._clock.monotonic()
+        known = self._state.servers.get(server.run.server)
+        if not self._beats.hear(beat, now):
+            logger.bind(event="old_heartbeat", server=server.run.server).info(
+                "heartbeat {} is older than the last one", beat.sequence
+            )
+            return self._heard()
+        if known is not None and known.run == server.run:
+            server = replace(
+                server, cold_s=known.cold_s, is_leaving=known.is_leaving or server.is_leaving
+            )
+            if known == server:
+                return self._heard()
+        outcome = await self.propose(RegisterServer(server=server))
+        match outcome:
+            case Applied():
+                self._note_registered(server)
+                return self._heard()
+            case Obsolete(reason=reason):
+                logger.bind(event="heartbeat_refused", server=server.run.server).warning(
+                    "a heartbeat names no server to use: {}", reason
+                )
+                return Refused(reason=reason)
+            case _:
+                return Unavailable(reason="the heartbeat is not committed yet")
+
+    def _note_registered(self, server: RegisteredServer) -> None:
+        logger.bind(
+            event="server_leaving" if server.is_leaving else "server_registered",
+            server=server.run.server,
+            incarnation=server.run.incarnation,
+            service=server.service,
+            address=str(server.endpoint),
+        ).info("a server's record is in force")
+
+    async def _let_go(self, leave: Leave) -> OrderReply:
+        known = self._state.servers.get(leave.server)
+        if known is None:
+            return self._heard()
+        if leave.incarnation is not None and leave.incarnation != known.run.incarnation:
+            return self._heard()
+        if not known.is_leaving:
+            server = replace(known, is_leaving=True)
+            outcome = await self.propose(RegisterServer(server=server))
+            if not isinstance(outcome, Applied | Obsolete):
+                return Unavailable(reason="the departure is not committed yet")
+            self._note_registered(server)
+        self._left_at.setdefault(known.run, self._clock.monotonic())
+        return self._heard()
+
+    def _heard(self) -> Heard:
+        return Heard(next_at=self._cfg.endpoint)
+
+    async def _change(self, order: ChangeOrder) -> OrderReply:
+        digest = xxh3_128_digest(_ENCODER.encode((order.based_on, order.number, order.change)))
+        command = ChangeRouting(
+            number=order.number, based_on=order.based_on, change=order.change, digest=digest
+        )
+        outcome = await self.propose(command)
+        logger.bind(
+            event="routing", number=order.number, based_on=order.based_on, outcome=repr(outcome)
+        ).info("an operator changes the routes")
+        match outcome:
+            case RoutingAccepted(number=number):
+                return Accepted(number=number)
+            case RoutingConflict(number=number):
+                return Conflict(number=number)
+            case RoutingRefused(reason=reason):
+                return Refused(reason=reason)
+            case _:
+                return Unavailable(reason="the change is not known to be committed")
+
+    def _read(self) -> OrderReply:
+        if self._clock.monotonic() >= self._replica.leads_until():
+            return Unavailable(reason="another replica may know a newer version")
+        if self._state.version.number == 0:
+            return Unavailable(reason="no routes have been submitted yet")
+        return CurrentRouting(version=self._state.version)
+
+    async def propose(self, command: RoutedCommand) -> RoutedOutcome | None:
+        """Have a command committed; None if that is not known to have happened in time."""
+        try:
+            async with asyncio.timeout(COMMIT_TIMEOUT_S):
+                committed = await self._replica.propose(encode_routed(command))
+        except InvariantError:
+            raise
+        except (LycheeError, TimeoutError) as exc:
+            logger.bind(event="not_committed").warning(
+                "{} is not known to be committed: {}", type(command).__name__, exc
+            )
+            return None
+        outcome: RoutedOutcome = committed.result  # type: ignore[assignment]
+        return outcome
+
+    def _sync_keepers(self) -> None:
+        for service in self._state.routing.services:
+            if not service.is_keyed or service.name in self._keepers:
+                continue
+            keeper = Keeper(
+                service=service.name,
+                state=self._state,
+                beats=self._beats,
+                loads=self._loads,
+                codec=self._codec,
+                propose=self.propose,
+                spawn=self._spawn,
+                clock=self._clock,
+                leads_until=self._replica.leads_until,
+                heartbeat_s=self._cfg.heartbeat_s,
+                hold_s=min(HOLD_S, self._cfg.bounds.hold_max_s),
+            )
+            self._keepers[service.name] = keeper
+            self._spawn(keeper.run(), f"keys of {service.name}")
+
+    def _forget_silent(self) -> None:
+        """Remove servers that have left, and those that have been silent for long."""
+        now = self._clock.monotonic()
+        silence_s = FORGET_BEATS * self._cfg.heartbeat_s
+        stay_s = self._cfg.bounds.drain_s
+        for server in self._state.servers.values():
+            left_at = self._left_at.get(server.run)
+            is_gone = left_at is not None and now - left_at > stay_s
+            is_silent = now - self._beats.heard_at(server.run) > silence_s
+            if (is_gone or is_silent) and not self._owns(server.run):
+                self._spawn(self._remove(server.run), f"remove {server.run.server}")
+
+    def _owns(self, run: ServerRun) -> bool:
+        return any(
+            key_range.owner == run
+            for table in self._state.tables.values()
+            for key_range in table.ranges
+        )
+
+    async def _remove(self, run: ServerRun) -> None:
+        if await self.propose(RemoveServer(run=run)) is not None:
+            self._left_at.pop(run, None)
+            self._beats.forget(run)
+            logger.bind(event="server_removed", server=run.server).info("a server is gone")
+
+    def _spawn(self, work: Coroutine[Any, Any, None], name: str) -> "asyncio.Task[None]":
+        task = asyncio.create_task(work, name=name)
+        self._tasks[task] = name
+        task.add_done_callback(self._task_done)
+        return task
+
+    def _task_done(self, task: "asyncio.Task[None]") -> None:
+        name = self._tasks.pop(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        self._failure = task.exception()
+        logger.opt(exception=self._failure).error("task {} failed", name)
+        self._ended.set()
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -0,0 +1,194 @@
+"""The daemon of a gateway that forwards by routes."""
+
+import asyncio
+import socket
+from uuid import uuid4
+
+from loguru import logger
+from msgspec import Struct
+
+from lychee_gateway.proxy.attempts import Sender
+from lychee_gateway.proxy.codec import ProxyCodec, Rejection
+from lychee_gateway.proxy.forwarding import Forwarder
+from lychee_gateway.proxy.loads import KeyLoads
+from lychee_gateway.proxy.placing import Placer
+from lychee_gateway.proxy.servers import ServerList
+from lychee_gateway.proxy.subscription import Subscription
+from lychee_gateway.proxy.view import RoutedView
+from lychee_http import CallerLimits, ResponseHead, Wire
+from lychee_http.listener import Listener
+from lychee_http.turns import Turn, TurnConnection
+from lychee_runtime import Daemon, format_dump
+from lychee_types.clock import Clock, SystemClock
+from lychee_types.ids import DomainName, LogIndex, SessionId
+from lychee_types.registry_messages import LoadReport
+from lychee_types.routed_settings import ProxySettings
+
+STOP_CHECK_S = 0.05
+"""Interval at which a stop looks for connections that have become idle, in seconds."""
+
+LISTEN_SHARE = 0.5
+"""Part of the grace time for which a stopping gateway takes connections."""
+
+FINISH_SHARE = 0.92
+"""Part of the grace time after which what is still under way is cut."""
+
+
+class ProxyDump(Struct, frozen=True, kw_only=True):
+    """A dump of a gateway.
+
+    :param id: its id.
+    :param domain: its failure domain.
+    :param replica: the control replica that it follows.
+    :param index: log index of its state.
+    :param routes: number of the configuration in force.
+    :param servers: registered servers.
+    :param callers: open connections of callers.
+    """
+
+    id: str
+    domain: DomainName
+    replica: str
+    index: LogIndex
+    routes: int
+    servers: int
+    callers: int
+
+
+class ProxyDaemon(Daemon):
+    """One gateway.
+
+    :param cfg: its settings.
+    :param codec: translates heads.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self, *, cfg: ProxySettings, codec: ProxyCodec, clock: Clock | None = None
+    ) -> None:
+        super().__init__()
+        self._cfg = cfg
+        self._codec = codec
+        self._clock = clock or SystemClock()
+        self._session = SessionId(uuid4().hex)
+        self._view = RoutedView()
+        self._servers = ServerList(clock=self._clock)
+        self._loads = KeyLoads(clock=self._clock)
+        self._placer = Placer(
+            view=self._view, servers=self._servers, domain=cfg.domain, clock=self._clock
+        )
+        self._forwarder = Forwarder(
+            view=self._view,
+            placer=self._placer,
+            sender=Sender(codec=codec, clock=self._clock),
+            codec=codec,
+            loads=self._loads,
+            clock=self._clock,
+            retry_ratio=cfg.bounds.retry_ratio,
+        )
+        self._view.listen(lambda: self._servers.sync(self._view.state))
+        self._view.listen(self._placer.state_changed)
+        self._subscription = Subscription(
+            cfg=cfg,
+            session=self._session,
+            view=self._view,
+            clock=self._clock,
+            report=self._report,
+        )
+        self._conns: dict[asyncio.Task[None], TurnConnection] = {}
+        self._listener = Listener(endpoint=cfg.endpoint, accept=self._accept)
+        self._ready_listener = Listener(endpoint=cfg.ready_endpoint, accept=self._accept_probe)
+        self._is_listening = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return self._is_listening and self._view.has_routes and not self.stopping.is_set()
+
+    async def serve(self) -> None:
+        """Serve until asked to stop, then finish what is under way."""
+        self.spawn(self._subscription.run(), name="subscription")
+        self._ready_listener.start()
+        self._listener.start()
+        self._is_listening = True
+        logger.bind(event="start", listen=self._cfg.listen).info("gateway serves")
+        await self.stopping.wait()
+        if self.exit_code == 0:
+            await self._stop()
+        logger.bind(event="stop", under_way=self._under_way()).info("gateway stops")
+
+    def dump(self) -> str:
+        """Return the gateway's state as YAML."""
+        state = self._view.state
+        return format_dump(
+            ProxyDump(
+                id=self._cfg.id,
+                domain=self._cfg.domain,
+                replica=self._subscription.replica,
+                index=state.index,
+                routes=state.version.number,
+                servers=len(state.servers),
+                callers=len(self._conns),
+            )
+        )
+
+    def _under_way(self) -> int:
+        return sum(conn.under_way for conn in self._conns.values())
+
+    async def _stop(self) -> None:
+        """Turn readiness red, go on serving, and close connections as they become idle."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        grace_s = self._cfg.bounds.grace_s
+        for conn in self._conns.values():
+            conn.closing = True
+        await asyncio.sleep(grace_s * LISTEN_SHARE)
+        await self._listener.stop()
+        while self._conns and loop.time() < began + grace_s * FINISH_SHARE:
+            for conn in list(self._conns.values()):
+                conn.closing = True
+                conn.close_if_idle()
+            await asyncio.wait(list(self._conns), timeout=STOP_CHECK_S)
+
+    async def _accept(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.connect_accepted_socket(lambda: Wire(on_made=self._made), sock)
+
+    async def _accept_probe(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.connect_accepted_socket(lambda: Wire(on_made=self._probe_made), sock)
+
+    def _made(self, wire: Wire) -> None:
+        bounds = self._view.state.routing.bounds
+        limits = CallerLimits(
+            head_bytes=bounds.head_bytes, head_s=bounds.head_s, idle_s=bounds.idle_s
+        )
+        conn = TurnConnection(
+            wire=wire,
+            limits=limits,
+            handle=self._forwarder.handle,
+            refuse=self._forwarder.refuse,
+        )
+        conn.closing = self.stopping.is_set()
+        task = asyncio.get_running_loop().create_task(conn.run())
+        self._conns[task] = conn
+        task.add_done_callback(self._conns.pop)
+
+    def _probe_made(self, wire: Wire) -> None:
+        conn = TurnConnection(
+            wire=wire,
+            limits=CallerLimits(),
+            handle=self._tell_ready,
+            refuse=self._forwarder.refuse,
+        )
+        self.spawn(conn.run(), name="probe")
+
+    async def _tell_ready(self, turn: Turn) -> None:
+        if not self._codec.is_readiness(turn.head):
+            rejection = Rejection(status=404, reason="only readiness is told here")
+            await turn.send(*self._codec.reject(rejection, ""))
+            return
+        await turn.send(ResponseHead(status=200 if self.is_ready else 503, headers=()), b"")
+
+    def _report(self) -> LoadReport | None:
+        return self._loads.take(self._session, self._servers.take_paces())
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/loads.py
@@ -0,0 +1,47 @@
+"""Counting of work by key, for the leader's placement."""
+
+from lychee_ranges import bucket_of
+from lychee_types.clock import Clock
+from lychee_types.ids import ServiceName, SessionId
+from lychee_types.registry_messages import KeyLoad, LoadReport, ServerPace, ServiceLoad
+
+
+class KeyLoads:
+    """Requests by bucket of keys since the last report.
+
+    :param clock: source of time.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._since = clock.monotonic()
+        self._requests: dict[ServiceName, dict[int, int]] = {}
+
+    def count(self, service: ServiceName, key: int) -> None:
+        """Count a request."""
+        buckets = self._requests.setdefault(service, {})
+        bucket = bucket_of(key)
+        buckets[bucket] = buckets.get(bucket, 0) + 1
+
+    def take(self, session: SessionId, paces: tuple[ServerPace, ...]) -> LoadReport | None:
+        """Return the report since the last call, None if there was nothing.
+
+        :param session: the gateway's run.
+        :param paces: what servers did.
+        """
+        now = self._clock.monotonic()
+        requests, self._requests = self._requests, {}
+        span_s, self._since = now - self._since, now
+        if not requests and not paces:
+            return None
+        services = tuple(
+            ServiceLoad(
+                service=service,
+                keys=tuple(
+                    KeyLoad(bucket=bucket, busy_s=0.0, requests=count)
+                    for bucket, count in buckets.items()
+                ),
+            )
+            for service, buckets in requests.items()
+        )
+        return LoadReport(session=session, span_s=span_s, services=services, servers=paces)
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
@@ -0,0 +1,137 @@
+"""The gateway's stream from a control replica."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+from loguru import logger
+
+from lychee_gateway.proxy.view import RoutedView
+from lychee_runtime import Link, open_link
+from lychee_types.clock import Clock
+from lychee_types.exceptions import UnavailableError
+from lychee_types.ids import SessionId
+from lychee_types.records import Endpoint
+from lychee_types.registry_messages import (
+    SUBSCRIBE,
+    FromGateway,
+    LoadReport,
+    Pulse,
+    RoutedDeltas,
+    RoutedSnapshot,
+    Subscribe,
+    ToSubscriber,
+)
+from lychee_types.routed_settings import ProxySettings
+
+SILENCE_S = 0.7
+"""Silence of a replica after which the next one is tried, in seconds."""
+
+STALE_S = 1.0
+"""Time without word of the leader after which a replica is left for the next one, in seconds."""
+
+BACKOFF_S = (0.05, 0.2)
+"""Least and greatest pause before the next replica is tried, in seconds."""
+
+REPORT_S = 0.25
+"""Interval between load reports, in seconds."""
+
+
+class Subscription:
+    """Keeps one stream from any control replica and applies what comes over it.
+
+    :param cfg: the gateway's settings.
+    :param session: the gateway's run.
+    :param view: the state.
+    :param clock: source of time.
+    :param report: returns the load since the last call.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: ProxySettings,
+        session: SessionId,
+        view: RoutedView,
+        clock: Clock,
+        report: Callable[[], LoadReport | None],
+    ) -> None:
+        self.heard_at = 0.0
+        self._cfg = cfg
+        self._session = session
+        self._view = view
+        self._clock = clock
+        self._report = report
+        self._draw = Random()
+        self._replicas: list[Endpoint] = []
+        self._link: Link[FromGateway, ToSubscriber] | None = None
+
+    @property
+    def replica(self) -> str:
+        """Address of the replica that is followed, empty without one."""
+        return self._link.peer if self._link is not None else ""
+
+    async def run(self) -> None:
+        """Follow one replica after the other until cancelled."""
+        while True:
+            for endpoint in self._order():
+                await self._follow(endpoint)
+                await asyncio.sleep(self._draw.uniform(*BACKOFF_S))
+
+    def _order(self) -> list[Endpoint]:
+        known = list(dict.fromkeys((*self._replicas, *self._cfg.seed_endpoints)))
+        self._draw.shuffle(known)
+        return known
+
+    async def _follow(self, endpoint: Endpoint) -> None:
+        try:
+            async with open_link(
+                endpoint=endpoint, method=SUBSCRIBE, send=FromGateway, receive=ToSubscriber
+            ) as link:
+                await self._use(link)
+            reason = "the stream ended"
+        except TimeoutError:
+            reason = f"silent for {SILENCE_S} s"
+        except UnavailableError as exc:
+            reason = str(exc)
+        finally:
+            self._link = None
+        logger.bind(event="replica_lost", replica=str(endpoint), reason=reason).info(
+            "no control replica is followed"
+        )
+
+    async def _use(self, link: Link[FromGateway, ToSubscriber]) -> None:
+        link.post(
+            Subscribe(gateway=self._cfg.id, session=self._session, have=self._view.state.index)
+        )
+        self._link = link
+        logger.bind(event="replica_found", replica=link.peer).info("a control replica is followed")
+        reporter = asyncio.create_task(self._report_often(link))
+        try:
+            while not link.closed:
+                async with asyncio.timeout(SILENCE_S):
+                    batch = await link.receive()
+                if not batch or not all([self._take(message) for message in batch]):
+                    return
+        finally:
+            reporter.cancel()
+
+    def _take(self, message: ToSubscriber) -> bool:
+        """Apply a message; False if the replica has lost touch itself."""
+        self.heard_at = self._clock.monotonic()
+        match message:
+            case RoutedSnapshot():
+                self._view.install(message)
+            case RoutedDeltas():
+                self._view.extend(message)
+            case Pulse(silence_ms=silence_ms, replicas=replicas):
+                self._replicas = list(replicas)
+                return silence_ms <= STALE_S * 1_000
+        return True
+
+    async def _report_often(self, link: Link[FromGateway, ToSubscriber]) -> None:
+        while True:
+            await asyncio.sleep(REPORT_S)
+            report = self._report()
+            if report is not None:
+                link.post(report)
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/view.py
@@ -0,0 +1,47 @@
+"""The gateway's copy of the replicated state, and who is told when it changes."""
+
+from collections.abc import Callable
+
+from lychee_ranges import RoutedState, RouteMatcher
+from lychee_types.registry_messages import RoutedDeltas, RoutedSnapshot
+from lychee_types.routing import Routing, RoutingVersion
+
+
+class RoutedView:
+    """State at a log index; it only moves forwards."""
+
+    def __init__(self) -> None:
+        self.state = RoutedState()
+        self.matcher = RouteMatcher(routing=Routing())
+        self._version = RoutingVersion()
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def has_routes(self) -> bool:
+        """Return whether a configuration is in force."""
+        return self.state.version.number > 0
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Have a function called after each change."""
+        self._listeners.append(listener)
+
+    def install(self, snapshot: RoutedSnapshot) -> None:
+        """Replace the state, unless it is newer already."""
+        if snapshot.image.index < self.state.index:
+            return
+        self.state = RoutedState(image=snapshot.image)
+        self._changed()
+
+    def extend(self, deltas: RoutedDeltas) -> None:
+        """Apply the commands that are new."""
+        for delta in deltas.entries:
+            if delta.index > self.state.index:
+                self.state.apply(delta.index, delta.command)
+        self._changed()
+
+    def _changed(self) -> None:
+        if self.state.version != self._version:
+            self._version = self.state.version
+            self.matcher = RouteMatcher(routing=self._version.routing)
+        for listener in self._listeners:
+            listener()
--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on a connection to a backend server."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from dataclasses import replace
 
 from lychee_http.exceptions import ServerAnswerError
@@ -27,10 +28,14 @@
     """One connection to a backend server; it carries one exchange at a time.
 
     :param wire: the connection.
+    :param until_close: whether an answer without a length may end with the connection.
     """
 
-    def __init__(self, *, wire: Wire) -> None:
+    def __init__(self, *, wire: Wire, until_close: bool = False) -> None:
         self._wire = wire
+        self._until_close = until_close
+        self._ends_at_close = False
+        self._is_sent = True
         self._parser: ResponseParser | None = None
         self._method = b""
 
@@ -46,12 +51,28 @@
     def send(self, head: RequestHead, body: bytes) -> None:
         """Write a whole request; the headers must hold the body's length."""
         self._method = head.method
+        self._ends_at_close = False
         self._parser = ResponseParser(head_limit=HEAD_LIMIT_BYTES, to_head=head.method == b"HEAD")
         lines = [b"%b %b HTTP/1.1\r\n" % (head.method, head.target)]
         lines += [b"%b: %b\r\n" % header for header in head.headers]
         lines += (b"\r\n", body)
         self._wire.write(b"".join(lines))
 
+    async def send_body(self, chunks: AsyncIterator[bytes], *, chunked: bool) -> None:
+        """Write the rest of a body as it comes; until its end the connection is not reusable.
+
+        :param chunks: the parts.
+        :param chunked: whether the head says that the body comes in chunks.
+        :raises ConnectionError: if the connection is lost.
+        """
+        self._is_sent = False
+        async for chunk in chunks:
+            self._wire.write(b"%x\r\n%b\r\n" % (len(chunk), chunk) if chunked else chunk)
+            await self._wire.drain()
+        if chunked:
+            self._wire.write(b"0\r\n\r\n")
+        self._is_sent = True
+
     async def read_head(self) -> ResponseHead:
         """Return the head of the answer.
 
@@ -77,6 +98,8 @@
     def reset(self) -> bool:
         """Get ready for the next exchange; False if the connection must not be reused."""
         parser, self._parser = self._parser, None
+        if not self._is_sent or self._ends_at_close:
+            return False
         if parser is not None and not (parser.complete and parser.keep_alive):
             return False
         if parser is not None and parser.surplus:
@@ -98,7 +121,9 @@
             raise _broken("its head is too large")
         bodiless = head.status in BODILESS or self._method == b"HEAD"
         if declared is None:
-            if not codings and not bodiless:
+            if not codings and not bodiless and self._until_close:
+                self._ends_at_close = True
+            elif not codings and not bodiless:
                 raise _broken("it has neither Content-Length nor chunks, so its end is unknown")
             return head
         if not declared.isdigit():
@@ -111,6 +136,8 @@
         try:
             while (event := parser.next_event()) is None:
                 data = await self._wire.read()
+                if not data and self._ends_at_close and not self._wire.was_reset:
+                    return EndOfMessage()
                 if not data:
                     raise _broken("it was cut short")
                 parser.feed(data)
@@ -119,14 +146,17 @@
         return event
 
 
-async def open_server_connection(endpoint: Endpoint, *, timeout_s: float) -> ServerConnection:
+async def open_server_connection(
+    endpoint: Endpoint, *, timeout_s: float, until_close: bool = False
+) -> ServerConnection:
     """Connect to a backend server.
 
     :param endpoint: its address.
     :param timeout_s: longest wait in seconds.
+    :param until_close: whether an answer without a length may end with the connection.
     :raises OSError: if it cannot be reached in time; a TimeoutError is one.
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
         _, wire = await loop.create_connection(Wire, endpoint.host, endpoint.port)
-    return ServerConnection(wire=wire)
+    return ServerConnection(wire=wire, until_close=until_close)
--- a/packages/lychee-http/src/lychee_http/pool.py
+++ b/packages/lychee-http/src/lychee_http/pool.py
@@ -16,9 +16,11 @@
     The number of open connections never exceeds the highest number of requests in flight.
 
     :param endpoint: the server's address.
+    :param until_close: whether an answer without a length may end with its connection.
     """
 
-    def __init__(self, *, endpoint: Endpoint) -> None:
+    def __init__(self, *, endpoint: Endpoint, until_close: bool = False) -> None:
+        self._until_close = until_close
         self.endpoint = endpoint
         self._idle: list[ServerConnection] = []
         self._closed = False
@@ -36,7 +38,9 @@
         if conn is not None:
             return conn
         return await open_server_connection(
-            self.endpoint, timeout_s=min(timeout_s, CONNECT_TIMEOUT_S)
+            self.endpoint,
+            timeout_s=min(timeout_s, CONNECT_TIMEOUT_S),
+            until_close=self._until_close,
         )
 
     @contextmanager
--- a/packages/lychee-http/src/lychee_http/wire.py
+++ b/packages/lychee-http/src/lychee_http/wire.py
@@ -37,6 +37,7 @@
         self.on_gone = on_gone
         self.eof = False
         self.lost = False
+        self.was_reset = False
         self._on_made = on_made
         self._transport: asyncio.Transport | None = None
         self._chunks: list[bytes] = []
@@ -94,6 +95,7 @@
         """Wake everybody who waits on the connection."""
         self.eof = True
         self.lost = True
+        self.was_reset = exc is not None
         self._wake_reader()
         self.resume_writing()
         self._tell_gone()
--- a/packages/lychee-policy/src/lychee_policy/hotkeys.py
+++ b/packages/lychee-policy/src/lychee_policy/hotkeys.py
@@ -1,6 +1,6 @@
 """Counting of hot keys in bounded memory."""
 
-from datasketches import frequent_items_error_type, frequent_strings_sketch
+from typing import Any
 
 from lychee_types.ids import KeyHash, ServiceName
 from lychee_types.messages import (
@@ -14,6 +14,13 @@
 """Requests a second from which a key is reported."""
 
 
+def _new_sketch() -> Any:
+    # The library brings numpy along, which programs without hot keys need not hold in memory.
+    from datasketches import frequent_strings_sketch
+
+    return frequent_strings_sketch(SKETCH_LOG2_SIZE)
+
+
 class HotKeyCounter:
     """Counts the requests of each key of one service approximately.
 
@@ -25,7 +32,7 @@
     def __init__(self, *, service: ServiceName, limit: int, now: float) -> None:
         self._service = service
         self._limit = limit
-        self._sketch = frequent_strings_sketch(SKETCH_LOG2_SIZE)
+        self._sketch = _new_sketch()
         self._since = now
 
     def count(self, key: KeyHash) -> None:
@@ -37,8 +44,10 @@
 
         :param now: monotonic time in seconds.
         """
+        from datasketches import frequent_items_error_type
+
         since, self._since = self._since, now
-        sketch, self._sketch = self._sketch, frequent_strings_sketch(SKETCH_LOG2_SIZE)
+        sketch, self._sketch = self._sketch, _new_sketch()
         if now <= since:
             return ()
         items = sketch.get_frequent_items(frequent_items_error_type.NO_FALSE_POSITIVES)
--- a/packages/lychee-ranges/src/lychee_ranges/__init__.py
+++ b/packages/lychee-ranges/src/lychee_ranges/__init__.py
@@ -1,14 +1,15 @@
 """Decisions on routes, registered servers and granted key ranges. No I/O."""
 
 from lychee_ranges.exposure import Exposures, hold_limit_s
-from lychee_ranges.loads import BUCKET_KEYS, LoadBook, bucket_of
+from lychee_ranges.loads import BUCKET_KEYS, BucketRates, LoadBook, bucket_of
 from lychee_ranges.matching import RouteMatcher
-from lychee_ranges.planner import Candidate, Move, Plan, first_split
+from lychee_ranges.planner import Candidate, Move, Plan, first_split, mergeable
 from lychee_ranges.state import RoutedState
 from lychee_ranges.table import KeyTable
 
 __all__ = [
     "BUCKET_KEYS",
+    "BucketRates",
     "Candidate",
     "Exposures",
     "KeyTable",
@@ -20,4 +21,5 @@
     "bucket_of",
     "first_split",
     "hold_limit_s",
+    "mergeable",
 ]
--- a/packages/lychee-ranges/src/lychee_ranges/exposure.py
+++ b/packages/lychee-ranges/src/lychee_ranges/exposure.py
@@ -75,21 +75,13 @@
         """Take note that a run has ended: it holds nothing any more."""
         self._held = [held for held in self._held if held.owner != owner]
 
-    def free_at(self, key_range: KeyRange, *, is_released: bool) -> float:
-        """Return when nobody can hold these keys any more, clock seconds.
-
-        :param key_range: the keys.
-        :param is_released: whether their owner has answered a release of this leader.
-        """
+    def free_at(self, key_range: KeyRange) -> float:
+        """Return when nobody can hold these keys any more, clock seconds."""
         until = [held.until for held in self._held if _overlaps(held, key_range)]
-        if key_range.owner is not None and not is_released:
+        if key_range.owner is not None:
             until.append(self._unknown_until)
         return max(until, default=0.0)
 
-    def unknown_until(self) -> float:
-        """Return the end of what a former leader may have granted, clock seconds."""
-        return self._unknown_until
-
 
 def _overlaps(held: _Held, key_range: KeyRange) -> bool:
     return held.low <= key_range.high and key_range.low <= held.high
--- a/packages/lychee-ranges/src/lychee_ranges/loads.py
+++ b/packages/lychee-ranges/src/lychee_ranges/loads.py
@@ -4,21 +4,29 @@
 from math import exp
 
 from lychee_types.ids import ServerId, ServiceName
-from lychee_types.registry import KeyRange
 from lychee_types.registry_messages import LoadReport
 
-BUCKET_KEYS = 8
-"""Number of neighbouring keys that are counted together."""
+BUCKET_KEYS = 1
+"""Number of neighbouring keys that are counted together: one key alone may be hot."""
 
-MEMORY_S = 1.0
-"""Time in which a rate falls to 1/e without further requests, in seconds."""
+SLOW_S = 3.0
+"""Time in which the steady rate falls to 1/e without further requests, in seconds."""
+
+FAST_S = 0.4
+"""Time in which the latest rate falls to 1/e without further requests, in seconds."""
 
 FIRST_PACE_S = 0.05
 """Time that an answer takes before any has been measured, in seconds."""
 
-PACE_WEIGHT = 40.0
+FADED = 0.05
+"""Remaining requests below which a bucket is forgotten."""
+
+PACE_WEIGHT = 20.0
 """Number of answers after which a measured pace outweighs the assumed one."""
 
+PACE_MEMORY = 160.0
+"""Number of answers in which an answer's weight in the pace falls to 1/e."""
+
 
 def bucket_of(key: int) -> int:
     """Return the bucket of a key."""
@@ -27,18 +35,35 @@
 
 @dataclass(kw_only=True, slots=True)
 class _Rate:
-    """A decaying sum of requests."""
+    """Two decaying sums of requests."""
 
-    requests: float = 0.0
+    slow: float = 0.0
+    fast: float = 0.0
     at: float = 0.0
 
-    def at_time(self, now: float) -> float:
-        return self.requests * exp((self.at - now) / MEMORY_S)
-
     def add(self, requests: float, now: float) -> None:
-        self.requests = self.at_time(now) + requests
+        self.slow = self.slow * exp((self.at - now) / SLOW_S) + requests
+        self.fast = self.fast * exp((self.at - now) / FAST_S) + requests
         self.at = now
 
+    def slow_at(self, now: float) -> float:
+        return self.slow * exp((self.at - now) / SLOW_S)
+
+    def fast_at(self, now: float) -> float:
+        return self.fast * exp((self.at - now) / FAST_S)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BucketRates:
+    """Requests of one service by bucket.
+
+    :param slow: steady requests a second.
+    :param fast: requests a second by the last reports alone; they vary by chance.
+    """
+
+    slow: dict[int, float]
+    fast: dict[int, float]
+
 
 @dataclass(kw_only=True, slots=True)
 class _Pace:
@@ -48,15 +73,19 @@
     answers: float = 0.0
 
     def add(self, busy_s: float, answers: int) -> None:
-        keep = exp(-answers / (4 * PACE_WEIGHT))
+        keep = exp(-answers / PACE_MEMORY)
         self.busy_s = self.busy_s * keep + busy_s
         self.answers = self.answers * keep + answers
 
 
 class LoadBook:
-    """Rates by key and answer times by server."""
+    """Rates by key and answer times by server.
 
-    def __init__(self) -> None:
+    :param now: when it begins to take reports, clock seconds.
+    """
+
+    def __init__(self, *, now: float) -> None:
+        self._began = now
         self._rates: dict[ServiceName, dict[int, _Rate]] = {}
         self._paces: dict[ServerId, _Pace] = {}
 
@@ -77,14 +106,18 @@
     def forget_cold(self, now: float) -> None:
         """Drop buckets whose rate has faded."""
         for rates in self._rates.values():
-            faded = [bucket for bucket, rate in rates.items() if rate.at_time(now) < 0.01]
+            faded = [bucket for bucket, rate in rates.items() if rate.slow_at(now) < FADED]
             for bucket in faded:
                 del rates[bucket]
 
-    def rates(self, service: ServiceName, now: float) -> dict[int, float]:
-        """Return the requests a second of each bucket of a service."""
+    def rates(self, service: ServiceName, now: float) -> BucketRates:
+        """Return the requests of each bucket of a service."""
         known = self._rates.get(service, {})
-        return {bucket: rate.at_time(now) / MEMORY_S for bucket, rate in known.items()}
+        warm_s = min(SLOW_S, max(FAST_S, now - self._began))
+        return BucketRates(
+            slow={bucket: rate.slow_at(now) / warm_s for bucket, rate in known.items()},
+            fast={bucket: rate.fast_at(now) / FAST_S for bucket, rate in known.items()},
+        )
 
     def pace_s(self, server: ServerId, *, usual_s: float = FIRST_PACE_S) -> float:
         """Return how long a server works on a request, in seconds.
@@ -105,5 +138,3 @@
         if answers < 1.0:
             return FIRST_PACE_S
         return sum(pace.busy_s for pace in known) / answers
-
-
--- a/packages/lychee-ranges/src/lychee_ranges/planner.py
+++ b/packages/lychee-ranges/src/lychee_ranges/planner.py
@@ -2,16 +2,44 @@
 
 from bisect import bisect_left, bisect_right
 from dataclasses import dataclass, field
+from math import sqrt
 
-from lychee_ranges.loads import BUCKET_KEYS
+from msgspec.structs import replace
+
+from lychee_ranges.loads import BUCKET_KEYS, FAST_S, BucketRates
 from lychee_ranges.table import KeyTable
+from lychee_types.ids import Token
 from lychee_types.registry import LAST_KEY, GrantPhase, KeyRange, RegisteredServer, ServerRun
 
-BUSY = 0.45
-"""Share of its slots in use from which a server hands keys over."""
+FULL = 0.9
+"""Use of a server's slots from which its queue is taken to grow with each request."""
+
+ROOM = 0.6
+"""Use of a server's slots up to which it is given more keys."""
+
+BUSY = 0.7
+"""Use of a server's slots from which keys are moved away without delay."""
+
+OVERLOAD_S = 5.0
+"""Response time added for each unit of use beyond :data:`FULL`, in seconds."""
+
+GAIN_S = 0.01
+"""Least difference of response times for which keys move, in seconds."""
+
+GAIN_SHARE = 0.25
+"""Least difference of response times for which keys move, as a part of the longer one."""
 
-GAP = 0.15
-"""Least difference in use between two servers for which keys move."""
+FASTER = 1.15
+"""How much more a server must be able to do to be given a key that another cannot serve."""
+
+CHANCE = 1.5
+"""Standard deviations that the latest rate must lie above to be no chance."""
+
+LEAST_PART = 0.15
+"""Least part of the wanted load for which a move is worth its cost."""
+
+HALVINGS = 12
+"""Steps of a search by halving."""
 
 NEWCOMER_SHARE = 0.5
 """Part of the usual server's keys that a newcomer gets at first."""
@@ -77,86 +105,152 @@
 
 @dataclass(kw_only=True, slots=True)
 class _Share:
-    """What one server has and gets while a plan is made."""
+    """What one server has and gets while a plan is made.
+
+    ``steady`` and ``latest`` are requests a second.
+    """
 
     candidate: Candidate
-    rate: float = 0.0
+    steady: float = 0.0
+    latest: float = 0.0
     keys: int = 0
     ranges: list[KeyRange] = field(default_factory=list)
 
+    @property
+    def is_hot(self) -> bool:
+        """Return whether the latest requests are more than chance makes of the steady ones."""
+        return self._latest_sure > self.steady
+
+    @property
+    def rate(self) -> float:
+        return max(self.steady, self._latest_sure)
+
     @property
     def use(self) -> float:
         return self.rate / self.candidate.capacity
 
+    def response_s(self, more: float = 0.0) -> float:
+        """Return the time to an answer if its rate changed by so many requests a second.
+
+        Sakasegawa's approximation for a queue with several servers.
+        """
+        slots = max(1, self.candidate.server.slots)
+        use = max(0.0, self.rate + more) / self.candidate.capacity
+        bound = min(use, FULL)
+        queue: float = bound ** sqrt(2 * (slots + 1)) / (slots * (1 - bound))
+        return self.candidate.pace_s * (1 + queue) + OVERLOAD_S * max(0.0, use - FULL)
+
+    @property
+    def _latest_sure(self) -> float:
+        counted = max(0.0, self.latest) * FAST_S
+        return max(0.0, counted - CHANCE * sqrt(counted)) / FAST_S
+
+    def add(self, load: "_Load", sign: int = 1) -> None:
+        self.steady += sign * load.steady
+        self.latest += sign * load.latest
+        self.keys += sign * load.keys
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Load:
+    steady: float
+    latest: float
+    keys: int
+
 
 class Plan:
     """One look at a service's keys.
 
     :param table: its ranges.
     :param candidates: servers that may own keys.
-    :param rates: requests a second by bucket.
+    :param rates: requests by bucket.
+    :param pending: moves that are under way; their keys count for their next owners.
     """
 
     def __init__(
-        self, *, table: KeyTable, candidates: tuple[Candidate, ...], rates: dict[int, float]
+        self,
+        *,
+        table: KeyTable,
+        candidates: tuple[Candidate, ...],
+        rates: BucketRates,
+        pending: tuple[Move, ...] = (),
     ) -> None:
-        self._buckets = sorted(rates)
         self._rates = rates
+        self._buckets = sorted(rates.slow)
+        self._pending = pending
         self._shares = {candidate.run: _Share(candidate=candidate) for candidate in candidates}
         self._homeless: list[KeyRange] = []
         for key_range in table.ranges:
             self._place(key_range)
 
-    def moves(self, limit: int) -> tuple[Move, ...]:
+    def moves(self, limit: int, *, calm_limit: int) -> tuple[Move, ...]:
         """Return the moves to begin now, the most urgent first.
 
         :param limit: most moves.
+        :param calm_limit: most moves among them that only make answers faster.
         """
         if not self._shares:
             return ()
         found: list[Move] = []
         while self._homeless and len(found) < limit:
             found.append(self._house(self._homeless.pop()))
+        calm = 0
         while len(found) < limit:
-            move = self._seat_newcomer() or self._relieve()
+            move = self._seat_newcomer() or self._relieve(is_calm=False)
+            if move is None and calm < calm_limit:
+                calm += 1
+                move = self._relieve(is_calm=True)
             if move is None:
                 break
             found.append(move)
         return tuple(found)
 
     def _place(self, key_range: KeyRange) -> None:
-        share = self._shares.get(key_range.owner) if key_range.owner is not None else None
+        moving = next((m for m in self._pending if _overlap(m.keys, key_range)), None)
+        owner = moving.to if moving is not None else key_range.owner
+        share = self._shares.get(owner) if owner is not None else None
+        is_left = key_range.phase is GrantPhase.RELEASING
+        if moving is None and (share is None or is_left):
+            # Nobody holds it for long, or a former leader had begun to move it.
+            self._homeless.append(key_range)
+            return
         if share is None:
-            if key_range.phase is not GrantPhase.RELEASING:
-                self._homeless.append(key_range)
             return
-        share.rate += self._rate(key_range.low, key_range.high)
-        share.keys += key_range.size
-        if key_range.phase is GrantPhase.ACTIVE:
+        share.add(self._load(key_range.low, key_range.high))
+        if moving is None and key_range.phase is GrantPhase.ACTIVE:
             share.ranges.append(key_range)
 
-    def _rate(self, low: int, high: int) -> float:
+    def _load(self, low: int, high: int) -> _Load:
+        buckets = self._buckets_in(low, high)
+        return _Load(
+            steady=sum(self._rates.slow[bucket] for bucket in buckets),
+            latest=sum(self._rates.fast[bucket] for bucket in buckets),
+            keys=high - low + 1,
+        )
+
+    def _buckets_in(self, low: int, high: int) -> list[int]:
+        """Return the buckets whose first key lies in a range."""
         first = bisect_left(self._buckets, -(-low // BUCKET_KEYS))
         last = bisect_right(self._buckets, high // BUCKET_KEYS)
-        return sum(self._rates[bucket] for bucket in self._buckets[first:last])
+        return self._buckets[first:last]
 
     def _house(self, key_range: KeyRange) -> Move:
-        rate = self._rate(key_range.low, key_range.high)
+        load = self._load(key_range.low, key_range.high)
         best = min(
             self._shares.values(),
-            key=lambda share: ((share.rate + rate) / share.candidate.capacity, share.keys),
+            key=lambda share: (
+                (max(share.steady, share.latest) + load.steady) / share.candidate.capacity,
+                share.keys,
+            ),
         )
-        best.rate += rate
-        best.keys += key_range.size
+        best.add(load)
         return Move(keys=key_range, to=best.candidate.run, reason="no owner")
 
     def _seat_newcomer(self) -> Move | None:
         """Give a server without keys a part of the one that has most."""
         empty = next((share for share in self._shares.values() if share.keys == 0), None)
-        if empty is None:
-            return None
         donors = [share for share in self._shares.values() if share.ranges]
-        if not donors:
+        if empty is None or not donors:
             return None
         donor = max(donors, key=lambda share: (share.use, share.keys))
         source = max(donor.ranges, key=lambda key_range: key_range.size)
@@ -166,62 +260,153 @@
             return None
         return self._take(donor, empty, source, source.high - size + 1, source.high, "newcomer")
 
-    def _relieve(self) -> Move | None:
-        """Move load from the most used server to the least used one, if that is worth it."""
-        donors = [share for share in self._shares.values() if share.ranges]
-        if len(self._shares) < 2 or not donors:
+    def _relieve(self, *, is_calm: bool) -> Move | None:
+        """Move load from the slowest server to the one that would answer soonest."""
+        donors = [
+            share
+            for share in self._shares.values()
+            if share.ranges and share.rate > 0 and (is_calm or share.use >= BUSY)
+        ]
+        donors.sort(key=lambda share: -share.response_s())
+        for donor in donors[:3]:
+            move = self._relieve_one(donor)
+            if move is not None:
+                return move
+        return None
+
+    def _relieve_one(self, donor: _Share) -> Move | None:
+        takers = [share for share in self._shares.values() if share is not donor]
+        takers = [share for share in takers if share.use < ROOM]
+        if not takers:
             return None
-        donor = max(donors, key=lambda share: share.use)
-        taker = min(self._shares.values(), key=lambda share: share.use)
-        if donor.use < BUSY or donor.use - taker.use < GAP:
+        step = donor.rate / 4
+        taker = min(takers, key=lambda share: share.response_s(min(step, _room(share))))
+        wanted = _wanted(donor, taker)
+        gain_s = donor.response_s() - taker.response_s(wanted)
+        if gain_s < max(GAIN_S, GAIN_SHARE * donor.response_s()):
+            return None
+        return self._cut_out(donor, taker, wanted) or self._hand_over_hottest(donor)
+
+    def _hand_over_hottest(self, donor: _Share) -> Move | None:
+        """Give a key that alone is too much for its owner to a server that can do more."""
+        rates = self._rates.fast if donor.is_hot else self._rates.slow
+        hottest = max(
+            (
+                (rates[bucket], bucket, key_range)
+                for key_range in donor.ranges
+                for bucket in self._buckets_in(key_range.low, key_range.high)
+            ),
+            default=None,
+            key=lambda item: item[:2],
+        )
+        if hottest is None or hottest[0] < BUSY * donor.candidate.capacity:
             return None
-        capacity, room = donor.candidate.capacity, taker.candidate.capacity
-        # Both are equally used once this much has moved.
-        wanted = (donor.use - taker.use) * capacity * room / (capacity + room)
-        return self._cut_out(donor, taker, wanted)
+        best = max(self._shares.values(), key=lambda share: share.candidate.capacity)
+        if best.candidate.capacity < FASTER * donor.candidate.capacity:
+            return None
+        _, bucket, source = hottest
+        low = max(source.low, bucket * BUCKET_KEYS)
+        high = min(source.high, bucket * BUCKET_KEYS + BUCKET_KEYS - 1)
+        return self._take(donor, best, source, low, high, "hot key")
 
     def _cut_out(self, donor: _Share, taker: _Share, wanted: float) -> Move | None:
         """Move neighbouring keys of about a wanted rate, around the donor's busiest bucket."""
+        rates = self._rates.fast if donor.is_hot else self._rates.slow
         best: tuple[float, int, KeyRange] | None = None
         for key_range in donor.ranges:
-            for bucket in self._buckets_in(key_range):
-                rate = self._rates[bucket]
+            for bucket in self._buckets_in(key_range.low, key_range.high):
+                rate = rates[bucket]
                 if rate <= wanted and (best is None or rate > best[0]):
                     best = (rate, bucket, key_range)
         if best is None:
             return None
         rate, bucket, source = best
-        first, last = bucket, bucket
-        final = source.high // BUCKET_KEYS
-        while last < final and rate + self._rates.get(last + 1, 0.0) <= wanted:
-            last += 1
-            rate += self._rates.get(last, 0.0)
-        start = -(-source.low // BUCKET_KEYS)
-        while first > start and rate + self._rates.get(first - 1, 0.0) <= wanted:
-            first -= 1
-            rate += self._rates.get(first, 0.0)
-        if rate < wanted * 0.1:
+        first, last, rate = _widened(rates, source, bucket, wanted)
+        if rate < wanted * LEAST_PART:
             return None
-        low = source.low if first == start else first * BUCKET_KEYS
-        high = source.high if last == final else last * BUCKET_KEYS + BUCKET_KEYS - 1
+        low = max(source.low, first * BUCKET_KEYS)
+        high = min(source.high, last * BUCKET_KEYS + BUCKET_KEYS - 1)
         return self._take(donor, taker, source, low, high, "load")
 
-    def _buckets_in(self, key_range: KeyRange) -> list[int]:
-        first = bisect_left(self._buckets, -(-key_range.low // BUCKET_KEYS))
-        last = bisect_right(self._buckets, key_range.high // BUCKET_KEYS)
-        return self._buckets[first:last]
-
     def _take(
         self, donor: _Share, taker: _Share, source: KeyRange, low: int, high: int, reason: str
     ) -> Move:
-        rate = self._rate(low, high)
-        keys = KeyRange(
-            low=low, high=high, owner=source.owner, token=source.token, phase=source.phase
-        )
-        donor.rate -= rate
-        donor.keys -= keys.size
-        taker.rate += rate
-        taker.keys += keys.size
-        # A range that is cut once waits for the next plan before it is cut again.
+        load = self._load(low, high)
+        donor.add(load, -1)
+        taker.add(load)
         donor.ranges.remove(source)
+        if source.low < low:
+            donor.ranges.append(replace(source, high=low - 1))
+        if high < source.high:
+            donor.ranges.append(replace(source, low=high + 1))
+        keys = replace(source, low=low, high=high)
         return Move(keys=keys, to=taker.candidate.run, reason=reason)
+
+
+def _room(share: _Share) -> float:
+    """Return the requests a second that a server may be given."""
+    return max(0.0, ROOM * share.candidate.capacity - share.rate)
+
+
+def _wanted(donor: _Share, taker: _Share) -> float:
+    """Return the load whose move has both answer about equally soon, requests a second."""
+    low, high = 0.0, min(donor.rate, _room(taker))
+    for _ in range(HALVINGS):
+        middle = (low + high) / 2
+        if donor.response_s(-middle) > taker.response_s(middle):
+            low = middle
+        else:
+            high = middle
+    return high
+
+
+def _widened(
+    rates: dict[int, float], source: KeyRange, bucket: int, wanted: float
+) -> tuple[int, int, float]:
+    """Return the buckets around one that together stay under a rate, and their rate."""
+    start, end = source.low // BUCKET_KEYS, source.high // BUCKET_KEYS
+    first = last = bucket
+    rate = rates[bucket]
+    while last < end and rate + rates.get(last + 1, 0.0) <= wanted:
+        last += 1
+        rate += rates.get(last, 0.0)
+    while first > start and rate + rates.get(first - 1, 0.0) <= wanted:
+        first -= 1
+        rate += rates.get(first, 0.0)
+    return _trimmed(rates, first, last, rate)
+
+
+def _trimmed(rates: dict[int, float], first: int, last: int, rate: float) -> tuple[int, int, float]:
+    """Leave out buckets at both ends that bring nothing, as each key that moves costs."""
+    while first < last and rates.get(first, 0.0) == 0.0:
+        first += 1
+    while first < last and rates.get(last, 0.0) == 0.0:
+        last -= 1
+    return first, last, rate
+
+
+def mergeable(table: KeyTable, pending: tuple[Move, ...]) -> tuple[KeyRange, ...]:
+    """Return neighbouring ranges of one owner as one, so that fewer grants need renewal.
+
+    :param table: the ranges.
+    :param pending: moves that are under way; their neighbours are left alone.
+    """
+    merged: list[KeyRange] = []
+    run: list[KeyRange] = []
+    for key_range in (*table.ranges, None):
+        is_free = (
+            key_range is not None
+            and key_range.phase is GrantPhase.ACTIVE
+            and not any(_overlap(move.keys, key_range) for move in pending)
+        )
+        if run and not (is_free and key_range is not None and key_range.owner == run[0].owner):
+            if len(run) > 1:
+                merged.append(replace(run[0], high=run[-1].high, token=Token(0)))
+            run = []
+        if is_free and key_range is not None:
+            run.append(key_range)
+    return tuple(merged)
+
+
+def _overlap(left: KeyRange, right: KeyRange) -> bool:
+    return left.low <= right.high and right.low <= left.high
--- a/packages/lychee-ranges/src/lychee_ranges/state.py
+++ b/packages/lychee-ranges/src/lychee_ranges/state.py
@@ -8,11 +8,11 @@
 from lychee_types.ids import LogIndex, ServerId, ServiceName, Token
 from lychee_types.registry import (
     AcceptedChange,
-    GrantPhase,
     KeyRange,
     RangeTable,
     RegisteredServer,
     RoutedImage,
+    ServerRun,
 )
 from lychee_types.registry_commands import (
     Applied,
@@ -32,6 +32,9 @@
 ACCEPTED_KEPT = 4_096
 """Number of accepted changes that are known again when they are resent."""
 
+ENDED_KEPT = 1_024
+"""Number of ended runs whose late heartbeats are told from those of new runs."""
+
 
 class RoutedState:
     """State that every replica and every gateway holds alike at the same log index.
@@ -52,6 +55,7 @@
         self._accepted: dict[int, AcceptedChange] = {
             change.number: change for change in image.accepted
         }
+        self._ended: dict[ServerRun, None] = dict.fromkeys(image.ended)
 
     @property
     def routing(self) -> Routing:
@@ -69,6 +73,7 @@
                 RangeTable(service=name, ranges=self.tables[name].ranges)
                 for name in sorted(self.tables)
             ),
+            ended=tuple(self._ended),
         )
 
     def apply(self, index: LogIndex, command: RoutedCommand) -> RoutedOutcome:
@@ -84,11 +89,7 @@
             case RegisterServer(server=server):
                 return self._register(server)
             case RemoveServer(run=run):
-                known = self.servers.get(run.server)
-                if known is None or known.run != run:
-                    return Obsolete(reason="another run is registered")
-                del self.servers[run.server]
-                return Applied()
+                return self._remove(run)
             case SetRanges():
                 return self._set_ranges(index, command)
 
@@ -118,8 +119,22 @@
             del self._accepted[next(iter(self._accepted))]
         return RoutingAccepted(number=command.number)
 
+    def _remove(self, run: ServerRun) -> RoutedOutcome:
+        self._ended[run] = None
+        if len(self._ended) > ENDED_KEPT:
+            del self._ended[next(iter(self._ended))]
+        known = self.servers.get(run.server)
+        if known is None or known.run != run:
+            return Obsolete(reason="another run is registered")
+        del self.servers[run.server]
+        return Applied()
+
     def _register(self, server: RegisteredServer) -> RoutedOutcome:
         """Keep the newest run of an id and of an address; older ones are gone."""
+        if server.run in self._ended:
+            return Obsolete(reason="the run has ended")
+        if self.version.number and self.routing.service(server.service) is None:
+            return Obsolete(reason="the service is unknown")
         known = self.servers.get(server.run.server)
         if known is not None and known.run.incarnation > server.run.incarnation:
             return Obsolete(reason="a later run is registered")
@@ -140,6 +155,6 @@
 
 
 def _with_token(key_range: KeyRange, token: Token) -> KeyRange:
-    if key_range.phase is GrantPhase.GRANTING and key_range.token == 0:
+    if key_range.owner is not None and key_range.token == 0:
         return replace(key_range, token=token)
     return key_range
--- a/packages/lychee-runtime/src/lychee_runtime/logs.py
+++ b/packages/lychee-runtime/src/lychee_runtime/logs.py
@@ -4,13 +4,13 @@
 
 from loguru import logger
 
-from lychee_types.settings import LogSettings
+from lychee_types.settings import LogOutput, LogSettings
 
 _TEXT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} {extra} {message}"
 
 
 def configure_logs(*, program: str, name: str, cfg: LogSettings) -> None:
-    """Send the process's log to standard error.
+    """Send the process's log to its output.
 
     :param program: the program's name, on every line.
     :param name: the process's id, on every line.
@@ -19,7 +19,7 @@
     logger.remove()
     logger.configure(extra={"program": program, "id": name})
     logger.add(
-        sys.stderr,
+        sys.stdout if cfg.output is LogOutput.STDOUT else sys.stderr,
         level=cfg.level,
         format=_TEXT,
         serialize=cfg.json,
--- a/packages/lychee-types/src/lychee_types/registry.py
+++ b/packages/lychee-types/src/lychee_types/registry.py
@@ -110,6 +110,7 @@
     :param accepted: accepted changes, oldest first.
     :param servers: registered servers in order of id.
     :param tables: ranges of keyed services in order of name.
+    :param ended: runs that have deregistered, oldest first; their late heartbeats mean nothing.
     """
 
     index: LogIndex = LogIndex(0)
@@ -117,3 +118,4 @@
     accepted: tuple[AcceptedChange, ...] = ()
     servers: tuple[RegisteredServer, ...] = ()
     tables: tuple[RangeTable, ...] = ()
+    ended: tuple[ServerRun, ...] = ()
--- a/packages/lychee-types/src/lychee_types/routing.py
+++ b/packages/lychee-types/src/lychee_types/routing.py
@@ -109,7 +109,7 @@
     idle_s: float = 15.0
 
 
-class Routing(Struct, frozen=True, kw_only=True):
+class Routing(Struct, frozen=True, kw_only=True, tag=True):
     """The whole configuration of routes.
 
     :param services: all services.
@@ -126,7 +126,7 @@
         return next((service for service in self.services if service.name == name), None)
 
 
-class RoutingPatch(Struct, frozen=True, kw_only=True):
+class RoutingPatch(Struct, frozen=True, kw_only=True, tag=True):
     """A change of named items.
 
     :param services: services to add, or to replace by name.
--- a/packages/lychee-types/src/lychee_types/settings.py
+++ b/packages/lychee-types/src/lychee_types/settings.py
@@ -1,5 +1,7 @@
 """Settings that every program has, and the settings of each daemon."""
 
+from enum import Enum
+
 from msgspec import Struct
 
 from lychee_types.ids import DomainName, GatewayId, ReplicaId
@@ -20,15 +22,24 @@
     authorities: str
 
 
+class LogOutput(Enum):
+    """A stream for log lines."""
+
+    STDERR = "stderr"
+    STDOUT = "stdout"
+
+
 class LogSettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Logging.
 
     :param level: least level written.
     :param json: whether lines are JSON objects.
+    :param output: the stream that lines go to.
     """
 
     level: str = "INFO"
     json: bool = False
+    output: LogOutput = LogOutput.STDERR
 
 
 class StatsdSettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/packages/lychee-types/src/lychee_types/settings_check.py
+++ b/packages/lychee-types/src/lychee_types/settings_check.py
@@ -11,6 +11,7 @@
 from lychee_types.exceptions import Fault, SettingsError
 from lychee_types.findings import Finding, check_name, check_range, check_unique, locate
 from lychee_types.records import Endpoint
+from lychee_types.routed_settings import ProxySettings, RegistrySettings, check_routed
 from lychee_types.schema import nearest_name
 from lychee_types.settings import (
     ConsoleSettings,
@@ -22,10 +23,10 @@
 from lychee_types.timing import Timing
 from lychee_types.yamlfile import locate_yaml, read_text
 
-Settings = ControlSettings | GatewaySettings | ConsoleSettings
+Settings = ControlSettings | GatewaySettings | ConsoleSettings | RegistrySettings | ProxySettings
 """Settings of a daemon."""
 
-S = TypeVar("S", ControlSettings, GatewaySettings, ConsoleSettings)
+S = TypeVar("S", ControlSettings, GatewaySettings, ConsoleSettings, RegistrySettings, ProxySettings)
 
 LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
 MAX_TIME_MS = 60_000
@@ -108,6 +109,8 @@
             yield from _check_gateway(settings)
         case ConsoleSettings():
             yield from _check_console(settings)
+        case RegistrySettings() | ProxySettings():
+            yield from check_routed(settings)
     yield from _check_log(settings.log)
 
 
