Move hot keys first, and calm moves rarely

Change: the hottest key is looked at first; a server that is not busy hands keys over at most every 0.5 s and for a gain of 45%.

--- a/packages/lychee-control/src/lychee_control/registry/keeper.py
+++ b/packages/lychee-control/src/lychee_control/registry/keeper.py
@@ -36,8 +36,8 @@
 MOVES_AT_ONCE = 16
 """Most moves of one service under way."""
 
-CALM_MOVES = 2
-"""Moves under way from which on no further ones begin that only make answers faster."""
+CALM_PAUSE_S = 0.5
+"""Least time between two moves that only make answers faster, in seconds."""
 
 RANGES_PER_OWNER = 4
 """Ranges for each owner from which on neighbouring ones are merged."""
@@ -105,6 +105,7 @@
         self._known: dict[ServerRun, RegisteredServer] = {}
         self._joined_at = now
         self._moving: list[Move] = []
+        self._calm_at = now
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -227,8 +228,10 @@
             return
         rates = self._loads.rates(self._service, now)
         plan = Plan(table=table, candidates=candidates, rates=rates, pending=tuple(self._moving))
-        calm = sum(move.reason == "load" for move in self._moving)
-        for move in plan.moves(room, calm_limit=max(0, CALM_MOVES - calm)):
+        is_calm_due = now - self._calm_at >= CALM_PAUSE_S
+        if is_calm_due:
+            self._calm_at = now
+        for move in plan.moves(room, calm_limit=1 if is_calm_due else 0):
             self._moving.append(move)
             self._spawn(self._move(move), f"move in {self._service}")
 
--- a/packages/lychee-ranges/src/lychee_ranges/planner.py
+++ b/packages/lychee-ranges/src/lychee_ranges/planner.py
@@ -23,11 +23,14 @@
 OVERLOAD_S = 5.0
 """Response time added for each unit of use beyond :data:`FULL`, in seconds."""
 
-GAIN_S = 0.01
+GAIN_S = 0.02
 """Least difference of response times for which keys move, in seconds."""
 
 GAIN_SHARE = 0.25
-"""Least difference of response times for which keys move, as a part of the longer one."""
+"""Least difference of response times for which a busy server's keys move, as a part of its own."""
+
+CALM_GAIN_SHARE = 0.45
+"""The same for a server that is not busy: paces are measured with errors of a fifth."""
 
 FASTER = 1.15
 """How much more a server must be able to do to be given a key that another cannot serve."""
@@ -123,7 +126,7 @@
 
     @property
     def rate(self) -> float:
-        return max(self.steady, self._latest_sure)
+        return max(0.0, self.steady, self._latest_sure)
 
     @property
     def use(self) -> float:
@@ -269,12 +272,15 @@
         ]
         donors.sort(key=lambda share: -share.response_s())
         for donor in donors[:3]:
-            move = self._relieve_one(donor)
+            move = self._relieve_one(donor, is_calm=is_calm)
             if move is not None:
                 return move
         return None
 
-    def _relieve_one(self, donor: _Share) -> Move | None:
+    def _relieve_one(self, donor: _Share, *, is_calm: bool) -> Move | None:
+        hot = self._hand_over_hottest(donor)
+        if hot is not None:
+            return hot
         takers = [share for share in self._shares.values() if share is not donor]
         takers = [share for share in takers if share.use < ROOM]
         if not takers:
@@ -283,9 +289,10 @@
         taker = min(takers, key=lambda share: share.response_s(min(step, _room(share))))
         wanted = _wanted(donor, taker)
         gain_s = donor.response_s() - taker.response_s(wanted)
-        if gain_s < max(GAIN_S, GAIN_SHARE * donor.response_s()):
+        least = CALM_GAIN_SHARE if is_calm else GAIN_SHARE
+        if gain_s < max(GAIN_S, least * donor.response_s()):
             return None
-        return self._cut_out(donor, taker, wanted) or self._hand_over_hottest(donor)
+        return self._cut_out(donor, taker, wanted)
 
     def _hand_over_hottest(self, donor: _Share) -> Move | None:
         """Give a key that alone is too much for its owner to a server that can do more."""
