--- a/conftest.py
+++ b/conftest.py
@@ -1,7 +1,9 @@
 """Fixtures that the tests of several packages share."""
 
 import asyncio
+import platform as standard_platform
 import socket
+import sys
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -49,6 +51,11 @@
 DAY = timedelta(days=1)
 
 
+def pytest_collection_finish() -> None:
+    """Undo what collecting tests below platform/ does to the module of that name."""
+    sys.modules["platform"] = standard_platform
+
+
 def free_endpoint() -> Endpoint:
     """Return an address on which nobody listens."""
     with socket.socket() as sock:
--- a/packages/lychee-control/src/lychee_control/peers.py
+++ b/packages/lychee-control/src/lychee_control/peers.py
@@ -78,7 +78,16 @@
     report: LoadReport
 
 
-PeerFrame = PeerAlive | LogMessage | RelayUp | RelayDown | ReportUp
+class JoinRequest(Struct, frozen=True, kw_only=True, tag=True):
+    """A replica that belongs to no group asks to be made a voter.
+
+    :param newcomer: its id and address.
+    """
+
+    newcomer: Voter
+
+
+PeerFrame = PeerAlive | LogMessage | RelayUp | RelayDown | ReportUp | JoinRequest
 """Messages on a link between two control replicas."""
 
 FrameHandler = Callable[[PeerFrame], None]
--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -5,9 +5,12 @@
 
 from loguru import logger
 from msgspec import Struct
+from xxhash import xxh3_64_intdigest
 
 from lychee_control.peers import (
+    JoinRequest,
     LogMessage,
+    PeerAlive,
     PeerFrame,
     PeerLink,
     PeerLinks,
@@ -15,6 +18,7 @@
     serve_peer,
 )
 from lychee_control.registry.calls import GrantCodec
+from lychee_control.registry.joining import JoinDesk, own_id
 from lychee_control.registry.leader import RegistryLeader
 from lychee_control.registry.machine import RoutedMachine
 from lychee_control.registry.orders import (
@@ -114,14 +118,14 @@
         self._api = api
         self._grants = grants
         self._clock = clock or SystemClock()
-        self._id = replica_id(cfg.endpoint)
+        self._id = own_id(Path(cfg.data), cfg.endpoint, is_first_start=cfg.is_first_start)
         self._leader: RegistryLeader | None = None
         self._leader_heard_at = 0.0
         self._machine = RoutedMachine(on_applied=self._on_applied, on_restored=self._on_restored)
         self._subscribers = Subscribers(
             machine=self._machine, on_report=self._take_report, pulse=self._pulse
         )
-        seed = hash(self._id)
+        seed = xxh3_64_intdigest(self._id.encode())
         self._peers = PeerLinks(spawn=self._spawn_peer_link, ssl=None, seed=seed)
         self._replica = Replica(
             id=self._id,
@@ -136,6 +140,14 @@
             on_leadership=self._on_leadership,
             on_applied=lambda index, data: None,
         )
+        self._joins = JoinDesk(
+            replica=self._replica,
+            newcomer=Voter(id=self._id, endpoint=cfg.peer_endpoint),
+            seeds=cfg.seed_endpoints,
+            wanted=cfg.wanted_voters,
+            clock=self._clock,
+            post=self._peers.post_frame,
+        )
         self._callers = Callers(
             handle=self._handle,
             refuse=self._refuse,
@@ -158,6 +170,7 @@
         async with serve_links(service=service, endpoint=self._cfg.peer_endpoint):
             self.spawn(self._replica.run(), name="replica")
             self.spawn(self._beat(), name="pulse")
+            self.spawn(self._joins.run(), name="join")
             self._listener.start()
             logger.bind(event="start", listen=self._cfg.listen).info("control replica serves")
             await self.stopping.wait()
@@ -228,6 +241,8 @@
 
     def _handle_frame(self, frame: PeerFrame) -> None:
         match frame:
+            case PeerAlive():
+                pass
             case LogMessage(message=message):
                 leader = self._replica.leader
                 if leader is not None and message.sender == leader.id:
@@ -236,8 +251,10 @@
             case ReportUp(report=report):
                 if self._leader is not None:
                     self._leader.report(report)
+            case JoinRequest():
+                self._joins.hear(frame)
             case _:
-                pass
+                logger.bind(event="unknown_frame").warning("a peer sent {}", type(frame).__name__)
 
     def _take_report(self, report: LoadReport) -> None:
         """Hand a gateway's report to the leader, here or elsewhere."""
--- a/packages/lychee-control/src/lychee_control/registry/keeper.py
+++ b/packages/lychee-control/src/lychee_control/registry/keeper.py
@@ -170,13 +170,13 @@
         )
 
     def _is_lost(self, run: ServerRun, now: float) -> bool:
-        silence_s = now - self._beats.heard_at(run)
+        is_mute = now - self._beats.heard_at(run) > MISSED_BEATS * self._heartbeat_s
         owner = self._owners.get(run)
         if owner is None:
-            return silence_s > MISSED_BEATS * self._heartbeat_s
-        is_mute = silence_s > MISSED_BEATS * self._heartbeat_s
-        is_unreachable = owner.is_silent and now - owner.failing_since > self._hold_s
-        return owner.is_silent and (is_mute or is_unreachable)
+            return is_mute
+        if not owner.is_failing:
+            return False
+        return is_mute or now - owner.failing_since > self._hold_s
 
     def _sync_owners(self, table: KeyTable) -> None:
         """Run an owner's task for each run that has keys, and end those of others."""
--- a/packages/lychee-control/src/lychee_control/registry/owners.py
+++ b/packages/lychee-control/src/lychee_control/registry/owners.py
@@ -27,9 +27,6 @@
 RETRY_S = 0.2
 """Pause after a grant that was not answered, in seconds."""
 
-LOST_AFTER = 3
-"""Grants in a row without an answer after which an owner may count as lost."""
-
 
 class Owner:
     """Grants to one run of a server.
@@ -75,9 +72,9 @@
         self._wake = asyncio.Event()
 
     @property
-    def is_silent(self) -> bool:
-        """Return whether grants in a row had no answer."""
-        return self.failures >= LOST_AFTER
+    def is_failing(self) -> bool:
+        """Return whether the last grant had no usable answer."""
+        return self.failures > 0
 
     def wake(self) -> None:
         """Look at the ranges again."""
--- a/packages/lychee-log/src/lychee_log/__init__.py
+++ b/packages/lychee-log/src/lychee_log/__init__.py
@@ -10,6 +10,7 @@
 from lychee_log.membership import MembershipError
 from lychee_log.messages import PeerMessage
 from lychee_log.records import Committed, Voter
+from lychee_log.recovery import stored_id
 from lychee_log.replica import Replica
 
 __all__ = [
@@ -24,4 +25,5 @@
     "StorageError",
     "Transport",
     "Voter",
+    "stored_id",
 ]
--- a/packages/lychee-log/src/lychee_log/recovery.py
+++ b/packages/lychee-log/src/lychee_log/recovery.py
@@ -105,6 +105,16 @@
     return True
 
 
+def stored_id(folder: Path) -> ReplicaId | None:
+    """Return whose data folder this is, None for a folder that holds no replica.
+
+    :raises StorageError: if something is missing or damaged.
+    """
+    if not folder.exists() or is_new(folder):
+        return None
+    return _IDENTITY.decode(read_file(folder / IDENTITY_NAME)).replica
+
+
 def load(folder: Path, replica: ReplicaId) -> Loaded:
     """Read a data folder.
 
--- a/packages/lychee-ranges/src/lychee_ranges/planner.py
+++ b/packages/lychee-ranges/src/lychee_ranges/planner.py
@@ -209,18 +209,28 @@
         return tuple(found)
 
     def _place(self, key_range: KeyRange) -> None:
-        moving = next((m for m in self._pending if _overlap(m.keys, key_range)), None)
-        owner = moving.to if moving is not None else key_range.owner
-        share = self._shares.get(owner) if owner is not None else None
-        is_left = key_range.phase is GrantPhase.RELEASING
-        if moving is None and (share is None or is_left):
+        """Count a range for its owner, and what moves of it for the next one."""
+        low = key_range.low
+        moving = [move for move in self._pending if _overlap(move.keys, key_range)]
+        for move in sorted(moving, key=lambda move: move.keys.low):
+            first, last = max(low, move.keys.low), min(key_range.high, move.keys.high)
+            if low < first:
+                self._place_rest(replace(key_range, low=low, high=first - 1))
+            share = self._shares.get(move.to)
+            if share is not None:
+                share.add(self._load(first, last))
+            low = last + 1
+        if low <= key_range.high:
+            self._place_rest(replace(key_range, low=low))
+
+    def _place_rest(self, key_range: KeyRange) -> None:
+        share = self._shares.get(key_range.owner) if key_range.owner is not None else None
+        if share is None or key_range.phase is GrantPhase.RELEASING:
             # Nobody holds it for long, or a former leader had begun to move it.
             self._homeless.append(key_range)
             return
-        if share is None:
-            return
         share.add(self._load(key_range.low, key_range.high))
-        if moving is None and key_range.phase is GrantPhase.ACTIVE:
+        if key_range.phase is GrantPhase.ACTIVE:
             share.ranges.append(key_range)
 
     def _load(self, low: int, high: int) -> _Load:
--- /dev/null
+++ b/packages/lychee-ranges/tests/test_planner.py
@@ -0,0 +1,142 @@
+"""Plays load against the planner and checks what servers get."""
+
+import pytest
+from msgspec.structs import replace
+
+from lychee_ranges import BucketRates, Candidate, KeyTable, Plan, first_split, mergeable
+from lychee_types.ids import DomainName, Incarnation, ServerId, ServiceName, Token
+from lychee_types.records import Endpoint
+from lychee_types.registry import LAST_KEY, GrantPhase, RegisteredServer, ServerRun
+
+USUAL_S = 0.06
+
+
+def candidate(name, *, pace_s=USUAL_S, slots=3):
+    record = RegisteredServer(
+        run=ServerRun(server=ServerId(name), incarnation=Incarnation(1)),
+        endpoint=Endpoint(host="10.0.0.1", port=1),
+        domain=DomainName("nord"),
+        service=ServiceName("k"),
+        release="v1",
+        slots=slots,
+    )
+    return Candidate(server=record, pace_s=pace_s)
+
+
+def table_of(candidates):
+    split = first_split(candidates)
+    return KeyTable(
+        ranges=[
+            replace(r, token=Token(n + 1), phase=GrantPhase.ACTIVE) for n, r in enumerate(split)
+        ]
+    )
+
+
+def steady(rates):
+    return BucketRates(slow=rates, fast=dict(rates))
+
+
+def play(table, candidates, rates, *, rounds=40):
+    """Carry out plans until there is none; return the ranges and how many keys moved."""
+    moved = 0
+    for _ in range(rounds):
+        plan = Plan(table=table, candidates=candidates, rates=rates)
+        moves = plan.moves(16, calm_limit=1)
+        if not moves:
+            break
+        for move in moves:
+            moved += move.keys.size
+            new = replace(move.keys, owner=move.to, token=Token(999), phase=GrantPhase.ACTIVE)
+            table.put([new])
+    return moved
+
+
+def load_of(table, candidates, rates):
+    paces = {c.run: c.pace_s for c in candidates}
+    loads = dict.fromkeys(paces, 0.0)
+    for key, rate in rates.slow.items():
+        owner = table.find(key).owner
+        loads[owner] += rate * paces[owner] / 3
+    return loads
+
+
+SERVERS = tuple(candidate(f"s{n}") for n in range(4))
+
+
+def test_the_first_split_covers_all_keys_in_proportion_to_slots():
+    split = first_split((candidate("a", slots=1), candidate("b", slots=3)))
+    assert [(r.low, r.owner.server) for r in split] == [(0, "a"), (16_384, "b")]
+    assert split[-1].high == LAST_KEY
+
+
+def test_balanced_load_stays_where_it_is():
+    table = table_of(SERVERS)
+    rates = steady({key: 0.001 for key in range(0, LAST_KEY + 1, 8)})
+    assert play(table, SERVERS, rates) == 0
+
+
+def test_keys_of_a_lost_owner_go_to_the_least_loaded_server():
+    table = table_of(SERVERS)
+    rates = steady({100: 20.0, 20_000: 10.0, 40_000: 1.0, 60_000: 15.0})
+    left = SERVERS[1:]
+    play(table, left, rates)
+    owners = {r.owner for r in table.ranges}
+    assert owners <= {c.run for c in left}
+    assert table.find(100).owner == SERVERS[2].run
+
+
+def test_a_newcomer_gets_keys():
+    table = table_of(SERVERS[:3])
+    play(table, SERVERS, steady({}))
+    assert any(r.owner == SERVERS[3].run for r in table.ranges)
+
+
+def test_many_hot_keys_of_one_server_are_spread():
+    table = table_of(SERVERS)
+    rates = steady({key: 1.0 for key in range(1_000, 1_100)})
+    assert max(load_of(table, SERVERS, rates).values()) > 1.9
+    moved = play(table, SERVERS, rates)
+    assert max(load_of(table, SERVERS, rates).values()) < 0.75
+    assert moved < (LAST_KEY + 1) / 4
+
+
+def test_the_hottest_key_goes_to_the_fastest_server_and_its_neighbours_leave_it():
+    servers = (*SERVERS[:3], candidate("fast", pace_s=USUAL_S / 2))
+    table = table_of(servers)
+    rates = steady({5: 80.0, 6: 10.0, 60_000: 10.0, 61_000: 10.0})
+    play(table, servers, rates)
+    assert table.find(5).owner == servers[3].run
+    assert table.find(60_000).owner != servers[3].run
+
+
+def test_keys_that_already_move_count_for_their_next_owner():
+    table = table_of(SERVERS)
+    rates = steady({key: 1.0 for key in range(1_000, 1_100)})
+    first = Plan(table=table, candidates=SERVERS, rates=rates).moves(16, calm_limit=1)
+    again = Plan(table=table, candidates=SERVERS, rates=rates, pending=first)
+    assert again.moves(16, calm_limit=0) == ()
+
+
+def test_a_chance_burst_of_a_few_requests_moves_nothing():
+    table = table_of(SERVERS)
+    rates = BucketRates(slow={10: 1.0}, fast={10: 15.0})
+    assert Plan(table=table, candidates=SERVERS, rates=rates).moves(16, calm_limit=0) == ()
+
+
+def test_without_servers_there_is_no_plan():
+    plan = Plan(table=table_of(SERVERS), candidates=(), rates=steady({}))
+    assert plan.moves(16, calm_limit=1) == ()
+
+
+def test_neighbours_of_one_owner_are_merged_under_a_new_token():
+    table = table_of(SERVERS)
+    table.put([replace(table.find(0), low=10, high=20, token=Token(77))])
+    merged = mergeable(table, ())
+    assert [(r.low, r.high, r.token) for r in merged] == [(0, 16_383, 0)]
+
+
+@pytest.mark.parametrize("phase", [GrantPhase.GRANTING, GrantPhase.RELEASING])
+def test_what_is_not_active_is_not_merged(phase):
+    table = table_of(SERVERS)
+    table.put([replace(table.find(0), low=10, high=20, token=Token(77), phase=phase)])
+    assert mergeable(table, ()) == ()
--- a/packages/lychee-types/src/lychee_types/routed_settings.py
+++ b/packages/lychee-types/src/lychee_types/routed_settings.py
@@ -44,6 +44,7 @@
     :param seeds: where some replicas listen; the first voters at a first start.
     :param is_first_start: whether the whole deployment starts for the first time.
     :param heartbeat_s: interval between a server's heartbeats, in seconds.
+    :param tolerated: VMs with a disk that may be lost at once.
     :param bounds: what the deployment promises.
     :param timing: time limits of the log.
     :param log: logging.
@@ -57,6 +58,7 @@
     seeds: tuple[str, ...]
     is_first_start: bool = False
     heartbeat_s: float = 1.0
+    tolerated: int = 1
     bounds: Bounds = Bounds()
     timing: Timing = ROUTED_TIMING
     log: LogSettings = LogSettings()
@@ -66,6 +68,11 @@
         """Return where servers and operators call."""
         return parse_endpoint(self.listen)
 
+    @property
+    def wanted_voters(self) -> int:
+        """Return how many voters bear the loss of the tolerated VMs."""
+        return max(3, 2 * self.tolerated + 1)
+
     @property
     def peer_endpoint(self) -> Endpoint:
         """Return where gateways and other replicas connect."""
