Close a connection after its last answer, repeat at a key's owner, refuse keys without one

Change: the connection closes when its closing answer has gone; a key's owner is asked again within attempts and budget; a key without owner is waited for 0.12 s in all; SIGHUP takes over the seeds; a leaving owner gets no requests after half the drain time; elections after 0.35 s of silence.

--- a/conftest.py
+++ b/conftest.py
@@ -51,11 +51,21 @@
 DAY = timedelta(days=1)
 
 
-def pytest_collection_finish() -> None:
+def _restore_platform() -> None:
     """Undo what collecting tests below platform/ does to the module of that name."""
     sys.modules["platform"] = standard_platform
 
 
+def pytest_pycollect_makemodule() -> None:
+    """Restore the standard module before each test module is imported."""
+    _restore_platform()
+
+
+def pytest_collection_finish() -> None:
+    """Restore the standard module before tests run."""
+    _restore_platform()
+
+
 def free_endpoint() -> Endpoint:
     """Return an address on which nobody listens."""
     with socket.socket() as sock:
--- a/deploy/build.py
+++ b/deploy/build.py
@@ -1,10 +1,11 @@
 """Puts the libraries and the workspace's packages into target/deps.
 
-Libraries are installed again only when deploy/requirements.txt has changed; the packages are
-copied each time, which takes a moment.
+Libraries are installed again only when deploy/requirements.txt has changed, and the packages are
+copied only when a source file has.
 """
 
 import compileall
+import hashlib
 import shutil
 import subprocess
 import sys
@@ -15,6 +16,7 @@
 DEPS = TARGET / "deps"
 REQUIREMENTS = ROOT / "deploy" / "requirements.txt"
 STAMP = TARGET / "requirements.installed"
+SOURCES_STAMP = TARGET / "sources.installed"
 PACKAGES = (
     "packages/lychee-types/src/lychee_types",
     "packages/lychee-http/src/lychee_http",
@@ -31,10 +33,14 @@
 def main() -> None:
     """Build target/deps."""
     install_libraries()
+    digest = digest_of_sources()
+    if SOURCES_STAMP.exists() and SOURCES_STAMP.read_text() == digest:
+        return
     for package in PACKAGES:
         copy_package(ROOT / package)
     if not compileall.compile_dir(DEPS, quiet=1, workers=0):
         sys.exit("a source file does not compile")
+    SOURCES_STAMP.write_text(digest)
 
 
 def install_libraries() -> None:
@@ -43,12 +49,23 @@
     if STAMP.exists() and STAMP.read_text() == wanted:
         return
     shutil.rmtree(DEPS, ignore_errors=True)
+    SOURCES_STAMP.unlink(missing_ok=True)
     command = [sys.executable, "-m", "pip", "install", "--quiet", "--disable-pip-version-check"]
     command += ["--target", str(DEPS), "-r", str(REQUIREMENTS)]
     subprocess.run(command, check=True)
     STAMP.write_text(wanted)
 
 
+def digest_of_sources() -> str:
+    """Return a digest of all packages' source files and their names."""
+    digest = hashlib.sha256()
+    for package in PACKAGES:
+        for path in sorted((ROOT / package).rglob("*.py")):
+            digest.update(str(path.relative_to(ROOT)).encode())
+            digest.update(path.read_bytes())
+    return digest.hexdigest()
+
+
 def copy_package(source: Path) -> None:
     """Replace a package by its present sources."""
     target = DEPS / source.name
--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -1,6 +1,7 @@
 """The daemon of a control replica of a routed deployment."""
 
 import asyncio
+from collections.abc import Callable
 from pathlib import Path
 
 from loguru import logger
@@ -103,6 +104,7 @@
     :param api: translates calls of servers and operators.
     :param grants: translates calls to servers.
     :param clock: source of time.
+    :param reread: reads the settings again, None where they stay.
     """
 
     def __init__(
@@ -112,8 +114,10 @@
         api: ApiCodec,
         grants: GrantCodec,
         clock: Clock | None = None,
+        reread: Callable[[], RegistrySettings] | None = None,
     ) -> None:
         super().__init__()
+        self._reread = reread
         self._cfg = cfg
         self._api = api
         self._grants = grants
@@ -192,6 +196,15 @@
             )
         )
 
+    def reload(self) -> None:
+        """Take over the seeds; other settings hold from the next start."""
+        if self._reread is None:
+            super().reload()
+            return
+        cfg = self._reread()
+        self._joins.use_seeds(cfg.seed_endpoints)
+        logger.bind(event="reload", seeds=cfg.seeds).info("the seeds are taken over")
+
     def _first_voters(self) -> tuple[Voter, ...]:
         """Return the first voters; none for a replica that is not among the seeds."""
         seeds = self._cfg.seed_endpoints
--- a/packages/lychee-control/src/lychee_control/registry/joining.py
+++ b/packages/lychee-control/src/lychee_control/registry/joining.py
@@ -83,6 +83,10 @@
         elif leader is not None and leader.id != self._newcomer.id:
             self._post(to=leader, frame=frame)
 
+    def use_seeds(self, seeds: tuple[Endpoint, ...]) -> None:
+        """Ask these replicas from now on."""
+        self._seeds = seeds
+
     async def run(self) -> None:
         """Ask, and let others in, until cancelled."""
         while True:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -59,10 +59,12 @@
 
     :param reason: what it said, or why it could not be asked.
     :param was_sent: whether the request reached the server.
+    :param is_misdirected: whether another server has the address or the key.
     """
 
     reason: str
     was_sent: bool
+    is_misdirected: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -146,7 +148,11 @@
                     self._note(server, word, seconds)
                     if word.is_not_run:
                         await _whole_body(conn)
-                        return NotRun(reason=f"it answered {answer.status}", was_sent=True)
+                        return NotRun(
+                            reason=f"it answered {answer.status}",
+                            was_sent=True,
+                            is_misdirected=word.is_misdirected,
+                        )
                     if word.is_encoded:
                         return NoAnswer(reason="the body is encoded")
                     return await self._take_answer(conn, answer, turn)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/codec.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/codec.py
@@ -45,16 +45,16 @@
 
     :param request_id: the request that it answers, empty where it does not say.
     :param is_not_run: whether the server says that it did not run the request.
+    :param is_misdirected: whether another server has the address or the key.
     :param occupancy: its load, None where it does not say.
     :param is_encoded: whether the body is not the server's own bytes.
-    :param idle_s: how long it keeps an idle connection, None where it does not say.
     """
 
     request_id: str
     is_not_run: bool
+    is_misdirected: bool
     occupancy: Occupancy | None
     is_encoded: bool
-    idle_s: float | None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from uuid import uuid4
 
 from loguru import logger
@@ -61,13 +62,20 @@
     :param cfg: its settings.
     :param codec: translates heads.
     :param clock: source of time.
+    :param reread: reads the settings again, None where they stay.
     """
 
     def __init__(
-        self, *, cfg: ProxySettings, codec: ProxyCodec, clock: Clock | None = None
+        self,
+        *,
+        cfg: ProxySettings,
+        codec: ProxyCodec,
+        clock: Clock | None = None,
+        reread: Callable[[], ProxySettings] | None = None,
     ) -> None:
         super().__init__()
         self._cfg = cfg
+        self._reread = reread
         self._codec = codec
         self._clock = clock or SystemClock()
         self._session = SessionId(uuid4().hex)
@@ -75,7 +83,11 @@
         self._servers = ServerList(clock=self._clock)
         self._loads = KeyLoads(clock=self._clock)
         self._placer = Placer(
-            view=self._view, servers=self._servers, domain=cfg.domain, clock=self._clock
+            view=self._view,
+            servers=self._servers,
+            domain=cfg.domain,
+            clock=self._clock,
+            drain_s=cfg.bounds.drain_s,
         )
         self._forwarder = Forwarder(
             view=self._view,
@@ -132,6 +144,15 @@
             )
         )
 
+    def reload(self) -> None:
+        """Take over the seeds; other settings hold from the next start."""
+        if self._reread is None:
+            super().reload()
+            return
+        self._cfg = self._reread()
+        self._subscription.use_seeds(self._cfg.seed_endpoints)
+        logger.bind(event="reload", seeds=self._cfg.seeds).info("the seeds are taken over")
+
     def _under_way(self) -> int:
         return sum(conn.under_way for conn in self._conns.values())
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -193,7 +193,8 @@
             request_id=call.asked.request_id,
         )
         call.turn.is_cancellable = True
-        call.placement.tried.append(server.run)
+        if call.placement.key is None or _has_lost_key(attempt):
+            call.placement.tried.append(server.run)
         call.trail.append(f"{server.run.server}: {_describe(attempt)}")
         match attempt:
             case WholeAnswer(head=head) if head.status >= 500 and self._can_repeat(call, body):
@@ -241,10 +242,7 @@
     def _has_attempts(self, call: _Call, body: Body, *, made: int | None = None) -> bool:
         made = call.attempts if made is None else made
         left_s = call.placement.until - self._clock.monotonic()
-        if made >= call.route.max_attempts or left_s < LEAST_ATTEMPT_S or not body.is_whole:
-            return False
-        # A key has one owner: the same server would be asked again.
-        return call.placement.key is None or not call.maybe_run
+        return made < call.route.max_attempts and left_s >= LEAST_ATTEMPT_S and body.is_whole
 
     def _may_repeat(self, call: _Call) -> bool:
         return self._budget(call.placement.service).try_spend(self._clock.monotonic())
@@ -296,6 +294,11 @@
         ).info("a request has its final answer")
 
 
+def _has_lost_key(attempt: Attempt) -> bool:
+    """Return whether the owner of a key cannot be asked again now."""
+    return isinstance(attempt, NotRun) and (attempt.is_misdirected or not attempt.was_sent)
+
+
 def _describe(attempt: Attempt) -> str:
     match attempt:
         case WholeAnswer(head=head):
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -14,8 +14,14 @@
 FAR_S = 0.012
 """What a server in another failure domain is taken to be slower by, in seconds."""
 
-OWNER_WAIT_SHARE = 0.5
-"""Part of the time left for which a request waits until its key has an owner."""
+OWNER_WAIT_S = 0.12
+"""Time for which keys that move are waited for, in seconds; a lost owner's keys take longer."""
+
+NO_OWNER_RETRY_S = 0.3
+"""When to come back for a key that has had no owner for longer, in seconds."""
+
+DRAIN_SHARE = 0.5
+"""Part of the drain time for which a leaving owner still gets requests for its keys."""
 
 LEAST_RETRY_S = 0.05
 """Least time after which a caller is told to come back, in seconds."""
@@ -63,6 +69,7 @@
     :param servers: the servers.
     :param domain: this gateway's failure domain.
     :param clock: source of time.
+    :param drain_s: time after which a leaving server must get no request, in seconds.
     :param draw: source of random numbers.
     """
 
@@ -73,20 +80,26 @@
         servers: ServerList,
         domain: DomainName,
         clock: Clock,
+        drain_s: float,
         draw: Random | None = None,
     ) -> None:
         self._view = view
         self._servers = servers
         self._domain = domain
         self._clock = clock
+        self._drain_s = drain_s
         self._draw = draw or Random()
         self._changed: asyncio.Future[None] | None = None
+        self._vacant: dict[tuple[ServiceName, int, int], float] = {}
 
     def state_changed(self) -> None:
         """Have requests that wait for an owner look again."""
         if self._changed is not None and not self._changed.done():
             self._changed.set_result(None)
         self._changed = None
+        self._vacant = {
+            place: since for place, since in self._vacant.items() if self._is_vacant(*place)
+        }
 
     def choose_service(self, route: Route) -> ServiceName:
         """Return the service of a request by the weights of its route."""
@@ -140,22 +153,32 @@
         )
 
     async def _place_keyed(self, wanted: Placement, key: int) -> ProxyServer | NoPlace:
-        now = self._clock.monotonic()
-        patience_until = now + (wanted.until - now) * OWNER_WAIT_SHARE
         while True:
+            now = self._clock.monotonic()
             key_range = self._range(wanted.service, key)
             owner = self._owner(key_range)
-            if owner is not None and owner.run not in wanted.tried:
+            is_gone = owner is not None and self._has_drained(owner)
+            if owner is not None and not is_gone and owner.run not in wanted.tried:
                 return self._unless_full(wanted, owner, now)
-            left_s = patience_until - self._clock.monotonic()
-            if left_s <= 0:
-                return NoPlace(reason="the key has no owner now", retry_after_s=0.2)
+            left_s = self._since_vacant(wanted.service, key_range, now) + OWNER_WAIT_S - now
+            if min(left_s, wanted.until - now) <= 0:
+                return NoPlace(reason="the key has no owner now", retry_after_s=NO_OWNER_RETRY_S)
             await self._until_changed(left_s)
 
+    def _since_vacant(self, service: ServiceName, key_range: KeyRange | None, now: float) -> float:
+        """Return since when requests have found a range without a usable owner."""
+        low = key_range.low if key_range is not None else 0
+        token = key_range.token if key_range is not None else 0
+        return self._vacant.setdefault((service, low, token), now)
+
     def _range(self, service: ServiceName, key: int) -> KeyRange | None:
         table = self._view.state.tables.get(service)
         return table.find(key) if table is not None else None
 
+    def _is_vacant(self, service: ServiceName, low: int, token: int) -> bool:
+        key_range = self._range(service, low)
+        return key_range is not None and key_range.token == token and not self._owner(key_range)
+
     def _owner(self, key_range: KeyRange | None) -> ProxyServer | None:
         if key_range is None or key_range.owner is None:
             return None
@@ -163,6 +186,12 @@
             return None
         return self._servers.find(key_range.owner)
 
+    def _has_drained(self, owner: ProxyServer) -> bool:
+        """Return whether a leaving owner gets no more requests, though its keys have not moved."""
+        if owner.leaving_since is None:
+            return False
+        return self._clock.monotonic() - owner.leaving_since > self._drain_s * DRAIN_SHARE
+
     async def _until_changed(self, timeout_s: float) -> None:
         if self._changed is None:
             self._changed = asyncio.get_running_loop().create_future()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -64,6 +64,7 @@
         self.pace_s = FIRST_PACE_S
         self._others = 0.0
         self._others_told_at = now
+        self.leaving_since: float | None = now if record.is_leaving else None
         self._cold_until = now + record.cold_s
         self._failures = 0
         self._ejected_until = 0.0
@@ -81,6 +82,12 @@
         """Return how many requests it works on at once."""
         return max(1, self.record.slots)
 
+    def update(self, record: RegisteredServer, now: float) -> None:
+        """Take over a changed registration of the same run."""
+        self.record = record
+        if record.is_leaving and self.leaving_since is None:
+            self.leaving_since = now
+
     def occupied(self, now: float) -> float:
         """Return how many requests it probably has, those of other gateways included."""
         return self.in_flight + self._others_at(now)
@@ -195,7 +202,7 @@
             if known is None:
                 self._by_id[server_id] = ProxyServer(record=record, now=now)
             else:
-                known.record = record
+                known.update(record, now)
         self._by_service = {}
         for server in self._by_id.values():
             self._by_service.setdefault(server.record.service, []).append(server)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
@@ -63,6 +63,7 @@
         self._clock = clock
         self._report = report
         self._draw = Random()
+        self._seeds = cfg.seed_endpoints
         self._replicas: list[Endpoint] = []
         self._link: Link[FromGateway, ToSubscriber] | None = None
 
@@ -71,6 +72,10 @@
         """Address of the replica that is followed, empty without one."""
         return self._link.peer if self._link is not None else ""
 
+    def use_seeds(self, seeds: tuple[Endpoint, ...]) -> None:
+        """Try these replicas from now on, besides those that a replica has told of."""
+        self._seeds = seeds
+
     async def run(self) -> None:
         """Follow one replica after the other until cancelled."""
         while True:
@@ -79,7 +84,7 @@
                 await asyncio.sleep(self._draw.uniform(*BACKOFF_S))
 
     def _order(self) -> list[Endpoint]:
-        known = list(dict.fromkeys((*self._replicas, *self._cfg.seed_endpoints)))
+        known = list(dict.fromkeys((*self._replicas, *self._seeds)))
         self._draw.shuffle(known)
         return known
 
--- a/packages/lychee-http/src/lychee_http/turns.py
+++ b/packages/lychee-http/src/lychee_http/turns.py
@@ -321,7 +321,7 @@
 
     def _start(self, turn: Turn) -> None:
         self._turns.append(turn)
-        turn.done.add_done_callback(lambda _: self._sweep())
+        turn.done.add_done_callback(lambda _: self._turn_done(turn))
         turn.task = asyncio.create_task(self._serve(turn))
 
     async def _until_body_read(self, turn: Turn) -> None:
@@ -369,6 +369,12 @@
             turn.end()
             self._sweep()
 
+    def _turn_done(self, turn: Turn) -> None:
+        self._sweep()
+        if turn is self._stop_after:
+            # The caller learns by the close that later requests were not read.
+            self._wire.stop_reading()
+
     def _sweep(self) -> None:
         self._turns = [turn for turn in self._turns if not turn.done.done()]
         self._room.set()
@@ -435,6 +441,7 @@
         if not self._wire.eof and (self.closing or self._wire.buffered):
             if self._wire.transport.can_write_eof():
                 self._wire.transport.write_eof()
+            self._wire.stop_reading(stopped=False)
             await self._drop_rest()
         self._wire.close()
 
--- a/packages/lychee-http/src/lychee_http/wire.py
+++ b/packages/lychee-http/src/lychee_http/wire.py
@@ -38,6 +38,7 @@
         self.eof = False
         self.lost = False
         self.was_reset = False
+        self._is_reading_stopped = False
         self._on_made = on_made
         self._transport: asyncio.Transport | None = None
         self._chunks: list[bytes] = []
@@ -115,7 +116,7 @@
     async def read(self) -> bytes:
         """Return all received bytes, waiting for some; empty at the end of the stream."""
         while not self._chunks:
-            if self.eof:
+            if self.eof or self._is_reading_stopped:
                 return b""
             self._reader = asyncio.get_running_loop().create_future()
             try:
@@ -131,6 +132,11 @@
                 self.transport.resume_reading()
         return data
 
+    def stop_reading(self, *, stopped: bool = True) -> None:
+        """Have :meth:`read` return nothing instead of waiting, or wait again."""
+        self._is_reading_stopped = stopped
+        self._wake_reader()
+
     def write(self, data: bytes) -> None:
         """Send bytes; they are dropped if the connection is lost."""
         if not self.lost:
--- a/packages/lychee-runtime/src/lychee_runtime/daemon.py
+++ b/packages/lychee-runtime/src/lychee_runtime/daemon.py
@@ -29,6 +29,10 @@
     """Somebody asked for a dump of the daemon's state."""
 
 
+class reload_requested(Event):  # type: ignore[misc]  # noqa: N801
+    """The settings file may have changed."""
+
+
 class task_failed(Event):  # type: ignore[misc]  # noqa: N801
     """A task of the daemon ended with an error.
 
@@ -60,6 +64,10 @@
         """Return the daemon's state as YAML."""
         raise NotImplementedError
 
+    def reload(self) -> None:
+        """Read the settings again; a daemon that cannot change them goes on with the old ones."""
+        logger.bind(event="reload").warning("these settings stay as they are until a restart")
+
     def spawn(self, work: Coroutine[Any, Any, None], *, name: str) -> "asyncio.Task[None]":
         """Run a task under the daemon; its failure stops the daemon.
 
@@ -109,6 +117,14 @@
         sys.stderr.write(self.dump())
         sys.stderr.flush()
 
+    @handler("reload_requested")  # type: ignore[untyped-decorator]
+    def on_reload_requested(self) -> None:
+        """Read the settings again; faulty ones leave the present ones in force."""
+        try:
+            self.reload()
+        except LycheeError as exc:
+            logger.bind(event="reload_failed").error("the settings stay as they are: {}", exc)
+
     @handler("task_failed")  # type: ignore[untyped-decorator]
     def on_task_failed(self, name: str, exc: BaseException) -> None:
         """Stop with the error's exit code."""
@@ -132,6 +148,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, daemon.request_stop)
     loop.add_signal_handler(signal.SIGINT, daemon.request_stop)
+    loop.add_signal_handler(signal.SIGHUP, lambda: daemon.fire(reload_requested()))
     loop.add_signal_handler(signal.SIGUSR1, lambda: daemon.fire(dump_requested()))
     daemon.fire(started())
     try:
--- a/packages/lychee-types/src/lychee_types/routed_settings.py
+++ b/packages/lychee-types/src/lychee_types/routed_settings.py
@@ -12,7 +12,7 @@
 from lychee_types.settings import LogSettings
 from lychee_types.timing import Timing
 
-ROUTED_TIMING = Timing(heartbeat_ms=100, election_ms=500)
+ROUTED_TIMING = Timing(heartbeat_ms=70, election_ms=350)
 """Time limits of the log between control replicas."""
 
 
