Bound waits by what is left of the target latency; leave the last room to urgent routes

Change: a request waits at a server for the target latency less the work at most, and for six tenths of that where a more urgent route leads to the service. Decisions' steps stand in the log with the load that was assumed and its age. Gateways stay at a replica while the group elects its first leader.

--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -134,7 +134,8 @@
         self._clock = clock or SystemClock()
         self._id = own_id(Path(cfg.data), cfg.endpoint, is_first_start=cfg.is_first_start)
         self._leader: RegistryLeader | None = None
-        self._leader_heard_at = 0.0
+        # Gateways may stay while the group elects its first leader.
+        self._leader_heard_at = self._clock.monotonic()
         self._machine = RoutedMachine(on_applied=self._on_applied, on_restored=self._on_restored)
         self._subscribers = Subscribers(
             machine=self._machine, on_report=self._take_report, pulse=self._pulse
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -46,6 +46,24 @@
 """Time left below which no further attempt is made, in seconds."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Step:
+    """One decision on the way of a request, as the log shows it.
+
+    :param server: the server that was chosen, empty where none was.
+    :param occupied: requests that it was taken to have.
+    :param word_age_ms: age of its last word on that, -1 for none.
+    :param at_ms: time since the request arrived.
+    :param outcome: what came of it.
+    """
+
+    outcome: str
+    at_ms: int
+    server: str = ""
+    occupied: float = 0.0
+    word_age_ms: int = -1
+
+
 @dataclass(kw_only=True, slots=True)
 class _Call:
     """A request on its way.
@@ -57,6 +75,7 @@
     :param attempts: servers that it has reached.
     :param maybe_run: whether a server may have run it.
     :param failed: an answer with a failure, kept in case that no other attempt is made.
+    :param trail: decisions so far.
     """
 
     turn: Turn
@@ -66,7 +85,7 @@
     attempts: int = 0
     maybe_run: bool = False
     failed: WholeAnswer | None = None
-    trail: list[str] = field(default_factory=list)
+    trail: list[_Step] = field(default_factory=list)
 
     @property
     def is_idempotent(self) -> bool:
@@ -118,7 +137,16 @@
             return
         route = self._view.matcher.find(asked.host, asked.path)
         if route is None:
-            await self._reject(turn, asked.request_id, self._no_route())
+            rejection = self._no_route()
+            logger.bind(
+                event="no_route",
+                request=asked.request_id,
+                host=asked.host,
+                path=asked.path,
+                status=rejection.status,
+                version=self._view.state.version.number,
+            ).info("{}", rejection.reason)
+            await self._reject(turn, asked.request_id, rejection)
             return
         fault = body_limit_fault(turn.head, self._view.state.routing.bounds.body_bytes)
         if fault is not None:
@@ -193,6 +221,8 @@
         """Make one attempt; True if the caller has its final answer."""
         # The outcome of a request that may run only once is waited for without its caller too.
         call.turn.is_cancellable = call.is_idempotent
+        now = self._clock.monotonic()
+        occupied, word_age_ms = server.occupied(now), server.word_age_ms(now)
         attempt = await self._sender.send(
             turn=call.turn,
             body=body,
@@ -203,7 +233,15 @@
         call.turn.is_cancellable = True
         if call.placement.key is None or _has_lost_key(attempt):
             call.placement.tried.append(server.run)
-        call.trail.append(f"{server.run.server}: {_describe(attempt)}")
+        call.trail.append(
+            _Step(
+                server=server.run.server,
+                occupied=round(occupied, 1),
+                word_age_ms=word_age_ms,
+                at_ms=round((now - call.placement.arrived) * 1_000),
+                outcome=_describe(attempt),
+            )
+        )
         self._metrics.attempted(call.placement.service, type(attempt).__name__)
         match attempt:
             case WholeAnswer(head=head) if head.status >= 500 and self._can_repeat(call, body):
@@ -274,7 +312,8 @@
             await self._end(call, rejection)
 
     async def _end(self, call: _Call, rejection: Rejection) -> None:
-        call.trail.append(rejection.reason)
+        at_ms = round((self._clock.monotonic() - call.placement.arrived) * 1_000)
+        call.trail.append(_Step(outcome=rejection.reason, at_ms=at_ms))
         self._log(call, status=rejection.status)
         if call.turn.began_answer:
             call.turn.truncate()
@@ -306,6 +345,7 @@
             ms=round(seconds * 1_000),
             attempts=call.attempts,
             trail=call.trail,
+            version=self._view.state.version.number,
             index=self._view.state.index,
         ).info("a request has its final answer")
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -14,6 +14,12 @@
 FAR_S = 0.012
 """What a server in another failure domain is taken to be slower by, in seconds."""
 
+LEAST_WAIT_SHARE = 0.25
+"""Part of the target latency for which a request may wait even where the work takes longer."""
+
+LESS_URGENT_SHARE = 0.6
+"""Part of the longest wait that requests get which are less urgent than others of a service."""
+
 OWNER_WAIT_S = 0.12
 """Time for which keys that move are waited for, in seconds; a lost owner's keys take longer."""
 
@@ -142,16 +148,28 @@
     def _unless_full(
         self, wanted: Placement, server: ProxyServer, now: float
     ) -> ProxyServer | NoPlace:
-        wait_s = server.wait_s(now)
-        is_in_time = now + wait_s + server.work_s(now) <= wanted.until
-        is_short = wait_s <= wanted.route.target_latency_s and not server.is_full(now)
-        if is_in_time and is_short:
+        wait_s, work_s = server.wait_s(now), server.work_s(now)
+        is_in_time = now + wait_s + work_s <= wanted.until
+        is_short = wait_s <= self._longest_wait_s(wanted, work_s)
+        if is_in_time and is_short and not server.is_full(now):
             return server
         return NoPlace(
             reason=f"the wait at the best server is {wait_s:.3f} s",
             retry_after_s=max(LEAST_RETRY_S, wait_s),
         )
 
+    def _longest_wait_s(self, wanted: Placement, work_s: float) -> float:
+        """Return for how long a request may wait at a server.
+
+        What waits longer is answered after its route's target latency and makes others late as
+        well. Of a full service the last room is left to its more urgent routes.
+        """
+        target_s = wanted.route.target_latency_s
+        longest_s = max(target_s - work_s, target_s * LEAST_WAIT_SHARE)
+        if not self._view.is_most_urgent(wanted.route, wanted.service):
+            longest_s *= LESS_URGENT_SHARE
+        return longest_s
+
     async def _place_keyed(self, wanted: Placement, key: int) -> ProxyServer | NoPlace:
         while True:
             now = self._clock.monotonic()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -69,6 +69,7 @@
         self.pace_s = FIRST_PACE_S
         self._others = 0.0
         self._others_told_at = now - 10 * WORD_MEMORY_S
+        self._has_spoken = False
         self.leaving_since: float | None = now if record.is_leaving else None
         self._cold_until = now + record.cold_s
         self._failures = 0
@@ -97,6 +98,11 @@
         """Return how many requests it probably has, those of other gateways included."""
         return self.in_flight + self._others_at(now)
 
+    def word_age_ms(self, now: float) -> int:
+        """Return the age of its last word on its load, -1 if it has not said anything yet."""
+        age_s = now - self._others_told_at
+        return round(age_s * 1_000) if self._has_spoken else -1
+
     def wait_s(self, now: float) -> float:
         """Return how long a new request would probably wait there, in seconds."""
         ahead = self.occupied(now) + 1 - self.slots
@@ -141,6 +147,7 @@
         gain = 1.0 if others > known else LESS_GAIN
         self._others = known + gain * (others - known)
         self._others_told_at = now
+        self._has_spoken = True
 
     def note_answer(self, seconds: float, *, waited: bool) -> None:
         """Take note of an answer.
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/view.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/view.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 
 from lychee_ranges import RoutedState, RouteMatcher
+from lychee_types.ids import ServiceName
 from lychee_types.registry_messages import RoutedDeltas, RoutedSnapshot
-from lychee_types.routing import Routing, RoutingVersion
+from lychee_types.routing import Route, Routing, RoutingVersion
 
 
 class RoutedView:
@@ -14,6 +15,7 @@
         self.state = RoutedState()
         self.matcher = RouteMatcher(routing=Routing())
         self._version = RoutingVersion()
+        self._urgency: dict[ServiceName, int] = {}
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -21,6 +23,10 @@
         """Return whether a configuration is in force."""
         return self.state.version.number > 0
 
+    def is_most_urgent(self, route: Route, service: ServiceName) -> bool:
+        """Return whether no route to a service is more urgent than this one."""
+        return route.priority <= self._urgency.get(service, route.priority)
+
     def listen(self, listener: Callable[[], None]) -> None:
         """Have a function called after each change."""
         self._listeners.append(listener)
@@ -43,5 +49,16 @@
         if self.state.version != self._version:
             self._version = self.state.version
             self.matcher = RouteMatcher(routing=self._version.routing)
+            self._urgency = _urgency(self._version.routing)
         for listener in self._listeners:
             listener()
+
+
+def _urgency(routing: Routing) -> dict[ServiceName, int]:
+    urgency: dict[ServiceName, int] = {}
+    for host in routing.hosts:
+        for route in host.routes:
+            for share in route.shares:
+                known = urgency.get(share.service, route.priority)
+                urgency[share.service] = min(known, route.priority)
+    return urgency
--- a/packages/lychee-gateway/tests/test_placing.py
+++ b/packages/lychee-gateway/tests/test_placing.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+from msgspec.structs import replace
 
 from lychee_gateway.proxy.codec import Occupancy
 from lychee_gateway.proxy.placing import NoPlace, Placement, Placer
@@ -21,7 +22,14 @@
     ServerRun,
 )
 from lychee_types.registry_messages import RoutedSnapshot
-from lychee_types.routing import Route, RouteKind, ServiceShare
+from lychee_types.routing import (
+    Route,
+    RouteKind,
+    Routing,
+    RoutingVersion,
+    ServiceShare,
+    VirtualHost,
+)
 from lychee_types.testing import ManualClock
 
 SERVICE = ServiceName("s")
@@ -40,14 +48,14 @@
     )
 
 
-def route(*shares, target_s=0.2):
+def route(*shares, target_s=0.2, priority=1):
     return Route(
         name="r",
         prefix="/",
         kind=RouteKind.SAFE,
         timeout_s=1.0,
         target_latency_s=target_s,
-        priority=1,
+        priority=priority,
         max_attempts=2,
         shares=shares or (ServiceShare(service=SERVICE, weight=1.0),),
     )
@@ -73,19 +81,23 @@
         self.index = 0
         self.put(*records, ranges=ranges)
 
-    def put(self, *records, ranges=()):
+    def put(self, *records, ranges=(), routes=()):
         self.index += 1
+        routing = Routing(hosts=(VirtualHost(host="h", routes=tuple(routes)),))
+        version = RoutingVersion(number=self.index, routing=routing)
         tables = (RangeTable(service=SERVICE, ranges=tuple(ranges)),) if ranges else ()
-        image = RoutedImage(index=LogIndex(self.index), servers=records, tables=tables)
+        image = RoutedImage(
+            index=LogIndex(self.index), version=version, servers=records, tables=tables
+        )
         self.view.install(RoutedSnapshot(image=image))
 
     def server(self, name) -> ProxyServer:
         return next(s for s in self.servers.of(SERVICE) if s.run.server == name)
 
-    def wanted(self, *, key=None, left_s=1.0, target_s=0.2):
+    def wanted(self, *, key=None, left_s=1.0, **changes):
         now = self.clock.monotonic()
         return Placement(
-            route=route(target_s=target_s),
+            route=route(**changes),
             service=SERVICE,
             key=key,
             arrived=now,
@@ -257,3 +269,26 @@
         return await placing
 
     assert isinstance(run(body()), NoPlace)
+
+
+def test_a_wait_after_which_the_answer_would_be_late_is_refused():
+    world = World(record("a"))
+    world.server("a").pace_s = 0.15
+    tell(world, "a", 3, 1)
+    assert isinstance(run(world.place(target_s=0.2)), NoPlace)
+    assert run(world.place(target_s=0.4)).run.server == "a"
+
+
+def test_a_slow_server_without_a_queue_still_gets_requests():
+    world = World(record("a"))
+    world.server("a").pace_s = 0.6
+    assert run(world.place(target_s=0.2)).run.server == "a"
+
+
+def test_the_last_room_is_left_to_the_more_urgent_route():
+    urgent, other = route(priority=1), route(priority=2)
+    world = World(record("a"))
+    world.put(record("a"), routes=(urgent, replace(other, name="other", prefix="/o/")))
+    tell(world, "a", 3, 6)
+    assert run(world.place(priority=1)).run.server == "a"
+    assert isinstance(run(world.place(priority=2)), NoPlace)
