Share the reading of requests between both kinds of callers' connections

Cause: turns.py repeated inbound.py's reading of heads and bodies, 60 lines of it. Change: RequestReader holds it; framing has the questions on heads.

--- a/packages/lychee-http/src/lychee_http/framing.py
+++ b/packages/lychee-http/src/lychee_http/framing.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 
 from lychee_http.exceptions import BadRequestError
-from lychee_http.messages import RequestHead, header_value, header_values
+from lychee_http.messages import RequestHead, header_tokens, header_value, header_values
 
 _TARGET = re.compile(rb"[\x21-\x7e]+\Z")
 _LENGTH = re.compile(rb"[0-9]{1,18}\Z")
@@ -61,5 +61,24 @@
     return int(value) if value is not None else None
 
 
+def has_body(head: RequestHead) -> bool:
+    """Return whether a request has a body, by its head."""
+    if header_value(head.headers, b"transfer-encoding") is not None:
+        return True
+    return header_value(head.headers, b"content-length") not in (None, b"0")
+
+
+def keeps_alive(head: RequestHead) -> bool:
+    """Return whether the caller may send another request; HTTP/1.0 callers may not."""
+    if head.version == b"1.0":
+        return False
+    return b"close" not in header_tokens(head.headers, b"connection")
+
+
+def too_large(limit: int) -> BadRequestError:
+    """Return the refusal of a body that is longer than a limit in bytes."""
+    return _refusal(413, "the request's body is too large", f"send at most {limit} bytes")
+
+
 def _refusal(status: int, message: str, remedy: str) -> BadRequestError:
     return BadRequestError(status=status, message=message, remedy=remedy)
--- a/packages/lychee-http/src/lychee_http/inbound.py
+++ b/packages/lychee-http/src/lychee_http/inbound.py
@@ -6,18 +6,19 @@
 from dataclasses import dataclass, replace
 from time import monotonic
 
-from lychee_http.exceptions import BadRequestError, CallerGoneError
-from lychee_http.framing import check_head, declared_length
-from lychee_http.messages import RequestHead, ResponseHead, header_tokens, header_value
-from lychee_http.parser import EndOfMessage, MalformedError, RequestEvent, RequestParser
+from lychee_http.exceptions import CallerGoneError
+from lychee_http.framing import (
+    check_head,
+    declared_length,
+    has_body,
+    keeps_alive,
+    too_large,
+)
+from lychee_http.messages import RequestHead, ResponseHead, header_tokens
+from lychee_http.parser import EndOfMessage
+from lychee_http.reader import RequestReader
 from lychee_http.wire import Wire
 
-LINGER_S = 1.0
-"""Longest time to read and drop what a caller still sends before its connection closes."""
-
-LINGER_BYTES = 1_048_576
-"""Most bytes read and dropped before a connection closes."""
-
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """The interim answer to Expect: 100-continue."""
 
@@ -54,7 +55,7 @@
         self.answering = False
         self._wire = wire
         self._limits = limits
-        self._parser = RequestParser(head_limit=limits.head_bytes)
+        self._reader = RequestReader(wire=wire, head_limit=limits.head_bytes)
         self._head: RequestHead | None = None
         self._waiting = False
         self._served = False
@@ -87,18 +88,18 @@
         :raises BadRequestError: if the request cannot be taken.
         :raises CallerGoneError: if the connection ended inside the head.
         """
-        event = self._next_event()
-        if event is None and not self._parser.in_head:
+        event = self._reader.next_event()
+        if event is None and not self._reader.in_head:
             if not await self._wait_for_request():
                 return None
-            event = self._next_event()
+            event = self._reader.next_event()
         if event is None:
-            event = await self._read_rest_of_head()
+            event = await self._reader.rest_of_head(self._limits.head_s)
         assert isinstance(event, RequestHead)
         self._head = event
         check_head(event, limit=self._limits.head_bytes)
-        if not _has_body(event):
-            self._read_whole = isinstance(self._next_event(), EndOfMessage)
+        if not has_body(event):
+            self._read_whole = isinstance(self._reader.next_event(), EndOfMessage)
         return event
 
     async def read_body(self, *, limit: int, timeout_s: float) -> bytes:
@@ -113,14 +114,14 @@
             return b""
         assert self._head is not None
         if (declared_length(self._head) or 0) > limit:
-            raise _too_large(limit)
+            raise too_large(limit)
         if b"100-continue" in header_tokens(self._head.headers, b"expect"):
             self._wire.write(CONTINUE)
         parts: list[bytes] = []
         size = 0
         until = monotonic() + timeout_s
         while True:
-            event = self._next_event()
+            event = self._reader.next_event()
             if isinstance(event, EndOfMessage):
                 self._read_whole = True
                 return b"".join(parts)
@@ -128,9 +129,9 @@
                 parts.append(event)
                 size += len(event)
                 if size > limit:
-                    raise _too_large(limit)
-            elif not await self._feed(until - monotonic()):
-                raise self._cut("body")
+                    raise too_large(limit)
+            elif not await self._reader.feed(until - monotonic()):
+                raise self._reader.cut("body")
 
     async def send(self, head: ResponseHead, body: bytes) -> None:
         """Send a whole answer.
@@ -191,11 +192,11 @@
 
     async def close(self) -> None:
         """Close after the caller has had the time to read the last answer."""
-        unread = not self._read_whole or self._parser.pending or self._wire.buffered
+        unread = not self._read_whole or self._reader.pending or self._wire.buffered
         if unread and not self._wire.eof:
             if self._wire.transport.can_write_eof():
                 self._wire.transport.write_eof()
-            await self._drop_rest()
+            await self._reader.drop_rest()
         self._wire.close()
 
     def _begin_answer(self, head: ResponseHead) -> bytes:
@@ -208,35 +209,27 @@
         elif head.status not in BODILESS:
             self._chunked = self._head is None or self._head.version != b"1.0"
             lines.append(b"transfer-encoding: chunked\r\n" if self._chunked else b"")
-        if self.closing or not self._read_whole or not self._keeps_alive():
+        if (
+            self.closing
+            or not self._read_whole
+            or self._head is None
+            or not keeps_alive(self._head)
+        ):
             self.closing = True
             lines.append(b"connection: close\r\n")
         lines.append(b"\r\n")
         return b"".join(lines)
 
-    def _keeps_alive(self) -> bool:
-        """Return whether the caller may send another request; HTTP/1.0 callers may not."""
-        if self._head is None or self._head.version == b"1.0":
-            return False
-        return b"close" not in header_tokens(self._head.headers, b"connection")
-
     def _is_to_head(self) -> bool:
         return self._head is not None and self._head.method == b"HEAD"
 
     async def _wait_for_request(self) -> bool:
         self._waiting = True
         try:
-            return await self._feed(self._limits.idle_s)
+            return await self._reader.feed(self._limits.idle_s)
         finally:
             self._waiting = False
 
-    async def _read_rest_of_head(self) -> RequestEvent:
-        until = monotonic() + self._limits.head_s
-        while (event := self._next_event()) is None:
-            if not await self._feed(until - monotonic()):
-                raise self._cut("head")
-        return event
-
     async def _drain(self, stall_s: float) -> None:
         if not self._wire.is_congested:
             return
@@ -245,56 +238,3 @@
                 await self._wire.drain()
         except (TimeoutError, ConnectionError) as exc:
             raise CallerGoneError() from exc
-
-    async def _drop_rest(self) -> None:
-        dropped = 0
-        try:
-            async with asyncio.timeout(LINGER_S):
-                while dropped < LINGER_BYTES:
-                    data = await self._wire.read()
-                    if not data:
-                        return
-                    dropped += len(data)
-        except TimeoutError:
-            return
-
-    def _next_event(self) -> RequestEvent | None:
-        try:
-            return self._parser.next_event()
-        except MalformedError as exc:
-            raise BadRequestError(
-                status=exc.status,
-                message=f"the request is malformed: {exc.message}",
-                remedy="send a well-formed HTTP/1.1 request",
-            ) from exc
-
-    async def _feed(self, timeout_s: float) -> bool:
-        """Wait for bytes; False at the end of the stream or of the time."""
-        try:
-            async with asyncio.timeout(max(timeout_s, 0)):
-                data = await self._wire.read()
-        except TimeoutError:
-            return False
-        self._parser.feed(data)
-        return bool(data)
-
-    def _cut(self, part: str) -> BadRequestError | CallerGoneError:
-        if self._wire.eof:
-            return CallerGoneError()
-        return BadRequestError(
-            status=408, message=f"the request's {part} took too long", remedy="send it faster"
-        )
-
-
-def _has_body(head: RequestHead) -> bool:
-    if header_value(head.headers, b"transfer-encoding") is not None:
-        return True
-    return header_value(head.headers, b"content-length") not in (None, b"0")
-
-
-def _too_large(limit: int) -> BadRequestError:
-    return BadRequestError(
-        status=413,
-        message="the request's body is too large",
-        remedy=f"send at most {limit} bytes",
-    )
--- a/packages/lychee-http/src/lychee_http/turns.py
+++ b/packages/lychee-http/src/lychee_http/turns.py
@@ -7,21 +7,22 @@
 from loguru import logger
 
 from lychee_http.exceptions import BadRequestError, CallerGoneError
-from lychee_http.framing import check_head, declared_length
+from lychee_http.framing import (
+    check_head,
+    declared_length,
+    has_body,
+    keeps_alive,
+    too_large,
+)
 from lychee_http.inbound import BODILESS, CONTINUE, CallerLimits
-from lychee_http.messages import RequestHead, ResponseHead, header_tokens, header_value
-from lychee_http.parser import EndOfMessage, MalformedError, RequestEvent, RequestParser
+from lychee_http.messages import RequestHead, ResponseHead, header_tokens
+from lychee_http.parser import EndOfMessage
+from lychee_http.reader import RequestReader
 from lychee_http.wire import Wire
 
 PIPELINE_LIMIT = 16
 """Requests of one connection that may be under way at once."""
 
-LINGER_S = 1.0
-"""Longest time to read and drop what a caller still sends before its connection closes."""
-
-LINGER_BYTES = 1_048_576
-"""Most bytes read and dropped before a connection closes."""
-
 Handle = Callable[["Turn"], Awaitable[None]]
 """Answers one request."""
 
@@ -153,7 +154,7 @@
         self._limits = limits
         self._handle = handle
         self._refuse = refuse
-        self._parser = RequestParser(head_limit=limits.head_bytes)
+        self._reader = RequestReader(wire=wire, head_limit=limits.head_bytes)
         self._turns: list[Turn] = []
         self._room = asyncio.Event()
         self._reading: Turn | None = None
@@ -233,7 +234,7 @@
     def closes_after(self, turn: Turn) -> bool:
         """Return whether the connection ends with this answer, and have it end then."""
         unread = self._reading is turn and not self._body_read
-        if self.closing or unread or not _keeps_alive(turn.head):
+        if self.closing or unread or not keeps_alive(turn.head):
             self.closing = True
             self._stop_after = turn
             for later in self._turns[self._turns.index(turn) + 1 :]:
@@ -268,19 +269,13 @@
         while (chunk := await self._next_chunk()) is not None:
             size += len(chunk)
             if size > limit:
-                raise BadRequestError(
-                    status=413,
-                    message="the request's body is too large",
-                    remedy="send less",
-                )
+                raise too_large(limit)
             yield chunk
 
     async def _next_chunk(self) -> bytes | None:
-        while (event := self._next_event()) is None:
-            if not await self._feed(self._limits.stall_s):
-                if self._wire.eof:
-                    raise CallerGoneError()
-                raise _too_slow("body")
+        while (event := self._reader.next_event()) is None:
+            if not await self._reader.feed(self._limits.stall_s):
+                raise self._reader.cut("body")
         if isinstance(event, EndOfMessage):
             self._body_read = True
             self._body_over.set()
@@ -304,7 +299,7 @@
             await self._answer_refusal(exc)
             return False
         self._start(turn)
-        if _has_body(head):
+        if has_body(head):
             await self._until_body_read(turn)
         return not self.closing and turn is not self._stop_after
 
@@ -313,10 +308,10 @@
         turn = Turn(head=head, conn=self, before=before)
         self._body_read = False
         self._body_over.clear()
-        if _has_body(head):
+        if has_body(head):
             self._reading = turn
         else:
-            self._next_event()
+            self._reader.next_event()
         return turn
 
     def _start(self, turn: Turn) -> None:
@@ -385,13 +380,13 @@
                 turn.task.cancel()
 
     async def _read_head(self) -> RequestHead | None:
-        event = self._next_event()
-        if event is None and not self._parser.in_head:
+        event = self._reader.next_event()
+        if event is None and not self._reader.in_head:
             if not await self._wait_for_request():
                 return None
-            event = self._next_event()
+            event = self._reader.next_event()
         if event is None:
-            event = await self._read_rest_of_head()
+            event = await self._reader.rest_of_head(self._limits.head_s)
         assert isinstance(event, RequestHead)
         return event
 
@@ -399,89 +394,23 @@
         self._waiting = True
         try:
             while True:
-                got = await self._feed(self._limits.idle_s)
+                got = await self._reader.feed(self._limits.idle_s)
                 # A connection is idle only when its last answer has gone.
                 if got or self._wire.eof or not self._turns:
                     return got
         finally:
             self._waiting = False
 
-    async def _read_rest_of_head(self) -> RequestEvent:
-        loop = asyncio.get_running_loop()
-        until = loop.time() + self._limits.head_s
-        while (event := self._next_event()) is None:
-            if not await self._feed(until - loop.time()):
-                if self._wire.eof:
-                    raise CallerGoneError()
-                raise _too_slow("head")
-        return event
-
-    def _next_event(self) -> RequestEvent | None:
-        try:
-            return self._parser.next_event()
-        except MalformedError as exc:
-            raise BadRequestError(
-                status=exc.status,
-                message=f"the request is malformed: {exc.message}",
-                remedy="send a well-formed HTTP/1.1 request",
-            ) from exc
-
-    async def _feed(self, timeout_s: float) -> bool:
-        """Wait for bytes; False at the end of the stream or of the time."""
-        try:
-            async with asyncio.timeout(max(timeout_s, 0)):
-                data = await self._wire.read()
-        except TimeoutError:
-            return False
-        self._parser.feed(data)
-        return bool(data)
-
     async def _close(self) -> None:
         """Close after the caller has had the time to read the last answer."""
         if not self._wire.eof and (self.closing or self._wire.buffered):
             if self._wire.transport.can_write_eof():
                 self._wire.transport.write_eof()
             self._wire.stop_reading(stopped=False)
-            await self._drop_rest()
+            await self._reader.drop_rest()
         self._wire.close()
 
-    async def _drop_rest(self) -> None:
-        dropped = 0
-        try:
-            async with asyncio.timeout(LINGER_S):
-                while dropped < LINGER_BYTES:
-                    data = await self._wire.read()
-                    if not data:
-                        return
-                    dropped += len(data)
-        except TimeoutError:
-            return
-
 
 def body_limit_fault(head: RequestHead, limit: int) -> BadRequestError | None:
     """Return the refusal of a body that says that it is too long, None otherwise."""
-    if (declared_length(head) or 0) <= limit:
-        return None
-    return BadRequestError(
-        status=413,
-        message="the request's body is too large",
-        remedy=f"send at most {limit} bytes",
-    )
-
-
-def _has_body(head: RequestHead) -> bool:
-    if header_value(head.headers, b"transfer-encoding") is not None:
-        return True
-    return header_value(head.headers, b"content-length") not in (None, b"0")
-
-
-def _keeps_alive(head: RequestHead) -> bool:
-    if head.version == b"1.0":
-        return False
-    return b"close" not in header_tokens(head.headers, b"connection")
-
-
-def _too_slow(part: str) -> BadRequestError:
-    return BadRequestError(
-        status=408, message=f"the request's {part} took too long", remedy="send it faster"
-    )
+    return too_large(limit) if (declared_length(head) or 0) > limit else None
