Store batches again by one sync after a loss of power

The mark of what is synced is not synced itself, so after a loss of power all batches are stored again, each with a sync of 2 ms. Change: they are stored again as one batch.

--- a/packages/lychee-log/src/lychee_log/storage.py
+++ b/packages/lychee-log/src/lychee_log/storage.py
@@ -148,8 +148,8 @@
             folder=self._folder, number=number, hard_state=self._hard_state, disk=self._disk
         )
         try:
-            for batch in batches:
-                writer.append(batch)
+            if batches:
+                writer.append(_merged(batches))
             manifest = Manifest(current=number, sealed=sealed, snapshot=snapshot)
             _store_manifest(self._folder, manifest, disk=self._disk)
         except BaseException:
@@ -195,6 +195,16 @@
         return [path for path in files if path not in listed and path.name not in fixed]
 
 
+def _merged(batches: tuple[Batch, ...]) -> Batch:
+    """Return batches as one, so that storing them takes one sync.
+
+    After a loss of power there may be thousands, and the replica answers nobody meanwhile.
+    """
+    states = [batch.hard_state for batch in batches if batch.hard_state is not None]
+    entries = tuple(entry for batch in batches for entry in batch.entries)
+    return Batch(hard_state=states[-1] if states else None, entries=entries)
+
+
 @contextmanager
 def open_storage(
     *, folder: Path, replica: ReplicaId, disk: Disk | None = None
--- a/packages/lychee-log/tests/test_storage.py
+++ b/packages/lychee-log/tests/test_storage.py
@@ -291,3 +291,34 @@
     except StorageError:
         pass
     assert recover(tmp_path).entries == ()
+
+
+class CountingDisk(SystemDisk):
+    """Counts syncs."""
+
+    def __init__(self) -> None:
+        self.syncs = 0
+
+    def sync(self, fd: int) -> None:
+        self.syncs += 1
+        super().sync(fd)
+
+
+def test_batches_whose_mark_was_lost_are_stored_again_by_few_syncs(tmp_path: Path) -> None:
+    folder = tmp_path / "data"
+    with open_storage(folder=folder, replica=ME) as storage:
+        storage.take_recovered()
+        marked = (folder / "synced").read_bytes()
+        for index in range(1, 101):
+            state = HardState(term=index, vote=ME) if index % 10 == 0 else None
+            storage.write(write(*entries(index, index), hard_state=state))
+        storage.write(write(*entries(95, 97, term=2)))
+    (folder / "synced").write_bytes(marked)
+    disk = CountingDisk()
+    with open_storage(folder=folder, replica=ME, disk=disk) as storage:
+        recovered = storage.take_recovered()
+    assert recovered.entries == (*entries(1, 94), *entries(95, 97, term=2))
+    assert recovered.hard_state == HardState(term=100, vote=ME)
+    assert disk.syncs < 8
+    with open_storage(folder=folder, replica=ME) as storage:
+        assert storage.take_recovered() == recovered
