--- a/packages/lychee-control/src/lychee_control/registry/keeper.py
+++ b/packages/lychee-control/src/lychee_control/registry/keeper.py
@@ -12,6 +12,7 @@
 from lychee_control.registry.owners import Owner
 from lychee_control.registry.proposals import Propose, RangeWriter
 from lychee_ranges import (
+    BucketRates,
     Candidate,
     Exposures,
     KeyTable,
@@ -36,6 +37,9 @@
 MOVES_AT_ONCE = 16
 """Most moves of one service under way."""
 
+LEARN_S = 1.5
+"""Time for which a new leader measures load and paces before keys move for them, in seconds."""
+
 CALM_PAUSE_S = 0.5
 """Least time between two moves that only make answers faster, in seconds."""
 
@@ -103,6 +107,7 @@
         self._owners: dict[ServerRun, Owner] = {}
         self._tasks: dict[ServerRun, asyncio.Task[None]] = {}
         self._known: dict[ServerRun, RegisteredServer] = {}
+        self._began = now
         self._joined_at = now
         self._moving: list[Move] = []
         self._calm_at = now
@@ -226,7 +231,8 @@
         room = MOVES_AT_ONCE - len(self._moving)
         if room <= 0:
             return
-        rates = self._loads.rates(self._service, now)
+        is_learning = now - self._began < LEARN_S
+        rates = BucketRates() if is_learning else self._loads.rates(self._service, now)
         plan = Plan(table=table, candidates=candidates, rates=rates, pending=tuple(self._moving))
         is_calm_due = now - self._calm_at >= CALM_PAUSE_S
         if is_calm_due:
--- a/packages/lychee-ranges/src/lychee_ranges/loads.py
+++ b/packages/lychee-ranges/src/lychee_ranges/loads.py
@@ -1,6 +1,6 @@
 """Load of keyed services as the gateways measured it, forgotten exponentially."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import exp
 
 from lychee_types.ids import ServerId, ServiceName
@@ -61,8 +61,8 @@
     :param fast: requests a second by the last reports alone; they vary by chance.
     """
 
-    slow: dict[int, float]
-    fast: dict[int, float]
+    slow: dict[int, float] = field(default_factory=dict)
+    fast: dict[int, float] = field(default_factory=dict)
 
 
 @dataclass(kw_only=True, slots=True)
