--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -30,6 +30,9 @@
 START_BYTES = 65_536
 """Bytes of a body that are held, so that it can be sent to another server."""
 
+ROUTES_WAIT_S = 0.2
+"""Longest wait of a request for the first routes of a gateway that has just started."""
+
 NOT_READY_RETRY_S = 0.3
 """When to come back to a gateway that has no routes yet, in seconds."""
 
@@ -135,6 +138,9 @@
         if isinstance(asked, Rejection):
             await self._reject(turn, "", asked)
             return
+        if not self._view.has_routes:
+            # A gateway that has just started learns the routes in a moment.
+            await self._view.until_routes(ROUTES_WAIT_S)
         route = self._view.matcher.find(asked.host, asked.path)
         if route is None:
             rejection = self._no_route()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/view.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/view.py
@@ -1,5 +1,6 @@
 """The gateway's copy of the replicated state, and who is told when it changes."""
 
+import asyncio
 from collections.abc import Callable
 
 from lychee_ranges import RoutedState, RouteMatcher
@@ -15,6 +16,7 @@
         self.state = RoutedState()
         self.matcher = RouteMatcher(routing=Routing())
         self._version = RoutingVersion()
+        self._routes_known = asyncio.Event()
         self._urgency: dict[ServiceName, int] = {}
         self._listeners: list[Callable[[], None]] = []
 
@@ -23,6 +25,14 @@
         """Return whether a configuration is in force."""
         return self.state.version.number > 0
 
+    async def until_routes(self, timeout_s: float) -> None:
+        """Return once a configuration is in force, or after a time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._routes_known.wait()
+        except TimeoutError:
+            return
+
     def is_most_urgent(self, route: Route, service: ServiceName) -> bool:
         """Return whether no route to a service is more urgent than this one."""
         return route.priority <= self._urgency.get(service, route.priority)
@@ -50,6 +60,8 @@
             self._version = self.state.version
             self.matcher = RouteMatcher(routing=self._version.routing)
             self._urgency = _urgency(self._version.routing)
+            if self.has_routes:
+                self._routes_known.set()
         for listener in self._listeners:
             listener()
 
