Count each unanswered grant by itself; give lost owners' keys up when their hold ends

Grants were answered late or never (applied_late); a later renewal's answer closed the unanswered one too, and the keys moved while it could still begin to hold. Ruled out: renewals beside a move (a barrier waits for them) and stale activations (checked against owner, token and phase). Change: each grant has its own exposure, open until its own answer; keys with an open one move for load only after it has run out; a grant that was never sent does not count; an owner's keys are given up when its hold must have ended, not by missed heartbeats before.

--- a/packages/lychee-control/src/lychee_control/registry/keeper.py
+++ b/packages/lychee-control/src/lychee_control/registry/keeper.py
@@ -12,6 +12,7 @@
 from lychee_control.registry.owners import Owner
 from lychee_control.registry.proposals import Propose, RangeWriter
 from lychee_ranges import (
+    NO_OWNER,
     BucketRates,
     Candidate,
     Exposures,
@@ -50,7 +51,10 @@
 """Interval between looks for moves, in seconds."""
 
 MISSED_BEATS = 2.5
-"""Missed heartbeats, besides unanswered grants, after which an owner counts as lost."""
+"""Missed heartbeats after which a server without keys gets none."""
+
+LOST_SHARE = 0.85
+"""Part of the hold time after a failed grant at which an owner's keys are given up for lost."""
 
 RELEASE_RETRY_S = 0.3
 """Pause before a release that was not answered is sent again, in seconds."""
@@ -175,13 +179,14 @@
         )
 
     def _is_lost(self, run: ServerRun, now: float) -> bool:
-        is_mute = now - self._beats.heard_at(run) > MISSED_BEATS * self._heartbeat_s
+        """Return whether a run is silent, and holds no keys any more if it had some.
+
+        While its hold lasts it may serve its keys, though this replica cannot reach it.
+        """
         owner = self._owners.get(run)
         if owner is None:
-            return is_mute
-        if not owner.is_failing:
-            return False
-        return is_mute or now - owner.failing_since > self._hold_s
+            return now - self._beats.heard_at(run) > MISSED_BEATS * self._heartbeat_s
+        return owner.is_failing and now - owner.failing_since > LOST_SHARE * self._hold_s
 
     def _sync_owners(self, table: KeyTable) -> None:
         """Run an owner's task for each run that has keys, and end those of others."""
@@ -238,6 +243,9 @@
         if is_calm_due:
             self._calm_at = now
         for move in plan.moves(room, calm_limit=1 if is_calm_due else 0):
+            if move.reason != NO_OWNER and self._exposures.has_open(move.keys, now):
+                # The keys would be nobody's until the unanswered grant has run out.
+                continue
             self._moving.append(move)
             self._spawn(self._move(move), f"move in {self._service}")
 
--- a/packages/lychee-control/src/lychee_control/registry/owners.py
+++ b/packages/lychee-control/src/lychee_control/registry/owners.py
@@ -131,8 +131,12 @@
             # A new run at the address holds nothing; only its own heartbeat can tell.
             if now >= self._leads_until() or self._heard_at(self.run_id) < self._broken_at:
                 return False
-            self._exposures.sent(key_range, now)
+            sent = self._exposures.sent(key_range, now)
             reply = await self.calls.grant(key_range, hold_s=self._hold_s)
+            if not isinstance(reply, Unusable):
+                self._exposures.answered(sent)
+            elif not reply.maybe_sent:
+                self._exposures.withdrawn(sent)
         self._note(key_range, reply)
         if isinstance(reply, GrantAccepted):
             if key_range.phase is GrantPhase.GRANTING:
@@ -148,20 +152,16 @@
         now = self._clock.monotonic()
         match reply:
             case GrantAccepted():
-                self._exposures.answered(key_range)
                 self.failures = 0
                 if key_range.phase is GrantPhase.GRANTING:
                     logger.bind(event="granted", **_fields(key_range)).info(
                         "the owner confirmed the grant"
                     )
                 return
-            case GrantStale() | OtherServer():
-                self._exposures.answered(key_range)
-            case Unusable(maybe_sent=False):
-                self._exposures.answered(key_range)
-                self._broken_at = now
             case Unusable() | Released():
                 self._broken_at = now
+            case GrantStale() | OtherServer():
+                pass
         if self.failures == 0:
             self.failing_since = now
         self.failures += 1
--- a/packages/lychee-ranges/src/lychee_ranges/__init__.py
+++ b/packages/lychee-ranges/src/lychee_ranges/__init__.py
@@ -3,7 +3,7 @@
 from lychee_ranges.exposure import Exposures, hold_limit_s
 from lychee_ranges.loads import BUCKET_KEYS, BucketRates, LoadBook, bucket_of
 from lychee_ranges.matching import RouteMatcher
-from lychee_ranges.planner import Candidate, Move, Plan, first_split, mergeable
+from lychee_ranges.planner import NO_OWNER, Candidate, Move, Plan, first_split, mergeable
 from lychee_ranges.state import RoutedState
 from lychee_ranges.table import KeyTable
 
@@ -13,6 +13,7 @@
     "Candidate",
     "Exposures",
     "KeyTable",
+    "NO_OWNER",
     "LoadBook",
     "Move",
     "Plan",
--- a/packages/lychee-ranges/src/lychee_ranges/exposure.py
+++ b/packages/lychee-ranges/src/lychee_ranges/exposure.py
@@ -20,13 +20,22 @@
     return hold_s * SLOW_CLOCK + MARGIN_S
 
 
-@dataclass(kw_only=True, slots=True)
-class _Held:
+@dataclass(kw_only=True, slots=True, eq=False)
+class SentGrant:
+    """One grant that was sent, and the keys that it may hold still.
+
+    :param low: first key.
+    :param high: last key.
+    :param owner: the run that it went to.
+    :param until: when it can hold no more, clock seconds.
+    :param is_open: whether it has no answer: it may begin to hold at any moment.
+    """
+
     low: int
     high: int
     owner: ServerRun
     until: float
-    is_open: bool
+    is_open: bool = True
 
 
 class Exposures:
@@ -39,28 +48,29 @@
     def __init__(self, *, hold_s: float, unknown_until: float) -> None:
         self._limit_s = hold_limit_s(hold_s)
         self._unknown_until = unknown_until
-        self._held: list[_Held] = []
+        self._held: list[SentGrant] = []
 
-    def sent(self, key_range: KeyRange, now: float) -> None:
+    def sent(self, key_range: KeyRange, now: float) -> SentGrant:
         """Take note of a grant just before it is sent."""
         owner = key_range.owner
         assert owner is not None
-        held = _Held(
-            low=key_range.low,
-            high=key_range.high,
-            owner=owner,
-            until=now + self._limit_s,
-            is_open=True,
+        grant = SentGrant(
+            low=key_range.low, high=key_range.high, owner=owner, until=now + self._limit_s
         )
-        self._held = [other for other in self._held if other.until > now]
-        self._held.append(held)
+        self._held = [held for held in self._held if held.until > now]
+        self._held.append(grant)
+        return grant
 
-    def answered(self, key_range: KeyRange) -> None:
-        """Take note that all grants of these keys to this owner have been answered."""
+    def answered(self, grant: SentGrant) -> None:
+        """Take note of the answer to a grant; others without one may still begin to hold."""
         for held in self._held:
-            if held.owner == key_range.owner and _overlaps(held, key_range):
+            if held is grant:
                 held.is_open = False
 
+    def withdrawn(self, grant: SentGrant) -> None:
+        """Take note that a grant never left this process."""
+        self._held = [held for held in self._held if held is not grant]
+
     def released(self, key_range: KeyRange) -> None:
         """Take note that the owner has given the keys up; unanswered grants still count."""
         kept = []
@@ -71,6 +81,12 @@
             kept += _rest(held, key_range)
         self._held = kept
 
+    def has_open(self, key_range: KeyRange, now: float) -> bool:
+        """Return whether a grant of some of these keys has no answer and may begin to hold."""
+        return any(
+            held.is_open and held.until > now and _overlaps(held, key_range) for held in self._held
+        )
+
     def ended(self, owner: ServerRun) -> None:
         """Take note that a run has ended: it holds nothing any more."""
         self._held = [held for held in self._held if held.owner != owner]
@@ -83,11 +99,11 @@
         return max(until, default=0.0)
 
 
-def _overlaps(held: _Held, key_range: KeyRange) -> bool:
+def _overlaps(held: SentGrant, key_range: KeyRange) -> bool:
     return held.low <= key_range.high and key_range.low <= held.high
 
 
-def _rest(held: _Held, key_range: KeyRange) -> list[_Held]:
+def _rest(held: SentGrant, key_range: KeyRange) -> list[SentGrant]:
     rest = []
     if held.low < key_range.low:
         rest.append(_part(held, held.low, key_range.low - 1))
@@ -96,5 +112,5 @@
     return rest
 
 
-def _part(held: _Held, low: int, high: int) -> _Held:
-    return _Held(low=low, high=high, owner=held.owner, until=held.until, is_open=held.is_open)
+def _part(held: SentGrant, low: int, high: int) -> SentGrant:
+    return SentGrant(low=low, high=high, owner=held.owner, until=held.until, is_open=held.is_open)
--- a/packages/lychee-ranges/src/lychee_ranges/planner.py
+++ b/packages/lychee-ranges/src/lychee_ranges/planner.py
@@ -41,6 +41,9 @@
 LEAST_PART = 0.15
 """Least part of the wanted load for which a move is worth its cost."""
 
+NO_OWNER = "no owner"
+"""Reason of a move of keys that nobody can serve now."""
+
 HALVINGS = 12
 """Steps of a search by halving."""
 
@@ -257,7 +260,7 @@
             ),
         )
         best.add(load)
-        return Move(keys=key_range, to=best.candidate.run, reason="no owner")
+        return Move(keys=key_range, to=best.candidate.run, reason=NO_OWNER)
 
     def _seat_newcomer(self) -> Move | None:
         """Give a server without keys a part of the one that has most."""
--- a/packages/lychee-ranges/tests/test_exposure.py
+++ b/packages/lychee-ranges/tests/test_exposure.py
@@ -29,8 +29,7 @@
 
 def test_a_release_frees_keys_whose_grants_were_all_answered():
     known = exposures()
-    known.sent(keys(0, 9), 100.0)
-    known.answered(keys(0, 9))
+    known.answered(known.sent(keys(0, 9), 100.0))
     known.released(keys(2, 3))
     assert known.free_at(keys(2, 3)) == 0.0
     assert known.free_at(keys(0, 9)) > 100.0
@@ -38,8 +37,7 @@
 
 def test_a_grant_without_an_answer_counts_in_spite_of_a_release():
     known = exposures()
-    known.sent(keys(0, 9), 100.0)
-    known.answered(keys(0, 9))
+    known.answered(known.sent(keys(0, 9), 100.0))
     known.sent(keys(0, 9), 101.0)
     known.released(keys(0, 9))
     assert known.free_at(keys(0, 9)) == 101.0 + hold_limit_s(HOLD_S)
@@ -47,8 +45,7 @@
 
 def test_a_release_by_another_owner_frees_nothing():
     known = exposures()
-    known.sent(keys(0, 9, "a"), 100.0)
-    known.answered(keys(0, 9, "a"))
+    known.answered(known.sent(keys(0, 9, "a"), 100.0))
     known.released(keys(0, 9, "b"))
     assert known.free_at(keys(0, 9)) > 100.0
 
@@ -64,3 +61,19 @@
     known.sent(keys(0, 9), 100.0)
     known.ended(run("a"))
     assert known.free_at(keys(0, 9)) == 0.0
+
+
+def test_a_later_answer_does_not_close_an_earlier_grant_without_one():
+    known = exposures()
+    known.sent(keys(0, 9), 100.0)
+    known.answered(known.sent(keys(0, 9), 101.0))
+    assert known.has_open(keys(0, 9), 101.0)
+    known.released(keys(0, 9))
+    assert known.free_at(keys(0, 9)) == 100.0 + hold_limit_s(HOLD_S)
+    assert not known.has_open(keys(0, 9), 104.0)
+
+
+def test_a_grant_that_was_never_sent_holds_nothing():
+    known = exposures()
+    known.withdrawn(known.sent(keys(0, 9), 100.0))
+    assert known.free_at(keys(0, 9)) == 0.0
