--- a/packages/lychee-control/src/lychee_control/registry/calls.py
+++ b/packages/lychee-control/src/lychee_control/registry/calls.py
@@ -18,6 +18,9 @@
 RELEASE_TIMEOUT_S = 3.0
 """Longest wait until running work on released keys has ended, in seconds."""
 
+RELEASES_AT_ONCE = 6
+"""Most releases under way at one server: it accepts few connections and each takes one."""
+
 ANSWER_LIMIT_BYTES = 65_536
 """Largest body of an answer."""
 
@@ -106,6 +109,7 @@
         self._endpoint = endpoint
         self._codec = codec
         self._pool = ServerPool(endpoint=endpoint)
+        self._releasing = asyncio.Semaphore(RELEASES_AT_ONCE)
 
     async def grant(self, key_range: KeyRange, *, hold_s: float) -> CallReply:
         """Grant a range to its owner, or renew the grant."""
@@ -116,7 +120,8 @@
     async def release(self, key_range: KeyRange) -> CallReply:
         """Take a range back; the answer comes when running work on it has ended."""
         call = self._codec.release(key_range=key_range, endpoint=self._endpoint)
-        answer = await self._send(call, RELEASE_TIMEOUT_S)
+        async with self._releasing:
+            answer = await self._send(call, RELEASE_TIMEOUT_S)
         return answer if isinstance(answer, Unusable) else self._codec.read_release(answer)
 
     def close(self) -> None:
--- a/packages/lychee-control/src/lychee_control/registry/keeper.py
+++ b/packages/lychee-control/src/lychee_control/registry/keeper.py
@@ -36,7 +36,10 @@
 """Time without a new server after which keys are split for the first time, in seconds."""
 
 MOVES_AT_ONCE = 16
-"""Most moves of one service under way."""
+"""Most moves under way of keys that are served."""
+
+HOUSED_AT_ONCE = 300
+"""Most moves under way of keys whose owner is lost or leaving."""
 
 LEARN_S = 1.5
 """Time for which a new leader measures load and paces before keys move for them, in seconds."""
@@ -233,16 +236,20 @@
             self._moving.remove(move)
 
     def _start_moves(self, table: KeyTable, candidates: tuple[Candidate, ...], now: float) -> None:
-        room = MOVES_AT_ONCE - len(self._moving)
-        if room <= 0:
-            return
+        housed = sum(move.reason == NO_OWNER for move in self._moving)
+        room = max(0, MOVES_AT_ONCE - (len(self._moving) - housed))
         is_learning = now - self._began < LEARN_S
         rates = BucketRates() if is_learning else self._loads.rates(self._service, now)
         plan = Plan(table=table, candidates=candidates, rates=rates, pending=tuple(self._moving))
         is_calm_due = now - self._calm_at >= CALM_PAUSE_S
         if is_calm_due:
             self._calm_at = now
-        for move in plan.moves(room, calm_limit=1 if is_calm_due else 0):
+        moves = plan.moves(
+            room,
+            calm_limit=1 if is_calm_due else 0,
+            house_limit=max(0, HOUSED_AT_ONCE - housed),
+        )
+        for move in moves:
             if move.reason != NO_OWNER and self._exposures.has_open(move.keys, now):
                 # The keys would be nobody's until the unanswered grant has run out.
                 continue
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -26,7 +26,7 @@
 NO_OWNER_RETRY_S = 0.3
 """When to come back for a key that has had no owner for longer, in seconds."""
 
-DRAIN_SHARE = 0.5
+DRAIN_SHARE = 0.75
 """Part of the drain time for which a leaving owner still gets requests for its keys."""
 
 LEAST_RETRY_S = 0.05
@@ -171,6 +171,7 @@
         return longest_s
 
     async def _place_keyed(self, wanted: Placement, key: int) -> ProxyServer | NoPlace:
+        patience_until = min(self._clock.monotonic() + OWNER_WAIT_S, wanted.until)
         while True:
             now = self._clock.monotonic()
             key_range = self._range(wanted.service, key)
@@ -178,8 +179,9 @@
             is_gone = owner is not None and self._has_drained(owner)
             if owner is not None and not is_gone and owner.run not in wanted.tried:
                 return self._unless_full(wanted, owner, now)
-            left_s = self._since_vacant(wanted.service, key_range, now) + OWNER_WAIT_S - now
-            if min(left_s, wanted.until - now) <= 0:
+            vacant_until = self._since_vacant(wanted.service, key_range, now) + OWNER_WAIT_S
+            left_s = min(vacant_until, patience_until) - now
+            if left_s <= 0:
                 return NoPlace(reason="the key has no owner now", retry_after_s=NO_OWNER_RETRY_S)
             await self._until_changed(left_s)
 
--- a/packages/lychee-ranges/src/lychee_ranges/planner.py
+++ b/packages/lychee-ranges/src/lychee_ranges/planner.py
@@ -38,6 +38,9 @@
 CHANCE = 1.5
 """Standard deviations that the latest rate must lie above to be no chance."""
 
+LEAST_END = 0.5
+"""Least part of the wanted load for which the end of a range is moved rather than its middle."""
+
 LEAST_PART = 0.15
 """Least part of the wanted load for which a move is worth its cost."""
 
@@ -164,6 +167,23 @@
     keys: int
 
 
+class _Pending:
+    """Moves under way, in order of their keys; they never share keys.
+
+    :param moves: the moves.
+    """
+
+    def __init__(self, *, moves: tuple[Move, ...]) -> None:
+        self._moves = sorted(moves, key=lambda move: move.keys.low)
+        self._lows = [move.keys.low for move in self._moves]
+
+    def overlapping(self, key_range: KeyRange) -> list[Move]:
+        """Return the moves that share keys with a range, in order of keys."""
+        first = max(0, bisect_right(self._lows, key_range.low) - 1)
+        last = bisect_right(self._lows, key_range.high)
+        return [move for move in self._moves[first:last] if _overlap(move.keys, key_range)]
+
+
 class Plan:
     """One look at a service's keys.
 
@@ -183,23 +203,26 @@
     ) -> None:
         self._rates = rates
         self._buckets = sorted(rates.slow)
-        self._pending = pending
+        self._pending = _Pending(moves=pending)
         self._shares = {candidate.run: _Share(candidate=candidate) for candidate in candidates}
         self._homeless: list[KeyRange] = []
         for key_range in table.ranges:
             self._place(key_range)
 
-    def moves(self, limit: int, *, calm_limit: int) -> tuple[Move, ...]:
+    def moves(self, limit: int, *, calm_limit: int, house_limit: int) -> tuple[Move, ...]:
         """Return the moves to begin now, the most urgent first.
 
-        :param limit: most moves.
+        :param limit: most moves of keys that are served.
         :param calm_limit: most moves among them that only make answers faster.
+        :param house_limit: most moves of keys that nobody can serve now.
         """
         if not self._shares:
             return ()
         found: list[Move] = []
-        while self._homeless and len(found) < limit:
+        self._homeless.sort(key=lambda item: self._load(item.low, item.high).steady)
+        while self._homeless and len(found) < house_limit:
             found.append(self._house(self._homeless.pop()))
+        limit += len(found)
         calm = 0
         while len(found) < limit:
             move = self._seat_newcomer() or self._relieve(is_calm=False)
@@ -214,8 +237,7 @@
     def _place(self, key_range: KeyRange) -> None:
         """Count a range for its owner, and what moves of it for the next one."""
         low = key_range.low
-        moving = [move for move in self._pending if _overlap(move.keys, key_range)]
-        for move in sorted(moving, key=lambda move: move.keys.low):
+        for move in self._pending.overlapping(key_range):
             first, last = max(low, move.keys.low), min(key_range.high, move.keys.high)
             if low < first:
                 self._place_rest(replace(key_range, low=low, high=first - 1))
@@ -305,7 +327,30 @@
         least = CALM_GAIN_SHARE if is_calm else GAIN_SHARE
         if gain_s < max(GAIN_S, least * donor.response_s()):
             return None
-        return self._cut_out(donor, taker, wanted)
+        return self._cut_off(donor, taker, wanted) or self._cut_out(donor, taker, wanted)
+
+    def _cut_off(self, donor: _Share, taker: _Share, wanted: float) -> Move | None:
+        """Move an end of a range, which leaves fewer ranges than a piece of its middle."""
+        if donor.is_hot:
+            return None
+        best: tuple[float, int, int, KeyRange] | None = None
+        for key_range in donor.ranges:
+            buckets = self._buckets_in(key_range.low, key_range.high)
+            for is_low, ordered in ((True, buckets), (False, buckets[::-1])):
+                rate, last = 0.0, -1
+                for bucket in ordered:
+                    if rate + self._rates.slow[bucket] > wanted:
+                        break
+                    rate += self._rates.slow[bucket]
+                    last = bucket
+                low = key_range.low if is_low else last * BUCKET_KEYS
+                high = last * BUCKET_KEYS + BUCKET_KEYS - 1 if is_low else key_range.high
+                if last >= 0 and (best is None or rate > best[0]):
+                    best = (rate, max(low, key_range.low), min(high, key_range.high), key_range)
+        if best is None or best[0] < wanted * LEAST_END:
+            return None
+        _, low, high, source = best
+        return self._take(donor, taker, source, low, high, "load")
 
     def _hand_over_hottest(self, donor: _Share) -> Move | None:
         """Give a key that alone is too much for its owner to a server that can do more."""
@@ -411,13 +456,14 @@
     :param table: the ranges.
     :param pending: moves that are under way; their neighbours are left alone.
     """
+    moving = _Pending(moves=pending)
     merged: list[KeyRange] = []
     run: list[KeyRange] = []
     for key_range in (*table.ranges, None):
         is_free = (
             key_range is not None
             and key_range.phase is GrantPhase.ACTIVE
-            and not any(_overlap(move.keys, key_range) for move in pending)
+            and not moving.overlapping(key_range)
         )
         if run and not (is_free and key_range is not None and key_range.owner == run[0].owner):
             if len(run) > 1:
