Send no grant over a new connection before the run itself was heard

Cause, found in reading: a server that ends and starts again between two renewals, under its id and address, got the old run's renewal over a new connection: the pool had dropped the old one without a word, and the new run would have taken keys by the old token. Change: grants have a connection of their own; when it has ended the next grant waits for a heartbeat of the run, and a run that a later one has followed gets none. Refusals are counted in the metrics (they never were), and a request without a usable key is logged.

--- a/packages/lychee-control/src/lychee_control/registry/calls.py
+++ b/packages/lychee-control/src/lychee_control/registry/calls.py
@@ -101,6 +101,9 @@
 class ServerCalls:
     """Calls to one run of a server over connections that are kept open.
 
+    Grants go over one connection. When it has ended, another run may have the address, under the
+    same id even, so the next grant is not sent: the caller first needs word of the run itself.
+
     :param endpoint: its address.
     :param codec: translates the calls.
     """
@@ -108,32 +111,41 @@
     def __init__(self, *, endpoint: Endpoint, codec: GrantCodec) -> None:
         self._endpoint = endpoint
         self._codec = codec
-        self._pool = ServerPool(endpoint=endpoint)
+        self._grants = ServerPool(endpoint=endpoint)
+        self._releases = ServerPool(endpoint=endpoint)
+        self._was_connected = False
         self._releasing = asyncio.Semaphore(RELEASES_AT_ONCE)
 
     async def grant(self, key_range: KeyRange, *, hold_s: float) -> CallReply:
         """Grant a range to its owner, or renew the grant."""
+        if self._was_connected and not len(self._grants):
+            self._was_connected = False
+            return Unusable(reason="the connection has ended", maybe_sent=False)
         call = self._codec.grant(key_range=key_range, endpoint=self._endpoint, hold_s=hold_s)
-        answer = await self._send(call, GRANT_TIMEOUT_S)
+        answer = await self._send(self._grants, call, GRANT_TIMEOUT_S)
+        self._was_connected = not isinstance(answer, Unusable)
         return answer if isinstance(answer, Unusable) else self._codec.read_grant(answer)
 
     async def release(self, key_range: KeyRange) -> CallReply:
         """Take a range back; the answer comes when running work on it has ended."""
         call = self._codec.release(key_range=key_range, endpoint=self._endpoint)
         async with self._releasing:
-            answer = await self._send(call, RELEASE_TIMEOUT_S)
+            answer = await self._send(self._releases, call, RELEASE_TIMEOUT_S)
         return answer if isinstance(answer, Unusable) else self._codec.read_release(answer)
 
     def close(self) -> None:
         """Close all connections."""
-        self._pool.close()
+        self._grants.close()
+        self._releases.close()
 
-    async def _send(self, call: WireCall, timeout_s: float) -> ResponseHead | Unusable:
+    async def _send(
+        self, pool: ServerPool, call: WireCall, timeout_s: float
+    ) -> ResponseHead | Unusable:
         try:
-            conn = await self._pool.take(timeout_s=timeout_s)
+            conn = await pool.take(timeout_s=timeout_s)
         except OSError as exc:
             return Unusable(reason=f"no connection: {type(exc).__name__}", maybe_sent=False)
-        with self._pool.lent(conn):
+        with pool.lent(conn):
             try:
                 async with asyncio.timeout(timeout_s):
                     return await self._exchange(conn, call)
--- a/packages/lychee-control/src/lychee_control/registry/keeper.py
+++ b/packages/lychee-control/src/lychee_control/registry/keeper.py
@@ -181,6 +181,11 @@
             for server in ordered
         )
 
+    def _is_over(self, run: ServerRun) -> bool:
+        """Return whether a later run of the same server is registered."""
+        registered = self._state.servers.get(run.server)
+        return registered is not None and registered.run != run
+
     def _is_lost(self, run: ServerRun, now: float) -> bool:
         """Return whether a run is silent, and holds no keys any more if it had some.
 
@@ -212,6 +217,7 @@
             clock=self._clock,
             leads_until=self._leads_until,
             heard_at=self._beats.heard_at,
+            is_over=self._is_over,
             hold_s=self._hold_s,
         )
         self._owners[run] = owner
@@ -309,6 +315,10 @@
         if owner is None:
             return ""
         await owner.barrier()
+        if self._is_over(owner.run_id):
+            # A run ends with its process; what took its place holds nothing yet.
+            self._exposures.ended(owner.run_id)
+            return ""
         while True:
             reply = await owner.calls.release(keys)
             if isinstance(reply, Released):
--- a/packages/lychee-control/src/lychee_control/registry/owners.py
+++ b/packages/lychee-control/src/lychee_control/registry/owners.py
@@ -39,6 +39,7 @@
     :param clock: source of time.
     :param leads_until: until when no other leader can exist, clock seconds.
     :param heard_at: when the run was last heard, clock seconds.
+    :param is_over: whether a later run of the server is registered.
     :param hold_s: hold time of a grant, in seconds.
     """
 
@@ -53,6 +54,7 @@
         clock: Clock,
         leads_until: Callable[[], float],
         heard_at: Callable[[ServerRun], float],
+        is_over: Callable[[ServerRun], bool],
         hold_s: float,
     ) -> None:
         self.run_id = run
@@ -65,6 +67,7 @@
         self._clock = clock
         self._leads_until = leads_until
         self._heard_at = heard_at
+        self._is_over = is_over
         self._hold_s = hold_s
         self._due: dict[tuple[int, int, Token], float] = {}
         self._broken_at = 0.0
@@ -131,6 +134,8 @@
             # A new run at the address holds nothing; only its own heartbeat can tell.
             if now >= self._leads_until() or self._heard_at(self.run_id) < self._broken_at:
                 return False
+            if self._is_over(self.run_id):
+                return False
             sent = self._exposures.sent(key_range, now)
             reply = await self.calls.grant(key_range, hold_s=self._hold_s)
             if not isinstance(reply, Unusable):
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -136,7 +136,7 @@
         arrived = self._clock.monotonic()
         asked = self._codec.read_request(turn.head)
         if isinstance(asked, Rejection):
-            await self._reject(turn, "", asked)
+            await self._refuse_bad(turn, "", asked)
             return
         if not self._view.has_routes:
             # A gateway that has just started learns the routes in a moment.
@@ -159,12 +159,18 @@
             raise fault
         call = self._begin(turn, asked, route, arrived)
         if isinstance(call, Rejection):
-            await self._reject(turn, asked.request_id, call)
+            await self._refuse_bad(turn, asked.request_id, call)
             return
         if not call.is_idempotent:
             await turn.wait()
         await self._run(call)
 
+    async def _refuse_bad(self, turn: Turn, request_id: str, rejection: Rejection) -> None:
+        logger.bind(event="bad_request", request=request_id, status=rejection.status).info(
+            "{}", rejection.reason
+        )
+        await self._reject(turn, request_id, rejection)
+
     async def refuse(self, turn: Turn, exc: BadRequestError) -> None:
         """Answer a request that cannot be taken."""
         logger.bind(event="bad_request", status=exc.status).info("{}", exc.message)
@@ -314,6 +320,7 @@
         elif call.maybe_run:
             await self._end(call, Rejection(status=502, reason=why.reason))
         else:
+            self._metrics.refused(call.placement.service)
             rejection = Rejection(status=503, reason=why.reason, retry_after_s=why.retry_after_s)
             await self._end(call, rejection)
 
