Store the commit index with the log, so that a restarted replica applies at once

Cause: after the loss of all VMs the gateways followed a replica 0.1 s after its start, but had no routes for 0.5 to 0.7 s more: a replica applied nothing before a leader told it the commit index. Each batch of the log now holds the commit index known when it was written; if nothing else is written for 0.1 s, a batch with just the index is. What was committed once stays committed, so that it is applied before there is a leader. What may not be committed still waits for one (test).

--- a/packages/lychee-log/src/lychee_log/durability.py
+++ b/packages/lychee-log/src/lychee_log/durability.py
@@ -8,6 +8,9 @@
 from lychee_types.exceptions import require
 from lychee_types.ids import LogIndex
 
+COMMIT_NOTE_S = 0.1
+"""Time after which the commit index is stored if no other write takes it along, in seconds."""
+
 
 @dataclass(kw_only=True)
 class _InFlight:
@@ -23,11 +26,15 @@
     """Collects what must be written, one write at a time, and holds back promises until then.
 
     :param durable: index of the last entry on disk.
+    :param committed: the commit index on disk.
     """
 
-    def __init__(self, *, durable: LogIndex) -> None:
+    def __init__(self, *, durable: LogIndex, committed: LogIndex) -> None:
         self.durable = durable
         self._handed = durable
+        self._committed = committed
+        self._kept_committed = committed
+        self._committed_at: float | None = None
         self._identity: Identity | None = None
         self._hard_state: HardState | None = None
         self._snapshot: SaveSnapshot | None = None
@@ -55,6 +62,10 @@
         """Have term and vote written."""
         self._hard_state = hard_state
 
+    def keep_commit(self, index: LogIndex) -> None:
+        """Have the commit index written, with the next write or a little later."""
+        self._committed = index
+
     def keep_snapshot(self, snapshot: Snapshot, *, keep_from: LogIndex) -> None:
         """Have a snapshot of this replica's machine written."""
         self._snapshot = SaveSnapshot(number=0, snapshot=snapshot, keep_from=keep_from)
@@ -98,7 +109,9 @@
             return None
         if self._snapshot is not None:
             return self._begin_snapshot(self._snapshot, log, now)
-        return self._begin_write(log, now) if self._has_pending(log.last.index) else None
+        if self._has_pending(log.last.index) or self._owes_commit(now):
+            return self._begin_write(log, now)
+        return None
 
     def finish(self, number: int, log: EntryLog) -> tuple[Send, ...]:
         """Take note that a write has been synced and return the messages that waited for it."""
@@ -117,6 +130,14 @@
         replacing = self._snapshot is not None and self._snapshot.keep_from is None
         return state or replacing or self._handed < last
 
+    def _owes_commit(self, now: float) -> bool:
+        """Return whether the commit index has waited for another write for long enough."""
+        if self._committed == self._kept_committed:
+            return False
+        if self._committed_at is None:
+            self._committed_at = now
+        return now - self._committed_at >= COMMIT_NOTE_S
+
     def _begin_snapshot(self, save: SaveSnapshot, log: EntryLog, now: float) -> SaveSnapshot:
         self._number += 1
         self._snapshot = None
@@ -146,7 +167,10 @@
             identity=self._identity,
             hard_state=self._hard_state,
             entries=entries,
+            committed=self._committed,
         )
+        self._kept_committed = self._committed
+        self._committed_at = None
         self._in_flight = _InFlight(
             number=self._number,
             begun_at=now,
--- a/packages/lychee-log/src/lychee_log/effects.py
+++ b/packages/lychee-log/src/lychee_log/effects.py
@@ -82,12 +82,14 @@
     :param identity: the identity to store first, None if it stays.
     :param hard_state: term and vote to store, None if they stay.
     :param entries: entries to append; they replace stored ones of the same and later indexes.
+    :param committed: an index up to which entries are committed, all stored by this write.
     """
 
     number: int
     identity: Identity | None
     hard_state: HardState | None
     entries: tuple[Entry, ...]
+    committed: LogIndex
 
 
 class SaveSnapshot(Struct, frozen=True, kw_only=True):
--- a/packages/lychee-log/src/lychee_log/measure.py
+++ b/packages/lychee-log/src/lychee_log/measure.py
@@ -204,7 +204,15 @@
                     Entry(index=LogIndex(index), term=term, data=bytes(PAYLOAD_BYTES))
                     for index in range(start, min(start + batch, first + entries))
                 )
-                storage.write(Write(number=0, identity=None, hard_state=None, entries=items))
+                storage.write(
+                    Write(
+                        number=0,
+                        identity=None,
+                        hard_state=None,
+                        entries=items,
+                        committed=LogIndex(0),
+                    )
+                )
         seconds = asyncio.run(_recover(folder))
     size = sum(path.stat().st_size for path in (folder / "r0").iterdir())
     return RecoveryTime(entries=entries, log_bytes=size, seconds=seconds)
--- a/packages/lychee-log/src/lychee_log/records.py
+++ b/packages/lychee-log/src/lychee_log/records.py
@@ -139,12 +139,14 @@
     :param hard_state: term and vote.
     :param snapshot: the latest snapshot, None if there is none.
     :param entries: the entries after it.
+    :param committed: an index up to which entries are known to be committed.
     """
 
     identity: Identity
     hard_state: HardState = HardState()
     snapshot: Snapshot | None = None
     entries: tuple[Entry, ...] = ()
+    committed: LogIndex = LogIndex(0)
 
 
 class Committed(Struct, frozen=True, kw_only=True):
--- a/packages/lychee-log/src/lychee_log/recovery.py
+++ b/packages/lychee-log/src/lychee_log/recovery.py
@@ -134,6 +134,7 @@
         hard_state=log.hard_state,
         snapshot=snapshot,
         entries=_after(folder, snapshot, log.entries),
+        committed=log.committed,
     )
     return Loaded(
         recovered=recovered, manifest=manifest, ends=tuple(log.ends), unmarked=log.unmarked
@@ -146,6 +147,7 @@
     def __init__(self, *, folder: Path) -> None:
         self.hard_state = HardState()
         self.entries: list[Entry] = []
+        self.committed = LogIndex(0)
         self.ends: list[SegmentEnd] = []
         self.unmarked: tuple[Batch, ...] = ()
         self._folder = folder
@@ -162,6 +164,7 @@
             self._add(batch)
 
     def _add(self, batch: Batch) -> None:
+        self.committed = max(self.committed, batch.committed)
         if batch.hard_state is not None:
             self.hard_state = batch.hard_state
         for entry in batch.entries:
--- a/packages/lychee-log/src/lychee_log/segment.py
+++ b/packages/lychee-log/src/lychee_log/segment.py
@@ -17,16 +17,19 @@
     sync_folder,
 )
 from lychee_log.records import Entry, HardState
+from lychee_types.ids import LogIndex
 
 
 class Batch(Struct, frozen=True, kw_only=True):
     """What one write stores; it is there as a whole or not at all.
 
     :param hard_state: term and vote from here on, None if they stay.
+    :param committed: an index up to which entries are committed, 0 for none.
     :param entries: they replace earlier entries of the same and later indexes.
     """
 
     hard_state: HardState | None = None
+    committed: LogIndex = LogIndex(0)
     entries: tuple[Entry, ...] = ()
 
 
--- a/packages/lychee-log/src/lychee_log/state.py
+++ b/packages/lychee-log/src/lychee_log/state.py
@@ -52,9 +52,10 @@
         self.snapshot = recovered.snapshot
         self.log = _recovered_log(recovered)
         base = self.log.base.index
-        self.commit: LogIndex = base
+        known = min(recovered.committed, self.log.last.index)
+        self.commit: LogIndex = max(base, known)
         self.applied: LogIndex = LogIndex(0)
-        self.durability = Durability(durable=self.log.last.index)
+        self.durability = Durability(durable=self.log.last.index, committed=self.commit)
         self.role = Role.FOLLOWER
         self.leader: Voter | None = None
         self.fault: str | None = None
@@ -166,6 +167,7 @@
         require(index >= self.commit, "the commit index never goes back")
         require(index <= self.log.last.index, "only entries in the log are committed")
         self.commit = index
+        self.durability.keep_commit(index)
 
     def truncate(self, index: LogIndex) -> None:
         """Drop entries that a leader has replaced, from an index on."""
@@ -182,6 +184,7 @@
         )
         self.snapshot = snapshot
         self.commit = snapshot.index
+        self.durability.keep_commit(self.commit)
 
     def finish_write(self, number: int) -> None:
         """Take note that a write has been synced."""
--- a/packages/lychee-log/src/lychee_log/storage.py
+++ b/packages/lychee-log/src/lychee_log/storage.py
@@ -85,9 +85,11 @@
         """
         if write.identity is not None:
             self._store_identity(write.identity)
-        if write.hard_state is None and not write.entries:
+        if write.hard_state is None and not write.entries and not write.committed:
             return
-        self._writer.append(Batch(hard_state=write.hard_state, entries=write.entries))
+        self._writer.append(
+            Batch(hard_state=write.hard_state, entries=write.entries, committed=write.committed)
+        )
         self._set_mark()
         if write.hard_state is not None:
             self._hard_state = write.hard_state
@@ -202,7 +204,11 @@
     """
     states = [batch.hard_state for batch in batches if batch.hard_state is not None]
     entries = tuple(entry for batch in batches for entry in batch.entries)
-    return Batch(hard_state=states[-1] if states else None, entries=entries)
+    return Batch(
+        hard_state=states[-1] if states else None,
+        entries=entries,
+        committed=max(batch.committed for batch in batches),
+    )
 
 
 @contextmanager
--- a/packages/lychee-log/src/lychee_log/testing.py
+++ b/packages/lychee-log/src/lychee_log/testing.py
@@ -238,6 +238,7 @@
             first = write.entries[0].index
             before = tuple(entry for entry in disk.entries if entry.index < first)
             disk = replace(disk, entries=before + write.entries)
+        disk = replace(disk, committed=max(disk.committed, write.committed))
         node.disk = disk
 
     def _check_promise(self, node: Node, message: PeerMessage) -> None:
--- a/packages/lychee-log/tests/test_core.py
+++ b/packages/lychee-log/tests/test_core.py
@@ -530,3 +530,26 @@
         group.settle()
         waits.append((group.now - began) / ELECTION_S)
     assert sum(waits) / len(waits) < 1.5
+
+
+def test_what_was_committed_is_applied_again_before_there_is_a_leader() -> None:
+    group = group_of("abc")
+    commit(group, b"kept")
+    for node in group.nodes.values():
+        group.crash(node, is_stored=False)
+    for node in group.nodes.values():
+        group.start(node)
+    assert group.leading() is None
+    assert [node.items for node in group.nodes.values()] == [[b"kept"]] * 3
+
+
+def test_what_may_not_be_committed_waits_for_a_leader() -> None:
+    group = group_of("abc")
+    leader = group.settle()
+    group.isolate(leader)
+    assert group.propose(leader, b"open")
+    group.finish_write(leader)
+    group.crash(leader, is_stored=True)
+    group.start(leader)
+    assert any(entry.data == b"open" for entry in leader.disk.entries)
+    assert leader.items == []
--- a/packages/lychee-log/tests/test_storage.py
+++ b/packages/lychee-log/tests/test_storage.py
@@ -50,8 +50,14 @@
     )
 
 
-def write(*items: Entry, hard_state: HardState | None = None) -> Write:
-    return Write(number=1, identity=None, hard_state=hard_state, entries=items)
+def write(*items: Entry, hard_state: HardState | None = None, committed: int = 0) -> Write:
+    return Write(
+        number=1,
+        identity=None,
+        hard_state=hard_state,
+        entries=items,
+        committed=LogIndex(committed),
+    )
 
 
 def snapshot(index: int, *, keep_from: int | None) -> SaveSnapshot:
@@ -88,6 +94,14 @@
     assert recovered.entries == entries(5, 9)
 
 
+def test_the_commit_index_is_recovered(tmp_path: Path) -> None:
+    with open_storage(folder=tmp_path, replica=ME) as storage:
+        storage.write(write(*entries(1, 5), committed=2))
+        storage.write(write(committed=4))
+        storage.write(write(*entries(6, 7), committed=4))
+    assert recover(tmp_path).committed == 4
+
+
 def test_later_entries_replace_earlier_ones(tmp_path: Path) -> None:
     with open_storage(folder=tmp_path, replica=ME) as storage:
         storage.write(write(*entries(1, 9)))
