Bound waits so that answers come in time under overload; measure servers that are never idle

Cause: with more load than a service can do, each request waited for as long as its target latency allowed, so that half of the answers came late; and a server's pace was measured only by answers with nobody waiting behind them, so never while it was full. Now a request waits for at most 0.4 of what the mean work leaves of the target (0.15 of the target at least), and each answer measures its server: its time divided by the crowding that was known when it was sent. A new run is taken to have its service's pace. A slow start towards servers that have not spoken yet brought nothing there and is left out.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 
 from lychee_gateway.proxy.codec import ProxyCodec, ServerWord
-from lychee_gateway.proxy.servers import ProxyServer
+from lychee_gateway.proxy.servers import ProxyServer, Sending
 from lychee_http import RequestHead, ResponseHead, ServerConnection, header_value
 from lychee_http.exceptions import BadRequestError, CallerGoneError, ServerAnswerError
 from lychee_http.turns import Turn
@@ -109,14 +109,16 @@
         :param request_id: the id that the answer must bear.
         """
         began = self._clock.monotonic()
-        with server.occupying(began):
+        with server.occupying(began) as sending:
             try:
                 conn = await server.pool.take(timeout_s=max(0.0, until - began))
             except OSError as exc:
                 server.note_failure(self._clock.monotonic())
                 return NotRun(reason=f"no connection: {type(exc).__name__}", was_sent=False)
             with server.pool.lent(conn):
-                attempt = await self._on_connection(conn, turn, body, server, until, request_id)
+                attempt = await self._on_connection(
+                    conn, turn, body, server, sending, until, request_id
+                )
         if isinstance(attempt, NoAnswer | TooLate):
             server.note_failure(self._clock.monotonic())
         return attempt
@@ -127,6 +129,7 @@
         turn: Turn,
         body: Body,
         server: ProxyServer,
+        sending: Sending,
         until: float,
         request_id: str,
     ) -> Attempt:
@@ -145,7 +148,7 @@
                     seconds = self._clock.monotonic() - began
                     if request_id and word.request_id not in ("", request_id):
                         return NoAnswer(reason="the answer belongs to another request")
-                    self._note(server, word, seconds)
+                    self._note(server, word, sending, seconds)
                     if word.is_not_run:
                         await _whole_body(conn)
                         return NotRun(
@@ -161,12 +164,13 @@
         except ServerAnswerError as exc:
             return NoAnswer(reason=exc.message)
 
-    def _note(self, server: ProxyServer, word: ServerWord, seconds: float) -> None:
+    def _note(
+        self, server: ProxyServer, word: ServerWord, sending: Sending, seconds: float
+    ) -> None:
         if word.occupancy is not None:
             server.note_occupancy(word.occupancy, self._clock.monotonic())
         if not word.is_not_run:
-            waited = word.occupancy is not None and word.occupancy.waiting > 0
-            server.note_answer(seconds, waited=waited)
+            server.note_answer(sending, seconds)
 
     async def _take_answer(
         self, conn: ServerConnection, answer: ResponseHead, turn: Turn
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -14,7 +14,14 @@
 FAR_S = 0.012
 """What a server in another failure domain is taken to be slower by, in seconds."""
 
-LEAST_WAIT_SHARE = 0.25
+WAIT_SHARE = 0.4
+"""Part of the time left by the mean work until the target latency for which a request may wait.
+
+Under steady overload every request waits for as long as it may, and work takes up to several times
+its mean: the rest is left for that. A longer queue has no server do more.
+"""
+
+LEAST_WAIT_SHARE = 0.15
 """Part of the target latency for which a request may wait even where the work takes longer."""
 
 LESS_URGENT_SHARE = 0.6
@@ -161,11 +168,11 @@
     def _longest_wait_s(self, wanted: Placement, work_s: float) -> float:
         """Return for how long a request may wait at a server.
 
-        What waits longer is answered after its route's target latency and makes others late as
-        well. Of a full service the last room is left to its more urgent routes.
+        What waits longer is mostly answered after its route's target latency and makes others
+        late as well. Of a full service the last room is left to its more urgent routes.
         """
         target_s = wanted.route.target_latency_s
-        longest_s = max(target_s - work_s, target_s * LEAST_WAIT_SHARE)
+        longest_s = max((target_s - work_s) * WAIT_SHARE, target_s * LEAST_WAIT_SHARE)
         if not self._view.is_most_urgent(wanted.route, wanted.service):
             longest_s *= LESS_URGENT_SHARE
         return longest_s
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from math import exp
 
 from lychee_gateway.proxy.codec import Occupancy
@@ -52,21 +53,42 @@
 """Longest time that a failing server is left out, in seconds."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Sending:
+    """A request that is being sent.
+
+    :param at: since when, clock seconds.
+    :param crowding: its expected time to an answer, as a multiple of the time of the work.
+    """
+
+    at: float
+    crowding: float
+
+
 class ProxyServer:
     """One run of a server.
 
     :param record: its registration.
     :param now: clock seconds.
     :param gateways: about how many gateways there are.
+    :param pace_s: time that its work is taken to need until it has been measured, in seconds.
     """
 
-    def __init__(self, *, record: RegisteredServer, now: float, gateways: int = 1) -> None:
+    def __init__(
+        self,
+        *,
+        record: RegisteredServer,
+        now: float,
+        gateways: int = 1,
+        pace_s: float = FIRST_PACE_S,
+    ) -> None:
         self.record = record
         self.gateways = gateways
         self.pool = ServerPool(endpoint=record.endpoint, until_close=True)
         self._sent_at: dict[int, float] = {}
         self._number = 0
-        self.pace_s = FIRST_PACE_S
+        self.pace_s = pace_s
+        self.is_measured = False
         self._others = 0.0
         self._others_told_at = now - 10 * WORD_MEMORY_S
         self._has_spoken = False
@@ -105,8 +127,7 @@
 
     def wait_s(self, now: float) -> float:
         """Return how long a new request would probably wait there, in seconds."""
-        ahead = self.occupied(now) + 1 - self.slots
-        expected_s = max(0.0, ahead) * self.work_s(now) / self.slots
+        expected_s = self._ahead(now) * self.work_s(now) / self.slots
         oldest = next(iter(self._sent_at.values()), now)
         # A request that has waited for long tells of a queue that no answer has told of yet.
         return max(expected_s, now - oldest - LATE_FACTOR * self.work_s(now))
@@ -129,13 +150,14 @@
         return len(self._sent_at)
 
     @contextmanager
-    def occupying(self, now: float) -> Iterator[None]:
+    def occupying(self, now: float) -> Iterator[Sending]:
         """Count a request as in flight inside the block."""
         self._number += 1
         number = self._number
+        sending = Sending(at=now, crowding=1 + self._ahead(now) / self.slots)
         self._sent_at[number] = now
         try:
-            yield
+            yield sending
         finally:
             del self._sent_at[number]
 
@@ -149,18 +171,19 @@
         self._others_told_at = now
         self._has_spoken = True
 
-    def note_answer(self, seconds: float, *, waited: bool) -> None:
-        """Take note of an answer.
+    def note_answer(self, sending: Sending, seconds: float) -> None:
+        """Take note of an answer; a server that is never idle is measured as well.
 
+        :param sending: its request.
         :param seconds: time from sending to the answer.
-        :param waited: whether the server had other requests waiting.
         """
         self._failures = 0
         self._ejected_until = 0.0
-        if not waited:
-            self.pace_s += PACE_GAIN * (seconds - self.pace_s)
-            self._busy_s += seconds
-            self._answers += 1
+        work_s = seconds / sending.crowding
+        self.pace_s += PACE_GAIN * (work_s - self.pace_s)
+        self.is_measured = True
+        self._busy_s += work_s
+        self._answers += 1
 
     def note_failure(self, now: float) -> None:
         """Take note of a request without a usable answer."""
@@ -169,6 +192,10 @@
             pause_s = min(EJECT_MAX_S, EJECT_S * 2 ** (self._failures - EJECT_AFTER))
             self._ejected_until = now + pause_s
 
+    def _ahead(self, now: float) -> float:
+        """Return how many requests must end before a new one is worked on."""
+        return max(0.0, self.occupied(now) + 1 - self.slots)
+
     def _others_at(self, now: float) -> float:
         """Return how many requests of other gateways it probably has.
 
@@ -226,7 +253,10 @@
             known = self._by_id.get(server_id)
             if known is None:
                 self._by_id[server_id] = ProxyServer(
-                    record=record, now=now, gateways=self._gateways
+                    record=record,
+                    now=now,
+                    gateways=self._gateways,
+                    pace_s=self._usual_pace_s(record.service),
                 )
             else:
                 known.update(record, now)
@@ -234,6 +264,11 @@
         for server in self._by_id.values():
             self._by_service.setdefault(server.record.service, []).append(server)
 
+    def _usual_pace_s(self, service: ServiceName) -> float:
+        """Return the mean pace of a service's servers, for one that nothing is known of."""
+        paces = [server.pace_s for server in self.of(service) if server.is_measured]
+        return sum(paces) / len(paces) if paces else FIRST_PACE_S
+
     def of(self, service: ServiceName) -> list[ProxyServer]:
         """Return the servers of a service."""
         return self._by_service.get(service, [])
