Ask for the lease once more when a call's connection is open; reset what has no answer

Two holes in the code fit and are closed, each with a test that fails on the code before: - The lease was asked for before a connection was taken. A VM that is suspended while the connection opens sent its grant or release afterwards, without a lease. - A grant without an answer was left to the system when its connection was closed, which may deliver it to a silent server seconds later. The connection is now reset, and the hold counts from then rather than from the sending; a new leader counts a former leader's calls in the same way. So that a lost owner's keys are not free later: the wait for a grant's answer is 0.35 s, not 0.6. The sum for a silent owner: up to 0.86 s to the next renewal, 0.35 s, 3.16 s of hold.

--- a/packages/lychee-control/src/lychee_control/registry/calls.py
+++ b/packages/lychee-control/src/lychee_control/registry/calls.py
@@ -1,6 +1,7 @@
 """Calls to backend servers that grant key ranges and take them back."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -12,8 +13,8 @@
 from lychee_types.records import Endpoint
 from lychee_types.registry import KeyRange
 
-GRANT_TIMEOUT_S = 0.6
-"""Longest wait for the answer to a grant, in seconds."""
+GRANT_TIMEOUT_S = 0.35
+"""Longest wait for the answer to a grant, in seconds: a lost owner's keys wait for this as well."""
 
 RELEASE_TIMEOUT_S = 3.0
 """Longest wait until running work on released keys has ended, in seconds."""
@@ -104,13 +105,20 @@
     Grants go over one connection. When it has ended, another run may have the address, under the
     same id even, so the next grant is not sent: the caller first needs word of the run itself.
 
+    Whether a call may be sent is asked once more when its connection is open: the VM may have been
+    suspended while it opened, and another replica may lead since.
+
     :param endpoint: its address.
     :param codec: translates the calls.
+    :param may_send: whether no other replica can lead now.
     """
 
-    def __init__(self, *, endpoint: Endpoint, codec: GrantCodec) -> None:
+    def __init__(
+        self, *, endpoint: Endpoint, codec: GrantCodec, may_send: Callable[[], bool]
+    ) -> None:
         self._endpoint = endpoint
         self._codec = codec
+        self._may_send = may_send
         self._grants = ServerPool(endpoint=endpoint)
         self._releases = ServerPool(endpoint=endpoint)
         self._was_connected = False
@@ -150,12 +158,16 @@
                 async with asyncio.timeout(timeout_s):
                     return await self._exchange(conn, call)
             except TimeoutError:
+                # The system would go on sending to a silent server, and the grant come in later.
+                conn.discard()
                 return Unusable(reason=f"no answer in {timeout_s} s", maybe_sent=True)
             except ServerAnswerError as exc:
                 logger.debug("an answer of {} is unusable: {}", self._endpoint, exc)
                 return Unusable(reason=exc.message, maybe_sent=True)
 
     async def _exchange(self, conn: ServerConnection, call: WireCall) -> ResponseHead | Unusable:
+        if not self._may_send():
+            return Unusable(reason="another replica may lead", maybe_sent=False)
         conn.send(call.head, call.body)
         head = await conn.read_head()
         size = 0
--- a/packages/lychee-control/src/lychee_control/registry/keeper.py
+++ b/packages/lychee-control/src/lychee_control/registry/keeper.py
@@ -7,7 +7,12 @@
 from loguru import logger
 from msgspec.structs import replace
 
-from lychee_control.registry.calls import GrantCodec, Released, ServerCalls
+from lychee_control.registry.calls import (
+    GRANT_TIMEOUT_S,
+    GrantCodec,
+    Released,
+    ServerCalls,
+)
 from lychee_control.registry.heartbeats import HeartbeatBook
 from lychee_control.registry.owners import Owner
 from lychee_control.registry.proposals import Propose, RangeWriter
@@ -108,8 +113,9 @@
         self._heartbeat_s = heartbeat_s
         self._hold_s = hold_s
         now = clock.monotonic()
-        # A former leader may have renewed until this one was elected.
-        self._exposures = Exposures(hold_s=hold_s, unknown_until=now + hold_limit_s(hold_s))
+        # A former leader may have renewed until this one was elected, and its calls be on the way.
+        unknown_until = now + GRANT_TIMEOUT_S + hold_limit_s(hold_s)
+        self._exposures = Exposures(hold_s=hold_s, unknown_until=unknown_until)
         self._writer = RangeWriter(service=service, table=self._table, propose=propose)
         self._owners: dict[ServerRun, Owner] = {}
         self._tasks: dict[ServerRun, asyncio.Task[None]] = {}
@@ -181,6 +187,10 @@
             for server in ordered
         )
 
+    def _surely_leads(self) -> bool:
+        """Return whether no other replica can lead now."""
+        return self._clock.monotonic() < self._leads_until()
+
     def _is_over(self, run: ServerRun) -> bool:
         """Return whether a later run of the same server is registered."""
         registered = self._state.servers.get(run.server)
@@ -210,7 +220,9 @@
     def _begin_owner(self, run: ServerRun, server: RegisteredServer) -> None:
         owner = Owner(
             run=run,
-            calls=ServerCalls(endpoint=server.endpoint, codec=self._codec),
+            calls=ServerCalls(
+                endpoint=server.endpoint, codec=self._codec, may_send=self._surely_leads
+            ),
             table=self._table,
             writer=self._writer,
             exposures=self._exposures,
--- a/packages/lychee-control/src/lychee_control/registry/owners.py
+++ b/packages/lychee-control/src/lychee_control/registry/owners.py
@@ -138,10 +138,13 @@
                 return False
             sent = self._exposures.sent(key_range, now)
             reply = await self.calls.grant(key_range, hold_s=self._hold_s)
-            if not isinstance(reply, Unusable):
-                self._exposures.answered(sent)
-            elif not reply.maybe_sent:
-                self._exposures.withdrawn(sent)
+            match reply:
+                case Unusable(maybe_sent=False):
+                    self._exposures.withdrawn(sent)
+                case Unusable():
+                    self._exposures.given_up(sent, self._clock.monotonic())
+                case _:
+                    self._exposures.answered(sent)
         self._note(key_range, reply)
         if isinstance(reply, GrantAccepted):
             if key_range.phase is GrantPhase.GRANTING:
--- /dev/null
+++ b/packages/lychee-control/tests/test_registry_calls.py
@@ -0,0 +1,114 @@
+"""Calls to servers: what is sent, and what is no longer sent."""
+
+import asyncio
+
+import pytest
+
+from lychee_control.registry.calls import GrantAccepted, ServerCalls, Unusable, WireCall
+from lychee_http import RequestHead
+from lychee_types.ids import Incarnation, ServerId, Token
+from lychee_types.records import Endpoint
+from lychee_types.registry import LAST_KEY, GrantPhase, KeyRange, ServerRun
+
+KEYS = KeyRange(
+    low=0,
+    high=LAST_KEY,
+    owner=ServerRun(server=ServerId("a"), incarnation=Incarnation(1)),
+    token=Token(1),
+    phase=GrantPhase.ACTIVE,
+)
+
+
+class PlainCodec:
+    """Any call is a POST without a body, and any answer accepts it."""
+
+    def grant(self, *, key_range, endpoint, hold_s):
+        head = RequestHead(method=b"POST", target=b"/", headers=((b"content-length", b"0"),))
+        return WireCall(head=head, body=b"")
+
+    def release(self, *, key_range, endpoint):
+        return self.grant(key_range=key_range, endpoint=endpoint, hold_s=0.0)
+
+    def read_grant(self, head):
+        return GrantAccepted()
+
+    read_release = read_grant
+
+
+class Lease:
+    """Runs out while a connection opens, as it does on a VM that is suspended meanwhile."""
+
+    def __init__(self):
+        self.lasts = True
+
+    def may_send(self):
+        return self.lasts
+
+
+async def call(kind, lease):
+    """Return the outcome of a call, and the bytes that its server got."""
+    got = bytearray()
+
+    async def serve(reader, writer):
+        got.extend(await reader.read(1_000))
+        if got:
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    endpoint = Endpoint(host="127.0.0.1", port=server.sockets[0].getsockname()[1])
+    calls = ServerCalls(endpoint=endpoint, codec=PlainCodec(), may_send=lease.may_send)
+    try:
+        if kind == "grant":
+            reply = await calls.grant(KEYS, hold_s=3.0)
+        else:
+            reply = await calls.release(KEYS)
+        calls.close()
+        await asyncio.sleep(0.02)
+    finally:
+        server.close()
+    return reply, bytes(got)
+
+
+@pytest.mark.parametrize("kind", ["grant", "release"])
+def test_a_call_is_sent_while_the_lease_lasts(kind):
+    reply, got = asyncio.run(call(kind, Lease()))
+    assert reply == GrantAccepted()
+    assert got.startswith(b"POST / ")
+
+
+@pytest.mark.parametrize("kind", ["grant", "release"])
+def test_nothing_is_sent_when_the_lease_ran_out_while_the_connection_opened(kind):
+    lease = Lease()
+    lease.lasts = False
+    reply, got = asyncio.run(call(kind, lease))
+    assert isinstance(reply, Unusable) and not reply.maybe_sent
+    assert got == b""
+
+
+def test_a_call_that_is_given_up_ends_its_connection_by_a_reset():
+    """A plain end would leave the call to the system, which sends it to a silent server later."""
+
+    async def body():
+        ended = asyncio.get_running_loop().create_future()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            try:
+                await reader.read()
+                ended.set_result("closed")
+            except ConnectionResetError:
+                ended.set_result("reset")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        endpoint = Endpoint(host="127.0.0.1", port=server.sockets[0].getsockname()[1])
+        calls = ServerCalls(endpoint=endpoint, codec=PlainCodec(), may_send=lambda: True)
+        reply = await calls.grant(KEYS, hold_s=3.0)
+        assert isinstance(reply, Unusable) and reply.maybe_sent
+        try:
+            return await ended
+        finally:
+            server.close()
+
+    assert asyncio.run(body()) == "reset"
--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -110,6 +110,10 @@
         """Close at once; the server takes this as the request's cancellation."""
         self._wire.abort()
 
+    def discard(self) -> None:
+        """Close at once, and have nothing delivered any more that is still on its way."""
+        self._wire.reset()
+
     def _checked(self, head: ResponseHead) -> ResponseHead:
         codings = header_values(head.headers, b"transfer-encoding")
         declared = header_value(head.headers, b"content-length")
--- a/packages/lychee-ranges/src/lychee_ranges/exposure.py
+++ b/packages/lychee-ranges/src/lychee_ranges/exposure.py
@@ -1,7 +1,7 @@
 """Until when a server may hold keys that were granted to it.
 
-A grant holds from its arrival at the server, so one whose answer is missing may begin to hold at
-any moment after it was sent; the network delivers it within the connection's life.
+A grant holds from its arrival at the server. One whose answer is missing may have arrived at any
+moment until its connection was given up, and may begin to hold at any moment after that.
 """
 
 from dataclasses import dataclass
@@ -67,6 +67,10 @@
             if held is grant:
                 held.is_open = False
 
+    def given_up(self, grant: SentGrant, now: float) -> None:
+        """Take note that a grant has no answer and that its connection has just been ended."""
+        grant.until = now + self._limit_s
+
     def withdrawn(self, grant: SentGrant) -> None:
         """Take note that a grant never left this process."""
         self._held = [held for held in self._held if held is not grant]
--- a/packages/lychee-ranges/tests/test_exposure.py
+++ b/packages/lychee-ranges/tests/test_exposure.py
@@ -77,3 +77,11 @@
     known = exposures()
     known.withdrawn(known.sent(keys(0, 9), 100.0))
     assert known.free_at(keys(0, 9)) == 0.0
+
+
+def test_a_grant_whose_connection_was_given_up_may_have_arrived_until_then():
+    known = exposures()
+    known.given_up(known.sent(keys(0, 9), 100.0), 100.4)
+    known.released(keys(0, 9))
+    assert known.free_at(keys(0, 9)) == 100.4 + hold_limit_s(HOLD_S)
+    assert known.has_open(keys(0, 9), 103.4)
