--- a/packages/lychee-bench/src/lychee_bench/injector.py
+++ b/packages/lychee-bench/src/lychee_bench/injector.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 
+from loguru import logger
 from msgspec import structs
 
 from lychee_bench.audit import Breach
@@ -92,8 +93,8 @@
         while True:
             try:
                 self.book.note_status(await self._deployment.operator.status(timeout_s=5.0))
-            except UnavailableError:
-                pass
+            except UnavailableError as exc:
+                logger.debug("no status now, as a leader may just have been lost: {}", exc)
             await asyncio.sleep(0.5)
 
     async def check_documents(self) -> None:
--- a/packages/lychee-console/src/lychee_console/web.py
+++ b/packages/lychee-console/src/lychee_console/web.py
@@ -17,6 +17,7 @@
 from circuits import BaseComponent, handler
 from circuits.net.events import disconnect, read
 from circuits.web.http import HTTP
+from loguru import logger
 
 HEAD_LIMIT_BYTES = 16_384
 """Largest request line and headers."""
@@ -242,8 +243,8 @@
 def _no_cookie_error() -> Iterator[None]:
     try:
         yield
-    except CookieError:
-        pass
+    except CookieError as exc:
+        logger.debug("a cookie cannot be read, the caller counts as unknown: {}", exc)
 
 
 def _session_cookie(header: bytes) -> str | None:
--- a/packages/lychee-control/src/lychee_control/machine.py
+++ b/packages/lychee-control/src/lychee_control/machine.py
@@ -1,10 +1,10 @@
 """The state machine behind the replicated log."""
 
-from collections import deque
 from collections.abc import Callable
 
 from msgspec.msgpack import Decoder, Encoder
 
+from lychee_control.recent import RecentDeltas
 from lychee_owner.state import ClusterState
 from lychee_types.commands import (
     CloseLedger,
@@ -23,9 +23,6 @@
 )
 from lychee_types.state import StateImage
 
-DELTA_LIMIT = 4_096
-"""Number of deltas kept for gateways that reconnect; those further behind get a snapshot."""
-
 AppliedHandler = Callable[[LogIndex, Command, Outcome], None]
 """Called after each applied command with its log index and outcome."""
 
@@ -47,15 +44,14 @@
         self.state = ClusterState()
         self._on_applied = on_applied
         self._on_restored = on_restored
-        self._deltas: deque[Delta] = deque()
-        self._deltas_after = LogIndex(0)
+        self._recent: RecentDeltas[Delta] = RecentDeltas()
 
     def apply(self, index: LogIndex, data: bytes) -> object:
         """Apply one committed command and return its outcome."""
         command = decode_command(data)
         outcome = self.state.apply(index, command)
         if concerns_gateways(command):
-            self._keep(Delta(index=index, command=command))
+            self._recent.keep(Delta(index=index, command=command))
         self._on_applied(index, command, outcome)
         return outcome
 
@@ -70,8 +66,7 @@
         :param index: the last log index that it covers.
         """
         self.state = ClusterState(image=_DECODER.decode(data))
-        self._deltas.clear()
-        self._deltas_after = index
+        self._recent.forget(index)
         self._on_restored()
 
     def catch_up(self, have: LogIndex) -> Deltas | Snapshot | None:
@@ -79,16 +74,11 @@
 
         :param have: the last log index that the gateway has applied.
         """
-        if have == 0 or have < self._deltas_after or have > self.state.index:
+        entries = self._recent.since(have, newest=self.state.index)
+        if entries is None:
             return Snapshot(image=self.state.image(with_ledger=False))
-        entries = tuple(delta for delta in self._deltas if delta.index > have)
         return Deltas(entries=entries, upto=self.state.index) if entries else None
 
-    def _keep(self, delta: Delta) -> None:
-        self._deltas.append(delta)
-        if len(self._deltas) > DELTA_LIMIT:
-            self._deltas_after = self._deltas.popleft().index
-
 
 def concerns_gateways(command: Command) -> bool:
     """Return whether gateways need to apply a command."""
--- a/packages/lychee-control/src/lychee_control/registry/machine.py
+++ b/packages/lychee-control/src/lychee_control/registry/machine.py
@@ -1,19 +1,16 @@
 """The state machine behind the replicated log of routes, servers and ranges."""
 
-from collections import deque
 from collections.abc import Callable
 
 from msgspec.msgpack import Decoder, Encoder
 
+from lychee_control.recent import RecentDeltas
 from lychee_ranges import RoutedState
 from lychee_types.ids import LogIndex
 from lychee_types.registry import RoutedImage
 from lychee_types.registry_commands import RoutedOutcome, decode_routed
 from lychee_types.registry_messages import RoutedDelta, RoutedDeltas, RoutedSnapshot
 
-DELTA_LIMIT = 4_096
-"""Number of deltas kept for gateways that reconnect; those further behind get a snapshot."""
-
 _ENCODER = Encoder()
 _DECODER: Decoder[RoutedImage] = Decoder(RoutedImage)
 
@@ -34,16 +31,13 @@
         self.state = RoutedState()
         self._on_applied = on_applied
         self._on_restored = on_restored
-        self._deltas: deque[RoutedDelta] = deque()
-        self._deltas_after = LogIndex(0)
+        self._recent: RecentDeltas[RoutedDelta] = RecentDeltas()
 
     def apply(self, index: LogIndex, data: bytes) -> object:
         """Apply one committed command and return its outcome."""
         delta = RoutedDelta(index=index, command=decode_routed(data))
         outcome = self.state.apply(index, delta.command)
-        self._deltas.append(delta)
-        if len(self._deltas) > DELTA_LIMIT:
-            self._deltas_after = self._deltas.popleft().index
+        self._recent.keep(delta)
         self._on_applied(delta, outcome)
         return outcome
 
@@ -58,8 +52,7 @@
         :param index: the last log index that it covers.
         """
         self.state = RoutedState(image=_DECODER.decode(data))
-        self._deltas.clear()
-        self._deltas_after = index
+        self._recent.forget(index)
         self._on_restored()
 
     def catch_up(self, have: LogIndex) -> RoutedDeltas | RoutedSnapshot | None:
@@ -67,7 +60,7 @@
 
         :param have: the last log index that the gateway has applied.
         """
-        if have == 0 or have < self._deltas_after or have > self.state.index:
+        entries = self._recent.since(have, newest=self.state.index)
+        if entries is None:
             return RoutedSnapshot(image=self.state.image())
-        entries = tuple(delta for delta in self._deltas if delta.index > have)
         return RoutedDeltas(entries=entries) if entries else None
--- a/packages/lychee-control/tests/test_machine.py
+++ b/packages/lychee-control/tests/test_machine.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from lychee_control.machine import DELTA_LIMIT, ControlMachine
+from lychee_control.machine import ControlMachine
+from lychee_control.recent import DELTA_LIMIT
 from lychee_owner.state import ClusterState
 from lychee_types.commands import (
     JoinGateway,
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/loads.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/loads.py
@@ -38,8 +38,7 @@
             ServiceLoad(
                 service=service,
                 keys=tuple(
-                    KeyLoad(bucket=bucket, busy_s=0.0, requests=count)
-                    for bucket, count in buckets.items()
+                    KeyLoad(bucket=bucket, requests=count) for bucket, count in buckets.items()
                 ),
             )
             for service, buckets in requests.items()
--- a/packages/lychee-http/src/lychee_http/turns.py
+++ b/packages/lychee-http/src/lychee_http/turns.py
@@ -50,11 +50,6 @@
         self._before = before
         self._chunked = False
 
-    @property
-    def is_first(self) -> bool:
-        """Return whether all earlier requests of the connection have been answered."""
-        return self._before is None or self._before.done()
-
     async def wait(self) -> None:
         """Wait until all earlier requests of the connection have been answered.
 
@@ -161,7 +156,6 @@
         self._body_read = False
         self._body_over = asyncio.Event()
         self._waiting = False
-        self._last: Turn | None = None
         self._stop_after: Turn | None = None
 
     @property
--- a/packages/lychee-runtime/src/lychee_runtime/link.py
+++ b/packages/lychee-runtime/src/lychee_runtime/link.py
@@ -14,6 +14,7 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Server
+from loguru import logger
 from msgspec import DecodeError, ValidationError
 
 from lychee_runtime.codec import MsgpackCodec
@@ -193,8 +194,8 @@
             writer = asyncio.create_task(link.run_writer())
             try:
                 await handler(link)
-            except UnavailableError:
-                pass
+            except UnavailableError as exc:
+                logger.debug("a peer's stream ended early: {}", exc)
             finally:
                 writer.cancel()
                 await asyncio.gather(writer, return_exceptions=True)
--- a/packages/lychee-types/src/lychee_types/registry_messages.py
+++ b/packages/lychee-types/src/lychee_types/registry_messages.py
@@ -28,12 +28,10 @@
     """Work that a few neighbouring keys brought since the last report.
 
     :param bucket: number of the bucket of keys.
-    :param busy_s: time that servers spent on its requests, in seconds.
     :param requests: number of requests, those refused for want of room included.
     """
 
     bucket: int
-    busy_s: float
     requests: int
 
 
--- a/packages/lychee-types/src/lychee_types/settings_check.py
+++ b/packages/lychee-types/src/lychee_types/settings_check.py
@@ -30,7 +30,7 @@
 
 LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
 MAX_TIME_MS = 60_000
-"""Longest time limit of the protocol, in milliseconds."""
+"""Longest time that a setting of the protocol may have, in milliseconds."""
 
 
 def check_settings(settings: Settings) -> tuple[Fault, ...]:
