--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -24,8 +24,8 @@
 LEAST_WAIT_SHARE = 0.15
 """Part of the target latency for which a request may wait even where the work takes longer."""
 
-LESS_URGENT_SHARE = 0.6
-"""Part of the longest wait that requests get which are less urgent than others of a service."""
+URGENT_SHARE = 1.25
+"""How much longer requests may wait that are more urgent than others of their service."""
 
 OWNER_WAIT_S = 0.12
 """Time for which keys that move are waited for, in seconds; a lost owner's keys take longer."""
@@ -173,8 +173,8 @@
         """
         target_s = wanted.route.target_latency_s
         longest_s = max((target_s - work_s) * WAIT_SHARE, target_s * LEAST_WAIT_SHARE)
-        if not self._view.is_most_urgent(wanted.route, wanted.service):
-            longest_s *= LESS_URGENT_SHARE
+        if self._view.has_less_urgent(wanted.route, wanted.service):
+            longest_s *= URGENT_SHARE
         return longest_s
 
     async def _place_keyed(self, wanted: Placement, key: int) -> ProxyServer | NoPlace:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/view.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/view.py
@@ -17,7 +17,7 @@
         self.matcher = RouteMatcher(routing=Routing())
         self._version = RoutingVersion()
         self._routes_known = asyncio.Event()
-        self._urgency: dict[ServiceName, int] = {}
+        self._least_urgent: dict[ServiceName, int] = {}
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -33,9 +33,9 @@
         except TimeoutError:
             return
 
-    def is_most_urgent(self, route: Route, service: ServiceName) -> bool:
-        """Return whether no route to a service is more urgent than this one."""
-        return route.priority <= self._urgency.get(service, route.priority)
+    def has_less_urgent(self, route: Route, service: ServiceName) -> bool:
+        """Return whether a route to a service is less urgent than this one."""
+        return route.priority < self._least_urgent.get(service, route.priority)
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Have a function called after each change."""
@@ -59,18 +59,19 @@
         if self.state.version != self._version:
             self._version = self.state.version
             self.matcher = RouteMatcher(routing=self._version.routing)
-            self._urgency = _urgency(self._version.routing)
+            self._least_urgent = _least_urgent(self._version.routing)
             if self.has_routes:
                 self._routes_known.set()
         for listener in self._listeners:
             listener()
 
 
-def _urgency(routing: Routing) -> dict[ServiceName, int]:
-    urgency: dict[ServiceName, int] = {}
+def _least_urgent(routing: Routing) -> dict[ServiceName, int]:
+    """Return the priority of the least urgent route to each service; 1 is the most urgent."""
+    priorities: dict[ServiceName, int] = {}
     for host in routing.hosts:
         for route in host.routes:
             for share in route.shares:
-                known = urgency.get(share.service, route.priority)
-                urgency[share.service] = min(known, route.priority)
-    return urgency
+                known = priorities.get(share.service, route.priority)
+                priorities[share.service] = max(known, route.priority)
+    return priorities
