Have a new leader move no served keys while a former one's grants may be in force

Cause: a new leader began to move keys for their load 1.5 s after its election. Such moves now begin when that time is over; keys without an owner still move at once. The test fails on the code before.

--- a/packages/lychee-ranges/src/lychee_ranges/exposure.py
+++ b/packages/lychee-ranges/src/lychee_ranges/exposure.py
@@ -86,7 +86,12 @@
         self._held = kept
 
     def has_open(self, key_range: KeyRange, now: float) -> bool:
-        """Return whether a grant of some of these keys has no answer and may begin to hold."""
+        """Return whether a grant of some of these keys has no answer and may begin to hold.
+
+        What a former leader sent has none here.
+        """
+        if now < self._unknown_until:
+            return True
         return any(
             held.is_open and held.until > now and _overlaps(held, key_range) for held in self._held
         )
--- a/packages/lychee-ranges/tests/test_exposure.py
+++ b/packages/lychee-ranges/tests/test_exposure.py
@@ -85,3 +85,9 @@
     known.released(keys(0, 9))
     assert known.free_at(keys(0, 9)) == 100.4 + hold_limit_s(HOLD_S)
     assert known.has_open(keys(0, 9), 103.4)
+
+
+def test_what_a_former_leader_sent_may_begin_to_hold_until_it_has_run_out():
+    known = exposures(unknown_until=50.0)
+    assert known.has_open(keys(0, 9), 49.9)
+    assert not known.has_open(keys(0, 9), 50.0)
