Ask the next control replica while one is silent, and follow the first that answers

Cause: a gateway asked one replica after the other, and a VM without power answers nothing: an attempt took up to 0.7 to 1 s. Each replica now has a head start of 0.1 s; the first that answers is followed, attempts at others end. test_subscription.py plays silent, ending and answering replicas.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
@@ -33,6 +33,12 @@
 BACKOFF_S = (0.05, 0.2)
 """Least and greatest pause before the next replica is tried, in seconds."""
 
+HEAD_START_S = 0.1
+"""Time for which a replica is asked alone before the next one is asked as well, in seconds.
+
+A VM without power answers nothing, not even that it cannot be reached.
+"""
+
 REPORT_S = 0.25
 """Interval between load reports, in seconds."""
 
@@ -69,6 +75,7 @@
         self._seeds = cfg.seed_endpoints
         self._replicas: list[Endpoint] = []
         self._link: Link[FromGateway, ToSubscriber] | None = None
+        self._asked: list[asyncio.Task[None]] = []
 
     @property
     def replica(self) -> str:
@@ -82,9 +89,24 @@
     async def run(self) -> None:
         """Follow one replica after the other until cancelled."""
         while True:
+            await self._follow_one()
+            await asyncio.sleep(self._draw.uniform(*BACKOFF_S))
+
+    async def _follow_one(self) -> None:
+        """Ask one replica after the other, and follow the first that answers until it is lost."""
+        try:
             for endpoint in self._order():
-                await self._follow(endpoint)
-                await asyncio.sleep(self._draw.uniform(*BACKOFF_S))
+                task = asyncio.create_task(self._follow(endpoint), name="subscription")
+                self._asked.append(task)
+                await asyncio.wait(self._asked, timeout=HEAD_START_S)
+                if self._link is not None:
+                    break
+            await asyncio.wait(self._asked)
+        finally:
+            asked, self._asked = self._asked, []
+            for task in asked:
+                task.cancel()
+            await asyncio.gather(*asked, return_exceptions=True)
 
     def _order(self) -> list[Endpoint]:
         known = list(dict.fromkeys((*self._replicas, *self._seeds)))
@@ -102,27 +124,42 @@
             reason = f"silent for {SILENCE_S} s"
         except UnavailableError as exc:
             reason = str(exc)
-        finally:
-            self._link = None
         logger.bind(event="replica_lost", replica=str(endpoint), reason=reason).info(
             "no control replica is followed"
         )
 
     async def _use(self, link: Link[FromGateway, ToSubscriber]) -> None:
+        """Follow a replica unless another one answers first."""
         link.post(
             Subscribe(gateway=self._cfg.id, session=self._session, have=self._view.state.index)
         )
-        self._link = link
-        logger.bind(event="replica_found", replica=link.peer).info("a control replica is followed")
+        batch = await self._receive(link)
+        if not batch:
+            return
+        self._choose(link)
         reporter = asyncio.create_task(self._report_often(link))
         try:
-            while not link.closed:
-                async with asyncio.timeout(SILENCE_S):
-                    batch = await link.receive()
-                if not batch or not all([self._take(message) for message in batch]):
-                    return
+            while batch and all([self._take(message) for message in batch]):
+                batch = await self._receive(link)
         finally:
             reporter.cancel()
+            self._link = None
+
+    async def _receive(self, link: Link[FromGateway, ToSubscriber]) -> tuple[ToSubscriber, ...]:
+        """Return the next messages, none if the stream has ended.
+
+        :raises TimeoutError: if the replica is silent for too long.
+        """
+        async with asyncio.timeout(SILENCE_S):
+            return await link.receive()
+
+    def _choose(self, link: Link[FromGateway, ToSubscriber]) -> None:
+        """Follow a replica that has answered, and ask no other one."""
+        self._link = link
+        for task in self._asked:
+            if task is not asyncio.current_task():
+                task.cancel()
+        logger.bind(event="replica_found", replica=link.peer).info("a control replica is followed")
 
     def _take(self, message: ToSubscriber) -> bool:
         """Apply a message; False if the replica has lost touch itself."""
--- /dev/null
+++ b/packages/lychee-gateway/tests/test_subscription.py
@@ -0,0 +1,146 @@
+"""Which control replica a gateway follows."""
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+
+import pytest
+
+from lychee_gateway.proxy import subscription as module
+from lychee_gateway.proxy.subscription import Subscription
+from lychee_gateway.proxy.view import RoutedView
+from lychee_runtime import LinkService, serve_links
+from lychee_types.clock import SystemClock
+from lychee_types.ids import DomainName, LogIndex, SessionId
+from lychee_types.records import Endpoint
+from lychee_types.registry import RoutedImage
+from lychee_types.registry_messages import (
+    SUBSCRIBE,
+    FromGateway,
+    Pulse,
+    RoutedSnapshot,
+    ToSubscriber,
+)
+from lychee_types.routed_settings import ProxySettings
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Replica:
+    """A control replica with a state of its own; it ends its streams when told."""
+
+    def __init__(self, index):
+        self.endpoint = Endpoint(host="127.0.0.1", port=free_port())
+        self.index = index
+        self.subscribers = 0
+        self.ended = asyncio.Event()
+
+    async def serve(self, link):
+        await link.receive()
+        self.subscribers += 1
+        link.post(Pulse(silence_ms=0, gateways=1, replicas=()))
+        link.post(RoutedSnapshot(image=RoutedImage(index=LogIndex(self.index))))
+        await self.ended.wait()
+
+    @asynccontextmanager
+    async def running(self):
+        service = LinkService(name="r")
+        service.add(method=SUBSCRIBE, send=ToSubscriber, receive=FromGateway, handler=self.serve)
+        async with serve_links(service=service, endpoint=self.endpoint):
+            yield self
+
+
+@asynccontextmanager
+async def silent():
+    """An address that takes connections and never answers."""
+    server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+    try:
+        yield Endpoint(host="127.0.0.1", port=server.sockets[0].getsockname()[1])
+    finally:
+        server.close()
+
+
+class Gateway:
+    """A gateway's subscription, which asks replicas in the order of its seeds."""
+
+    def __init__(self, *seeds):
+        self.view = RoutedView()
+        cfg = ProxySettings(
+            id="g",
+            domain=DomainName("d"),
+            listen="127.0.0.1:1",
+            ready="127.0.0.1:2",
+            peer_port=3,
+            seeds=("127.0.0.1:4",),
+        )
+        self.subscription = Subscription(
+            cfg=cfg,
+            session=SessionId("1"),
+            view=self.view,
+            clock=SystemClock(),
+            report=lambda: None,
+            on_gateways=lambda count: None,
+        )
+        self.subscription.use_seeds(seeds)
+        self.subscription._draw.shuffle = lambda known: None
+
+    @asynccontextmanager
+    async def running(self):
+        task = asyncio.create_task(self.subscription.run())
+        try:
+            async with asyncio.timeout(10):
+                yield self
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    async def until_index(self, index):
+        changed = asyncio.Event()
+        self.view.listen(changed.set)
+        while self.view.state.index != index:
+            await changed.wait()
+            changed.clear()
+
+
+def test_a_silent_replica_does_not_keep_the_next_one_waiting(monkeypatch):
+    monkeypatch.setattr(module, "SILENCE_S", 60.0)
+
+    async def body():
+        async with silent() as dead, Replica(7).running() as alive:
+            async with Gateway(dead, alive.endpoint).running() as gateway:
+                await gateway.until_index(7)
+                assert gateway.subscription.replica == str(alive.endpoint)
+
+    asyncio.run(body())
+
+
+def test_a_replica_that_answers_is_the_only_one_followed():
+    async def body():
+        async with Replica(7).running() as first, Replica(8).running() as second:
+            async with Gateway(first.endpoint, second.endpoint).running() as gateway:
+                await gateway.until_index(7)
+                await asyncio.sleep(3 * module.HEAD_START_S)
+                assert gateway.subscription.replica == str(first.endpoint)
+                assert second.subscribers == 0
+
+    asyncio.run(body())
+
+
+@pytest.mark.parametrize("how", ["silent", "ended"])
+def test_another_replica_is_followed_when_one_is_lost(how, monkeypatch):
+    monkeypatch.setattr(module, "SILENCE_S", 0.3 if how == "silent" else 60.0)
+
+    async def body():
+        async with Replica(7).running() as first, Replica(9).running() as second:
+            async with Gateway(first.endpoint, second.endpoint).running() as gateway:
+                await gateway.until_index(7)
+                gateway.subscription._draw.shuffle = list.reverse
+                if how == "ended":
+                    first.ended.set()
+                await gateway.until_index(9)
+
+    asyncio.run(body())
