Ask for the lease before grants only, not before releases

A release is safe without a lease: its phase is committed before, tokens fence the keys, and what is given up too often is granted again by a renewal.

--- a/packages/lychee-control/src/lychee_control/registry/calls.py
+++ b/packages/lychee-control/src/lychee_control/registry/calls.py
@@ -105,20 +105,21 @@
     Grants go over one connection. When it has ended, another run may have the address, under the
     same id even, so the next grant is not sent: the caller first needs word of the run itself.
 
-    Whether a call may be sent is asked once more when its connection is open: the VM may have been
-    suspended while it opened, and another replica may lead since.
+    Whether a grant may be sent is asked once more when its connection is open: the VM may have been
+    suspended while it opened, and another replica may lead since. A release needs no lease: its
+    phase is committed before, and keys that are given up too often are granted again.
 
     :param endpoint: its address.
     :param codec: translates the calls.
-    :param may_send: whether no other replica can lead now.
+    :param may_grant: whether no other replica can lead now.
     """
 
     def __init__(
-        self, *, endpoint: Endpoint, codec: GrantCodec, may_send: Callable[[], bool]
+        self, *, endpoint: Endpoint, codec: GrantCodec, may_grant: Callable[[], bool]
     ) -> None:
         self._endpoint = endpoint
         self._codec = codec
-        self._may_send = may_send
+        self._may_grant = may_grant
         self._grants = ServerPool(endpoint=endpoint)
         self._releases = ServerPool(endpoint=endpoint)
         self._was_connected = False
@@ -130,7 +131,7 @@
             self._was_connected = False
             return Unusable(reason="the connection has ended", maybe_sent=False)
         call = self._codec.grant(key_range=key_range, endpoint=self._endpoint, hold_s=hold_s)
-        answer = await self._send(self._grants, call, GRANT_TIMEOUT_S)
+        answer = await self._send(self._grants, call, GRANT_TIMEOUT_S, may_send=self._may_grant)
         self._was_connected = not isinstance(answer, Unusable)
         return answer if isinstance(answer, Unusable) else self._codec.read_grant(answer)
 
@@ -138,7 +139,9 @@
         """Take a range back; the answer comes when running work on it has ended."""
         call = self._codec.release(key_range=key_range, endpoint=self._endpoint)
         async with self._releasing:
-            answer = await self._send(self._releases, call, RELEASE_TIMEOUT_S)
+            answer = await self._send(
+                self._releases, call, RELEASE_TIMEOUT_S, may_send=lambda: True
+            )
         return answer if isinstance(answer, Unusable) else self._codec.read_release(answer)
 
     def close(self) -> None:
@@ -147,13 +150,20 @@
         self._releases.close()
 
     async def _send(
-        self, pool: ServerPool, call: WireCall, timeout_s: float
+        self,
+        pool: ServerPool,
+        call: WireCall,
+        timeout_s: float,
+        *,
+        may_send: Callable[[], bool],
     ) -> ResponseHead | Unusable:
         try:
             conn = await pool.take(timeout_s=timeout_s)
         except OSError as exc:
             return Unusable(reason=f"no connection: {type(exc).__name__}", maybe_sent=False)
         with pool.lent(conn):
+            if not may_send():
+                return Unusable(reason="another replica may lead", maybe_sent=False)
             try:
                 async with asyncio.timeout(timeout_s):
                     return await self._exchange(conn, call)
@@ -166,8 +176,6 @@
                 return Unusable(reason=exc.message, maybe_sent=True)
 
     async def _exchange(self, conn: ServerConnection, call: WireCall) -> ResponseHead | Unusable:
-        if not self._may_send():
-            return Unusable(reason="another replica may lead", maybe_sent=False)
         conn.send(call.head, call.body)
         head = await conn.read_head()
         size = 0
--- a/packages/lychee-control/src/lychee_control/registry/keeper.py
+++ b/packages/lychee-control/src/lychee_control/registry/keeper.py
@@ -221,7 +221,7 @@
         owner = Owner(
             run=run,
             calls=ServerCalls(
-                endpoint=server.endpoint, codec=self._codec, may_send=self._surely_leads
+                endpoint=server.endpoint, codec=self._codec, may_grant=self._surely_leads
             ),
             table=self._table,
             writer=self._writer,
