--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -173,10 +173,14 @@
             limits=API_LIMITS,
         )
         self._listener = Listener(endpoint=cfg.endpoint, accept=self._callers.accept)
+        self._link_service = LinkService(name=cfg.id)
         self._metrics = RegistryMetrics(
             leads=lambda: float(self._leader is not None),
             commit=lambda: self._replica.commit_index,
+            silence_s=self._leader_message_age_s,
+            is_voter=lambda: float(self._is_voter()),
             gateways=lambda: len(self._subscribers),
+            sent_bytes=lambda: self._link_service.codec.sent_bytes,
             servers=lambda: len(self._machine.state.servers),
             ranges=lambda: sum(len(t.ranges) for t in self._machine.state.tables.values()),
         )
@@ -190,7 +194,7 @@
 
     async def serve(self) -> None:
         """Serve until a stop is requested."""
-        service = LinkService(name=self._cfg.id)
+        service = self._link_service
         service.add(
             method=SUBSCRIBE,
             send=ToSubscriber,
@@ -317,16 +321,24 @@
             self._peers.post_frame(to=leader, frame=ReportUp(report=report))
 
     def _make_pulse(self) -> Pulse:
-        leader_message_age_s = 0.0
-        if self._leader is None:
-            leader_message_age_s = self._clock.monotonic() - self._leader_message_at
         replicas = tuple(voter.endpoint for voter in self._replica.voters)
         # Gateways choose their replica at random, so each replica has about the same number.
         gateways = len(self._subscribers) * max(1, len(replicas))
         return Pulse(
-            silence_ms=int(leader_message_age_s * 1_000), gateways=gateways, replicas=replicas
+            silence_ms=int(self._leader_message_age_s() * 1_000),
+            gateways=gateways,
+            replicas=replicas,
         )
 
+    def _leader_message_age_s(self) -> float:
+        """Return the time since a message of the leader, 0.0 while this replica leads."""
+        if self._leader is not None:
+            return 0.0
+        return self._clock.monotonic() - self._leader_message_at
+
+    def _is_voter(self) -> bool:
+        return any(voter.id == self._id for voter in self._replica.voters)
+
     async def _send_pulses(self) -> None:
         while True:
             for voter in self._replica.voters:
--- a/packages/lychee-control/src/lychee_control/registry/metrics.py
+++ b/packages/lychee-control/src/lychee_control/registry/metrics.py
@@ -10,7 +10,11 @@
 
     :param leads: returns 1 while the replica leads.
     :param commit: returns the commit index.
+    :param silence_s: returns the time since the leader was heard, 0 at the leader, in seconds.
+    :param is_voter: returns 1 while the replica counts itself among the voters.
     :param gateways: returns how many gateways follow the replica.
+    :param sent_bytes: returns the size of all messages sent to gateways on their streams and as
+        answers to other replicas.
     :param servers: returns how many servers are registered.
     :param ranges: returns how many key ranges there are.
     """
@@ -20,19 +24,25 @@
         *,
         leads: Callable[[], float],
         commit: Callable[[], float],
+        silence_s: Callable[[], float],
+        is_voter: Callable[[], float],
         gateways: Callable[[], float],
+        sent_bytes: Callable[[], float],
         servers: Callable[[], float],
         ranges: Callable[[], float],
     ) -> None:
         page = PrometheusMetrics(prefix="lychee_control")
         self._page = page
-        self._calls = page.counter("calls", "Calls of servers and operators.", "call", "reply")
-        self._latency = page.latency("call", "From head to answer.", "call")
         page.gauge("leads", "1 while this replica leads.", leads)
         page.gauge("commit_index", "Last committed log index.", commit)
+        page.gauge("leader_silence_seconds", "Time since the leader was heard.", silence_s)
+        page.gauge("voter", "1 while this replica counts itself among the voters.", is_voter)
         page.gauge("gateways", "Gateways that follow this replica.", gateways)
+        page.gauge("sent_bytes", "Bytes encoded for gateways and other replicas.", sent_bytes)
         page.gauge("servers", "Registered servers.", servers)
         page.gauge("key_ranges", "Key ranges of all services.", ranges)
+        self._calls = page.counter("calls", "Calls of servers and operators.", "call", "reply")
+        self._latency = page.latency("call", "From head to answer.", "call")
 
     def record_call(self, call: str, reply: str, seconds: float) -> None:
         """Record an API call.
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -94,6 +94,7 @@
         self._metrics = ProxyMetrics(
             under_way=self._under_way,
             index=lambda: self._view.state.index,
+            version=lambda: self._view.state.version.number,
             silence_s=lambda: self._clock.monotonic() - self._subscription.last_message_at,
         )
         self._forwarder = Forwarder(
@@ -115,6 +116,7 @@
             clock=self._clock,
             report=self._take_load_report,
             on_gateway_count=self._servers.set_gateway_count,
+            on_attempt_ended=self._metrics.count_subscription,
         )
         self._conns: dict[asyncio.Task[None], PipelinedConnection] = {}
         self._listener = Listener(endpoint=cfg.endpoint, accept=self._accept)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -12,6 +12,7 @@
 
     :param under_way: returns how many requests have no final answer.
     :param index: returns the log index of the gateway's state.
+    :param version: returns the version number of the routes in force.
     :param silence_s: returns the time since the last message of a control replica, in seconds.
     """
 
@@ -20,18 +21,24 @@
         *,
         under_way: Callable[[], float],
         index: Callable[[], float],
+        version: Callable[[], float],
         silence_s: Callable[[], float],
     ) -> None:
         page = PrometheusMetrics(prefix="lychee_gateway")
         self._page = page
+        page.gauge("state_index", "Log index of the state.", index)
+        page.gauge("state_version", "Version of the routes in force.", version)
+        page.gauge("control_silence_seconds", "Time since a replica was heard.", silence_s)
+        page.gauge("requests_under_way", "Requests without a final answer.", under_way)
+        page.gauge("monotonic_seconds", "The process's monotonic clock.", monotonic)
+        self._subscriptions = page.counter(
+            "subscriptions", "Ended attempts to follow a control replica.", "outcome"
+        )
+        self._control_bytes = page.counter("control_bytes", "Bytes received from replicas.")
         self._answers = page.counter("answers", "Final answers to callers.", "service", "status")
         self._refusals = page.counter("refusals", "Requests that no server ran.", "service")
         self._attempts = page.counter("attempts", "Attempts at servers.", "service", "outcome")
         self._latency = page.latency("answer", "From head to final answer.", "service")
-        page.gauge("requests_under_way", "Requests without a final answer.", under_way)
-        page.gauge("state_index", "Log index of the state.", index)
-        page.gauge("control_silence_seconds", "Time since a replica was heard.", silence_s)
-        page.gauge("monotonic_seconds", "The process's monotonic clock.", monotonic)
 
     def count_answer(self, service: ServiceName, status: int, seconds: float) -> None:
         """Count a final answer and record its latency in seconds."""
@@ -46,6 +53,11 @@
         """Count an attempt, with the class name of its result as outcome."""
         self._attempts.labels(service, outcome).inc()
 
+    def count_subscription(self, outcome: str, received_bytes: int) -> None:
+        """Count an ended attempt to follow a replica, by outcome, and what it received."""
+        self._subscriptions.labels(outcome).inc()
+        self._control_bytes.inc(received_bytes)
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return self._page.render()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
@@ -55,6 +55,8 @@
     :param clock: source of time.
     :param report: returns the load since the last call, None if there was none.
     :param on_gateway_count: called with the approximate number of gateways.
+    :param on_attempt_ended: called with the outcome of each ended attempt to follow a replica,
+        and with the number of bytes that it received.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         clock: Clock,
         report: Callable[[], LoadReport | None],
         on_gateway_count: Callable[[int], None],
+        on_attempt_ended: Callable[[str, int], None],
     ) -> None:
         self.last_message_at = 0.0
         self._cfg = cfg
@@ -74,6 +77,7 @@
         self._clock = clock
         self._report = report
         self._on_gateway_count = on_gateway_count
+        self._on_attempt_ended = on_attempt_ended
         self._rng = Random()
         self._seeds = cfg.seed_endpoints
         self._replicas: list[Endpoint] = []
@@ -117,19 +121,30 @@
         return known
 
     async def _follow(self, endpoint: Endpoint) -> None:
+        began_at = self._clock.monotonic()
+        link: Link[FromGateway, ToSubscriber] | None = None
         try:
             async with open_link(
                 endpoint=endpoint, method=SUBSCRIBE, send=FromGateway, receive=ToSubscriber
             ) as link:
                 await self._follow_link(link)
-            reason = "the stream ended"
+            outcome, reason = "ended", "the stream ended"
         except TimeoutError:
-            reason = f"silent for {SILENCE_S} s"
+            outcome, reason = "silent", f"silent for {SILENCE_S} s"
         except UnavailableError as exc:
+            outcome = "broken" if link is not None else "no connection"
             reason = str(exc)
-        logger.bind(event="replica_lost", replica=str(endpoint), reason=reason).info(
-            "subscription to a control replica lost"
-        )
+        received_bytes = link.received_bytes if link is not None else 0
+        self._on_attempt_ended(outcome, received_bytes)
+        logger.bind(
+            event="replica_lost",
+            replica=str(endpoint),
+            reason=reason,
+            outcome=outcome,
+            ms=round((self._clock.monotonic() - began_at) * 1_000),
+            received_bytes=received_bytes,
+            index=self._view.state.index,
+        ).info("subscription to a control replica lost")
 
     async def _follow_link(self, link: Link[FromGateway, ToSubscriber]) -> None:
         """Subscribe, and apply the messages unless another replica answers first."""
@@ -139,7 +154,7 @@
         batch = await self._receive(link)
         if not batch:
             return
-        self._select_link(link)
+        self._select_link(link, batch)
         reporter = asyncio.create_task(self._report_periodically(link))
         try:
             while batch and all([self._apply(message) for message in batch]):
@@ -156,15 +171,22 @@
         async with asyncio.timeout(SILENCE_S):
             return await link.receive()
 
-    def _select_link(self, link: Link[FromGateway, ToSubscriber]) -> None:
+    def _select_link(
+        self, link: Link[FromGateway, ToSubscriber], first: tuple[ToSubscriber, ...]
+    ) -> None:
         """Select the replica that answered, and cancel the other attempts."""
         self._link = link
         for task in self._attempts:
             if task is not asyncio.current_task():
                 task.cancel()
-        logger.bind(event="replica_found", replica=link.peer).info(
-            "subscribed to a control replica"
-        )
+        silence_ms = next((m.silence_ms for m in first if isinstance(m, Pulse)), None)
+        logger.bind(
+            event="replica_found",
+            replica=link.peer,
+            silence_ms=silence_ms,
+            received_bytes=link.received_bytes,
+            index=self._view.state.index,
+        ).info("subscribed to a control replica")
 
     def _apply(self, message: ToSubscriber) -> bool:
         """Apply a message; return False if the replica has lost contact to the leader."""
--- a/packages/lychee-gateway/tests/test_subscription.py
+++ b/packages/lychee-gateway/tests/test_subscription.py
@@ -84,6 +84,7 @@
             clock=SystemClock(),
             report=lambda: None,
             on_gateway_count=lambda count: None,
+            on_attempt_ended=lambda outcome, received_bytes: None,
         )
         self.subscription.set_seeds(seeds)
         self.subscription._rng.shuffle = lambda known: None
--- a/packages/lychee-runtime/src/lychee_runtime/codec.py
+++ b/packages/lychee-runtime/src/lychee_runtime/codec.py
@@ -15,13 +15,21 @@
 
 
 class MsgpackCodec(CodecBase):
-    """Encodes typed messages as MessagePack; grpclib passes the message type of each method."""
+    """Encodes typed messages as MessagePack; grpclib passes the message type of each method.
+
+    Counts the bytes of the messages that it encodes.
+    """
 
     __content_subtype__ = "msgpack"
 
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+
     def encode(self, message: Any, message_type: Any) -> bytes:
         """Encode a message."""
-        return _ENCODER.encode(message)
+        data = _ENCODER.encode(message)
+        self.sent_bytes += len(data)
+        return data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """Decode a message of the method's message type.
--- a/packages/lychee-runtime/src/lychee_runtime/exposition.py
+++ b/packages/lychee-runtime/src/lychee_runtime/exposition.py
@@ -2,15 +2,26 @@
 
 from collections.abc import Callable
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    disable_created_metrics,
+)
 from prometheus_client.exposition import generate_latest
 
+# Start times of counters would double the size of a page.
+disable_created_metrics()  # type: ignore[no-untyped-call]
+
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0)
 """Upper bounds of the latency histograms' buckets, in seconds."""
 
 
 class PrometheusMetrics:
-    """The Prometheus metrics of one process.
+    """The Prometheus metrics of one process, in the order in which they are added.
+
+    Gauges come first: a reader who keeps only the head of a page keeps the state.
 
     :param prefix: prefix of every metric's name.
     """
--- a/packages/lychee-runtime/src/lychee_runtime/link.py
+++ b/packages/lychee-runtime/src/lychee_runtime/link.py
@@ -40,6 +40,10 @@
     async def recv_message(self) -> Any: ...
 
 
+class _Connection(Protocol):
+    data_received: int
+
+
 @contextmanager
 def _as_unavailable(peer: str) -> Iterator[None]:
     """Convert the errors of a broken connection to :class:`UnavailableError`."""
@@ -70,11 +74,15 @@
 
     :param stream: the grpclib stream.
     :param peer: name of the other process, for error messages.
+    :param connection: the connection that the stream has to itself, None if it shares one.
     """
 
-    def __init__(self, *, stream: _Stream, peer: str) -> None:
+    def __init__(
+        self, *, stream: _Stream, peer: str, connection: _Connection | None = None
+    ) -> None:
         self.peer = peer
         self._stream = stream
+        self._connection = connection
         self._pending: list[S] = []
         self._writer_wakeup = asyncio.Event()
         self._closed = False
@@ -84,6 +92,14 @@
         """Whether the link has been closed for sending."""
         return self._closed
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes that have arrived, also of an unfinished message.
+
+        0 on a connection that several streams share.
+        """
+        return self._connection.data_received if self._connection is not None else 0
+
     def post(self, message: S) -> None:
         """Queue a message; it is lost if the connection breaks before the message is written."""
         if self._closed:
@@ -148,14 +164,16 @@
     try:
         with _as_unavailable(peer):
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await channel.__connect__()
+                protocol = await channel.__connect__()
         request = channel.request(
             method, Cardinality.STREAM_STREAM, tuple[send, ...], tuple[receive, ...]
         )
         with _as_unavailable(peer):
             async with request as stream:
                 await stream.send_request()
-                link: Link[Any, Any] = Link(stream=stream, peer=peer)
+                link: Link[Any, Any] = Link(
+                    stream=stream, peer=peer, connection=protocol.connection
+                )
                 writer = asyncio.create_task(link.run_writer())
                 try:
                     yield link
@@ -178,6 +196,7 @@
     """
 
     def __init__(self, *, name: str) -> None:
+        self.codec = MsgpackCodec()
         self._name = name
         self._handlers: dict[str, Handler] = {}
 
@@ -221,7 +240,7 @@
     :param ssl: TLS context, None for plain TCP.
     :raises OSError: if listening on the address fails.
     """
-    server = Server([service], codec=MsgpackCodec())
+    server = Server([service], codec=service.codec)
     await server.start(endpoint.host, endpoint.port, ssl=ssl, reuse_address=True)
     try:
         yield server
