Send a gateway's state from one replica only, packed, and wait while its bytes arrive

What callers saw: 404 and old services for up to minutes after a confirmed change, and refusals after all VMs had lost power, since gateways got no current state at all. Cause: an attempt had 0.7 s for the whole first message, which held the complete state, and each gateway asked up to five replicas for it at once. Once the state had 1,148 routes more, no copy came through a link of 762 KB/s in that time; the attempts began anew and filled the link. Class: a timeout on the whole of a transfer whose size grows, with retries that add load to what was too slow. Change: a replica sends pulses at once, and its state only after Follow, which a gateway sends to the one replica it has selected.

--- a/packages/lychee-control/src/lychee_control/registry/machine.py
+++ b/packages/lychee-control/src/lychee_control/registry/machine.py
@@ -11,6 +11,15 @@
 from lychee_types.registry_commands import RoutedOutcome, decode_routed_command
 from lychee_types.registry_messages import RoutedDelta, RoutedDeltas, RoutedSnapshot
 
+MAX_LATER_DELTAS = 64
+"""Number of commands after which a snapshot is made anew."""
+
+SNAPSHOT_ABOVE_BYTES = 32_768
+"""Size of packed commands above which a gateway gets a snapshot instead.
+
+A configuration is one command as large as the state, and several may follow each other.
+"""
+
 _ENCODER = Encoder()
 _DECODER: Decoder[RoutedImage] = Decoder(RoutedImage)
 
@@ -32,6 +41,7 @@
         self._on_applied = on_applied
         self._on_restored = on_restored
         self._recent: RecentDeltas[RoutedDelta] = RecentDeltas()
+        self._snapshot: RoutedSnapshot | None = None
 
     def apply(self, index: LogIndex, data: bytes) -> object:
         """Apply one committed command and return its outcome."""
@@ -53,14 +63,34 @@
         """
         self.state = RoutedState(image=_DECODER.decode(data))
         self._recent.reset(index)
+        self._snapshot = None
         self._on_restored()
 
-    def updates_since(self, applied_index: LogIndex) -> RoutedDeltas | RoutedSnapshot | None:
-        """Return the commands or the snapshot that bring a gateway up to date, None if it is.
+    def updates_since(self, applied_index: LogIndex) -> tuple[RoutedSnapshot | RoutedDeltas, ...]:
+        """Return what brings a gateway up to date: commands, or a snapshot and later commands.
 
         :param applied_index: the last log index that the gateway has applied, 0 for none.
         """
         entries = self._recent.since(applied_index, newest=self.state.index)
-        if entries is None:
-            return RoutedSnapshot(image=self.state.image())
-        return RoutedDeltas(entries=entries) if entries else None
+        if entries is not None:
+            deltas = _deltas(entries)
+            if not deltas or len(deltas[0].packed) <= SNAPSHOT_ABOVE_BYTES:
+                return deltas
+        snapshot, later = self._snapshot_and_later()
+        return (snapshot, *_deltas(later))
+
+    def _snapshot_and_later(self) -> tuple[RoutedSnapshot, tuple[RoutedDelta, ...]]:
+        """Return a snapshot, shared by gateways that attach shortly after each other.
+
+        Also returns the commands that were applied after it.
+        """
+        if self._snapshot is not None:
+            later = self._recent.since(self._snapshot.index, newest=self.state.index)
+            if later is not None and len(later) <= MAX_LATER_DELTAS:
+                return self._snapshot, later
+        self._snapshot = RoutedSnapshot.of(self.state.image())
+        return self._snapshot, ()
+
+
+def _deltas(entries: tuple[RoutedDelta, ...]) -> tuple[RoutedDeltas, ...]:
+    return (RoutedDeltas.of(entries),) if entries else ()
--- a/packages/lychee-control/src/lychee_control/registry/subscribers.py
+++ b/packages/lychee-control/src/lychee_control/registry/subscribers.py
@@ -7,8 +7,9 @@
 
 from lychee_control.registry.machine import RoutedMachine
 from lychee_runtime import Link
-from lychee_types.ids import LogIndex
+from lychee_types.ids import GatewayId, LogIndex
 from lychee_types.registry_messages import (
+    Follow,
     FromGateway,
     LoadReport,
     Pulse,
@@ -41,37 +42,49 @@
         self._on_report = on_report
         self._pulse = pulse
         self._links: set[GatewayLink] = set()
+        self._followers: set[GatewayLink] = set()
         self._batch: list[RoutedDelta] = []
 
     def __len__(self) -> int:
-        return len(self._links)
+        return len(self._followers)
 
     async def serve(self, link: GatewayLink) -> None:
         """Serve one gateway's stream until it ends."""
         batch = await link.receive()
         if not batch or not isinstance(batch[0], Subscribe):
             return
-        self._add(link, batch[0])
+        gateway = batch[0].gateway
+        self._links.add(link)
+        link.post(self._pulse())
         try:
             while batch and not link.closed:
-                batch = await link.receive()
                 for message in batch:
-                    if isinstance(message, LoadReport):
-                        self._on_report(message)
+                    self._handle(link, gateway, message)
+                batch = await link.receive()
         finally:
             self._links.discard(link)
-            logger.bind(event="gateway_gone").info("a gateway's stream ended")
+            self._followers.discard(link)
+            logger.bind(event="gateway_gone", gateway=gateway).info("a gateway's stream ended")
+
+    def _handle(self, link: GatewayLink, gateway: GatewayId, message: FromGateway) -> None:
+        match message:
+            case Follow(have=have):
+                self._add_follower(link, gateway, have)
+            case LoadReport():
+                self._on_report(message)
+            case Subscribe():
+                return
 
     def broadcast(self, delta: RoutedDelta) -> None:
         """Send an applied command to all gateways, batched by event loop iteration."""
-        if not self._links:
+        if not self._followers:
             return
         if not self._batch:
             asyncio.get_running_loop().call_soon(self._flush)
         self._batch.append(delta)
 
     def send_pulse(self) -> None:
-        """Send a keepalive message to all gateways."""
+        """Send a keepalive message on all streams."""
         pulse = self._pulse()
         for link in self._links:
             link.post(pulse)
@@ -79,27 +92,25 @@
     def resend_all(self) -> None:
         """Send the whole state to all gateways, because a snapshot replaced it."""
         self._batch.clear()
-        for link in self._links:
+        for link in self._followers:
             self._post_updates(link, LogIndex(0))
 
-    def _add(self, link: GatewayLink, first: Subscribe) -> None:
+    def _add_follower(self, link: GatewayLink, gateway: GatewayId, have: LogIndex) -> None:
         self._flush()
-        self._links.add(link)
-        logger.bind(event="gateway_attached", gateway=first.gateway, have=first.have).info(
+        self._followers.add(link)
+        logger.bind(event="gateway_attached", gateway=gateway, have=have).info(
             "a gateway follows this replica"
         )
-        link.post(self._pulse())
-        self._post_updates(link, first.have)
+        self._post_updates(link, have)
 
     def _post_updates(self, link: GatewayLink, have: LogIndex) -> None:
-        updates = self._machine.updates_since(have)
-        if updates is not None:
-            link.post(updates)
+        for update in self._machine.updates_since(have):
+            link.post(update)
 
     def _flush(self) -> None:
         if not self._batch:
             return
-        deltas = RoutedDeltas(entries=tuple(self._batch))
+        deltas = RoutedDeltas.of(tuple(self._batch))
         self._batch.clear()
-        for link in self._links:
+        for link in self._followers:
             link.post(deltas)
--- a/packages/lychee-gateway/src/lychee_gateway/control.py
+++ b/packages/lychee-gateway/src/lychee_gateway/control.py
@@ -162,8 +162,7 @@
 
     async def _receive(self, link: Link[ToControl, ToGateway]) -> None:
         while not link.closed:
-            async with asyncio.timeout(SILENCE_S):
-                batch = await link.receive()
+            batch = await link.receive(silence_s=SILENCE_S)
             if not batch:
                 return
             for message in batch:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
@@ -14,6 +14,7 @@
 from lychee_types.records import Endpoint
 from lychee_types.registry_messages import (
     SUBSCRIBE,
+    Follow,
     FromGateway,
     LoadReport,
     Pulse,
@@ -25,7 +26,7 @@
 from lychee_types.routed_settings import ProxySettings
 
 SILENCE_S = 0.7
-"""Time without a message from a replica after which another one is tried, in seconds."""
+"""Time without a byte from a replica after which another one is tried, in seconds."""
 
 STALE_S = 1.0
 """Time for which a replica may have no contact to the leader before another one is tried.
@@ -33,6 +34,9 @@
 In seconds.
 """
 
+CONTACT_WAIT_S = 1.0
+"""Time for which a replica may have no contact before the attempt ends, in seconds."""
+
 BACKOFF_S = (0.05, 0.2)
 """Shortest and longest random pause before reconnecting, in seconds."""
 
@@ -147,46 +151,45 @@
         ).info("subscription to a control replica lost")
 
     async def _follow_link(self, link: Link[FromGateway, ToSubscriber]) -> None:
-        """Subscribe, and apply the messages unless another replica answers first."""
-        link.post(
-            Subscribe(gateway=self._cfg.id, session=self._session, have=self._view.state.index)
-        )
-        batch = await self._receive(link)
-        if not batch:
+        """Subscribe, and follow the replica unless another one can be followed first."""
+        link.post(Subscribe(gateway=self._cfg.id, session=self._session))
+        if not await self._wait_for_contact(link):
             return
-        self._select_link(link, batch)
+        self._select_link(link)
+        link.post(Follow(have=self._view.state.index))
         reporter = asyncio.create_task(self._report_periodically(link))
         try:
-            while batch and all([self._apply(message) for message in batch]):
-                batch = await self._receive(link)
+            while batch := await link.receive(silence_s=SILENCE_S):
+                if not all([self._apply(message) for message in batch]):
+                    return
         finally:
             reporter.cancel()
             self._link = None
 
-    async def _receive(self, link: Link[FromGateway, ToSubscriber]) -> tuple[ToSubscriber, ...]:
-        """Return the next messages, none if the stream has ended.
+    async def _wait_for_contact(self, link: Link[FromGateway, ToSubscriber]) -> bool:
+        """Wait until the replica has contact to the leader; return False if that takes too long.
 
-        :raises TimeoutError: if no message comes for `SILENCE_S`.
+        No replica sends its state before it is asked to. So the copies of several replicas never
+        share the gateway's link.
         """
-        async with asyncio.timeout(SILENCE_S):
-            return await link.receive()
-
-    def _select_link(
-        self, link: Link[FromGateway, ToSubscriber], first: tuple[ToSubscriber, ...]
-    ) -> None:
-        """Select the replica that answered, and cancel the other attempts."""
+        until = self._clock.monotonic() + CONTACT_WAIT_S
+        while self._clock.monotonic() < until:
+            batch = await link.receive(silence_s=SILENCE_S)
+            if not batch:
+                return False
+            if all([self._apply(message) for message in batch]):
+                return True
+        return False
+
+    def _select_link(self, link: Link[FromGateway, ToSubscriber]) -> None:
+        """Select the replica, and cancel the attempts at others."""
         self._link = link
         for task in self._attempts:
             if task is not asyncio.current_task():
                 task.cancel()
-        silence_ms = next((m.silence_ms for m in first if isinstance(m, Pulse)), None)
-        logger.bind(
-            event="replica_found",
-            replica=link.peer,
-            silence_ms=silence_ms,
-            received_bytes=link.received_bytes,
-            index=self._view.state.index,
-        ).info("subscribed to a control replica")
+        logger.bind(event="replica_found", replica=link.peer, index=self._view.state.index).info(
+            "subscribed to a control replica"
+        )
 
     def _apply(self, message: ToSubscriber) -> bool:
         """Apply a message; return False if the replica has lost contact to the leader."""
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/testing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/testing.py
@@ -241,7 +241,7 @@
         view = RoutedView()
         servers = ServerList(clock=self.clock)
         view.add_listener(lambda: servers.sync(view.state))
-        view.install_snapshot(RoutedSnapshot(image=self._image()))
+        view.install_snapshot(RoutedSnapshot.of(self._image()))
         servers.set_gateway_count(expected)
         return ServerSelector(
             view=view,
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/view.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/view.py
@@ -43,14 +43,14 @@
 
     def install_snapshot(self, snapshot: RoutedSnapshot) -> None:
         """Replace the state, unless it is newer than the snapshot."""
-        if snapshot.image.index < self.state.index:
+        if snapshot.index < self.state.index:
             return
-        self.state = RoutedState(image=snapshot.image)
+        self.state = RoutedState(image=snapshot.image())
         self._notify_listeners()
 
     def apply_deltas(self, deltas: RoutedDeltas) -> None:
         """Apply the commands that the state does not contain yet."""
-        for delta in deltas.entries:
+        for delta in deltas.entries():
             if delta.index > self.state.index:
                 self.state.apply(delta.index, delta.command)
         self._notify_listeners()
--- a/packages/lychee-gateway/tests/test_placing.py
+++ b/packages/lychee-gateway/tests/test_placing.py
@@ -89,7 +89,7 @@
         image = RoutedImage(
             index=LogIndex(self.index), version=version, servers=records, tables=tables
         )
-        self.view.install_snapshot(RoutedSnapshot(image=image))
+        self.view.install_snapshot(RoutedSnapshot.of(image))
 
     def server(self, name) -> ProxyServer:
         return next(s for s in self.servers.for_service(SERVICE) if s.run.server == name)
--- a/packages/lychee-gateway/tests/test_subscription.py
+++ b/packages/lychee-gateway/tests/test_subscription.py
@@ -43,7 +43,8 @@
         await link.receive()
         self.subscribers += 1
         link.post(Pulse(silence_ms=0, gateways=1, replicas=()))
-        link.post(RoutedSnapshot(image=RoutedImage(index=LogIndex(self.index))))
+        await link.receive()
+        link.post(RoutedSnapshot.of(RoutedImage(index=LogIndex(self.index))))
         await self.ended.wait()
 
     @asynccontextmanager
--- a/packages/lychee-runtime/src/lychee_runtime/link.py
+++ b/packages/lychee-runtime/src/lychee_runtime/link.py
@@ -24,6 +24,9 @@
 S = TypeVar("S")
 R = TypeVar("R")
 
+PROGRESS_CHECK_SHARE = 0.25
+"""Interval between checks whether bytes have arrived, as a share of the maximum silence."""
+
 PENDING_LIMIT = 20_000
 """Maximum number of unsent messages; a link whose peer doesn't read is closed beyond it."""
 
@@ -114,16 +117,41 @@
         self._closed = True
         self._writer_wakeup.set()
 
-    async def receive(self) -> tuple[R, ...]:
+    async def receive(self, *, silence_s: float | None = None) -> tuple[R, ...]:
         """Wait for the next frame and return its messages; an empty tuple means that the
         stream has ended.
 
+        :param silence_s: maximum time without a byte from the peer, in seconds; None for no limit.
+            A large frame on a slow connection may take longer in all.
         :raises UnavailableError: if the connection broke.
+        :raises TimeoutError: if the peer was silent for too long.
         """
-        with _as_unavailable(self.peer):
-            batch: tuple[R, ...] | None = await self._stream.recv_message()
+        async with self._limit_silence(silence_s):
+            with _as_unavailable(self.peer):
+                batch: tuple[R, ...] | None = await self._stream.recv_message()
         return batch or ()
 
+    @asynccontextmanager
+    async def _limit_silence(self, silence_s: float | None) -> AsyncIterator[None]:
+        if silence_s is None:
+            yield
+            return
+        async with asyncio.timeout(silence_s) as limit:
+            extension = asyncio.create_task(self._extend_while_bytes_arrive(limit, silence_s))
+            try:
+                yield
+            finally:
+                extension.cancel()
+
+    async def _extend_while_bytes_arrive(self, limit: asyncio.Timeout, silence_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        known_bytes = self.received_bytes
+        while True:
+            await asyncio.sleep(silence_s * PROGRESS_CHECK_SHARE)
+            if self.received_bytes > known_bytes:
+                known_bytes = self.received_bytes
+                limit.reschedule(loop.time() + silence_s)
+
     async def run_writer(self) -> None:
         """Write posted messages until the link closes.
 
--- a/packages/lychee-types/src/lychee_types/registry_messages.py
+++ b/packages/lychee-types/src/lychee_types/registry_messages.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from lychee_types.ids import GatewayId, LogIndex, ServerId, ServiceName, SessionId
+from lychee_types.packing import pack, unpack
 from lychee_types.records import Endpoint
 from lychee_types.registry import RoutedImage
 from lychee_types.registry_commands import RoutedCommand
@@ -12,15 +13,22 @@
 
 
 class Subscribe(Struct, frozen=True, kw_only=True, tag=True):
-    """First message of a gateway on its stream.
+    """First message of a gateway on its stream; the replica sends pulses from then on.
 
     :param gateway: the gateway's id.
     :param session: id of the gateway session.
-    :param have: the last log index that the gateway has applied, 0 for none.
     """
 
     gateway: GatewayId
     session: SessionId
+
+
+class Follow(Struct, frozen=True, kw_only=True, tag=True):
+    """A gateway's request for the state, and for each later change of it.
+
+    :param have: the last log index that the gateway has applied, 0 for none.
+    """
+
     have: LogIndex
 
 
@@ -80,10 +88,21 @@
 class RoutedSnapshot(Struct, frozen=True, kw_only=True, tag=True):
     """The complete state, for a gateway that is new or too far behind.
 
-    :param image: the state.
+    :param index: log index of the state.
+    :param packed: the state, a packed :class:`RoutedImage`.
     """
 
-    image: RoutedImage
+    index: LogIndex
+    packed: bytes
+
+    @classmethod
+    def of(cls, image: RoutedImage) -> "RoutedSnapshot":
+        """Return the message for a state."""
+        return cls(index=image.index, packed=pack(image))
+
+    def image(self) -> RoutedImage:
+        """Return the state."""
+        return unpack(self.packed, RoutedImage)
 
 
 class RoutedDelta(Struct, frozen=True, kw_only=True):
@@ -100,10 +119,19 @@
 class RoutedDeltas(Struct, frozen=True, kw_only=True, tag=True):
     """Log entries after the last one that the gateway has applied.
 
-    :param entries: in order of index.
+    :param packed: the entries in order of index, packed.
     """
 
-    entries: tuple[RoutedDelta, ...]
+    packed: bytes
+
+    @classmethod
+    def of(cls, entries: tuple[RoutedDelta, ...]) -> "RoutedDeltas":
+        """Return the message for log entries."""
+        return cls(packed=pack(entries))
+
+    def entries(self) -> tuple[RoutedDelta, ...]:
+        """Return the entries."""
+        return unpack(self.packed, tuple[RoutedDelta, ...])
 
 
 class Pulse(Struct, frozen=True, kw_only=True, tag=True):
@@ -120,7 +148,7 @@
     replicas: tuple[Endpoint, ...]
 
 
-FromGateway = Subscribe | LoadReport
+FromGateway = Subscribe | Follow | LoadReport
 """Messages from a gateway to a control replica."""
 
 ToSubscriber = RoutedSnapshot | RoutedDeltas | Pulse
