End a stopping daemon whose stream breaks in the moment of the stop

What operators saw: 4 of 100 stops of a control replica, while gateways reconnected, ended only by SIGKILL. Cause: grpclib reports the end of a stream by cancelling the task that waits on it and raises its own error in place of any CancelledError. A cancellation by the daemon in the same moment was replaced too, the link's loop took the error for a broken connection and connected again, and the stop waited for it for good. Class: a cancellation that is delivered once and may be swallowed. Change: a stop cancels again what has lost its cancellation, and only that: tasks that clean up are left alone.

--- a/packages/lychee-runtime/src/lychee_runtime/daemon.py
+++ b/packages/lychee-runtime/src/lychee_runtime/daemon.py
@@ -16,6 +16,9 @@
 from lychee_runtime.components import BaseComponent, Event, handler
 from lychee_types.exceptions import InvariantError, LycheeError
 
+CANCEL_CHECK_S = 0.1
+"""Interval at which a stop looks for tasks that have lost their cancellation, in seconds."""
+
 
 class started(Event):  # type: ignore[misc]  # noqa: N801
     """The daemon is about to run :meth:`Daemon.serve`."""
@@ -136,11 +139,15 @@
         self.stopping.set()
 
     async def cancel_tasks(self) -> None:
-        """Cancel the daemon's tasks and wait for them."""
-        tasks = list(self._tasks_by_name)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        """Cancel the daemon's tasks and wait for them.
+
+        A task loses a cancellation that comes as one of its streams breaks; it is cancelled again.
+        """
+        while tasks := list(self._tasks_by_name):
+            for task in tasks:
+                if not task.cancelling():
+                    task.cancel()
+            await asyncio.wait(tasks, timeout=CANCEL_CHECK_S)
 
 
 async def _run(build: Callable[[], Daemon]) -> int:
--- a/packages/lychee-runtime/src/lychee_runtime/link.py
+++ b/packages/lychee-runtime/src/lychee_runtime/link.py
@@ -48,8 +48,11 @@
 
 
 @contextmanager
-def _as_unavailable(peer: str) -> Iterator[None]:
-    """Convert the errors of a broken connection to :class:`UnavailableError`."""
+def as_unavailable(peer: str) -> Iterator[None]:
+    """Convert the errors of a broken connection to :class:`UnavailableError`.
+
+    :param peer: name of the other process, for the message.
+    """
     task = asyncio.current_task()
     cancelling = task.cancelling() if task is not None else 0
     try:
@@ -63,8 +66,9 @@
         ValidationError,
         DecodeError,
     ) as exc:
-        # grpclib ends a pending call by cancelling its task, but never calls uncancel.
-        if task is not None and task.cancelling() > cancelling:
+        # grpclib ends a pending call by cancelling its task, but never calls uncancel. Its error
+        # also replaces a cancellation by somebody else, which is then lost.
+        while task is not None and task.cancelling() > cancelling:
             task.uncancel()
         raise UnavailableError(
             message=f"the stream with {peer} broke: {type(exc).__name__} {exc}".rstrip(),
@@ -127,7 +131,7 @@
         :raises TimeoutError: if the peer was silent for too long.
         """
         async with self._limit_silence(silence_s):
-            with _as_unavailable(self.peer):
+            with as_unavailable(self.peer):
                 batch: tuple[R, ...] | None = await self._stream.recv_message()
         return batch or ()
 
@@ -163,7 +167,7 @@
                 self._writer_wakeup.clear()
                 batch, self._pending = tuple(self._pending), []
                 if batch:
-                    with _as_unavailable(self.peer):
+                    with as_unavailable(self.peer):
                         await self._stream.send_message(batch)
         finally:
             self.close()
@@ -190,13 +194,13 @@
     peer = str(endpoint)
     channel = Channel(endpoint.host, endpoint.port, codec=MsgpackCodec(), ssl=ssl)
     try:
-        with _as_unavailable(peer):
+        with as_unavailable(peer):
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 protocol = await channel.__connect__()
         request = channel.request(
             method, Cardinality.STREAM_STREAM, tuple[send, ...], tuple[receive, ...]
         )
-        with _as_unavailable(peer):
+        with as_unavailable(peer):
             async with request as stream:
                 await stream.send_request()
                 link: Link[Any, Any] = Link(
