Cut off a server that sends bytes without end, in a head or a body

What callers saw: a request to such a server ended only at its deadline, a refusal (503, not run) became 504, and the gateway read on meanwhile; a 5xx or a refusal without end was kept whole in memory. Cause: only an incomplete head was limited. Empty lines, interim answers, chunk extensions and trailers are no part of a head, and bodies of 5xx and of refusals were read to their end. Class: a limit on the proper form of input, none on what isn't of that form.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -158,7 +158,7 @@
                         return NoAnswer(reason="the answer belongs to another request")
                     self._record_answer(server, info, in_flight, seconds)
                     if info.is_not_run:
-                        await _read_whole_body(conn)
+                        await _read_body(conn, max_bytes=MAX_BUFFERED_ANSWER_BYTES)
                         return NotRun(
                             reason=f"it answered {answer.status}",
                             was_sent=True,
@@ -184,16 +184,17 @@
         self, conn: ServerConnection, answer: ResponseHead, exchange: CallerExchange
     ) -> Attempt:
         head = self._codec.forward_response(answer)
-        if (
-            answer.length is not None and answer.length <= MAX_BUFFERED_ANSWER_BYTES
-        ) or answer.status >= 500:
-            return WholeAnswer(head=head, body=await _read_whole_body(conn))
-        return await self._stream_answer(conn, head, exchange)
+        is_short = answer.length is not None and answer.length <= MAX_BUFFERED_ANSWER_BYTES
+        if not is_short and answer.status < 500:
+            return await self._stream_answer(conn, head, exchange, await conn.read_chunk())
+        body, is_whole = await _read_body(conn, max_bytes=MAX_BUFFERED_ANSWER_BYTES)
+        if is_whole:
+            return WholeAnswer(head=head, body=body)
+        return await self._stream_answer(conn, head, exchange, body)
 
     async def _stream_answer(
-        self, conn: ServerConnection, head: ResponseHead, exchange: CallerExchange
+        self, conn: ServerConnection, head: ResponseHead, exchange: CallerExchange, chunk: bytes
     ) -> Attempt:
-        chunk = await conn.read_chunk()
         await exchange.send_head(head)
         try:
             while chunk:
@@ -261,8 +262,12 @@
             raise
 
 
-async def _read_whole_body(conn: ServerConnection) -> bytes:
-    parts = []
-    while chunk := await conn.read_chunk():
-        parts.append(chunk)
-    return b"".join(parts)
+async def _read_body(conn: ServerConnection, *, max_bytes: int) -> tuple[bytes, bool]:
+    """Read a body until it ends or exceeds a size; return what was read and whether it ended."""
+    body = bytearray()
+    while len(body) <= max_bytes:
+        chunk = await conn.read_chunk()
+        if not chunk:
+            return bytes(body), True
+        body += chunk
+    return bytes(body), False
--- a/packages/lychee-http/src/lychee_http/parser.py
+++ b/packages/lychee-http/src/lychee_http/parser.py
@@ -172,7 +172,8 @@
 class ResponseParser(_HeadCollector):
     """Turns a server's bytes into one response; interim (1xx) responses are ignored.
 
-    :param head_limit: maximum size of a head in bytes.
+    :param head_limit: maximum size of a head in bytes, and of any bytes that are neither a head
+        nor part of a body, such as trailers.
     :param to_head: whether the request was a HEAD, whose response has no body.
     """
 
@@ -183,6 +184,7 @@
         self._to_head = to_head
         self._reason = b""
         self._interim = False
+        self._bytes_without_event = 0
         self.complete = False
         self.has_surplus = False
         self.allows_keep_alive = False
@@ -203,14 +205,22 @@
         if self.complete:
             self.has_surplus = True
             return
+        event_count = len(self._events)
         try:
             self._parse(self._parser, data)
         except httptools.HttpParserUpgrade:
             self._error = MalformedError(message="it switches protocols")
             self._events.clear()
+        self._limit_bytes_without_event(len(data), len(self._events) > event_count)
         if self._error is not None:
             self.has_surplus = True
 
+    def _limit_bytes_without_event(self, size: int, has_event: bool) -> None:
+        """Reject bytes that go on without a head or a part of a body."""
+        self._bytes_without_event = 0 if has_event else self._bytes_without_event + size
+        if self._error is None and self._bytes_without_event > self._head_limit:
+            self._error = MalformedError(message="its bytes are neither a head nor a body")
+
     def on_message_begin(self) -> None:
         """Begin a response."""
         if self.complete:
