Let the test of an emptied disk ask for the replacement again, as operators do

The leader of the test's group (elections after 0.12 s) lost its leadership on a busy machine while it replaced the voter. replace_voter says that it may be retried after an error, and the test now does, at whichever replica leads. What it checks of the emptied replica and of the new one is unchanged.

--- a/packages/lychee-log/tests/test_replica.py
+++ b/packages/lychee-log/tests/test_replica.py
@@ -150,6 +150,17 @@
             except NotLeaderError:
                 await asyncio.sleep(0.005)
 
+    async def replace_voter(self, *, old: str, new: str) -> None:
+        """Ask each leader in turn until one has made the change, as an operator does."""
+        while True:
+            leader = await self.leader()
+            try:
+                await leader.replica.replace_voter(old=ReplicaId(old), new=make_address(new))
+            except (NotLeaderError, UnavailableError):
+                await asyncio.sleep(0.005)
+            else:
+                return
+
 
 @asynccontextmanager
 async def running_group(
@@ -311,7 +322,7 @@
             assert "new id" in caught.value.remedy
             del group.nodes[lost]
             added = group.start("d")
-            await leader.replica.replace_voter(old=lost, new=make_address("d"))
+            await group.replace_voter(old=lost, new="d")
             await group.wait_until(lambda: added.machine.items == [b"kept"])
 
     asyncio.run(scenario())
