Give the introductions between replicas a module of their own

core.py had 471 lines and two jobs: the protocol's decisions, and how replicas learn each other's storage numbers and found a group. The second is lychee_log.introductions now, moved without a change but that the group's number is drawn before it is known whether it is needed; core.py has 433 lines. The address that never answers stood in two tests and is a fixture.

--- a/conftest.py
+++ b/conftest.py
@@ -6,7 +6,7 @@
 import sys
 import threading
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 from ipaddress import ip_address
@@ -343,6 +343,23 @@
     return FakeControl
 
 
+@asynccontextmanager
+async def serve_silently():
+    """Serve an address that accepts connections and never answers, and return it."""
+    server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+    try:
+        host, port = server.sockets[0].getsockname()
+        yield Endpoint(host=host, port=port)
+    finally:
+        server.close()
+
+
+@pytest.fixture
+def silent_address():
+    """Return the context manager of an address that never answers."""
+    return serve_silently
+
+
 @pytest.fixture
 def make_endpoint():
     """Return a function that returns an address on which nobody listens."""
--- a/packages/lychee-gateway/tests/test_subscription.py
+++ b/packages/lychee-gateway/tests/test_subscription.py
@@ -84,16 +84,6 @@
             yield self
 
 
-@asynccontextmanager
-async def silent_address():
-    """Serve an address that accepts connections and never answers."""
-    server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
-    try:
-        yield Endpoint(host="127.0.0.1", port=server.sockets[0].getsockname()[1])
-    finally:
-        server.close()
-
-
 class Gateway:
     """A gateway's subscription that tries replicas in the order of its seeds."""
 
@@ -139,7 +129,7 @@
             changed.clear()
 
 
-def test_a_silent_replica_does_not_delay_the_next_attempt_for_long(monkeypatch):
+def test_a_silent_replica_does_not_delay_the_next_attempt_for_long(monkeypatch, silent_address):
     monkeypatch.setattr(module, "SILENCE_S", 60.0)
 
     async def body():
--- a/packages/lychee-log/src/lychee_log/core.py
+++ b/packages/lychee-log/src/lychee_log/core.py
@@ -25,7 +25,8 @@
 )
 from lychee_log.election import Election
 from lychee_log.follower import Follower
-from lychee_log.founding import GroupBootstrap, lost_storage_error
+from lychee_log.founding import lost_storage_error
+from lychee_log.introductions import Introductions
 from lychee_log.leader import Leader
 from lychee_log.membership import check_change, pending_change_error
 from lychee_log.messages import (
@@ -93,12 +94,13 @@
         )
         self._candidate = Candidate(state=self.state, election=self._election)
         self._follower = Follower(state=self.state, election=self._election)
-        self._bootstrap = GroupBootstrap(
-            own_address=self.state.own_address, initial_voters=initial_voters
+        self._introductions = Introductions(
+            state=self.state,
+            election=self._election,
+            initial_voters=initial_voters,
+            heartbeat_s=timing.heartbeat_ms / 1_000,
         )
         self._leader: Leader | None = None
-        self._hello_sent_at = 0.0
-        self._joining_replica: ReplicaAddress | None = None
         self._is_applying = False
         self._recovered_commit_index = self.state.commit_index
         if recovered.snapshot is not None:
@@ -120,12 +122,12 @@
     @property
     def joining_replica(self) -> ReplicaAddress | None:
         """Return the replica that answered :meth:`request_storage_id`, with its storage number."""
-        return self._joining_replica
+        return self._introductions.joining_replica
 
     @property
     def missing_voters(self) -> tuple[ReplicaId, ...]:
         """Return the initial voters whose storage number a replica without a group still lacks."""
-        return self._bootstrap.missing_voters if self.state.identity.group == 0 else ()
+        return self._introductions.missing_voters
 
     def lease_expires_at(self, now: float) -> float:
         """Return the time until which no other replica can be elected.
@@ -238,13 +240,15 @@
 
     def request_storage_id(self, replica: ReplicaAddress) -> None:
         """Ask a replica that is about to join for its storage number."""
-        self._joining_replica = None
-        self._send_hello(replica, wants_reply=True)
+        self._introductions.request_storage_id(replica)
 
     def is_caught_up(self, replica: ReplicaId, now: float) -> bool:
         """Return whether a member holds all committed entries; False unless this replica leads."""
         return self._leader is not None and self._leader.is_caught_up(replica, now)
 
+    def _new_group_id(self) -> GroupId:
+        return GroupId(self._random.getrandbits(62) + 1)
+
     def _not_leader(self) -> NotLeaderError:
         leader = self.state.leader
         return NotLeaderError(leader=leader.id if leader else None)
@@ -256,7 +260,7 @@
         ):
             self._step_down_on_disk_fault("the disk does not finish a write", now)
         if self.state.identity.group == 0:
-            self._try_bootstrap(now)
+            self._introductions.try_bootstrap(now, group=self._new_group_id())
         elif self._leader is not None:
             if self._leader.has_lost_quorum(now):
                 self._step_down(now)
@@ -275,7 +279,7 @@
             raise lost_storage_error(self.state.id)
         match message:
             case Hello():
-                self._handle_hello(message, now)
+                self._introductions.handle_hello(message, now)
             case _ if self._is_from_group(message):
                 self._receive_from_group(message, now)
 
@@ -427,45 +431,3 @@
         state = self.state
         require(state.applied_index <= state.commit_index, "only committed entries are applied")
         require(state.commit_index <= state.log.last.index, "only entries in the log are committed")
-
-    def _try_bootstrap(self, now: float) -> None:
-        members = self._bootstrap.initial_membership()
-        if members is not None:
-            group = GroupId(self._random.getrandbits(62) + 1)
-            self.state.join_group(group, founding=members)
-            self._election.deadline = now
-        if now - self._hello_sent_at >= self._timing.heartbeat_ms / 1_000:
-            self._hello_sent_at = now
-            for voter in self._bootstrap.other_voters:
-                self._send_hello(voter, wants_reply=members is None)
-
-    def _handle_hello(self, hello: Hello, now: float) -> None:
-        state = self.state
-        if state.identity.group == 0:
-            self._handle_hello_without_group(hello, now)
-        elif hello.group == 0 and state.members.find(hello.sender) is None:
-            self._joining_replica = hello.sender_address
-        if hello.wants_reply:
-            self._send_hello(hello.sender_address, wants_reply=False)
-
-    def _handle_hello_without_group(self, hello: Hello, now: float) -> None:
-        if hello.group == 0:
-            self._bootstrap.record_hello(hello)
-            return
-        self._bootstrap.check_membership(hello)
-        founding = hello.founding
-        if founding is not None and self.state.own_address in founding.voters:
-            self.state.join_group(hello.group, founding=founding)
-            self._election.restart_timer(now)
-
-    def _send_hello(self, to: ReplicaAddress, *, wants_reply: bool) -> None:
-        state = self.state
-        has_group = state.identity.group != 0
-        hello = state.build_message(
-            Hello,
-            ReplicaAddress(id=to.id, endpoint=to.endpoint),
-            founding=state.identity.founding,
-            members=state.members if has_group else None,
-            wants_reply=wants_reply,
-        )
-        state.send_after_state_sync(to, hello)
