Follow a replica by what its pulses say, and name an outdated one in the log

Found in reading: a batch that held a state and no pulse counted as contact, so a replica without contact whose state came by itself was selected, and the attempts at others were cancelled until its next pulse. No request was decided by its age, as only pulses confirm, but the gateway lost time. A batch tells now whether the replica is recent, outdated, or nothing. An attempt that ends as the replica's state is too old is logged and counted as outdated; it read as the end of the stream. test_a_state_that_comes_without_a_pulse_does_not_make_its_replica_followed failed before.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 from random import Random
 
 from loguru import logger
@@ -55,6 +56,18 @@
 """Interval between load reports, in seconds."""
 
 
+class _Contact(Enum):
+    """What messages tell of a replica: nothing, or whether its state is recent enough."""
+
+    UNTOLD = "untold"
+    RECENT = "recent"
+    OUTDATED = "outdated"
+
+
+class _OutdatedError(Exception):
+    """The replica's state is too old to follow it."""
+
+
 class Subscription:
     """Keeps a stream open to one control replica and applies its messages to the state.
 
@@ -143,6 +156,8 @@
             ) as link:
                 await self._follow_link(link)
             outcome, reason = "ended", "the stream ended"
+        except _OutdatedError:
+            outcome, reason = "outdated", f"its state is older than {self._contact_s} s"
         except TimeoutError:
             outcome, reason = "silent", f"silent for {SILENCE_S} s"
         except UnavailableError as exc:
@@ -180,8 +195,8 @@
         reporter = asyncio.create_task(self._report_periodically(link))
         try:
             while batch := await link.receive(silence_s=SILENCE_S):
-                if not all([self._apply(message) for message in batch]):
-                    return
+                if self._apply_batch(batch) is _Contact.OUTDATED:
+                    raise _OutdatedError
         finally:
             reporter.cancel()
             self._link = None
@@ -190,19 +205,22 @@
         link.post(Follow(have=self._view.state.index, sent_at=self._clock.monotonic()))
 
     async def _wait_for_contact(self, link: Link[FromGateway, ToSubscriber]) -> bool:
-        """Wait until the replica's state is current; return False if that takes too long.
+        """Wait until the replica's state is recent; return False if the stream ends before.
 
         No replica sends its state before it is asked to. So the copies of several replicas never
         share the gateway's link.
+
+        :raises _OutdatedError: if it stays too old for `CONTACT_WAIT_S`.
         """
         until = self._clock.monotonic() + CONTACT_WAIT_S
-        while self._clock.monotonic() < until:
-            batch = await link.receive(silence_s=SILENCE_S)
-            if not batch:
-                return False
-            if all([self._apply(message) for message in batch]):
-                return True
-            self._request_first_state(link)
+        while batch := await link.receive(silence_s=SILENCE_S):
+            match self._apply_batch(batch):
+                case _Contact.RECENT:
+                    return True
+                case _Contact.OUTDATED if self._clock.monotonic() > until:
+                    raise _OutdatedError
+                case _Contact.OUTDATED:
+                    self._request_first_state(link)
         return False
 
     def _request_first_state(self, link: Link[FromGateway, ToSubscriber]) -> None:
@@ -227,29 +245,31 @@
             age_ms=self._age.age_ms,
         ).info("subscribed to a control replica")
 
-    def _apply(self, message: ToSubscriber) -> bool:
-        """Apply a message; return False if the replica's state is too old to follow it."""
+    def _apply_batch(self, batch: tuple[ToSubscriber, ...]) -> "_Contact":
+        """Apply messages; return what the last pulse among them says of the replica."""
         self.last_message_at = self._clock.monotonic()
-        match message:
-            case RoutedSnapshot():
-                self._view.install_snapshot(message)
-            case RoutedDeltas():
-                self._view.apply_deltas(message)
-            case Pulse(gateways=gateways, replicas=replicas):
-                self._replicas = list(replicas)
-                self._on_gateway_count(gateways)
-                return self._record_pulse(message)
-        return True
-
-    def _record_pulse(self, pulse: Pulse) -> bool:
-        """Record how old a replica's state is; return whether the replica can be followed."""
+        contact = _Contact.UNTOLD
+        for message in batch:
+            match message:
+                case RoutedSnapshot():
+                    self._view.install_snapshot(message)
+                case RoutedDeltas():
+                    self._view.apply_deltas(message)
+                case Pulse(gateways=gateways, replicas=replicas):
+                    self._replicas = list(replicas)
+                    self._on_gateway_count(gateways)
+                    contact = self._record_pulse(message)
+        return contact
+
+    def _record_pulse(self, pulse: Pulse) -> "_Contact":
+        """Record how old a replica's state is."""
         if pulse.age_ms is None:
-            return False
+            return _Contact.OUTDATED
         as_of = pulse.asked_at - pulse.age_ms / 1_000
         if self._clock.monotonic() - as_of > self._contact_s:
-            return False
+            return _Contact.OUTDATED
         self._age.record_pulse(as_of=as_of, index=pulse.index)
-        return True
+        return _Contact.RECENT
 
     async def _probe_periodically(self, link: Link[FromGateway, ToSubscriber]) -> None:
         while True:
--- a/packages/lychee-gateway/tests/test_subscription.py
+++ b/packages/lychee-gateway/tests/test_subscription.py
@@ -44,6 +44,7 @@
         self.subscribers = 0
         self.followers = 0
         self.is_silent = False
+        self.pulse_delay_s = 0.0
         self.ended = asyncio.Event()
 
     async def serve(self, link):
@@ -63,6 +64,7 @@
                     case Follow():
                         self.followers += 1
                         link.post(RoutedSnapshot.of(RoutedImage(index=LogIndex(self.index))))
+                        await asyncio.sleep(self.pulse_delay_s)
                         link.post(self._pulse(message.sent_at))
                     case Subscribe() | Probe():
                         link.post(self._pulse(message.sent_at))
@@ -197,3 +199,17 @@
                 assert [replica.followers for replica in replicas] == [1, 0, 0]
 
     asyncio.run(body())
+
+
+def test_a_state_that_comes_without_a_pulse_does_not_make_its_replica_followed():
+    async def body():
+        async with Replica(7, age_ms=None).running() as old, Replica(9).running() as current:
+            old.pulse_delay_s = 60.0
+            async with Gateway(old.endpoint).running() as gateway:
+                await gateway.wait_for_index(7)
+                await asyncio.sleep(2 * module.PROBE_S)
+                assert gateway.subscription.replica == ""
+                gateway.subscription.set_seeds((old.endpoint, current.endpoint))
+                await gateway.wait_for_index(9)
+
+    asyncio.run(body())
