--- a/packages/lychee-runtime/src/lychee_runtime/link.py
+++ b/packages/lychee-runtime/src/lychee_runtime/link.py
@@ -224,6 +224,8 @@
 class LinkService:
     """A set of stream methods for a grpclib server.
 
+    ``codec`` counts the bytes that they send.
+
     :param name: name of the peers, for error messages.
     """
 
