Read heads of requests in one place, and give the hand-over a module of its own

Both kinds of connections from callers held the same eight lines for the next head; they stand in RequestReader.read_head now.

--- a/packages/lychee-http/src/lychee_http/inbound.py
+++ b/packages/lychee-http/src/lychee_http/inbound.py
@@ -95,19 +95,16 @@
         :raises BadRequestError: if the request is rejected.
         :raises CallerGoneError: if the connection ended inside the head.
         """
-        event = self._reader.next_event()
-        if event is None and not self._reader.in_head:
-            if not await self._wait_for_request():
-                return None
-            event = self._reader.next_event()
-        if event is None:
-            event = await self._reader.read_rest_of_head(self._limits.head_s)
-        assert isinstance(event, RequestHead)
-        self._head = event
-        check_head(event, limit=self._limits.head_bytes)
-        if not has_body(event):
+        head = await self._reader.read_head(
+            wait_for_request=self._wait_for_request, timeout_s=self._limits.head_s
+        )
+        if head is None:
+            return None
+        self._head = head
+        check_head(head, limit=self._limits.head_bytes)
+        if not has_body(head):
             self._is_request_read = isinstance(self._reader.next_event(), EndOfMessage)
-        return event
+        return head
 
     async def read_body(self, *, limit: int, timeout_s: float) -> bytes:
         """Read the whole body of the current request.
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -395,15 +395,9 @@
                 exchange.task.cancel()
 
     async def _read_head(self) -> RequestHead | None:
-        event = self._reader.next_event()
-        if event is None and not self._reader.in_head:
-            if not await self._wait_for_request():
-                return None
-            event = self._reader.next_event()
-        if event is None:
-            event = await self._reader.read_rest_of_head(self._limits.head_s)
-        assert isinstance(event, RequestHead)
-        return event
+        return await self._reader.read_head(
+            wait_for_request=self._wait_for_request, timeout_s=self._limits.head_s
+        )
 
     async def _wait_for_request(self) -> bool:
         self._is_waiting_for_request = True
--- a/packages/lychee-http/src/lychee_http/reader.py
+++ b/packages/lychee-http/src/lychee_http/reader.py
@@ -1,9 +1,11 @@
 """Reading of request heads and bodies from a connection, in order and with timeouts."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from time import monotonic
 
 from lychee_http.exceptions import BadRequestError, CallerGoneError
+from lychee_http.messages import RequestHead
 from lychee_http.parser import MalformedError, RequestEvent, RequestParser
 from lychee_http.tcp import TcpStream
 
@@ -62,13 +64,27 @@
         self._parser.feed(data)
         return bool(data)
 
-    async def read_rest_of_head(self, timeout_s: float) -> RequestEvent:
-        """Read the rest of a head that has begun to arrive, and return the head.
+    async def read_head(
+        self, *, wait_for_request: Callable[[], Awaitable[bool]], timeout_s: float
+    ) -> RequestHead | None:
+        """Read the next head; return None if no request comes.
 
-        :param timeout_s: maximum wait in seconds.
-        :raises BadRequestError: if the time is over.
-        :raises CallerGoneError: if the connection ends first.
+        :param wait_for_request: waits for a request's first bytes; returns whether there are any.
+        :param timeout_s: maximum wait for the rest of a head that has begun, in seconds.
+        :raises BadRequestError: if that time is over.
+        :raises CallerGoneError: if the connection ends inside the head.
         """
+        event = self.next_event()
+        if event is None and not self.in_head:
+            if not await wait_for_request():
+                return None
+            event = self.next_event()
+        if event is None:
+            event = await self._read_rest_of_head(timeout_s)
+        assert isinstance(event, RequestHead)
+        return event
+
+    async def _read_rest_of_head(self, timeout_s: float) -> RequestEvent:
         deadline = monotonic() + timeout_s
         while (event := self.next_event()) is None:
             if not await self.receive(deadline - monotonic()):
--- a/packages/lychee-log/src/lychee_log/replica.py
+++ b/packages/lychee-log/src/lychee_log/replica.py
@@ -29,6 +29,7 @@
 )
 from lychee_log.exceptions import DiskFullError
 from lychee_log.files import Disk
+from lychee_log.hand_over import hand_over_leadership
 from lychee_log.interfaces import StateMachine, Transport
 from lychee_log.messages import PeerMessage
 from lychee_log.proposals import Proposals
@@ -50,9 +51,6 @@
 TICKS_PER_HEARTBEAT = 3
 """Number of ticks per heartbeat interval."""
 
-HAND_OVER_CHECK_S = 0.01
-"""Interval at which the progress of a hand-over is checked, in seconds."""
-
 DISK_RETRY_S = 0.5
 """Delay before a write to a full disk is retried, in seconds."""
 
@@ -220,23 +218,14 @@
     async def hand_over_leadership(self, *, timeout_s: float) -> None:
         """Hand the leadership to another replica, so that a planned stop costs no election timeout.
 
-        Does nothing if this replica does not lead. Returns when another replica leads, or at the
-        end of the time.
+        Returns when another replica leads, at once if this one does not lead.
 
         :param timeout_s: maximum time in seconds.
         """
-        until = self._clock.monotonic() + timeout_s
-        successor: ReplicaAddress | None = None
-        while self._core is not None and self._clock.monotonic() < until:
-            leader = self._core.state.leader
-            if leader is not None and leader.id != self.id:
-                return
-            if self._core.leader is not None:
-                successor = self._core.hand_over(self._clock.monotonic())
-                self._wake.set()
-            elif successor is None:
-                return
-            await asyncio.sleep(HAND_OVER_CHECK_S)
+        if self._core is not None:
+            await hand_over_leadership(
+                self._core, clock=self._clock, wake_loop=self._wake.set, timeout_s=timeout_s
+            )
 
     async def replace_voter(
         self, *, old: ReplicaId | None, new: ReplicaAddress | None
