Ask the replica in one place whether it is a voter

The daemon's metric and the handler of joins each searched the voters for this replica's id; Replica.is_voter answers both.

--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -182,7 +182,7 @@
             leads=lambda: float(self._leader is not None),
             commit=lambda: self._replica.commit_index,
             silence_s=self._leader_message_age_s,
-            is_voter=lambda: float(self._is_voter()),
+            is_voter=lambda: float(self._replica.is_voter),
             gateways=lambda: len(self._subscribers),
             sent_bytes=lambda: self._link_service.codec.sent_bytes,
             servers=lambda: len(self._machine.state.servers),
@@ -350,9 +350,6 @@
             return 0.0
         return self._clock.monotonic() - self._leader_message_at
 
-    def _is_voter(self) -> bool:
-        return any(voter.id == self._id for voter in self._replica.voters)
-
     async def _keep_peer_links_open(self) -> None:
         while True:
             for voter in self._replica.voters:
--- a/packages/lychee-control/src/lychee_control/registry/joining.py
+++ b/packages/lychee-control/src/lychee_control/registry/joining.py
@@ -93,13 +93,10 @@
         while True:
             if self._replica.is_leader:
                 await self._admit_next()
-            elif not self._is_member():
+            elif not self._replica.is_voter:
                 self._send_requests()
             await asyncio.sleep(REQUEST_INTERVAL_S)
 
-    def _is_member(self) -> bool:
-        return any(voter.id == self._this_replica.id for voter in self._replica.voters)
-
     def _send_requests(self) -> None:
         request: PeerFrame = JoinRequest(newcomer=self._this_replica)
         for seed in self._seeds:
--- a/packages/lychee-log/src/lychee_log/replica.py
+++ b/packages/lychee-log/src/lychee_log/replica.py
@@ -166,6 +166,11 @@
         """Return the voters of the current membership."""
         return self._core.state.members.voters if self._core else ()
 
+    @property
+    def is_voter(self) -> bool:
+        """Return whether this replica counts itself among the voters."""
+        return self._core is not None and self._core.state.is_voter
+
     @property
     def disk_fault(self) -> str | None:
         """Return why the disk accepts no writes, None if it does."""
