--- a/packages/lychee-runtime/src/lychee_runtime/__init__.py
+++ b/packages/lychee-runtime/src/lychee_runtime/__init__.py
@@ -3,7 +3,7 @@
 from lychee_runtime.daemon import Daemon, run_daemon
 from lychee_runtime.dump import format_dump
 from lychee_runtime.exposition import PrometheusMetrics
-from lychee_runtime.link import Link, LinkService, open_link, serve_links
+from lychee_runtime.link import Link, LinkService, as_unavailable, open_link, serve_links
 from lychee_runtime.logs import configure_logs
 from lychee_runtime.metrics import Metrics, NoMetrics, open_metrics
 from lychee_runtime.operator_client import OperatorClient, RefusedError
@@ -18,6 +18,7 @@
     "NoMetrics",
     "OperatorClient",
     "RefusedError",
+    "as_unavailable",
     "client_context",
     "configure_logs",
     "format_dump",
--- a/packages/lychee-runtime/tests/test_daemon.py
+++ b/packages/lychee-runtime/tests/test_daemon.py
@@ -5,8 +5,7 @@
 from grpclib.exceptions import StreamTerminatedError
 from grpclib.utils import Wrapper
 
-from lychee_runtime import Daemon
-from lychee_runtime.link import as_unavailable
+from lychee_runtime import Daemon, as_unavailable
 from lychee_types.exceptions import UnavailableError
 
 
