Log and count what gateways know of the rate limits that servers name

No line or metric told whether gateways know of a limit (hypothesis 1) or each keeps it alone (hypothesis 2). The adapter now decodes the header; a gateway logs server_limit when a server names, changes or ends a limit, and counts its attempts at such servers by server, so that the sum over the gateways' pages is what the server got. An answer is later than another only if its request was sent after the other had arrived, as answers come out of order. No request is decided by it yet.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass, replace
 
 from lychee_gateway.proxy.codec import ProxyCodec, ResponseInfo
+from lychee_gateway.proxy.limits import ServerLimits
 from lychee_gateway.proxy.servers import InFlightRequest, ProxyServer
 from lychee_http import RequestHead, ResponseHead, ServerConnection, header_value
 from lychee_http.exceptions import BadRequestError, CallerGoneError, ServerResponseError
 from lychee_http.pipelining import CallerExchange
+from lychee_policy import LimitObservation
 from lychee_types.clock import Clock
 
 MAX_BUFFERED_ANSWER_BYTES = 16_384
@@ -90,11 +92,13 @@
     """Sends requests to servers.
 
     :param codec: translates request and response heads.
+    :param limits: rate limits of the servers.
     :param clock: source of time.
     """
 
-    def __init__(self, *, codec: ProxyCodec, clock: Clock) -> None:
+    def __init__(self, *, codec: ProxyCodec, limits: ServerLimits, clock: Clock) -> None:
         self._codec = codec
+        self._limits = limits
         self._clock = clock
 
     async def send(
@@ -146,6 +150,7 @@
             exchange.head, server=server.run.server, remaining_s=remaining_s
         )
         head = _with_body_framing(head, body, exchange.head)
+        self._limits.count_attempt(server.run)
         try:
             async with asyncio.timeout(remaining_s):
                 conn.send(head, _encode_buffered(head, body))
@@ -179,6 +184,14 @@
             server.record_occupancy(info.occupancy, self._clock.monotonic())
         if not info.is_not_run:
             server.record_answer(in_flight, seconds)
+        # Answers that a server gives without running the request may lack the header.
+        if info.limit_per_s is not None or not info.is_not_run:
+            observation = LimitObservation(
+                per_s=info.limit_per_s,
+                sent_at=in_flight.sent_at,
+                heard_at=self._clock.monotonic(),
+            )
+            self._limits.record(server.run, observation)
 
     async def _read_answer(
         self, conn: ServerConnection, answer: ResponseHead, exchange: CallerExchange
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/codec.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/codec.py
@@ -48,6 +48,8 @@
     :param is_misdirected: whether the address or the key belongs to another server.
     :param occupancy: the server's load, None if not given.
     :param is_encoded: whether the body has a content encoding.
+    :param limit_per_s: rate limit that the server names for all gateways together, in requests per
+        second, None if it names none.
     """
 
     request_id: str
@@ -55,6 +57,7 @@
     is_misdirected: bool
     occupancy: Occupancy | None
     is_encoded: bool
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -12,6 +12,7 @@
 from lychee_gateway.proxy.attempts import Sender
 from lychee_gateway.proxy.codec import ProxyCodec, Rejection
 from lychee_gateway.proxy.forwarding import Forwarder
+from lychee_gateway.proxy.limits import ServerLimits
 from lychee_gateway.proxy.loads import KeyLoads
 from lychee_gateway.proxy.metrics import ProxyMetrics
 from lychee_gateway.proxy.placing import ServerSelector
@@ -97,14 +98,16 @@
             under_way=self._under_way,
             index=lambda: self._view.state.index,
             version=lambda: self._view.state.version.number,
+            limits=lambda: len(self._limits),
             age_s=lambda: self._age.age_s,
             silence_s=lambda: self._clock.monotonic() - self._subscription.last_message_at,
         )
+        self._limits = ServerLimits(metrics=self._metrics)
         self._forwarder = Forwarder(
             view=self._view,
             age=self._age,
             selector=self._selector,
-            sender=Sender(codec=codec, clock=self._clock),
+            sender=Sender(codec=codec, limits=self._limits, clock=self._clock),
             codec=codec,
             loads=self._loads,
             clock=self._clock,
@@ -112,6 +115,7 @@
             metrics=self._metrics,
         )
         self._view.add_listener(lambda: self._servers.sync(self._view.state))
+        self._view.add_listener(self._forget_departed_servers)
         self._view.add_listener(self._selector.state_changed)
         self._subscription = Subscription(
             cfg=cfg,
@@ -178,6 +182,9 @@
         self._subscription.set_seeds(self._cfg.seed_endpoints)
         logger.bind(event="reload", seeds=self._cfg.seeds).info("seeds reloaded")
 
+    def _forget_departed_servers(self) -> None:
+        self._limits.forget_others({record.run for record in self._view.state.servers.values()})
+
     def _under_way(self) -> int:
         return sum(conn.under_way for conn in self._conns.values())
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -4,7 +4,7 @@
 from time import monotonic
 
 from lychee_runtime import PrometheusMetrics
-from lychee_types.ids import ServiceName
+from lychee_types.ids import ServerId, ServiceName
 
 
 class ProxyMetrics:
@@ -13,6 +13,7 @@
     :param under_way: returns how many requests have no final answer.
     :param index: returns the log index of the gateway's state.
     :param version: returns the version number of the routes in force.
+    :param limits: returns how many servers have named a rate limit.
     :param age_s: returns the maximum age of the gateway's state in seconds, infinite if unknown.
     :param silence_s: returns the time since the last message of a control replica, in seconds.
     """
@@ -23,6 +24,7 @@
         under_way: Callable[[], float],
         index: Callable[[], float],
         version: Callable[[], float],
+        limits: Callable[[], float],
         age_s: Callable[[], float],
         silence_s: Callable[[], float],
     ) -> None:
@@ -32,6 +34,7 @@
         page.gauge("state_version", "Version of the routes in force.", version)
         page.gauge("state_age_seconds", "Maximum age of the state; +Inf if unknown.", age_s)
         page.gauge("control_silence_seconds", "Time since a replica was heard.", silence_s)
+        page.gauge("server_limits", "Servers that have named a rate limit.", limits)
         page.gauge("requests_under_way", "Requests without a final answer.", under_way)
         page.gauge("monotonic_seconds", "The process's monotonic clock.", monotonic)
         self._subscriptions = page.counter(
@@ -41,6 +44,9 @@
         self._answers = page.counter("answers", "Final answers to callers.", "service", "status")
         self._refusals = page.counter("refusals", "Requests that no server ran.", "service")
         self._attempts = page.counter("attempts", "Attempts at servers.", "service", "outcome")
+        self._limited = page.counter(
+            "limited_attempts", "Attempts at servers that have named a rate limit.", "server"
+        )
         self._latency = page.latency("answer", "From head to final answer.", "service")
 
     def count_answer(self, service: ServiceName, status: int, seconds: float) -> None:
@@ -56,6 +62,10 @@
         """Count an attempt, with the class name of its result as outcome."""
         self._attempts.labels(service, outcome).inc()
 
+    def count_limited_attempt(self, server: ServerId) -> None:
+        """Count an attempt at a server that has named a rate limit."""
+        self._limited.labels(server).inc()
+
     def count_subscription(self, outcome: str, received_bytes: int) -> None:
         """Count an ended attempt to follow a replica, by outcome, and what it received."""
         self._subscriptions.labels(outcome).inc()
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -24,6 +24,7 @@
     is_stuck,
 )
 from lychee_policy.queue import DeadlineQueue, Waiter, can_meet_deadline
+from lychee_policy.rate_limits import LimitObservation, latest_observation
 from lychee_policy.tracker import (
     INITIAL_RESPONSES,
     ResponseTime,
@@ -53,6 +54,7 @@
     "ChoiceRule",
     "DeadlineQueue",
     "LeastConnections",
+    "LimitObservation",
     "Limits",
     "PowerOfTwo",
     "RetryBudget",
@@ -60,5 +62,6 @@
     "Waiter",
     "can_meet_deadline",
     "choose",
+    "latest_observation",
     "limits_for",
 ]
