--- a/packages/lychee-bench/src/lychee_bench/experiments/catalog.py
+++ b/packages/lychee-bench/src/lychee_bench/experiments/catalog.py
@@ -13,6 +13,7 @@
     measure_recovery,
     measure_rollout,
 )
+from lychee_bench.experiments.limits import SharedLimit, measure_shared_limit
 from lychee_bench.experiments.loss import (
     LostComponent,
     PlannedDrain,
@@ -58,6 +59,7 @@
     | RevocationCost
     | HotKeyBalance
     | LeaderCost
+    | SharedLimit
 )
 
 EXPERIMENTS: Mapping[str, Experiment] = {
@@ -83,6 +85,7 @@
     "revocation": RevocationCost(),
     "hot-keys": HotKeyBalance(),
     "leader-cost": LeaderCost(),
+    "shared-limit": SharedLimit(),
 }
 """Experiments by name."""
 
@@ -122,3 +125,5 @@
             return list(measure_hot_keys())
         case LeaderCost():
             return list(measure_leader_cost())
+        case SharedLimit():
+            return list(measure_shared_limit(experiment))
--- a/packages/lychee-policy/tests/test_rate_limits.py
+++ b/packages/lychee-policy/tests/test_rate_limits.py
@@ -1,19 +1,16 @@
 """Rate limits that servers name, and the permits by which many gateways keep one limit."""
 
-from collections import deque
 from random import Random
 
 import pytest
 
 from lychee_policy import (
-    PERMIT_HOLD_S,
     LimitObservation,
     PermitIssuer,
     PermitReserve,
     latest_observation,
 )
-
-WINDOW_S = 4.0
+from lychee_policy.testing import WINDOW_S, LimitLoad, LimitSimulation, most_in_a_window
 
 
 def allowed(limit_per_s):
@@ -21,16 +18,6 @@
     return 1.5 * limit_per_s * WINDOW_S + 5
 
 
-def most_in_a_window(arrivals):
-    window, most = deque(), 0
-    for at in sorted(arrivals):
-        window.append(at)
-        while window[0] <= at - WINDOW_S:
-            window.popleft()
-        most = max(most, len(window))
-    return most
-
-
 def observed(per_s, sent_at, heard_at):
     return LimitObservation(per_s=per_s, sent_at=sent_at, heard_at=heard_at)
 
@@ -53,79 +40,41 @@
         assert latest_observation(other, known) == expected
 
 
-class Gateways:
-    """Gateways that all want more than a server's limit, by a simulated clock."""
-
-    def __init__(self, *, count, limit_per_s, seed, has_leader=lambda now: True):
-        self._rng = Random(seed)
-        self._limit_per_s = limit_per_s
-        self._has_leader = has_leader
-        self._issuer = None
-        self._held = [deque() for _ in range(count)]
-        self._asks_at = [0.0] * count
-        self._reserves = [PermitReserve(now=0.0, rng=self._rng) for _ in range(count)]
-        self.arrivals = []
-
-    def run(self, seconds, *, calls_per_s):
-        now = 0.0
-        while now < seconds:
-            now += self._rng.expovariate(calls_per_s)
-            self._call(self._rng.randrange(len(self._held)), now)
-        return self
-
-    def _call(self, gateway, now):
-        held = self._held[gateway]
-        while held and held[0] < now:
-            held.popleft()
-        if not self._has_leader(now):
-            self._issuer = None
-        elif not held and now >= self._asks_at[gateway]:
-            self._ask(gateway, now)
-        if held:
-            held.popleft()
-            self.arrivals.append(now)
-        elif not self._has_leader(now):
-            reserve, count = self._reserves[gateway], len(self._held)
-            if reserve.try_take(per_s=self._limit_per_s, gateways=count, now=now):
-                self.arrivals.append(now)
-
-    def _ask(self, gateway, now):
-        if self._issuer is None:
-            self._issuer = PermitIssuer(per_s=self._limit_per_s, now=now)
-        issued = self._issuer.issue(2, now)
-        self._held[gateway].extend([now + PERMIT_HOLD_S] * issued.count)
-        if issued.count < 2:
-            self._asks_at[gateway] = now + issued.retry_after_s
+def arrivals_at(count, limit_per_s, *, calls_per_s=None, has_leader=lambda now: True):
+    """Simulate gateways that all want more than a limit, and return the arrivals at the server."""
+    load = LimitLoad(
+        gateways=count,
+        active=count,
+        limit_per_s=limit_per_s,
+        calls_per_s=calls_per_s or 4 * limit_per_s + 40,
+        seed=count,
+    )
+    return LimitSimulation(load, has_leader=has_leader).run(40)
 
 
 @pytest.mark.parametrize("count", [1, 6, 64])
 @pytest.mark.parametrize("limit_per_s", [0.3, 2.0, 9.0, 60.0])
 def test_no_more_arrives_than_a_limit_allows_however_many_gateways_there_are(count, limit_per_s):
-    gateways = Gateways(count=count, limit_per_s=limit_per_s, seed=count)
-    arrivals = gateways.run(40, calls_per_s=4 * limit_per_s + 40).arrivals
+    arrivals = arrivals_at(count, limit_per_s)
     assert most_in_a_window(arrivals) <= allowed(limit_per_s)
 
 
 @pytest.mark.parametrize("count", [1, 6, 64])
 @pytest.mark.parametrize("limit_per_s", [0.3, 2.0, 9.0, 60.0])
 def test_the_limit_holds_while_leaders_come_and_go(count, limit_per_s):
-    gateways = Gateways(
-        count=count, limit_per_s=limit_per_s, seed=count, has_leader=lambda now: now % 5 > 1.3
-    )
-    arrivals = gateways.run(40, calls_per_s=4 * limit_per_s + 40).arrivals
+    arrivals = arrivals_at(count, limit_per_s, has_leader=lambda now: now % 5 > 1.3)
     assert most_in_a_window(arrivals) <= allowed(limit_per_s)
 
 
 @pytest.mark.parametrize("count", [6, 64])
 def test_a_limited_server_is_used_for_most_of_its_limit(count):
-    arrivals = Gateways(count=count, limit_per_s=9.0, seed=1).run(40, calls_per_s=120).arrivals
+    arrivals = arrivals_at(count, 9.0, calls_per_s=120)
     assert len(arrivals) >= 0.7 * 9.0 * 40
 
 
 @pytest.mark.parametrize("count", [1, 6, 64])
 def test_reserves_serve_some_requests_without_a_leader(count):
-    gateways = Gateways(count=count, limit_per_s=9.0, seed=1, has_leader=lambda now: False)
-    arrivals = gateways.run(40, calls_per_s=120).arrivals
+    arrivals = arrivals_at(count, 9.0, calls_per_s=120, has_leader=lambda now: False)
     assert 0.15 * 9.0 * 40 <= len(arrivals) <= 0.5 * 9.0 * 40
 
 
