Log servers that end while they have a request, by the request's signature

A gateway whose connection ends without an answer now asks whether anybody still listens there. If not, it logs server_ended with a signature: a hash of method, host, target, key, credentials and the first 64 KB of the body with its declared length, which is the same for each repeat, and counts it. The table that keeps ends by signature decides nothing yet.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, replace
 
+from loguru import logger
+
 from lychee_gateway.proxy.codec import ProxyCodec, ResponseInfo
 from lychee_gateway.proxy.limits import ServerLimits
 from lychee_gateway.proxy.servers import InFlightRequest, ProxyServer
@@ -13,6 +15,9 @@
 from lychee_policy import LimitObservation
 from lychee_types.clock import Clock
 
+END_CHECK_S = 0.1
+"""Maximum wait for a connection that shows that a server still listens, in seconds."""
+
 MAX_BUFFERED_ANSWER_BYTES = 16_384
 """Maximum size of an answer that is buffered whole before any of it is sent to the caller."""
 
@@ -74,9 +79,11 @@
     """The server may have run the request, but no usable answer came.
 
     :param reason: what happened.
+    :param is_disconnected: whether the server ended the connection.
     """
 
     reason: str
+    is_disconnected: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -133,6 +140,16 @@
             server.record_failure(self._clock.monotonic())
         return attempt
 
+    async def has_ended(self, server: ProxyServer) -> bool:
+        """Return whether nobody accepts connections at a server's address any more."""
+        try:
+            conn = await server.pool.acquire(timeout_s=END_CHECK_S)
+        except OSError as exc:
+            logger.debug("server {} has ended: {!r}", server.run.server, exc)
+            return True
+        with server.pool.release_after_use(conn):
+            return False
+
     async def _send_on(
         self,
         conn: ServerConnection,
@@ -175,7 +192,7 @@
         except TimeoutError:
             return TooLate()
         except ServerResponseError as exc:
-            return NoAnswer(reason=exc.message)
+            return NoAnswer(reason=exc.message, is_disconnected=conn.stream.eof)
 
     def _record_answer(
         self, server: ProxyServer, info: ResponseInfo, in_flight: InFlightRequest, seconds: float
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/codec.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/codec.py
@@ -16,6 +16,7 @@
     :param path: path without the query string.
     :param timeout_s: how long the caller waits, in seconds; None if not given.
     :param key: the shard key, None if there is none.
+    :param account: credentials that tell client accounts apart, empty if there are none.
     """
 
     request_id: str
@@ -23,6 +24,7 @@
     path: str
     timeout_s: float | None
     key: int | None
+    account: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -11,6 +11,7 @@
 from lychee_gateway.proxy.age import StateAge
 from lychee_gateway.proxy.attempts import Sender
 from lychee_gateway.proxy.codec import ProxyCodec, Rejection
+from lychee_gateway.proxy.crashes import CrashGuard
 from lychee_gateway.proxy.forwarding import Forwarder
 from lychee_gateway.proxy.limits import ServerLimits
 from lychee_gateway.proxy.loads import KeyLoads
@@ -109,6 +110,7 @@
             clock=self._clock,
             drain_s=cfg.bounds.drain_s,
         )
+        self._guard = CrashGuard(clock=self._clock)
         self._forwarder = Forwarder(
             view=self._view,
             age=self._age,
@@ -116,6 +118,7 @@
             sender=Sender(codec=codec, limits=self._limits, clock=self._clock),
             codec=codec,
             loads=self._loads,
+            guard=self._guard,
             clock=self._clock,
             retry_ratio=cfg.bounds.retry_ratio,
             metrics=self._metrics,
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -16,16 +16,18 @@
     WholeAnswer,
 )
 from lychee_gateway.proxy.codec import CallerRequest, ProxyCodec, Rejection
+from lychee_gateway.proxy.crashes import CrashGuard, request_signature
 from lychee_gateway.proxy.loads import KeyLoads
 from lychee_gateway.proxy.metrics import ProxyMetrics
 from lychee_gateway.proxy.placing import NoServer, RoutedRequest, ServerSelector
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.view import RoutedView
+from lychee_http import header_value
 from lychee_http.exceptions import BadRequestError
 from lychee_http.pipelining import CallerExchange, declared_length_error
 from lychee_policy import RetryBudget
 from lychee_types.clock import Clock
-from lychee_types.ids import ServiceName
+from lychee_types.ids import RequestSignature, ServiceName
 from lychee_types.routing import Route
 
 RETRY_BUFFER_BYTES = 65_536
@@ -79,6 +81,7 @@
     :param attempts: number of attempts that reached a server.
     :param may_have_run: whether a server may have run the request without an answer.
     :param failed_answer: a server's 5xx answer, sent if no other attempt can be made.
+    :param signature: the request's signature, None before it is needed.
     :param trail: decisions so far, for the log.
     """
 
@@ -89,6 +92,7 @@
     attempts: int = 0
     may_have_run: bool = False
     failed_answer: WholeAnswer | None = None
+    signature: RequestSignature | None = None
     trail: list[_Step] = field(default_factory=list)
 
     @property
@@ -105,6 +109,7 @@
     :param sender: sends requests to servers.
     :param codec: translates request and response heads.
     :param loads: counts requests by key.
+    :param guard: knows the requests under which servers end.
     :param clock: source of time.
     :param retry_ratio: retry budget of the deployment, in retries per request.
     :param metrics: the gateway's metrics.
@@ -119,6 +124,7 @@
         sender: Sender,
         codec: ProxyCodec,
         loads: KeyLoads,
+        guard: CrashGuard,
         clock: Clock,
         retry_ratio: float,
         metrics: ProxyMetrics,
@@ -129,6 +135,7 @@
         self._sender = sender
         self._codec = codec
         self._loads = loads
+        self._guard = guard
         self._clock = clock
         self._metrics = metrics
         self._retry_share = retry_ratio * RETRY_BUDGET_SHARE
@@ -286,6 +293,7 @@
             case NoAnswer():
                 call.attempts += 1
                 call.may_have_run = True
+                await self._look_for_end(call, body, server, attempt)
                 return await self._after_no_answer(call, body)
             case TooLate():
                 call.may_have_run = True
@@ -294,6 +302,29 @@
                 )
                 return True
 
+    async def _look_for_end(
+        self, call: _Call, body: Body, server: ProxyServer, attempt: NoAnswer
+    ) -> None:
+        """Record it if the server has ended, and not just lost an answer."""
+        if not attempt.is_disconnected or not await self._sender.has_ended(server):
+            return
+        self._guard.record_end(
+            self._signature(call, body), server.run, request_id=call.request.request_id
+        )
+        self._metrics.count_server_end(call.routed.service)
+
+    def _signature(self, call: _Call, body: Body) -> RequestSignature:
+        if call.signature is None:
+            head = call.exchange.head
+            call.signature = request_signature(
+                call.request,
+                method=head.method,
+                target=head.target,
+                body=body.buffered,
+                declared_length=header_value(head.headers, b"content-length"),
+            )
+        return call.signature
+
     async def _after_not_run(self, call: _Call, body: Body) -> bool:
         if self._has_attempt_left(call, body):
             return False
@@ -383,6 +414,7 @@
             ms=round(seconds * 1_000),
             attempts=call.attempts,
             trail=call.trail,
+            signature=call.signature.hex() if call.signature is not None else None,
             version=self._view.state.version.number,
             index=self._view.state.index,
         ).info("request answered")
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -44,6 +44,9 @@
         self._answers = page.counter("answers", "Final answers to callers.", "service", "status")
         self._refusals = page.counter("refusals", "Requests that no server ran.", "service")
         self._attempts = page.counter("attempts", "Attempts at servers.", "service", "outcome")
+        self._server_ends = page.counter(
+            "server_ends", "Requests at servers that ended without an answer.", "service"
+        )
         self._limited = page.counter(
             "limited_attempts", "Attempts at servers that have named a rate limit.", "server"
         )
@@ -67,6 +70,10 @@
         """Count an attempt at a server that has named a rate limit."""
         self._limited.labels(server).inc()
 
+    def count_server_end(self, service: ServiceName) -> None:
+        """Count a request at a server that ended without answering it."""
+        self._server_ends.labels(service).inc()
+
     def count_permits(self, outcome: str, count: int) -> None:
         """Count permits for servers with a limit: issued, expired, or taken from the reserve."""
         self._permits.labels(outcome).inc(count)
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -10,6 +10,7 @@
     choose,
 )
 from lychee_policy.clocks import ClockChecker
+from lychee_policy.crashes import BLOCK_S, MAX_REQUESTS, SUSPECT_S, CrashTable, Verdict
 from lychee_policy.hotkeys import HotKeyCounter
 from lychee_policy.limits import Limits, limits_for
 from lychee_policy.outliers import (
@@ -57,6 +58,11 @@
     "warm_up_share",
     "Candidate",
     "ClockChecker",
+    "CrashTable",
+    "BLOCK_S",
+    "MAX_REQUESTS",
+    "SUSPECT_S",
+    "Verdict",
     "ChoiceRule",
     "DeadlineQueue",
     "LeastConnections",
--- /dev/null
+++ b/packages/lychee-policy/src/lychee_policy/crashes.py
@@ -0,0 +1,208 @@
+"""Requests under which backend servers have ended, and how such a request may be sent again."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import Enum
+
+from lychee_types.crash_messages import KnownRequest, ServerEnd
+from lychee_types.ids import RequestSignature
+from lychee_types.registry import ServerIncarnation
+
+SUSPECT_AFTER = 2
+"""Number of ended servers from which a request is suspected.
+
+One is not enough: all requests at a server that ends lose their answers, whatever ended it.
+"""
+
+BLOCK_AFTER = 3
+"""Number of ended servers from which a request is blocked."""
+
+SAME_CAUSE_S = 0.5
+"""Time within which several servers end of one cause, in seconds.
+
+A lost failure domain ends many servers at once, and a popular request is at several of them.
+"""
+
+SUSPECT_S = 600.0
+"""Time after which an ended server no longer counts, in seconds."""
+
+BLOCK_S = 3_600.0
+"""The same for a blocked request, in seconds."""
+
+MAX_REQUESTS = 4_096
+"""Maximum number of requests that are remembered."""
+
+MAX_SHARED = 500
+"""Maximum number of requests that are shared with other processes."""
+
+
+class Verdict(Enum):
+    """How a request may be sent to a server."""
+
+    FREE = "free"
+    SUSPECTED = "suspected"
+    BLOCKED = "blocked"
+
+
+@dataclass(kw_only=True, slots=True)
+class _Request:
+    """What is known of one request.
+
+    :param ends: monotonic time in seconds at which each server ended.
+    :param answered_at: monotonic time in seconds of the last answer of a server, None for none.
+    """
+
+    ends: dict[ServerIncarnation, float] = field(default_factory=dict)
+    answered_at: float | None = None
+
+
+class CrashTable:
+    """Requests under which servers have ended, by signature.
+
+    An answer of any server shows that the request is sound, so that earlier ends do not count. When
+    there are too many requests, those with the fewest ends are forgotten first.
+    """
+
+    def __init__(self) -> None:
+        self._requests: OrderedDict[RequestSignature, _Request] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return how many requests are remembered."""
+        return len(self._requests)
+
+    def __contains__(self, signature: RequestSignature) -> bool:
+        """Return whether anything is known of a request."""
+        return signature in self._requests
+
+    def record_end(self, signature: RequestSignature, run: ServerIncarnation, at: float) -> bool:
+        """Record that a server ended while it had a request; return whether that is new.
+
+        :param signature: the request's signature.
+        :param run: the server.
+        :param at: monotonic time in seconds.
+        """
+        request = self._requests.get(signature)
+        if request is None:
+            request = self._requests[signature] = _Request()
+            self._limit_size()
+        if run in request.ends or at <= (request.answered_at or 0.0):
+            return False
+        request.ends[run] = at
+        return True
+
+    def record_answer(self, signature: RequestSignature, at: float) -> bool:
+        """Record that a server has answered a request; return whether ends no longer count.
+
+        :param signature: the request's signature.
+        :param at: monotonic time of the answer, in seconds.
+        """
+        request = self._requests.get(signature)
+        if request is None or at <= (request.answered_at or 0.0):
+            return False
+        request.answered_at = at
+        later = {run: ended_at for run, ended_at in request.ends.items() if ended_at > at}
+        is_changed = len(later) < len(request.ends)
+        request.ends = later
+        return is_changed
+
+    def count_ends(self, signature: RequestSignature, now: float) -> int:
+        """Return how often servers have ended under a request, apart by :data:`SAME_CAUSE_S`.
+
+        :param signature: the request's signature.
+        :param now: monotonic time in seconds.
+        """
+        return len(self._counted_ends(signature, now))
+
+    def verdict(self, signature: RequestSignature, now: float) -> Verdict:
+        """Return how a request may be sent.
+
+        :param signature: the request's signature.
+        :param now: monotonic time in seconds.
+        """
+        ends = self.count_ends(signature, now)
+        if ends >= BLOCK_AFTER:
+            return Verdict.BLOCKED
+        return Verdict.SUSPECTED if ends >= SUSPECT_AFTER else Verdict.FREE
+
+    def drop_old(self, now: float) -> None:
+        """Forget requests of which nothing counts any more."""
+        old = [
+            signature
+            for signature, request in self._requests.items()
+            if self.count_ends(signature, now) == 0
+            and now - (request.answered_at or 0.0) > SUSPECT_S
+        ]
+        for signature in old:
+            del self._requests[signature]
+
+    def export(self, signatures: list[RequestSignature], now: float) -> tuple[KnownRequest, ...]:
+        """Return what is known of some requests for another process.
+
+        :param signatures: signatures of the requests.
+        :param now: monotonic time in seconds.
+        """
+        return tuple(
+            _export(signature, self._requests[signature], now)
+            for signature in signatures
+            if signature in self._requests
+        )
+
+    def export_suspects(self, now: float) -> tuple[KnownRequest, ...]:
+        """Return what all processes are to know: suspects, and those that were answered since."""
+        signatures = [
+            signature
+            for signature, request in self._requests.items()
+            if request.answered_at is not None or self.verdict(signature, now) is not Verdict.FREE
+        ]
+        signatures.sort(key=lambda signature: len(self._requests[signature].ends))
+        return self.export(signatures[-MAX_SHARED:], now)
+
+    def merge(self, known: KnownRequest, now: float) -> bool:
+        """Add what another process knows, and return whether that is new.
+
+        :param known: what it knows.
+        :param now: monotonic time in seconds.
+        """
+        is_new = False
+        for end in known.ends:
+            at = now - end.ms_ago / 1_000
+            is_new = self.record_end(known.signature, end.run, at) or is_new
+        if known.answered_ms_ago is not None:
+            at = now - known.answered_ms_ago / 1_000
+            is_new = self.record_answer(known.signature, at) or is_new
+        return is_new
+
+    def _counted_ends(self, signature: RequestSignature, now: float) -> list[float]:
+        """Return the monotonic times of the ends that count, in seconds."""
+        request = self._requests.get(signature)
+        if request is None:
+            return []
+        counted: list[float] = []
+        for at in sorted(request.ends.values()):
+            if not counted or at - counted[-1] >= SAME_CAUSE_S:
+                counted.append(at)
+        longest_s = BLOCK_S if len(counted) >= BLOCK_AFTER else SUSPECT_S
+        return [at for at in counted if now - at <= longest_s]
+
+    def _limit_size(self) -> None:
+        """Remove the oldest of the requests with the fewest ends, unless there is room."""
+        if len(self._requests) <= MAX_REQUESTS:
+            return
+        oldest = list(self._requests)[:-1]
+        fewest = min(oldest, key=lambda signature: len(self._requests[signature].ends))
+        del self._requests[fewest]
+
+
+def _export(signature: RequestSignature, request: _Request, now: float) -> KnownRequest:
+    answered_ms_ago = None
+    if request.answered_at is not None:
+        answered_ms_ago = _ms_ago(request.answered_at, now)
+    return KnownRequest(
+        signature=signature,
+        ends=tuple(ServerEnd(run=run, ms_ago=_ms_ago(at, now)) for run, at in request.ends.items()),
+        answered_ms_ago=answered_ms_ago,
+    )
+
+
+def _ms_ago(at: float, now: float) -> int:
+    return max(0, round((now - at) * 1_000))
--- a/packages/lychee-types/src/lychee_types/ids.py
+++ b/packages/lychee-types/src/lychee_types/ids.py
@@ -23,6 +23,9 @@
 DomainName = NewType("DomainName", str)
 """Name of a failure domain."""
 
+RequestSignature = NewType("RequestSignature", bytes)
+"""Hash of all that tells a request apart from others, the same for each repeat of it."""
+
 Shard = NewType("Shard", int)
 """Index of a hash range of a service's keys, from 0 to the service's number of shards less one."""
 
