--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -63,6 +63,9 @@
 CLEANUP_INTERVAL_S = 0.5
 """Interval at which departed servers and idle buckets are removed, in seconds."""
 
+SPREAD_INTERVAL_S = 2.0
+"""Interval at which news for gateways are sent again, in seconds."""
+
 _ENCODER = Encoder()
 
 
@@ -97,6 +100,7 @@
         self._limits = limits
         self._permits = PermitDesk(board=limits, clock=clock)
         self._spread = spread
+        self._spread_at = 0.0
         self._heartbeats = HeartbeatTracker(now=clock.monotonic())
         self._loads = LoadTracker(now=clock.monotonic())
         self._range_managers: dict[ServiceName, RangeManager] = {}
@@ -115,7 +119,7 @@
                 self._start_range_managers()
                 self._remove_departed_servers()
                 self._loads.drop_idle_buckets(self._clock.monotonic())
-                self._spread_limits()
+                self._spread_again()
                 try:
                     async with asyncio.timeout(CLEANUP_INTERVAL_S):
                         await self._ended.wait()
@@ -251,6 +255,14 @@
         if news.limits:
             self._spread(news)
 
+    def _spread_again(self) -> None:
+        """Send all news again from time to time, as messages may have been lost."""
+        now = self._clock.monotonic()
+        if now < self._spread_at:
+            return
+        self._spread_at = now + SPREAD_INTERVAL_S
+        self._spread_limits()
+
     def _holds_lease(self) -> bool:
         """Return whether this replica's lease excludes any other leader."""
         return self._clock.monotonic() < self._replica.lease_expires_at()
