Block requests under which servers end, counted over all gateways

Callers and users saw: one request ended server after server, seven in the record; the requests beside it lost their answers with each (502), and keys of ended servers were nobody's for seconds.

The class: a failure that belongs to the request is taken for one of the server, and repeated elsewhere. Hypothesis 2 adds to it in services without keys: an attempt that ended its server went to the next at once, up to MaxAttempts.

Change: a gateway reports the end of a server with the signature of the request that was there; ends add up at the leader and reach every replica and gateway. Two: one server at a time, an idle one. Three: blocked, 503 where this attempt reached no server, else 502. Ends within 0.5 s count once, and any server's answer frees a request, so those that were there by chance go on.

--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -22,6 +22,7 @@
     serve_peer,
 )
 from lychee_control.registry.calls import GrantCodec
+from lychee_control.registry.crashes import CrashBoard
 from lychee_control.registry.joining import JoinHandler, load_or_create_id
 from lychee_control.registry.leader import RegistryLeader
 from lychee_control.registry.limits import LimitBoard
@@ -50,8 +51,10 @@
 from lychee_log import Replica, ReplicaAddress, ReplicaDump
 from lychee_runtime import Daemon, Link, LinkService, format_dump, serve_links
 from lychee_types.clock import Clock, SystemClock
+from lychee_types.crash_messages import KnownCrashes
 from lychee_types.exceptions import InvariantError
 from lychee_types.ids import DomainName, SessionId
+from lychee_types.limit_messages import KnownLimits
 from lychee_types.messages import PEER
 from lychee_types.records import Endpoint
 from lychee_types.registry import RoutedImage
@@ -59,6 +62,7 @@
 from lychee_types.registry_messages import (
     SUBSCRIBE,
     FromGateway,
+    LeaderNews,
     LeaderNote,
     Pulse,
     RoutedDelta,
@@ -148,11 +152,12 @@
         self._leader_message_at = self._clock.monotonic()
         self._machine = RoutedMachine(on_applied=self._on_applied, on_restored=self._on_restored)
         self._limits = LimitBoard(clock=self._clock)
+        self._crashes = CrashBoard(clock=self._clock)
         self._subscribers = Subscribers(
             machine=self._machine,
             on_note=self._send_note_up,
             pulse=self._make_pulse,
-            news=self._limits.news,
+            news=lambda: (self._limits.news(), self._crashes.news()),
         )
         seed = xxh3_64_intdigest(self._id.encode())
         self._peers = PeerLinks(spawn=self._spawn_peer_link, ssl=None, seed=seed)
@@ -326,8 +331,7 @@
             case ReplyDown():
                 self._relay.receive_reply(frame)
             case NewsDown(news=news):
-                self._limits.record(news.limits)
-                self._subscribers.post_all(news)
+                self._receive_news(news)
             case JoinRequest():
                 self._join_handler.handle_request(frame)
             case _:
@@ -335,6 +339,15 @@
                     "unexpected message from a peer: {}", type(frame).__name__
                 )
 
+    def _receive_news(self, news: LeaderNews) -> None:
+        """Record the leader's news, and pass it on to this replica's gateways."""
+        match news:
+            case KnownLimits(limits=limits):
+                self._limits.record(limits)
+            case KnownCrashes(requests=requests):
+                self._crashes.record(requests)
+        self._subscribers.post_all(news)
+
     def _send_note_up(self, session: SessionId, note: LeaderNote) -> None:
         self._relay.send_up(session, note)
 
@@ -386,6 +399,7 @@
             state=self._machine.state,
             codec=self._grants,
             limits=self._limits,
+            crashes=self._crashes,
             spread=self._relay.spread,
             clock=self._clock,
         )
--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -10,6 +10,7 @@
 from xxhash import xxh3_128_digest
 
 from lychee_control.registry.calls import GrantCodec
+from lychee_control.registry.crashes import CrashBoard
 from lychee_control.registry.heartbeats import HeartbeatTracker
 from lychee_control.registry.limits import LimitBoard, PermitDesk
 from lychee_control.registry.orders import (
@@ -29,6 +30,7 @@
 from lychee_log import Replica
 from lychee_ranges import LoadTracker, RoutedState
 from lychee_types.clock import Clock
+from lychee_types.crash_messages import CrashReport
 from lychee_types.exceptions import InvariantError, LycheeError
 from lychee_types.ids import ServiceName
 from lychee_types.limit_messages import LimitReport, ObservedLimit, PermitRequest
@@ -77,6 +79,7 @@
     :param state: the replicated state, current as of the term's first entry.
     :param codec: translates calls to servers.
     :param limits: what is known of the servers' rate limits.
+    :param crashes: what is known of requests under which servers end.
     :param spread: sends news to all gateways.
     :param clock: source of time.
     """
@@ -89,6 +92,7 @@
         state: RoutedState,
         codec: GrantCodec,
         limits: LimitBoard,
+        crashes: CrashBoard,
         spread: Callable[[LeaderNews], None],
         clock: Clock,
     ) -> None:
@@ -99,6 +103,7 @@
         self._clock = clock
         self._limits = limits
         self._permits = PermitDesk(board=limits, clock=clock)
+        self._crashes = crashes
         self._spread = spread
         self._spread_at = 0.0
         self._heartbeats = HeartbeatTracker(now=clock.monotonic())
@@ -151,6 +156,9 @@
                 self._loads.add_report(note, self._clock.monotonic())
             case LimitReport(limits=limits):
                 self._record_limits(limits)
+            case CrashReport(requests=requests):
+                if self._crashes.record(requests):
+                    self._spread_crashes()
             case PermitRequest(limit=limit):
                 self._record_limits((limit,))
                 return self._permits.answer(note, holds_lease=self._holds_lease())
@@ -262,6 +270,13 @@
             return
         self._spread_at = now + SPREAD_INTERVAL_S
         self._spread_limits()
+        self._spread_crashes()
+
+    def _spread_crashes(self) -> None:
+        """Send what is known of suspected and blocked requests to all gateways."""
+        news = self._crashes.news()
+        if news.requests:
+            self._spread(news)
 
     def _holds_lease(self) -> bool:
         """Return whether this replica's lease excludes any other leader."""
--- a/packages/lychee-control/src/lychee_control/registry/subscribers.py
+++ b/packages/lychee-control/src/lychee_control/registry/subscribers.py
@@ -7,6 +7,7 @@
 
 from lychee_control.registry.machine import RoutedMachine
 from lychee_runtime import Link
+from lychee_types.crash_messages import CrashReport
 from lychee_types.ids import GatewayId, LogIndex, SessionId
 from lychee_types.limit_messages import LimitReport, PermitRequest
 from lychee_types.registry_messages import (
@@ -43,7 +44,7 @@
         machine: RoutedMachine,
         on_note: Callable[[SessionId, LeaderNote], None],
         pulse: Callable[[float], Pulse],
-        news: Callable[[], LeaderNews],
+        news: Callable[[], tuple[LeaderNews, ...]],
     ) -> None:
         self._machine = machine
         self._on_note = on_note
@@ -94,7 +95,7 @@
             case Follow(have=have, sent_at=sent_at):
                 self._add_follower(link, gateway, have)
                 link.post(self._pulse(sent_at))
-            case LoadReport() | LimitReport() | PermitRequest():
+            case LoadReport() | LimitReport() | PermitRequest() | CrashReport():
                 self._on_note(session, message)
 
     def broadcast(self, delta: RoutedDelta) -> None:
@@ -118,7 +119,8 @@
             "a gateway follows this replica"
         )
         self._post_updates(link, have)
-        link.post(self._news())
+        for news in self._news():
+            link.post(news)
 
     def _post_updates(self, link: GatewayLink, have: LogIndex) -> None:
         for update in self._machine.updates_since(have):
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -54,10 +54,12 @@
 
     :param status: its HTTP status.
     :param is_whole: whether it was complete; if not, the caller's answer was truncated.
+    :param is_disconnected: whether the server ended the connection before that.
     """
 
     status: int
     is_whole: bool
+    is_disconnected: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -232,7 +234,7 @@
                 chunk = await conn.read_chunk()
         except (ServerResponseError, TimeoutError):
             exchange.truncate()
-            return PassedOn(status=head.status, is_whole=False)
+            return PassedOn(status=head.status, is_whole=False, is_disconnected=conn.stream.eof)
         await exchange.finish()
         return PassedOn(status=head.status, is_whole=True)
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/crashes.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/crashes.py
@@ -70,6 +70,10 @@
         """Return how a request may be sent."""
         return self._table.verdict(signature, self._clock.monotonic())
 
+    def blocked_for_s(self, signature: RequestSignature) -> float:
+        """Return how long a blocked request stays blocked, in seconds."""
+        return self._table.blocked_for_s(signature, self._clock.monotonic())
+
     def is_running(self, signature: RequestSignature) -> bool:
         """Return whether this gateway is sending the same request just now."""
         return self._running[signature] > 0
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -26,6 +26,7 @@
 from lychee_http.textpage import TextPage
 from lychee_runtime import Daemon, format_dump
 from lychee_types.clock import Clock, SystemClock
+from lychee_types.crash_messages import KnownCrashes
 from lychee_types.ids import DomainName, LogIndex, SessionId
 from lychee_types.limit_messages import KnownLimits, PermitReply
 from lychee_types.registry_messages import LeaderNews, LeaderNote, LeaderReply
@@ -264,7 +265,7 @@
     def _take_notes(self) -> tuple[LeaderNote, ...]:
         """Return what the leader is to know since the last call."""
         load = self._loads.take(self._session, self._servers.take_stats())
-        notes = (load, self._limits.take_report())
+        notes = (load, self._limits.take_report(), self._guard.take_report())
         return tuple(note for note in notes if note is not None)
 
     def _receive_shared(self, message: LeaderReply | LeaderNews) -> None:
@@ -273,6 +274,8 @@
                 self._limits.receive_reply(message)
             case KnownLimits():
                 self._limits.receive_news(message)
+            case KnownCrashes():
+                self._guard.receive_news(message)
 
     def _set_gateway_count(self, count: int) -> None:
         self._servers.set_gateway_count(count)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -25,7 +25,7 @@
 from lychee_http import header_value
 from lychee_http.exceptions import BadRequestError
 from lychee_http.pipelining import CallerExchange, declared_length_error
-from lychee_policy import RetryBudget
+from lychee_policy import RetryBudget, Verdict
 from lychee_types.clock import Clock
 from lychee_types.ids import RequestSignature, ServiceName
 from lychee_types.routing import Route
@@ -48,6 +48,12 @@
 SUCCESS_LOG_INTERVAL = 100
 """One in this many successful requests is logged."""
 
+MAX_ENDS = 2
+"""Ended servers after which a request is sent to no other one before its caller repeats it."""
+
+SUSPECT_RETRY_S = 0.3
+"""Retry delay of a request that is sent to one server at a time, in seconds."""
+
 MIN_ATTEMPT_S = 0.02
 """Remaining time below which no further attempt is made, in seconds."""
 
@@ -81,6 +87,7 @@
     :param attempts: number of attempts that reached a server.
     :param may_have_run: whether a server may have run the request without an answer.
     :param failed_answer: a server's 5xx answer, sent if no other attempt can be made.
+    :param ends: number of servers that ended while they had the request.
     :param signature: the request's signature, None before it is needed.
     :param trail: decisions so far, for the log.
     """
@@ -92,6 +99,7 @@
     attempts: int = 0
     may_have_run: bool = False
     failed_answer: WholeAnswer | None = None
+    ends: int = 0
     signature: RequestSignature | None = None
     trail: list[_Step] = field(default_factory=list)
 
@@ -237,6 +245,10 @@
             rest=lambda: call.exchange.rest_of_body(limit=limit),
         )
         while True:
+            blocked = self._refuse_suspect(call, body)
+            if blocked is not None:
+                await self._give_up(call, blocked)
+                return
             found = await self._selector.select(routed)
             if isinstance(found, NoServer):
                 await self._give_up(call, found)
@@ -249,19 +261,44 @@
             if await self._attempt(call, body, found):
                 return
 
+    def _refuse_suspect(self, call: _Call, body: Body) -> NoServer | None:
+        """Return why a request under which servers have ended is not sent now, None if it is."""
+        if call.ends >= MAX_ENDS:
+            return NoServer(reason="servers end under this request", retry_after_s=SUSPECT_RETRY_S)
+        if not len(self._guard):
+            return None
+        signature = self._signature(call, body)
+        match self._guard.verdict(signature):
+            case Verdict.BLOCKED:
+                self._metrics.count_blocked(call.routed.service)
+                return NoServer(
+                    reason="servers end under this request; it is blocked",
+                    retry_after_s=self._guard.blocked_for_s(signature),
+                )
+            case Verdict.SUSPECTED if call.attempts or self._guard.is_running(signature):
+                return NoServer(
+                    reason="servers ended under this request; it is sent to one at a time",
+                    retry_after_s=SUSPECT_RETRY_S,
+                )
+            case Verdict.SUSPECTED:
+                call.routed.is_suspect = True
+        return None
+
     async def _attempt(self, call: _Call, body: Body, server: ProxyServer) -> bool:
         """Make one attempt; return whether the caller has its final answer."""
         # An attempt that must not be repeated continues even if the caller disconnects.
         call.exchange.is_cancellable = call.is_idempotent
         now = self._clock.monotonic()
         occupied, word_age_ms = server.estimated_occupancy(now), server.occupancy_age_ms(now)
-        attempt = await self._sender.send(
-            exchange=call.exchange,
-            body=body,
-            server=server,
-            deadline=call.routed.deadline,
-            request_id=call.request.request_id,
-        )
+        with self._guard.track(call.signature):
+            attempt = await self._sender.send(
+                exchange=call.exchange,
+                body=body,
+                server=server,
+                deadline=call.routed.deadline,
+                request_id=call.request.request_id,
+            )
+        await self._update_guard(call, body, server, attempt)
         call.exchange.is_cancellable = True
         if call.routed.key is None or _has_lost_key(attempt):
             call.routed.tried.append(server.run)
@@ -293,7 +330,6 @@
             case NoAnswer():
                 call.attempts += 1
                 call.may_have_run = True
-                await self._look_for_end(call, body, server, attempt)
                 return await self._after_no_answer(call, body)
             case TooLate():
                 call.may_have_run = True
@@ -302,12 +338,20 @@
                 )
                 return True
 
-    async def _look_for_end(
-        self, call: _Call, body: Body, server: ProxyServer, attempt: NoAnswer
+    async def _update_guard(
+        self, call: _Call, body: Body, server: ProxyServer, attempt: Attempt
     ) -> None:
-        """Record it if the server has ended, and not just lost an answer."""
-        if not attempt.is_disconnected or not await self._sender.has_ended(server):
-            return
+        """Record whether the server has answered, or has ended and not just lost an answer."""
+        match attempt:
+            case WholeAnswer() | PassedOn(is_whole=True):
+                if call.signature is not None:
+                    self._guard.record_answer(call.signature)
+            case NoAnswer(is_disconnected=True) | PassedOn(is_disconnected=True):
+                if await self._sender.has_ended(server):
+                    self._record_end(call, body, server)
+
+    def _record_end(self, call: _Call, body: Body, server: ProxyServer) -> None:
+        call.ends += 1
         self._guard.record_end(
             self._signature(call, body), server.run, request_id=call.request.request_id
         )
@@ -392,6 +436,12 @@
     ) -> None:
         await exchange.send(*self._codec.reject(rejection, request_id))
 
+    def _known_signature(self, call: _Call) -> str | None:
+        """Return the signature of a request under which servers have ended, for the log."""
+        if call.signature is None or call.signature not in self._guard:
+            return None
+        return call.signature.hex()
+
     def _is_sampled(self) -> bool:
         """Return whether to log this successful request as a sample."""
         self._success_count += 1
@@ -414,7 +464,7 @@
             ms=round(seconds * 1_000),
             attempts=call.attempts,
             trail=call.trail,
-            signature=call.signature.hex() if call.signature is not None else None,
+            signature=self._known_signature(call),
             version=self._view.state.version.number,
             index=self._view.state.index,
         ).info("request answered")
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -47,6 +47,9 @@
         self._server_ends = page.counter(
             "server_ends", "Requests at servers that ended without an answer.", "service"
         )
+        self._blocked = page.counter(
+            "blocked", "Requests not sent because servers end under them.", "service"
+        )
         self._limited = page.counter(
             "limited_attempts", "Attempts at servers that have named a rate limit.", "server"
         )
@@ -74,6 +77,10 @@
         """Count a request at a server that ended without answering it."""
         self._server_ends.labels(service).inc()
 
+    def count_blocked(self, service: ServiceName) -> None:
+        """Count a request that was not sent because servers end under it."""
+        self._blocked.labels(service).inc()
+
     def count_permits(self, outcome: str, count: int) -> None:
         """Count permits for servers with a limit: issued, expired, or taken from the reserve."""
         self._permits.labels(outcome).inc(count)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -43,6 +43,9 @@
 OWNER_DRAIN_SHARE = 0.75
 """Share of the drain time for which a leaving owner still gets requests for its keys."""
 
+SUSPECT_PENALTY_S = 10.0
+"""Added to the score of a server for each request there that a suspect may harm, in seconds."""
+
 MIN_RETRY_S = 0.05
 """Minimum retry delay that is sent to a caller, in seconds."""
 
@@ -60,6 +63,7 @@
     :param arrived_at: monotonic time in seconds at which its head was read.
     :param deadline: monotonic time in seconds by which it must be answered.
     :param tried: servers that are not selected for it again.
+    :param is_suspect: whether servers have ended under it, so that it needs an idle one.
     """
 
     route: Route
@@ -68,6 +72,7 @@
     arrived_at: float
     deadline: float
     tried: list[ServerIncarnation] = field(default_factory=list)
+    is_suspect: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -169,6 +174,8 @@
             if server.record.is_leaving or server.run in request.tried or server.run in skip:
                 continue
             score = self._score(server, now)
+            if request.is_suspect:
+                score += SUSPECT_PENALTY_S * server.estimated_occupancy(now)
             if best is None or score < best_score:
                 best, best_score = server, score
         return best
--- /dev/null
+++ b/packages/lychee-gateway/tests/test_crashes.py
@@ -0,0 +1,107 @@
+"""What a gateway knows of requests under which servers end, and what it tells the leader."""
+
+from itertools import product
+
+import pytest
+
+from lychee_gateway.proxy import CallerRequest
+from lychee_gateway.proxy.crashes import (
+    RECENT_S,
+    REPORT_INTERVAL_S,
+    CrashGuard,
+    request_signature,
+)
+from lychee_policy import Verdict
+from lychee_types.crash_messages import KnownCrashes
+from lychee_types.ids import Incarnation, RequestSignature, ServerId
+from lychee_types.registry import ServerIncarnation
+from lychee_types.testing import ManualClock
+
+SIGNATURE = RequestSignature(b"one")
+
+
+def server(number):
+    return ServerIncarnation(server=ServerId(f"s{number}"), incarnation=Incarnation(1))
+
+
+class Setup:
+    """Gateways that have seen servers end under one request."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+
+    def guard(self, *, ends=()):
+        guard = CrashGuard(clock=self.clock)
+        for number in ends:
+            guard.record_end(SIGNATURE, server(number), request_id=f"q{number}")
+            self.clock.advance(1.0)
+        return guard
+
+    def tell(self, guard, *reports):
+        for report in reports:
+            guard.receive_news(KnownCrashes(requests=report.requests))
+
+
+def signature_of(*, account=b"", target=b"/a", method=b"GET", body=b"", length=None, key=None):
+    request = CallerRequest(
+        request_id="q", host="x", path="/a", timeout_s=1.0, key=key, account=account
+    )
+    return request_signature(
+        request, method=method, target=target, body=body, declared_length=length
+    )
+
+
+def test_a_repeat_has_the_same_signature_and_any_other_request_another():
+    kinds = [
+        {},
+        {"account": b"b"},
+        {"target": b"/b"},
+        {"target": b"/a?c"},
+        {"method": b"POST"},
+        {"body": b"c"},
+        {"length": b"70000"},
+        {"key": 7},
+    ]
+    for one, other in product(range(len(kinds)), repeat=2):
+        is_same = signature_of(**kinds[one]) == signature_of(**kinds[other])
+        assert is_same is (one == other)
+
+
+def test_ends_at_several_gateways_add_up():
+    setup = Setup()
+    one, other = setup.guard(ends=[0]), setup.guard(ends=[1, 2])
+    assert one.verdict(SIGNATURE) is Verdict.FREE
+    setup.tell(one, other.take_report())
+    assert one.verdict(SIGNATURE) is Verdict.BLOCKED
+    assert one.blocked_for_s(SIGNATURE) > 0
+
+
+def test_an_answer_at_another_gateway_frees_a_suspect():
+    setup = Setup()
+    one, other = setup.guard(ends=[0, 1]), setup.guard()
+    setup.tell(other, one.take_report())
+    assert other.verdict(SIGNATURE) is Verdict.SUSPECTED
+    other.record_answer(SIGNATURE)
+    setup.tell(one, other.take_report())
+    assert one.verdict(SIGNATURE) is Verdict.FREE
+
+
+def test_recent_ends_are_reported_again_for_a_new_leader():
+    setup = Setup()
+    guard = setup.guard(ends=[0])
+    assert guard.take_report() is not None
+    assert guard.take_report() is None
+    setup.clock.advance(REPORT_INTERVAL_S)
+    assert len(guard.take_report().requests[0].ends) == 1
+    setup.clock.advance(RECENT_S)
+    guard.take_report()
+    setup.clock.advance(REPORT_INTERVAL_S)
+    assert guard.take_report() is None
+
+
+def test_a_request_is_running_until_its_attempt_ends():
+    guard = Setup().guard()
+    with pytest.raises(ValueError, match="ended"), guard.track(SIGNATURE):
+        assert guard.is_running(SIGNATURE)
+        raise ValueError("ended")
+    assert not guard.is_running(SIGNATURE)
--- a/packages/lychee-policy/src/lychee_policy/crashes.py
+++ b/packages/lychee-policy/src/lychee_policy/crashes.py
@@ -29,11 +29,14 @@
 BLOCK_S = 3_600.0
 """The same for a blocked request, in seconds."""
 
+MAX_ENDS = 16
+"""Number of ends of one request from which only those that change its verdict are kept."""
+
 MAX_REQUESTS = 4_096
 """Maximum number of requests that are remembered."""
 
-MAX_SHARED = 500
-"""Maximum number of requests that are shared with other processes."""
+MAX_SHARED = 100
+"""Maximum number of requests that are shared with other processes at once."""
 
 
 class Verdict(Enum):
@@ -55,6 +58,11 @@
     ends: dict[ServerIncarnation, float] = field(default_factory=dict)
     answered_at: float | None = None
 
+    @property
+    def latest_at(self) -> float:
+        """Return the monotonic time of the last end or answer, in seconds."""
+        return max((*self.ends.values(), self.answered_at or 0.0))
+
 
 class CrashTable:
     """Requests under which servers have ended, by signature.
@@ -87,6 +95,8 @@
             self._limit_size()
         if run in request.ends or at <= (request.answered_at or 0.0):
             return False
+        if len(request.ends) >= MAX_ENDS and not self._adds_a_cause(signature, at):
+            return False
         request.ends[run] = at
         return True
 
@@ -124,6 +134,17 @@
             return Verdict.BLOCKED
         return Verdict.SUSPECTED if ends >= SUSPECT_AFTER else Verdict.FREE
 
+    def blocked_for_s(self, signature: RequestSignature, now: float) -> float:
+        """Return how long a request stays blocked, in seconds.
+
+        :param signature: the request's signature.
+        :param now: monotonic time in seconds.
+        """
+        counted = self._counted_ends(signature, now)
+        if len(counted) < BLOCK_AFTER:
+            return 0.0
+        return counted[-BLOCK_AFTER] + BLOCK_S - now
+
     def drop_old(self, now: float) -> None:
         """Forget requests of which nothing counts any more."""
         old = [
@@ -154,7 +175,7 @@
             for signature, request in self._requests.items()
             if request.answered_at is not None or self.verdict(signature, now) is not Verdict.FREE
         ]
-        signatures.sort(key=lambda signature: len(self._requests[signature].ends))
+        signatures.sort(key=lambda signature: self._requests[signature].latest_at)
         return self.export(signatures[-MAX_SHARED:], now)
 
     def merge(self, known: KnownRequest, now: float) -> bool:
@@ -184,6 +205,12 @@
         longest_s = BLOCK_S if len(counted) >= BLOCK_AFTER else SUSPECT_S
         return [at for at in counted if now - at <= longest_s]
 
+    def _adds_a_cause(self, signature: RequestSignature, at: float) -> bool:
+        """Return whether an end at a time makes a difference to the verdict."""
+        counted = self._counted_ends(signature, at)
+        is_apart = all(abs(at - other) >= SAME_CAUSE_S for other in counted)
+        return len(counted) < BLOCK_AFTER and is_apart
+
     def _limit_size(self) -> None:
         """Remove the oldest of the requests with the fewest ends, unless there is room."""
         if len(self._requests) <= MAX_REQUESTS:
