End proposals that a full disk keeps from being applied

Cause: two followers store an entry, so it is committed, before the leader's own write fails for want of space. The leader steps down and fails the proposals above its commit index; this one is not above it. It is not applied either, as only what is on the own disk is, so nobody ends it until the disk has room. Change: while the disk has a fault, proposals above what is committed and stored here end as unknown. Callers of the library waited without end; the registry's calls ended after their 0.9 s.

--- a/packages/lychee-log/src/lychee_log/replica.py
+++ b/packages/lychee-log/src/lychee_log/replica.py
@@ -321,6 +321,9 @@
                 self._proposals.reject(batch, appended.error)
         for effect in core.flush(now):
             self._perform(core, effect)
+        if core.state.disk_fault is not None:
+            # What only the others could store is not applied here before the disk has room.
+            self._proposals.fail_as_unknown(above=core.state.durable_commit_index)
 
     def _perform(self, core: Core, effect: Effect) -> None:
         match effect:
--- a/packages/lychee-log/tests/test_replica.py
+++ b/packages/lychee-log/tests/test_replica.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
+from threading import Event
 
 import pytest
 
@@ -53,12 +54,18 @@
 
 
 class FaultyDisk(SystemDisk):
-    """Disk whose syncs fail with the error number in ``fault``, unless it is 0."""
+    """Disk whose syncs fail with the error number in ``fault``, unless it is 0.
+
+    While ``gate`` is cleared, syncs wait.
+    """
 
     def __init__(self) -> None:
         self.fault = 0
+        self.gate = Event()
+        self.gate.set()
 
     def sync(self, fd: int) -> None:
+        self.gate.wait(SCENARIO_TIMEOUT_S)
         if self.fault:
             raise OSError(self.fault, os.strerror(self.fault))
         super().sync(fd)
@@ -275,6 +282,29 @@
     asyncio.run(scenario())
 
 
+def test_a_proposal_that_only_the_others_could_store_ends_when_the_disk_is_full(
+    tmp_path: Path,
+) -> None:
+    async def scenario() -> None:
+        async with running_group(data_folder=tmp_path, initial_voters="abc") as group:
+            await group.propose(b"before")
+            faulty = await group.leader()
+            others = [node for node in group.nodes.values() if node is not faulty]
+            faulty.disk.gate.clear()
+            outcome = asyncio.ensure_future(faulty.replica.propose(b"stored"))
+            try:
+                await group.wait_until(
+                    lambda: any(b"stored" in node.machine.items for node in others)
+                )
+                faulty.disk.fault = errno.ENOSPC
+            finally:
+                faulty.disk.gate.set()
+            with pytest.raises(UnavailableError):
+                await outcome
+
+    asyncio.run(scenario())
+
+
 def test_a_failed_sync_stops_the_replica(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with running_group(data_folder=tmp_path, initial_voters="a") as group:
