Count the drain time from when a server may have been allowed to leave

By reading: the owner of keys is used for 1.5 s after a gateway learns that it leaves, and opening a connection may take 0.5 s more.

Change: the time counts from the moment as of which the gateway's state was last known to be complete, before which the ack cannot have been; a server that was leaving when the gateway first hears of it counts as having left. Whatever opens a connection looks again before it sends, at 1.8 s. Three cases of test_placing.py show it (their interface is new, so they were not run on the code before).

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/age.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/age.py
@@ -37,6 +37,11 @@
         self._change = asyncio.Event()
         view.add_listener(self._record_change)
 
+    @property
+    def confirmed_at(self) -> float:
+        """Return the monotonic time as of which the state is complete, -inf if it is not known."""
+        return -math.inf if self._confirmed_at is None else self._confirmed_at
+
     @property
     def age_s(self) -> float:
         """Return the maximum age of the state in seconds, infinite if it is not known."""
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -18,6 +18,11 @@
 END_CHECK_S = 0.1
 """Maximum wait for a connection that shows that a server still listens, in seconds."""
 
+LAST_SEND_SHARE = 0.9
+"""Share of the drain time after which nothing is sent to a leaving server, however late it opened
+a connection.
+"""
+
 MAX_BUFFERED_ANSWER_BYTES = 16_384
 """Maximum size of an answer that is buffered whole before any of it is sent to the caller."""
 
@@ -102,12 +107,16 @@
 
     :param codec: translates request and response heads.
     :param limits: rate limits of the servers.
+    :param drain_s: time after which a leaving server must get no more requests, in seconds.
     :param clock: source of time.
     """
 
-    def __init__(self, *, codec: ProxyCodec, limits: ServerLimits, clock: Clock) -> None:
+    def __init__(
+        self, *, codec: ProxyCodec, limits: ServerLimits, drain_s: float, clock: Clock
+    ) -> None:
         self._codec = codec
         self._limits = limits
+        self._last_send_s = drain_s * LAST_SEND_SHARE
         self._clock = clock
 
     async def send(
@@ -165,6 +174,8 @@
         remaining_s = deadline - self._clock.monotonic()
         if remaining_s <= 0:
             return NotRun(reason="the time was up before it was sent", was_sent=False)
+        if server.has_drained(self._clock.monotonic(), self._last_send_s):
+            return NotRun(reason="the server left before it was sent", was_sent=False)
         head = self._codec.forward_request(
             exchange.head, server=server.run.server, remaining_s=remaining_s
         )
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -88,7 +88,7 @@
         self._session = SessionId(uuid4().hex)
         self._view = RoutedView()
         self._age = StateAge(view=self._view, clock=self._clock, apply_s=cfg.bounds.apply_s)
-        self._servers = ServerList(clock=self._clock)
+        self._servers = ServerList(clock=self._clock, as_of=lambda: self._age.confirmed_at)
         self._loads = KeyLoads(clock=self._clock)
         self._metrics = ProxyMetrics(
             under_way=self._under_way,
@@ -116,7 +116,12 @@
             view=self._view,
             age=self._age,
             selector=self._selector,
-            sender=Sender(codec=codec, limits=self._limits, clock=self._clock),
+            sender=Sender(
+                codec=codec,
+                limits=self._limits,
+                drain_s=cfg.bounds.drain_s,
+                clock=self._clock,
+            ),
             codec=codec,
             loads=self._loads,
             guard=self._guard,
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -272,9 +272,7 @@
 
     def _has_drained(self, owner: ProxyServer) -> bool:
         """Return whether a leaving owner gets no more requests, even if it still owns its keys."""
-        if owner.leaving_since is None:
-            return False
-        return self._clock.monotonic() - owner.leaving_since > self._drain_s * OWNER_DRAIN_SHARE
+        return owner.has_drained(self._clock.monotonic(), self._drain_s * OWNER_DRAIN_SHARE)
 
     async def _wait_for_change(self, timeout_s: float) -> None:
         if self._state_change is None:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -1,6 +1,6 @@
 """Connections, load, service time and failures of each backend server, as seen by this gateway."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from math import exp
@@ -71,6 +71,8 @@
 
     :param record: its registration.
     :param now: current monotonic time in seconds.
+    :param leaving_since: earliest monotonic time at which it may have been allowed to leave, in
+        seconds; None if it stays.
     :param gateway_count: approximate number of gateways.
     :param service_time_s: assumed mean service time until it has been measured, in seconds.
     """
@@ -80,6 +82,7 @@
         *,
         record: RegisteredServer,
         now: float,
+        leaving_since: float | None = None,
         gateway_count: int = 1,
         service_time_s: float = INITIAL_SERVICE_TIME_S,
     ) -> None:
@@ -93,7 +96,7 @@
         self._others_occupancy = 0.0
         self._occupancy_at = now - 10 * OCCUPANCY_DECAY_S
         self._has_occupancy = False
-        self.leaving_since: float | None = now if record.is_leaving else None
+        self.leaving_since = leaving_since
         self._cold_until = now + record.cold_s
         self._failures = 0
         self._ejected_until = 0.0
@@ -111,11 +114,19 @@
         """Number of requests that the server works on at once."""
         return max(1, self.record.slots)
 
-    def update(self, record: RegisteredServer, now: float) -> None:
-        """Replace the registration of the same incarnation."""
+    def update(self, record: RegisteredServer, *, as_of: float) -> None:
+        """Replace the registration of the same incarnation.
+
+        :param record: the registration.
+        :param as_of: monotonic time as of which the former one was known to hold, in seconds.
+        """
         self.record = record
         if record.is_leaving and self.leaving_since is None:
-            self.leaving_since = now
+            self.leaving_since = as_of
+
+    def has_drained(self, now: float, after_s: float) -> bool:
+        """Return whether the server may have been allowed to leave longer ago than ``after_s``."""
+        return self.leaving_since is not None and now - self.leaving_since > after_s
 
     def estimated_occupancy(self, now: float) -> float:
         """Return the estimated number of its requests, including those of other gateways."""
@@ -231,10 +242,13 @@
     """The registered servers, by service.
 
     :param clock: source of time.
+    :param as_of: returns the monotonic time as of which the state before the one that is passed to
+        :meth:`sync` was known to be complete, in seconds; -inf if it never was.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, as_of: Callable[[], float]) -> None:
         self._clock = clock
+        self._as_of = as_of
         self._gateway_count = 1
         self._by_id: dict[ServerId, ProxyServer] = {}
         self._by_service: dict[ServiceName, list[ProxyServer]] = {}
@@ -247,7 +261,7 @@
 
     def sync(self, state: RoutedState) -> None:
         """Add, update and remove servers to match the registrations in the state."""
-        now = self._clock.monotonic()
+        now, as_of = self._clock.monotonic(), self._as_of()
         for server_id, server in tuple(self._by_id.items()):
             record = state.servers.get(server_id)
             if (
@@ -263,11 +277,12 @@
                 self._by_id[server_id] = ProxyServer(
                     record=record,
                     now=now,
+                    leaving_since=as_of if record.is_leaving else None,
                     gateway_count=self._gateway_count,
                     service_time_s=self._mean_service_time_s(record.service),
                 )
             else:
-                known.update(record, now)
+                known.update(record, as_of=as_of)
         self._by_service = {}
         for server in self._by_id.values():
             self._by_service.setdefault(server.record.service, []).append(server)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/testing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/testing.py
@@ -241,7 +241,7 @@
 
     def _gateway(self, expected: int) -> ServerSelector:
         view = RoutedView()
-        servers = ServerList(clock=self.clock)
+        servers = ServerList(clock=self.clock, as_of=self.clock.monotonic)
         view.add_listener(lambda: servers.sync(view.state))
         view.install_snapshot(RoutedSnapshot.of(self._image()))
         servers.set_gateway_count(expected)
--- a/packages/lychee-gateway/tests/test_placing.py
+++ b/packages/lychee-gateway/tests/test_placing.py
@@ -68,7 +68,8 @@
     def __init__(self, *records, ranges=()):
         self.clock = ManualClock()
         self.view = RoutedView()
-        self.servers = ServerList(clock=self.clock)
+        self.as_of = None
+        self.servers = ServerList(clock=self.clock, as_of=self._as_of)
         self.limits = make_limits(self.clock)
         self.selector = ServerSelector(
             view=self.view,
@@ -84,6 +85,9 @@
         self.index = 0
         self.install(*records, ranges=ranges)
 
+    def _as_of(self):
+        return self.clock.monotonic() if self.as_of is None else self.as_of
+
     def install(self, *records, ranges=(), routes=()):
         self.index += 1
         routing = Routing(hosts=(VirtualHost(host="h", routes=tuple(routes)),))
@@ -276,6 +280,22 @@
     assert isinstance(run(body()), NoServer)
 
 
+@pytest.mark.parametrize(("late_s", "is_used"), [(0.4, True), (1.6, False)])
+def test_the_drain_time_begins_when_the_owner_may_have_been_allowed_to_leave(late_s, is_used):
+    setup = Setup(record("a"), ranges=[all_keys(GrantPhase.ACTIVE)])
+    setup.as_of = setup.clock.monotonic()
+    setup.clock.advance(late_s)
+    setup.install(record("a", is_leaving=True), ranges=[all_keys(GrantPhase.ACTIVE)])
+    assert setup.server("a").has_drained(setup.clock.monotonic(), 1.5) is not is_used
+
+
+def test_a_server_that_is_leaving_when_a_gateway_first_hears_of_it_may_have_left():
+    setup = Setup()
+    setup.as_of = float("-inf")
+    setup.install(record("a", is_leaving=True))
+    assert setup.server("a").has_drained(setup.clock.monotonic(), 1.5)
+
+
 def test_a_request_is_refused_if_its_answer_would_miss_the_target_latency():
     setup = Setup(record("a"))
     setup.server("a").service_time_s = 0.15
