--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -12,7 +12,6 @@
 from lychee_http import RequestHead, ResponseHead, ServerConnection, header_value
 from lychee_http.exceptions import BadRequestError, CallerGoneError, ServerResponseError
 from lychee_http.pipelining import CallerExchange
-from lychee_policy import LimitObservation
 from lychee_types.clock import Clock
 
 END_CHECK_S = 0.1
@@ -216,12 +215,7 @@
             server.record_answer(in_flight, seconds)
         # Answers that a server gives without running the request may lack the header.
         if info.limit_per_s is not None or not info.is_not_run:
-            observation = LimitObservation(
-                per_s=info.limit_per_s,
-                sent_at=in_flight.sent_at,
-                heard_at=self._clock.monotonic(),
-            )
-            self._limits.record(server.run, observation)
+            self._limits.record(server.run, info.limit_per_s, sent_at=in_flight.sent_at)
 
     async def _read_answer(
         self, conn: ServerConnection, answer: ResponseHead, exchange: CallerExchange
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/limits.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/limits.py
@@ -125,8 +125,17 @@
         """Return a server's limit in requests per second, None if it has none."""
         return self._table.limit_per_s(run)
 
-    def record(self, run: ServerIncarnation, observation: LimitObservation) -> None:
-        """Record what an answer says of its server's limit."""
+    def record(self, run: ServerIncarnation, per_s: float | None, *, sent_at: float) -> None:
+        """Record what an answer that has just arrived says of its server's limit.
+
+        :param run: the server.
+        :param per_s: the limit in requests per second, None if it names none.
+        :param sent_at: monotonic time at which the request was sent, in seconds.
+        """
+        if per_s is None and run not in self._table:
+            return
+        now = self._clock.monotonic()
+        observation = LimitObservation(per_s=per_s, sent_at=sent_at, heard_at=now)
         if self._table.record(run, observation):
             self._has_news = True
             self._log_change(run)
--- a/packages/lychee-gateway/tests/test_limits.py
+++ b/packages/lychee-gateway/tests/test_limits.py
@@ -11,7 +11,7 @@
     PermitTaken,
     ServerLimits,
 )
-from lychee_policy import PERMIT_HOLD_S, LimitObservation
+from lychee_policy import PERMIT_HOLD_S
 from lychee_types.ids import Incarnation, ServerId
 from lychee_types.limit_messages import KnownLimits, ObservedLimit, PermitReply
 from lychee_types.registry import ServerIncarnation
@@ -37,10 +37,8 @@
             self.hear(limit_per_s)
 
     def hear(self, limit_per_s, *, sent_s_ago=0.0):
-        now = self.clock.monotonic()
-        self.limits.record(
-            RUN, LimitObservation(per_s=limit_per_s, sent_at=now - sent_s_ago, heard_at=now)
-        )
+        sent_at = self.clock.monotonic() - sent_s_ago
+        self.limits.record(RUN, limit_per_s, sent_at=sent_at)
 
     def reply(self, count, *, retry_after_ms=100, number=None):
         number = self.questions[-1].number if number is None else number
--- a/packages/lychee-policy/src/lychee_policy/rate_limits.py
+++ b/packages/lychee-policy/src/lychee_policy/rate_limits.py
@@ -47,6 +47,10 @@
         """Return how many servers have a limit now."""
         return sum(known.per_s is not None for known in self._known.values())
 
+    def __contains__(self, run: ServerIncarnation) -> bool:
+        """Return whether anything is known of a server."""
+        return run in self._known
+
     def limit_per_s(self, run: ServerIncarnation) -> float | None:
         """Return a server's limit in requests per second, None if it has none."""
         known = self._known.get(run)
