Find the request to forget without a look at all of them

Of 4,096 known requests under which servers ended, the one with the fewest ends was looked for among all: 629 us for each new one, with many different requests that end servers. The oldest with one end is nearly always among the first: 3.9 us. Which request is forgotten is the same; the table's 15 tests pass.

--- a/packages/lychee-policy/src/lychee_policy/crashes.py
+++ b/packages/lychee-policy/src/lychee_policy/crashes.py
@@ -212,12 +212,15 @@
         return len(counted) < BLOCK_AFTER and is_apart
 
     def _limit_size(self) -> None:
-        """Remove the oldest of the requests with the fewest ends, unless there is room."""
+        """Remove the oldest request with the fewest ends, unless there is room."""
         if len(self._requests) <= MAX_REQUESTS:
             return
-        oldest = list(self._requests)[:-1]
-        fewest = min(oldest, key=lambda signature: len(self._requests[signature].ends))
-        del self._requests[fewest]
+        newest = next(reversed(self._requests))
+        for most_ends in range(1, MAX_ENDS + BLOCK_AFTER):
+            for signature, request in self._requests.items():
+                if len(request.ends) <= most_ends and signature != newest:
+                    del self._requests[signature]
+                    return
 
 
 def _export(signature: RequestSignature, request: _Request, now: float) -> KnownRequest:
