--- a/packages/lychee-ranges/src/lychee_ranges/sub_ranges.py
+++ b/packages/lychee-ranges/src/lychee_ranges/sub_ranges.py
@@ -52,15 +52,16 @@
     def hottest_bucket(self, donor: ServerRanges) -> SubRange | None:
         """Return a server's busiest bucket, None if it has none with requests."""
         rates = self._rates_of(donor)
-        return max(
-            (
-                _sub_range(key_range, bucket, bucket, rates[bucket])
-                for key_range in donor.movable_ranges
-                for bucket in self._buckets_in(key_range.low, key_range.high)
-            ),
-            default=None,
-            key=lambda sub_range: (sub_range.rate, sub_range.low),
-        )
+        best: tuple[float, int] | None = None
+        source: KeyRange | None = None
+        for key_range in donor.movable_ranges:
+            for bucket in self._buckets_in(key_range.low, key_range.high):
+                if best is None or (rates[bucket], bucket) > best:
+                    best, source = (rates[bucket], bucket), key_range
+        if best is None or source is None:
+            return None
+        rate, bucket = best
+        return _sub_range(source, bucket, bucket, rate)
 
     def find_end(self, donor: ServerRanges, target_rate: float) -> SubRange | None:
         """Return the end of a range with at most a target rate, None if all are far below it.
