Give the state of a forwarded request a module of its own

The state of one request, the trail of its log line and the words for outcomes move to proxy/calls.py; nothing is decided differently. 80 tests of the path, the log lines and the placing pass.

--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/calls.py
@@ -0,0 +1,88 @@
+"""State of a request until its final answer, and the trail of decisions in its log line."""
+
+from dataclasses import dataclass, field
+
+from lychee_gateway.proxy.attempts import (
+    Attempt,
+    NoAnswer,
+    NotRun,
+    PassedOn,
+    TooLate,
+    WholeAnswer,
+)
+from lychee_gateway.proxy.codec import CallerRequest
+from lychee_gateway.proxy.placing import RoutedRequest
+from lychee_http.pipelining import CallerExchange
+from lychee_types.ids import RequestSignature
+from lychee_types.routing import Route
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Step:
+    """One entry of a request's `trail` in the log; its field names are part of the log line.
+
+    :param outcome: result of the attempt, or why none was made.
+    :param at_ms: time from the request's arrival to the decision, in ms.
+    :param server: the selected server, empty if there was none.
+    :param occupied: estimated number of requests at the server.
+    :param word_age_ms: age of its last reported occupancy in ms, -1 if it has reported none.
+    """
+
+    outcome: str
+    at_ms: int
+    server: str = ""
+    occupied: float = 0.0
+    word_age_ms: int = -1
+
+
+@dataclass(kw_only=True, slots=True)
+class Call:
+    """State of a request until its final answer.
+
+    :param exchange: the exchange with the caller.
+    :param request: the decoded request head.
+    :param route: the matching route.
+    :param routed: the request as passed to the server selector.
+    :param attempts: number of attempts that reached a server.
+    :param may_have_run: whether a server may have run the request without an answer.
+    :param failed_answer: a server's 5xx answer, sent if no other attempt can be made.
+    :param ends: number of servers that ended while they had the request.
+    :param signature: the request's signature, None before it is needed.
+    :param trail: decisions so far, for the log.
+    """
+
+    exchange: CallerExchange
+    request: CallerRequest
+    route: Route
+    routed: RoutedRequest
+    attempts: int = 0
+    may_have_run: bool = False
+    failed_answer: WholeAnswer | None = None
+    ends: int = 0
+    signature: RequestSignature | None = None
+    trail: list[Step] = field(default_factory=list)
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Return whether the request may be run more than once."""
+        return self.route.kind.is_idempotent
+
+
+def has_lost_key(attempt: Attempt) -> bool:
+    """Return whether a key's owner must not be selected again for this request."""
+    return isinstance(attempt, NotRun) and (attempt.is_misdirected or not attempt.was_sent)
+
+
+def describe(attempt: Attempt) -> str:
+    """Return the outcome of an attempt for the log."""
+    match attempt:
+        case WholeAnswer(head=head):
+            return f"answered {head.status}"
+        case PassedOn(status=status, is_whole=is_whole):
+            return f"passed on {status}{'' if is_whole else ', cut short'}"
+        case NotRun(reason=reason):
+            return f"not run, {reason}"
+        case NoAnswer(reason=reason):
+            return f"no answer, {reason}"
+        case TooLate():
+            return "late"
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -1,7 +1,5 @@
 """Forward a caller's request: route it, make attempts at servers, send the final answer."""
 
-from dataclasses import dataclass, field
-
 from loguru import logger
 
 from lychee_gateway.proxy.age import StateAge
@@ -15,6 +13,7 @@
     TooLate,
     WholeAnswer,
 )
+from lychee_gateway.proxy.calls import Call, Step, describe, has_lost_key
 from lychee_gateway.proxy.codec import CallerRequest, ProxyCodec, Rejection
 from lychee_gateway.proxy.crashes import CrashGuard, request_signature
 from lychee_gateway.proxy.loads import KeyLoads
@@ -58,56 +57,6 @@
 """Remaining time below which no further attempt is made, in seconds."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Step:
-    """One entry of a request's `trail` in the log; class and field names are part of the log line.
-
-    :param outcome: result of the attempt, or why none was made.
-    :param at_ms: time from the request's arrival to the decision, in ms.
-    :param server: the selected server, empty if there was none.
-    :param occupied: estimated number of requests at the server.
-    :param word_age_ms: age of its last reported occupancy in ms, -1 if it has reported none.
-    """
-
-    outcome: str
-    at_ms: int
-    server: str = ""
-    occupied: float = 0.0
-    word_age_ms: int = -1
-
-
-@dataclass(kw_only=True, slots=True)
-class _Call:
-    """State of a request until its final answer.
-
-    :param exchange: the exchange with the caller.
-    :param request: the decoded request head.
-    :param route: the matching route.
-    :param routed: the request as passed to the server selector.
-    :param attempts: number of attempts that reached a server.
-    :param may_have_run: whether a server may have run the request without an answer.
-    :param failed_answer: a server's 5xx answer, sent if no other attempt can be made.
-    :param ends: number of servers that ended while they had the request.
-    :param signature: the request's signature, None before it is needed.
-    :param trail: decisions so far, for the log.
-    """
-
-    exchange: CallerExchange
-    request: CallerRequest
-    route: Route
-    routed: RoutedRequest
-    attempts: int = 0
-    may_have_run: bool = False
-    failed_answer: WholeAnswer | None = None
-    ends: int = 0
-    signature: RequestSignature | None = None
-    trail: list[_Step] = field(default_factory=list)
-
-    @property
-    def is_idempotent(self) -> bool:
-        return self.route.kind.is_idempotent
-
-
 class Forwarder:
     """Answers callers' requests by forwarding them to servers.
 
@@ -214,7 +163,7 @@
 
     def _make_call(
         self, exchange: CallerExchange, request: CallerRequest, route: Route, arrived_at: float
-    ) -> _Call | Rejection:
+    ) -> Call | Rejection:
         timeout_s = route.timeout_s
         if request.timeout_s is not None:
             timeout_s = min(timeout_s, request.timeout_s)
@@ -230,9 +179,9 @@
             arrived_at=arrived_at,
             deadline=arrived_at + max(0.0, timeout_s - ANSWER_MARGIN_S),
         )
-        return _Call(exchange=exchange, request=request, route=route, routed=routed)
+        return Call(exchange=exchange, request=request, route=route, routed=routed)
 
-    async def _run(self, call: _Call) -> None:
+    async def _run(self, call: Call) -> None:
         routed = call.routed
         self._budget(routed.service).count_request(routed.arrived_at)
         if routed.key is not None:
@@ -261,7 +210,7 @@
             if await self._attempt(call, body, found):
                 return
 
-    def _refuse_suspect(self, call: _Call, body: Body) -> NoServer | None:
+    def _refuse_suspect(self, call: Call, body: Body) -> NoServer | None:
         """Return why a request under which servers have ended is not sent now, None if it is."""
         if call.ends >= MAX_ENDS:
             return NoServer(reason="servers end under this request", retry_after_s=SUSPECT_RETRY_S)
@@ -284,7 +233,7 @@
                 call.routed.is_suspect = True
         return None
 
-    async def _attempt(self, call: _Call, body: Body, server: ProxyServer) -> bool:
+    async def _attempt(self, call: Call, body: Body, server: ProxyServer) -> bool:
         """Make one attempt; return whether the caller has its final answer."""
         # An attempt that must not be repeated continues even if the caller disconnects.
         call.exchange.is_cancellable = call.is_idempotent
@@ -300,15 +249,15 @@
             )
         await self._update_guard(call, body, server, attempt)
         call.exchange.is_cancellable = True
-        if call.routed.key is None or _has_lost_key(attempt):
+        if call.routed.key is None or has_lost_key(attempt):
             call.routed.tried.append(server.run)
         call.trail.append(
-            _Step(
+            Step(
                 server=server.run.server,
                 occupied=round(occupied, 1),
                 word_age_ms=word_age_ms,
                 at_ms=round((now - call.routed.arrived_at) * 1_000),
-                outcome=_describe(attempt),
+                outcome=describe(attempt),
             )
         )
         self._metrics.count_attempt(call.routed.service, type(attempt).__name__)
@@ -339,7 +288,7 @@
                 return True
 
     async def _update_guard(
-        self, call: _Call, body: Body, server: ProxyServer, attempt: Attempt
+        self, call: Call, body: Body, server: ProxyServer, attempt: Attempt
     ) -> None:
         """Record whether the server has answered, or has ended and not just lost an answer."""
         match attempt:
@@ -350,14 +299,14 @@
                 if await self._sender.has_ended(server):
                     self._record_end(call, body, server)
 
-    def _record_end(self, call: _Call, body: Body, server: ProxyServer) -> None:
+    def _record_end(self, call: Call, body: Body, server: ProxyServer) -> None:
         call.ends += 1
         self._guard.record_end(
             self._signature(call, body), server.run, request_id=call.request.request_id
         )
         self._metrics.count_server_end(call.routed.service)
 
-    def _signature(self, call: _Call, body: Body) -> RequestSignature:
+    def _signature(self, call: Call, body: Body) -> RequestSignature:
         if call.signature is None:
             head = call.exchange.head
             call.signature = request_signature(
@@ -369,13 +318,13 @@
             )
         return call.signature
 
-    async def _after_not_run(self, call: _Call, body: Body) -> bool:
+    async def _after_not_run(self, call: Call, body: Body) -> bool:
         if self._has_attempt_left(call, body):
             return False
         await self._give_up(call, NoServer(reason="no server ran it", retry_after_s=0.1))
         return True
 
-    async def _after_no_answer(self, call: _Call, body: Body) -> bool:
+    async def _after_no_answer(self, call: Call, body: Body) -> bool:
         if call.exchange.response_started:
             call.exchange.truncate()
             self._log(call, status=502)
@@ -387,19 +336,19 @@
         )
         return True
 
-    def _can_repeat(self, call: _Call, body: Body) -> bool:
+    def _can_repeat(self, call: Call, body: Body) -> bool:
         return call.is_idempotent and self._has_attempt_left(
             call, body, attempts_made=call.attempts + 1
         )
 
     def _has_attempt_left(
-        self, call: _Call, body: Body, *, attempts_made: int | None = None
+        self, call: Call, body: Body, *, attempts_made: int | None = None
     ) -> bool:
         attempts_made = call.attempts if attempts_made is None else attempts_made
         left_s = call.routed.deadline - self._clock.monotonic()
         return attempts_made < call.route.max_attempts and left_s >= MIN_ATTEMPT_S and body.is_whole
 
-    def _try_spend_retry(self, call: _Call) -> bool:
+    def _try_spend_retry(self, call: Call) -> bool:
         return self._budget(call.routed.service).try_spend(self._clock.monotonic())
 
     def _budget(self, service: ServiceName) -> RetryBudget:
@@ -408,7 +357,7 @@
             budget = self._budgets[service] = RetryBudget(share=self._retry_share)
         return budget
 
-    async def _give_up(self, call: _Call, refusal: NoServer) -> None:
+    async def _give_up(self, call: Call, refusal: NoServer) -> None:
         """Send the final answer of a request for which no further attempt is made."""
         if call.failed_answer is not None:
             await call.exchange.send(call.failed_answer.head, call.failed_answer.body)
@@ -422,9 +371,9 @@
             )
             await self._end_with_rejection(call, rejection)
 
-    async def _end_with_rejection(self, call: _Call, rejection: Rejection) -> None:
+    async def _end_with_rejection(self, call: Call, rejection: Rejection) -> None:
         at_ms = round((self._clock.monotonic() - call.routed.arrived_at) * 1_000)
-        call.trail.append(_Step(outcome=rejection.reason, at_ms=at_ms))
+        call.trail.append(Step(outcome=rejection.reason, at_ms=at_ms))
         self._log(call, status=rejection.status)
         if call.exchange.response_started:
             call.exchange.truncate()
@@ -436,7 +385,7 @@
     ) -> None:
         await exchange.send(*self._codec.reject(rejection, request_id))
 
-    def _known_signature(self, call: _Call) -> str | None:
+    def _known_signature(self, call: Call) -> str | None:
         """Return the signature of a request under which servers have ended, for the log."""
         if call.signature is None or call.signature not in self._guard:
             return None
@@ -447,7 +396,7 @@
         self._success_count += 1
         return self._success_count % SUCCESS_LOG_INTERVAL == 0
 
-    def _log(self, call: _Call, *, status: int) -> None:
+    def _log(self, call: Call, *, status: int) -> None:
         """Count a final answer, and log it if it failed, took several steps or is sampled."""
         routed = call.routed
         seconds = self._clock.monotonic() - routed.arrived_at
@@ -468,22 +417,3 @@
             version=self._view.state.version.number,
             index=self._view.state.index,
         ).info("request answered")
-
-
-def _has_lost_key(attempt: Attempt) -> bool:
-    """Return whether a key's owner must not be selected again for this request."""
-    return isinstance(attempt, NotRun) and (attempt.is_misdirected or not attempt.was_sent)
-
-
-def _describe(attempt: Attempt) -> str:
-    match attempt:
-        case WholeAnswer(head=head):
-            return f"answered {head.status}"
-        case PassedOn(status=status, is_whole=is_whole):
-            return f"passed on {status}{'' if is_whole else ', cut short'}"
-        case NotRun(reason=reason):
-            return f"not run, {reason}"
-        case NoAnswer(reason=reason):
-            return f"no answer, {reason}"
-        case TooLate():
-            return "late"
