Choose each test port once, and refuse settings whose listeners share an address

The whole test run failed once: test_unmatched_requests_and_invalid_calls_are_logged got 404 without a body where the control replica answers 400. Only the metrics page answers so. Cause: the tests asked the kernel for free ports one by one and let them go, so two listeners of one process could get the same port; listeners set SO_REUSEPORT, which lets both bind without an error, and the kernel spreads connections over them.

The same was true of settings: routed deployments took two equal addresses in silence, which the document kind's settings refuse. All tests take their ports from one place, lychee_runtime.ports (was in lychee_bench), which gives out no port twice in a process and stays below the range of outgoing connections; six copies of the old function are gone.

--- a/conftest.py
+++ b/conftest.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import platform as standard_platform
-import socket
 import sys
 import threading
 from collections.abc import Iterator
@@ -20,6 +19,7 @@
 
 from lychee_owner import ClusterState
 from lychee_runtime import LinkService, serve_links
+from lychee_runtime.ports import free_endpoint
 from lychee_types.commands import SubmitDocument
 from lychee_types.document_check import check_document
 from lychee_types.operator_messages import (
@@ -97,13 +97,6 @@
     _restore_platform()
 
 
-def free_endpoint() -> Endpoint:
-    """Return an address on which nobody listens."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Endpoint(host="127.0.0.1", port=sock.getsockname()[1])
-
-
 class FakeControl:
     """A fake control replica that answers operators' requests.
 
--- a/packages/lychee-bench/src/lychee_bench/deployment.py
+++ b/packages/lychee-bench/src/lychee_bench/deployment.py
@@ -12,10 +12,10 @@
 from lychee_bench.balancer import Balancer, GatewayAddresses
 from lychee_bench.load import Traffic
 from lychee_bench.operator import Operator
-from lychee_bench.ports import free_endpoints
 from lychee_bench.processes import Processes, executable
 from lychee_bench.relay import Network, Relay
 from lychee_bench.sizes import ServerGroup, Sizes
+from lychee_runtime.ports import free_endpoints
 from lychee_types.document import BodyMode, Document, RequestKind, Service
 from lychee_types.exceptions import SettingsError
 from lychee_types.ids import DomainName, GatewayId, ReplicaId
--- a/packages/lychee-bench/tests/test_faults.py
+++ b/packages/lychee-bench/tests/test_faults.py
@@ -9,7 +9,6 @@
 
 from lychee_bench.availability import Span
 from lychee_bench.documents import CHANGED_REPLY, DIFFERENT, MISSING, REVERTED, DocumentChecker
-from lychee_bench.ports import free_endpoints
 from lychee_bench.processes import running_processes
 from lychee_bench.relay import Direction, Network, Relay, find_process, run_relays
 from lychee_bench.schedule import (
@@ -22,6 +21,7 @@
     make_schedule,
 )
 from lychee_bench.soak import active_faults
+from lychee_runtime.ports import free_endpoints
 from lychee_types.document import Document
 from lychee_types.operator_messages import (
     GatewayState,
--- a/packages/lychee-bench/tests/test_load.py
+++ b/packages/lychee-bench/tests/test_load.py
@@ -19,8 +19,8 @@
     combine_results,
     generate_arrivals,
 )
-from lychee_bench.ports import free_endpoints
 from lychee_bench.server import request_key
+from lychee_runtime.ports import free_endpoints
 
 BOOKINGS = Traffic(service="s", path="/s/", rate=100.0, deadline_s=1.0, at_most_once=True)
 LOOKUPS = Traffic(service="t", path="/t/", rate=100.0, deadline_s=1.0, keyed=True)
--- a/packages/lychee-bench/tests/test_measure.py
+++ b/packages/lychee-bench/tests/test_measure.py
@@ -13,7 +13,7 @@
 from lychee_bench.http_server import HttpServer, Response
 from lychee_bench.measure import Measurement, Results, write_results
 from lychee_bench.plot import by_policy, make_panels
-from lychee_bench.ports import free_endpoints
+from lychee_runtime.ports import free_endpoints
 
 
 @pytest.mark.parametrize(
--- a/packages/lychee-bench/tests/test_proof_gateway.py
+++ b/packages/lychee-bench/tests/test_proof_gateway.py
@@ -9,9 +9,9 @@
 from pathlib import Path
 
 from lychee_bench.http_client import ConnectionRefusedByPeerError, connect
-from lychee_bench.ports import free_endpoints
 from lychee_bench.processes import executable, running_processes
 from lychee_runtime import LinkService, serve_links
+from lychee_runtime.ports import free_endpoints
 from lychee_types.commands import (
     BeginTransition,
     FinishTransition,
--- a/packages/lychee-bench/tests/test_proof_stop.py
+++ b/packages/lychee-bench/tests/test_proof_stop.py
@@ -11,13 +11,13 @@
 from lychee_bench.balancer import Balancer, GatewayAddresses
 from lychee_bench.load import Callers, Traffic
 from lychee_bench.operator import Operator
-from lychee_bench.ports import free_endpoints
 from lychee_bench.runs import open_runs, read_runs
 from lychee_bench.server import BackendServer
 from lychee_bench.server_settings import Behaviour, ServerSettings
 from lychee_control.core import ControlDaemon
 from lychee_gateway.core import Gateway
 from lychee_runtime import Daemon
+from lychee_runtime.ports import free_endpoints
 from lychee_types.document import Document, RequestKind, Service
 from lychee_types.document_edit import with_leaving
 from lychee_types.operator_messages import (
--- a/packages/lychee-bench/tests/test_server.py
+++ b/packages/lychee-bench/tests/test_server.py
@@ -1,7 +1,6 @@
 """The stand-in backend server, which follows the rules in docs/backend-servers.md."""
 
 import asyncio
-import socket
 import time
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -16,17 +15,11 @@
 from lychee_bench.runs import open_runs, read_runs
 from lychee_bench.server import BackendServer
 from lychee_bench.server_settings import Behaviour, ServerSettings
+from lychee_runtime.ports import free_endpoint
 from lychee_types.messages import (
     Announcement,
     ServerGrant,
 )
-from lychee_types.records import Endpoint
-
-
-def free_endpoint() -> Endpoint:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Endpoint(host="127.0.0.1", port=sock.getsockname()[1])
 
 
 class EntryVm:
--- a/packages/lychee-console/tests/conftest.py
+++ b/packages/lychee-console/tests/conftest.py
@@ -3,7 +3,6 @@
 import asyncio
 import http.client
 import re
-import socket
 import ssl
 import threading
 from collections.abc import Iterator
@@ -19,6 +18,7 @@
 from lychee_console.daemon import ConsoleDaemon
 from lychee_console.site import Site
 from lychee_runtime import OperatorClient
+from lychee_runtime.ports import free_endpoint
 from lychee_types.clock import SystemClock
 from lychee_types.commands import SubmitDocument
 from lychee_types.document_check import read_document
@@ -105,12 +105,6 @@
         return page
 
 
-def free_endpoint() -> Endpoint:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Endpoint(host="127.0.0.1", port=sock.getsockname()[1])
-
-
 @contextmanager
 def running_console(control: Endpoint, https: TlsSettings | None = None) -> Iterator[ConsoleDaemon]:
     cfg = ConsoleSettings(
--- a/packages/lychee-gateway/tests/conftest.py
+++ b/packages/lychee-gateway/tests/conftest.py
@@ -1,7 +1,6 @@
 """Fake control replica, backend servers and callers around a gateway, in one process."""
 
 import asyncio
-import socket
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
 
@@ -10,6 +9,7 @@
 from lychee_gateway.core import Gateway
 from lychee_owner import ClusterState
 from lychee_runtime import LinkService, serve_links
+from lychee_runtime.ports import free_endpoint
 from lychee_types.commands import (
     BeginTransition,
     CloseLedger,
@@ -44,12 +44,6 @@
 TIMEOUT_S = 20
 
 
-def free_endpoint():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Endpoint(host="127.0.0.1", port=sock.getsockname()[1])
-
-
 def services(**changes):
     """Return a document with one service of each kind; changes apply to all services."""
     changes.setdefault("deadline_ms", 1_000)
--- a/packages/lychee-gateway/tests/test_subscription.py
+++ b/packages/lychee-gateway/tests/test_subscription.py
@@ -1,7 +1,6 @@
 """Test which control replica a gateway subscribes to."""
 
 import asyncio
-import socket
 from contextlib import AsyncExitStack, asynccontextmanager
 from itertools import cycle
 
@@ -12,9 +11,9 @@
 from lychee_gateway.proxy.subscription import Subscription
 from lychee_gateway.proxy.view import RoutedView
 from lychee_runtime import LinkService, serve_links
+from lychee_runtime.ports import free_endpoint
 from lychee_types.clock import SystemClock
 from lychee_types.ids import DomainName, LogIndex, SessionId
-from lychee_types.records import Endpoint
 from lychee_types.registry import RoutedImage
 from lychee_types.registry_messages import (
     SUBSCRIBE,
@@ -29,17 +28,11 @@
 from lychee_types.routed_settings import ProxySettings
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class Replica:
     """A control replica with its own state; it ends its streams once `ended` is set."""
 
     def __init__(self, index, *, age_ms=0):
-        self.endpoint = Endpoint(host="127.0.0.1", port=free_port())
+        self.endpoint = free_endpoint()
         self.index = index
         self.age_ms = age_ms
         self.subscribers = 0
--- a/packages/lychee-runtime/tests/test_link.py
+++ b/packages/lychee-runtime/tests/test_link.py
@@ -1,24 +1,17 @@
 """Streams of messages between processes."""
 
 import asyncio
-import socket
 
 import pytest
 
 from lychee_runtime import LinkService, open_link, serve_links
+from lychee_runtime.ports import free_endpoint
 from lychee_types.exceptions import UnavailableError
 from lychee_types.messages import (
     EndSession,
     GrantLease,
     ToGateway,
 )
-from lychee_types.records import Endpoint
-
-
-def free_endpoint() -> Endpoint:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Endpoint(host="127.0.0.1", port=sock.getsockname()[1])
 
 
 def test_messages_arrive_whole_and_in_order() -> None:
--- a/packages/lychee-types/src/lychee_types/routed_settings.py
+++ b/packages/lychee-types/src/lychee_types/routed_settings.py
@@ -6,7 +6,7 @@
 from msgspec import Struct
 
 from lychee_types.exceptions import SettingsError
-from lychee_types.findings import Finding, check_name, check_range
+from lychee_types.findings import Finding, check_name, check_range, check_unique
 from lychee_types.ids import DomainName, GatewayId, ReplicaId
 from lychee_types.records import Endpoint
 from lychee_types.settings import LogSettings
@@ -176,7 +176,27 @@
             parse_endpoint(address)
         except SettingsError as exc:
             yield Finding(place=place, message=exc.message, remedy=exc.remedy)
+    yield from _check_own_addresses(settings)
     if not settings.seeds:
         yield Finding(
             place="seeds", message="the list is empty", remedy="name one control replica or more"
         )
+
+
+def _check_own_addresses(settings: RegistrySettings | ProxySettings) -> Iterator[Finding]:
+    """Check that no two listeners of the process get the same address."""
+    own = [("listen", settings.listen)]
+    match settings:
+        case RegistrySettings():
+            own.append(("peer_port", _with_port(settings.listen, settings.peer_port)))
+        case ProxySettings():
+            own.append(("ready", settings.ready))
+    if settings.metrics is not None:
+        own.append(("metrics", settings.metrics))
+    yield from check_unique(
+        (address for _, address in own), lambda index: own[index][0], what="the address"
+    )
+
+
+def _with_port(address: str, port: int) -> str:
+    return f"{address.rpartition(':')[0]}:{port}"
--- a/packages/lychee-types/tests/test_settings_check.py
+++ b/packages/lychee-types/tests/test_settings_check.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lychee_types.exceptions import SettingsError
+from lychee_types.routed_settings import ProxySettings, RegistrySettings
 from lychee_types.settings import ConsoleSettings, ControlSettings, GatewaySettings
 from lychee_types.settings_check import hints, load_settings, parse_settings, read_settings
 
@@ -29,6 +30,26 @@
 control: [{host: 10.0.0.1, port: 7100}]
 log: {level: INFO}
 """
+REGISTRY = """\
+id: core-1
+listen: 10.0.0.1:7100
+peer_port: 7200
+domain: nord
+data: /var/lib/lychee
+seeds: ["10.0.0.1:7100"]
+is_first_start: true
+heartbeat_s: 1.0
+metrics: 10.0.0.1:9464
+"""
+PROXY = """\
+id: edge-1
+listen: 10.0.0.2:8080
+ready: 10.0.0.2:8081
+peer_port: 7200
+domain: nord
+seeds: ["10.0.0.1:7100"]
+metrics: 10.0.0.2:9464
+"""
 CONSOLE = """\
 listen: {host: 127.0.0.1, port: 8090}
 control: [{host: 10.0.0.1, port: 7100}]
@@ -49,6 +70,8 @@
         (ADVERTISED, ControlSettings),
         (GATEWAY, GatewaySettings),
         (CONSOLE, ConsoleSettings),
+        (REGISTRY, RegistrySettings),
+        (PROXY, ProxySettings),
     ],
 )
 def test_good_settings_are_accepted(text: str, kind: type) -> None:
@@ -96,6 +119,10 @@
     (GATEWAY, "[{host: 10.0.0.1, port: 7100}]", "[]", "control", "addresses of the control"),
     (GATEWAY, "level: INFO", "level: INFOS", "log.level", "write INFO"),
     (GATEWAY, "log: ", "stop_notice_ms: -1\nlog: ", "stop_notice_ms", "from 0 to"),
+    (REGISTRY, "peer_port: 7200", "peer_port: 7100", "peer_port", "change or remove"),
+    (REGISTRY, "0.1:9464", "0.1:7100", "metrics", "change or remove"),
+    (PROXY, "0.2:8081", "0.2:8080", "ready", "change or remove"),
+    (PROXY, "0.2:9464", "0.2:8081", "metrics", "change or remove"),
     (CONSOLE, "operators.yaml", "''", "operators", "name a YAML file"),
 ]
 
@@ -104,7 +131,13 @@
 def test_a_fault_names_its_place_and_remedy(
     text: str, old: str, new: str, place: str, remedy: str
 ) -> None:
-    kinds = {CONTROL: ControlSettings, GATEWAY: GatewaySettings, CONSOLE: ConsoleSettings}
+    kinds = {
+        CONTROL: ControlSettings,
+        GATEWAY: GatewaySettings,
+        CONSOLE: ConsoleSettings,
+        REGISTRY: RegistrySettings,
+        PROXY: ProxySettings,
+    }
     assert text.count(old) >= 1
     faults = parse_settings(text.replace(old, new, 1), kinds[text]).error
     assert any(f.place == place and remedy in f.remedy and f.line for f in faults), faults
