Ask for a new connection when a gateway checks whether a server has ended

Cause: the check took an idle connection from the pool if there was one. If that one had not been reset yet, a server that had just ended counted as alive, and the end under the request was not recorded: one more server may end before the request is known. Found by reading; no run showed it.

The check opens a new connection now. Test: test_a_server_has_ended_though_an_idle_connection_to_it_is_still_open (fails before).

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -153,7 +153,8 @@
     async def has_ended(self, server: ProxyServer) -> bool:
         """Return whether nobody accepts connections at a server's address any more."""
         try:
-            conn = await server.pool.acquire(timeout_s=END_CHECK_S)
+            # An idle connection may not have been reset yet.
+            conn = await server.pool.connect(timeout_s=END_CHECK_S)
         except OSError as exc:
             logger.debug("server {} has ended: {!r}", server.run.server, exc)
             return True
--- a/packages/lychee-gateway/tests/test_crashes.py
+++ b/packages/lychee-gateway/tests/test_crashes.py
@@ -1,20 +1,27 @@
 """What a gateway knows of requests under which servers end, and what it tells the leader."""
 
+import asyncio
 from itertools import product
 
 import pytest
 
 from lychee_gateway.proxy import CallerRequest
+from lychee_gateway.proxy.attempts import Sender
 from lychee_gateway.proxy.crashes import (
     RECENT_S,
     REPORT_INTERVAL_S,
     CrashGuard,
     request_signature,
 )
+from lychee_gateway.proxy.servers import ProxyServer
+from lychee_gateway.proxy.testing import make_limits
+from lychee_http import RequestHead
 from lychee_policy import Verdict
+from lychee_types.clock import SystemClock
 from lychee_types.crash_messages import KnownCrashes
-from lychee_types.ids import Incarnation, RequestSignature, ServerId
-from lychee_types.registry import ServerIncarnation
+from lychee_types.ids import DomainName, Incarnation, RequestSignature, ServerId, ServiceName
+from lychee_types.records import Endpoint
+from lychee_types.registry import RegisteredServer, ServerIncarnation
 from lychee_types.testing import ManualClock
 
 SIGNATURE = RequestSignature(b"one")
@@ -105,3 +112,36 @@
         assert guard.is_running(SIGNATURE)
         raise ValueError("ended")
     assert not guard.is_running(SIGNATURE)
+
+
+async def answer_all(reader, writer):
+    while await reader.readuntil(b"\r\n\r\n"):
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+
+def test_a_server_has_ended_though_an_idle_connection_to_it_is_still_open():
+    async def body():
+        listener = await asyncio.start_server(answer_all, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        record = RegisteredServer(
+            run=server(1),
+            endpoint=Endpoint(host=host, port=port),
+            domain=DomainName("d"),
+            service=ServiceName("s"),
+            release="1",
+            slots=1,
+        )
+        clock = SystemClock()
+        sender = Sender(codec=None, limits=make_limits(clock), drain_s=2.0, clock=clock)
+        ended = ProxyServer(record=record, now=clock.monotonic())
+        conn = await ended.pool.acquire(timeout_s=1.0)
+        with ended.pool.release_after_use(conn):
+            conn.send(RequestHead(method=b"GET", target=b"/", headers=()), b"")
+            await conn.read_head()
+            assert await conn.read_chunk() == b""
+        assert len(ended.pool) == 1
+        assert not await sender.has_ended(ended)
+        listener.close()
+        assert await sender.has_ended(ended)
+
+    asyncio.run(body())
--- a/packages/lychee-http/src/lychee_http/pool.py
+++ b/packages/lychee-http/src/lychee_http/pool.py
@@ -35,9 +35,14 @@
         :param timeout_s: maximum wait in seconds.
         :raises OSError: if the server cannot be reached in time.
         """
-        conn = self._pop_idle()
-        if conn is not None:
-            return conn
+        return self._pop_idle() or await self.connect(timeout_s=timeout_s)
+
+    async def connect(self, *, timeout_s: float) -> ServerConnection:
+        """Return a new connection, which shows that the server still accepts some.
+
+        :param timeout_s: maximum wait in seconds.
+        :raises OSError: if the server cannot be reached in time.
+        """
         return await open_server_connection(
             self.endpoint,
             timeout_s=min(timeout_s, CONNECT_TIMEOUT_S),
