Free no request under which servers end by a failed answer

What callers saw in our test: a request ends server after server while two of eight servers answer every request by 500. Cause: any answer freed the request, a failure of a server in trouble too, which may fail it before it runs it; so the count of ended servers began anew.

Only an answer below 500 frees now.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -21,7 +21,7 @@
 from lychee_gateway.proxy.placing import NoServer, RoutedRequest, ServerSelector
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.view import RoutedView
-from lychee_http import header_value
+from lychee_http import ResponseHead, header_value
 from lychee_http.exceptions import BadRequestError
 from lychee_http.pipelining import CallerExchange, declared_length_error
 from lychee_policy import RetryBudget, Verdict
@@ -44,6 +44,9 @@
 RETRY_BUDGET_SHARE = 0.8
 """Share of the deployment's retry budget that is used, as each gateway counts only its retries."""
 
+MIN_FAILURE_STATUS = 500
+"""Lowest HTTP status by which a server says that it failed."""
+
 SUCCESS_LOG_INTERVAL = 100
 """One in this many successful requests is logged."""
 
@@ -262,7 +265,9 @@
         )
         self._metrics.count_attempt(call.routed.service, type(attempt).__name__)
         match attempt:
-            case WholeAnswer(head=head) if head.status >= 500 and self._can_repeat(call, body):
+            case WholeAnswer(head=head) if head.status >= MIN_FAILURE_STATUS and self._can_repeat(
+                call, body
+            ):
                 call.attempts += 1
                 call.failed_answer = attempt
                 return False
@@ -292,8 +297,11 @@
     ) -> None:
         """Record whether the server has answered, or has ended and not just lost an answer."""
         match attempt:
-            case WholeAnswer() | PassedOn(is_whole=True):
-                if call.signature is not None:
+            case WholeAnswer(head=ResponseHead(status=status)) | PassedOn(
+                status=status, is_whole=True
+            ):
+                # A server in trouble may fail a request before it runs it.
+                if call.signature is not None and status < MIN_FAILURE_STATUS:
                     self._guard.record_answer(call.signature)
             case NoAnswer(is_disconnected=True) | PassedOn(is_disconnected=True):
                 if await self._sender.has_ended(server):
