Leave a slow control replica only for one that has shown to be better

What callers of a server saw: requests reached it after it had been allowed to leave (DRAIN), from a gateway on a slow link. Cause, shown by a test: the gateway left its stream as soon as the state of its replica looked older than half of the apply time or no byte came for 0.7 s, and only then looked for another. On a link with 0.6 s each way that holds of every replica, so it followed none and learnt of no leave: 40 requests in 2 s reached the server. A gateway that started on a link with 0.4 s each way never got a state. Class: a reaction to slowness that makes it worse, and order (leave, then find) where the other one loses nothing.

The stream is kept, and its messages are applied, while others are tried; it ends when another replica's state is recent. A replica's own age and the delay of its way are told apart: a late one is followed if there is no better. All seeds keep being tried as before, every 1 to 2 s while a late one is followed. New log event replica_doubted.

Tests that failed before: test_a_server_that_left_gets_no_request_from_a_gateway_on_a_slow_link[0.6], test_a_gateway_that_starts_on_a_slow_link_gets_the_routes, test_a_silent_replica_is_followed_on_until_another_one_answers (2 subscriptions instead of 1).

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
@@ -32,10 +32,16 @@
 from lychee_types.routed_settings import ProxySettings
 
 SILENCE_S = 0.7
-"""Time without a byte from a replica after which another one is tried, in seconds."""
+"""Time without a byte from the followed replica after which others are tried, in seconds."""
+
+SILENCE_CHECK_S = 0.2
+"""Interval between checks whether bytes of the followed replica have arrived, in seconds."""
+
+ATTEMPT_SILENCE_S = 1.5
+"""Time without a byte after which an attempt ends, in seconds; others are tried meanwhile."""
 
 CONTACT_SHARE = 0.5
-"""Maximum age of the state of a replica that is followed.
+"""Age of the state of the followed replica above which others are tried.
 
 As a share of the time in which a change must be in force; the rest is for finding another replica.
 """
@@ -44,7 +50,10 @@
 """Time for which a replica's state may be too old before the attempt ends, in seconds."""
 
 BACKOFF_S = (0.05, 0.2)
-"""Shortest and longest random pause before reconnecting, in seconds."""
+"""Shortest and longest random pause before replicas are tried again, in seconds."""
+
+FOLLOWING_BACKOFF_S = (1.0, 2.0)
+"""The same while a replica is followed, though it is silent, late or outdated, in seconds."""
 
 NEXT_ATTEMPT_DELAY_S = 0.1
 """Delay before the next replica is tried in parallel, in seconds.
@@ -60,10 +69,15 @@
 
 
 class _Contact(Enum):
-    """What messages tell of a replica: nothing, or whether its state is recent enough."""
+    """What is known of a replica's state.
+
+    Nothing; that it is recent; that the replica has a recent one, but its messages come late or not
+    at all; that it is outdated.
+    """
 
     UNTOLD = "untold"
     RECENT = "recent"
+    LATE = "late"
     OUTDATED = "outdated"
 
 
@@ -74,6 +88,9 @@
 class Subscription:
     """Keeps a stream open to one control replica and applies its messages to the state.
 
+    A followed replica that is silent, late or outdated is left only when another one has shown that
+    its state is recent. On a slow link all streams are late, and a new one is later still.
+
     :param cfg: the gateway's settings.
     :param session: the gateway's session.
     :param view: the gateway's copy of the replicated state.
@@ -115,7 +132,9 @@
         self._replicas: list[Endpoint] = []
         self._link: Link[FromGateway, ToSubscriber] | None = None
         self._first_state_link: Link[FromGateway, ToSubscriber] | None = None
-        self._attempts: list[asyncio.Task[None]] = []
+        self._contact = _Contact.UNTOLD
+        self._follower: asyncio.Task[None] | None = None
+        self._attempts: set[asyncio.Task[None]] = set()
 
     @property
     def replica(self) -> str:
@@ -133,25 +152,59 @@
 
     async def run(self) -> None:
         """Keep a subscription to one replica at a time until cancelled."""
-        while True:
-            await self._connect_and_follow()
-            await asyncio.sleep(self._rng.uniform(*BACKOFF_S))
+        try:
+            while True:
+                await self._search()
+                await self._wait_for_doubt()
+                pause_s = BACKOFF_S if self._link is None else FOLLOWING_BACKOFF_S
+                await asyncio.sleep(self._rng.uniform(*pause_s))
+        finally:
+            if self._follower is not None:
+                await _cancel({self._follower})
 
-    async def _connect_and_follow(self) -> None:
-        """Try replicas with staggered starts, following the first to answer until it is lost."""
+    async def _search(self) -> None:
+        """Try replicas with staggered starts until one with a recent state is followed."""
         try:
             for endpoint in self._shuffled_replicas():
                 task = asyncio.create_task(self._follow(endpoint), name="subscription")
-                self._attempts.append(task)
+                self._attempts.add(task)
                 await asyncio.wait(self._attempts, timeout=NEXT_ATTEMPT_DELAY_S)
-                if self._link is not None:
-                    break
-            await asyncio.wait(self._attempts)
+                if self._is_followed_well:
+                    return
+            while not self._is_followed_well and (pending := self._pending_attempts()):
+                await asyncio.wait(pending, timeout=NEXT_ATTEMPT_DELAY_S)
         finally:
-            attempts, self._attempts = self._attempts, []
-            for task in attempts:
-                task.cancel()
-            await asyncio.gather(*attempts, return_exceptions=True)
+            attempts, self._attempts = self._attempts, set()
+            await _cancel(attempts)
+
+    @property
+    def _is_followed_well(self) -> bool:
+        return self._link is not None and self._contact is _Contact.RECENT
+
+    def _pending_attempts(self) -> set[asyncio.Task[None]]:
+        return {task for task in self._attempts if not task.done()}
+
+    async def _wait_for_doubt(self) -> None:
+        """Wait until the followed replica is lost, silent, late or outdated."""
+        link, follower = self._link, self._follower
+        if link is None or follower is None or self._contact is not _Contact.RECENT:
+            return
+        known_bytes, heard_at = link.received_bytes, self._clock.monotonic()
+        while not follower.done() and self._contact is _Contact.RECENT:
+            await asyncio.wait({follower}, timeout=SILENCE_CHECK_S)
+            now = self._clock.monotonic()
+            if link.received_bytes > known_bytes:
+                known_bytes, heard_at = link.received_bytes, now
+            elif now - heard_at >= SILENCE_S:
+                self._contact = _Contact.LATE
+        if not follower.done():
+            logger.bind(
+                event="replica_doubted",
+                replica=link.peer,
+                state=self._contact.value,
+                silent_ms=round((self._clock.monotonic() - heard_at) * 1_000),
+                age_ms=self._age.age_ms,
+            ).info("a followed control replica is late or outdated; others are tried")
 
     def _shuffled_replicas(self) -> list[Endpoint]:
         known = list(dict.fromkeys((*self._replicas, *self._seeds)))
@@ -170,7 +223,7 @@
         except _OutdatedError:
             outcome, reason = "outdated", f"its state is older than {self._contact_s} s"
         except TimeoutError:
-            outcome, reason = "silent", f"silent for {SILENCE_S} s"
+            outcome, reason = "silent", f"silent for {ATTEMPT_SILENCE_S} s"
         except (UnavailableError, UnpackError) as exc:
             outcome = "broken" if link is not None else "no connection"
             reason = str(exc)
@@ -193,30 +246,37 @@
         link.post(Subscribe(gateway=self._cfg.id, session=self._session, sent_at=now))
         prober = asyncio.create_task(self._probe_periodically(link))
         try:
-            if await self._wait_for_contact(link):
-                await self._follow_selected(link)
+            contact = await self._wait_for_contact(link)
+            if contact is not _Contact.UNTOLD:
+                await self._follow_selected(link, contact)
         finally:
             prober.cancel()
             if self._first_state_link is link:
                 self._first_state_link = None
 
-    async def _follow_selected(self, link: Link[FromGateway, ToSubscriber]) -> None:
-        self._select_link(link)
+    async def _follow_selected(
+        self, link: Link[FromGateway, ToSubscriber], contact: _Contact
+    ) -> None:
+        self._select_link(link, contact)
         self._request_state(link)
         reporter = asyncio.create_task(self._report_periodically(link))
         try:
-            while batch := await link.receive(silence_s=SILENCE_S):
-                if self._apply_batch(batch) is _Contact.OUTDATED:
-                    raise _OutdatedError
+            while batch := await link.receive():
+                contact = self._apply_batch(batch)
+                if self._link is link and contact is not _Contact.UNTOLD:
+                    self._contact = contact
         finally:
             reporter.cancel()
-            self._link = None
+            if self._link is link:
+                self._link = None
 
     def _request_state(self, link: Link[FromGateway, ToSubscriber]) -> None:
         link.post(Follow(have=self._view.state.index, sent_at=self._clock.monotonic()))
 
-    async def _wait_for_contact(self, link: Link[FromGateway, ToSubscriber]) -> bool:
-        """Wait until the replica's state is recent; return False if the stream ends before.
+    async def _wait_for_contact(self, link: Link[FromGateway, ToSubscriber]) -> _Contact:
+        """Wait until the replica is to be followed; return `UNTOLD` if the stream ends before.
+
+        Its state must be recent, but may come late if no other replica is followed.
 
         No replica sends its state before it is asked to. So the copies of several replicas never
         share the gateway's link.
@@ -224,15 +284,18 @@
         :raises _OutdatedError: if it stays too old for `CONTACT_WAIT_S`.
         """
         until = self._clock.monotonic() + CONTACT_WAIT_S
-        while batch := await link.receive(silence_s=SILENCE_S):
-            match self._apply_batch(batch):
+        while batch := await link.receive(silence_s=ATTEMPT_SILENCE_S):
+            contact = self._apply_batch(batch)
+            match contact:
                 case _Contact.RECENT:
-                    return True
-                case _Contact.OUTDATED if self._clock.monotonic() > until:
+                    return contact
+                case _Contact.LATE if self._link is None:
+                    return contact
+                case _Contact.LATE | _Contact.OUTDATED if self._clock.monotonic() > until:
                     raise _OutdatedError
                 case _Contact.OUTDATED:
                     self._request_first_state(link)
-        return False
+        return _Contact.UNTOLD
 
     def _request_first_state(self, link: Link[FromGateway, ToSubscriber]) -> None:
         """Request the state of a replica without contact if this gateway has none at all.
@@ -243,12 +306,15 @@
             self._first_state_link = link
             self._request_state(link)
 
-    def _select_link(self, link: Link[FromGateway, ToSubscriber]) -> None:
-        """Select the replica, and cancel the attempts at others."""
+    def _select_link(self, link: Link[FromGateway, ToSubscriber], contact: _Contact) -> None:
+        """Select the replica in place of the one that is followed, and leave that one."""
         self._link = link
-        for task in self._attempts:
-            if task is not asyncio.current_task():
-                task.cancel()
+        self._contact = contact
+        former, self._follower = self._follower, asyncio.current_task()
+        self._attempts -= {self._follower}
+        if former is not None:
+            former.cancel()
+            self._attempts.add(former)
         logger.bind(
             event="replica_found",
             replica=link.peer,
@@ -256,7 +322,7 @@
             age_ms=self._age.age_ms,
         ).info("subscribed to a control replica")
 
-    def _apply_batch(self, batch: tuple[ToSubscriber, ...]) -> "_Contact":
+    def _apply_batch(self, batch: tuple[ToSubscriber, ...]) -> _Contact:
         """Apply messages; return what the last pulse among them says of the replica."""
         self.last_message_at = self._clock.monotonic()
         contact = _Contact.UNTOLD
@@ -274,15 +340,16 @@
                     self._on_shared(message)
         return contact
 
-    def _record_pulse(self, pulse: Pulse) -> "_Contact":
+    def _record_pulse(self, pulse: Pulse) -> _Contact:
         """Record how old a replica's state is."""
         if pulse.age_ms is None:
             return _Contact.OUTDATED
         as_of = pulse.asked_at - pulse.age_ms / 1_000
-        if self._clock.monotonic() - as_of > self._contact_s:
+        if pulse.age_ms / 1_000 > self._contact_s:
             return _Contact.OUTDATED
         self._age.record_pulse(as_of=as_of, index=pulse.index)
-        return _Contact.RECENT
+        is_late = self._clock.monotonic() - as_of > self._contact_s
+        return _Contact.LATE if is_late else _Contact.RECENT
 
     async def _probe_periodically(self, link: Link[FromGateway, ToSubscriber]) -> None:
         while True:
@@ -294,3 +361,9 @@
             await asyncio.sleep(REPORT_S)
             for note in self._take_notes():
                 link.post(note)
+
+
+async def _cancel(tasks: set[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/lychee-gateway/tests/test_subscription.py
+++ b/packages/lychee-gateway/tests/test_subscription.py
@@ -41,9 +41,11 @@
         self.pulse_delay_s = 0.0
         self.is_damaged = False
         self.ended = asyncio.Event()
+        self.subscribed = asyncio.Event()
 
     async def serve(self, link):
         self.subscribers += 1
+        self.subscribed.set()
         answering = asyncio.create_task(self._answer(link))
         try:
             await self.ended.wait()
@@ -177,6 +179,24 @@
     asyncio.run(body())
 
 
+def test_a_silent_replica_is_followed_on_until_another_one_answers(monkeypatch):
+    monkeypatch.setattr(module, "SILENCE_S", 0.2)
+
+    async def body():
+        async with Replica(7).running() as only:
+            async with Gateway(only.endpoint).running() as gateway:
+                await gateway.wait_for_index(7)
+                only.is_silent = True
+                only.subscribed.clear()
+                await only.subscribed.wait()
+                only.is_silent = False
+                await asyncio.sleep(2 * module.PROBE_S)
+                assert gateway.subscription.replica == str(only.endpoint)
+                assert only.followers == 1
+
+    asyncio.run(body())
+
+
 def test_a_current_replica_is_followed_though_one_without_contact_answers_first():
     async def body():
         async with Replica(7, age_ms=None).running() as old, Replica(9).running() as current:
