--- a/packages/lychee-gateway/tests/test_subscription.py
+++ b/packages/lychee-gateway/tests/test_subscription.py
@@ -38,6 +38,7 @@
         self.subscribers = 0
         self.followers = 0
         self.is_silent = False
+        self.answers_new_streams = True
         self.pulse_delay_s = 0.0
         self.is_damaged = False
         self.ended = asyncio.Event()
@@ -53,8 +54,9 @@
             answering.cancel()
 
     async def _answer(self, link):
+        is_answered = self.answers_new_streams
         while batch := await link.receive():
-            if self.is_silent:
+            if self.is_silent or not is_answered:
                 continue
             for message in batch:
                 match message:
@@ -186,7 +188,7 @@
         async with Replica(7).running() as only:
             async with Gateway(only.endpoint).running() as gateway:
                 await gateway.wait_for_index(7)
-                only.is_silent = True
+                only.is_silent, only.answers_new_streams = True, False
                 only.subscribed.clear()
                 await only.subscribed.wait()
                 only.is_silent = False
