Divide the slack of the retry budget among the gateways

Cause: each gateway allowed itself three retries of a service in ten seconds, however many gateways there are: 318 for 106 gateways where the deployment has 276, 900 for 300 where it has 60 (test, before).

A gateway's least number of retries is its part of the slack now, at most three as before: nothing changes below 16 gateways at a slack of 60. Test: test_gateways_together_stay_within_the_retry_budget, 4 of 20 cases fail before.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -17,6 +17,7 @@
 from lychee_gateway.proxy.loads import KeyLoads
 from lychee_gateway.proxy.metrics import ProxyMetrics
 from lychee_gateway.proxy.placing import ServerSelector
+from lychee_gateway.proxy.retries import RetryBudgets
 from lychee_gateway.proxy.servers import ServerList
 from lychee_gateway.proxy.subscription import Subscription
 from lychee_gateway.proxy.view import RoutedView
@@ -112,6 +113,7 @@
             drain_s=cfg.bounds.drain_s,
         )
         self._guard = CrashGuard(clock=self._clock)
+        self._retries = RetryBudgets(bounds=cfg.bounds)
         self._forwarder = Forwarder(
             view=self._view,
             age=self._age,
@@ -126,7 +128,7 @@
             loads=self._loads,
             guard=self._guard,
             clock=self._clock,
-            retry_ratio=cfg.bounds.retry_ratio,
+            retries=self._retries,
             metrics=self._metrics,
         )
         self._view.add_listener(lambda: self._servers.sync(self._view.state))
@@ -285,3 +287,4 @@
     def _set_gateway_count(self, count: int) -> None:
         self._servers.set_gateway_count(count)
         self._limits.set_gateway_count(count)
+        self._retries.set_gateway_count(count)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -19,14 +19,15 @@
 from lychee_gateway.proxy.loads import KeyLoads
 from lychee_gateway.proxy.metrics import ProxyMetrics
 from lychee_gateway.proxy.placing import NoServer, RoutedRequest, ServerSelector
+from lychee_gateway.proxy.retries import RetryBudgets
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.view import RoutedView
 from lychee_http import ResponseHead, header_value
 from lychee_http.exceptions import BadRequestError
 from lychee_http.pipelining import CallerExchange, declared_length_error
-from lychee_policy import RetryBudget, Verdict
+from lychee_policy import Verdict
 from lychee_types.clock import Clock
-from lychee_types.ids import RequestSignature, ServiceName
+from lychee_types.ids import RequestSignature
 from lychee_types.routing import Route
 
 RETRY_BUFFER_BYTES = 65_536
@@ -41,9 +42,6 @@
 ANSWER_MARGIN_S = 0.02
 """Time before a caller's deadline by which the final answer is due, in seconds."""
 
-RETRY_BUDGET_SHARE = 0.8
-"""Share of the deployment's retry budget that is used, as each gateway counts only its retries."""
-
 MIN_FAILURE_STATUS = 500
 """Lowest HTTP status by which a server says that it failed."""
 
@@ -71,7 +69,7 @@
     :param loads: counts requests by key.
     :param guard: knows the requests under which servers end.
     :param clock: source of time.
-    :param retry_ratio: retry budget of the deployment, in retries per request.
+    :param retries: this gateway's part of the retry budget.
     :param metrics: the gateway's metrics.
     """
 
@@ -86,7 +84,7 @@
         loads: KeyLoads,
         guard: CrashGuard,
         clock: Clock,
-        retry_ratio: float,
+        retries: RetryBudgets,
         metrics: ProxyMetrics,
     ) -> None:
         self._view = view
@@ -98,9 +96,8 @@
         self._guard = guard
         self._clock = clock
         self._metrics = metrics
-        self._retry_share = retry_ratio * RETRY_BUDGET_SHARE
+        self._retries = retries
         self._success_count = 0
-        self._budgets: dict[ServiceName, RetryBudget] = {}
 
     async def handle(self, exchange: CallerExchange) -> None:
         """Answer one request."""
@@ -186,7 +183,7 @@
 
     async def _run(self, call: Call) -> None:
         routed = call.routed
-        self._budget(routed.service).count_request(routed.arrived_at)
+        self._retries.find(routed.service).count_request(routed.arrived_at)
         if routed.key is not None:
             self._loads.count(routed.service, routed.key)
         buffered, is_whole = await call.exchange.read_body(max_bytes=RETRY_BUFFER_BYTES)
@@ -357,13 +354,7 @@
         return attempts_made < call.route.max_attempts and left_s >= MIN_ATTEMPT_S and body.is_whole
 
     def _try_spend_retry(self, call: Call) -> bool:
-        return self._budget(call.routed.service).try_spend(self._clock.monotonic())
-
-    def _budget(self, service: ServiceName) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = RetryBudget(share=self._retry_share)
-        return budget
+        return self._retries.find(call.routed.service).try_spend(self._clock.monotonic())
 
     async def _give_up(self, call: Call, refusal: NoServer) -> None:
         """Send the final answer of a request for which no further attempt is made."""
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -1,6 +1,6 @@
 """Load-balancing policies: choice of server, limits, queues, retry budgets, outlier detection."""
 
-from lychee_policy.budget import RetryBudget
+from lychee_policy.budget import MIN_RETRIES, RetryBudget
 from lychee_policy.choice import (
     Candidate,
     ChoiceRule,
@@ -74,6 +74,7 @@
     "PermitReserve",
     "Limits",
     "PowerOfTwo",
+    "MIN_RETRIES",
     "RetryBudget",
     "RoundRobin",
     "Waiter",
--- a/packages/lychee-policy/src/lychee_policy/budget.py
+++ b/packages/lychee-policy/src/lychee_policy/budget.py
@@ -6,17 +6,19 @@
 """Length of the window in seconds."""
 
 MIN_RETRIES = 3
-"""Number of retries that every window allows, however few requests it has."""
+"""Usual number of retries that every window allows, however few requests it has."""
 
 
 class RetryBudget:
     """Counts requests and retries of a sliding window in one-second buckets.
 
     :param share: allowed retries per request in the window.
+    :param least: number of retries that every window allows, however few requests it has.
     """
 
-    def __init__(self, *, share: float) -> None:
+    def __init__(self, *, share: float, least: float = MIN_RETRIES) -> None:
         self.share = share
+        self.least = least
         self._buckets: deque[tuple[int, int, int]] = deque()
         self._requests = 0
         self._retries = 0
@@ -34,7 +36,7 @@
         :param now: monotonic time in seconds.
         """
         self._expire(now)
-        if self._retries + 1 > max(MIN_RETRIES, self.share * self._requests):
+        if self._retries + 1 > max(self.least, self.share * self._requests):
             return False
         self._add(now, requests=0, retries=1)
         return True
--- a/packages/lychee-types/src/lychee_types/routed_settings.py
+++ b/packages/lychee-types/src/lychee_types/routed_settings.py
@@ -25,6 +25,7 @@
     :param grace_s: time between the request to stop a process and its being killed, in seconds.
     :param hold_max_s: maximum hold time of a grant, in seconds.
     :param retry_ratio: maximum ratio of retries to requests over all gateways.
+    :param retry_slack: retries of one service in 10 seconds beyond that ratio, over all gateways.
     """
 
     drain_s: float = 2.0
@@ -32,6 +33,7 @@
     grace_s: float = 6.0
     hold_max_s: float = 10.0
     retry_ratio: float = 0.2
+    retry_slack: float = 60.0
 
 
 class RegistrySettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
