Try replicas again soon while the followed one is silent or outdated

Cause: since a gateway paused 1 to 2 s between attempts whenever it still followed a replica. After a cut that has healed it may take the pause and an attempt more until it has a current state, of the 3 s it has. The long pause is meant for a slow link, on which each attempt adds bytes: it holds only for a replica whose messages arrive late now.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
@@ -52,8 +52,11 @@
 BACKOFF_S = (0.05, 0.2)
 """Shortest and longest random pause before replicas are tried again, in seconds."""
 
-FOLLOWING_BACKOFF_S = (1.0, 2.0)
-"""The same while a replica is followed, though it is silent, late or outdated, in seconds."""
+LATE_BACKOFF_S = (1.0, 2.0)
+"""The same while a replica is followed whose messages come late, in seconds.
+
+Each attempt adds bytes to a link that may be full.
+"""
 
 NEXT_ATTEMPT_DELAY_S = 0.1
 """Delay before the next replica is tried in parallel, in seconds.
@@ -71,13 +74,14 @@
 class _Contact(Enum):
     """What is known of a replica's state.
 
-    Nothing; that it is recent; that the replica has a recent one, but its messages come late or not
-    at all; that it is outdated.
+    Nothing; that it is recent; that it is, but arrives late; that nothing arrives any more; that it
+    is outdated.
     """
 
     UNTOLD = "untold"
     RECENT = "recent"
     LATE = "late"
+    SILENT = "silent"
     OUTDATED = "outdated"
 
 
@@ -156,8 +160,8 @@
             while True:
                 await self._search()
                 await self._wait_for_doubt()
-                pause_s = BACKOFF_S if self._link is None else FOLLOWING_BACKOFF_S
-                await asyncio.sleep(self._rng.uniform(*pause_s))
+                is_late = self._link is not None and self._contact is _Contact.LATE
+                await asyncio.sleep(self._rng.uniform(*(LATE_BACKOFF_S if is_late else BACKOFF_S)))
         finally:
             if self._follower is not None:
                 await _cancel({self._follower})
@@ -196,7 +200,7 @@
             if link.received_bytes > known_bytes:
                 known_bytes, heard_at = link.received_bytes, now
             elif now - heard_at >= SILENCE_S:
-                self._contact = _Contact.LATE
+                self._contact = _Contact.SILENT
         if not follower.done():
             logger.bind(
                 event="replica_doubted",
@@ -204,7 +208,7 @@
                 state=self._contact.value,
                 silent_ms=round((self._clock.monotonic() - heard_at) * 1_000),
                 age_ms=self._age.age_ms,
-            ).info("a followed control replica is late or outdated; others are tried")
+            ).info("a followed control replica is late, silent or outdated; others are tried")
 
     def _shuffled_replicas(self) -> list[Endpoint]:
         known = list(dict.fromkeys((*self._replicas, *self._seeds)))
