Count servers that end one after the other under a request, however fast

Cause: ends within 0.5 s of each other counted once, as those of a lost failure domain. A gateway's second attempt and a caller's repeat come within milliseconds, so three calls counted as one. Class: a time between events taken for what relates them. What tells them apart is whether the server had the request when the other one ended: a server to which it was sent afterwards did not end of that cause. So an end carries when the request was sent, in the table and between the processes, and ends count once only if both had the request at the same time and ended within 0.5 s.

--- a/packages/lychee-control/tests/test_registry_crashes.py
+++ b/packages/lychee-control/tests/test_registry_crashes.py
@@ -12,6 +12,7 @@
         ServerEnd(
             run=ServerIncarnation(server=ServerId(f"s{ms}"), incarnation=Incarnation(1)),
             ms_ago=ms,
+            sent_ms_ago=ms + 900,
         )
         for ms in ended_ms_ago
     )
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/crashes.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/crashes.py
@@ -9,7 +9,7 @@
 from xxhash import xxh3_128_digest
 
 from lychee_gateway.proxy.codec import CallerRequest
-from lychee_policy import CrashTable, Verdict
+from lychee_policy import CrashTable, EndedAttempt, Verdict
 from lychee_types.clock import Clock
 from lychee_types.crash_messages import CrashReport, KnownCrashes
 from lychee_types.ids import RequestSignature
@@ -93,16 +93,23 @@
                 del self._running[signature]
 
     def record_end(
-        self, signature: RequestSignature, run: ServerIncarnation, *, request_id: str
+        self,
+        signature: RequestSignature,
+        run: ServerIncarnation,
+        *,
+        sent_at: float,
+        request_id: str,
     ) -> None:
         """Record that a server ended while it had a request.
 
         :param signature: the request's signature.
         :param run: the server.
+        :param sent_at: monotonic time in seconds at which the request was sent to it.
         :param request_id: the caller's id, for the log.
         """
         now = self._clock.monotonic()
-        if not self._table.record_end(signature, run, now):
+        end = EndedAttempt(sent_at=sent_at, ended_at=now)
+        if not self._table.record_end(signature, run, end):
             return
         self._recent[signature] = now
         self._is_report_due = True
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -247,7 +247,7 @@
                 deadline=call.routed.deadline,
                 request_id=call.request.request_id,
             )
-        await self._update_guard(call, body, server, attempt)
+        await self._update_guard(call, body, server, attempt, sent_at=now)
         call.exchange.is_cancellable = True
         if call.routed.key is None or has_lost_key(attempt):
             call.routed.tried.append(server.run)
@@ -290,7 +290,7 @@
                 return True
 
     async def _update_guard(
-        self, call: Call, body: Body, server: ProxyServer, attempt: Attempt
+        self, call: Call, body: Body, server: ProxyServer, attempt: Attempt, *, sent_at: float
     ) -> None:
         """Record whether the server has answered, or has ended and not just lost an answer."""
         match attempt:
@@ -298,16 +298,19 @@
                 status=status, is_whole=True
             ):
                 # A server in trouble may fail a request before it runs it.
-                if call.signature is not None and status < MIN_FAILURE_STATUS:
-                    self._guard.record_answer(call.signature)
+                if len(self._guard) and status < MIN_FAILURE_STATUS:
+                    self._guard.record_answer(self._signature(call, body))
             case NoAnswer(is_disconnected=True) | PassedOn(is_disconnected=True):
                 if await self._sender.has_ended(server):
-                    self._record_end(call, body, server)
+                    self._record_end(call, body, server, sent_at=sent_at)
 
-    def _record_end(self, call: Call, body: Body, server: ProxyServer) -> None:
+    def _record_end(self, call: Call, body: Body, server: ProxyServer, *, sent_at: float) -> None:
         call.ends += 1
         self._guard.record_end(
-            self._signature(call, body), server.run, request_id=call.request.request_id
+            self._signature(call, body),
+            server.run,
+            sent_at=sent_at,
+            request_id=call.request.request_id,
         )
         self._metrics.count_server_end(call.routed.service)
 
--- a/packages/lychee-gateway/tests/test_crashes.py
+++ b/packages/lychee-gateway/tests/test_crashes.py
@@ -40,7 +40,8 @@
     def guard(self, *, ends=()):
         guard = CrashGuard(clock=self.clock)
         for number in ends:
-            guard.record_end(SIGNATURE, server(number), request_id=f"q{number}")
+            sent_at = self.clock.monotonic() - 0.9
+            guard.record_end(SIGNATURE, server(number), sent_at=sent_at, request_id=f"q{number}")
             self.clock.advance(1.0)
         return guard
 
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -10,7 +10,14 @@
     choose,
 )
 from lychee_policy.clocks import ClockChecker
-from lychee_policy.crashes import BLOCK_S, MAX_REQUESTS, SUSPECT_S, CrashTable, Verdict
+from lychee_policy.crashes import (
+    BLOCK_S,
+    MAX_REQUESTS,
+    SUSPECT_S,
+    CrashTable,
+    EndedAttempt,
+    Verdict,
+)
 from lychee_policy.hotkeys import HotKeyCounter
 from lychee_policy.limits import Limits, limits_for
 from lychee_policy.outliers import (
@@ -59,6 +66,7 @@
     "Candidate",
     "ClockChecker",
     "CrashTable",
+    "EndedAttempt",
     "BLOCK_S",
     "MAX_REQUESTS",
     "SUSPECT_S",
--- a/packages/lychee-policy/src/lychee_policy/crashes.py
+++ b/packages/lychee-policy/src/lychee_policy/crashes.py
@@ -18,7 +18,7 @@
 """Number of ended servers from which a request is blocked."""
 
 SAME_CAUSE_S = 0.5
-"""Time within which several servers end of one cause, in seconds.
+"""Time within which servers that had a request at the same time end of one cause, in seconds.
 
 A lost failure domain ends many servers at once, and a popular request is at several of them.
 """
@@ -47,21 +47,38 @@
     BLOCKED = "blocked"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EndedAttempt:
+    """An attempt during which a server ended.
+
+    :param sent_at: monotonic time in seconds at which the request was sent.
+    :param ended_at: monotonic time in seconds at which the server ended.
+    """
+
+    sent_at: float
+    ended_at: float
+
+    def has_other_cause(self, earlier: "EndedAttempt") -> bool:
+        """Return whether the server cannot have ended of the cause of an earlier one's end."""
+        is_later = self.ended_at - earlier.ended_at >= SAME_CAUSE_S
+        return is_later or self.sent_at >= earlier.ended_at
+
+
 @dataclass(kw_only=True, slots=True)
 class _Request:
     """What is known of one request.
 
-    :param ends: monotonic time in seconds at which each server ended.
+    :param ends: the attempt during which each server ended.
     :param answered_at: monotonic time in seconds of the last answer of a server, None for none.
     """
 
-    ends: dict[ServerIncarnation, float] = field(default_factory=dict)
+    ends: dict[ServerIncarnation, EndedAttempt] = field(default_factory=dict)
     answered_at: float | None = None
 
     @property
     def latest_at(self) -> float:
         """Return the monotonic time of the last end or answer, in seconds."""
-        return max((*self.ends.values(), self.answered_at or 0.0))
+        return max((*(end.ended_at for end in self.ends.values()), self.answered_at or 0.0))
 
 
 class CrashTable:
@@ -82,22 +99,24 @@
         """Return whether anything is known of a request."""
         return signature in self._requests
 
-    def record_end(self, signature: RequestSignature, run: ServerIncarnation, at: float) -> bool:
+    def record_end(
+        self, signature: RequestSignature, run: ServerIncarnation, end: EndedAttempt
+    ) -> bool:
         """Record that a server ended while it had a request; return whether that is new.
 
         :param signature: the request's signature.
         :param run: the server.
-        :param at: monotonic time in seconds.
+        :param end: the attempt.
         """
         request = self._requests.get(signature)
         if request is None:
             request = self._requests[signature] = _Request()
             self._limit_size()
-        if run in request.ends or at <= (request.answered_at or 0.0):
+        if run in request.ends or end.ended_at <= (request.answered_at or 0.0):
             return False
-        if len(request.ends) >= MAX_ENDS and not self._adds_a_cause(signature, at):
+        if len(request.ends) >= MAX_ENDS and not self._adds_a_cause(signature, end):
             return False
-        request.ends[run] = at
+        request.ends[run] = end
         return True
 
     def record_answer(self, signature: RequestSignature, at: float) -> bool:
@@ -110,13 +129,13 @@
         if request is None or at <= (request.answered_at or 0.0):
             return False
         request.answered_at = at
-        later = {run: ended_at for run, ended_at in request.ends.items() if ended_at > at}
+        later = {run: end for run, end in request.ends.items() if end.ended_at > at}
         is_changed = len(later) < len(request.ends)
         request.ends = later
         return is_changed
 
     def count_ends(self, signature: RequestSignature, now: float) -> int:
-        """Return how often servers have ended under a request, apart by :data:`SAME_CAUSE_S`.
+        """Return of how many causes servers have ended under a request.
 
         :param signature: the request's signature.
         :param now: monotonic time in seconds.
@@ -186,8 +205,7 @@
         """
         is_new = False
         for end in known.ends:
-            at = now - end.ms_ago / 1_000
-            is_new = self.record_end(known.signature, end.run, at) or is_new
+            is_new = self.record_end(known.signature, end.run, _received(end, now)) or is_new
         if known.answered_ms_ago is not None:
             at = now - known.answered_ms_ago / 1_000
             is_new = self.record_answer(known.signature, at) or is_new
@@ -198,17 +216,19 @@
         request = self._requests.get(signature)
         if request is None:
             return []
-        counted: list[float] = []
-        for at in sorted(request.ends.values()):
-            if not counted or at - counted[-1] >= SAME_CAUSE_S:
-                counted.append(at)
+        counted: list[EndedAttempt] = []
+        for end in sorted(request.ends.values(), key=lambda end: end.ended_at):
+            if not counted or end.has_other_cause(counted[-1]):
+                counted.append(end)
         longest_s = BLOCK_S if len(counted) >= BLOCK_AFTER else SUSPECT_S
-        return [at for at in counted if now - at <= longest_s]
+        return [end.ended_at for end in counted if now - end.ended_at <= longest_s]
 
-    def _adds_a_cause(self, signature: RequestSignature, at: float) -> bool:
-        """Return whether an end at a time makes a difference to the verdict."""
-        counted = self._counted_ends(signature, at)
-        is_apart = all(abs(at - other) >= SAME_CAUSE_S for other in counted)
+    def _adds_a_cause(self, signature: RequestSignature, end: EndedAttempt) -> bool:
+        """Return whether one more end makes a difference to the verdict."""
+        counted = self._counted_ends(signature, end.ended_at)
+        is_apart = all(
+            abs(end.ended_at - other) >= SAME_CAUSE_S or end.sent_at >= other for other in counted
+        )
         return len(counted) < BLOCK_AFTER and is_apart
 
     def _limit_size(self) -> None:
@@ -229,10 +249,21 @@
         answered_ms_ago = _ms_ago(request.answered_at, now)
     return KnownRequest(
         signature=signature,
-        ends=tuple(ServerEnd(run=run, ms_ago=_ms_ago(at, now)) for run, at in request.ends.items()),
+        ends=tuple(_export_end(run, end, now) for run, end in request.ends.items()),
         answered_ms_ago=answered_ms_ago,
     )
 
 
+def _export_end(run: ServerIncarnation, end: EndedAttempt, now: float) -> ServerEnd:
+    return ServerEnd(
+        run=run, sent_ms_ago=_ms_ago(end.sent_at, now), ms_ago=_ms_ago(end.ended_at, now)
+    )
+
+
+def _received(end: ServerEnd, now: float) -> EndedAttempt:
+    """Return the end that another process has told, by this process's clock."""
+    return EndedAttempt(sent_at=now - end.sent_ms_ago / 1_000, ended_at=now - end.ms_ago / 1_000)
+
+
 def _ms_ago(at: float, now: float) -> int:
     return max(0, round((now - at) * 1_000))
--- a/packages/lychee-types/src/lychee_types/crash_messages.py
+++ b/packages/lychee-types/src/lychee_types/crash_messages.py
@@ -14,10 +14,12 @@
 
     :param run: the server and its incarnation.
     :param ms_ago: how long ago its connection ended, in milliseconds.
+    :param sent_ms_ago: how long ago the request was sent to it, in milliseconds.
     """
 
     run: ServerIncarnation
     ms_ago: int
+    sent_ms_ago: int
 
 
 class KnownRequest(Struct, frozen=True, kw_only=True, array_like=True):
