End no rate limit by a failure that does not name it

What a server saw in our test: with a limit of 8 a second, and every third request failed by a bare 500, it got 59 and 75 requests in 4 s, 53 allowed. Cause: an answer without the limit ended it, whichever answer; a failed one that says nothing of limits let all gateways send freely until the next good answer named it again.

Refusals were left out already; failures (500 and above) are now as well, unless they name a limit.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -22,6 +22,9 @@
 a connection.
 """
 
+MIN_FAILURE_STATUS = 500
+"""Lowest HTTP status by which a server says that it failed."""
+
 MAX_BUFFERED_ANSWER_BYTES = 16_384
 """Maximum size of an answer that is buffered whole before any of it is sent to the caller."""
 
@@ -191,7 +194,7 @@
                     seconds = self._clock.monotonic() - began
                     if request_id and info.request_id not in ("", request_id):
                         return NoAnswer(reason="the answer belongs to another request")
-                    self._record_answer(server, info, in_flight, seconds)
+                    self._record_answer(server, answer, info, in_flight, seconds)
                     if info.is_not_run:
                         await _read_body(conn, max_bytes=MAX_BUFFERED_ANSWER_BYTES)
                         return NotRun(
@@ -208,14 +211,20 @@
             return NoAnswer(reason=exc.message, is_disconnected=conn.stream.eof)
 
     def _record_answer(
-        self, server: ProxyServer, info: ResponseInfo, in_flight: InFlightRequest, seconds: float
+        self,
+        server: ProxyServer,
+        answer: ResponseHead,
+        info: ResponseInfo,
+        in_flight: InFlightRequest,
+        seconds: float,
     ) -> None:
         if info.occupancy is not None:
             server.record_occupancy(info.occupancy, self._clock.monotonic())
         if not info.is_not_run:
             server.record_answer(in_flight, seconds)
-        # Answers that a server gives without running the request may lack the header.
-        if info.limit_per_s is not None or not info.is_not_run:
+        # A server that refuses or fails may answer before it knows of its limit.
+        has_run = not info.is_not_run and answer.status < MIN_FAILURE_STATUS
+        if info.limit_per_s is not None or has_run:
             self._limits.record(server.run, info.limit_per_s, sent_at=in_flight.sent_at)
 
     async def _read_answer(
@@ -223,7 +232,7 @@
     ) -> Attempt:
         head = self._codec.forward_response(answer)
         is_short = answer.length is not None and answer.length <= MAX_BUFFERED_ANSWER_BYTES
-        if not is_short and answer.status < 500:
+        if not is_short and answer.status < MIN_FAILURE_STATUS:
             return await self._stream_answer(conn, head, exchange, await conn.read_chunk())
         body, is_whole = await _read_body(conn, max_bytes=MAX_BUFFERED_ANSWER_BYTES)
         if is_whole:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -4,6 +4,7 @@
 
 from lychee_gateway.proxy.age import StateAge
 from lychee_gateway.proxy.attempts import (
+    MIN_FAILURE_STATUS,
     Attempt,
     Body,
     NoAnswer,
@@ -42,9 +43,6 @@
 ANSWER_MARGIN_S = 0.02
 """Time before a caller's deadline by which the final answer is due, in seconds."""
 
-MIN_FAILURE_STATUS = 500
-"""Lowest HTTP status by which a server says that it failed."""
-
 SUCCESS_LOG_INTERVAL = 100
 """One in this many successful requests is logged."""
 
