--- a/packages/lychee-bench/src/lychee_bench/experiments/catalog.py
+++ b/packages/lychee-bench/src/lychee_bench/experiments/catalog.py
@@ -13,6 +13,7 @@
     measure_recovery,
     measure_rollout,
 )
+from lychee_bench.experiments.crashes import CrashingRequest, measure_crashing_request
 from lychee_bench.experiments.limits import SharedLimit, measure_shared_limit
 from lychee_bench.experiments.loss import (
     LostComponent,
@@ -60,6 +61,7 @@
     | HotKeyBalance
     | LeaderCost
     | SharedLimit
+    | CrashingRequest
 )
 
 EXPERIMENTS: Mapping[str, Experiment] = {
@@ -86,6 +88,7 @@
     "hot-keys": HotKeyBalance(),
     "leader-cost": LeaderCost(),
     "shared-limit": SharedLimit(),
+    "crashing-request": CrashingRequest(),
 }
 """Experiments by name."""
 
@@ -127,3 +130,5 @@
             return list(measure_leader_cost())
         case SharedLimit():
             return list(measure_shared_limit(experiment))
+        case CrashingRequest():
+            return list(measure_crashing_request(experiment))
