Let a replica that was replaced while it was away join again

A replica asks to join now once the leader has been silent for 4 s; the leader ignores a voter's request and keeps the others' until a voter is lost. The log takes a former member back, as a learner first, with the disk it kept: what it promised by terms, votes and entries it still keeps, so it needs no new id, other than one whose disk was emptied.

--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -187,6 +187,7 @@
             target_voter_count=cfg.target_voter_count,
             clock=self._clock,
             post=self._peers.post_frame,
+            leader_silence_s=self._leader_message_age_s,
         )
         self._callers = CallerConnections(
             handle=self._handle_request,
--- a/packages/lychee-control/src/lychee_control/registry/joining.py
+++ b/packages/lychee-control/src/lychee_control/registry/joining.py
@@ -1,4 +1,4 @@
-"""Adds replicas to the group: a new one, or one that lost its disk, asks to become a voter."""
+"""Adds replicas to the group: one that is not a member of it yet or any more asks to join."""
 
 import asyncio
 from collections.abc import Callable
@@ -56,6 +56,7 @@
     :param target_voter_count: number of voters that the group should have.
     :param clock: source of time.
     :param post: sends a frame to a peer.
+    :param leader_silence_s: returns the time since a message of the leader, in seconds.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         target_voter_count: int,
         clock: Clock,
         post: Post,
+        leader_silence_s: Callable[[], float],
     ) -> None:
         self._replica = replica
         self._this_replica = this_replica
@@ -74,6 +76,7 @@
         self._target_voter_count = target_voter_count
         self._clock = clock
         self._post = post
+        self._leader_silence_s = leader_silence_s
         self._requests: dict[Endpoint, tuple[ReplicaAddress, float]] = {}
 
     def handle_request(self, frame: JoinRequest) -> None:
@@ -93,15 +96,25 @@
         while True:
             if self._replica.is_leader:
                 await self._admit_next()
-            elif not self._replica.is_voter:
+            elif not self._replica.is_voter or self._may_have_been_replaced():
                 self._send_requests()
             await asyncio.sleep(REQUEST_INTERVAL_S)
 
+    def _may_have_been_replaced(self) -> bool:
+        """Return whether the leader has been silent so long that it may have replaced this voter.
+
+        Nobody tells a replica that was away. The leader ignores a request of one that is a voter.
+        """
+        return self._leader_silence_s() > VOTER_LOST_S
+
     def _send_requests(self) -> None:
         request: PeerFrame = JoinRequest(newcomer=self._this_replica)
+        known = {voter.endpoint: voter for voter in self._replica.voters}
         for seed in self._seeds:
-            if seed != self._this_replica.endpoint:
-                self._post(to=ReplicaAddress(id=replica_id(seed), endpoint=seed), frame=request)
+            known.setdefault(seed, ReplicaAddress(id=replica_id(seed), endpoint=seed))
+        for replica in known.values():
+            if replica.endpoint != self._this_replica.endpoint:
+                self._post(to=replica, frame=request)
 
     async def _admit_next(self) -> None:
         now = self._clock.monotonic()
--- a/packages/lychee-log/src/lychee_log/introductions.py
+++ b/packages/lychee-log/src/lychee_log/introductions.py
@@ -64,11 +64,15 @@
         state = self._state
         if state.identity.group == 0:
             self._handle_hello_without_group(hello, now)
-        elif hello.group == 0 and state.members.find(hello.sender) is None:
+        elif hello.group in (0, state.identity.group) and not self._is_member(hello.sender):
+            # A removed member that kept its disk may join again: what it promised, it still keeps.
             self.joining_replica = hello.sender_address
         if hello.wants_reply:
             self._send_hello(hello.sender_address, wants_reply=False)
 
+    def _is_member(self, replica: ReplicaId) -> bool:
+        return self._state.members.find(replica) is not None
+
     def _handle_hello_without_group(self, hello: Hello, now: float) -> None:
         if hello.group == 0:
             self._bootstrap.record_hello(hello)
--- a/packages/lychee-log/tests/test_core.py
+++ b/packages/lychee-log/tests/test_core.py
@@ -52,9 +52,14 @@
 
 def replace_node(group: Group, old: Node, name: str) -> Node:
     """Replace a lost replica by a new one, in the steps of ``VoterReplacement``."""
+    new = group.add(name)
+    replace_by(group, old, new)
+    return new
+
+
+def replace_by(group: Group, old: Node, new: Node) -> None:
     leader = group.run_until_leader()
     core = core_of(leader)
-    new = group.add(name)
     assert core.change_members(
         with_learner(core.state.members, core_of(new).state.own_address)
     ).is_ok()
@@ -66,7 +71,6 @@
     assert core.change_members(without_member(core.state.members, old.address.id)).is_ok()
     while core.state.commit_index < core.state.log.members_index:
         group.run_round()
-    return new
 
 
 def test_no_leader_before_every_initial_voter_has_sent_a_hello() -> None:
@@ -216,6 +220,24 @@
     assert added.items == leader.items
 
 
+def test_a_replaced_voter_that_kept_its_disk_can_replace_another_one() -> None:
+    group = make_group("abc")
+    commit(group, b"1")
+    away = other_nodes(group, group.run_until_leader())[0]
+    group.propose(away, b"refused")
+    group.crash(away, is_stored=True)
+    replace_node(group, away, "z")
+    commit(group, b"2")
+    group.start(away)
+    lost = next(node for node in other_nodes(group, group.run_until_leader()) if node is not away)
+    group.crash(lost, is_stored=True)
+    replace_by(group, lost, away)
+    commit(group, b"3")
+    group.run(0.3)
+    assert away.items == [b"1", b"2", b"3"]
+    assert core_of(away).state.is_voter
+
+
 def test_a_learner_does_not_count_for_a_quorum() -> None:
     group = make_group("abc")
     leader = group.run_until_leader()
--- a/packages/lychee-log/tests/test_core_random.py
+++ b/packages/lychee-log/tests/test_core_random.py
@@ -198,6 +198,18 @@
         learner = added.core.state.own_address
         leader.core.change_members(with_learner(leader.core.state.members, learner))
 
+    @rule(position=POSITION)
+    def take_back_a_former_member(self, position: int) -> None:
+        leader = self.group.current_leader()
+        if leader is None or leader.core is None:
+            return
+        members = leader.core.state.members
+        cores = [node.core for node in self.group.nodes.values() if node.core is not None]
+        former = [core.state for core in cores if members.find(core.state.id) is None]
+        if former:
+            learner = former[position % len(former)].own_address
+            leader.core.change_members(with_learner(members, learner))
+
     @rule(position=POSITION)
     def promote(self, position: int) -> None:
         leader = self.group.current_leader()
