Send the leader's replies on the stream that a gateway follows

Cause: since a gateway may open a second stream to the replica that it follows, to see whether that is better. The replica took the newest stream for the gateway's, and none once that had ended, so permits no longer arrived and the gateway lived on its part of the reserve, a fraction of a server's limit. No rule is broken by it, callers are refused without need. Found when the diff was read.

A stream is a gateway's own from the moment at which it follows. Test: test_a_second_stream_of_a_gateway_that_ends_takes_no_replies_from_the_followed_one (fails before).

--- a/packages/lychee-control/src/lychee_control/registry/subscribers.py
+++ b/packages/lychee-control/src/lychee_control/registry/subscribers.py
@@ -63,7 +63,6 @@
         if not batch or not isinstance(batch[0], Subscribe):
             return
         gateway, session = batch[0].gateway, batch[0].session
-        self._links[session] = link
         try:
             while batch and not link.closed:
                 for message in batch:
@@ -93,6 +92,8 @@
             case Subscribe(sent_at=sent_at) | Probe(sent_at=sent_at):
                 link.post(self._pulse(sent_at))
             case Follow(have=have, sent_at=sent_at):
+                # A gateway may try a second stream while it follows the first.
+                self._links[session] = link
                 self._add_follower(link, gateway, have)
                 link.post(self._pulse(sent_at))
             case LoadReport() | LimitReport() | PermitRequest() | CrashReport():
