Leave all other attempts in the moment in which a replica is selected

Seen as test_another_replica_is_subscribed_to_when_one_is_lost [silent], which failed in one of four runs beside each other at a load of 12: the gateway had followed two.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
@@ -311,14 +311,15 @@
             self._request_state(link)
 
     def _select_link(self, link: Link[FromGateway, ToSubscriber], contact: _Contact) -> None:
-        """Select the replica in place of the one that is followed, and leave that one."""
+        """Select the replica in place of the one that is followed, and leave all others."""
         self._link = link
         self._contact = contact
         former, self._follower = self._follower, asyncio.current_task()
-        self._attempts -= {self._follower}
+        self._attempts.discard(self._follower)
         if former is not None:
-            former.cancel()
             self._attempts.add(former)
+        for task in self._attempts:
+            task.cancel()
         logger.bind(
             event="replica_found",
             replica=link.peer,
--- a/packages/lychee-gateway/tests/test_subscription.py
+++ b/packages/lychee-gateway/tests/test_subscription.py
@@ -43,6 +43,8 @@
         self.is_damaged = False
         self.ended = asyncio.Event()
         self.subscribed = asyncio.Event()
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
 
     async def serve(self, link):
         self.subscribers += 1
@@ -58,6 +60,7 @@
         while batch := await link.receive():
             if self.is_silent or not is_answered:
                 continue
+            await self.may_answer.wait()
             for message in batch:
                 match message:
                     case Follow():
@@ -224,6 +227,26 @@
     asyncio.run(body())
 
 
+def test_only_one_of_several_replicas_that_answer_at_once_is_followed():
+    async def body():
+        replicas = [Replica(7) for _ in range(3)]
+        async with AsyncExitStack() as stack:
+            for replica in replicas:
+                replica.may_answer.clear()
+                await stack.enter_async_context(replica.running())
+            seeds = [replica.endpoint for replica in replicas]
+            async with Gateway(*seeds).running() as gateway:
+                for replica in replicas:
+                    await replica.subscribed.wait()
+                for replica in replicas:
+                    replica.may_answer.set()
+                await gateway.wait_for_index(7)
+                await asyncio.sleep(module.PROBE_S)
+                assert sum(replica.followers for replica in replicas) == 1
+
+    asyncio.run(body())
+
+
 def test_a_state_that_comes_without_a_pulse_does_not_make_its_replica_followed():
     async def body():
         async with Replica(7, age_ms=None).running() as old, Replica(9).running() as current:
