Take no failure for a measurement of how fast a server is

What callers saw in our test: four servers, one of which fails every request at once by 500, on a route that may run once: 0 of the last 120 callers were served. Cause: every answer counted as a success of its server and as its service time, so the failing one looked like the fastest and was chosen always.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -220,11 +220,14 @@
     ) -> None:
         if info.occupancy is not None:
             server.record_occupancy(info.occupancy, self._clock.monotonic())
-        if not info.is_not_run:
+        has_failed = answer.status >= MIN_FAILURE_STATUS
+        if has_failed and not info.is_not_run:
+            # Its time says nothing: a server that fails at once would look like the fastest one.
+            server.record_failure(self._clock.monotonic())
+        elif not info.is_not_run:
             server.record_answer(in_flight, seconds)
         # A server that refuses or fails may answer before it knows of its limit.
-        has_run = not info.is_not_run and answer.status < MIN_FAILURE_STATUS
-        if info.limit_per_s is not None or has_run:
+        if info.limit_per_s is not None or not (info.is_not_run or has_failed):
             self._limits.record(server.run, info.limit_per_s, sent_at=in_flight.sent_at)
 
     async def _read_answer(
