Count attempts to connect to each server by outcome

From the metrics nobody could tell a gateway that is cut off from servers that are down: a failed connection counted as NotRun, like a refusal of the server. The counter has the server and the outcome, so that all servers failing at one gateway, and one server failing at all gateways, look different. No decision changes.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -13,6 +13,7 @@
 from lychee_http.exceptions import BadRequestError, CallerGoneError, ServerResponseError
 from lychee_http.pipelining import CallerExchange
 from lychee_types.clock import Clock
+from lychee_types.ids import ServerId
 
 END_CHECK_S = 0.1
 """Maximum wait for a connection that shows that a server still listens, in seconds."""
@@ -109,14 +110,22 @@
 
     :param codec: translates request and response heads.
     :param limits: rate limits of the servers.
+    :param on_connection: called with each attempt to connect to a server, and its error if any.
     :param drain_s: time after which a leaving server must get no more requests, in seconds.
     :param clock: source of time.
     """
 
     def __init__(
-        self, *, codec: ProxyCodec, limits: ServerLimits, drain_s: float, clock: Clock
+        self,
+        *,
+        codec: ProxyCodec,
+        limits: ServerLimits,
+        on_connection: Callable[[ServerId, OSError | None], None],
+        drain_s: float,
+        clock: Clock,
     ) -> None:
         self._codec = codec
+        self._on_connection = on_connection
         self._limits = limits
         self._last_send_s = drain_s * LAST_SEND_SHARE
         self._clock = clock
@@ -141,7 +150,7 @@
         began = self._clock.monotonic()
         with server.track_request(began) as in_flight:
             try:
-                conn = await server.pool.acquire(timeout_s=max(0.0, deadline - began))
+                conn = await self._acquire(server, timeout_s=max(0.0, deadline - began))
             except OSError as exc:
                 server.record_failure(self._clock.monotonic())
                 return NotRun(reason=f"no connection: {type(exc).__name__}", was_sent=False)
@@ -153,6 +162,18 @@
             server.record_failure(self._clock.monotonic())
         return attempt
 
+    async def _acquire(self, server: ProxyServer, *, timeout_s: float) -> ServerConnection:
+        conn = server.pool.take_idle()
+        if conn is not None:
+            return conn
+        try:
+            conn = await server.pool.connect(timeout_s=timeout_s)
+        except OSError as exc:
+            self._on_connection(server.run.server, exc)
+            raise
+        self._on_connection(server.run.server, None)
+        return conn
+
     async def has_ended(self, server: ProxyServer) -> bool:
         """Return whether nobody accepts connections at a server's address any more."""
         try:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -121,6 +121,7 @@
             sender=Sender(
                 codec=codec,
                 limits=self._limits,
+                on_connection=self._metrics.count_connection,
                 drain_s=cfg.bounds.drain_s,
                 clock=self._clock,
             ),
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -54,6 +54,9 @@
             "limited_attempts", "Attempts at servers that have named a rate limit.", "server"
         )
         self._permits = page.counter("permits", "Permits for servers with a limit.", "outcome")
+        self._connections = page.counter(
+            "server_connections", "Attempts to connect to a server.", "server", "outcome"
+        )
         self._latency = page.latency("answer", "From head to final answer.", "service")
 
     def count_answer(self, service: ServiceName, status: int, seconds: float) -> None:
@@ -81,6 +84,19 @@
         """Count a request that was not sent because servers end under it."""
         self._blocked.labels(service).inc()
 
+    def count_connection(self, server: ServerId, exc: OSError | None) -> None:
+        """Count an attempt to connect to a server, and the error if it failed."""
+        match exc:
+            case None:
+                outcome = "opened"
+            case ConnectionRefusedError():
+                outcome = "refused"
+            case TimeoutError():
+                outcome = "timeout"
+            case _:
+                outcome = "failed"
+        self._connections.labels(server, outcome).inc()
+
     def count_permits(self, outcome: str, count: int) -> None:
         """Count permits for servers with a limit: issued, expired, or taken from the reserve."""
         self._permits.labels(outcome).inc(count)
--- a/packages/lychee-gateway/tests/test_crashes.py
+++ b/packages/lychee-gateway/tests/test_crashes.py
@@ -133,7 +133,13 @@
             slots=1,
         )
         clock = SystemClock()
-        sender = Sender(codec=None, limits=make_limits(clock), drain_s=2.0, clock=clock)
+        sender = Sender(
+            codec=None,
+            limits=make_limits(clock),
+            on_connection=lambda server, exc: None,
+            drain_s=2.0,
+            clock=clock,
+        )
         ended = ProxyServer(record=record, now=clock.monotonic())
         conn = await ended.pool.acquire(timeout_s=1.0)
         with ended.pool.release_after_use(conn):
--- a/packages/lychee-http/src/lychee_http/pool.py
+++ b/packages/lychee-http/src/lychee_http/pool.py
@@ -35,7 +35,7 @@
         :param timeout_s: maximum wait in seconds.
         :raises OSError: if the server cannot be reached in time.
         """
-        return self._pop_idle() or await self.connect(timeout_s=timeout_s)
+        return self.take_idle() or await self.connect(timeout_s=timeout_s)
 
     async def connect(self, *, timeout_s: float) -> ServerConnection:
         """Return a new connection, which shows that the server still accepts some.
@@ -84,7 +84,8 @@
             self._idle.remove(conn)
         conn.close()
 
-    def _pop_idle(self) -> ServerConnection | None:
+    def take_idle(self) -> ServerConnection | None:
+        """Return an idle connection that can take a request, None if there is none."""
         while self._idle:
             conn = self._idle.pop()
             conn.stream.on_disconnect = lambda: None
