--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -23,6 +23,7 @@
 )
 from lychee_control.registry.calls import GrantCodec
 from lychee_control.registry.crashes import CrashBoard
+from lychee_control.registry.gateways import GatewayBoard
 from lychee_control.registry.joining import JoinHandler, load_or_create_id
 from lychee_control.registry.leader import RegistryLeader
 from lychee_control.registry.limits import LimitBoard
@@ -56,6 +57,7 @@
 from lychee_types.ids import DomainName, SessionId
 from lychee_types.limit_messages import KnownLimits
 from lychee_types.messages import PEER
+from lychee_types.peer_messages import KnownGateways
 from lychee_types.records import Endpoint
 from lychee_types.registry import RoutedImage
 from lychee_types.registry_commands import RoutedOutcome
@@ -153,11 +155,12 @@
         self._machine = RoutedMachine(on_applied=self._on_applied, on_restored=self._on_restored)
         self._limits = LimitBoard(clock=self._clock)
         self._crashes = CrashBoard(clock=self._clock)
+        self._gateways = GatewayBoard(clock=self._clock)
         self._subscribers = Subscribers(
             machine=self._machine,
             on_note=self._send_note_up,
             pulse=self._make_pulse,
-            news=lambda: (self._limits.news(), self._crashes.news()),
+            news=lambda: (self._limits.news(), self._crashes.news(), self._gateways.news()),
         )
         seed = xxh3_64_intdigest(self._id.encode())
         self._peers = PeerLinks(spawn=self._spawn_peer_link, ssl=None, seed=seed)
@@ -347,6 +350,8 @@
                 self._limits.record(limits)
             case KnownCrashes(requests=requests):
                 self._crashes.record(requests)
+            case KnownGateways(gateways=gateways):
+                self._gateways.record_known(gateways)
         self._subscribers.post_all(news)
 
     def _send_note_up(self, session: SessionId, note: LeaderNote) -> None:
@@ -401,6 +406,7 @@
             codec=self._grants,
             limits=self._limits,
             crashes=self._crashes,
+            gateways=self._gateways,
             spread=self._relay.spread,
             clock=self._clock,
         )
--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -11,6 +11,7 @@
 
 from lychee_control.registry.calls import GrantCodec
 from lychee_control.registry.crashes import CrashBoard
+from lychee_control.registry.gateways import GatewayBoard
 from lychee_control.registry.heartbeats import HeartbeatTracker
 from lychee_control.registry.limits import LimitBoard, PermitDesk
 from lychee_control.registry.orders import (
@@ -34,6 +35,7 @@
 from lychee_types.exceptions import InvariantError, LycheeError
 from lychee_types.ids import ServiceName
 from lychee_types.limit_messages import LimitReport, ObservedLimit, PermitRequest
+from lychee_types.peer_messages import GatewayReport, KnownGateways
 from lychee_types.registry import RegisteredServer, ServerIncarnation
 from lychee_types.registry_commands import (
     Applied,
@@ -68,6 +70,12 @@
 SPREAD_INTERVAL_S = 2.0
 """Interval at which news for gateways are sent again, in seconds."""
 
+BATCH_S = 0.1
+"""Time for which changes of gateways are collected before they are sent, in seconds.
+
+Many gateways are cut off at the same moment.
+"""
+
 _ENCODER = Encoder()
 
 
@@ -80,6 +88,7 @@
     :param codec: translates calls to servers.
     :param limits: what is known of the servers' rate limits.
     :param crashes: what is known of requests under which servers end.
+    :param gateways: what gateways have reported of themselves.
     :param spread: sends news to all gateways.
     :param clock: source of time.
     """
@@ -93,6 +102,7 @@
         codec: GrantCodec,
         limits: LimitBoard,
         crashes: CrashBoard,
+        gateways: GatewayBoard,
         spread: Callable[[LeaderNews], None],
         clock: Clock,
     ) -> None:
@@ -104,6 +114,8 @@
         self._limits = limits
         self._permits = PermitDesk(board=limits, clock=clock)
         self._crashes = crashes
+        self._gateways = gateways
+        self._is_batch_due = False
         self._spread = spread
         self._spread_at = 0.0
         self._heartbeats = HeartbeatTracker(now=clock.monotonic())
@@ -159,6 +171,9 @@
             case CrashReport(requests=requests):
                 if self._crashes.record(requests):
                     self._spread_crashes()
+            case GatewayReport():
+                if self._gateways.record(note):
+                    self._spread_gateways_soon()
             case PermitRequest(limit=limit):
                 self._record_limits((limit,))
                 return self._permits.answer(note, holds_lease=self._holds_lease())
@@ -271,6 +286,7 @@
         self._spread_at = now + SPREAD_INTERVAL_S
         self._spread_limits()
         self._spread_crashes()
+        self._spread_known(self._gateways.take_sample())
 
     def _spread_crashes(self) -> None:
         """Send what is known of suspected and blocked requests to all gateways."""
@@ -278,6 +294,21 @@
         if news.requests:
             self._spread(news)
 
+    def _spread_gateways_soon(self) -> None:
+        if not self._is_batch_due:
+            self._is_batch_due = True
+            self._spawn(self._spread_gateways(), "news of gateways")
+
+    async def _spread_gateways(self) -> None:
+        """Send the changes of gateways to all gateways."""
+        await asyncio.sleep(BATCH_S)
+        self._is_batch_due = False
+        self._spread_known(self._gateways.take_changes())
+
+    def _spread_known(self, news: KnownGateways) -> None:
+        if news.gateways:
+            self._spread(news)
+
     def _holds_lease(self) -> bool:
         """Return whether this replica's lease excludes any other leader."""
         return self._clock.monotonic() < self._replica.lease_expires_at()
--- a/packages/lychee-control/src/lychee_control/registry/subscribers.py
+++ b/packages/lychee-control/src/lychee_control/registry/subscribers.py
@@ -10,6 +10,7 @@
 from lychee_types.crash_messages import CrashReport
 from lychee_types.ids import GatewayId, LogIndex, SessionId
 from lychee_types.limit_messages import LimitReport, PermitRequest
+from lychee_types.peer_messages import GatewayReport
 from lychee_types.registry_messages import (
     Follow,
     FromGateway,
@@ -96,7 +97,7 @@
                 self._links[session] = link
                 self._add_follower(link, gateway, have)
                 link.post(self._pulse(sent_at))
-            case LoadReport() | LimitReport() | PermitRequest() | CrashReport():
+            case LoadReport() | LimitReport() | PermitRequest() | CrashReport() | GatewayReport():
                 self._on_note(session, message)
 
     def broadcast(self, delta: RoutedDelta) -> None:
--- /dev/null
+++ b/packages/lychee-control/tests/test_registry_gateways.py
@@ -0,0 +1,65 @@
+"""Gateways' reports on themselves, as known to control replicas."""
+
+from lychee_control.registry.gateways import MAX_AGE_S, GatewayBoard
+from lychee_types.ids import DomainName, GatewayId
+from lychee_types.peer_messages import GatewayReport
+from lychee_types.records import Endpoint
+from lychee_types.testing import ManualClock
+
+
+def report(number, *, reaches_none=False):
+    return GatewayReport(
+        gateway=GatewayId(f"g{number}"),
+        domain=DomainName("nord"),
+        carry=Endpoint(host="10.0.0.1", port=number),
+        reaches_none=reaches_none,
+        unreached=(),
+    )
+
+
+def make_board(count):
+    clock = ManualClock()
+    board = GatewayBoard(clock=clock)
+    for number in range(1, count + 1):
+        assert board.record(report(number))
+    return board, clock
+
+
+def told(news):
+    return {known.report.gateway for known in news.gateways}
+
+
+def test_only_changes_are_told_at_once():
+    board, _ = make_board(3)
+    assert told(board.take_changes()) == {"g1", "g2", "g3"}
+    assert not board.record(report(2))
+    assert board.record(report(3, reaches_none=True))
+    assert told(board.take_changes()) == {"g3"}
+    assert not board.take_changes().gateways
+
+
+def test_a_new_gateway_is_told_of_all_others():
+    board, _ = make_board(60)
+    assert len(board.news().gateways) == 60
+
+
+def test_all_gateways_are_told_again_in_turn_by_small_messages():
+    board, _ = make_board(60)
+    samples = [board.take_sample() for _ in range(20)]
+    assert max(len(sample.gateways) for sample in samples) == 3
+    assert len(set().union(*(told(sample) for sample in samples))) == 60
+
+
+def test_a_gateway_that_reports_nothing_is_forgotten():
+    board, clock = make_board(2)
+    clock.advance(MAX_AGE_S * 0.6)
+    board.record(report(1))
+    clock.advance(MAX_AGE_S * 0.6)
+    assert told(board.news()) == {"g1"}
+
+
+def test_the_next_leader_begins_with_what_the_former_one_has_told():
+    former, _ = make_board(3)
+    following = GatewayBoard(clock=ManualClock())
+    following.record_known(former.news().gateways)
+    assert told(following.news()) == {"g1", "g2", "g3"}
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -4,25 +4,24 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, replace
 
-from loguru import logger
-
 from lychee_gateway.proxy.codec import ProxyCodec, ResponseInfo
 from lychee_gateway.proxy.limits import ServerLimits
+from lychee_gateway.proxy.paths import ServerPaths
+from lychee_gateway.proxy.peers import NotReachedError
 from lychee_gateway.proxy.servers import InFlightRequest, ProxyServer
 from lychee_http import RequestHead, ResponseHead, ServerConnection, header_value
 from lychee_http.exceptions import BadRequestError, CallerGoneError, ServerResponseError
 from lychee_http.pipelining import CallerExchange
 from lychee_types.clock import Clock
-from lychee_types.ids import ServerId
-
-END_CHECK_S = 0.1
-"""Maximum wait for a connection that shows that a server still listens, in seconds."""
 
 LAST_SEND_SHARE = 0.9
 """Share of the drain time after which nothing is sent to a leaving server, however late it opened
 a connection.
 """
 
+NOT_RUN_RETRY_S = 0.1
+"""Retry delay after a request that a server did not run, in seconds."""
+
 MIN_FAILURE_STATUS = 500
 """Lowest HTTP status by which a server says that it failed."""
 
@@ -77,11 +76,13 @@
     :param reason: what the server answered, or why the request was not sent.
     :param was_sent: whether the request reached the server.
     :param is_misdirected: whether the address or the key belongs to another server.
+    :param retry_after_s: time after which another request may be run, in seconds.
     """
 
     reason: str
     was_sent: bool
     is_misdirected: bool = False
+    retry_after_s: float = NOT_RUN_RETRY_S
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -109,8 +110,8 @@
     """Sends requests to servers.
 
     :param codec: translates request and response heads.
+    :param paths: opens connections to servers.
     :param limits: rate limits of the servers.
-    :param on_connection: called with each attempt to connect to a server, and its error if any.
     :param drain_s: time after which a leaving server must get no more requests, in seconds.
     :param clock: source of time.
     """
@@ -119,13 +120,13 @@
         self,
         *,
         codec: ProxyCodec,
+        paths: ServerPaths,
         limits: ServerLimits,
-        on_connection: Callable[[ServerId, OSError | None], None],
         drain_s: float,
         clock: Clock,
     ) -> None:
         self._codec = codec
-        self._on_connection = on_connection
+        self._paths = paths
         self._limits = limits
         self._last_send_s = drain_s * LAST_SEND_SHARE
         self._clock = clock
@@ -150,40 +151,27 @@
         began = self._clock.monotonic()
         with server.track_request(began) as in_flight:
             try:
-                conn = await self._acquire(server, timeout_s=max(0.0, deadline - began))
+                conn = await self._paths.acquire(server, timeout_s=max(0.0, deadline - began))
             except OSError as exc:
                 server.record_failure(self._clock.monotonic())
-                return NotRun(reason=f"no connection: {type(exc).__name__}", was_sent=False)
+                return _not_connected(exc)
             with server.pool.release_after_use(conn):
                 attempt = await self._send_on(
                     conn, exchange, body, server, in_flight, deadline, request_id
                 )
         if isinstance(attempt, NoAnswer | TooLate):
             server.record_failure(self._clock.monotonic())
+        match attempt:
+            case TooLate() | NoAnswer(is_disconnected=True) if conn.is_carried:
+                # The carrying gateway may be cut off itself by now.
+                server.pool.drop_carried()
+            case TooLate() | NoAnswer(is_disconnected=True):
+                self._paths.suspect(server, since=began)
         return attempt
 
-    async def _acquire(self, server: ProxyServer, *, timeout_s: float) -> ServerConnection:
-        conn = server.pool.take_idle()
-        if conn is not None:
-            return conn
-        try:
-            conn = await server.pool.connect(timeout_s=timeout_s)
-        except OSError as exc:
-            self._on_connection(server.run.server, exc)
-            raise
-        self._on_connection(server.run.server, None)
-        return conn
-
     async def has_ended(self, server: ProxyServer) -> bool:
         """Return whether nobody accepts connections at a server's address any more."""
-        try:
-            # An idle connection may not have been reset yet.
-            conn = await server.pool.connect(timeout_s=END_CHECK_S)
-        except OSError as exc:
-            logger.debug("server {} has ended: {!r}", server.run.server, exc)
-            return True
-        with server.pool.release_after_use(conn):
-            return False
+        return await self._paths.has_ended(server)
 
     async def _send_on(
         self,
@@ -215,6 +203,8 @@
                     seconds = self._clock.monotonic() - began
                     if request_id and info.request_id not in ("", request_id):
                         return NoAnswer(reason="the answer belongs to another request")
+                    if not conn.is_carried:
+                        self._paths.record_heard()
                     self._record_answer(server, answer, info, in_flight, seconds)
                     if info.is_not_run:
                         await _read_body(conn, max_bytes=MAX_BUFFERED_ANSWER_BYTES)
@@ -239,6 +229,7 @@
         in_flight: InFlightRequest,
         seconds: float,
     ) -> None:
+        server.heard_at = self._clock.monotonic()
         if info.occupancy is not None:
             server.record_occupancy(info.occupancy, self._clock.monotonic())
         has_failed = answer.status >= MIN_FAILURE_STATUS
@@ -278,6 +269,15 @@
         return PassedOn(status=head.status, is_whole=True)
 
 
+def _not_connected(exc: OSError) -> NotRun:
+    reason = f"no connection: {type(exc).__name__}"
+    match exc:
+        case NotReachedError(retry_after_s=retry_after_s):
+            return NotRun(reason=reason, was_sent=False, retry_after_s=retry_after_s)
+        case _:
+            return NotRun(reason=reason, was_sent=False)
+
+
 def _with_body_framing(head: RequestHead, body: Body, caller: RequestHead) -> RequestHead:
     """Return the head with the body's framing: its length if known, else chunked encoding."""
     declared = header_value(caller.headers, b"content-length")
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -0,0 +1,246 @@
+"""Carry connections of other gateways to registered servers.
+
+A carried connection is bytes and nothing else: the gateway that asked for it has chosen the server
+and answers for the request. Nothing is carried on to a further gateway.
+"""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+from loguru import logger
+from msgspec import DecodeError
+from msgspec.msgpack import Decoder, Encoder
+
+from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_http import ServerConnection, TcpStream
+from lychee_http.carrying import LEAVING, LENGTH, MAX_REPLY_BYTES, encode_frame
+from lychee_http.listener import Listener
+from lychee_types.peer_messages import CarryAccepted, CarryRefused, CarryReply, CarryRequest
+from lychee_types.records import Endpoint
+
+REQUEST_TIMEOUT_S = 1.0
+"""Maximum wait for the request on a new connection, in seconds."""
+
+MAX_OPEN = 512
+"""Maximum number of connections that are carried."""
+
+MAX_WAITING = 64
+"""Maximum number of carried connections whose server owes an answer."""
+
+FULL_RETRY_S = 0.2
+"""Delay after which a full gateway may be asked again, in seconds."""
+
+UNKNOWN_RETRY_S = 0.2
+"""The same for a server that is not registered here, as this gateway's state may be older."""
+
+CLOSE_S = 1.0
+"""Maximum time in which a carried connection may deliver its last bytes, in seconds."""
+
+_ENCODER = Encoder()
+_REQUEST_DECODER: Decoder[CarryRequest] = Decoder(CarryRequest)
+
+
+class _RefusedError(Exception):
+    """A connection is not carried.
+
+    :param reply: what the asking gateway is told.
+    """
+
+    def __init__(self, reply: CarryRefused) -> None:
+        super().__init__(reply.reason)
+        self.reply = reply
+
+
+class Carrier:
+    """Takes connections of other gateways and carries them to servers.
+
+    :param endpoint: the address to listen on.
+    :param servers: the registered servers, the only addresses that it connects to.
+    :param connect: opens a direct connection to a server, within a time in seconds.
+    :param on_request: called with the outcome of each request.
+    :param on_bytes: called with the number of bytes that were carried, in either direction.
+    """
+
+    def __init__(
+        self,
+        *,
+        endpoint: Endpoint,
+        servers: ServerList,
+        connect: Callable[[ProxyServer, float], Awaitable[ServerConnection]],
+        on_request: Callable[[str], None],
+        on_bytes: Callable[[int], None],
+    ) -> None:
+        self._servers = servers
+        self._connect = connect
+        self._on_request = on_request
+        self._on_bytes = on_bytes
+        self._listener = Listener(endpoint=endpoint, accept=self._accept)
+        self._tasks: dict[asyncio.Task[None], TcpStream] = {}
+        self._waiting: set[TcpStream] = set()
+        self._is_leaving = False
+
+    def __len__(self) -> int:
+        """Return how many connections are carried."""
+        return len(self._tasks)
+
+    def start(self) -> None:
+        """Start to listen."""
+        self._listener.start()
+
+    def leave(self) -> None:
+        """Take no more connections, and ask for the end of those that are carried."""
+        self._is_leaving = True
+        for stream in self._tasks.values():
+            stream.write(LENGTH.pack(LEAVING))
+
+    async def close(self) -> None:
+        """Stop to listen and end all carried connections."""
+        await self._listener.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.connect_accepted_socket(lambda: TcpStream(on_connect=self._on_connect), sock)
+
+    def _on_connect(self, stream: TcpStream) -> None:
+        stream.probe_while_silent()
+        task = asyncio.get_running_loop().create_task(self._serve(stream))
+        self._tasks[task] = stream
+        task.add_done_callback(self._tasks.pop)
+
+    async def _serve(self, stream: TcpStream) -> None:
+        try:
+            conn = await self._open(stream)
+        except _RefusedError as exc:
+            await self._refuse(stream, exc.reply)
+            return
+        except (ConnectionError, TimeoutError, DecodeError) as exc:
+            logger.bind(event="bad_carry_request").info("no request to carry: {!r}", exc)
+            self._on_request("bad")
+            stream.abort()
+            return
+        self._on_request("carried")
+        try:
+            stream.write(_encode_reply(CarryAccepted()))
+            if self._is_leaving:
+                stream.write(LENGTH.pack(LEAVING))
+            await self._carry(stream, conn.stream)
+        finally:
+            self._waiting.discard(stream)
+            conn.close()
+            stream.abort()
+
+    async def _open(self, stream: TcpStream) -> ServerConnection:
+        async with asyncio.timeout(REQUEST_TIMEOUT_S):
+            request = _REQUEST_DECODER.decode(await _read_frame(stream))
+        server = self._servers.find(request.run)
+        if self._is_leaving:
+            raise _refused_error("this gateway is stopping", retry_after_s=FULL_RETRY_S)
+        if server is None or server.record.endpoint != request.endpoint:
+            raise _refused_error(
+                "this address is no registered server", retry_after_s=UNKNOWN_RETRY_S
+            )
+        if len(self._tasks) > MAX_OPEN or len(self._waiting) >= MAX_WAITING:
+            raise _refused_error("this gateway has no room", retry_after_s=FULL_RETRY_S)
+        try:
+            return await self._connect(server, request.timeout_ms / 1_000)
+        except OSError as exc:
+            raise _refused_error(
+                f"the server accepts no connection: {exc!r}", is_unreached=True
+            ) from exc
+
+    async def _refuse(self, stream: TcpStream, reply: CarryRefused) -> None:
+        self._on_request("unreached" if reply.is_unreached else "refused")
+        logger.bind(event="carry_refused").info("a connection is not carried: {}", reply.reason)
+        stream.write(_encode_reply(reply))
+        await _close_after_delivery(stream)
+
+    async def _carry(self, caller: TcpStream, server: TcpStream) -> None:
+        # The server takes the close as the end of the request, as from a caller of its own.
+        caller.on_disconnect = server.abort
+        if caller.eof:
+            return
+        up = asyncio.ensure_future(self._carry_up(caller, server))
+        try:
+            await self._carry_down(server, caller)
+        except ConnectionError as exc:
+            logger.debug("a carried connection has ended: {!r}", exc)
+        finally:
+            up.cancel()
+            with suppress(asyncio.CancelledError):
+                await up
+
+    async def _carry_up(self, caller: TcpStream, server: TcpStream) -> None:
+        try:
+            while data := await caller.read():
+                self._waiting.add(caller)
+                self._on_bytes(len(data))
+                server.write(data)
+                await server.drain()
+        except ConnectionError as exc:
+            # The other direction delivers what the server has sent until then.
+            logger.debug("a server has ended a carried connection: {!r}", exc)
+
+    async def _carry_down(self, server: TcpStream, caller: TcpStream) -> None:
+        while data := await server.read():
+            self._waiting.discard(caller)
+            self._on_bytes(len(data))
+            caller.write(encode_frame(data))
+            await caller.drain()
+        if server.was_reset:
+            caller.reset()
+            return
+        caller.write(LENGTH.pack(0))
+        await _close_after_delivery(caller)
+
+
+async def _read_frame(stream: TcpStream) -> bytes:
+    """Read the one frame that a new connection begins with.
+
+    :raises ConnectionError: if the connection ends before, or more or longer frames come.
+    """
+    received = bytearray()
+    while True:
+        if len(received) >= LENGTH.size:
+            (length,) = LENGTH.unpack_from(received)
+            size = LENGTH.size + length
+            if length > MAX_REPLY_BYTES or len(received) > size:
+                raise ConnectionAbortedError("the first frame is too long")
+            if len(received) == size:
+                return bytes(received[LENGTH.size :])
+        data = await stream.read()
+        if not data:
+            raise ConnectionResetError("the connection ended before its first frame")
+        received += data
+
+
+async def _close_after_delivery(stream: TcpStream) -> None:
+    """Close a connection once its peer has read what was sent and closed it too."""
+    if stream.lost:
+        return
+    stream.transport.write_eof()
+    with suppress(TimeoutError):
+        async with asyncio.timeout(CLOSE_S):
+            while await stream.read():
+                pass
+    stream.close()
+
+
+def _encode_reply(reply: CarryReply) -> bytes:
+    return encode_frame(_ENCODER.encode(reply))
+
+
+def _refused_error(
+    reason: str, *, is_unreached: bool = False, retry_after_s: float = FULL_RETRY_S
+) -> _RefusedError:
+    return _RefusedError(
+        CarryRefused(
+            reason=reason,
+            is_unreached=is_unreached,
+            retry_after_ms=round(retry_after_s * 1_000),
+        )
+    )
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 from uuid import uuid4
 
 from loguru import logger
@@ -10,12 +11,15 @@
 
 from lychee_gateway.proxy.age import StateAge
 from lychee_gateway.proxy.attempts import Sender
+from lychee_gateway.proxy.carrier import Carrier
 from lychee_gateway.proxy.codec import ProxyCodec, Rejection
 from lychee_gateway.proxy.crashes import CrashGuard
 from lychee_gateway.proxy.forwarding import Forwarder
 from lychee_gateway.proxy.limits import ServerLimits
 from lychee_gateway.proxy.loads import KeyLoads
 from lychee_gateway.proxy.metrics import ProxyMetrics
+from lychee_gateway.proxy.paths import ServerPaths
+from lychee_gateway.proxy.peers import Peers
 from lychee_gateway.proxy.placing import ServerSelector
 from lychee_gateway.proxy.retries import RetryBudgets
 from lychee_gateway.proxy.servers import ServerList
@@ -30,6 +34,7 @@
 from lychee_types.crash_messages import KnownCrashes
 from lychee_types.ids import DomainName, LogIndex, SessionId
 from lychee_types.limit_messages import KnownLimits, PermitReply
+from lychee_types.peer_messages import KnownGateways
 from lychee_types.registry_messages import LeaderNews, LeaderNote, LeaderReply
 from lychee_types.routed_settings import METRICS_PATH, ProxySettings, parse_endpoint
 
@@ -98,7 +103,21 @@
             limits=lambda: len(self._limits),
             age_s=lambda: self._age.age_s,
             silence_s=lambda: self._clock.monotonic() - self._subscription.last_message_at,
+            unreached=lambda: len(self._paths),
+            carried=lambda: len(self._carrier) if self._carrier is not None else 0,
         )
+        self._peers = Peers(own_id=cfg.id, clock=self._clock)
+        self._paths = ServerPaths(
+            gateway=cfg.id,
+            domain=cfg.domain,
+            carry=cfg.carry_endpoint,
+            servers=self._servers,
+            peers=self._peers,
+            spawn=self._spawn_path_work,
+            on_connection=self._metrics.count_connection,
+            clock=self._clock,
+        )
+        self._carrier = self._make_carrier()
         self._limits = ServerLimits(
             on_attempt=self._metrics.count_limited_attempt,
             on_permits=self._metrics.count_permits,
@@ -120,8 +139,8 @@
             selector=self._selector,
             sender=Sender(
                 codec=codec,
+                paths=self._paths,
                 limits=self._limits,
-                on_connection=self._metrics.count_connection,
                 drain_s=cfg.bounds.drain_s,
                 clock=self._clock,
             ),
@@ -134,6 +153,7 @@
         )
         self._view.add_listener(lambda: self._servers.sync(self._view.state))
         self._view.add_listener(self._forget_departed_servers)
+        self._view.add_listener(self._paths.sync)
         self._view.add_listener(self._selector.state_changed)
         self._subscription = Subscription(
             cfg=cfg,
@@ -170,12 +190,16 @@
         self._ready_listener.start()
         if self._metrics_page is not None:
             self._metrics_page.start()
+        if self._carrier is not None:
+            self._carrier.start()
         self._listener.start()
         self._is_listening = True
         logger.bind(event="start", listen=self._cfg.listen).info("gateway started")
         await self.stopping.wait()
         if self.exit_code == 0:
             await self._drain_connections()
+        if self._carrier is not None:
+            await self._carrier.close()
         logger.bind(event="stop", under_way=self._under_way()).info("gateway stopped")
 
     def dump(self) -> str:
@@ -205,6 +229,21 @@
     def _forget_departed_servers(self) -> None:
         self._limits.keep_only({record.run for record in self._view.state.servers.values()})
 
+    def _make_carrier(self) -> Carrier | None:
+        endpoint = self._cfg.carry_endpoint
+        if endpoint is None:
+            return None
+        return Carrier(
+            endpoint=endpoint,
+            servers=self._servers,
+            connect=self._paths.connect,
+            on_request=self._metrics.count_carry_request,
+            on_bytes=self._metrics.count_carried_bytes,
+        )
+
+    def _spawn_path_work(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        self.spawn(work, name=name)
+
     def _under_way(self) -> int:
         return sum(conn.under_way for conn in self._conns.values())
 
@@ -216,15 +255,25 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         grace_s = self._cfg.bounds.grace_s
+        self._leave_peers()
         for conn in self._conns.values():
             conn.closing = True
         await asyncio.sleep(grace_s * LISTEN_SHARE)
         await self._listener.stop()
-        while self._conns and loop.time() < began + grace_s * FINISH_SHARE:
+        while self._has_work() and loop.time() < began + grace_s * FINISH_SHARE:
             for conn in list(self._conns.values()):
                 conn.closing = True
                 conn.close_if_idle()
-            await asyncio.wait(list(self._conns), timeout=STOP_CHECK_S)
+            await asyncio.sleep(STOP_CHECK_S)
+
+    def _has_work(self) -> bool:
+        return bool(self._conns) or bool(self._carrier)
+
+    def _leave_peers(self) -> None:
+        """Carry nothing new for other gateways, and let them end what is carried."""
+        self._paths.stop()
+        if self._carrier is not None:
+            self._carrier.leave()
 
     async def _accept(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
@@ -273,7 +322,12 @@
     def _take_notes(self) -> tuple[LeaderNote, ...]:
         """Return what the leader is to know since the last call."""
         load = self._loads.take(self._session, self._servers.take_stats())
-        notes = (load, self._limits.take_report(), self._guard.take_report())
+        notes = (
+            load,
+            self._limits.take_report(),
+            self._guard.take_report(),
+            self._paths.take_report(),
+        )
         return tuple(note for note in notes if note is not None)
 
     def _receive_shared(self, message: LeaderReply | LeaderNews) -> None:
@@ -284,6 +338,8 @@
                 self._limits.receive_news(message)
             case KnownCrashes():
                 self._guard.receive_news(message)
+            case KnownGateways():
+                self._peers.receive_news(message)
 
     def _set_gateway_count(self, count: int) -> None:
         self._servers.set_gateway_count(count)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -275,7 +275,7 @@
                 return True
             case NotRun(was_sent=was_sent):
                 call.attempts += 1 if was_sent else 0
-                return await self._after_not_run(call, body)
+                return await self._after_not_run(call, body, attempt)
             case NoAnswer():
                 call.attempts += 1
                 call.may_have_run = True
@@ -324,10 +324,12 @@
             )
         return call.signature
 
-    async def _after_not_run(self, call: Call, body: Body) -> bool:
+    async def _after_not_run(self, call: Call, body: Body, attempt: NotRun) -> bool:
         if self._has_attempt_left(call, body):
             return False
-        await self._give_up(call, NoServer(reason="no server ran it", retry_after_s=0.1))
+        await self._give_up(
+            call, NoServer(reason="no server ran it", retry_after_s=attempt.retry_after_s)
+        )
         return True
 
     async def _after_no_answer(self, call: Call, body: Body) -> bool:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -16,6 +16,8 @@
     :param limits: returns how many servers have named a rate limit.
     :param age_s: returns the maximum age of the gateway's state in seconds, infinite if unknown.
     :param silence_s: returns the time since the last message of a control replica, in seconds.
+    :param unreached: returns how many servers this gateway does not reach directly.
+    :param carried: returns how many connections it carries for other gateways.
     """
 
     def __init__(
@@ -27,6 +29,8 @@
         limits: Callable[[], float],
         age_s: Callable[[], float],
         silence_s: Callable[[], float],
+        unreached: Callable[[], float],
+        carried: Callable[[], float],
     ) -> None:
         page = PrometheusMetrics(prefix="lychee_gateway")
         self._page = page
@@ -35,6 +39,8 @@
         page.gauge("state_age_seconds", "Maximum age of the state; +Inf if unknown.", age_s)
         page.gauge("control_silence_seconds", "Time since a replica was heard.", silence_s)
         page.gauge("server_limits", "Servers that have named a rate limit.", limits)
+        page.gauge("servers_unreached", "Servers that are not reached directly.", unreached)
+        page.gauge("carried", "Connections carried for other gateways.", carried)
         page.gauge("requests_under_way", "Requests without a final answer.", under_way)
         page.gauge("monotonic_seconds", "The process's monotonic clock.", monotonic)
         self._subscriptions = page.counter(
@@ -55,8 +61,12 @@
         )
         self._permits = page.counter("permits", "Permits for servers with a limit.", "outcome")
         self._connections = page.counter(
-            "server_connections", "Attempts to connect to a server.", "server", "outcome"
+            "server_connections", "Attempts to connect to a server.", "server", "way", "outcome"
         )
+        self._carry_requests = page.counter(
+            "carry_requests", "Requests of other gateways for a connection.", "outcome"
+        )
+        self._carried_bytes = page.counter("carried_bytes", "Bytes carried for other gateways.")
         self._latency = page.latency("answer", "From head to final answer.", "service")
 
     def count_answer(self, service: ServiceName, status: int, seconds: float) -> None:
@@ -84,8 +94,8 @@
         """Count a request that was not sent because servers end under it."""
         self._blocked.labels(service).inc()
 
-    def count_connection(self, server: ServerId, exc: OSError | None) -> None:
-        """Count an attempt to connect to a server, and the error if it failed."""
+    def count_connection(self, server: ServerId, way: str, exc: OSError | None) -> None:
+        """Count an attempt to connect to a server, directly or carried, and its error if any."""
         match exc:
             case None:
                 outcome = "opened"
@@ -95,7 +105,15 @@
                 outcome = "timeout"
             case _:
                 outcome = "failed"
-        self._connections.labels(server, outcome).inc()
+        self._connections.labels(server, way, outcome).inc()
+
+    def count_carry_request(self, outcome: str) -> None:
+        """Count another gateway's request for a connection, by outcome."""
+        self._carry_requests.labels(outcome).inc()
+
+    def count_carried_bytes(self, size: int) -> None:
+        """Count bytes carried for another gateway."""
+        self._carried_bytes.inc(size)
 
     def count_permits(self, outcome: str, count: int) -> None:
         """Count permits for servers with a limit: issued, expired, or taken from the reserve."""
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
@@ -0,0 +1,378 @@
+"""The ways to servers: a direct connection, or one that another gateway carries.
+
+That a server accepts no connection from here does not say that it is down: this gateway may be the
+one that is cut off, from that server or from all.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any
+
+from loguru import logger
+
+from lychee_gateway.proxy.peers import NotReachedError, Peers
+from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_http import ServerConnection
+from lychee_policy import PathTable
+from lychee_types.clock import Clock
+from lychee_types.ids import DomainName, GatewayId, ServerId
+from lychee_types.peer_messages import GatewayReport
+from lychee_types.records import Endpoint
+from lychee_types.registry import ServerIncarnation
+
+HEDGE_S = 0.15
+"""Time after which another gateway is asked while a direct connection is still not open, in
+seconds.
+"""
+
+END_CHECK_S = 0.1
+"""Maximum wait for a connection that shows that a server still listens, in seconds."""
+
+CARRIED_END_CHECK_S = 0.25
+"""The same for a connection that another gateway carries, in seconds."""
+
+DIRECT_TIMEOUT_S = 0.5
+"""Maximum wait for a direct connection on which no request waits, in seconds."""
+
+CHECK_GAP_S = 0.5
+"""Shortest time between two checks of the direct way to one server, in seconds."""
+
+MIN_EVIDENCE_S = 0.1
+"""Shortest wait for a direct connection that says something of the way, in seconds."""
+
+CHECKED_OTHERS = 4
+"""Number of other servers whose ways are checked once two are doubted."""
+
+REPORT_S = 2.0
+"""Interval at which the report to the leader is repeated, in seconds."""
+
+MAX_REPORTED = 32
+"""Maximum number of servers in a report."""
+
+Spawn = Callable[[Coroutine[Any, Any, None], str], None]
+"""Runs work in a named task of the daemon."""
+
+
+class ServerPaths:
+    """Opens connections to servers in the way that works.
+
+    :param gateway: this gateway's id.
+    :param domain: this gateway's failure domain.
+    :param carry: address at which it takes other gateways' connections, None if it takes none.
+    :param servers: the registered servers.
+    :param peers: the other gateways.
+    :param spawn: runs work in a task.
+    :param on_connection: called with each attempt to connect to a server: the way, "direct" or
+        "carried", and its error if any.
+    :param clock: source of time.
+    :param rng: source of random numbers.
+    """
+
+    def __init__(
+        self,
+        *,
+        gateway: GatewayId,
+        domain: DomainName,
+        carry: Endpoint | None,
+        servers: ServerList,
+        peers: Peers,
+        spawn: Spawn,
+        on_connection: Callable[[ServerId, str, OSError | None], None],
+        clock: Clock,
+        rng: Random | None = None,
+    ) -> None:
+        self._gateway = gateway
+        self._domain = domain
+        self._carry = carry
+        self._servers = servers
+        self._peers = peers
+        self._spawn = spawn
+        self._on_connection = on_connection
+        self._clock = clock
+        self._rng = rng or Random()
+        self._table = PathTable(rng=self._rng)
+        self._checked_at: dict[ServerIncarnation, float] = {}
+        self._reported: GatewayReport | None = None
+        self._reported_at = 0.0
+        self._is_stopping = False
+
+    def __len__(self) -> int:
+        """Return how many servers' direct ways are doubted."""
+        return len(self._table)
+
+    @property
+    def reaches_none(self) -> bool:
+        """Whether no server is expected to accept a connection from here."""
+        return self._table.reaches_none
+
+    def sync(self) -> None:
+        """Forget the servers that are no longer registered."""
+        runs = {server.run for server in self._servers.all()}
+        self._table.keep_only(runs)
+        for run in self._checked_at.keys() - runs:
+            del self._checked_at[run]
+
+    def is_direct(self, server: ProxyServer) -> bool:
+        """Return whether a server is expected to accept a connection from here."""
+        return not self._table.is_doubted(server.run)
+
+    async def acquire(self, server: ProxyServer, *, timeout_s: float) -> ServerConnection:
+        """Return a connection on which no byte of a request has been sent.
+
+        :param server: the server.
+        :param timeout_s: maximum wait in seconds.
+        :raises OSError: if the server is not reached in time, in any way.
+        """
+        conn = self._take_idle(server)
+        if conn is not None:
+            return conn
+        if self._table.is_doubted(server.run):
+            self._check_if_due(server)
+            return await self._open_around(server, timeout_s=timeout_s)
+        if not self._peers.has_carrier(server):
+            return await self._open_direct(server, timeout_s=timeout_s)
+        return await self._open_either(server, timeout_s=timeout_s)
+
+    async def connect(self, server: ProxyServer, timeout_s: float) -> ServerConnection:
+        """Open a direct connection for another gateway.
+
+        :param server: the server.
+        :param timeout_s: maximum wait in seconds.
+        :raises OSError: if the server accepts none in time, or is not expected to.
+        """
+        if self._table.is_doubted(server.run):
+            self._check_if_due(server)
+            raise NotReachedError(
+                is_unreached=not self._table.is_own_fault(server.run),
+                retry_after_s=DIRECT_TIMEOUT_S,
+            )
+        return await self._open_direct(server, timeout_s=timeout_s)
+
+    def suspect(self, server: ProxyServer, *, since: float) -> None:
+        """Check the direct way to a server that left a request without an answer.
+
+        :param server: the server.
+        :param since: monotonic time in seconds from which on nothing was to come; the way is fine
+            if it has answered any request after that.
+        """
+        now = self._clock.monotonic()
+        if self._table.is_doubted(server.run) or server.heard_at > since:
+            return
+        if now - self._checked_at.get(server.run, -CHECK_GAP_S) >= CHECK_GAP_S:
+            self._check(server)
+
+    async def has_ended(self, server: ProxyServer) -> bool:
+        """Return whether nobody accepts connections at a server's address any more.
+
+        It is not taken for ended where only this gateway does not reach it.
+        """
+        try:
+            # An idle connection may not have been reset yet.
+            server.pool.add(await self._open_direct(server, timeout_s=END_CHECK_S))
+            return False
+        except OSError as exc:
+            logger.debug("server {} accepts no connection: {!r}", server.run.server, exc)
+        if self._table.reaches_none or not self._peers.has_carrier(server):
+            return not self._table.is_own_fault(server.run)
+        try:
+            server.pool.add(await self._open_carried(server, timeout_s=CARRIED_END_CHECK_S))
+            return False
+        except NotReachedError as exc:
+            logger.debug("server {}: {}", server.run.server, exc)
+            return not self._table.is_own_fault(server.run)
+
+    def stop(self) -> None:
+        """Tell the other gateways from now on that this one takes no connections."""
+        self._is_stopping = True
+
+    def take_report(self) -> GatewayReport | None:
+        """Return what the leader may not know yet, None if there is nothing."""
+        if self._carry is None:
+            return None
+        now = self._clock.monotonic()
+        report = GatewayReport(
+            gateway=self._gateway,
+            domain=self._domain,
+            carry=None if self._is_stopping else self._carry,
+            reaches_none=self._table.reaches_none,
+            unreached=self._table.unreached[:MAX_REPORTED],
+        )
+        if report == self._reported and now - self._reported_at < REPORT_S:
+            return None
+        self._reported, self._reported_at = report, now
+        return report
+
+    def record_opened(self, server: ProxyServer) -> None:
+        """Record that a direct connection has opened."""
+        self._on_connection(server.run.server, "direct", None)
+        reached_none = self._table.record_heard()
+        if not self._table.record_opened(server.run) and not reached_none:
+            return
+        self._update_all()
+        logger.bind(event="path_direct", server=server.run.server, doubted=len(self)).info(
+            "a server is reached directly again"
+        )
+
+    def record_heard(self) -> None:
+        """Record an answer on a direct connection."""
+        if self._table.record_heard():
+            self._update_all()
+            logger.bind(event="paths_open", doubted=len(self)).info("some servers are reached")
+
+    def record_failed(self, server: ProxyServer, exc: OSError) -> None:
+        """Record that a direct connection did not open."""
+        self._on_connection(server.run.server, "direct", exc)
+        self._doubt(server, exc)
+
+    def _doubt(self, server: ProxyServer, exc: OSError) -> None:
+        reached_none = self._table.reaches_none
+        is_new = self._table.record_failed(server.run, self._clock.monotonic())
+        # Where connections are refused, those that are open may live on.
+        is_silent = not isinstance(exc, ConnectionRefusedError)
+        if is_silent:
+            server.pool.doubt_direct()
+        if is_new:
+            self._log_doubt(server, repr(exc))
+        if self._table.reaches_none and not reached_none:
+            self._doubt_all(is_silent=is_silent)
+        elif is_new and len(self._table) > 1:
+            self._check_others()
+        self._update(server)
+
+    def _update_all(self) -> None:
+        for server in self._servers.all():
+            self._update(server)
+
+    def _update(self, server: ProxyServer) -> None:
+        """Tell the server's record and connections whether its direct way is doubted."""
+        server.is_direct = self.is_direct(server)
+        if server.is_direct:
+            server.pool.trust_direct()
+
+    def _log_doubt(self, server: ProxyServer, reason: str) -> None:
+        logger.bind(
+            event="path_doubted",
+            server=server.run.server,
+            doubted=len(self),
+            peers=len(self._peers),
+        ).info("a server is not reached directly: {}", reason)
+
+    def _doubt_all(self, *, is_silent: bool) -> None:
+        logger.bind(event="paths_cut", doubted=len(self), peers=len(self._peers)).warning(
+            "no server is reached directly any more"
+        )
+        for server in self._servers.all():
+            self._update(server)
+            if is_silent:
+                server.pool.doubt_direct()
+
+    def _check_others(self) -> None:
+        others = [server for server in self._servers.all() if self.is_direct(server)]
+        for server in self._rng.sample(others, min(CHECKED_OTHERS, len(others))):
+            self.suspect(server, since=self._clock.monotonic() - CHECK_GAP_S)
+
+    def _check_if_due(self, server: ProxyServer) -> None:
+        if self._table.take_check(server.run, self._clock.monotonic()):
+            self._check(server)
+
+    def _check(self, server: ProxyServer) -> None:
+        self._checked_at[server.run] = self._clock.monotonic()
+        self._spawn(self._try_direct(server), "path check")
+
+    async def _try_direct(self, server: ProxyServer) -> None:
+        try:
+            conn = await self._open_direct(server, timeout_s=DIRECT_TIMEOUT_S)
+        except OSError as exc:
+            logger.debug("server {} is not reached directly: {!r}", server.run.server, exc)
+            return
+        server.pool.add(conn)
+
+    def _take_idle(self, server: ProxyServer) -> ServerConnection | None:
+        """Return an idle connection; a carried one only while the direct way is doubted."""
+        while (conn := server.pool.take_idle()) is not None:
+            if not conn.is_carried:
+                return conn
+            if self._table.is_doubted(server.run):
+                self._check_if_due(server)
+                return conn
+            conn.close()
+        return None
+
+    async def _open_direct(self, server: ProxyServer, *, timeout_s: float) -> ServerConnection:
+        try:
+            conn = await server.pool.connect(timeout_s=timeout_s)
+        except TimeoutError as exc:
+            if timeout_s >= MIN_EVIDENCE_S:
+                self.record_failed(server, exc)
+            raise
+        except OSError as exc:
+            self.record_failed(server, exc)
+            raise
+        self.record_opened(server)
+        return conn
+
+    async def _open_either(self, server: ProxyServer, *, timeout_s: float) -> ServerConnection:
+        """Open a direct connection, or a carried one if that one is late or fails."""
+        began = self._clock.monotonic()
+        direct = asyncio.ensure_future(self._open_direct(server, timeout_s=timeout_s))
+        is_used = False
+        try:
+            await asyncio.wait({direct}, timeout=HEDGE_S)
+            if not direct.done() or direct.exception() is not None:
+                left_s = timeout_s - (self._clock.monotonic() - began)
+                carried = await self._open_unless_unreached(server, timeout_s=left_s)
+                if carried is not None:
+                    self._doubt(server, TimeoutError("another gateway was faster"))
+                    self._table.record_carried(server.run)
+                    return carried
+            conn = await asyncio.shield(direct)
+            is_used = True
+            return conn
+        finally:
+            if not is_used:
+                self._spawn(_keep(server, direct), "late connection")
+
+    async def _open_unless_unreached(
+        self, server: ProxyServer, *, timeout_s: float
+    ) -> ServerConnection | None:
+        try:
+            return await self._open_carried(server, timeout_s=timeout_s)
+        except NotReachedError as exc:
+            logger.debug("server {}: {}", server.run.server, exc)
+            return None
+
+    async def _open_around(self, server: ProxyServer, *, timeout_s: float) -> ServerConnection:
+        """Open a connection to a server whose direct way is doubted."""
+        began = self._clock.monotonic()
+        if not self._table.is_unreached(server.run, began):
+            carried = await self._open_unless_unreached(server, timeout_s=timeout_s)
+            if carried is not None:
+                return carried
+        conn = server.pool.take_unproven()
+        if conn is not None:
+            return conn
+        if self._table.reaches_none:
+            raise NotReachedError(is_unreached=False, retry_after_s=DIRECT_TIMEOUT_S)
+        left_s = timeout_s - (self._clock.monotonic() - began)
+        return await self._open_direct(server, timeout_s=max(0.0, left_s))
+
+    async def _open_carried(self, server: ProxyServer, *, timeout_s: float) -> ServerConnection:
+        try:
+            conn = await self._peers.open(server, timeout_s=timeout_s)
+        except NotReachedError as exc:
+            self._on_connection(server.run.server, "carried", exc)
+            if exc.is_unreached:
+                self._table.record_unreached(server.run, self._clock.monotonic())
+            raise
+        self._table.record_carried(server.run)
+        self._on_connection(server.run.server, "carried", None)
+        return conn
+
+
+async def _keep(server: ProxyServer, direct: "asyncio.Future[ServerConnection]") -> None:
+    """Keep a connection that opens after its request has taken another one."""
+    try:
+        server.pool.add(await direct)
+    except OSError as exc:
+        logger.debug("server {} is not reached directly: {!r}", server.run.server, exc)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -15,6 +15,9 @@
 REMOTE_DOMAIN_PENALTY_S = 0.012
 """Latency that is assumed to be added by a server in another failure domain, in seconds."""
 
+CARRIED_PENALTY_S = 0.025
+"""Latency that is assumed to be added by another gateway that carries the bytes, in seconds."""
+
 WAIT_SHARE = 0.4
 """Maximum queueing delay, as a share of the target latency minus the mean service time.
 
@@ -199,6 +202,8 @@
         expected_s *= 1 + SCORE_JITTER * self._rng.random()
         if server.record.domain != self._domain:
             expected_s += REMOTE_DOMAIN_PENALTY_S
+        if not server.is_direct:
+            expected_s += CARRIED_PENALTY_S
         if not server.is_healthy(now):
             expected_s += 10.0
         return expected_s
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -89,6 +89,8 @@
         self.record = record
         self.gateway_count = gateway_count
         self.pool = ServerPool(endpoint=record.endpoint, until_close=True)
+        self.is_direct = True
+        self.heard_at = 0.0
         self._sent_at: dict[int, float] = {}
         self._last_number = 0
         self.service_time_s = service_time_s
@@ -302,6 +304,10 @@
         """Return the servers of a service."""
         return self._by_service.get(service, [])
 
+    def all(self) -> list[ProxyServer]:
+        """Return the servers of all services."""
+        return list(self._by_id.values())
+
     def find(self, incarnation: ServerIncarnation) -> ProxyServer | None:
         """Return the server, None unless exactly this incarnation is registered."""
         server = self._by_id.get(incarnation.server)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/testing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/testing.py
@@ -14,11 +14,21 @@
 
 from lychee_gateway.proxy.codec import Occupancy
 from lychee_gateway.proxy.limits import ServerLimits
+from lychee_gateway.proxy.paths import ServerPaths
+from lychee_gateway.proxy.peers import Peers
 from lychee_gateway.proxy.placing import NoServer, RoutedRequest, ServerSelector
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_gateway.proxy.view import RoutedView
 from lychee_types.clock import Clock
-from lychee_types.ids import DomainName, Incarnation, LogIndex, ServerId, ServiceName, Token
+from lychee_types.ids import (
+    DomainName,
+    GatewayId,
+    Incarnation,
+    LogIndex,
+    ServerId,
+    ServiceName,
+    Token,
+)
 from lychee_types.records import Endpoint
 from lychee_types.registry import (
     LAST_KEY,
@@ -283,6 +293,21 @@
     )
 
 
+def make_paths(servers: ServerList, clock: Clock) -> ServerPaths:
+    """Return the paths of a gateway without other gateways; it starts no work besides requests."""
+    own_id = GatewayId("g1")
+    return ServerPaths(
+        gateway=own_id,
+        domain=DomainName("d"),
+        carry=None,
+        servers=servers,
+        peers=Peers(own_id=own_id, clock=clock),
+        spawn=lambda work, name: work.close(),
+        on_connection=lambda server, way, exc: None,
+        clock=clock,
+    )
+
+
 def _route(load: Load) -> Route:
     return Route(
         name="r",
--- a/packages/lychee-gateway/tests/test_crashes.py
+++ b/packages/lychee-gateway/tests/test_crashes.py
@@ -13,8 +13,8 @@
     CrashGuard,
     request_signature,
 )
-from lychee_gateway.proxy.servers import ProxyServer
-from lychee_gateway.proxy.testing import make_limits
+from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_gateway.proxy.testing import make_limits, make_paths
 from lychee_http import RequestHead
 from lychee_policy import Verdict
 from lychee_types.clock import SystemClock
@@ -133,12 +133,9 @@
             slots=1,
         )
         clock = SystemClock()
+        paths = make_paths(ServerList(clock=clock, as_of=clock.monotonic), clock)
         sender = Sender(
-            codec=None,
-            limits=make_limits(clock),
-            on_connection=lambda server, exc: None,
-            drain_s=2.0,
-            clock=clock,
+            codec=None, paths=paths, limits=make_limits(clock), drain_s=2.0, clock=clock
         )
         ended = ProxyServer(record=record, now=clock.monotonic())
         conn = await ended.pool.acquire(timeout_s=1.0)
--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -30,9 +30,13 @@
     :param stream: the TCP connection.
     :param until_close: whether to accept a response whose end is marked by the close of the
         connection, because it has neither a length nor chunks.
+    :param is_carried: whether another gateway carries the connection.
     """
 
-    def __init__(self, *, stream: TcpStream, until_close: bool = False) -> None:
+    def __init__(
+        self, *, stream: TcpStream, until_close: bool = False, is_carried: bool = False
+    ) -> None:
+        self.is_carried = is_carried
         self._stream = stream
         self._until_close = until_close
         self._ends_at_close = False
@@ -174,4 +178,5 @@
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
         _, stream = await loop.create_connection(TcpStream, endpoint.host, endpoint.port)
+    stream.probe_while_silent()
     return ServerConnection(stream=stream, until_close=until_close)
--- a/packages/lychee-http/src/lychee_http/pool.py
+++ b/packages/lychee-http/src/lychee_http/pool.py
@@ -24,6 +24,7 @@
         self._until_close = until_close
         self.endpoint = endpoint
         self._idle: list[ServerConnection] = []
+        self._unproven: list[ServerConnection] = []
         self._closed = False
 
     def __len__(self) -> int:
@@ -63,6 +64,30 @@
             else:
                 conn.close()
 
+    def add(self, conn: ServerConnection) -> None:
+        """Add a connection that has not been used yet."""
+        if self._closed or not conn.is_reusable():
+            conn.close()
+        else:
+            self._add_idle(conn)
+
+    def doubt_direct(self) -> None:
+        """Set the idle direct connections aside: their way may be cut without a sign of it."""
+        self._unproven += [conn for conn in self._idle if not conn.is_carried]
+        self._idle = [conn for conn in self._idle if conn.is_carried]
+
+    def trust_direct(self) -> None:
+        """Use the idle direct connections again, and close those that another gateway carries."""
+        self.drop_carried()
+        self._idle, self._unproven = self._unproven + self._idle, []
+
+    def drop_carried(self) -> None:
+        """Close the idle connections that another gateway carries."""
+        carried = [conn for conn in self._idle if conn.is_carried]
+        self._idle = [conn for conn in self._idle if not conn.is_carried]
+        for conn in carried:
+            conn.close()
+
     def keep_at_most(self, limit: int) -> None:
         """Close the least recently used idle connections beyond a limit."""
         surplus = max(0, len(self._idle) - limit)
@@ -73,6 +98,7 @@
     def close(self) -> None:
         """Close idle connections now, and those in use as soon as they are returned."""
         self._closed = True
+        self._idle, self._unproven = self._unproven + self._idle, []
         self.keep_at_most(0)
 
     def _add_idle(self, conn: ServerConnection) -> None:
@@ -80,14 +106,22 @@
         conn.stream.on_disconnect = lambda: self._remove(conn)
 
     def _remove(self, conn: ServerConnection) -> None:
-        if conn in self._idle:
-            self._idle.remove(conn)
+        for conns in (self._idle, self._unproven):
+            if conn in conns:
+                conns.remove(conn)
         conn.close()
 
     def take_idle(self) -> ServerConnection | None:
         """Return an idle connection that can take a request, None if there is none."""
-        while self._idle:
-            conn = self._idle.pop()
+        return self._take_from(self._idle)
+
+    def take_unproven(self) -> ServerConnection | None:
+        """Return a connection that was set aside, None if there is none."""
+        return self._take_from(self._unproven)
+
+    def _take_from(self, conns: list[ServerConnection]) -> ServerConnection | None:
+        while conns:
+            conn = conns.pop()
             conn.stream.on_disconnect = lambda: None
             if conn.is_reusable():
                 return conn
--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -13,6 +13,13 @@
 WRITE_LIMIT_BYTES = 65_536
 """Number of unsent bytes above which :meth:`TcpStream.drain` waits."""
 
+PROBE_S = 1
+"""Time without bytes after which the peer's system is probed, and the time between probes, in
+seconds.
+"""
+
+PROBES = 3
+"""Probes without an answer after which a connection is lost; fewer may just be lost packets."""
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -176,6 +183,19 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
             self.abort()
 
+    def probe_while_silent(self) -> None:
+        """Lose the connection within seconds if its way is cut while nothing is sent.
+
+        The probes are answered by the peer's system, however long its process may take. There is no
+        limit on sent bytes (TCP_USER_TIMEOUT): it would also end a connection to a peer that is
+        slow to read.
+        """
+        sock = self.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+
     def is_quiet(self) -> bool:
         """Return whether the peer has neither sent unread bytes nor ended the connection.
 
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -31,6 +31,8 @@
     is_slow,
     is_stuck,
 )
+from lychee_policy.paths import PathTable
+from lychee_policy.peers import GatewayTable, choose_carriers
 from lychee_policy.permits import PERMIT_HOLD_S, Issued, PermitIssuer, PermitReserve
 from lychee_policy.queue import DeadlineQueue, Waiter, can_meet_deadline
 from lychee_policy.rate_limits import (
@@ -67,6 +69,8 @@
     "ClockChecker",
     "CrashTable",
     "EndedAttempt",
+    "GatewayTable",
+    "PathTable",
     "BLOCK_S",
     "MAX_REQUESTS",
     "SUSPECT_S",
@@ -88,6 +92,7 @@
     "Waiter",
     "can_meet_deadline",
     "choose",
+    "choose_carriers",
     "latest_observation",
     "limits_for",
     "received_observation",
--- a/packages/lychee-types/src/lychee_types/registry_messages.py
+++ b/packages/lychee-types/src/lychee_types/registry_messages.py
@@ -6,6 +6,7 @@
 from lychee_types.ids import GatewayId, LogIndex, ServerId, ServiceName, SessionId
 from lychee_types.limit_messages import KnownLimits, LimitReport, PermitReply, PermitRequest
 from lychee_types.packing import pack, unpack
+from lychee_types.peer_messages import GatewayReport, KnownGateways
 from lychee_types.records import Endpoint
 from lychee_types.registry import RoutedImage
 from lychee_types.registry_commands import RoutedCommand
@@ -169,13 +170,13 @@
     replicas: tuple[Endpoint, ...]
 
 
-LeaderNote = LoadReport | LimitReport | PermitRequest | CrashReport
+LeaderNote = LoadReport | LimitReport | PermitRequest | CrashReport | GatewayReport
 """Messages of a gateway that its replica passes on to the leader."""
 
 LeaderReply = PermitReply
 """Messages of the leader to one gateway."""
 
-LeaderNews = KnownLimits | KnownCrashes
+LeaderNews = KnownLimits | KnownCrashes | KnownGateways
 """Messages of the leader to all gateways."""
 
 FromGateway = Subscribe | Probe | Follow | LeaderNote
--- a/packages/lychee-types/src/lychee_types/routed_settings.py
+++ b/packages/lychee-types/src/lychee_types/routed_settings.py
@@ -99,6 +99,8 @@
     :param peer_port: port of the control replicas for gateways.
     :param domain: this VM's failure domain.
     :param seeds: addresses at which some control replicas listen for servers and operators.
+    :param carry: IP address and port at which other gateways connect that do not reach a server,
+        None to carry nothing and to reach servers in no other way than directly.
     :param bounds: timeouts and budgets that the deployment guarantees.
     :param metrics: IP address and port at which metrics are fetched, None for no metrics.
     :param log: logging.
@@ -110,6 +112,7 @@
     peer_port: int
     domain: DomainName
     seeds: tuple[str, ...]
+    carry: str | None = None
     bounds: DeploymentLimits = DeploymentLimits()
     metrics: str | None = None
     log: LogSettings = LogSettings()
@@ -124,6 +127,11 @@
         """Return the address for readiness checks."""
         return parse_endpoint(self.ready)
 
+    @property
+    def carry_endpoint(self) -> Endpoint | None:
+        """Return the address at which other gateways connect, None if it carries nothing."""
+        return parse_endpoint(self.carry) if self.carry is not None else None
+
     @property
     def seed_endpoints(self) -> tuple[Endpoint, ...]:
         """Return the seeds' addresses for gateways."""
@@ -171,6 +179,8 @@
     addresses += [(f"seeds[{index}]", seed) for index, seed in enumerate(settings.seeds)]
     if isinstance(settings, ProxySettings):
         addresses.append(("ready", settings.ready))
+        if settings.carry is not None:
+            addresses.append(("carry", settings.carry))
     if settings.metrics is not None:
         addresses.append(("metrics", settings.metrics))
     for place, address in addresses:
@@ -193,6 +203,8 @@
             own.append(("peer_port", _with_port(settings.listen, settings.peer_port)))
         case ProxySettings():
             own.append(("ready", settings.ready))
+            if settings.carry is not None:
+                own.append(("carry", settings.carry))
     if settings.metrics is not None:
         own.append(("metrics", settings.metrics))
     yield from check_unique(
--- a/packages/lychee-types/tests/test_settings_check.py
+++ b/packages/lychee-types/tests/test_settings_check.py
@@ -48,6 +48,7 @@
 peer_port: 7200
 domain: nord
 seeds: ["10.0.0.1:7100"]
+carry: 10.0.0.2:7201
 metrics: 10.0.0.2:9464
 """
 CONSOLE = """\
@@ -123,6 +124,8 @@
     (REGISTRY, "0.1:9464", "0.1:7100", "metrics", "change or remove"),
     (PROXY, "0.2:8081", "0.2:8080", "ready", "change or remove"),
     (PROXY, "0.2:9464", "0.2:8081", "metrics", "change or remove"),
+    (PROXY, "0.2:7201", "0.2:8081", "carry", "change or remove"),
+    (PROXY, "10.0.0.2:7201", "here", "carry", "an IP number and a port"),
     (CONSOLE, "operators.yaml", "''", "operators", "name a YAML file"),
 ]
 
