--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -61,7 +61,7 @@
         )
         self._permits = page.counter("permits", "Permits for servers with a limit.", "outcome")
         self._connections = page.counter(
-            "server_connections", "Attempts to connect to a server.", "server", "way", "outcome"
+            "server_connections", "Attempts to connect to a server.", "service", "way", "outcome"
         )
         self._carry_requests = page.counter(
             "carry_requests", "Requests of other gateways for a connection.", "outcome"
@@ -94,7 +94,7 @@
         """Count a request that was not sent because servers end under it."""
         self._blocked.labels(service).inc()
 
-    def count_connection(self, server: ServerId, way: str, exc: OSError | None) -> None:
+    def count_connection(self, service: ServiceName, way: str, exc: OSError | None) -> None:
         """Count an attempt to connect to a server, directly or carried, and its error if any."""
         match exc:
             case None:
@@ -105,7 +105,7 @@
                 outcome = "timeout"
             case _:
                 outcome = "failed"
-        self._connections.labels(server, way, outcome).inc()
+        self._connections.labels(service, way, outcome).inc()
 
     def count_carry_request(self, outcome: str) -> None:
         """Count another gateway's request for a connection, by outcome."""
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
@@ -16,7 +16,7 @@
 from lychee_http import ServerConnection
 from lychee_policy import PathTable
 from lychee_types.clock import Clock
-from lychee_types.ids import DomainName, GatewayId, ServerId
+from lychee_types.ids import DomainName, GatewayId, ServiceName
 from lychee_types.peer_messages import GatewayReport
 from lychee_types.records import Endpoint
 from lychee_types.registry import ServerIncarnation
@@ -63,8 +63,8 @@
     :param servers: the registered servers.
     :param peers: the other gateways.
     :param spawn: runs work in a task.
-    :param on_connection: called with each attempt to connect to a server: the way, "direct" or
-        "carried", and its error if any.
+    :param on_connection: called with each attempt to connect to a server of a service: the way,
+        "direct" or "carried", and its error if any.
     :param clock: source of time.
     :param rng: source of random numbers.
     """
@@ -78,7 +78,7 @@
         servers: ServerList,
         peers: Peers,
         spawn: Spawn,
-        on_connection: Callable[[ServerId, str, OSError | None], None],
+        on_connection: Callable[[ServiceName, str, OSError | None], None],
         clock: Clock,
         rng: Random | None = None,
     ) -> None:
@@ -205,7 +205,7 @@
 
     def record_opened(self, server: ProxyServer) -> None:
         """Record that a direct connection has opened."""
-        self._on_connection(server.run.server, "direct", None)
+        self._on_connection(server.record.service, "direct", None)
         reached_none = self._table.record_heard()
         if not self._table.record_opened(server.run) and not reached_none:
             return
@@ -222,7 +222,7 @@
 
     def record_failed(self, server: ProxyServer, exc: OSError) -> None:
         """Record that a direct connection did not open."""
-        self._on_connection(server.run.server, "direct", exc)
+        self._on_connection(server.record.service, "direct", exc)
         self._doubt(server, exc)
 
     def _doubt(self, server: ProxyServer, exc: OSError) -> None:
@@ -361,12 +361,12 @@
         try:
             conn = await self._peers.open(server, timeout_s=timeout_s)
         except NotReachedError as exc:
-            self._on_connection(server.run.server, "carried", exc)
+            self._on_connection(server.record.service, "carried", exc)
             if exc.is_unreached:
                 self._table.record_unreached(server.run, self._clock.monotonic())
             raise
         self._table.record_carried(server.run)
-        self._on_connection(server.run.server, "carried", None)
+        self._on_connection(server.record.service, "carried", None)
         return conn
 
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/testing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/testing.py
@@ -303,7 +303,7 @@
         servers=servers,
         peers=Peers(own_id=own_id, clock=clock),
         spawn=lambda work, name: work.close(),
-        on_connection=lambda server, way, exc: None,
+        on_connection=lambda service, way, exc: None,
         clock=clock,
     )
 
