--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -11,7 +11,7 @@
 from lychee_gateway.proxy.servers import InFlightRequest, ProxyServer
 from lychee_http import RequestHead, ResponseHead, ServerConnection, header_value
 from lychee_http.exceptions import BadRequestError, CallerGoneError, ServerResponseError
-from lychee_http.pipelining import CallerExchange
+from lychee_http.exchange import CallerExchange
 from lychee_types.clock import Clock
 
 END_CHECK_S = 0.1
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/calls.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/calls.py
@@ -12,7 +12,7 @@
 )
 from lychee_gateway.proxy.codec import CallerRequest
 from lychee_gateway.proxy.placing import RoutedRequest
-from lychee_http.pipelining import CallerExchange
+from lychee_http.exchange import CallerExchange
 from lychee_types.ids import RequestSignature
 from lychee_types.routing import Route
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -22,8 +22,9 @@
 from lychee_gateway.proxy.subscription import Subscription
 from lychee_gateway.proxy.view import RoutedView
 from lychee_http import CallerLimits, ResponseHead, TcpStream
+from lychee_http.exchange import CallerExchange
 from lychee_http.listener import Listener
-from lychee_http.pipelining import CallerExchange, PipelinedConnection
+from lychee_http.pipelining import PipelinedConnection
 from lychee_http.textpage import TextPage
 from lychee_runtime import Daemon, format_dump
 from lychee_types.clock import Clock, SystemClock
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -5,11 +5,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import replace
 
 from loguru import logger
 
 from lychee_http.exceptions import BadRequestError, CallerGoneError
+from lychee_http.exchange import CallerExchange
 from lychee_http.framing import (
     body_too_large_error,
     check_head,
@@ -17,8 +17,8 @@
     has_body,
     keeps_alive,
 )
-from lychee_http.inbound import BODILESS_STATUSES, CONTINUE, CallerLimits
-from lychee_http.messages import RequestHead, ResponseHead, header_tokens
+from lychee_http.inbound import CONTINUE, CallerLimits
+from lychee_http.messages import RequestHead, header_tokens
 from lychee_http.parser import EndOfMessage
 from lychee_http.reader import RequestReader
 from lychee_http.tcp import TcpStream
@@ -26,122 +26,13 @@
 PIPELINE_LIMIT = 16
 """Maximum number of requests in flight on one connection."""
 
-Handle = Callable[["CallerExchange"], Awaitable[None]]
+Handle = Callable[[CallerExchange], Awaitable[None]]
 """Handles one request and sends the response."""
 
-Refuse = Callable[["CallerExchange", BadRequestError], Awaitable[None]]
+Refuse = Callable[[CallerExchange, BadRequestError], Awaitable[None]]
 """Sends the response to a rejected request."""
 
 
-class CallerExchange:
-    """One request on a connection and its response, which is sent after all earlier ones.
-
-    :param head: the request's head.
-    :param conn: its connection.
-    :param previous_done: completed when all earlier responses have been sent, None if there are
-        none.
-    """
-
-    def __init__(
-        self,
-        *,
-        head: RequestHead,
-        conn: "PipelinedConnection",
-        previous_done: "asyncio.Future[None] | None",
-    ) -> None:
-        self.head = head
-        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.is_cancellable = True
-        self.task: asyncio.Task[None] | None = None
-        self.response_started = False
-        self._conn = conn
-        self._previous_done = previous_done
-        self._is_chunked = False
-
-    async def wait(self) -> None:
-        """Wait until all earlier responses on the connection have been sent.
-
-        :raises CallerGoneError: if the connection ends first.
-        """
-        if self._previous_done is not None and not self._previous_done.done():
-            await asyncio.shield(self._previous_done)
-        self._conn.check_open()
-
-    async def read_body(self, *, max_bytes: int) -> tuple[bytes, bool]:
-        """Read the beginning of the body; return it, and whether it is the whole body.
-
-        :param max_bytes: size at which reading stops; :meth:`rest_of_body` reads the rest.
-        """
-        return await self._conn.read_body(self, max_bytes=max_bytes)
-
-    def rest_of_body(self, *, limit: int) -> AsyncIterator[bytes]:
-        """Yield the rest of the body as it arrives.
-
-        :param limit: maximum size of the rest in bytes.
-        """
-        return self._conn.rest_of_body(limit=limit)
-
-    async def send(self, head: ResponseHead, body: bytes) -> None:
-        """Send a whole response, after all earlier responses.
-
-        :raises CallerGoneError: if the caller has disconnected or reads too slowly.
-        """
-        await self.wait()
-        if self.head.method == b"HEAD" or head.status in BODILESS_STATUSES:
-            body = b""
-        elif head.length is None:
-            head = replace(head, length=len(body))
-        self._conn.write(self._encode_response_head(head) + body)
-        await self._conn.drain()
-        self.mark_done()
-
-    async def send_head(self, head: ResponseHead) -> None:
-        """Send the head of a response, after all earlier responses; the body follows."""
-        await self.wait()
-        self._conn.write(self._encode_response_head(head))
-
-    async def send_chunk(self, data: bytes) -> None:
-        """Send a part of the body.
-
-        :raises CallerGoneError: if the caller has disconnected or reads too slowly.
-        """
-        if self.head.method == b"HEAD":
-            return
-        self._conn.write(b"%x\r\n%b\r\n" % (len(data), data) if self._is_chunked else data)
-        await self._conn.drain()
-
-    async def finish(self) -> None:
-        """End the response's body."""
-        if self._is_chunked and self.head.method != b"HEAD":
-            self._conn.write(b"0\r\n\r\n")
-        await self._conn.drain()
-        self.mark_done()
-
-    def mark_done(self) -> None:
-        """Mark the exchange as done, so that the next response can be sent."""
-        if not self.done.done():
-            self.done.set_result(None)
-
-    def truncate(self) -> None:
-        """Close the connection so that the caller sees that the response is incomplete."""
-        self._conn.truncate(self.head)
-
-    def _encode_response_head(self, head: ResponseHead) -> bytes:
-        self.response_started = True
-        lines = [b"HTTP/1.1 %d %b\r\n" % (head.status, head.reason)]
-        lines += [b"%b: %b\r\n" % header for header in head.headers]
-        if head.status not in BODILESS_STATUSES:
-            if head.length is not None:
-                lines.append(b"content-length: %d\r\n" % head.length)
-            elif self.head.version != b"1.0":
-                self._is_chunked = True
-                lines.append(b"transfer-encoding: chunked\r\n")
-        if self._conn.mark_if_last(self):
-            lines.append(b"connection: close\r\n")
-        lines.append(b"\r\n")
-        return b"".join(lines)
-
-
 class PipelinedConnection:
     """One caller's connection with up to :data:`PIPELINE_LIMIT` requests in flight.
 
--- a/packages/lychee-http/src/lychee_http/textpage.py
+++ b/packages/lychee-http/src/lychee_http/textpage.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 
 from lychee_http.exceptions import BadRequestError
+from lychee_http.exchange import CallerExchange
 from lychee_http.inbound import CallerLimits
 from lychee_http.listener import Listener
 from lychee_http.messages import ResponseHead
-from lychee_http.pipelining import CallerExchange, PipelinedConnection
+from lychee_http.pipelining import PipelinedConnection
 from lychee_http.tcp import TcpStream
 from lychee_types.records import Endpoint
 
