Say of each request that ends without an answer why, and count it

Callers saw closed connections of which no process of ours said anything: seven paths ended a connection with requests in flight, none with a log line or a counter. Now each passes through one function, which logs the reason, the requests' ids, whether each was sent to a server, and their age, and counts them by reason. No other change of behaviour.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -186,6 +186,7 @@
         self._limits.count_attempt(server.run)
         try:
             async with asyncio.timeout(remaining_s):
+                exchange.was_sent = True
                 conn.send(head, _encode_buffered(head, body))
                 began = self._clock.monotonic()
                 async with _sending(conn, head, body):
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -248,6 +248,7 @@
             limits=limits,
             handle=self._forwarder.handle,
             refuse=self._forwarder.refuse,
+            on_end=self._metrics.count_end,
         )
         conn.closing = self.stopping.is_set()
         task = asyncio.get_running_loop().create_task(conn.run())
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -105,6 +105,7 @@
         if isinstance(request, Rejection):
             await self._reject_bad_request(exchange, "", request)
             return
+        exchange.request_id = request.request_id
         if not self._age.is_usable:
             # A gateway that has just started, or was suspended, receives the routes shortly.
             await self._age.wait_until_usable(ROUTES_WAIT_S)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from time import monotonic
 
+from lychee_http.endings import ConnectionEnd
 from lychee_runtime import PrometheusMetrics
 from lychee_types.ids import ServerId, ServiceName
 
@@ -54,6 +55,9 @@
             "limited_attempts", "Attempts at servers that have named a rate limit.", "server"
         )
         self._permits = page.counter("permits", "Permits for servers with a limit.", "outcome")
+        self._unanswered = page.counter(
+            "unanswered", "Requests that ended without a whole answer.", "reason", "sent"
+        )
         self._latency = page.latency("answer", "From head to final answer.", "service")
 
     def count_answer(self, service: ServiceName, status: int, seconds: float) -> None:
@@ -81,6 +85,12 @@
         """Count a request that was not sent because servers end under it."""
         self._blocked.labels(service).inc()
 
+    def count_end(self, end: ConnectionEnd) -> None:
+        """Count requests of a caller's connection that got no answer, by reason."""
+        for request in end.requests:
+            sent = "yes" if request.was_sent else "no"
+            self._unanswered.labels(end.reason.value, sent).inc()
+
     def count_permits(self, outcome: str, count: int) -> None:
         """Count permits for servers with a limit: issued, expired, or taken from the reserve."""
         self._permits.labels(outcome).inc(count)
--- /dev/null
+++ b/packages/lychee-http/src/lychee_http/endings.py
@@ -0,0 +1,81 @@
+"""Requests that end without an answer: why, and what had become of them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from loguru import logger
+
+
+class EndReason(Enum):
+    """Why a caller's connection ended, or closes, with requests that got no answer."""
+
+    CALLER_LEFT = "caller_left"
+    """The caller closed the connection."""
+
+    CALLER_STALLED = "caller_stalled"
+    """The caller did not read what was sent to it."""
+
+    REQUEST_CUT = "request_cut"
+    """The caller ended the connection inside a request."""
+
+    ANSWER_CUT = "answer_cut"
+    """An answer broke off, which only a close can show."""
+
+    CLOSING_ANSWER = "closing_answer"
+    """An answer closed the connection; its caller takes the requests behind it as not read."""
+
+    STOPPED = "stopped"
+    """The process stopped before the answer came."""
+
+    FAILED = "failed"
+    """A fault of the program; its log line says more."""
+
+    @property
+    def is_callers(self) -> bool:
+        """Whether the caller itself is the cause."""
+        return self in (EndReason.CALLER_LEFT, EndReason.CALLER_STALLED, EndReason.REQUEST_CUT)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UnansweredRequest:
+    """A request that got no answer, or no whole one.
+
+    :param request: its id, empty if it is not known.
+    :param was_sent: whether it was sent to a backend server.
+    :param has_begun: whether a part of its answer was sent.
+    :param age_ms: time since its head was read, in ms.
+    """
+
+    request: str
+    was_sent: bool
+    has_begun: bool
+    age_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConnectionEnd:
+    """Requests of one caller's connection that got no answer.
+
+    :param reason: why.
+    :param requests: the requests, in the order in which they were sent.
+    """
+
+    reason: EndReason
+    requests: tuple[UnansweredRequest, ...]
+
+
+OnEnd = Callable[[ConnectionEnd], None]
+"""Is told of requests that got no answer, after they have been logged."""
+
+
+def ignore_end(end: ConnectionEnd) -> None:
+    """Count nothing."""
+
+
+def log_end(end: ConnectionEnd) -> None:
+    """Log requests that got no answer; a warning if the caller did not cause it."""
+    level = "INFO" if end.reason.is_callers else "WARNING"
+    logger.bind(event="unanswered", reason=end.reason.value, requests=list(end.requests)).log(
+        level, "requests of a caller's connection got no answer"
+    )
--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import replace
+from time import monotonic
 from typing import TYPE_CHECKING
 
+from lychee_http.endings import UnansweredRequest
 from lychee_http.inbound import BODILESS_STATUSES
 from lychee_http.messages import RequestHead, ResponseHead
 
@@ -33,10 +35,24 @@
         self.is_cancellable = True
         self.task: asyncio.Task[None] | None = None
         self.response_started = False
+        self.is_answered = False
+        self.is_reported = False
+        self.request_id = ""
+        self.was_sent = False
+        self._read_at = monotonic()
         self._conn = conn
         self._previous_done = previous_done
         self._is_chunked = False
 
+    def as_unanswered(self) -> UnansweredRequest:
+        """Return what is to be reported of a request that gets no answer."""
+        return UnansweredRequest(
+            request=self.request_id,
+            was_sent=self.was_sent,
+            has_begun=self.response_started,
+            age_ms=round((monotonic() - self._read_at) * 1_000),
+        )
+
     async def wait(self) -> None:
         """Wait until all earlier responses on the connection have been sent.
 
@@ -72,6 +88,7 @@
             head = replace(head, length=len(body))
         self._conn.write(self._encode_response_head(head) + body)
         await self._conn.drain()
+        self.is_answered = True
         self.mark_done()
 
     async def send_head(self, head: ResponseHead) -> None:
@@ -94,6 +111,7 @@
         if self._is_chunked and self.head.method != b"HEAD":
             self._conn.write(b"0\r\n\r\n")
         await self._conn.drain()
+        self.is_answered = True
         self.mark_done()
 
     def mark_done(self) -> None:
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -4,10 +4,11 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 
 from loguru import logger
 
+from lychee_http.endings import ConnectionEnd, EndReason, OnEnd, ignore_end, log_end
 from lychee_http.exceptions import BadRequestError, CallerGoneError
 from lychee_http.exchange import CallerExchange
 from lychee_http.framing import (
@@ -40,16 +41,24 @@
     :param limits: limits on the connection.
     :param handle: handles a request and sends the response.
     :param refuse: sends the response to a rejected request.
+    :param on_end: is told of requests that got no answer.
     """
 
     def __init__(
-        self, *, stream: TcpStream, limits: CallerLimits, handle: Handle, refuse: Refuse
+        self,
+        *,
+        stream: TcpStream,
+        limits: CallerLimits,
+        handle: Handle,
+        refuse: Refuse,
+        on_end: OnEnd = ignore_end,
     ) -> None:
         self.closing = False
         self._stream = stream
         self._limits = limits
         self._handle = handle
         self._refuse = refuse
+        self._on_end = on_end
         self._reader = RequestReader(stream=stream, head_limit=limits.head_bytes)
         self._exchanges: list[CallerExchange] = []
         self._has_room = asyncio.Event()
@@ -79,15 +88,17 @@
                 await asyncio.wait([exchange.done for exchange in self._exchanges])
                 self._remove_done()
             await self._close()
-        except (CallerGoneError, ConnectionError):
-            self._stream.abort()
+        except CallerGoneError:
+            self._end(EndReason.REQUEST_CUT)
+        except ConnectionError:
+            self._end(EndReason.CALLER_LEFT)
         finally:
             self._stream.on_disconnect = lambda: None
             for exchange in self._exchanges:
                 if exchange.task is not None and exchange.is_cancellable:
                     exchange.task.cancel()
             if self._exchanges:
-                self._stream.abort()
+                self._end(EndReason.STOPPED)
 
     def close_if_idle(self) -> None:
         """Close the connection if it is idle."""
@@ -124,10 +135,7 @@
 
         :param head: the request's head.
         """
-        if head.version == b"1.0":
-            self._stream.reset()
-        else:
-            self._stream.abort()
+        self._end(EndReason.ANSWER_CUT, reset=head.version == b"1.0")
 
     def mark_if_last(self, exchange: CallerExchange) -> bool:
         """Return whether the connection closes after this response.
@@ -138,7 +146,9 @@
         if self.closing or unread or not keeps_alive(exchange.head):
             self.closing = True
             self._last_exchange = exchange
-            for later in self._exchanges[self._exchanges.index(exchange) + 1 :]:
+            behind = self._exchanges[self._exchanges.index(exchange) + 1 :]
+            self._report(EndReason.CLOSING_ANSWER, behind)
+            for later in behind:
                 if later.task is not None:
                     later.task.cancel()
             return True
@@ -233,26 +243,26 @@
         except BadRequestError as exc:
             await self._reject(exchange, exc)
         except (CallerGoneError, ConnectionError):
-            self._stream.abort()
+            self._end(self._callers_reason())
         except asyncio.CancelledError:
             if exchange.response_started:
-                self._stream.abort()
+                self._end(EndReason.STOPPED)
             raise
         except Exception:
             logger.exception("unexpected error while handling a caller's request")
-            self._stream.abort()
+            self._end(EndReason.FAILED)
         finally:
             exchange.mark_done()
 
     async def _reject(self, exchange: CallerExchange, exc: BadRequestError) -> None:
         self.closing = True
         if exchange.response_started:
-            self._stream.abort()
+            self._end(EndReason.REQUEST_CUT)
             return
         try:
             await self._refuse(exchange, exc)
         except (CallerGoneError, ConnectionError):
-            self._stream.abort()
+            self._end(self._callers_reason())
 
     async def _reject_head(self, exc: BadRequestError) -> None:
         """Reject a malformed or unacceptable request head, after all earlier responses."""
@@ -272,6 +282,8 @@
 
     def _exchange_done(self, exchange: CallerExchange) -> None:
         self._remove_done()
+        if not exchange.is_answered:
+            self._report(EndReason.FAILED, (exchange,))
         if exchange is self._last_exchange:
             # The close tells the caller that later requests were not read.
             self._stream.stop_reading()
@@ -281,10 +293,42 @@
         self._has_room.set()
 
     def _on_disconnect(self) -> None:
+        self._report(
+            EndReason.CALLER_LEFT,
+            [exchange for exchange in self._exchanges if exchange.is_cancellable],
+        )
         for exchange in self._exchanges:
             if exchange.is_cancellable and exchange.task is not None:
                 exchange.task.cancel()
 
+    def _callers_reason(self) -> EndReason:
+        """Return why nothing more can be sent to the caller."""
+        if self._stream.eof or self._stream.transport.is_closing():
+            return EndReason.CALLER_LEFT
+        return EndReason.CALLER_STALLED
+
+    def _end(self, reason: EndReason, *, reset: bool = False) -> None:
+        """End the connection at once, and report the requests that get no answer.
+
+        :param reset: whether to reset it, so that no caller takes the close for a response's end.
+        """
+        self._report(reason, self._exchanges)
+        if reset:
+            self._stream.reset()
+        else:
+            self._stream.abort()
+
+    def _report(self, reason: EndReason, exchanges: Iterable[CallerExchange]) -> None:
+        """Log and count those of some requests that get no answer, each of them once."""
+        lost = [e for e in exchanges if not (e.is_answered or e.is_reported)]
+        if not lost:
+            return
+        for exchange in lost:
+            exchange.is_reported = True
+        end = ConnectionEnd(reason=reason, requests=tuple(e.as_unanswered() for e in lost))
+        log_end(end)
+        self._on_end(end)
+
     async def _read_head(self) -> RequestHead | None:
         return await self._reader.read_head(
             wait_for_request=self._wait_for_request, timeout_s=self._limits.head_s
