--- a/packages/lychee-http/tests/test_pipelining.py
+++ b/packages/lychee-http/tests/test_pipelining.py
@@ -241,18 +241,18 @@
 def test_a_request_behind_a_closing_answer_that_has_begun_is_not_passed_on():
     async def scenario():
         async with harness() as h, caller(h) as (reader, writer):
-            writer.write(get(b"first"))
-            await h.until_sent(b"first")
+            writer.write(get(b"first") + get(b"stream"))
+            await h.until_sent(b"first", b"stream")
             h.conns[0].closing = True
-            writer.write(get(b"stream"))
             h.release(b"first")
             data = await read_until(reader, b"begin")
-            assert b"connection: close" in data
             writer.write(get(b"late"))
-            await asyncio.sleep(0.05)
+            await h.until(lambda: h.ends)
             h.release(b"stream", b"late")
             data += await read_to_end(reader)
-            assert b"late" not in h.sent and b"end of stream" in data
+            assert data.count(b"HTTP/1.1 200") == 2 and data.count(b"connection: close") == 1
+            assert b"end of stream" in data and b"late" not in h.sent
+            assert [reason for reason, _ in unanswered(h)] == [EndReason.CLOSING_ANSWER]
 
     run(scenario())
 
