Answer each request that was read before its connection closes

Callers saw: of requests sent at once on one connection one was answered at a stop, the others got neither answer nor refusal, though servers had them. The same behind a bad or late head, and when one request's handler failed. Cause: each path decided for itself to close the connection, and dropped what was in flight. Now the connection closes after the answer to the last request that was read, nothing is read behind that, and one function ends a connection earlier, with its reason. An error that no attempt accounts for is answered 502 and leaves the other requests alone. The idle time counts from the last answer, and a stop no longer drops bytes that a slow caller has not been sent yet.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -26,7 +26,7 @@
 from lychee_http import ResponseHead, header_value
 from lychee_http.exceptions import BadRequestError
 from lychee_http.exchange import CallerExchange
-from lychee_http.pipelining import declared_length_error
+from lychee_http.framing import declared_length_error
 from lychee_policy import Verdict
 from lychee_types.clock import Clock
 from lychee_types.ids import RequestSignature
--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -1,12 +1,12 @@
 """One request on a pipelined connection and its response."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from dataclasses import replace
 from time import monotonic
 from typing import TYPE_CHECKING
 
-from lychee_http.endings import UnansweredRequest
+from lychee_http.endings import ConnectionEnd, EndReason, OnEnd, UnansweredRequest, log_end
 from lychee_http.inbound import BODILESS_STATUSES
 from lychee_http.messages import RequestHead, ResponseHead
 
@@ -44,6 +44,13 @@
         self._previous_done = previous_done
         self._is_chunked = False
 
+    def cancel(self) -> None:
+        """Cancel the handling of a request that may be cancelled, unless its own task asks."""
+        if self.task is None or self.task is asyncio.current_task():
+            return
+        if self.is_cancellable:
+            self.task.cancel()
+
     def as_unanswered(self) -> UnansweredRequest:
         """Return what is to be reported of a request that gets no answer."""
         return UnansweredRequest(
@@ -121,7 +128,7 @@
 
     def truncate(self) -> None:
         """Close the connection so that the caller sees that the response is incomplete."""
-        self._conn.truncate(self.head)
+        self._conn.truncate(self)
 
     def _encode_response_head(self, head: ResponseHead) -> bytes:
         self.response_started = True
@@ -137,3 +144,24 @@
             lines.append(b"connection: close\r\n")
         lines.append(b"\r\n")
         return b"".join(lines)
+
+
+class UnansweredReports:
+    """Logs and counts requests that get no answer, each of them once.
+
+    :param on_end: is told of them after they have been logged.
+    """
+
+    def __init__(self, *, on_end: OnEnd) -> None:
+        self._on_end = on_end
+
+    def report(self, reason: EndReason, exchanges: Iterable[CallerExchange]) -> None:
+        """Report those of some exchanges that have no answer and were not reported."""
+        lost = [e for e in exchanges if not (e.is_answered or e.is_reported)]
+        if not lost:
+            return
+        for exchange in lost:
+            exchange.is_reported = True
+        end = ConnectionEnd(reason=reason, requests=tuple(e.as_unanswered() for e in lost))
+        log_end(end)
+        self._on_end(end)
--- a/packages/lychee-http/src/lychee_http/framing.py
+++ b/packages/lychee-http/src/lychee_http/framing.py
@@ -80,5 +80,10 @@
     return _bad_request(413, "the request's body is too large", f"send at most {limit} bytes")
 
 
+def declared_length_error(head: RequestHead, limit: int) -> BadRequestError | None:
+    """Return the error for a request whose Content-Length exceeds a limit in bytes, or None."""
+    return body_too_large_error(limit) if (declared_length(head) or 0) > limit else None
+
+
 def _bad_request(status: int, message: str, remedy: str) -> BadRequestError:
     return BadRequestError(status=status, message=message, remedy=remedy)
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -4,22 +4,22 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from time import monotonic
 
 from loguru import logger
 
-from lychee_http.endings import ConnectionEnd, EndReason, OnEnd, ignore_end, log_end
+from lychee_http.endings import EndReason, OnEnd, ignore_end
 from lychee_http.exceptions import BadRequestError, CallerGoneError
-from lychee_http.exchange import CallerExchange
+from lychee_http.exchange import CallerExchange, UnansweredReports
 from lychee_http.framing import (
     body_too_large_error,
     check_head,
-    declared_length,
     has_body,
     keeps_alive,
 )
 from lychee_http.inbound import CONTINUE, CallerLimits
-from lychee_http.messages import RequestHead, header_tokens
+from lychee_http.messages import RequestHead, ResponseHead, header_tokens
 from lychee_http.parser import EndOfMessage
 from lychee_http.reader import RequestReader
 from lychee_http.tcp import TcpStream
@@ -27,6 +27,9 @@
 PIPELINE_LIMIT = 16
 """Maximum number of requests in flight on one connection."""
 
+FAILURE_STATUS = 502
+"""HTTP status of a request whose handler failed; it does not say whether the request was run."""
+
 Handle = Callable[[CallerExchange], Awaitable[None]]
 """Handles one request and sends the response."""
 
@@ -58,7 +61,7 @@
         self._limits = limits
         self._handle = handle
         self._refuse = refuse
-        self._on_end = on_end
+        self._unanswered = UnansweredReports(on_end=on_end)
         self._reader = RequestReader(stream=stream, head_limit=limits.head_bytes)
         self._exchanges: list[CallerExchange] = []
         self._has_room = asyncio.Event()
@@ -67,11 +70,14 @@
         self._body_finished = asyncio.Event()
         self._is_waiting_for_request = False
         self._last_exchange: CallerExchange | None = None
+        self._quiet_since = monotonic()
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is in flight or has begun to arrive."""
-        return self._is_waiting_for_request and not self._exchanges and self._stream.is_quiet()
+        if not self._is_waiting_for_request or self._exchanges or self._stream.unsent:
+            return False
+        return self._stream.is_quiet()
 
     @property
     def under_way(self) -> int:
@@ -88,15 +94,10 @@
                 await asyncio.wait([exchange.done for exchange in self._exchanges])
                 self._remove_done()
             await self._close()
-        except CallerGoneError:
-            self._end(EndReason.REQUEST_CUT)
-        except ConnectionError:
-            self._end(EndReason.CALLER_LEFT)
+        except (CallerGoneError, ConnectionError):
+            self._end(self._callers_reason())
         finally:
             self._stream.on_disconnect = lambda: None
-            for exchange in self._exchanges:
-                if exchange.task is not None and exchange.is_cancellable:
-                    exchange.task.cancel()
             if self._exchanges:
                 self._end(EndReason.STOPPED)
 
@@ -110,7 +111,7 @@
 
         :raises CallerGoneError: if the connection has ended.
         """
-        if self._stream.lost or self._stream.transport.is_closing():
+        if self._stream.lost or self._stream.transport.is_closing() or self._is_over:
             raise CallerGoneError()
 
     def write(self, data: bytes) -> None:
@@ -130,35 +131,45 @@
         except (TimeoutError, ConnectionError) as exc:
             raise CallerGoneError() from exc
 
-    def truncate(self, head: RequestHead) -> None:
-        """Close at once; reset for an HTTP/1.0 caller, for which a close may end a response.
+    def truncate(self, exchange: CallerExchange, reason: EndReason = EndReason.ANSWER_CUT) -> None:
+        """Close the connection so that the caller sees that a response is incomplete.
 
-        :param head: the request's head.
+        Earlier responses still arrive whole, and requests behind it end without an answer. For an
+        HTTP/1.0 caller, for which a close may end a response, the connection is reset.
         """
-        self._end(EndReason.ANSWER_CUT, reset=head.version == b"1.0")
+        if exchange.head.version == b"1.0":
+            self._end(reason, reset=True)
+            return
+        behind = self._behind(exchange)
+        self._unanswered.report(reason, (exchange, *behind))
+        self.closing = True
+        self._last_exchange = exchange
+        self._exchanges = [other for other in self._exchanges if other not in behind]
+        for other in behind:
+            other.cancel()
+        exchange.mark_done()
 
     def mark_if_last(self, exchange: CallerExchange) -> bool:
         """Return whether the connection closes after this response.
 
-        If it does, mark the exchange as the last one and cancel the handling of later requests.
+        It does after the response to the last request that has been read, so that each of them
+        gets one; none is read behind that.
         """
         unread = self._body_exchange is exchange and not self._is_body_read
-        if self.closing or unread or not keeps_alive(exchange.head):
-            self.closing = True
-            self._last_exchange = exchange
-            behind = self._exchanges[self._exchanges.index(exchange) + 1 :]
-            self._report(EndReason.CLOSING_ANSWER, behind)
-            for later in behind:
-                if later.task is not None:
-                    later.task.cancel()
-            return True
-        return False
+        if not (self.closing or unread or not keeps_alive(exchange.head)):
+            return False
+        self.closing = True
+        if self._behind(exchange):
+            return False
+        self._last_exchange = exchange
+        return True
 
     async def read_body(self, exchange: CallerExchange, *, max_bytes: int) -> tuple[bytes, bool]:
         """Read the beginning of a request's body; return it, and whether it is the whole body."""
         if self._body_exchange is not exchange or self._is_body_read:
             return b"", True
-        if b"100-continue" in header_tokens(exchange.head.headers, b"expect"):
+        expects = b"100-continue" in header_tokens(exchange.head.headers, b"expect")
+        if expects and not self._stream.eof:
             await exchange.wait()
             self._stream.write(CONTINUE)
         chunks: list[bytes] = []
@@ -206,14 +217,20 @@
                 return False
             self._body_exchange = None
             exchange = self._make_exchange(head)
+            if self._last_exchange is not None:
+                self._unanswered.report(EndReason.CLOSING_ANSWER, (exchange,))
+                return False
             check_head(head, limit=self._limits.head_bytes)
+        except CallerGoneError:
+            # Only the request that was cut is lost; earlier ones still get their responses.
+            return False
         except BadRequestError as exc:
             await self._reject_head(exc)
             return False
         self._start(exchange)
         if has_body(head):
             await self._wait_for_body(exchange)
-        return not self.closing and exchange is not self._last_exchange
+        return not self.closing and keeps_alive(head)
 
     def _make_exchange(self, head: RequestHead) -> CallerExchange:
         previous_done = self._exchanges[-1].done if self._exchanges else None
@@ -227,9 +244,12 @@
         return exchange
 
     def _start(self, exchange: CallerExchange) -> None:
+        self._add(exchange)
+        exchange.task = asyncio.create_task(self._serve(exchange))
+
+    def _add(self, exchange: CallerExchange) -> None:
         self._exchanges.append(exchange)
         exchange.done.add_done_callback(lambda _: self._exchange_done(exchange))
-        exchange.task = asyncio.create_task(self._serve(exchange))
 
     async def _wait_for_body(self, exchange: CallerExchange) -> None:
         exchange.done.add_done_callback(lambda _: self._body_finished.set())
@@ -240,51 +260,76 @@
     async def _serve(self, exchange: CallerExchange) -> None:
         try:
             await self._handle(exchange)
+            if not exchange.is_answered and not exchange.is_reported:
+                self._end(EndReason.FAILED)
         except BadRequestError as exc:
             await self._reject(exchange, exc)
-        except (CallerGoneError, ConnectionError):
-            self._end(self._callers_reason())
+        except CallerGoneError:
+            self._caller_gone(exchange)
         except asyncio.CancelledError:
-            if exchange.response_started:
+            if exchange.response_started and not exchange.is_reported:
                 self._end(EndReason.STOPPED)
             raise
         except Exception:
             logger.exception("unexpected error while handling a caller's request")
-            self._end(EndReason.FAILED)
+            await self._answer_failure(exchange)
         finally:
             exchange.mark_done()
 
+    def _caller_gone(self, exchange: CallerExchange) -> None:
+        """End what the caller has ended: only this request if that was cut, else everything."""
+        if exchange.is_reported:
+            return
+        is_cut = self._stream.eof and self._body_exchange is exchange and not self._is_body_read
+        if is_cut and not self._stream.is_reset():
+            self.closing = True
+            self._unanswered.report(EndReason.REQUEST_CUT, (exchange,))
+        else:
+            self._end(self._callers_reason())
+
     async def _reject(self, exchange: CallerExchange, exc: BadRequestError) -> None:
         self.closing = True
         if exchange.response_started:
-            self._end(EndReason.REQUEST_CUT)
+            self.truncate(exchange, EndReason.REQUEST_CUT)
             return
         try:
             await self._refuse(exchange, exc)
-        except (CallerGoneError, ConnectionError):
-            self._end(self._callers_reason())
+        except CallerGoneError:
+            self._caller_gone(exchange)
+
+    async def _answer_failure(self, exchange: CallerExchange) -> None:
+        """Answer a request whose handler failed, so that the others on the connection go on."""
+        if exchange.response_started:
+            self.truncate(exchange, EndReason.FAILED)
+            return
+        try:
+            await exchange.send(ResponseHead(status=FAILURE_STATUS, headers=()), b"")
+        except CallerGoneError:
+            self._caller_gone(exchange)
 
     async def _reject_head(self, exc: BadRequestError) -> None:
         """Reject a malformed or unacceptable request head, after all earlier responses."""
+        if self._last_exchange is not None:
+            return
         head = RequestHead(method=b"GET", target=b"/", headers=())
         exchange = CallerExchange(
             head=head,
             conn=self,
             previous_done=self._exchanges[-1].done if self._exchanges else None,
         )
-        self._exchanges.append(exchange)
+        self._add(exchange)
         self.closing = True
         try:
             await self._refuse(exchange, exc)
+        except CallerGoneError:
+            self._caller_gone(exchange)
         finally:
             exchange.mark_done()
-            self._remove_done()
 
     def _exchange_done(self, exchange: CallerExchange) -> None:
+        self._quiet_since = monotonic()
         self._remove_done()
-        if not exchange.is_answered:
-            self._report(EndReason.FAILED, (exchange,))
-        if exchange is self._last_exchange:
+        if self._is_over:
             # The close tells the caller that later requests were not read.
             self._stream.stop_reading()
 
@@ -292,14 +337,22 @@
         self._exchanges = [exchange for exchange in self._exchanges if not exchange.done.done()]
         self._has_room.set()
 
+    @property
+    def _is_over(self) -> bool:
+        """Whether the last response that the connection carries has been sent."""
+        return self._last_exchange is not None and self._last_exchange.done.done()
+
+    def _first(self) -> CallerExchange | None:
+        """Return the exchange whose response is due next."""
+        return next((exchange for exchange in self._exchanges if not exchange.done.done()), None)
+
+    def _behind(self, exchange: CallerExchange) -> list[CallerExchange]:
+        """Return the exchanges without a response that follow one."""
+        later = self._exchanges[self._exchanges.index(exchange) + 1 :]
+        return [other for other in later if not other.done.done()]
+
     def _on_disconnect(self) -> None:
-        self._report(
-            EndReason.CALLER_LEFT,
-            [exchange for exchange in self._exchanges if exchange.is_cancellable],
-        )
-        for exchange in self._exchanges:
-            if exchange.is_cancellable and exchange.task is not None:
-                exchange.task.cancel()
+        self._end(EndReason.CALLER_LEFT)
 
     def _callers_reason(self) -> EndReason:
         """Return why nothing more can be sent to the caller."""
@@ -308,26 +361,19 @@
         return EndReason.CALLER_STALLED
 
     def _end(self, reason: EndReason, *, reset: bool = False) -> None:
-        """End the connection at once, and report the requests that get no answer.
+        """End the connection at once, and report and cancel the requests that get no answer.
+
+        Requests that must not be repeated are not cancelled.
 
         :param reset: whether to reset it, so that no caller takes the close for a response's end.
         """
-        self._report(reason, self._exchanges)
+        self._unanswered.report(reason, self._exchanges)
         if reset:
             self._stream.reset()
         else:
             self._stream.abort()
-
-    def _report(self, reason: EndReason, exchanges: Iterable[CallerExchange]) -> None:
-        """Log and count those of some requests that get no answer, each of them once."""
-        lost = [e for e in exchanges if not (e.is_answered or e.is_reported)]
-        if not lost:
-            return
-        for exchange in lost:
-            exchange.is_reported = True
-        end = ConnectionEnd(reason=reason, requests=tuple(e.as_unanswered() for e in lost))
-        log_end(end)
-        self._on_end(end)
+        for exchange in self._exchanges:
+            exchange.cancel()
 
     async def _read_head(self) -> RequestHead | None:
         return await self._reader.read_head(
@@ -338,13 +384,20 @@
         self._is_waiting_for_request = True
         try:
             while True:
-                has_data = await self._reader.receive(self._limits.idle_s)
-                # A connection is idle only after its last response has been sent.
-                if has_data or self._stream.eof or not self._exchanges:
+                has_data = await self._reader.receive(self._idle_left_s())
+                if has_data or self._stream.eof or self._is_over:
                     return has_data
+                if not self._exchanges and self._idle_left_s() <= 0:
+                    return False
         finally:
             self._is_waiting_for_request = False
 
+    def _idle_left_s(self) -> float:
+        """Return how long to wait for the next request, from the last response, in seconds."""
+        if self._exchanges:
+            return self._limits.idle_s
+        return self._limits.idle_s - (monotonic() - self._quiet_since)
+
     async def _close(self) -> None:
         """Close after the caller has had time to read the last response."""
         if not self._stream.eof and (self.closing or self._stream.unread_bytes):
@@ -353,8 +406,6 @@
             self._stream.stop_reading(stopped=False)
             await self._reader.discard_rest()
         self._stream.close()
-
-
-def declared_length_error(head: RequestHead, limit: int) -> BadRequestError | None:
-    """Return the error for a request whose Content-Length exceeds a limit in bytes, or None."""
-    return body_too_large_error(limit) if (declared_length(head) or 0) > limit else None
+        if self._stream.unsent:
+            # A caller that reads nothing would keep a closing connection for ever.
+            asyncio.get_running_loop().call_later(self._limits.stall_s, self._stream.abort)
--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -145,8 +145,8 @@
         self._wake_reader()
 
     def write(self, data: bytes) -> None:
-        """Send bytes; they are dropped if the connection is lost."""
-        if not self.lost:
+        """Send bytes; they are dropped if the connection is lost or closing."""
+        if not self.lost and not self.transport.is_closing():
             self.transport.write(data)
 
     async def drain(self) -> None:
@@ -183,11 +183,23 @@
         """
         if self.eof or self._received_size or self.transport.is_closing():
             return False
+        return not self._poll_events()
+
+    def is_reset(self) -> bool:
+        """Return whether the connection is lost, or the peer has reset it after ending its side.
+
+        Ask the operating system, since the event loop does not watch a stream that has ended.
+        """
+        if self.lost or self.transport.is_closing():
+            return True
+        return bool(self._poll_events() & (select.POLLERR | select.POLLHUP))
+
+    def _poll_events(self) -> int:
         if self._poll is None:
             sock = self.transport.get_extra_info("socket")
             self._poll = select.poll()
             self._poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
-        return not self._poll.poll(0)
+        return sum(events for _, events in self._poll.poll(0))
 
     def _notify_disconnect(self) -> None:
         on_disconnect, self.on_disconnect = self.on_disconnect, _do_nothing
