Answer a caller that has ended only its sending side

Callers saw: a caller that ended its sending side got none of its answers. Cause: the end of its stream was taken for its end. The two look the same until something is sent, so the gateway sends the first bytes that every response has; a caller that has closed resets the connection, and its idempotent requests are cancelled then. A response that has begun and sends nothing for 0.3 s cannot tell, and counts as gone.

--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -143,7 +143,7 @@
         if self._conn.mark_if_last(self):
             lines.append(b"connection: close\r\n")
         lines.append(b"\r\n")
-        return b"".join(lines)
+        return self._conn.begin_response(b"".join(lines))
 
 
 class UnansweredReports:
--- /dev/null
+++ b/packages/lychee-http/src/lychee_http/half_close.py
@@ -0,0 +1,76 @@
+"""Tells a caller that has ended only its sending side from one that has closed its connection.
+
+Both look the same until something is sent: a peer that has closed answers by a reset.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from lychee_http.exchange import CallerExchange
+from lychee_http.tcp import TcpStream
+
+RESPONSE_PREFIX = b"HTTP/1.1 "
+"""How each response begins; sent ahead of a response, it provokes the reset."""
+
+CHECK_S = 0.05
+"""Interval at which a reset is looked for, in seconds; the event loop does not report it."""
+
+SILENT_STREAM_S = 0.3
+"""Time after which a caller of a response that has begun, but goes on too slowly to tell, counts as
+gone, in seconds."""
+
+
+class HalfCloseWatch:
+    """Watches a connection whose caller has ended its sending side.
+
+    :param stream: the connection.
+    :param first: returns the exchange whose response is due next, None if there is none.
+    :param on_gone: called once the caller is known to be gone, or can't be told from one.
+    """
+
+    def __init__(
+        self,
+        *,
+        stream: TcpStream,
+        first: Callable[[], CallerExchange | None],
+        on_gone: Callable[[], None],
+    ) -> None:
+        self._stream = stream
+        self._first = first
+        self._on_gone = on_gone
+        self._task: asyncio.Task[None] | None = None
+        self._is_prefix_sent = False
+        self.has_written = False
+
+    def start(self) -> None:
+        """Start to watch; the caller has ended its side just now."""
+        self._task = asyncio.create_task(self._watch())
+
+    def stop(self) -> None:
+        """Stop to watch."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def cut_prefix(self, response: bytes) -> bytes:
+        """Return a response without the prefix if that has been sent already."""
+        if not self._is_prefix_sent:
+            return response
+        self._is_prefix_sent = False
+        return response.removeprefix(RESPONSE_PREFIX)
+
+    async def _watch(self) -> None:
+        silent_until = asyncio.get_running_loop().time() + SILENT_STREAM_S
+        while not self._stream.is_reset():
+            first = self._first()
+            if first is not None and not self.has_written and not self._stream.unsent:
+                if not first.response_started:
+                    self._send_prefix()
+                elif asyncio.get_running_loop().time() >= silent_until:
+                    break
+            await asyncio.sleep(CHECK_S)
+        self._on_gone()
+
+    def _send_prefix(self) -> None:
+        self._is_prefix_sent = True
+        self.has_written = True
+        self._stream.write(RESPONSE_PREFIX)
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -18,6 +18,7 @@
     has_body,
     keeps_alive,
 )
+from lychee_http.half_close import HalfCloseWatch
 from lychee_http.inbound import CONTINUE, CallerLimits
 from lychee_http.messages import RequestHead, ResponseHead, header_tokens
 from lychee_http.parser import EndOfMessage
@@ -71,6 +72,9 @@
         self._is_waiting_for_request = False
         self._last_exchange: CallerExchange | None = None
         self._quiet_since = monotonic()
+        self._half_close = HalfCloseWatch(
+            stream=stream, first=self._first, on_gone=lambda: self._end(EndReason.CALLER_LEFT)
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -98,6 +102,7 @@
             self._end(self._callers_reason())
         finally:
             self._stream.on_disconnect = lambda: None
+            self._half_close.stop()
             if self._exchanges:
                 self._end(EndReason.STOPPED)
 
@@ -114,8 +119,13 @@
         if self._stream.lost or self._stream.transport.is_closing() or self._is_over:
             raise CallerGoneError()
 
+    def begin_response(self, head: bytes) -> bytes:
+        """Return what is still to be sent of a response's head."""
+        return self._half_close.cut_prefix(head)
+
     def write(self, data: bytes) -> None:
         """Send bytes."""
+        self._half_close.has_written = True
         self._stream.write(data)
 
     async def drain(self) -> None:
@@ -352,7 +362,12 @@
         return [other for other in later if not other.done.done()]
 
     def _on_disconnect(self) -> None:
-        self._end(EndReason.CALLER_LEFT)
+        if self._stream.lost:
+            self._end(EndReason.CALLER_LEFT)
+            return
+        self._stream.on_disconnect = self._on_disconnect
+        self._half_close.has_written = False
+        self._half_close.start()
 
     def _callers_reason(self) -> EndReason:
         """Return why nothing more can be sent to the caller."""
