Let an answer that breaks off take no other request along

Callers saw: an answer over 16 kB that its server broke off, or that was late in its middle, ended the connection, and with it the requests behind it that servers already had. Only a close can show that an answer broke off, so: an answer with requests behind it is held back up to 256 KiB, and nothing is passed on behind one that is being sent.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -28,6 +28,11 @@
 MAX_BUFFERED_ANSWER_BYTES = 16_384
 """Maximum size of an answer that is buffered whole before any of it is sent to the caller."""
 
+MAX_BUFFERED_AHEAD_BYTES = 262_144
+"""The same for an answer with requests behind it on its connection, which it would take along if it
+broke off after a part was sent.
+"""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Body:
@@ -235,10 +240,12 @@
         self, conn: ServerConnection, answer: ResponseHead, exchange: CallerExchange
     ) -> Attempt:
         head = self._codec.forward_response(answer)
-        is_short = answer.length is not None and answer.length <= MAX_BUFFERED_ANSWER_BYTES
-        if not is_short and answer.status < MIN_FAILURE_STATUS:
+        is_ahead = exchange.has_requests_behind
+        limit = MAX_BUFFERED_AHEAD_BYTES if is_ahead else MAX_BUFFERED_ANSWER_BYTES
+        is_short = answer.length is not None and answer.length <= limit
+        if not is_short and not is_ahead and answer.status < MIN_FAILURE_STATUS:
             return await self._stream_answer(conn, head, exchange, await conn.read_chunk())
-        body, is_whole = await _read_body(conn, max_bytes=MAX_BUFFERED_ANSWER_BYTES)
+        body, is_whole = await _read_body(conn, max_bytes=limit)
         if is_whole:
             return WholeAnswer(head=head, body=body)
         return await self._stream_answer(conn, head, exchange, body)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -132,7 +132,9 @@
         if isinstance(call, Rejection):
             await self._reject_bad_request(exchange, request.request_id, call)
             return
-        if not call.is_idempotent:
+        if call.is_idempotent:
+            await exchange.wait_for_stream()
+        else:
             await exchange.wait()
         await self._run(call)
 
--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -69,6 +69,15 @@
             await asyncio.shield(self._previous_done)
         self._conn.check_open()
 
+    async def wait_for_stream(self) -> None:
+        """Wait while an earlier response is being sent; if it breaks off, the connection ends."""
+        await self._conn.wait_for_stream()
+
+    @property
+    def has_requests_behind(self) -> bool:
+        """Whether later requests on the connection have been read and have no response."""
+        return self._conn.has_requests_behind(self)
+
     async def read_body(self, *, max_bytes: int) -> tuple[bytes, bool]:
         """Read the beginning of the body; return it, and whether it is the whole body.
 
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -174,6 +174,15 @@
         self._last_exchange = exchange
         return True
 
+    async def wait_for_stream(self) -> None:
+        """Wait while the first response that is due is being sent, if it has begun."""
+        while (first := self._first()) is not None and first.response_started:
+            await asyncio.shield(first.done)
+
+    def has_requests_behind(self, exchange: CallerExchange) -> bool:
+        """Return whether requests that follow one have been read and have no response."""
+        return bool(self._behind(exchange))
+
     async def read_body(self, exchange: CallerExchange, *, max_bytes: int) -> tuple[bytes, bool]:
         """Read the beginning of a request's body; return it, and whether it is the whole body."""
         if self._body_exchange is not exchange or self._is_body_read:
