Take a caller that acknowledges nothing for gone after 0.3 s

Whoever has ended its side and has not acknowledged the probe either after 0.3 s is now taken for gone; who acknowledges it without a reset still reads.

--- a/packages/lychee-http/src/lychee_http/half_close.py
+++ b/packages/lychee-http/src/lychee_http/half_close.py
@@ -15,9 +15,9 @@
 CHECK_S = 0.05
 """Interval at which a reset is looked for, in seconds; the event loop does not report it."""
 
-SILENT_STREAM_S = 0.3
-"""Time after which a caller of a response that has begun, but goes on too slowly to tell, counts as
-gone, in seconds."""
+UNDECIDED_S = 0.3
+"""Time after which a caller that has neither reset the connection nor acknowledged anything counts
+as gone, in seconds."""
 
 
 class HalfCloseWatch:
@@ -40,10 +40,12 @@
         self._on_gone = on_gone
         self._task: asyncio.Task[None] | None = None
         self._is_prefix_sent = False
+        self._decided_by = 0.0
         self.has_written = False
 
     def start(self) -> None:
         """Start to watch; the caller has ended its side just now."""
+        self._decided_by = asyncio.get_running_loop().time() + UNDECIDED_S
         self._task = asyncio.create_task(self._watch())
 
     def stop(self) -> None:
@@ -59,18 +61,25 @@
         return response.removeprefix(RESPONSE_PREFIX)
 
     async def _watch(self) -> None:
-        silent_until = asyncio.get_running_loop().time() + SILENT_STREAM_S
         while not self._stream.is_reset():
             first = self._first()
-            if first is not None and not self.has_written and not self._stream.unsent:
-                if not first.response_started:
-                    self._send_prefix()
-                elif asyncio.get_running_loop().time() >= silent_until:
-                    break
+            if first is not None and not self.has_written and not first.response_started:
+                self._send_prefix()
+            if first is not None and self._is_undecided():
+                break
             await asyncio.sleep(CHECK_S)
         self._on_gone()
 
+    def _is_undecided(self) -> bool:
+        """Return whether it is still unknown, after a time, if the caller can read anything."""
+        if asyncio.get_running_loop().time() < self._decided_by:
+            return False
+        if self._is_prefix_sent:
+            return not self._stream.is_acknowledged()
+        return not self.has_written and not self._stream.unsent
+
     def _send_prefix(self) -> None:
         self._is_prefix_sent = True
         self.has_written = True
+        self._decided_by = asyncio.get_running_loop().time() + UNDECIDED_S
         self._stream.write(RESPONSE_PREFIX)
--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -1,9 +1,12 @@
 """One TCP connection with bounded buffers in both directions."""
 
 import asyncio
+import fcntl
 import select
 import socket
 import struct
+import sys
+import termios
 from collections.abc import Callable
 from typing import cast
 
@@ -194,6 +197,12 @@
             return True
         return bool(self._poll_events() & (select.POLLERR | select.POLLHUP))
 
+    def is_acknowledged(self) -> bool:
+        """Return whether the peer's operating system has confirmed every byte written."""
+        sock = self.transport.get_extra_info("socket")
+        pending = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        return not self.unsent and int.from_bytes(pending, sys.byteorder) == 0
+
     def _poll_events(self) -> int:
         if self._poll is None:
             sock = self.transport.get_extra_info("socket")
