Move the reading of a request's body out of the connection's module

With it: an unexpected error of the connection itself is logged and its requests are reported, and a request that a cut answer has set aside is behind nothing.

--- /dev/null
+++ b/packages/lychee-http/src/lychee_http/incoming_body.py
@@ -0,0 +1,88 @@
+"""The body of the request that is being read on a pipelined connection."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from lychee_http.exchange import CallerExchange
+from lychee_http.framing import body_too_large_error
+from lychee_http.inbound import CONTINUE, CallerLimits
+from lychee_http.messages import header_tokens
+from lychee_http.parser import EndOfMessage
+from lychee_http.reader import RequestReader
+from lychee_http.tcp import TcpStream
+
+
+class IncomingBody:
+    """Reads the body of one request at a time; only the last request read can have one.
+
+    :param stream: the connection.
+    :param reader: reads the connection's bytes as events.
+    :param limits: limits on the connection.
+    """
+
+    def __init__(self, *, stream: TcpStream, reader: RequestReader, limits: CallerLimits) -> None:
+        self._stream = stream
+        self._reader = reader
+        self._limits = limits
+        self._exchange: CallerExchange | None = None
+        self._is_read = False
+        self._finished = asyncio.Event()
+
+    def begin(self, exchange: CallerExchange | None) -> None:
+        """Begin with the body of a request; None if the request has none."""
+        self._exchange = exchange
+        self._is_read = False
+        self._finished.clear()
+
+    def is_unread(self, exchange: CallerExchange) -> bool:
+        """Return whether a request has a body of which a part is still due."""
+        return self._exchange is exchange and not self._is_read
+
+    async def wait(self, exchange: CallerExchange) -> bool:
+        """Wait until a request's body is read or its response sent; return whether it is read."""
+        exchange.done.add_done_callback(lambda _: self._finished.set())
+        await self._finished.wait()
+        return self._is_read
+
+    async def read(self, exchange: CallerExchange, *, max_bytes: int) -> tuple[bytes, bool]:
+        """Read the beginning of a request's body; return it, and whether it is the whole body."""
+        if not self.is_unread(exchange):
+            return b"", True
+        expects = b"100-continue" in header_tokens(exchange.head.headers, b"expect")
+        if expects and not self._stream.eof:
+            await exchange.wait()
+            self._stream.write(CONTINUE)
+        chunks: list[bytes] = []
+        size = 0
+        while size < max_bytes:
+            chunk = await self._next_chunk()
+            if chunk is None:
+                return b"".join(chunks), True
+            chunks.append(chunk)
+            size += len(chunk)
+        return b"".join(chunks), False
+
+    async def rest(self, *, limit: int) -> AsyncIterator[bytes]:
+        """Yield the rest of the body that is being read.
+
+        :param limit: maximum size of the rest in bytes.
+        :raises BadRequestError: if it is too long, too slow or malformed.
+        :raises CallerGoneError: if the caller ends the connection inside it.
+        """
+        size = 0
+        while (chunk := await self._next_chunk()) is not None:
+            size += len(chunk)
+            if size > limit:
+                raise body_too_large_error(limit)
+            yield chunk
+
+    async def _next_chunk(self) -> bytes | None:
+        while (event := self._reader.next_event()) is None:
+            if not await self._reader.receive(self._limits.stall_s):
+                raise self._reader.incomplete_error("body")
+        if isinstance(event, EndOfMessage):
+            self._is_read = True
+            self._finished.set()
+            return None
+        assert isinstance(event, bytes)
+        return event
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -13,15 +13,14 @@
 from lychee_http.exceptions import BadRequestError, CallerGoneError
 from lychee_http.exchange import CallerExchange, UnansweredReports
 from lychee_http.framing import (
-    body_too_large_error,
     check_head,
     has_body,
     keeps_alive,
 )
 from lychee_http.half_close import HalfCloseWatch
-from lychee_http.inbound import CONTINUE, CallerLimits
-from lychee_http.messages import RequestHead, ResponseHead, header_tokens
-from lychee_http.parser import EndOfMessage
+from lychee_http.inbound import CallerLimits
+from lychee_http.incoming_body import IncomingBody
+from lychee_http.messages import RequestHead, ResponseHead
 from lychee_http.reader import RequestReader
 from lychee_http.tcp import TcpStream
 
@@ -66,9 +65,7 @@
         self._reader = RequestReader(stream=stream, head_limit=limits.head_bytes)
         self._exchanges: list[CallerExchange] = []
         self._has_room = asyncio.Event()
-        self._body_exchange: CallerExchange | None = None
-        self._is_body_read = False
-        self._body_finished = asyncio.Event()
+        self._body = IncomingBody(stream=stream, reader=self._reader, limits=limits)
         self._is_waiting_for_request = False
         self._last_exchange: CallerExchange | None = None
         self._quiet_since = monotonic()
@@ -100,6 +97,9 @@
             await self._close()
         except (CallerGoneError, ConnectionError):
             self._end(self._callers_reason())
+        except Exception:
+            logger.exception("unexpected error on a caller's connection")
+            self._end(EndReason.FAILED)
         finally:
             self._stream.on_disconnect = lambda: None
             self._half_close.stop()
@@ -165,7 +165,7 @@
         It does after the response to the last request that has been read, so that each of them
         gets one; none is read behind that.
         """
-        unread = self._body_exchange is exchange and not self._is_body_read
+        unread = self._body.is_unread(exchange)
         if not (self.closing or unread or not keeps_alive(exchange.head)):
             return False
         self.closing = True
@@ -185,45 +185,11 @@
 
     async def read_body(self, exchange: CallerExchange, *, max_bytes: int) -> tuple[bytes, bool]:
         """Read the beginning of a request's body; return it, and whether it is the whole body."""
-        if self._body_exchange is not exchange or self._is_body_read:
-            return b"", True
-        expects = b"100-continue" in header_tokens(exchange.head.headers, b"expect")
-        if expects and not self._stream.eof:
-            await exchange.wait()
-            self._stream.write(CONTINUE)
-        chunks: list[bytes] = []
-        size = 0
-        while size < max_bytes:
-            chunk = await self._next_chunk()
-            if chunk is None:
-                return b"".join(chunks), True
-            chunks.append(chunk)
-            size += len(chunk)
-        return b"".join(chunks), False
-
-    async def rest_of_body(self, *, limit: int) -> AsyncIterator[bytes]:
-        """Yield the rest of the body that is being read.
-
-        :param limit: maximum size of the rest in bytes.
-        :raises BadRequestError: if it is too long, too slow or malformed.
-        """
-        size = 0
-        while (chunk := await self._next_chunk()) is not None:
-            size += len(chunk)
-            if size > limit:
-                raise body_too_large_error(limit)
-            yield chunk
-
-    async def _next_chunk(self) -> bytes | None:
-        while (event := self._reader.next_event()) is None:
-            if not await self._reader.receive(self._limits.stall_s):
-                raise self._reader.incomplete_error("body")
-        if isinstance(event, EndOfMessage):
-            self._is_body_read = True
-            self._body_finished.set()
-            return None
-        assert isinstance(event, bytes)
-        return event
+        return await self._body.read(exchange, max_bytes=max_bytes)
+
+    def rest_of_body(self, *, limit: int) -> AsyncIterator[bytes]:
+        """Yield the rest of the body that is being read, of a maximum size in bytes."""
+        return self._body.rest(limit=limit)
 
     async def _accept_request(self) -> bool:
         """Read one request and start its handler; return False if no other may follow."""
@@ -234,7 +200,6 @@
             head = await self._read_head()
             if head is None:
                 return False
-            self._body_exchange = None
             exchange = self._make_exchange(head)
             if self._last_exchange is not None:
                 self._unanswered.report(EndReason.CLOSING_ANSWER, (exchange,))
@@ -248,17 +213,14 @@
             return False
         self._start(exchange)
         if has_body(head):
-            await self._wait_for_body(exchange)
+            self.closing = not await self._body.wait(exchange) or self.closing
         return not self.closing and keeps_alive(head)
 
     def _make_exchange(self, head: RequestHead) -> CallerExchange:
         previous_done = self._exchanges[-1].done if self._exchanges else None
         exchange = CallerExchange(head=head, conn=self, previous_done=previous_done)
-        self._is_body_read = False
-        self._body_finished.clear()
-        if has_body(head):
-            self._body_exchange = exchange
-        else:
+        self._body.begin(exchange if has_body(head) else None)
+        if not has_body(head):
             self._reader.next_event()
         return exchange
 
@@ -270,12 +232,6 @@
         self._exchanges.append(exchange)
         exchange.done.add_done_callback(lambda _: self._exchange_done(exchange))
 
-    async def _wait_for_body(self, exchange: CallerExchange) -> None:
-        exchange.done.add_done_callback(lambda _: self._body_finished.set())
-        await self._body_finished.wait()
-        if not self._is_body_read:
-            self.closing = True
-
     async def _serve(self, exchange: CallerExchange) -> None:
         try:
             await self._handle(exchange)
@@ -299,7 +255,7 @@
         """End what the caller has ended: only this request if that was cut, else everything."""
         if exchange.is_reported:
             return
-        is_cut = self._stream.eof and self._body_exchange is exchange and not self._is_body_read
+        is_cut = self._stream.eof and self._body.is_unread(exchange)
         if is_cut and not self._stream.is_reset():
             self.closing = True
             self._unanswered.report(EndReason.REQUEST_CUT, (exchange,))
@@ -367,6 +323,8 @@
 
     def _behind(self, exchange: CallerExchange) -> list[CallerExchange]:
         """Return the exchanges without a response that follow one."""
+        if exchange not in self._exchanges:
+            return []
         later = self._exchanges[self._exchanges.index(exchange) + 1 :]
         return [other for other in later if not other.done.done()]
 
