Take an error of a server's connection for a failed attempt

Cause: only the end of a server's answer was an attempt's result, not an error of its connection. A safe request is now repeated at another server.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -215,6 +215,8 @@
             return TooLate()
         except ServerResponseError as exc:
             return NoAnswer(reason=exc.message, is_disconnected=conn.stream.eof)
+        except ConnectionError as exc:
+            return NoAnswer(reason=f"its connection failed: {exc!r}", is_disconnected=True)
 
     def _record_answer(
         self,
