--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -11,7 +11,7 @@
 from lychee_gateway.proxy.servers import InFlightRequest, ProxyServer
 from lychee_http import RequestHead, ResponseHead, ServerConnection, header_value
 from lychee_http.exceptions import BadRequestError, CallerGoneError, ServerResponseError
-from lychee_http.pipelining import CallerExchange
+from lychee_http.exchange import CallerExchange
 from lychee_types.clock import Clock
 
 LAST_SEND_SHARE = 0.9
@@ -28,6 +28,11 @@
 MAX_BUFFERED_ANSWER_BYTES = 16_384
 """Maximum size of an answer that is buffered whole before any of it is sent to the caller."""
 
+MAX_BUFFERED_AHEAD_BYTES = 262_144
+"""The same for an answer with requests behind it on its connection, which it would take along if it
+broke off after a part was sent.
+"""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Body:
@@ -195,6 +200,7 @@
         self._limits.count_attempt(server.run)
         try:
             async with asyncio.timeout(remaining_s):
+                exchange.was_sent = True
                 conn.send(head, _encode_buffered(head, body))
                 began = self._clock.monotonic()
                 async with _sending(conn, head, body):
@@ -220,6 +226,8 @@
             return TooLate()
         except ServerResponseError as exc:
             return NoAnswer(reason=exc.message, is_disconnected=conn.stream.eof)
+        except ConnectionError as exc:
+            return NoAnswer(reason=f"its connection failed: {exc!r}", is_disconnected=True)
 
     def _record_answer(
         self,
@@ -246,10 +254,12 @@
         self, conn: ServerConnection, answer: ResponseHead, exchange: CallerExchange
     ) -> Attempt:
         head = self._codec.forward_response(answer)
-        is_short = answer.length is not None and answer.length <= MAX_BUFFERED_ANSWER_BYTES
-        if not is_short and answer.status < MIN_FAILURE_STATUS:
+        is_ahead = exchange.has_requests_behind
+        limit = MAX_BUFFERED_AHEAD_BYTES if is_ahead else MAX_BUFFERED_ANSWER_BYTES
+        is_short = answer.length is not None and answer.length <= limit
+        if not is_short and not is_ahead and answer.status < MIN_FAILURE_STATUS:
             return await self._stream_answer(conn, head, exchange, await conn.read_chunk())
-        body, is_whole = await _read_body(conn, max_bytes=MAX_BUFFERED_ANSWER_BYTES)
+        body, is_whole = await _read_body(conn, max_bytes=limit)
         if is_whole:
             return WholeAnswer(head=head, body=body)
         return await self._stream_answer(conn, head, exchange, body)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -26,8 +26,9 @@
 from lychee_gateway.proxy.subscription import Subscription
 from lychee_gateway.proxy.view import RoutedView
 from lychee_http import CallerLimits, ResponseHead, TcpStream
+from lychee_http.exchange import CallerExchange
 from lychee_http.listener import Listener
-from lychee_http.pipelining import CallerExchange, PipelinedConnection
+from lychee_http.pipelining import PipelinedConnection
 from lychee_http.textpage import TextPage
 from lychee_runtime import Daemon, format_dump
 from lychee_types.clock import Clock, SystemClock
@@ -297,6 +298,7 @@
             limits=limits,
             handle=self._forwarder.handle,
             refuse=self._forwarder.refuse,
+            on_end=self._metrics.count_end,
         )
         conn.closing = self.stopping.is_set()
         task = asyncio.get_running_loop().create_task(conn.run())
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -25,7 +25,8 @@
 from lychee_gateway.proxy.view import RoutedView
 from lychee_http import ResponseHead, header_value
 from lychee_http.exceptions import BadRequestError
-from lychee_http.pipelining import CallerExchange, declared_length_error
+from lychee_http.exchange import CallerExchange
+from lychee_http.framing import declared_length_error
 from lychee_policy import Verdict
 from lychee_types.clock import Clock
 from lychee_types.ids import RequestSignature
@@ -104,6 +105,7 @@
         if isinstance(request, Rejection):
             await self._reject_bad_request(exchange, "", request)
             return
+        exchange.request_id = request.request_id
         if not self._age.is_usable:
             # A gateway that has just started, or was suspended, receives the routes shortly.
             await self._age.wait_until_usable(ROUTES_WAIT_S)
@@ -130,7 +132,9 @@
         if isinstance(call, Rejection):
             await self._reject_bad_request(exchange, request.request_id, call)
             return
-        if not call.is_idempotent:
+        if call.is_idempotent:
+            await exchange.wait_for_stream()
+        else:
             await exchange.wait()
         await self._run(call)
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from time import monotonic
 
+from lychee_http.endings import ConnectionEnd
 from lychee_runtime import PrometheusMetrics
 from lychee_types.ids import ServerId, ServiceName
 
@@ -67,6 +68,9 @@
             "carry_requests", "Requests of other gateways for a connection.", "outcome"
         )
         self._carried_bytes = page.counter("carried_bytes", "Bytes carried for other gateways.")
+        self._unanswered = page.counter(
+            "unanswered", "Requests that ended without a whole answer.", "reason", "sent"
+        )
         self._latency = page.latency("answer", "From head to final answer.", "service")
 
     def count_answer(self, service: ServiceName, status: int, seconds: float) -> None:
@@ -115,6 +119,12 @@
         """Count bytes carried for another gateway."""
         self._carried_bytes.inc(size)
 
+    def count_end(self, end: ConnectionEnd) -> None:
+        """Count requests of a caller's connection that got no answer, by reason."""
+        for request in end.requests:
+            sent = "yes" if request.was_sent else "no"
+            self._unanswered.labels(end.reason.value, sent).inc()
+
     def count_permits(self, outcome: str, count: int) -> None:
         """Count permits for servers with a limit: issued, expired, or taken from the reserve."""
         self._permits.labels(outcome).inc(count)
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -5,143 +5,38 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import replace
+from time import monotonic
 
 from loguru import logger
 
+from lychee_http.endings import EndReason, OnEnd, ignore_end
 from lychee_http.exceptions import BadRequestError, CallerGoneError
+from lychee_http.exchange import CallerExchange, UnansweredReports
 from lychee_http.framing import (
-    body_too_large_error,
     check_head,
-    declared_length,
     has_body,
     keeps_alive,
 )
-from lychee_http.inbound import BODILESS_STATUSES, CONTINUE, CallerLimits
-from lychee_http.messages import RequestHead, ResponseHead, header_tokens
-from lychee_http.parser import EndOfMessage
+from lychee_http.half_close import HalfCloseWatch
+from lychee_http.inbound import CallerLimits
+from lychee_http.incoming_body import IncomingBody
+from lychee_http.messages import RequestHead, ResponseHead
 from lychee_http.reader import RequestReader
 from lychee_http.tcp import TcpStream
 
 PIPELINE_LIMIT = 16
 """Maximum number of requests in flight on one connection."""
 
-Handle = Callable[["CallerExchange"], Awaitable[None]]
+FAILURE_STATUS = 502
+"""HTTP status of a request whose handler failed; it does not say whether the request was run."""
+
+Handle = Callable[[CallerExchange], Awaitable[None]]
 """Handles one request and sends the response."""
 
-Refuse = Callable[["CallerExchange", BadRequestError], Awaitable[None]]
+Refuse = Callable[[CallerExchange, BadRequestError], Awaitable[None]]
 """Sends the response to a rejected request."""
 
 
-class CallerExchange:
-    """One request on a connection and its response, which is sent after all earlier ones.
-
-    :param head: the request's head.
-    :param conn: its connection.
-    :param previous_done: completed when all earlier responses have been sent, None if there are
-        none.
-    """
-
-    def __init__(
-        self,
-        *,
-        head: RequestHead,
-        conn: "PipelinedConnection",
-        previous_done: "asyncio.Future[None] | None",
-    ) -> None:
-        self.head = head
-        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.is_cancellable = True
-        self.task: asyncio.Task[None] | None = None
-        self.response_started = False
-        self._conn = conn
-        self._previous_done = previous_done
-        self._is_chunked = False
-
-    async def wait(self) -> None:
-        """Wait until all earlier responses on the connection have been sent.
-
-        :raises CallerGoneError: if the connection ends first.
-        """
-        if self._previous_done is not None and not self._previous_done.done():
-            await asyncio.shield(self._previous_done)
-        self._conn.check_open()
-
-    async def read_body(self, *, max_bytes: int) -> tuple[bytes, bool]:
-        """Read the beginning of the body; return it, and whether it is the whole body.
-
-        :param max_bytes: size at which reading stops; :meth:`rest_of_body` reads the rest.
-        """
-        return await self._conn.read_body(self, max_bytes=max_bytes)
-
-    def rest_of_body(self, *, limit: int) -> AsyncIterator[bytes]:
-        """Yield the rest of the body as it arrives.
-
-        :param limit: maximum size of the rest in bytes.
-        """
-        return self._conn.rest_of_body(limit=limit)
-
-    async def send(self, head: ResponseHead, body: bytes) -> None:
-        """Send a whole response, after all earlier responses.
-
-        :raises CallerGoneError: if the caller has disconnected or reads too slowly.
-        """
-        await self.wait()
-        if self.head.method == b"HEAD" or head.status in BODILESS_STATUSES:
-            body = b""
-        elif head.length is None:
-            head = replace(head, length=len(body))
-        self._conn.write(self._encode_response_head(head) + body)
-        await self._conn.drain()
-        self.mark_done()
-
-    async def send_head(self, head: ResponseHead) -> None:
-        """Send the head of a response, after all earlier responses; the body follows."""
-        await self.wait()
-        self._conn.write(self._encode_response_head(head))
-
-    async def send_chunk(self, data: bytes) -> None:
-        """Send a part of the body.
-
-        :raises CallerGoneError: if the caller has disconnected or reads too slowly.
-        """
-        if self.head.method == b"HEAD":
-            return
-        self._conn.write(b"%x\r\n%b\r\n" % (len(data), data) if self._is_chunked else data)
-        await self._conn.drain()
-
-    async def finish(self) -> None:
-        """End the response's body."""
-        if self._is_chunked and self.head.method != b"HEAD":
-            self._conn.write(b"0\r\n\r\n")
-        await self._conn.drain()
-        self.mark_done()
-
-    def mark_done(self) -> None:
-        """Mark the exchange as done, so that the next response can be sent."""
-        if not self.done.done():
-            self.done.set_result(None)
-
-    def truncate(self) -> None:
-        """Close the connection so that the caller sees that the response is incomplete."""
-        self._conn.truncate(self.head)
-
-    def _encode_response_head(self, head: ResponseHead) -> bytes:
-        self.response_started = True
-        lines = [b"HTTP/1.1 %d %b\r\n" % (head.status, head.reason)]
-        lines += [b"%b: %b\r\n" % header for header in head.headers]
-        if head.status not in BODILESS_STATUSES:
-            if head.length is not None:
-                lines.append(b"content-length: %d\r\n" % head.length)
-            elif self.head.version != b"1.0":
-                self._is_chunked = True
-                lines.append(b"transfer-encoding: chunked\r\n")
-        if self._conn.mark_if_last(self):
-            lines.append(b"connection: close\r\n")
-        lines.append(b"\r\n")
-        return b"".join(lines)
-
-
 class PipelinedConnection:
     """One caller's connection with up to :data:`PIPELINE_LIMIT` requests in flight.
 
@@ -149,29 +44,41 @@
     :param limits: limits on the connection.
     :param handle: handles a request and sends the response.
     :param refuse: sends the response to a rejected request.
+    :param on_end: is told of requests that got no answer.
     """
 
     def __init__(
-        self, *, stream: TcpStream, limits: CallerLimits, handle: Handle, refuse: Refuse
+        self,
+        *,
+        stream: TcpStream,
+        limits: CallerLimits,
+        handle: Handle,
+        refuse: Refuse,
+        on_end: OnEnd = ignore_end,
     ) -> None:
         self.closing = False
         self._stream = stream
         self._limits = limits
         self._handle = handle
         self._refuse = refuse
+        self._unanswered = UnansweredReports(on_end=on_end)
         self._reader = RequestReader(stream=stream, head_limit=limits.head_bytes)
         self._exchanges: list[CallerExchange] = []
         self._has_room = asyncio.Event()
-        self._body_exchange: CallerExchange | None = None
-        self._is_body_read = False
-        self._body_finished = asyncio.Event()
+        self._body = IncomingBody(stream=stream, reader=self._reader, limits=limits)
         self._is_waiting_for_request = False
         self._last_exchange: CallerExchange | None = None
+        self._quiet_since = monotonic()
+        self._half_close = HalfCloseWatch(
+            stream=stream, first=self._first, on_gone=lambda: self._end(EndReason.CALLER_LEFT)
+        )
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is in flight or has begun to arrive."""
-        return self._is_waiting_for_request and not self._exchanges and self._stream.is_quiet()
+        if not self._is_waiting_for_request or self._exchanges or self._stream.unsent:
+            return False
+        return self._stream.is_quiet()
 
     @property
     def under_way(self) -> int:
@@ -189,14 +96,15 @@
                 self._remove_done()
             await self._close()
         except (CallerGoneError, ConnectionError):
-            self._stream.abort()
+            self._end(self._callers_reason())
+        except Exception:
+            logger.exception("unexpected error on a caller's connection")
+            self._end(EndReason.FAILED)
         finally:
             self._stream.on_disconnect = lambda: None
-            for exchange in self._exchanges:
-                if exchange.task is not None and exchange.is_cancellable:
-                    exchange.task.cancel()
+            self._half_close.stop()
             if self._exchanges:
-                self._stream.abort()
+                self._end(EndReason.STOPPED)
 
     def close_if_idle(self) -> None:
         """Close the connection if it is idle."""
@@ -208,11 +116,16 @@
 
         :raises CallerGoneError: if the connection has ended.
         """
-        if self._stream.lost or self._stream.transport.is_closing():
+        if self._stream.lost or self._stream.transport.is_closing() or self._is_over:
             raise CallerGoneError()
 
+    def begin_response(self, head: bytes) -> bytes:
+        """Return what is still to be sent of a response's head."""
+        return self._half_close.cut_prefix(head)
+
     def write(self, data: bytes) -> None:
         """Send bytes."""
+        self._half_close.has_written = True
         self._stream.write(data)
 
     async def drain(self) -> None:
@@ -228,71 +141,55 @@
         except (TimeoutError, ConnectionError) as exc:
             raise CallerGoneError() from exc
 
-    def truncate(self, head: RequestHead) -> None:
-        """Close at once; reset for an HTTP/1.0 caller, for which a close may end a response.
+    def truncate(self, exchange: CallerExchange, reason: EndReason = EndReason.ANSWER_CUT) -> None:
+        """Close the connection so that the caller sees that a response is incomplete.
 
-        :param head: the request's head.
+        Earlier responses still arrive whole, and requests behind it end without an answer. For an
+        HTTP/1.0 caller, for which a close may end a response, the connection is reset.
         """
-        if head.version == b"1.0":
-            self._stream.reset()
-        else:
-            self._stream.abort()
+        if exchange.head.version == b"1.0":
+            self._end(reason, reset=True)
+            return
+        behind = self._behind(exchange)
+        self._unanswered.report(reason, (exchange, *behind))
+        self.closing = True
+        self._last_exchange = exchange
+        self._exchanges = [other for other in self._exchanges if other not in behind]
+        for other in behind:
+            other.cancel()
+        exchange.mark_done()
 
     def mark_if_last(self, exchange: CallerExchange) -> bool:
         """Return whether the connection closes after this response.
 
-        If it does, mark the exchange as the last one and cancel the handling of later requests.
+        It does after the response to the last request that has been read, so that each of them
+        gets one; none is read behind that.
         """
-        unread = self._body_exchange is exchange and not self._is_body_read
-        if self.closing or unread or not keeps_alive(exchange.head):
-            self.closing = True
-            self._last_exchange = exchange
-            for later in self._exchanges[self._exchanges.index(exchange) + 1 :]:
-                if later.task is not None:
-                    later.task.cancel()
-            return True
-        return False
+        unread = self._body.is_unread(exchange)
+        if not (self.closing or unread or not keeps_alive(exchange.head)):
+            return False
+        self.closing = True
+        if self._behind(exchange):
+            return False
+        self._last_exchange = exchange
+        return True
+
+    async def wait_for_stream(self) -> None:
+        """Wait while the first response that is due is being sent, if it has begun."""
+        while (first := self._first()) is not None and first.response_started:
+            await asyncio.shield(first.done)
+
+    def has_requests_behind(self, exchange: CallerExchange) -> bool:
+        """Return whether requests that follow one have been read and have no response."""
+        return bool(self._behind(exchange))
 
     async def read_body(self, exchange: CallerExchange, *, max_bytes: int) -> tuple[bytes, bool]:
         """Read the beginning of a request's body; return it, and whether it is the whole body."""
-        if self._body_exchange is not exchange or self._is_body_read:
-            return b"", True
-        if b"100-continue" in header_tokens(exchange.head.headers, b"expect"):
-            await exchange.wait()
-            self._stream.write(CONTINUE)
-        chunks: list[bytes] = []
-        size = 0
-        while size < max_bytes:
-            chunk = await self._next_chunk()
-            if chunk is None:
-                return b"".join(chunks), True
-            chunks.append(chunk)
-            size += len(chunk)
-        return b"".join(chunks), False
-
-    async def rest_of_body(self, *, limit: int) -> AsyncIterator[bytes]:
-        """Yield the rest of the body that is being read.
-
-        :param limit: maximum size of the rest in bytes.
-        :raises BadRequestError: if it is too long, too slow or malformed.
-        """
-        size = 0
-        while (chunk := await self._next_chunk()) is not None:
-            size += len(chunk)
-            if size > limit:
-                raise body_too_large_error(limit)
-            yield chunk
-
-    async def _next_chunk(self) -> bytes | None:
-        while (event := self._reader.next_event()) is None:
-            if not await self._reader.receive(self._limits.stall_s):
-                raise self._reader.incomplete_error("body")
-        if isinstance(event, EndOfMessage):
-            self._is_body_read = True
-            self._body_finished.set()
-            return None
-        assert isinstance(event, bytes)
-        return event
+        return await self._body.read(exchange, max_bytes=max_bytes)
+
+    def rest_of_body(self, *, limit: int) -> AsyncIterator[bytes]:
+        """Yield the rest of the body that is being read, of a maximum size in bytes."""
+        return self._body.rest(limit=limit)
 
     async def _accept_request(self) -> bool:
         """Read one request and start its handler; return False if no other may follow."""
@@ -303,85 +200,111 @@
             head = await self._read_head()
             if head is None:
                 return False
-            self._body_exchange = None
             exchange = self._make_exchange(head)
+            if self._last_exchange is not None:
+                self._unanswered.report(EndReason.CLOSING_ANSWER, (exchange,))
+                return False
             check_head(head, limit=self._limits.head_bytes)
+        except CallerGoneError:
+            # Only the request that was cut is lost; earlier ones still get their responses.
+            return False
         except BadRequestError as exc:
             await self._reject_head(exc)
             return False
         self._start(exchange)
         if has_body(head):
-            await self._wait_for_body(exchange)
-        return not self.closing and exchange is not self._last_exchange
+            self.closing = not await self._body.wait(exchange) or self.closing
+        return not self.closing and keeps_alive(head)
 
     def _make_exchange(self, head: RequestHead) -> CallerExchange:
         previous_done = self._exchanges[-1].done if self._exchanges else None
         exchange = CallerExchange(head=head, conn=self, previous_done=previous_done)
-        self._is_body_read = False
-        self._body_finished.clear()
-        if has_body(head):
-            self._body_exchange = exchange
-        else:
+        self._body.begin(exchange if has_body(head) else None)
+        if not has_body(head):
             self._reader.next_event()
         return exchange
 
     def _start(self, exchange: CallerExchange) -> None:
-        self._exchanges.append(exchange)
-        exchange.done.add_done_callback(lambda _: self._exchange_done(exchange))
+        self._add(exchange)
         exchange.task = asyncio.create_task(self._serve(exchange))
 
-    async def _wait_for_body(self, exchange: CallerExchange) -> None:
-        exchange.done.add_done_callback(lambda _: self._body_finished.set())
-        await self._body_finished.wait()
-        if not self._is_body_read:
-            self.closing = True
+    def _add(self, exchange: CallerExchange) -> None:
+        self._exchanges.append(exchange)
+        exchange.done.add_done_callback(lambda _: self._exchange_done(exchange))
 
     async def _serve(self, exchange: CallerExchange) -> None:
         try:
             await self._handle(exchange)
+            if not exchange.is_answered and not exchange.is_reported:
+                self._end(EndReason.FAILED)
         except BadRequestError as exc:
             await self._reject(exchange, exc)
-        except (CallerGoneError, ConnectionError):
-            self._stream.abort()
+        except CallerGoneError:
+            self._caller_gone(exchange)
         except asyncio.CancelledError:
-            if exchange.response_started:
-                self._stream.abort()
+            if exchange.response_started and not exchange.is_reported:
+                self._end(EndReason.STOPPED)
             raise
         except Exception:
             logger.exception("unexpected error while handling a caller's request")
-            self._stream.abort()
+            await self._answer_failure(exchange)
         finally:
             exchange.mark_done()
 
+    def _caller_gone(self, exchange: CallerExchange) -> None:
+        """End what the caller has ended: only this request if that was cut, else everything."""
+        if exchange.is_reported:
+            return
+        is_cut = self._stream.eof and self._body.is_unread(exchange)
+        if is_cut and not self._stream.is_reset():
+            self.closing = True
+            self._unanswered.report(EndReason.REQUEST_CUT, (exchange,))
+        else:
+            self._end(self._callers_reason())
+
     async def _reject(self, exchange: CallerExchange, exc: BadRequestError) -> None:
         self.closing = True
         if exchange.response_started:
-            self._stream.abort()
+            self.truncate(exchange, EndReason.REQUEST_CUT)
             return
         try:
             await self._refuse(exchange, exc)
-        except (CallerGoneError, ConnectionError):
-            self._stream.abort()
+        except CallerGoneError:
+            self._caller_gone(exchange)
+
+    async def _answer_failure(self, exchange: CallerExchange) -> None:
+        """Answer a request whose handler failed, so that the others on the connection go on."""
+        if exchange.response_started:
+            self.truncate(exchange, EndReason.FAILED)
+            return
+        try:
+            await exchange.send(ResponseHead(status=FAILURE_STATUS, headers=()), b"")
+        except CallerGoneError:
+            self._caller_gone(exchange)
 
     async def _reject_head(self, exc: BadRequestError) -> None:
         """Reject a malformed or unacceptable request head, after all earlier responses."""
+        if self._last_exchange is not None:
+            return
         head = RequestHead(method=b"GET", target=b"/", headers=())
         exchange = CallerExchange(
             head=head,
             conn=self,
             previous_done=self._exchanges[-1].done if self._exchanges else None,
         )
-        self._exchanges.append(exchange)
+        self._add(exchange)
         self.closing = True
         try:
             await self._refuse(exchange, exc)
+        except CallerGoneError:
+            self._caller_gone(exchange)
         finally:
             exchange.mark_done()
-            self._remove_done()
 
     def _exchange_done(self, exchange: CallerExchange) -> None:
+        self._quiet_since = monotonic()
         self._remove_done()
-        if exchange is self._last_exchange:
+        if self._is_over:
             # The close tells the caller that later requests were not read.
             self._stream.stop_reading()
 
@@ -389,10 +312,50 @@
         self._exchanges = [exchange for exchange in self._exchanges if not exchange.done.done()]
         self._has_room.set()
 
+    @property
+    def _is_over(self) -> bool:
+        """Whether the last response that the connection carries has been sent."""
+        return self._last_exchange is not None and self._last_exchange.done.done()
+
+    def _first(self) -> CallerExchange | None:
+        """Return the exchange whose response is due next."""
+        return next((exchange for exchange in self._exchanges if not exchange.done.done()), None)
+
+    def _behind(self, exchange: CallerExchange) -> list[CallerExchange]:
+        """Return the exchanges without a response that follow one."""
+        if exchange not in self._exchanges:
+            return []
+        later = self._exchanges[self._exchanges.index(exchange) + 1 :]
+        return [other for other in later if not other.done.done()]
+
     def _on_disconnect(self) -> None:
+        if self._stream.lost:
+            self._end(EndReason.CALLER_LEFT)
+            return
+        self._stream.on_disconnect = self._on_disconnect
+        self._half_close.has_written = False
+        self._half_close.start()
+
+    def _callers_reason(self) -> EndReason:
+        """Return why nothing more can be sent to the caller."""
+        if self._stream.eof or self._stream.transport.is_closing():
+            return EndReason.CALLER_LEFT
+        return EndReason.CALLER_STALLED
+
+    def _end(self, reason: EndReason, *, reset: bool = False) -> None:
+        """End the connection at once, and report and cancel the requests that get no answer.
+
+        Requests that must not be repeated are not cancelled.
+
+        :param reset: whether to reset it, so that no caller takes the close for a response's end.
+        """
+        self._unanswered.report(reason, self._exchanges)
+        if reset:
+            self._stream.reset()
+        else:
+            self._stream.abort()
         for exchange in self._exchanges:
-            if exchange.is_cancellable and exchange.task is not None:
-                exchange.task.cancel()
+            exchange.cancel()
 
     async def _read_head(self) -> RequestHead | None:
         return await self._reader.read_head(
@@ -403,13 +366,20 @@
         self._is_waiting_for_request = True
         try:
             while True:
-                has_data = await self._reader.receive(self._limits.idle_s)
-                # A connection is idle only after its last response has been sent.
-                if has_data or self._stream.eof or not self._exchanges:
+                has_data = await self._reader.receive(self._idle_left_s())
+                if has_data or self._stream.eof or self._is_over:
                     return has_data
+                if not self._exchanges and self._idle_left_s() <= 0:
+                    return False
         finally:
             self._is_waiting_for_request = False
 
+    def _idle_left_s(self) -> float:
+        """Return how long to wait for the next request, from the last response, in seconds."""
+        if self._exchanges:
+            return self._limits.idle_s
+        return self._limits.idle_s - (monotonic() - self._quiet_since)
+
     async def _close(self) -> None:
         """Close after the caller has had time to read the last response."""
         if not self._stream.eof and (self.closing or self._stream.unread_bytes):
@@ -418,8 +388,6 @@
             self._stream.stop_reading(stopped=False)
             await self._reader.discard_rest()
         self._stream.close()
-
-
-def declared_length_error(head: RequestHead, limit: int) -> BadRequestError | None:
-    """Return the error for a request whose Content-Length exceeds a limit in bytes, or None."""
-    return body_too_large_error(limit) if (declared_length(head) or 0) > limit else None
+        if self._stream.unsent:
+            # A caller that reads nothing would keep a closing connection for ever.
+            asyncio.get_running_loop().call_later(self._limits.stall_s, self._stream.abort)
