Take no other gateway's own cut for the end of a server

What callers see: four of six gateways partitioned, open connections reset, one popular request: a cut gateway counted an end of a server that had not ended (one such end in 6 s; three would block the request for an hour). And a request that does end servers was not blocked at gateways that are partitioned: 16 arrivals at servers later than 3 s after the third end, where 3 are allowed.

Cause: a gateway that was asked for a way said "the server accepts no connection" although it had been cut off itself a moment before; both checks then agreed. And a gateway that knew that it reaches no server did not ask anybody, so that it never saw an end.

Change: who finds a server closed, asker or asked, first tries another server that it takes to be reached; if that one does not open either, its word says nothing of the server. A gateway that reaches no server asks another one, and goes by such a word.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -13,6 +13,7 @@
 from msgspec import DecodeError
 from msgspec.msgpack import Decoder, Encoder
 
+from lychee_gateway.proxy.peers import NotReachedError
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_http import ServerConnection, TcpStream
 from lychee_http.carrying import LEAVING, LENGTH, MAX_REPLY_BYTES, encode_frame
@@ -58,7 +59,8 @@
 
     :param endpoint: the address to listen on.
     :param servers: the registered servers, the only addresses that it connects to.
-    :param connect: opens a direct connection to a server, within a time in seconds.
+    :param connect: opens a direct connection to a server, within a time in seconds, or raises
+        an OSError.
     :param on_request: called with the outcome of each request.
     :param on_bytes: called with the number of bytes that were carried, in either direction.
     """
@@ -148,6 +150,12 @@
             raise _refused_error("this gateway has no room", retry_after_s=FULL_RETRY_S)
         try:
             return await self._connect(server, request.timeout_ms / 1_000)
+        except NotReachedError as exc:
+            raise _refused_error(
+                "the server accepts no connection",
+                is_unreached=exc.is_unreached,
+                retry_after_s=exc.retry_after_s,
+            ) from exc
         except OSError as exc:
             raise _refused_error(
                 f"the server accepts no connection: {exc!r}", is_unreached=True
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
@@ -22,9 +22,7 @@
 from lychee_types.registry import ServerIncarnation
 
 HEDGE_S = 0.15
-"""Time after which another gateway is asked while a direct connection is still not open, in
-seconds.
-"""
+"""Time in which a direct connection opens before another gateway is asked, in seconds."""
 
 END_CHECK_S = 0.1
 """Maximum wait for a connection that shows that a server still listens, in seconds."""
@@ -139,15 +137,21 @@
 
         :param server: the server.
         :param timeout_s: maximum wait in seconds.
-        :raises OSError: if the server accepts none in time, or is not expected to.
+        :raises NotReachedError: if the server accepts none in time, or is not expected to.
         """
         if self._table.is_doubted(server.run):
             self._check_if_due(server)
-            raise NotReachedError(
-                is_unreached=not self._table.is_own_fault(server.run),
-                retry_after_s=DIRECT_TIMEOUT_S,
-            )
-        return await self._open_direct(server, timeout_s=timeout_s)
+        else:
+            try:
+                # The rest of the time is for the comparison.
+                return await self._open_direct(
+                    server, timeout_s=max(END_CHECK_S, timeout_s - END_CHECK_S)
+                )
+            except OSError as exc:
+                logger.debug("server {} accepts no connection: {!r}", server.run.server, exc)
+        raise NotReachedError(
+            is_unreached=await self._is_server_at_fault(server), retry_after_s=DIRECT_TIMEOUT_S
+        )
 
     def suspect(self, server: ProxyServer, *, since: float) -> None:
         """Check the direct way to a server that left a request without an answer.
@@ -167,20 +171,17 @@
 
         It is not taken for ended where only this gateway does not reach it.
         """
-        try:
-            # An idle connection may not have been reset yet.
-            server.pool.add(await self._open_direct(server, timeout_s=END_CHECK_S))
+        # An idle connection may not have been reset yet.
+        if await self._try_direct(server, END_CHECK_S):
             return False
-        except OSError as exc:
-            logger.debug("server {} accepts no connection: {!r}", server.run.server, exc)
-        if self._table.reaches_none or not self._peers.has_carrier(server):
-            return not self._table.is_own_fault(server.run)
+        if not self._peers.has_carrier(server):
+            return await self._is_server_at_fault(server)
         try:
             server.pool.add(await self._open_carried(server, timeout_s=CARRIED_END_CHECK_S))
             return False
         except NotReachedError as exc:
             logger.debug("server {}: {}", server.run.server, exc)
-            return not self._table.is_own_fault(server.run)
+            return exc.is_unreached or await self._is_server_at_fault(server)
 
     def stop(self) -> None:
         """Tell the other gateways from now on that this one takes no connections."""
@@ -267,6 +268,19 @@
             if is_silent:
                 server.pool.doubt_direct()
 
+    async def _is_server_at_fault(self, server: ProxyServer) -> bool:
+        """Return whether a server that accepts no connection is alone with that, as seen from here.
+
+        Where another one accepts none either, this gateway may have been cut off just now.
+        """
+        if self._table.is_own_fault(server.run):
+            return False
+        others = [other for other in self._servers.all() if other is not server]
+        if not others:
+            return True
+        direct = [other for other in others if self.is_direct(other)]
+        return bool(direct) and await self._try_direct(self._rng.choice(direct), END_CHECK_S)
+
     def _check_others(self) -> None:
         others = [server for server in self._servers.all() if self.is_direct(server)]
         for server in self._rng.sample(others, min(CHECKED_OTHERS, len(others))):
@@ -278,15 +292,19 @@
 
     def _check(self, server: ProxyServer) -> None:
         self._checked_at[server.run] = self._clock.monotonic()
-        self._spawn(self._try_direct(server), "path check")
+        self._spawn(self._check_direct(server), "path check")
 
-    async def _try_direct(self, server: ProxyServer) -> None:
+    async def _check_direct(self, server: ProxyServer) -> None:
+        await self._try_direct(server, DIRECT_TIMEOUT_S)
+
+    async def _try_direct(self, server: ProxyServer, timeout_s: float) -> bool:
+        """Return whether a server accepts a direct connection, and keep that connection."""
         try:
-            conn = await self._open_direct(server, timeout_s=DIRECT_TIMEOUT_S)
+            server.pool.add(await self._open_direct(server, timeout_s=timeout_s))
+            return True
         except OSError as exc:
             logger.debug("server {} is not reached directly: {!r}", server.run.server, exc)
-            return
-        server.pool.add(conn)
+            return False
 
     def _take_idle(self, server: ProxyServer) -> ServerConnection | None:
         """Return an idle connection; a carried one only while the direct way is doubted."""
