Try doubted ways again although requests go elsewhere

What is seen: 4.5 s after a heal gateways still had 12 connections open that others carry for them, and after lost packets some servers stayed doubted for good.

Cause: a doubted way was only tried again by a request that took it, and requests prefer servers that are reached directly while these have room. So once one server was direct again, the others got nothing from that gateway. And a carried connection that was in use while its way was mended went back to the idle ones, where nobody takes it.

Change: any request lets up to four doubted ways be looked at, at most each 0.25 s; each is tried each 1 to 2 s, as before. A carried connection whose way is direct is closed after use.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -161,6 +161,9 @@
                 )
         if isinstance(attempt, NoAnswer | TooLate):
             server.record_failure(self._clock.monotonic())
+        if conn.is_carried and server.is_direct:
+            # Its way was mended meanwhile, and nobody would take this connection again.
+            server.pool.drop_carried()
         match attempt:
             case TooLate() | NoAnswer(is_disconnected=True) if conn.is_carried:
                 # The carrying gateway may be cut off itself by now.
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -271,7 +271,7 @@
 
     def _leave_peers(self) -> None:
         """Carry nothing new for other gateways, and let them end what is carried."""
-        self._paths.stop()
+        self._paths.reports.stop()
         if self._carrier is not None:
             self._carrier.leave()
 
@@ -326,7 +326,7 @@
             load,
             self._limits.take_report(),
             self._guard.take_report(),
-            self._paths.take_report(),
+            self._paths.reports.take(),
         )
         return tuple(note for note in notes if note is not None)
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
@@ -11,13 +11,13 @@
 
 from loguru import logger
 
+from lychee_gateway.proxy.path_reports import PathReports
 from lychee_gateway.proxy.peers import NotReachedError, Peers
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_http import ServerConnection
 from lychee_policy import PathTable
 from lychee_types.clock import Clock
 from lychee_types.ids import DomainName, GatewayId, ServerId
-from lychee_types.peer_messages import GatewayReport
 from lychee_types.records import Endpoint
 from lychee_types.registry import ServerIncarnation
 
@@ -40,13 +40,10 @@
 """Shortest wait for a direct connection that says something of the way, in seconds."""
 
 CHECKED_OTHERS = 4
-"""Number of other servers whose ways are checked once two are doubted."""
+"""Number of other servers whose ways are checked once two are doubted, or in one look."""
 
-REPORT_S = 2.0
-"""Interval at which the report to the leader is repeated, in seconds."""
-
-MAX_REPORTED = 32
-"""Maximum number of servers in a report."""
+LOOK_S = 0.25
+"""Shortest time between two looks for doubted ways that are to be tried again, in seconds."""
 
 Spawn = Callable[[Coroutine[Any, Any, None], str], None]
 """Runs work in a named task of the daemon."""
@@ -80,9 +77,6 @@
         clock: Clock,
         rng: Random | None = None,
     ) -> None:
-        self._gateway = gateway
-        self._domain = domain
-        self._carry = carry
         self._servers = servers
         self._peers = peers
         self._spawn = spawn
@@ -91,9 +85,10 @@
         self._rng = rng or Random()
         self._table = PathTable(rng=self._rng)
         self._checked_at: dict[ServerIncarnation, float] = {}
-        self._reported: GatewayReport | None = None
-        self._reported_at = 0.0
-        self._is_stopping = False
+        self._looked_at = 0.0
+        self.reports = PathReports(
+            gateway=gateway, domain=domain, carry=carry, table=self._table, clock=clock
+        )
 
     def __len__(self) -> int:
         """Return how many servers' direct ways are doubted."""
@@ -122,11 +117,11 @@
         :param timeout_s: maximum wait in seconds.
         :raises OSError: if the server is not reached in time, in any way.
         """
+        self._look_for_due_checks()
         conn = self._take_idle(server)
         if conn is not None:
             return conn
         if self._table.is_doubted(server.run):
-            self._check_if_due(server)
             return await self._open_around(server, timeout_s=timeout_s)
         if not self._peers.has_carrier(server):
             return await self._open_direct(server, timeout_s=timeout_s)
@@ -183,27 +178,6 @@
             logger.debug("server {}: {}", server.run.server, exc)
             return exc.is_unreached or await self._is_server_at_fault(server)
 
-    def stop(self) -> None:
-        """Tell the other gateways from now on that this one takes no connections."""
-        self._is_stopping = True
-
-    def take_report(self) -> GatewayReport | None:
-        """Return what the leader may not know yet, None if there is nothing."""
-        if self._carry is None:
-            return None
-        now = self._clock.monotonic()
-        report = GatewayReport(
-            gateway=self._gateway,
-            domain=self._domain,
-            carry=None if self._is_stopping else self._carry,
-            reaches_none=self._table.reaches_none,
-            unreached=self._table.unreached[:MAX_REPORTED],
-        )
-        if report == self._reported and now - self._reported_at < REPORT_S:
-            return None
-        self._reported, self._reported_at = report, now
-        return report
-
     def record_opened(self, server: ProxyServer) -> None:
         """Record that a direct connection has opened."""
         self._on_connection(server.run.server, "direct", None)
@@ -286,6 +260,16 @@
         for server in self._rng.sample(others, min(CHECKED_OTHERS, len(others))):
             self.suspect(server, since=self._clock.monotonic() - CHECK_GAP_S)
 
+    def _look_for_due_checks(self) -> None:
+        """Try some doubted ways again, as requests go to other servers while there are any."""
+        now = self._clock.monotonic()
+        if not len(self._table) or now - self._looked_at < LOOK_S:
+            return
+        self._looked_at = now
+        doubted = [server for server in self._servers.all() if not self.is_direct(server)]
+        for server in self._rng.sample(doubted, min(CHECKED_OTHERS, len(doubted))):
+            self._check_if_due(server)
+
     def _check_if_due(self, server: ProxyServer) -> None:
         if self._table.take_check(server.run, self._clock.monotonic()):
             self._check(server)
@@ -312,7 +296,6 @@
             if not conn.is_carried:
                 return conn
             if self._table.is_doubted(server.run):
-                self._check_if_due(server)
                 return conn
             conn.close()
         return None
