--- a/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
@@ -11,20 +11,18 @@
 
 from loguru import logger
 
+from lychee_gateway.proxy.path_reports import PathReports
 from lychee_gateway.proxy.peers import NotReachedError, Peers
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_http import ServerConnection
 from lychee_policy import PathTable
 from lychee_types.clock import Clock
 from lychee_types.ids import DomainName, GatewayId, ServiceName
-from lychee_types.peer_messages import GatewayReport
 from lychee_types.records import Endpoint
 from lychee_types.registry import ServerIncarnation
 
 HEDGE_S = 0.15
-"""Time after which another gateway is asked while a direct connection is still not open, in
-seconds.
-"""
+"""Time in which a direct connection opens before another gateway is asked, in seconds."""
 
 END_CHECK_S = 0.1
 """Maximum wait for a connection that shows that a server still listens, in seconds."""
@@ -42,13 +40,10 @@
 """Shortest wait for a direct connection that says something of the way, in seconds."""
 
 CHECKED_OTHERS = 4
-"""Number of other servers whose ways are checked once two are doubted."""
-
-REPORT_S = 2.0
-"""Interval at which the report to the leader is repeated, in seconds."""
+"""Number of other servers whose ways are checked once two are doubted, or in one look."""
 
-MAX_REPORTED = 32
-"""Maximum number of servers in a report."""
+LOOK_S = 0.25
+"""Shortest time between two looks for doubted ways that are to be tried again, in seconds."""
 
 Spawn = Callable[[Coroutine[Any, Any, None], str], None]
 """Runs work in a named task of the daemon."""
@@ -82,9 +77,6 @@
         clock: Clock,
         rng: Random | None = None,
     ) -> None:
-        self._gateway = gateway
-        self._domain = domain
-        self._carry = carry
         self._servers = servers
         self._peers = peers
         self._spawn = spawn
@@ -93,9 +85,10 @@
         self._rng = rng or Random()
         self._table = PathTable(rng=self._rng)
         self._checked_at: dict[ServerIncarnation, float] = {}
-        self._reported: GatewayReport | None = None
-        self._reported_at = 0.0
-        self._is_stopping = False
+        self._looked_at = 0.0
+        self.reports = PathReports(
+            gateway=gateway, domain=domain, carry=carry, table=self._table, clock=clock
+        )
 
     def __len__(self) -> int:
         """Return how many servers' direct ways are doubted."""
@@ -124,11 +117,11 @@
         :param timeout_s: maximum wait in seconds.
         :raises OSError: if the server is not reached in time, in any way.
         """
+        self._look_for_due_checks()
         conn = self._take_idle(server)
         if conn is not None:
             return conn
         if self._table.is_doubted(server.run):
-            self._check_if_due(server)
             return await self._open_around(server, timeout_s=timeout_s)
         if not self._peers.has_carrier(server):
             return await self._open_direct(server, timeout_s=timeout_s)
@@ -139,15 +132,21 @@
 
         :param server: the server.
         :param timeout_s: maximum wait in seconds.
-        :raises OSError: if the server accepts none in time, or is not expected to.
+        :raises NotReachedError: if the server accepts none in time, or is not expected to.
         """
         if self._table.is_doubted(server.run):
             self._check_if_due(server)
-            raise NotReachedError(
-                is_unreached=not self._table.is_own_fault(server.run),
-                retry_after_s=DIRECT_TIMEOUT_S,
-            )
-        return await self._open_direct(server, timeout_s=timeout_s)
+        else:
+            try:
+                # The rest of the time is for the comparison.
+                return await self._open_direct(
+                    server, timeout_s=max(END_CHECK_S, timeout_s - END_CHECK_S)
+                )
+            except OSError as exc:
+                logger.debug("server {} accepts no connection: {!r}", server.run.server, exc)
+        raise NotReachedError(
+            is_unreached=await self._is_server_at_fault(server), retry_after_s=DIRECT_TIMEOUT_S
+        )
 
     def suspect(self, server: ProxyServer, *, since: float) -> None:
         """Check the direct way to a server that left a request without an answer.
@@ -167,41 +166,17 @@
 
         It is not taken for ended where only this gateway does not reach it.
         """
-        try:
-            # An idle connection may not have been reset yet.
-            server.pool.add(await self._open_direct(server, timeout_s=END_CHECK_S))
+        # An idle connection may not have been reset yet.
+        if await self._try_direct(server, END_CHECK_S):
             return False
-        except OSError as exc:
-            logger.debug("server {} accepts no connection: {!r}", server.run.server, exc)
-        if self._table.reaches_none or not self._peers.has_carrier(server):
-            return not self._table.is_own_fault(server.run)
+        if not self._peers.has_carrier(server):
+            return await self._is_server_at_fault(server)
         try:
             server.pool.add(await self._open_carried(server, timeout_s=CARRIED_END_CHECK_S))
             return False
         except NotReachedError as exc:
             logger.debug("server {}: {}", server.run.server, exc)
-            return not self._table.is_own_fault(server.run)
-
-    def stop(self) -> None:
-        """Tell the other gateways from now on that this one takes no connections."""
-        self._is_stopping = True
-
-    def take_report(self) -> GatewayReport | None:
-        """Return what the leader may not know yet, None if there is nothing."""
-        if self._carry is None:
-            return None
-        now = self._clock.monotonic()
-        report = GatewayReport(
-            gateway=self._gateway,
-            domain=self._domain,
-            carry=None if self._is_stopping else self._carry,
-            reaches_none=self._table.reaches_none,
-            unreached=self._table.unreached[:MAX_REPORTED],
-        )
-        if report == self._reported and now - self._reported_at < REPORT_S:
-            return None
-        self._reported, self._reported_at = report, now
-        return report
+            return exc.is_unreached or await self._is_server_at_fault(server)
 
     def record_opened(self, server: ProxyServer) -> None:
         """Record that a direct connection has opened."""
@@ -267,26 +242,53 @@
             if is_silent:
                 server.pool.doubt_direct()
 
+    async def _is_server_at_fault(self, server: ProxyServer) -> bool:
+        """Return whether a server that accepts no connection is alone with that, as seen from here.
+
+        Where another one accepts none either, this gateway may have been cut off just now.
+        """
+        if self._table.is_own_fault(server.run):
+            return False
+        others = [other for other in self._servers.all() if other is not server]
+        if not others:
+            return True
+        direct = [other for other in others if self.is_direct(other)]
+        return bool(direct) and await self._try_direct(self._rng.choice(direct), END_CHECK_S)
+
     def _check_others(self) -> None:
         others = [server for server in self._servers.all() if self.is_direct(server)]
         for server in self._rng.sample(others, min(CHECKED_OTHERS, len(others))):
             self.suspect(server, since=self._clock.monotonic() - CHECK_GAP_S)
 
+    def _look_for_due_checks(self) -> None:
+        """Try some doubted ways again, as requests go to other servers while there are any."""
+        now = self._clock.monotonic()
+        if not len(self._table) or now - self._looked_at < LOOK_S:
+            return
+        self._looked_at = now
+        doubted = [server for server in self._servers.all() if not self.is_direct(server)]
+        for server in self._rng.sample(doubted, min(CHECKED_OTHERS, len(doubted))):
+            self._check_if_due(server)
+
     def _check_if_due(self, server: ProxyServer) -> None:
         if self._table.take_check(server.run, self._clock.monotonic()):
             self._check(server)
 
     def _check(self, server: ProxyServer) -> None:
         self._checked_at[server.run] = self._clock.monotonic()
-        self._spawn(self._try_direct(server), "path check")
+        self._spawn(self._check_direct(server), "path check")
 
-    async def _try_direct(self, server: ProxyServer) -> None:
+    async def _check_direct(self, server: ProxyServer) -> None:
+        await self._try_direct(server, DIRECT_TIMEOUT_S)
+
+    async def _try_direct(self, server: ProxyServer, timeout_s: float) -> bool:
+        """Return whether a server accepts a direct connection, and keep that connection."""
         try:
-            conn = await self._open_direct(server, timeout_s=DIRECT_TIMEOUT_S)
+            server.pool.add(await self._open_direct(server, timeout_s=timeout_s))
+            return True
         except OSError as exc:
             logger.debug("server {} is not reached directly: {!r}", server.run.server, exc)
-            return
-        server.pool.add(conn)
+            return False
 
     def _take_idle(self, server: ProxyServer) -> ServerConnection | None:
         """Return an idle connection; a carried one only while the direct way is doubted."""
@@ -294,7 +296,6 @@
             if not conn.is_carried:
                 return conn
             if self._table.is_doubted(server.run):
-                self._check_if_due(server)
                 return conn
             conn.close()
         return None
