Keep what the servers of a service take as the assumption behind a first answer

The first answer of a server replaced the assumption also where that came from measured servers of the service, so that one long answer made a new server look slow until its measurement lost weight. It replaces only the assumption for a service that nobody has measured.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -84,7 +84,8 @@
     :param leaving_since: earliest monotonic time at which it may have been allowed to leave, in
         seconds; None if it stays.
     :param gateway_count: approximate number of gateways.
-    :param service_time_s: assumed mean service time until it has been measured, in seconds.
+    :param service_time_s: mean service time of its service until its own has been measured, in
+        seconds; None if that is not known either.
     """
 
     def __init__(
@@ -94,14 +95,15 @@
         now: float,
         leaving_since: float | None = None,
         gateway_count: int = 1,
-        service_time_s: float = INITIAL_SERVICE_TIME_S,
+        service_time_s: float | None = None,
     ) -> None:
         self.record = record
         self.gateway_count = gateway_count
         self.pool = ServerPool(endpoint=record.endpoint, until_close=True)
         self._sent_at: dict[int, float] = {}
         self._last_number = 0
-        self.service_time_s = service_time_s
+        self._is_unknown = service_time_s is None
+        self.service_time_s = INITIAL_SERVICE_TIME_S if service_time_s is None else service_time_s
         self.is_measured = False
         self._answered_at = now
         self._estimated_at = now
@@ -211,9 +213,9 @@
         self._failures = 0
         self._ejected_until = 0.0
         service_time_s = seconds / in_flight.slowdown
-        gain = SERVICE_TIME_GAIN if self.is_measured else 1.0
+        gain = 1.0 if self._is_unknown else SERVICE_TIME_GAIN
         self.service_time_s += gain * (service_time_s - self.service_time_s)
-        self.is_measured = True
+        self.is_measured, self._is_unknown = True, False
         self._answered_at = in_flight.sent_at + seconds
         self._busy_s += service_time_s
         self._answers += 1
@@ -229,7 +231,7 @@
         since = max(self._answered_at + STALE_AFTER_S, self._estimated_at)
         self._estimated_at = now
         if not self.is_measured:
-            self.service_time_s = fastest_s
+            self.service_time_s, self._is_unknown = fastest_s, False
         elif since < now and not self._sent_at:
             weight = exp((since - now) / STALE_S)
             self.service_time_s = fastest_s + weight * (self.service_time_s - fastest_s)
@@ -332,16 +334,12 @@
             for server in servers:
                 server.estimate_anew(fastest_s, now)
 
-    def _mean_service_time_s(self, service: ServiceName) -> float:
-        """Return the assumed mean service time of a new server: that of its service, in seconds."""
+    def _mean_service_time_s(self, service: ServiceName) -> float | None:
+        """Return the mean service time of a service's servers in seconds, None if none is known."""
         service_times_s = [
             server.service_time_s for server in self.for_service(service) if server.is_measured
         ]
-        return (
-            sum(service_times_s) / len(service_times_s)
-            if service_times_s
-            else INITIAL_SERVICE_TIME_S
-        )
+        return sum(service_times_s) / len(service_times_s) if service_times_s else None
 
     def for_service(self, service: ServiceName) -> list[ProxyServer]:
         """Return the servers of a service."""
--- a/packages/lychee-gateway/tests/test_placing.py
+++ b/packages/lychee-gateway/tests/test_placing.py
@@ -385,3 +385,11 @@
         setup.clock.advance(20.0)
         setup.servers.estimate_anew()
     assert setup.server("b").service_time_s == pytest.approx(0.05)
+
+
+def test_one_long_first_answer_does_not_make_a_new_server_the_slowest():
+    setup = Setup(record("a"))
+    answer(setup, "a", 0.01)
+    setup.install(record("a"), record("b"))
+    answer(setup, "b", 0.03)
+    assert setup.server("b").service_time_s < 0.015
