Use a permit for the request that made the gateway ask for it

What callers saw: with 64 gateways a server that named 3 a second beside two others got 0.8, one that named 8 got 2.0.

Cause: a gateway without a permit asked for one and sent the request elsewhere; the permit was for a later request within 0.5 s. The number asked for counted requests since the last question, however long ago.

Change: the request that makes the gateway ask waits 0.03 s at most for the answer, if the last answer came within that and no question is unanswered; then it takes another server as before. Only requests of the last 0.5 s count.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/limits.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/limits.py
@@ -32,6 +32,9 @@
 ANSWER_WAIT_S = 0.1
 """Maximum wait for the leader's answer, in seconds; then the reserve is used."""
 
+PROMPT_WAIT_S = 0.03
+"""Maximum wait for the leader's answer where other servers can take the request, in seconds."""
+
 MAX_WANTED = 8
 """Maximum number of permits to ask for at once."""
 
@@ -65,7 +68,9 @@
     :param asked_at: when it was asked, None once it is answered.
     :param silent_since: when the first unanswered question was asked, None if there is none.
     :param asks_at: time before which no question is asked.
-    :param wanted: requests since the last question that found no permit.
+    :param answer_s: time that the last answer took, in seconds.
+    :param wanted: recent requests since the last question that found no permit.
+    :param wanted_at: when the last of them came.
     :param waiters: requests that wait for the answer.
     """
 
@@ -76,7 +81,9 @@
     asked_at: float | None = None
     silent_since: float | None = None
     asks_at: float = 0.0
-    wanted: int = 0
+    answer_s: float = 0.0
+    wanted: float = 0.0
+    wanted_at: float = 0.0
     waiters: deque[asyncio.Future[None]] = field(default_factory=deque)
 
 
@@ -178,10 +185,28 @@
         stock = self._stock(run)
         if self._take_held(run, stock):
             return True
-        stock.wanted += 1
+        self._want(stock)
         self._ask(run, stock)
         return False
 
+    async def take_promptly(self, run: ServerIncarnation, *, deadline: float) -> bool:
+        """Take a permit for a server, and return whether there is one.
+
+        A request that makes this gateway ask the leader waits for the answer, unless that is slow:
+        where requests are few, the permit would expire before the next one.
+
+        :param run: the server.
+        :param deadline: monotonic time in seconds after which a permit is of no use.
+        """
+        if self.try_take(run):
+            return True
+        stock, now = self._stock(run), self._clock.monotonic()
+        has_just_asked = stock.asked_at == now and stock.silent_since == now
+        if not has_just_asked or stock.answer_s > PROMPT_WAIT_S:
+            return False
+        await self._wait(stock, min(PROMPT_WAIT_S, deadline - now))
+        return self.limit_per_s(run) is None or self._take_held(run, stock)
+
     async def take(self, run: ServerIncarnation, *, deadline: float) -> PermitTaken | PermitRefused:
         """Take a permit for a server; wait for the leader's answer if there is none.
 
@@ -194,9 +219,7 @@
             left_s = until - self._clock.monotonic()
             if stock.asked_at is None or left_s <= 0:
                 return self._refuse(run, stock)
-            waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-            stock.waiters.append(waiter)
-            await asyncio.wait((waiter,), timeout=left_s)
+            await self._wait(stock, left_s)
         return PermitTaken()
 
     def receive_reply(self, reply: PermitReply) -> None:
@@ -206,6 +229,7 @@
             return
         now = self._clock.monotonic()
         stock.expiries.extend([stock.asked_at + PERMIT_HOLD_S] * reply.count)
+        stock.answer_s = now - stock.asked_at
         stock.asked_at = None
         stock.silent_since = None
         if reply.count < stock.asked:
@@ -216,6 +240,19 @@
             if not waiter.done():
                 waiter.set_result(None)
 
+    async def _wait(self, stock: _Stock, timeout_s: float) -> None:
+        """Wait for the leader's answer."""
+        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        stock.waiters.append(waiter)
+        await asyncio.wait((waiter,), timeout=max(0.0, timeout_s))
+
+    def _want(self, stock: _Stock) -> None:
+        """Count a request; one from longer ago than a permit can be used says nothing."""
+        now = self._clock.monotonic()
+        weight = max(0.0, 1.0 - (now - stock.wanted_at) / PERMIT_HOLD_S)
+        stock.wanted = 1.0 + weight * stock.wanted
+        stock.wanted_at = now
+
     def _take_held(self, run: ServerIncarnation, stock: _Stock) -> bool:
         now = self._clock.monotonic()
         while stock.expiries and stock.expiries[0] < now:
@@ -247,8 +284,8 @@
         limit = self._table.export(run, now)
         if is_pending or now < stock.asks_at or limit is None:
             return
-        stock.asked = min(stock.wanted, MAX_WANTED)
-        stock.wanted = 0
+        stock.asked = min(round(stock.wanted), MAX_WANTED)
+        stock.wanted = 0.0
         stock.number += 1
         stock.asked_at = now
         stock.silent_since = now if stock.silent_since is None else stock.silent_since
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -157,7 +157,9 @@
         now = self._clock.monotonic()
         while (best := self._find_best(request, now, skip=limited)) is not None:
             admitted = self._admit(request, best, now)
-            if isinstance(admitted, NoServer) or self._limits.try_take(best.run):
+            if isinstance(admitted, NoServer):
+                return admitted
+            if await self._limits.take_promptly(best.run, deadline=request.deadline):
                 return admitted
             limited.append(best.run)
         for run in limited:
--- a/packages/lychee-gateway/tests/test_limits.py
+++ b/packages/lychee-gateway/tests/test_limits.py
@@ -161,3 +161,58 @@
     setup.limits.keep_only({later})
     assert setup.limits.limit_per_s(RUN) is None
     assert setup.limits.limit_per_s(later) is None
+
+
+async def promptly(setup, *, answers_after_s=None, count=1):
+    """Take a permit while the leader answers after a time, or doesn't answer."""
+    deadline = setup.clock.monotonic() + 1.0
+    taking = asyncio.ensure_future(setup.limits.take_promptly(RUN, deadline=deadline))
+    await asyncio.sleep(0)
+    if answers_after_s is not None and not taking.done():
+        setup.clock.advance(answers_after_s)
+        setup.reply(count)
+    return await taking
+
+
+def test_the_permit_of_a_request_that_asks_does_not_expire_where_requests_are_few():
+    setup = Setup()
+    for _ in range(3):
+        assert asyncio.run(promptly(setup, answers_after_s=0.01))
+        setup.clock.advance(2.0)
+    assert setup.permits == ["issued"] * 3
+
+
+def test_requests_do_not_wait_for_a_leader_that_is_silent_or_slow():
+    setup = Setup()
+    assert not asyncio.run(promptly(setup))
+    setup.clock.advance(0.05)
+    assert not asyncio.run(promptly(setup, answers_after_s=0.0, count=0))
+    assert len(setup.questions) == 1
+    setup.reply(1)
+    assert asyncio.run(promptly(setup))
+    setup.clock.advance(PERMIT_HOLD_S)
+    assert not asyncio.run(promptly(setup, answers_after_s=0.0))
+    assert len(setup.questions) == 2
+
+
+def test_a_request_whose_server_has_no_limit_any_more_when_the_leader_answers_is_sent():
+    setup = Setup()
+
+    async def scenario():
+        taking = asyncio.ensure_future(setup.limits.take_promptly(RUN, deadline=2_000.0))
+        await asyncio.sleep(0)
+        setup.hear(None)
+        setup.reply(0)
+        return await taking
+
+    assert asyncio.run(scenario())
+
+
+def test_no_permits_are_asked_for_requests_of_long_ago():
+    setup = Setup()
+    for _ in range(5):
+        setup.limits.try_take(RUN)
+    setup.reply(0, retry_after_ms=2_000)
+    setup.clock.advance(2.0)
+    setup.limits.try_take(RUN)
+    assert [question.wanted for question in setup.questions] == [1, 1]
