Raise a rate limit that nobody has needed for a while, step by step

A limit ended with an answer only. A server that gets no requests because of its limit, such as one whose keys have left it, never answers, so that the leader takes the limit for its capacity for good. The class: a record that only its effect's opposite can end.

Change: the leader raises a limit fourfold that no answer has confirmed for 6 s and three permits' time, if it has issued no permit meanwhile, up to 60 a second; replicas and gateways learn that like any limit. The first request there confirms the limit or ends it.

--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -269,6 +269,7 @@
         if now < self._spread_at:
             return
         self._spread_at = now + SPREAD_INTERVAL_S
+        self._permits.raise_unconfirmed()
         self._spread_limits()
         self._spread_crashes()
 
--- a/packages/lychee-control/src/lychee_control/registry/limits.py
+++ b/packages/lychee-control/src/lychee_control/registry/limits.py
@@ -40,11 +40,23 @@
             if self._table.record(limit.run, received_observation(limit, now))
         ]
         for run in changed:
-            logger.bind(
-                event="server_limit", server=run.server, limit_per_s=self._table.limit_per_s(run)
-            ).info("a server's rate limit has changed")
+            self._log_change(run)
         return bool(changed)
 
+    def limited(self) -> tuple[ServerIncarnation, ...]:
+        """Return the servers that have a limit now."""
+        return self._table.limited()
+
+    def raise_unconfirmed(self, run: ServerIncarnation, *, quiet_since: float) -> None:
+        """Raise a limit that nobody has needed for a while.
+
+        :param run: the server.
+        :param quiet_since: monotonic time since which no request may have been sent, in seconds.
+        """
+        now = self._clock.monotonic()
+        if self._table.raise_unconfirmed(run, quiet_since=quiet_since, now=now):
+            self._log_change(run)
+
     def keep_only(self, runs: set[ServerIncarnation]) -> None:
         """Forget all servers but these."""
         self._table.keep_only(runs)
@@ -53,6 +65,11 @@
         """Return what is known, for gateways and other replicas."""
         return KnownLimits(limits=self._table.export_all(self._clock.monotonic()))
 
+    def _log_change(self, run: ServerIncarnation) -> None:
+        logger.bind(
+            event="server_limit", server=run.server, limit_per_s=self._table.limit_per_s(run)
+        ).info("a server's rate limit has changed")
+
 
 class PermitDesk:
     """Issues permits while this replica leads.
@@ -65,6 +82,7 @@
         self._board = board
         self._clock = clock
         self._issuers: dict[ServerIncarnation, PermitIssuer] = {}
+        self._began_at = clock.monotonic()
 
     def answer(self, request: PermitRequest, *, holds_lease: bool) -> PermitReply:
         """Return the answer to a gateway.
@@ -88,6 +106,13 @@
             retry_after_ms=round(retry_after_s * 1_000),
         )
 
+    def raise_unconfirmed(self) -> None:
+        """Raise limits for which no permit was issued and that no answer has confirmed."""
+        for run in self._board.limited():
+            issuer = self._issuers.get(run)
+            quiet_since = self._began_at if issuer is None else issuer.issued_at
+            self._board.raise_unconfirmed(run, quiet_since=quiet_since)
+
     def keep_only(self, runs: set[ServerIncarnation]) -> None:
         """Forget all servers but these."""
         for run in self._issuers.keys() - runs:
--- a/packages/lychee-control/tests/test_registry_limits.py
+++ b/packages/lychee-control/tests/test_registry_limits.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from lychee_control.registry.leader import SPREAD_INTERVAL_S
 from lychee_control.registry.limits import LimitBoard, PermitDesk
+from lychee_policy import MAX_RAISED_PER_S
 from lychee_types.ids import Incarnation, ServerId
 from lychee_types.limit_messages import ObservedLimit, PermitRequest
 from lychee_types.registry import ServerIncarnation
@@ -67,3 +69,46 @@
     setup = Setup(observed(10.0))
     setup.board.keep_only(set())
     assert not setup.board.news().limits
+
+
+def raise_for(setup, seconds, *, asks=False):
+    """Let time pass while the leader looks at its limits, and return the limits that were known."""
+    known = []
+    for _ in range(round(seconds / SPREAD_INTERVAL_S)):
+        setup.clock.advance(SPREAD_INTERVAL_S)
+        if asks:
+            setup.ask()
+        setup.desk.raise_unconfirmed()
+        known.append(setup.board.limit_per_s(RUN))
+    return known
+
+
+@pytest.mark.parametrize("per_s", [0.0, 0.3, 3.0, 60.0])
+def test_a_limit_that_no_request_can_confirm_is_raised_step_by_step(per_s):
+    setup = Setup(observed(per_s))
+    known = raise_for(setup, 60.0)
+    assert known[0] == per_s
+    assert known[-1] == MAX_RAISED_PER_S
+    assert known == sorted(known)
+    setup.board.record((observed(per_s),))
+    assert setup.board.limit_per_s(RUN) == per_s
+
+
+def test_a_limit_holds_while_answers_confirm_it():
+    setup = Setup(observed(3.0))
+    for _ in range(30):
+        assert set(raise_for(setup, 4.0)) == {3.0}
+        setup.board.record((observed(3.0),))
+
+
+def test_a_limit_holds_while_permits_are_issued_for_requests_that_fail():
+    setup = Setup(observed(3.0))
+    assert set(raise_for(setup, 90.0, asks=True)) == {3.0}
+
+
+def test_the_next_leader_waits_before_it_raises_a_limit():
+    setup = Setup(observed(3.0))
+    setup.clock.advance(60.0)
+    setup.desk = PermitDesk(board=setup.board, clock=setup.clock)
+    setup.desk.raise_unconfirmed()
+    assert setup.board.limit_per_s(RUN) == 3.0
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -34,6 +34,7 @@
 from lychee_policy.permits import PERMIT_HOLD_S, Issued, PermitIssuer, PermitReserve
 from lychee_policy.queue import DeadlineQueue, Waiter, can_meet_deadline
 from lychee_policy.rate_limits import (
+    MAX_RAISED_PER_S,
     LimitObservation,
     LimitTable,
     latest_observation,
@@ -76,6 +77,7 @@
     "LeastConnections",
     "LimitObservation",
     "LimitTable",
+    "MAX_RAISED_PER_S",
     "Issued",
     "PERMIT_HOLD_S",
     "PermitIssuer",
--- a/packages/lychee-policy/src/lychee_policy/permits.py
+++ b/packages/lychee-policy/src/lychee_policy/permits.py
@@ -27,7 +27,7 @@
 """Time for which permits are saved up besides, in seconds of the limit."""
 
 MIN_LIMIT_PER_S = 0.25
-"""Minimum rate of permits; only a server's answers tell that its limit has ended."""
+"""Minimum rate of permits; a server's answers tell that its limit has ended."""
 
 MAX_TURN_S = 2.0
 """Maximum time for which turns are given out in advance, in seconds."""
@@ -57,6 +57,12 @@
         self._saved = 0.0
         self._updated_at = now
         self._last_turn_at = now
+        self._issued_at = now
+
+    @property
+    def issued_at(self) -> float:
+        """Monotonic time of the last permit, or of the start, in seconds."""
+        return self._issued_at
 
     @property
     def rate_per_s(self) -> float:
@@ -78,6 +84,8 @@
         self._save_up(now)
         count = min(wanted, int(self._saved))
         self._saved -= count
+        if count > 0:
+            self._issued_at = now
         next_at = now + max(0.0, 1.0 - self._saved) / self.rate_per_s
         turn_at = max(next_at, self._last_turn_at + 1.0 / self.rate_per_s)
         if count < wanted and turn_at < now + MAX_TURN_S:
--- a/packages/lychee-policy/src/lychee_policy/rate_limits.py
+++ b/packages/lychee-policy/src/lychee_policy/rate_limits.py
@@ -2,9 +2,28 @@
 
 from dataclasses import dataclass
 
+from lychee_policy.permits import MIN_LIMIT_PER_S
 from lychee_types.limit_messages import ObservedLimit
 from lychee_types.registry import ServerIncarnation
 
+UNCONFIRMED_S = 6.0
+"""Time after which a limit that no answer has confirmed may be raised, in seconds.
+
+Observations of other gateways arrive up to 4 s late.
+"""
+
+UNCONFIRMED_PERMITS = 3.0
+"""Additional time after which a limit may be raised, in permits at that limit."""
+
+RAISE_FACTOR = 4.0
+"""Factor by which such a limit is raised at once."""
+
+MAX_RAISED_PER_S = 60.0
+"""Highest limit after a raise, in requests per second.
+
+Without any, all requests of the time that one answer and its news take would reach the server.
+"""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LimitObservation:
@@ -37,6 +56,27 @@
     return min(known, other, key=_strictness)
 
 
+def raised_observation(
+    known: LimitObservation, *, quiet_since: float, now: float
+) -> LimitObservation | None:
+    """Return what to assume of a limit that nobody has needed for a while, None if it holds.
+
+    Only answers tell that a limit has ended, and a server may get no requests because of its limit.
+    So the limit is raised step by step until requests come, whose answers confirm or end it.
+
+    :param known: what the last answer said, or what has been assumed since.
+    :param quiet_since: monotonic time since which no request may have been sent, in seconds.
+    :param now: monotonic time in seconds.
+    """
+    if known.per_s is None or known.per_s >= MAX_RAISED_PER_S:
+        return None
+    per_s = max(MIN_LIMIT_PER_S, known.per_s)
+    if now - max(known.heard_at, quiet_since) < UNCONFIRMED_S + UNCONFIRMED_PERMITS / per_s:
+        return None
+    raised_per_s = min(MAX_RAISED_PER_S, RAISE_FACTOR * per_s)
+    return LimitObservation(per_s=raised_per_s, sent_at=now, heard_at=now)
+
+
 class LimitTable:
     """What is known of the limits of servers, by incarnation."""
 
@@ -64,6 +104,23 @@
         latest = self._known[run] = latest_observation(known, observation)
         return latest.per_s != (known.per_s if known is not None else None)
 
+    def raise_unconfirmed(self, run: ServerIncarnation, *, quiet_since: float, now: float) -> bool:
+        """Raise a limit that nobody has needed for a while, and return whether it is raised.
+
+        :param run: the server.
+        :param quiet_since: monotonic time since which no request may have been sent, in seconds.
+        :param now: monotonic time in seconds.
+        """
+        known = self._known.get(run)
+        if known is None:
+            return False
+        raised = raised_observation(known, quiet_since=quiet_since, now=now)
+        return raised is not None and self.record(run, raised)
+
+    def limited(self) -> tuple[ServerIncarnation, ...]:
+        """Return the servers that have a limit now."""
+        return tuple(run for run, known in self._known.items() if known.per_s is not None)
+
     def keep_only(self, runs: set[ServerIncarnation]) -> None:
         """Forget all servers but these."""
         for run in self._known.keys() - runs:
