Save up enough permits for the time until the next gateway asks

At 6 and 12 gateways a server beside two others that named 3 a second got 2.1: 23 and 25 permits of 31 were issued, none expired. A gateway that got too few keeps silent until its turn and then asks with its next request, while the leader saved up 1.3 permits at most, 0.1 s more than one. Now 1.75 besides 0.1 s of the limit: 0.95 x 4.5 x limit issued in 4 s, 0.35 x 4.5 x limit of reserves and 0.1 x limit + 1.75 saved are 5.95 x limit + 1.75 of 6 x limit + 5.

--- a/packages/lychee-policy/src/lychee_policy/permits.py
+++ b/packages/lychee-policy/src/lychee_policy/permits.py
@@ -20,7 +20,7 @@
 PERMIT_HOLD_S = 0.5
 """Time for which a permit can be used after it was asked for, in seconds."""
 
-BURST_PERMITS = 1.0
+BURST_PERMITS = 1.75
 """Permits that the leader may save up for each server."""
 
 BURST_S = 0.1
