--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -284,6 +284,7 @@
         if now < self._spread_at:
             return
         self._spread_at = now + SPREAD_INTERVAL_S
+        self._permits.raise_unconfirmed()
         self._spread_limits()
         self._spread_crashes()
         self._spread_known(self._gateways.take_sample())
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -149,6 +149,7 @@
 
         Waits up to `OWNER_WAIT_S` if the request's key has no usable owner.
         """
+        self._servers.estimate_anew()
         if request.key is None:
             return await self._select_any(request)
         return await self._select_owner(request, request.key)
@@ -159,7 +160,9 @@
         now = self._clock.monotonic()
         while (best := self._find_best(request, now, skip=limited)) is not None:
             admitted = self._admit(request, best, now)
-            if isinstance(admitted, NoServer) or self._limits.try_take(best.run):
+            if isinstance(admitted, NoServer):
+                return admitted
+            if await self._limits.take_promptly(best.run, deadline=request.deadline):
                 return admitted
             limited.append(best.run)
         for run in limited:
