--- a/packages/lychee-http/src/lychee_http/half_close.py
+++ b/packages/lychee-http/src/lychee_http/half_close.py
@@ -12,10 +12,10 @@
 RESPONSE_PREFIX = b"HTTP/1.1 "
 """How each response begins; sent ahead of a response, it provokes the reset."""
 
-CHECK_S = 0.05
+CHECK_S = 0.02
 """Interval at which a reset is looked for, in seconds; the event loop does not report it."""
 
-UNDECIDED_S = 0.3
+UNDECIDED_S = 0.2
 """Time after which a caller that has neither reset the connection nor acknowledged anything counts
 as gone, in seconds."""
 
