--- a/packages/lychee-bench/src/lychee_bench/experiments/catalog.py
+++ b/packages/lychee-bench/src/lychee_bench/experiments/catalog.py
@@ -14,6 +14,7 @@
     measure_rollout,
 )
 from lychee_bench.experiments.crashes import CrashingRequest, measure_crashing_request
+from lychee_bench.experiments.cuts import CutGateways, measure_cut_gateways
 from lychee_bench.experiments.limits import SharedLimit, measure_shared_limit
 from lychee_bench.experiments.loss import (
     LostComponent,
@@ -62,6 +63,7 @@
     | LeaderCost
     | SharedLimit
     | CrashingRequest
+    | CutGateways
 )
 
 EXPERIMENTS: Mapping[str, Experiment] = {
@@ -89,6 +91,7 @@
     "leader-cost": LeaderCost(),
     "shared-limit": SharedLimit(),
     "crashing-request": CrashingRequest(),
+    "cut-gateways": CutGateways(),
 }
 """Experiments by name."""
 
@@ -132,3 +135,5 @@
             return list(measure_shared_limit(experiment))
         case CrashingRequest():
             return list(measure_crashing_request(experiment))
+        case CutGateways():
+            return list(measure_cut_gateways(experiment))
