Connect directly where no other gateway is known to carry

Cause: a gateway that reaches no server left its ways alone until the next check, up to 2 s later, also where it knew no gateway that could carry instead.

Change: it tries the direct way for each request then, as before. Where a gateway could carry but has no room just now, the request is refused at once, as it was.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
@@ -353,7 +353,7 @@
         conn = server.pool.take_unproven()
         if conn is not None:
             return conn
-        if self._table.reaches_none:
+        if self._table.reaches_none and self._peers.knows_carrier(server):
             raise NotReachedError(is_unreached=False, retry_after_s=DIRECT_TIMEOUT_S)
         left_s = timeout_s - (self._clock.monotonic() - began)
         return await self._open_direct(server, timeout_s=max(0.0, left_s))
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/peers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/peers.py
@@ -78,6 +78,10 @@
         """Return whether a gateway may be asked for a way to a server now."""
         return bool(self._choose(server, count=1))
 
+    def knows_carrier(self, server: ProxyServer) -> bool:
+        """Return whether a gateway may be asked for a way to a server, now or in a moment."""
+        return bool(self._choose_among(self._table.reports(self._clock.monotonic()), server, 1))
+
     async def open(self, server: ProxyServer, *, timeout_s: float) -> ServerConnection:
         """Open a connection to a server through another gateway.
 
@@ -125,8 +129,13 @@
             for report in self._table.reports(now)
             if self._asked_from.get(report.gateway, 0.0) <= now
         ]
+        return self._choose_among(askable, server, count)
+
+    def _choose_among(
+        self, reports: list[GatewayReport], server: ProxyServer, count: int
+    ) -> list[GatewayReport]:
         return choose_carriers(
-            askable, run=server.run, domain=server.record.domain, count=count, rng=self._rng
+            reports, run=server.run, domain=server.record.domain, count=count, rng=self._rng
         )
 
     def _wait_before(self, report: GatewayReport, seconds: float) -> None:
