Let the end of one request's response say nothing of the next one's body

What callers saw: a connection that closed after two bodies that were sent at once. The event that ends the wait for a body was shared, and an earlier response set it.

--- a/packages/lychee-http/src/lychee_http/incoming_body.py
+++ b/packages/lychee-http/src/lychee_http/incoming_body.py
@@ -32,7 +32,8 @@
         """Begin with the body of a request; None if the request has none."""
         self._exchange = exchange
         self._is_read = False
-        self._finished.clear()
+        # The response of an earlier request may be sent only now, and says nothing of this one.
+        self._finished = asyncio.Event()
 
     def is_unread(self, exchange: CallerExchange) -> bool:
         """Return whether a request has a body of which a part is still due."""
@@ -40,8 +41,9 @@
 
     async def wait(self, exchange: CallerExchange) -> bool:
         """Wait until a request's body is read or its response sent; return whether it is read."""
-        exchange.done.add_done_callback(lambda _: self._finished.set())
-        await self._finished.wait()
+        finished = self._finished
+        exchange.done.add_done_callback(lambda _: finished.set())
+        await finished.wait()
         return self._is_read
 
     async def read(self, exchange: CallerExchange, *, max_bytes: int) -> tuple[bytes, bool]:
