Answer a request whose handler loses a connection of its own, where callers do not pipeline

What callers saw: a closed connection, with neither an answer nor a log line. The error of a handler's own connection was taken for the caller's end, which has an error of its own.

--- a/packages/lychee-http/src/lychee_http/callers.py
+++ b/packages/lychee-http/src/lychee_http/callers.py
@@ -97,7 +97,7 @@
             while await self._serve_request(conn):
                 pass
             await conn.close()
-        except (CallerGoneError, ConnectionError, asyncio.CancelledError):
+        except (CallerGoneError, asyncio.CancelledError):
             conn.abort()
         except InvariantError as exc:
             conn.abort()
