Send no request on to a further server once its caller has left

What servers saw: a request that must run once and that one of them had refused arrived at another 0.6 s after its caller had left, as such a request goes on through its attempt. Whether the caller is still there is asked before each attempt now.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -196,6 +196,8 @@
             rest=lambda: call.exchange.rest_of_body(limit=limit),
         )
         while True:
+            # The caller may have left during an attempt that had to go on.
+            call.exchange.check_open()
             blocked = self._refuse_suspect(call, body)
             if blocked is not None:
                 await self._give_up(call, blocked)
