Pass nothing on behind an answer that is bound to be streamed, nor for callers that have left

What callers saw, by the review's tests, each of which failed before: a request that was read while an earlier answer waited for its turn to be streamed, or for its first part, was passed on, and was lost when that answer broke off; the requests behind one whose handler failed after its answer were dropped; a handler that was cancelled let the next answer stand for its own; requests beyond the limit of those in flight were started after their caller had left; a half-closed caller that closed later was not noticed; the beginning of a response could stand alone at a stop.

Cause, the class of LOST: a decision about a connection taken with one request in mind. An answer is marked as streamed when that is decided, and those behind any such one wait. The beginning of a response that probes a half-closed caller goes out byte by byte, one each 0.2 s while they are acknowledged, and is completed to a 502 if nothing else comes.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -261,6 +261,8 @@
         limit = MAX_BUFFERED_AHEAD_BYTES if is_ahead else MAX_BUFFERED_ANSWER_BYTES
         is_short = answer.length is not None and answer.length <= limit
         if not is_short and not is_ahead and answer.status < MIN_FAILURE_STATUS:
+            # From now on no request behind it is passed on, also before its first part comes.
+            exchange.is_streamed = True
             return await self._stream_answer(conn, head, exchange, await conn.read_chunk())
         body, is_whole = await _read_body(conn, max_bytes=limit)
         if is_whole:
@@ -270,6 +272,7 @@
     async def _stream_answer(
         self, conn: ServerConnection, head: ResponseHead, exchange: CallerExchange, chunk: bytes
     ) -> Attempt:
+        exchange.is_streamed = True
         await exchange.send_head(head)
         try:
             while chunk:
--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -35,6 +35,7 @@
         self.is_cancellable = True
         self.task: asyncio.Task[None] | None = None
         self.response_started = False
+        self.is_streamed = False
         self.is_answered = False
         self.is_reported = False
         self.request_id = ""
@@ -69,9 +70,19 @@
             await asyncio.shield(self._previous_done)
         self._conn.check_open()
 
+    def check_open(self) -> None:
+        """Raise an error unless the response can still be sent.
+
+        :raises CallerGoneError: if the connection has ended.
+        """
+        self._conn.check_open()
+
     async def wait_for_stream(self) -> None:
-        """Wait while an earlier response is being sent; if it breaks off, the connection ends."""
-        await self._conn.wait_for_stream()
+        """Wait for earlier responses that are streamed; if one breaks off, the connection ends.
+
+        :raises CallerGoneError: if it has ended.
+        """
+        await self._conn.wait_for_stream(self)
 
     @property
     def has_requests_behind(self) -> bool:
--- a/packages/lychee-http/src/lychee_http/half_close.py
+++ b/packages/lychee-http/src/lychee_http/half_close.py
@@ -10,7 +10,13 @@
 from lychee_http.tcp import TcpStream
 
 RESPONSE_PREFIX = b"HTTP/1.1 "
-"""How each response begins; sent ahead of a response, it provokes the reset."""
+"""How each response begins; sent ahead of a response, byte by byte, it provokes the reset."""
+
+PROBE_S = 0.2
+"""Time between two bytes of the prefix, in seconds; a caller may close at any time."""
+
+LOST_ANSWER = b"502 \r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+"""The rest of a response that says that the outcome is unknown."""
 
 CHECK_S = 0.02
 """Interval at which a reset is looked for, in seconds; the event loop does not report it."""
@@ -39,7 +45,8 @@
         self._first = first
         self._on_gone = on_gone
         self._task: asyncio.Task[None] | None = None
-        self._is_prefix_sent = False
+        self._prefix_sent = 0
+        self._probe_at = 0.0
         self._decided_by = 0.0
         self.has_written = False
 
@@ -54,17 +61,20 @@
             self._task.cancel()
 
     def cut_prefix(self, response: bytes) -> bytes:
-        """Return a response without the prefix if that has been sent already."""
-        if not self._is_prefix_sent:
-            return response
-        self._is_prefix_sent = False
-        return response.removeprefix(RESPONSE_PREFIX)
+        """Return a response without the bytes of the prefix that have been sent already."""
+        sent, self._prefix_sent = self._prefix_sent, 0
+        return response[sent:]
+
+    def complete_prefix(self) -> None:
+        """Make a whole response of a prefix that nothing else will follow."""
+        if self._prefix_sent:
+            self._stream.write(self.cut_prefix(RESPONSE_PREFIX) + LOST_ANSWER)
 
     async def _watch(self) -> None:
         while not self._stream.is_reset():
             first = self._first()
-            if first is not None and not self.has_written and not first.response_started:
-                self._send_prefix()
+            if first is not None and not first.response_started:
+                self._probe()
             if first is not None and self._is_undecided():
                 break
             await asyncio.sleep(CHECK_S)
@@ -74,12 +84,19 @@
         """Return whether it is still unknown, after a time, if the caller can read anything."""
         if asyncio.get_running_loop().time() < self._decided_by:
             return False
-        if self._is_prefix_sent:
+        if self._prefix_sent:
             return not self._stream.is_acknowledged()
         return not self.has_written and not self._stream.unsent
 
-    def _send_prefix(self) -> None:
-        self._is_prefix_sent = True
+    def _probe(self) -> None:
+        """Send the next byte of the prefix if it is due, and decide anew."""
+        now = asyncio.get_running_loop().time()
+        if now < self._probe_at or self._prefix_sent == len(RESPONSE_PREFIX):
+            return
+        if self._prefix_sent and not self._stream.is_acknowledged():
+            return
+        self._stream.write(RESPONSE_PREFIX[self._prefix_sent : self._prefix_sent + 1])
+        self._prefix_sent += 1
+        self._probe_at = now + PROBE_S
+        self._decided_by = now + UNDECIDED_S
         self.has_written = True
-        self._decided_by = asyncio.get_running_loop().time() + UNDECIDED_S
-        self._stream.write(RESPONSE_PREFIX)
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -174,10 +174,11 @@
         self._last_exchange = exchange
         return True
 
-    async def wait_for_stream(self) -> None:
-        """Wait while the first response that is due is being sent, if it has begun."""
-        while (first := self._first()) is not None and first.response_started:
-            await asyncio.shield(first.done)
+    async def wait_for_stream(self, exchange: CallerExchange) -> None:
+        """Wait while a response before one is being sent in parts, or is about to be."""
+        while (earlier := self._streamed_before(exchange)) is not None:
+            await asyncio.shield(earlier.done)
+        self.check_open()
 
     def has_requests_behind(self, exchange: CallerExchange) -> bool:
         """Return whether requests that follow one have been read and have no response."""
@@ -196,6 +197,9 @@
         while len(self._exchanges) >= PIPELINE_LIMIT:
             self._has_room.clear()
             await self._has_room.wait()
+        if self._stream.lost or self._stream.transport.is_closing():
+            # Bytes that were read before the caller left ask for nothing any more.
+            raise CallerGoneError()
         try:
             head = await self._read_head()
             if head is None:
@@ -242,7 +246,8 @@
         except CallerGoneError:
             self._caller_gone(exchange)
         except asyncio.CancelledError:
-            if exchange.response_started and not exchange.is_reported:
+            if not exchange.is_answered and not exchange.is_reported:
+                # The next answer would be taken for the one to this request.
                 self._end(EndReason.STOPPED)
             raise
         except Exception:
@@ -274,6 +279,8 @@
 
     async def _answer_failure(self, exchange: CallerExchange) -> None:
         """Answer a request whose handler failed, so that the others on the connection go on."""
+        if exchange.is_answered:
+            return
         if exchange.response_started:
             self.truncate(exchange, EndReason.FAILED)
             return
@@ -328,6 +335,13 @@
         later = self._exchanges[self._exchanges.index(exchange) + 1 :]
         return [other for other in later if not other.done.done()]
 
+    def _streamed_before(self, exchange: CallerExchange) -> CallerExchange | None:
+        if exchange not in self._exchanges:
+            return None
+        earlier = self._exchanges[: self._exchanges.index(exchange)]
+        streamed = (other for other in earlier if other.is_streamed or other.response_started)
+        return next((other for other in streamed if not other.done.done()), None)
+
     def _on_disconnect(self) -> None:
         if self._stream.lost:
             self._end(EndReason.CALLER_LEFT)
@@ -350,6 +364,7 @@
         :param reset: whether to reset it, so that no caller takes the close for a response's end.
         """
         self._unanswered.report(reason, self._exchanges)
+        self._half_close.complete_prefix()
         if reset:
             self._stream.reset()
         else:
--- a/packages/lychee-http/tests/test_review_lost.py
+++ b/packages/lychee-http/tests/test_review_lost.py
@@ -49,6 +49,19 @@
     run(scenario())
 
 
+def test_a_caller_that_closes_soon_after_its_half_close_cancels_its_requests():
+    async def scenario():
+        async with harness() as h, caller(h) as (reader, writer):
+            writer.write(get(b"a"))
+            writer.write_eof()
+            await h.until_sent(b"a")
+            await reader.readexactly(2)
+            writer.close()
+            await h.until(lambda: h.cancelled == [b"a"])
+
+    run(scenario())
+
+
 def test_a_half_closed_callers_stream_that_pauses_is_whole():
     async def scenario():
         async with harness() as h, caller(h) as (reader, writer):
