Let idle connections of other gateways give way to new ones

Cause: each cut gateway keeps idle connections to each server, so that 10 carrying gateways held 512 each, nearly all idle, and no idle one ended for a new one.

Change: from 480 on, a new connection asks the one that was used least recently to end, in the way in which a gateway that stops does; an answer under way comes to its end.

The new test of test_carrying fails without the change.

--- a/packages/lychee-bench/src/lychee_bench/experiments/cuts.py
+++ b/packages/lychee-bench/src/lychee_bench/experiments/cuts.py
@@ -3,7 +3,7 @@
 Time is simulated; what is counted does not depend on the machine.
 """
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
@@ -15,7 +15,7 @@
 from lychee_bench.measure import Measurement
 from lychee_control.registry.gateways import GatewayBoard
 from lychee_control.registry.leader import SPREAD_INTERVAL_S
-from lychee_gateway.proxy.carrier import FULL_RETRY_S, MAX_OPEN, MAX_WAITING
+from lychee_gateway.proxy.carrier import FULL_RETRY_S, MAX_OPEN, MAX_WAITING, SPARE_OPEN
 from lychee_gateway.proxy.path_reports import MAX_REPORTED, REPORT_S
 from lychee_gateway.proxy.paths import CHECKED_OTHERS, DIRECT_TIMEOUT_S, HEDGE_S, LOOK_S
 from lychee_gateway.proxy.peers import MAX_AGE_S, MAX_ASKED
@@ -158,6 +158,8 @@
             paths.keep_only(self._runs)
         self._asked_from: dict[tuple[int, GatewayId], float] = {}
         self._idle: dict[tuple[int, int], list[int]] = {}
+        # By carrying gateway, the one that was used least recently first.
+        self._unused: dict[int, deque[tuple[int, int]]] = {n: deque() for n in range(GATEWAYS)}
         self._open: Counter[int] = Counter()
         self._waiting: Counter[int] = Counter()
         self._most_waiting: Counter[int] = Counter()
@@ -215,6 +217,7 @@
             done = heappop(self._exchanges)
             self._waiting[done.carrier] -= 1
             self._idle.setdefault((done.gateway, done.server), []).append(done.carrier)
+            self._unused[done.carrier].append((done.gateway, done.server))
         while self._news and self._news[0][0] <= now:
             at, number = heappop(self._news)
             self._known.record(_report(number, reaches_none=True), at)
@@ -280,7 +283,10 @@
             carrier = self._numbers[report.gateway]
             if carrier in self._cut:
                 self._asked_from[gateway, report.gateway] = now + DIRECT_TIMEOUT_S
-            elif self._is_full(carrier):
+                continue
+            if self._open[carrier] >= MAX_OPEN - SPARE_OPEN:
+                self._end_an_unused_one(carrier)
+            if self._is_full(carrier):
                 self._asked_from[gateway, report.gateway] = now + FULL_RETRY_S
             else:
                 self._open[carrier] += 1
@@ -288,6 +294,15 @@
                 return carrier
         return None
 
+    def _end_an_unused_one(self, carrier: int) -> None:
+        unused = self._unused[carrier]
+        while unused:
+            idle = self._idle.get(unused.popleft(), [])
+            if carrier in idle:
+                idle.remove(carrier)
+                self._open[carrier] -= 1
+                return
+
     def _is_full(self, carrier: int) -> bool:
         is_open = self._open[carrier] >= MAX_OPEN
         is_waiting = self._waiting[carrier] >= MAX_WAITING
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -27,6 +27,9 @@
 MAX_OPEN = 512
 """Maximum number of connections that are carried."""
 
+SPARE_OPEN = 32
+"""Number of free places below which connections that are not in use are asked to end."""
+
 MAX_WAITING = 64
 """Maximum number of carried connections whose server owes an answer."""
 
@@ -81,6 +84,8 @@
         self._listener = Listener(endpoint=endpoint, accept=self._accept)
         self._tasks: dict[asyncio.Task[None], TcpStream] = {}
         self._waiting: set[TcpStream] = set()
+        # The one that was used least recently is first.
+        self._unused: dict[TcpStream, None] = {}
         self._is_leaving = False
 
     def __len__(self) -> int:
@@ -128,11 +133,13 @@
         self._on_request("carried")
         try:
             stream.write(_encode_reply(CarryAccepted()))
+            self._unused[stream] = None
             if self._is_leaving:
                 stream.write(LENGTH.pack(LEAVING))
             await self._carry(stream, conn.stream)
         finally:
             self._waiting.discard(stream)
+            self._unused.pop(stream, None)
             conn.close()
             stream.abort()
 
@@ -146,6 +153,8 @@
             raise _refused_error(
                 "this address is no registered server", retry_after_s=UNKNOWN_RETRY_S
             )
+        if len(self._tasks) > MAX_OPEN - SPARE_OPEN:
+            self._end_an_unused_one()
         if len(self._tasks) > MAX_OPEN or len(self._waiting) >= MAX_WAITING:
             raise _refused_error("this gateway has no room", retry_after_s=FULL_RETRY_S)
         try:
@@ -161,6 +170,13 @@
                 f"the server accepts no connection: {exc!r}", is_unreached=True
             ) from exc
 
+    def _end_an_unused_one(self) -> None:
+        """Ask for the end of a connection; an answer that it may still deliver comes to its end."""
+        stream = next(iter(self._unused), None)
+        if stream is not None:
+            del self._unused[stream]
+            stream.write(LENGTH.pack(LEAVING))
+
     async def _refuse(self, stream: TcpStream, reply: CarryRefused) -> None:
         self._on_request("unreached" if reply.is_unreached else "refused")
         logger.bind(event="carry_refused").info("a connection is not carried: {}", reply.reason)
@@ -186,6 +202,7 @@
         try:
             while data := await caller.read():
                 self._waiting.add(caller)
+                self._unused.pop(caller, None)
                 self._on_bytes(len(data))
                 server.write(data)
                 await server.drain()
@@ -195,7 +212,9 @@
 
     async def _carry_down(self, server: TcpStream, caller: TcpStream) -> None:
         while data := await server.read():
-            self._waiting.discard(caller)
+            if caller in self._waiting:
+                self._waiting.remove(caller)
+                self._unused[caller] = None
             self._on_bytes(len(data))
             caller.write(encode_frame(data))
             await caller.drain()
--- a/packages/lychee-gateway/tests/test_carrying.py
+++ b/packages/lychee-gateway/tests/test_carrying.py
@@ -266,3 +266,32 @@
             await setup.open()
 
     play(behave, scenario)
+
+
+def test_idle_connections_of_other_gateways_leave_room_for_new_ones(monkeypatch):
+    monkeypatch.setattr(carrier_module, "MAX_OPEN", 3)
+    monkeypatch.setattr(carrier_module, "SPARE_OPEN", 1)
+
+    async def behave(reader, writer):
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(ANSWER)
+
+    async def use(conn):
+        conn.send(GET, b"")
+        assert (await conn.read_head()).status == 200
+        assert await read_body(conn) == b"yes"
+        assert conn.end_exchange()
+
+    async def scenario(setup):
+        first, second = await setup.open(), await setup.open()
+        left = asyncio.Event()
+        second.stream.on_disconnect = left.set
+        await use(second)
+        await use(first)
+        third = await setup.open()
+        await left.wait()
+        second.close()
+        await use(first)
+        await use(third)
+
+    play(behave, scenario)
