Use whichever connection opens first, the direct or the carried one

What callers would see: up to 0.9 s more, where a direct connection opens late and the gateways that were asked meanwhile take long to refuse or to answer. Found by reading: once another gateway was asked, the direct connection was looked at again only after the last reply, though the design says that the first one wins. Both are waited for now. The tests of cut gateways, changes, random cuts and requests that run once pass (18).

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
@@ -314,25 +314,33 @@
         return conn
 
     async def _open_either(self, server: ProxyServer, *, timeout_s: float) -> ServerConnection:
-        """Open a direct connection, or a carried one if that one is late or fails."""
+        """Open a direct connection; if it is late or fails, a carried one too: the first is used."""
         began = self._clock.monotonic()
         direct = asyncio.ensure_future(self._open_direct(server, timeout_s=timeout_s))
-        is_used = False
+        unused: list[asyncio.Future[ServerConnection] | asyncio.Future[ServerConnection | None]]
+        unused = [direct]
         try:
             await asyncio.wait({direct}, timeout=HEDGE_S)
-            if not direct.done() or direct.exception() is not None:
+            if not _has_opened(direct):
                 left_s = timeout_s - (self._clock.monotonic() - began)
-                carried = await self._open_unless_unreached(server, timeout_s=left_s)
-                if carried is not None:
-                    self._doubt(server, TimeoutError("another gateway was faster"))
-                    self._table.record_carried(server.run)
-                    return carried
+                around = asyncio.ensure_future(
+                    self._open_unless_unreached(server, timeout_s=left_s)
+                )
+                unused.append(around)
+                await asyncio.wait({direct, around}, return_when=asyncio.FIRST_COMPLETED)
+                if not _has_opened(direct):
+                    carried = await asyncio.shield(around)
+                    if carried is not None:
+                        unused.remove(around)
+                        self._doubt(server, TimeoutError("another gateway was faster"))
+                        self._table.record_carried(server.run)
+                        return carried
             conn = await asyncio.shield(direct)
-            is_used = True
+            unused.remove(direct)
             return conn
         finally:
-            if not is_used:
-                self._spawn(_keep(server, direct), "late connection")
+            for attempt in unused:
+                self._spawn(_keep(server, attempt), "late connection")
 
     async def _open_unless_unreached(
         self, server: ProxyServer, *, timeout_s: float
@@ -371,9 +379,19 @@
         return conn
 
 
-async def _keep(server: ProxyServer, direct: "asyncio.Future[ServerConnection]") -> None:
+def _has_opened(direct: "asyncio.Future[ServerConnection]") -> bool:
+    return direct.done() and direct.exception() is None
+
+
+async def _keep(
+    server: ProxyServer,
+    attempt: "asyncio.Future[ServerConnection] | asyncio.Future[ServerConnection | None]",
+) -> None:
     """Keep a connection that opens after its request has taken another one."""
     try:
-        server.pool.add(await direct)
+        conn = await attempt
     except OSError as exc:
         logger.debug("server {} is not reached directly: {!r}", server.run.server, exc)
+        return
+    if conn is not None:
+        server.pool.add(conn)
