--- a/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
@@ -314,7 +314,7 @@
         return conn
 
     async def _open_either(self, server: ProxyServer, *, timeout_s: float) -> ServerConnection:
-        """Open a direct connection; if it is late or fails, a carried one too: the first is used."""
+        """Open a direct connection and, if it is late or fails, a carried one; use the first."""
         began = self._clock.monotonic()
         direct = asyncio.ensure_future(self._open_direct(server, timeout_s=timeout_s))
         unused: list[asyncio.Future[ServerConnection] | asyncio.Future[ServerConnection | None]]
