Take no full link for a cut one

Cause: a reaction to slowness that makes it worse. On a full link connections open late. After 0.15 s another gateway was asked, and as that was faster now and then, the way was doubted: kept connections were set aside, others opened through gateways, and all of them closed once the way was tried again.

Change: another gateway is asked after 0.3 s; that it was faster doubts nothing, only a direct connection that does not open at all does, and not where the server has answered on another one meanwhile.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -213,6 +213,7 @@
                     if request_id and info.request_id not in ("", request_id):
                         return NoAnswer(reason="the answer belongs to another request")
                     if not conn.is_carried:
+                        server.heard_at = self._clock.monotonic()
                         self._paths.record_heard()
                     self._record_answer(server, answer, info, in_flight, seconds)
                     if info.is_not_run:
@@ -240,7 +241,6 @@
         in_flight: InFlightRequest,
         seconds: float,
     ) -> None:
-        server.heard_at = self._clock.monotonic()
         if info.occupancy is not None:
             server.record_occupancy(info.occupancy, self._clock.monotonic())
         has_failed = answer.status >= MIN_FAILURE_STATUS
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
@@ -21,7 +21,7 @@
 from lychee_types.records import Endpoint
 from lychee_types.registry import ServerIncarnation
 
-HEDGE_S = 0.15
+HEDGE_S = 0.3
 """Time in which a direct connection opens before another gateway is asked, in seconds."""
 
 END_CHECK_S = 0.1
@@ -301,10 +301,12 @@
         return None
 
     async def _open_direct(self, server: ProxyServer, *, timeout_s: float) -> ServerConnection:
+        began = self._clock.monotonic()
         try:
             conn = await server.pool.connect(timeout_s=timeout_s)
         except TimeoutError as exc:
-            if timeout_s >= MIN_EVIDENCE_S:
+            # A server that has answered meanwhile is reached, and its way or queue is just full.
+            if timeout_s >= MIN_EVIDENCE_S and server.heard_at < began:
                 self.record_failed(server, exc)
             raise
         except OSError as exc:
@@ -332,8 +334,6 @@
                     carried = await asyncio.shield(around)
                     if carried is not None:
                         unused.remove(around)
-                        self._doubt(server, TimeoutError("another gateway was faster"))
-                        self._table.record_carried(server.run)
                         return carried
             conn = await asyncio.shield(direct)
             unused.remove(direct)
