--- a/packages/lychee-bench/src/lychee_bench/experiments/cuts.py
+++ b/packages/lychee-bench/src/lychee_bench/experiments/cuts.py
@@ -20,11 +20,11 @@
 from lychee_gateway.proxy.paths import CHECKED_OTHERS, DIRECT_TIMEOUT_S, HEDGE_S, LOOK_S
 from lychee_gateway.proxy.peers import MAX_AGE_S, MAX_ASKED
 from lychee_policy import GatewayTable, PathTable, choose_carriers
-from lychee_types.clock import SystemClock
 from lychee_types.ids import DomainName, GatewayId, Incarnation, ServerId
 from lychee_types.peer_messages import GatewayReport
 from lychee_types.records import Endpoint
 from lychee_types.registry import ServerIncarnation
+from lychee_types.testing import ManualClock
 
 GATEWAYS = 100
 
@@ -314,7 +314,7 @@
 def _measure_news(count: int, *, is_cut: bool) -> Iterator[Measurement]:
     """Yield the bytes of the news without frames, where gateways reach all servers or few."""
     unreached = MAX_REPORTED if is_cut else 0
-    board = GatewayBoard(clock=SystemClock())
+    board = GatewayBoard(clock=ManualClock())
     for number in range(count):
         board.record(_report(number, unreached=unreached))
     name = f"cut-gateways.news-{'unreached' if is_cut else 'calm'}.{count}"
