Choose test ports that no other address of the VM uses

What was seen: test_the_limit_holds_while_the_leader_is_lost failed once, beside other runs of the tests: its first configuration got 412, before any request.

Cause: a version can only be in force there if another deployment answered. Listeners share a port (SO_REUSEPORT), and a port was chosen if 127.0.0.1 was free, while replicas of tests listen on 127.0.5.x: two runs of the tests at the same time can choose one port, and the kernel then deals their connections out to either. Change: a port is chosen only if no process uses it on any address. Left: the time between the choice and the listener is not covered.

--- a/packages/lychee-runtime/src/lychee_runtime/ports.py
+++ b/packages/lychee-runtime/src/lychee_runtime/ports.py
@@ -21,7 +21,7 @@
 def free_endpoints(number: int) -> tuple[Endpoint, ...]:
     """Return that many different loopback addresses on which no process listens.
 
-    A port is chosen only once in a process: listeners share a port without an error, so a repeated
+    No process listens on their ports at other addresses of this VM either. A port is chosen only once in a process: listeners share a port without an error, so a repeated
     choice would mix up their connections.
     """
     return tuple(Endpoint(host=LOOPBACK, port=_choose_port()) for _ in range(number))
@@ -41,9 +41,10 @@
 
 
 def _can_bind(port: int) -> bool:
+    """Return whether no process uses the port on any address of this VM."""
     with socket.socket() as sock:
         try:
-            sock.bind((LOOPBACK, port))
+            sock.bind(("", port))
         except OSError:
             return False
         return True
