Split the way of handing out key ranges from deciding on them

Cause: servers of the further deployments take their keys from the answers to their heartbeats and can't be called; the range manager knew only calls (every keyed request got 503 there). Change: RangeManager decides and commits; GrantDelivery is the narrow interface to what hands grants out and takes them back; CallDelivery holds what was in the range manager of calls, without a change of behaviour. A committed change of ranges now wakes only the owners that it names, and an owner's ranges are looked up in an index: before, each applied command of any kind woke the renewer of every owner, and each of these went through all ranges of the service.

--- /dev/null
+++ b/packages/lychee-control/src/lychee_control/registry/call_delivery.py
@@ -0,0 +1,168 @@
+"""Grants by calls: the leader calls each owner to grant, renew and release its ranges."""
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+
+from loguru import logger
+
+from lychee_control.registry.calls import (
+    GRANT_TIMEOUT_S,
+    GrantCodec,
+    Released,
+    ServerClient,
+)
+from lychee_control.registry.delivery import Spawn
+from lychee_control.registry.grant_renewer import GrantRenewer
+from lychee_control.registry.heartbeats import HeartbeatTracker
+from lychee_control.registry.proposals import RangeWriter
+from lychee_ranges import KeyTable, OutstandingGrants, hold_limit_s
+from lychee_types.clock import Clock
+from lychee_types.registry import KeyRange, RegisteredServer, ServerIncarnation
+
+LOST_HOLD_FRACTION = 0.85
+"""Fraction of the hold time for which grants may fail before the owner counts as lost."""
+
+RELEASE_RETRY_S = 0.3
+"""Pause before a failed release is sent again, in seconds."""
+
+MAX_RANGES_PER_OWNER = 4
+"""Mean number of ranges per owner above which adjacent ones are merged; each is one call."""
+
+
+class CallDelivery:
+    """Grants, renews and releases the ranges of one service by calls to their owners.
+
+    :param codec: translates calls to servers.
+    :param table: returns the service's ranges as applied.
+    :param writer: proposes changes of ranges.
+    :param heartbeats: servers' last heartbeats.
+    :param spawn: starts a task.
+    :param clock: source of time.
+    :param lease_expires_at: returns the monotonic time in seconds until which no other replica can
+        be elected.
+    :param is_replaced: returns whether another incarnation of the same server is registered.
+    :param hold_s: hold time of a grant, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        codec: GrantCodec,
+        table: Callable[[], KeyTable],
+        writer: RangeWriter,
+        heartbeats: HeartbeatTracker,
+        spawn: Spawn,
+        clock: Clock,
+        lease_expires_at: Callable[[], float],
+        is_replaced: Callable[[ServerIncarnation], bool],
+        hold_s: float,
+    ) -> None:
+        self._codec = codec
+        self._table = table
+        self._writer = writer
+        self._heartbeats = heartbeats
+        self._spawn = spawn
+        self._clock = clock
+        self._lease_expires_at = lease_expires_at
+        self._is_replaced = is_replaced
+        self._hold_s = hold_s
+        # A former leader may have sent grants until this one was elected; they may still arrive.
+        former_leader_until = clock.monotonic() + GRANT_TIMEOUT_S + hold_limit_s(hold_s)
+        self._outstanding_grants = OutstandingGrants(
+            hold_s=hold_s, former_leader_until=former_leader_until
+        )
+        self._renewers: dict[ServerIncarnation, GrantRenewer] = {}
+        self._tasks: dict[ServerIncarnation, asyncio.Task[None]] = {}
+
+    @property
+    def max_ranges_per_owner(self) -> int:
+        """Return the mean number of ranges per owner above which adjacent ones are merged."""
+        return MAX_RANGES_PER_OWNER
+
+    def update_owners(self, owners: Mapping[ServerIncarnation, RegisteredServer]) -> None:
+        """Run one renewer for each owner, and stop those of others."""
+        for incarnation, server in owners.items():
+            if incarnation not in self._renewers:
+                self._start_renewer(incarnation, server)
+        for incarnation in self._renewers.keys() - owners.keys():
+            self._tasks.pop(incarnation).cancel()
+            self._renewers.pop(incarnation).client.close()
+
+    def wake_up(self, owners: Iterable[ServerIncarnation]) -> None:
+        """Have the renewers of some owners check for ranges to grant."""
+        for incarnation in owners:
+            renewer = self._renewers.get(incarnation)
+            if renewer is not None:
+                renewer.wake_up()
+
+    def is_lost(self, owner: ServerIncarnation, now: float) -> bool:
+        """Return whether grants to an owner have failed for nearly its whole hold."""
+        renewer = self._renewers.get(owner)
+        if renewer is None or not renewer.is_failing:
+            return False
+        return now - renewer.failing_since > LOST_HOLD_FRACTION * self._hold_s
+
+    def may_move(self, keys: KeyRange, now: float) -> bool:
+        """Return whether no unanswered grant of the keys may still start to hold."""
+        return not self._outstanding_grants.has_unanswered(keys, now)
+
+    async def wait_for_turn(self, keys: KeyRange) -> None:
+        """Return at once, as an owner can be called at any moment."""
+
+    def free_at(self, keys: KeyRange) -> float:
+        """Return the monotonic time in seconds from which no server can hold any of the keys."""
+        return self._outstanding_grants.free_at(keys)
+
+    async def release(self, keys: KeyRange) -> str:
+        """Have the owner release keys and return its handover data, empty if there is none.
+
+        Also returns if the owner does not answer but its hold on the keys has expired.
+        """
+        handover = await self._call_release(keys)
+        wait_s = self.free_at(keys) - self._clock.monotonic()
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+        return handover
+
+    async def _call_release(self, keys: KeyRange) -> str:
+        renewer = self._renewers.get(keys.owner) if keys.owner is not None else None
+        if renewer is None:
+            return ""
+        await renewer.wait_for_grant()
+        if self._is_replaced(renewer.server_incarnation):
+            # An incarnation ends with its process, and the one that replaced it holds no keys yet.
+            self._outstanding_grants.record_incarnation_end(renewer.server_incarnation)
+            return ""
+        while True:
+            reply = await renewer.client.release(keys)
+            if isinstance(reply, Released):
+                self._outstanding_grants.record_release(keys)
+                return reply.handover
+            if self._clock.monotonic() >= self._outstanding_grants.free_at(keys):
+                return ""
+            logger.bind(event="release_failed", low=keys.low, high=keys.high).warning(
+                "a release failed: {}", reply
+            )
+            await asyncio.sleep(RELEASE_RETRY_S)
+
+    def _start_renewer(self, incarnation: ServerIncarnation, server: RegisteredServer) -> None:
+        renewer = GrantRenewer(
+            incarnation=incarnation,
+            client=ServerClient(
+                endpoint=server.endpoint, codec=self._codec, may_grant=self._holds_lease
+            ),
+            table=self._table,
+            writer=self._writer,
+            outstanding=self._outstanding_grants,
+            clock=self._clock,
+            lease_expires_at=self._lease_expires_at,
+            last_heartbeat_at=self._heartbeats.last_heartbeat_at,
+            is_replaced=self._is_replaced,
+            hold_s=self._hold_s,
+        )
+        self._renewers[incarnation] = renewer
+        self._tasks[incarnation] = self._spawn(renewer.run(), f"owner {incarnation.server}")
+
+    def _holds_lease(self) -> bool:
+        """Return whether this replica's lease excludes any other leader."""
+        return self._clock.monotonic() < self._lease_expires_at()
--- /dev/null
+++ b/packages/lychee-control/src/lychee_control/registry/delivery.py
@@ -0,0 +1,66 @@
+"""How grants of key ranges reach their owners: what the range manager needs of each way."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable, Mapping
+from typing import Any, Protocol
+
+from lychee_types.registry import KeyRange, RegisteredServer, ServerIncarnation
+
+Spawn = Callable[[Coroutine[Any, Any, None], str], "asyncio.Task[None]"]
+"""Starts a named task that ends when this replica stops leading."""
+
+
+class GrantDelivery(Protocol):
+    """Hands out and takes back the ranges of one service.
+
+    Which range has which owner is decided and committed by the range manager.
+    """
+
+    @property
+    def max_ranges_per_owner(self) -> int:
+        """Return the mean number of ranges per owner above which adjacent ones are merged."""
+        ...
+
+    def update_owners(self, owners: Mapping[ServerIncarnation, RegisteredServer]) -> None:
+        """Serve exactly these owners from now on."""
+        ...
+
+    def wake_up(self, owners: Iterable[ServerIncarnation]) -> None:
+        """Tell of a committed change of the ranges of some owners."""
+        ...
+
+    def is_lost(self, owner: ServerIncarnation, now: float) -> bool:
+        """Return whether an owner's hold has nearly expired, as it can't be reached.
+
+        Until then it may serve its keys.
+
+        :param owner: the owner.
+        :param now: monotonic time in seconds.
+        """
+        ...
+
+    def may_move(self, keys: KeyRange, now: float) -> bool:
+        """Return whether keys that are served could be moved without a long time unowned.
+
+        :param keys: the keys with their owner.
+        :param now: monotonic time in seconds.
+        """
+        ...
+
+    async def wait_for_turn(self, keys: KeyRange) -> None:
+        """Wait until the owner learns of a change of its keys as soon as it is committed.
+
+        Returns as well once the owner can't hold them any more.
+        """
+        ...
+
+    async def release(self, keys: KeyRange) -> str:
+        """Have the owner release keys in phase releasing, and wait until it can't hold them.
+
+        Returns its handover data, empty if there is none.
+        """
+        ...
+
+    def free_at(self, keys: KeyRange) -> float:
+        """Return the monotonic time in seconds from which no server can hold any of the keys."""
+        ...
--- a/packages/lychee-control/src/lychee_control/registry/grant_renewer.py
+++ b/packages/lychee-control/src/lychee_control/registry/grant_renewer.py
@@ -104,11 +104,8 @@
 
     def _granted_ranges(self) -> list[KeyRange]:
         phases = (GrantPhase.GRANTING, GrantPhase.ACTIVE)
-        return [
-            key_range
-            for key_range in self._table().ranges
-            if key_range.owner == self.server_incarnation and key_range.phase in phases
-        ]
+        owned = self._table().owned_by(self.server_incarnation)
+        return [key_range for key_range in owned if key_range.phase in phases]
 
     def _pause_s(self) -> float:
         due = min(self._renew_at.values(), default=self._clock.monotonic() + 1.0)
--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -9,8 +9,10 @@
 from msgspec.structs import replace
 from xxhash import xxh3_128_digest
 
+from lychee_control.registry.call_delivery import CallDelivery
 from lychee_control.registry.calls import GrantCodec
 from lychee_control.registry.crashes import CrashBoard
+from lychee_control.registry.delivery import GrantDelivery
 from lychee_control.registry.gateways import GatewayBoard
 from lychee_control.registry.heartbeats import HeartbeatTracker
 from lychee_control.registry.limits import LimitBoard, PermitDesk
@@ -27,9 +29,10 @@
     Refused,
     Unavailable,
 )
-from lychee_control.registry.range_manager import HOLD_S, RangeManager
+from lychee_control.registry.proposals import RangeWriter
+from lychee_control.registry.range_manager import RangeManager
 from lychee_log import Replica
-from lychee_ranges import LoadTracker, RoutedState
+from lychee_ranges import KeyTable, LoadTracker, RoutedState
 from lychee_types.clock import Clock
 from lychee_types.crash_messages import CrashReport
 from lychee_types.exceptions import InvariantError, LycheeError
@@ -48,6 +51,7 @@
     RoutingAccepted,
     RoutingConflict,
     RoutingRefused,
+    SetRanges,
     encode_routed_command,
 )
 from lychee_types.registry_messages import (
@@ -76,6 +80,9 @@
 Many gateways are cut off at the same moment.
 """
 
+HOLD_S = 3.0
+"""Hold time of a grant, in seconds; once it has passed, an unreachable owner's keys are free."""
+
 _ENCODER = Encoder()
 
 
@@ -120,6 +127,7 @@
         self._spread_at = 0.0
         self._heartbeats = HeartbeatTracker(now=clock.monotonic())
         self._loads = LoadTracker(now=clock.monotonic())
+        self._hold_s = min(HOLD_S, cfg.bounds.hold_max_s)
         self._range_managers: dict[ServiceName, RangeManager] = {}
         self._tasks: dict[asyncio.Task[None], str] = {}
         self._left_at: dict[ServerIncarnation, float] = {}
@@ -158,8 +166,8 @@
         """Handle a command that was applied to the state."""
         if isinstance(command, ChangeRouting) and isinstance(outcome, RoutingAccepted):
             self._start_range_managers()
-        for manager in self._range_managers.values():
-            manager.wake_up()
+        if isinstance(command, SetRanges) and command.service in self._range_managers:
+            self._range_managers[command.service].on_ranges_set(command.ranges)
 
     def handle_note(self, note: LeaderNote) -> LeaderReply | None:
         """Handle a gateway's message, and return the reply to it if there is one."""
@@ -348,18 +356,36 @@
                 state=self._state,
                 heartbeats=self._heartbeats,
                 loads=self._loads,
-                codec=self._codec,
+                make_delivery=self._make_call_delivery,
                 propose=self.propose,
                 spawn=self._spawn,
                 clock=self._clock,
-                lease_expires_at=self._replica.lease_expires_at,
                 limit_per_s=self._limits.limit_per_s,
                 heartbeat_s=self._cfg.heartbeat_s,
-                hold_s=min(HOLD_S, self._cfg.bounds.hold_max_s),
             )
             self._range_managers[service.name] = manager
             self._spawn(manager.run(), f"keys of {service.name}")
 
+    def _make_call_delivery(
+        self, table: Callable[[], KeyTable], writer: RangeWriter
+    ) -> GrantDelivery:
+        return CallDelivery(
+            codec=self._codec,
+            table=table,
+            writer=writer,
+            heartbeats=self._heartbeats,
+            spawn=self._spawn,
+            clock=self._clock,
+            lease_expires_at=self._replica.lease_expires_at,
+            is_replaced=self._is_replaced,
+            hold_s=self._hold_s,
+        )
+
+    def _is_replaced(self, incarnation: ServerIncarnation) -> bool:
+        """Return whether another incarnation of the same server is registered."""
+        registered = self._state.servers.get(incarnation.server)
+        return registered is not None and registered.run != incarnation
+
     def _remove_departed_servers(self) -> None:
         """Remove servers without keys that have left or have sent no heartbeat for too long."""
         now = self._clock.monotonic()
--- a/packages/lychee-ranges/src/lychee_ranges/table.py
+++ b/packages/lychee-ranges/src/lychee_ranges/table.py
@@ -6,7 +6,7 @@
 from msgspec.structs import replace
 
 from lychee_types.exceptions import require
-from lychee_types.registry import LAST_KEY, GrantPhase, KeyRange
+from lychee_types.registry import LAST_KEY, GrantPhase, KeyRange, ServerIncarnation
 
 _WHOLE = KeyRange(low=0, high=LAST_KEY)
 
@@ -20,8 +20,15 @@
     def __init__(self, *, ranges: Iterable[KeyRange] = ()) -> None:
         self._ranges = list(ranges) or [_WHOLE]
         self._lows = [key_range.low for key_range in self._ranges]
+        self._by_owner: dict[ServerIncarnation, list[KeyRange]] | None = None
         _check(self._ranges, low=0, high=LAST_KEY)
 
+    def owned_by(self, owner: ServerIncarnation) -> tuple[KeyRange, ...]:
+        """Return the ranges of one owner in order of keys."""
+        if self._by_owner is None:
+            self._by_owner = _group_by_owner(self._ranges)
+        return tuple(self._by_owner.get(owner, ()))
+
     @property
     def ranges(self) -> tuple[KeyRange, ...]:
         """Return all ranges in order of keys."""
@@ -47,6 +54,7 @@
 
         :param new: the new ranges; they must not overlap each other.
         """
+        self._by_owner = None
         for key_range in new:
             self._put_one(key_range)
 
@@ -61,6 +69,14 @@
         self._lows[start:end] = [key_range.low for key_range in changed]
 
 
+def _group_by_owner(ranges: list[KeyRange]) -> dict[ServerIncarnation, list[KeyRange]]:
+    groups: dict[ServerIncarnation, list[KeyRange]] = {}
+    for key_range in ranges:
+        if key_range.owner is not None:
+            groups.setdefault(key_range.owner, []).append(key_range)
+    return groups
+
+
 def _check(ranges: list[KeyRange], *, low: int, high: int) -> None:
     expected = low
     for key_range in ranges:
--- a/packages/lychee-runtime/src/lychee_runtime/ports.py
+++ b/packages/lychee-runtime/src/lychee_runtime/ports.py
@@ -21,8 +21,9 @@
 def free_endpoints(number: int) -> tuple[Endpoint, ...]:
     """Return that many different loopback addresses on which no process listens.
 
-    No process listens on their ports at other addresses of this VM either. A port is chosen only once in a process: listeners share a port without an error, so a repeated
-    choice would mix up their connections.
+    No process uses their ports at other addresses of this VM either. A port is chosen only once in
+    a process: listeners share a port without an error, so a repeated choice would mix up their
+    connections.
     """
     return tuple(Endpoint(host=LOOPBACK, port=_choose_port()) for _ in range(number))
 
