Grant keys in the answers to servers' heartbeats

Cause: on deployments whose services say so, a server holds what the answer to its heartbeat names and takes no calls; every keyed request got 503. Change: HeartbeatDelivery beside CallDelivery, chosen by the service's way of granting (an unknown way is refused with the configuration). An answer names all ranges of the incarnation, under the lease, for the newest heartbeat only. A hold counts from the heartbeat's arrival, also if the answer is lost; keys are free once a heartbeat behind an answer without them does not list them, or the hold has expired with a clock 2% slow; a new leader waits out what former ones may have answered. A release's handover is committed before its acknowledgement. An answer waits up to 0.7 s for a change, so that a server learns of one at once, and a move begins when the heartbeats of both owners are at hand. The next heartbeat comes 0.86 s after the last one was sent, however long the answer waits.

--- a/packages/lychee-control/src/lychee_control/registry/call_delivery.py
+++ b/packages/lychee-control/src/lychee_control/registry/call_delivery.py
@@ -106,7 +106,7 @@
         """Return whether no unanswered grant of the keys may still start to hold."""
         return not self._outstanding_grants.has_unanswered(keys, now)
 
-    async def wait_for_turn(self, keys: KeyRange) -> None:
+    async def wait_for_turn(self, keys: KeyRange, new_owner: ServerIncarnation) -> None:
         """Return at once, as an owner can be called at any moment."""
 
     def free_at(self, keys: KeyRange) -> float:
--- a/packages/lychee-control/src/lychee_control/registry/delivery.py
+++ b/packages/lychee-control/src/lychee_control/registry/delivery.py
@@ -47,10 +47,13 @@
         """
         ...
 
-    async def wait_for_turn(self, keys: KeyRange) -> None:
+    async def wait_for_turn(self, keys: KeyRange, new_owner: ServerIncarnation) -> None:
         """Wait until the owner learns of a change of its keys as soon as it is committed.
 
         Returns as well once the owner can't hold them any more.
+
+        :param keys: the keys with their owner.
+        :param new_owner: their next owner, which is to learn of it soon after.
         """
         ...
 
--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -14,6 +14,7 @@
 from lychee_control.registry.crashes import CrashBoard
 from lychee_control.registry.delivery import GrantDelivery
 from lychee_control.registry.gateways import GatewayBoard
+from lychee_control.registry.heartbeat_delivery import HeartbeatDelivery
 from lychee_control.registry.heartbeats import HeartbeatTracker
 from lychee_control.registry.limits import LimitBoard, PermitDesk
 from lychee_control.registry.orders import (
@@ -213,12 +214,12 @@
                 server, cold_s=known.cold_s, is_leaving=known.is_leaving or server.is_leaving
             )
             if known == server:
-                return self._heard_reply()
+                return await self._answer_with_keys(heartbeat, now, may_wait=True)
         outcome = await self.propose(RegisterServer(server=server))
         match outcome:
             case Applied():
                 self._log_registered(server)
-                return self._heard_reply()
+                return await self._answer_with_keys(heartbeat, now, may_wait=False)
             case Obsolete(reason=reason):
                 logger.bind(event="heartbeat_refused", server=server.run.server).warning(
                     "heartbeat refused: {}", reason
@@ -227,6 +228,16 @@
             case _:
                 return Unavailable(reason="the heartbeat is not committed yet")
 
+    async def _answer_with_keys(
+        self, heartbeat: Heartbeat, received_at: float, *, may_wait: bool
+    ) -> ApiReply:
+        """Return the reply to a server's newest heartbeat, with its keys where it needs them."""
+        manager = self._range_managers.get(heartbeat.server.service)
+        if manager is None or not isinstance(manager.delivery, HeartbeatDelivery):
+            return self._heard_reply()
+        granted = await manager.delivery.answer(heartbeat, received_at, may_wait=may_wait)
+        return Heard(next_at=self._cfg.endpoint, granted=granted)
+
     def _log_registered(self, server: RegisteredServer) -> None:
         logger.bind(
             event="server_leaving" if server.is_leaving else "server_registered",
@@ -351,12 +362,15 @@
         for service in self._state.routing.services:
             if not service.is_keyed or service.name in self._range_managers:
                 continue
+            by_heartbeat = service.grants_by_heartbeat
             manager = RangeManager(
                 service=service.name,
                 state=self._state,
                 heartbeats=self._heartbeats,
                 loads=self._loads,
-                make_delivery=self._make_call_delivery,
+                make_delivery=(
+                    self._make_heartbeat_delivery if by_heartbeat else self._make_call_delivery
+                ),
                 propose=self.propose,
                 spawn=self._spawn,
                 clock=self._clock,
@@ -381,6 +395,21 @@
             hold_s=self._hold_s,
         )
 
+    def _make_heartbeat_delivery(
+        self, table: Callable[[], KeyTable], writer: RangeWriter
+    ) -> GrantDelivery:
+        return HeartbeatDelivery(
+            table=table,
+            writer=writer,
+            heartbeats=self._heartbeats,
+            spawn=self._spawn,
+            clock=self._clock,
+            lease_expires_at=self._replica.lease_expires_at,
+            is_replaced=self._is_replaced,
+            heartbeat_s=self._cfg.heartbeat_s,
+            hold_s=self._hold_s,
+        )
+
     def _is_replaced(self, incarnation: ServerIncarnation) -> bool:
         """Return whether another incarnation of the same server is registered."""
         registered = self._state.servers.get(incarnation.server)
--- a/packages/lychee-control/src/lychee_control/registry/orders.py
+++ b/packages/lychee-control/src/lychee_control/registry/orders.py
@@ -6,7 +6,7 @@
 from lychee_http import RequestHead, ResponseHead
 from lychee_types.ids import ServerId
 from lychee_types.records import Endpoint
-from lychee_types.registry import RegisteredServer
+from lychee_types.registry import HeldKeys, KeyRange, RegisteredServer, ReleasedKeys
 from lychee_types.routing import Routing, RoutingPatch, RoutingVersion
 
 
@@ -16,10 +16,14 @@
 
     :param server: its record.
     :param sequence: number of the heartbeat in its incarnation; later ones have higher numbers.
+    :param holds: the keys that it holds or still works on.
+    :param released: the keys that it has released since its last acknowledged heartbeat.
     """
 
     server: RegisteredServer
     sequence: int
+    holds: tuple[HeldKeys, ...] = ()
+    released: tuple[ReleasedKeys, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -69,6 +73,18 @@
     """A call to a path or with a method that the API does not have."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GrantedKeys:
+    """All keys that a server is to hold.
+
+    :param ranges: the ranges; a handover is for keys that the server does not hold yet.
+    :param hold_s: how long it may hold them from the sending of its heartbeat, in seconds.
+    """
+
+    ranges: tuple[KeyRange, ...]
+    hold_s: float
+
+
 ApiCall = Heartbeat | Leave | ChangeOrder | ReadOrder | BadOrder | UnknownCall
 """A decoded call."""
 
@@ -78,9 +94,11 @@
     """The heartbeat or the deregistration was accepted.
 
     :param next_at: where the server should send its next heartbeats.
+    :param granted: what the server is to hold; None changes and renews nothing.
     """
 
     next_at: Endpoint
+    granted: GrantedKeys | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/lychee-control/src/lychee_control/registry/range_manager.py
+++ b/packages/lychee-control/src/lychee_control/registry/range_manager.py
@@ -204,7 +204,7 @@
             self._pending_moves.remove(move)
 
     async def _merge(self, move: Move) -> None:
-        await self.delivery.wait_for_turn(move.keys)
+        await self.delivery.wait_for_turn(move.keys, move.new_owner)
         await self._write_move(None, move)
 
     def _start_moves(self, table: KeyTable, candidates: tuple[Candidate, ...], now: float) -> None:
@@ -253,7 +253,7 @@
         handover = ""
         if keys.owner is not None:
             if keys.phase is not GrantPhase.RELEASING:
-                await self.delivery.wait_for_turn(keys)
+                await self.delivery.wait_for_turn(keys, move.new_owner)
                 if not await self._writer.change(expected=keys, new=releasing):
                     return
             handover = await self.delivery.release(releasing)
--- a/packages/lychee-ranges/src/lychee_ranges/__init__.py
+++ b/packages/lychee-ranges/src/lychee_ranges/__init__.py
@@ -1,5 +1,6 @@
 """Replicated state of routes, servers and key ranges, and planning of key moves. No I/O."""
 
+from lychee_ranges.answered_grants import AnsweredGrants
 from lychee_ranges.loads import BUCKET_KEYS, BucketRates, LoadTracker, bucket_of
 from lychee_ranges.matching import RouteMatcher
 from lychee_ranges.moves import NO_OWNER, Candidate, Move, first_split, mergeable_ranges
@@ -9,6 +10,7 @@
 from lychee_ranges.table import KeyTable
 
 __all__ = [
+    "AnsweredGrants",
     "BUCKET_KEYS",
     "BucketRates",
     "Candidate",
--- a/packages/lychee-types/src/lychee_types/registry.py
+++ b/packages/lychee-types/src/lychee_types/registry.py
@@ -81,6 +81,32 @@
         return self.high - self.low + 1
 
 
+class HeldKeys(Struct, frozen=True, kw_only=True):
+    """Keys that a server says it holds or still works on.
+
+    :param low: first key.
+    :param high: last key.
+    :param token: fencing token under which it holds them.
+    """
+
+    low: int
+    high: int
+    token: Token
+
+
+class ReleasedKeys(Struct, frozen=True, kw_only=True):
+    """Keys that a server says it has released.
+
+    :param low: first key.
+    :param high: last key.
+    :param handover: text for the next owner.
+    """
+
+    low: int
+    high: int
+    handover: str
+
+
 class RangeTable(Struct, frozen=True, kw_only=True):
     """The ranges of one keyed service.
 
--- a/packages/lychee-types/src/lychee_types/routing.py
+++ b/packages/lychee-types/src/lychee_types/routing.py
@@ -25,6 +25,13 @@
         return self is not RouteKind.UNSAFE
 
 
+class GrantWay(Enum):
+    """How servers learn which keys they own."""
+
+    CALL = "call"
+    HEARTBEAT = "heartbeat"
+
+
 class ServiceShare(Struct, frozen=True, kw_only=True):
     """The share of a route's requests that one service receives.
 
@@ -82,7 +89,7 @@
     :param tls: whether its servers expect TLS.
     :param is_keyed: whether each key has one owner among its servers.
     :param warm_s: how long keys are slow at a new owner without a handover, in seconds.
-    :param grants: how keys are granted to servers, as the operator wrote it; empty for none.
+    :param grants: how keys are granted to servers, None if the operator did not say.
     """
 
     name: ServiceName
@@ -92,7 +99,12 @@
     tls: bool
     is_keyed: bool | None = None
     warm_s: float | None = None
-    grants: str = ""
+    grants: GrantWay | None = None
+
+    @property
+    def grants_by_heartbeat(self) -> bool:
+        """Return whether servers learn of their keys from the answers to their heartbeats."""
+        return self.grants is GrantWay.HEARTBEAT
 
 
 class CallerBounds(Struct, frozen=True, kw_only=True):
