Play grants by heartbeats at random, and mutants that such a run finds

A leader, six servers with clocks up to 2% slow and a network that loses, delays by up to 6 s, doubles and reorders heartbeats and answers; elections, restarts, ends, departures, load that moves. 12 runs of 60 simulated seconds: no key with two holders, tokens only upward, keys owned in over a third of the checks. Four mutants are found: no wait before a key's next grant, no count for former leaders, answers not counted, and evidence believed whatever its number.

--- /dev/null
+++ b/packages/lychee-control/tests/test_heartbeat_runs.py
@@ -0,0 +1,393 @@
+"""Random runs of grants by heartbeats: lost, late and doubled messages, elections, restarts."""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+
+from lychee_control.registry import heartbeat_delivery
+from lychee_control.registry.crashes import CrashBoard
+from lychee_control.registry.gateways import GatewayBoard
+from lychee_control.registry.leader import HOLD_S, RegistryLeader
+from lychee_control.registry.limits import LimitBoard
+from lychee_control.registry.orders import Heard, Heartbeat
+from lychee_ranges import AnsweredGrants, RoutedState
+from lychee_types.ids import (
+    DomainName,
+    Incarnation,
+    LogIndex,
+    ServerId,
+    ServiceName,
+    SessionId,
+    Token,
+)
+from lychee_types.records import Endpoint
+from lychee_types.registry import (
+    HeldKeys,
+    RegisteredServer,
+    ReleasedKeys,
+    RoutedImage,
+    ServerIncarnation,
+)
+from lychee_types.registry_commands import decode_routed_command
+from lychee_types.registry_messages import BucketLoad, LoadReport, ServiceLoad
+from lychee_types.routed_settings import RegistrySettings
+from lychee_types.routing import GrantWay, RoutedService, Routing, RoutingVersion
+from lychee_types.testing import SelectorClock, SimulatedSelector
+
+SERVICE = ServiceName("s")
+SERVERS = 6
+HEARTBEAT_S = 0.87
+LEASE_S = 0.5
+SECONDS = 60.0
+ACK_S = 1.0
+"""Time for which a server waits for an answer, in seconds."""
+
+
+@dataclass
+class Held:
+    low: int
+    high: int
+    token: int
+    until: float
+
+
+class Group:
+    """Replicas that share one log; one of them leads, and former ones may not know it."""
+
+    def __init__(self, rng, clock):
+        self.rng, self.clock = rng, clock
+        service = RoutedService(
+            name=SERVICE,
+            health_path="/",
+            connections=9,
+            protocol="h1",
+            tls=False,
+            is_keyed=True,
+            grants=GrantWay.HEARTBEAT,
+        )
+        version = RoutingVersion(number=1, routing=Routing(services=(service,), hosts=()))
+        self.state = RoutedState(image=RoutedImage(index=LogIndex(1), version=version))
+        self.leader = None
+        self.term = 0
+        self.tasks = []
+
+    def elect(self):
+        """Start a new term; the former leader goes on without a lease."""
+        self.term += 1
+        replica = Replica(self, self.term)
+        self.leader = RegistryLeader(
+            cfg=RegistrySettings(
+                id="c",
+                listen="10.0.0.9:1",
+                peer_port=2,
+                domain="d",
+                data="x",
+                seeds=(),
+                heartbeat_s=HEARTBEAT_S,
+            ),
+            replica=replica,
+            state=self.state,
+            codec=None,
+            limits=LimitBoard(clock=self.clock),
+            crashes=CrashBoard(clock=self.clock),
+            gateways=GatewayBoard(clock=self.clock),
+            spread=lambda news: None,
+            clock=self.clock,
+        )
+        self.tasks.append(asyncio.ensure_future(self.leader.run()))
+
+    def apply(self, data):
+        command = decode_routed_command(data)
+        outcome = self.state.apply(LogIndex(self.state.index + 1), command)
+        self.leader.on_applied(command, outcome)
+        return outcome
+
+
+class Replica:
+    def __init__(self, group, term):
+        self.group, self.term = group, term
+
+    def lease_expires_at(self):
+        is_leader = self.group.leader is not None and self.term == self.group.term
+        return self.group.clock.monotonic() + LEASE_S if is_leader else 0.0
+
+    async def propose(self, data):
+        await asyncio.sleep(self.group.rng.uniform(0.001, 0.03))
+        if self.term != self.group.term or self.group.rng.random() < 0.02:
+            raise TimeoutError("not committed")
+        return SimpleNamespace(result=self.group.apply(data))
+
+
+@dataclass
+class Server:
+    """A server whose clock runs slow, and which takes answers for one second."""
+
+    number: int
+    group: Group
+    rng: Random
+    born: int = 1
+    sequence: int = 0
+    held: list = field(default_factory=list)
+    working: list = field(default_factory=list)
+    released: list = field(default_factory=list)
+    seen: dict = field(default_factory=dict)
+    is_up: bool = True
+    is_leaving: bool = False
+
+    def __post_init__(self):
+        self.slow = self.rng.uniform(1.0, 1.02)
+
+    @property
+    def now(self):
+        return self.group.clock.monotonic()
+
+    def rows(self):
+        return [h for h in (*self.held, *self.working) if h.until > self.now]
+
+    def holds(self, key):
+        return self.is_up and any(h.low <= key <= h.high for h in self.rows())
+
+    def heartbeat(self):
+        self.sequence += 1
+        run = ServerIncarnation(
+            server=ServerId(f"s{self.number}"), incarnation=Incarnation(self.born)
+        )
+        record = RegisteredServer(
+            run=run,
+            endpoint=Endpoint(host="10.0.0.1", port=1 + self.number),
+            domain=DomainName("d"),
+            service=SERVICE,
+            release="v",
+            slots=3,
+            is_leaving=self.is_leaving,
+        )
+        holds = tuple(HeldKeys(low=h.low, high=h.high, token=Token(h.token)) for h in self.rows())
+        released = tuple(
+            ReleasedKeys(low=low, high=high, handover=text) for low, high, text in self.released
+        )
+        return Heartbeat(server=record, sequence=self.sequence, holds=holds, released=released)
+
+    async def run(self):
+        while True:
+            began = self.now
+            if self.is_up:
+                await self.beat()
+            left = began + self.rng.uniform(0.8, 0.95) * HEARTBEAT_S / 0.87 - self.now
+            if self.is_up and (self.working or self.released):
+                left = self.rng.uniform(0.02, 0.1)
+            await asyncio.sleep(max(left, 0.01))
+
+    async def beat(self):
+        sent_at, born, reported = self.now, self.born, list(self.released)
+        heartbeat = self.heartbeat()
+        reply = asyncio.get_running_loop().create_future()
+        for _ in range(2 if self.rng.random() < 0.1 else 1):
+            task = asyncio.ensure_future(self.deliver(heartbeat, reply))
+            self.group.tasks.append(task)
+        try:
+            async with asyncio.timeout(ACK_S):
+                granted = await asyncio.shield(reply)
+        except TimeoutError:
+            return
+        if born != self.born or not self.is_up:
+            return
+        self.released = [row for row in self.released if row not in reported]
+        if granted is not None:
+            self.take(granted, sent_at)
+
+    def delay(self):
+        if self.rng.random() < 0.08:
+            return self.rng.choice((0.4, 1.2, 3.0, 6.0))
+        return self.rng.uniform(0.001, 0.02)
+
+    async def deliver(self, heartbeat, reply):
+        await asyncio.sleep(self.delay())
+        leader = self.group.leader
+        if leader is None or self.rng.random() < 0.05:
+            return
+        answer = await leader.answer(heartbeat)
+        await asyncio.sleep(self.delay())
+        if isinstance(answer, Heard) and not reply.done() and self.rng.random() > 0.05:
+            reply.set_result(answer.granted)
+
+    def take(self, granted, sent_at):
+        until = sent_at + granted.hold_s * self.slow
+        kept = []
+        for h in self.held:
+            covered = [r for r in granted.ranges if r.low <= h.high and h.low <= r.high]
+            for low, high in parts(h, covered):
+                if h.until > self.now:
+                    self.let_go(Held(low, high, h.token, h.until))
+        for r in granted.ranges:
+            assert r.owner.incarnation == self.born
+            if max((t for k, t in self.seen.items() if r.low <= k <= r.high), default=0) > r.token:
+                continue
+            self.group.on_taken(self, r)
+            self.seen[r.low] = self.seen[r.high] = r.token
+            kept.append(Held(r.low, r.high, r.token, until))
+        self.held = kept
+
+    def let_go(self, h):
+        """Stop new work on keys, and report their release once the running work has ended."""
+        self.working.append(h)
+        asyncio.get_running_loop().call_later(self.rng.uniform(0.0, 0.3), self.end_work, h)
+
+    def end_work(self, h):
+        if h in self.working:
+            self.working.remove(h)
+            if h.until > self.now:
+                self.released.append((h.low, h.high, f"s{self.number}-{h.token}"))
+
+    def restart(self):
+        self.born += 1
+        self.sequence = 0
+        self.held, self.working, self.released, self.seen = [], [], [], {}
+        self.is_leaving = False
+
+
+def parts(held, covered):
+    """Return the parts of held keys that no granted range covers."""
+    rest = [(held.low, held.high)]
+    for r in covered:
+        after = []
+        for low, high in rest:
+            if r.high < low or high < r.low:
+                after.append((low, high))
+                continue
+            if low < r.low:
+                after.append((low, r.low - 1))
+            if r.high < high:
+                after.append((r.high + 1, high))
+        rest = after
+    return rest
+
+
+class Run:
+    """One random run, which notes each broken promise."""
+
+    def __init__(self, seed):
+        self.rng = Random(seed)
+        self.selector = SimulatedSelector()
+        self.clock = SelectorClock(self.selector)
+        self.group = Group(self.rng, self.clock)
+        self.group.on_taken = self.on_taken
+        self.tokens = {}
+        self.faults = []
+        self.taken = 0
+        self.owned = self.checks = 0
+        self.servers = [Server(n, self.group, self.rng) for n in range(SERVERS)]
+
+    def on_taken(self, server, r):
+        now = self.clock.monotonic()
+        for other in self.servers:
+            if other is server or not other.is_up:
+                continue
+            for h in other.rows():
+                if h.low <= r.high and r.low <= h.high:
+                    self.faults.append((round(now, 3), "held twice", server.number, other.number))
+        for low, high, token, owner in self.tokens.values():
+            is_other = owner != (server.number, server.born)
+            if is_other and low <= r.high and r.low <= high and token >= r.token:
+                self.faults.append((round(now, 3), "token not above", server.number, token))
+        self.tokens[(r.low, r.high)] = (r.low, r.high, r.token, (server.number, server.born))
+        self.taken += 1
+
+    async def disturb(self):
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.5, 2.0))
+            server = self.rng.choice(self.servers)
+            match self.rng.randrange(6):
+                case 0:
+                    server.restart()
+                case 1:
+                    server.is_up = not server.is_up
+                    server.restart()
+                case 2:
+                    server.is_leaving = True
+                case 3:
+                    self.group.leader = None
+                    await asyncio.sleep(self.rng.uniform(0.3, 2.0))
+                    self.group.elect()
+                case _:
+                    self.report()
+
+    def report(self):
+        """Report a load that is high at some keys, so that keys move."""
+        first = self.rng.randrange(65_000)
+        keys = tuple(BucketLoad(bucket=first + n * 7, requests=20) for n in range(20))
+        load = ServiceLoad(service=SERVICE, keys=keys)
+        note = LoadReport(session=SessionId(1), span_s=0.25, services=(load,), servers=())
+        if self.group.leader is not None:
+            self.group.leader.handle_note(note)
+
+    async def check(self):
+        while True:
+            await asyncio.sleep(0.1)
+            key = self.rng.randrange(65_536)
+            self.checks += 1
+            self.owned += any(server.holds(key) for server in self.servers)
+
+    async def play(self):
+        self.group.elect()
+        work = [server.run() for server in self.servers] + [self.disturb(), self.check()]
+        tasks = [asyncio.ensure_future(item) for item in work]
+        await asyncio.sleep(SECONDS)
+        for task in (*tasks, *self.group.tasks):
+            task.cancel()
+        await asyncio.gather(*tasks, *self.group.tasks, return_exceptions=True)
+
+    def go(self):
+        loop = asyncio.SelectorEventLoop(self.selector)
+        loop.time = self.clock.monotonic
+        try:
+            loop.run_until_complete(self.play())
+        finally:
+            loop.close()
+        return self
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_key_has_two_holders_and_tokens_only_rise(seed):
+    run = Run(seed).go()
+    assert run.faults == []
+    assert run.taken > 50 and run.owned > run.checks / 3
+
+
+def no_wait(self, keys):
+    return 0.0
+
+
+def forgets_former_leaders(self, *, hold_s, elected_at, begin=AnsweredGrants.__init__):
+    begin(self, hold_s=hold_s, elected_at=elected_at - 2 * HOLD_S)
+
+
+def believes_all(self, owner, *, sequence, holds, now):
+    listed = [(h.low, h.high) for h in holds]
+    rows = self._rows.get(owner, ())
+    self._rows[owner] = tuple(r for r in rows if (r.low, r.high) in listed)
+
+
+@pytest.mark.parametrize(
+    "name, mutant",
+    [
+        ("free_at", no_wait),
+        ("__init__", forgets_former_leaders),
+        ("record_answer", lambda self, owner, **rest: None),
+    ],
+    ids=["no wait", "no former leader", "answers not counted"],
+)
+def test_a_run_finds_what_would_break_ownership(monkeypatch, name, mutant):
+    monkeypatch.setattr(AnsweredGrants, name, mutant)
+    assert any(Run(seed).go().faults for seed in range(12))
+
+
+def test_a_run_finds_a_leader_that_does_not_compare_sequence_numbers(monkeypatch):
+    monkeypatch.setattr(AnsweredGrants, "record_heartbeat", believes_all)
+    assert any(Run(seed).go().faults for seed in range(12))
+
+
+def test_answers_wait_less_than_servers_do():
+    assert heartbeat_delivery.ANSWER_WAIT_S + heartbeat_delivery.COMMIT_WAIT_S <= ACK_S
