Plan moves at one rhythm, and compute each server's rate once in a plan

Change: a server's rate and utilization are kept until its load changes; plans are made at the interval only. The plans are the same (tests of the planner).

--- a/packages/lychee-control/src/lychee_control/registry/range_manager.py
+++ b/packages/lychee-control/src/lychee_control/registry/range_manager.py
@@ -199,7 +199,6 @@
     async def _write_move(self, expected: KeyRange | None, move: Move) -> None:
         try:
             await self._writer.change(expected=expected, new=move.keys)
-            self._plan_moves()
         finally:
             self._pending_moves.remove(move)
 
@@ -271,4 +270,3 @@
                 handover=handover,
             )
         await self._writer.change(expected=expected, new=new)
-        self._plan_moves()
--- a/packages/lychee-ranges/src/lychee_ranges/server_ranges.py
+++ b/packages/lychee-ranges/src/lychee_ranges/server_ranges.py
@@ -46,6 +46,8 @@
     :param latest: requests per second over the shorter window.
     :param keys: number of its keys.
     :param movable_ranges: its ranges that may be moved.
+    :param rate: requests per second that it gets, without random peaks.
+    :param utilization: fraction of its slots in use; above 1 if it gets more than it can serve.
     """
 
     candidate: Candidate
@@ -53,22 +55,24 @@
     latest: float = 0.0
     keys: int = 0
     movable_ranges: list[KeyRange] = field(default_factory=list)
+    rate: float = field(default=0.0, init=False)
+    utilization: float = field(default=0.0, init=False)
+    _slots: int = field(default=1, init=False)
+    _capacity: float = field(default=0.0, init=False)
+    _queue_exponent: float = field(default=0.0, init=False)
+
+    def __post_init__(self) -> None:
+        # A plan asks each of hundreds of servers for these values many times.
+        self._slots = max(1, self.candidate.server.slots)
+        self._capacity = self.candidate.capacity
+        self._queue_exponent = sqrt(2 * (self._slots + 1))
+        self._update_rate()
 
     @property
     def is_rising(self) -> bool:
         """Return whether the latest rate is significantly above the steady rate."""
         return self._latest_lower_bound > self.steady
 
-    @property
-    def rate(self) -> float:
-        """Return the requests per second that the server gets, without random peaks."""
-        return max(0.0, self.steady, self._latest_lower_bound)
-
-    @property
-    def utilization(self) -> float:
-        """Return the fraction of its slots in use; above 1 if it gets more than it can serve."""
-        return self.rate / self.candidate.capacity
-
     def response_s(self, extra_rate: float = 0.0) -> float:
         """Return the expected response time after a change of the rate, in seconds.
 
@@ -76,10 +80,9 @@
 
         :param extra_rate: requests per second added; negative if removed.
         """
-        slots = max(1, self.candidate.server.slots)
-        utilization = max(0.0, self.rate + extra_rate) / self.candidate.capacity
+        utilization = max(0.0, self.rate + extra_rate) / self._capacity
         bounded = min(utilization, SATURATED_UTILIZATION)
-        queue: float = bounded ** sqrt(2 * (slots + 1)) / (slots * (1 - bounded))
+        queue: float = bounded**self._queue_exponent / (self._slots * (1 - bounded))
         return self.candidate.service_time_s * (1 + queue) + OVERLOAD_PENALTY_S * max(
             0.0, utilization - SATURATED_UTILIZATION
         )
@@ -87,7 +90,7 @@
     @property
     def spare_rate(self) -> float:
         """Return how many more requests per second the server may be given."""
-        return max(0.0, MAX_RECEIVER_UTILIZATION * self.candidate.capacity - self.rate)
+        return max(0.0, MAX_RECEIVER_UTILIZATION * self._capacity - self.rate)
 
     @property
     def _latest_lower_bound(self) -> float:
@@ -99,6 +102,11 @@
         self.steady += sign * load.steady
         self.latest += sign * load.latest
         self.keys += sign * load.keys
+        self._update_rate()
+
+    def _update_rate(self) -> None:
+        self.rate = max(0.0, self.steady, self._latest_lower_bound)
+        self.utilization = self.rate / self._capacity
 
 
 def balancing_rate(donor: ServerRanges, receiver: ServerRanges) -> float:
