Merge gateways' load reports on their way to the leader

Cause: each of G gateways reports four times a second, and followers passed each report on: the leader of 185 gateways handled 740 messages a second, at 1,000 gateways 4,000. Change: a follower adds up the reports of its gateways and passes one on each 0.1 s, so that the leader gets at most ten a second from each replica.

--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -234,6 +234,7 @@
             self.spawn(self._replica.run(), name="replica")
             self.spawn(self._keep_peer_links_open(), name="peer links")
             self.spawn(self._join_handler.run(), name="join")
+            self.spawn(self._relay.run(), name="relay")
             if self._metrics_page is not None:
                 self._metrics_page.start()
             self._listener.start()
--- a/packages/lychee-control/src/lychee_control/registry/relay.py
+++ b/packages/lychee-control/src/lychee_control/registry/relay.py
@@ -1,15 +1,21 @@
 """The way of gateways' messages to the leader, and of the leader's messages to gateways.
 
-Nothing on this way is stored: a message is lost while there is no leader or no link to it.
+Nothing on this way is stored: a message is lost while there is no leader or no link to it. Load
+reports of this replica's gateways are merged, so that the leader gets one from each replica.
 """
 
+import asyncio
 from collections.abc import Callable
 
 from lychee_control.peers import NewsDown, NoteUp, PeerFrame, ReplyDown
 from lychee_control.registry.subscribers import Subscribers
 from lychee_log import Replica, ReplicaAddress
+from lychee_ranges import LoadMerger
 from lychee_types.ids import ReplicaId, SessionId
-from lychee_types.registry_messages import LeaderNews, LeaderNote, LeaderReply
+from lychee_types.registry_messages import LeaderNews, LeaderNote, LeaderReply, LoadReport
+
+MERGE_INTERVAL_S = 0.1
+"""Interval at which merged load reports are passed on, in seconds."""
 
 PostFrame = Callable[[ReplicaAddress, PeerFrame], None]
 """Sends a message to another replica."""
@@ -35,9 +41,24 @@
         self._subscribers = subscribers
         self._post = post
         self.handle_note: HandleNote | None = None
+        self._merger = LoadMerger()
+
+    async def run(self) -> None:
+        """Pass on merged load reports until cancelled."""
+        while True:
+            await asyncio.sleep(MERGE_INTERVAL_S)
+            merged = self._merger.take()
+            if merged is not None:
+                self._post_up(merged.session, merged)
 
     def send_up(self, session: SessionId, note: LeaderNote) -> None:
         """Pass on a message of one of this replica's gateways."""
+        if isinstance(note, LoadReport) and self.handle_note is None:
+            self._merger.add(note)
+            return
+        self._post_up(session, note)
+
+    def _post_up(self, session: SessionId, note: LeaderNote) -> None:
         frame = NoteUp(via=self._id, session=session, note=note)
         if self.handle_note is not None:
             self.receive_note(frame)
--- a/packages/lychee-ranges/src/lychee_ranges/__init__.py
+++ b/packages/lychee-ranges/src/lychee_ranges/__init__.py
@@ -1,6 +1,7 @@
 """Replicated state of routes, servers and key ranges, and planning of key moves. No I/O."""
 
 from lychee_ranges.answered_grants import AnsweredGrants
+from lychee_ranges.load_merging import LoadMerger
 from lychee_ranges.loads import BUCKET_KEYS, BucketRates, LoadTracker, bucket_of
 from lychee_ranges.matching import RouteMatcher
 from lychee_ranges.moves import NO_OWNER, Candidate, Move, first_split, mergeable_ranges
@@ -17,6 +18,7 @@
     "OutstandingGrants",
     "KeyTable",
     "NO_OWNER",
+    "LoadMerger",
     "LoadTracker",
     "Move",
     "MovePlanner",
