Keep no connection whose answer did not name its request

What operators reported: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for what ran; a second copy of an answer came late, and the next caller got it. Answers that repeat the request's id were safe. Where a server's answers bear no id, a copy sent when the next request arrived was taken for that one's answer: 503 'no server is left' for an unsafe request that ran, and 200 with the earlier request's body. Change: an answer without an id ends its connection's use, so that a copy can't meet another request; an answer that names any other id, also to a request that has none, belongs to another. Servers that name no requests cost a connection for each request. Also here, no fault seen: an answer cut after each of its bytes, with a length, chunks or neither (in its head: 502; in a streamed body: a cut the caller sees). Mutants of the three guards fail.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -210,8 +210,11 @@
                     answer = await conn.read_head()
                     info = self._codec.read_response(answer)
                     seconds = self._clock.monotonic() - began
-                    if request_id and info.request_id not in ("", request_id):
+                    if _is_foreign(info, request_id):
                         return NoAnswer(reason="the answer belongs to another request")
+                    if not info.request_id:
+                        # Another copy of it could not be told from the next answer.
+                        conn.forbid_reuse()
                     if not conn.is_carried:
                         server.heard_at = self._clock.monotonic()
                         self._paths.record_heard()
@@ -285,6 +288,11 @@
         return PassedOn(status=head.status, is_whole=True)
 
 
+def _is_foreign(info: ResponseInfo, request_id: str) -> bool:
+    """Return whether an answer names another request than the one that is in flight."""
+    return info.request_id not in ("", request_id)
+
+
 def _not_connected(exc: OSError) -> NotRun:
     reason = f"no connection: {type(exc).__name__}"
     match exc:
--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -41,6 +41,7 @@
         self._until_close = until_close
         self._ends_at_close = False
         self._is_request_sent = True
+        self._may_be_reused = True
         self._parser: ResponseParser | None = None
         self._method = b""
 
@@ -107,10 +108,14 @@
             raise _response_error("it has a second head")
         return event
 
+    def forbid_reuse(self) -> None:
+        """Let this exchange be the connection's last one."""
+        self._may_be_reused = False
+
     def end_exchange(self) -> bool:
         """End the exchange; return whether the connection may be used for another one."""
         parser, self._parser = self._parser, None
-        if not self._is_request_sent or self._ends_at_close:
+        if not self._may_be_reused or not self._is_request_sent or self._ends_at_close:
             return False
         if parser is not None and not (parser.complete and parser.allows_keep_alive):
             return False
