Believe a refusal of a server that leases keys only once on a connection

Change: a refusal that does not name its request ends the use of its connection; an answer that names another request has an unknown outcome. Open: an answer other than a refusal, without a name, may still be copied by such a server onto a connection in use again.

--- a/packages/lychee-gateway/src/lychee_gateway/exchange.py
+++ b/packages/lychee-gateway/src/lychee_gateway/exchange.py
@@ -34,8 +34,11 @@
 REFUSAL_HEADER = b"lychee-refused"
 """Response header by which a server declares that it did not run the request."""
 
+REQUEST_ID_HEADER = b"lychee-request-id"
+"""Header with the request's id; a server may repeat it in its answer."""
+
 GATEWAY_HEADERS = frozenset(
-    (b"lychee-request-id", b"lychee-token", b"lychee-deadline", b"content-length")
+    (REQUEST_ID_HEADER, b"lychee-token", b"lychee-deadline", b"content-length")
 )
 """Request headers that the gateway sets itself; those of a caller are dropped."""
 
@@ -56,7 +59,7 @@
     headers: list[Header] = forwarded_headers(call.head.headers, drop=GATEWAY_HEADERS)
     if header_value(call.head.headers, b"host") is None:
         headers.insert(0, (b"host", str(endpoint).encode()))
-    headers.append((b"lychee-request-id", call.request_id.encode()))
+    headers.append((REQUEST_ID_HEADER, call.request_id.encode()))
     headers.append((b"lychee-deadline", b"%d" % call.deadline_ms))
     if token is not None:
         headers.append((b"lychee-token", b"%d" % token))
@@ -137,6 +140,12 @@
             async with asyncio.timeout_at(call.deadline):
                 with assignment.server.awaiting_response():
                     head = await conn.read_head()
+                named = header_value(head.headers, REQUEST_ID_HEADER)
+                if named not in (None, call.request_id.encode()):
+                    return ExchangeFailed(reason="the answer belongs to another request")
+                if named is None and _is_refusal(head):
+                    # Another copy of it could not be told from the next answer.
+                    conn.forbid_reuse()
                 if _is_streamed(call, head):
                     body = None
                 else:
