Send nothing on a new connection until the server has kept it for a moment

The request was written at once, so that nobody knew whether it ran, and an unsafe one could not be tried again. Change: a new direct or carried connection waits the time it took to open and 2 ms more, 10 ms at most; one that is reset by then has carried nothing: another server gets the request, or the caller gets 503.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -19,6 +19,16 @@
 a connection.
 """
 
+SETTLE_S = 0.002
+"""Time for which nothing is sent on a new connection, beyond the time for the way, in seconds.
+
+A server resets a connection beyond those that it accepts. If a request is on its way then, nobody
+knows whether it runs.
+"""
+
+MAX_SETTLE_S = 0.01
+"""Maximum time for which nothing is sent on a new connection, in seconds."""
+
 NOT_RUN_RETRY_S = 0.1
 """Retry delay after a request that a server did not run, in seconds."""
 
@@ -161,6 +171,9 @@
                 server.record_failure(self._clock.monotonic())
                 return _not_connected(exc)
             with server.pool.release_after_use(conn):
+                if conn.is_new and not await self._is_accepted(conn):
+                    server.record_failure(self._clock.monotonic())
+                    return NotRun(reason="the server reset the connection", was_sent=False)
                 attempt = await self._send_on(
                     conn, exchange, body, server, in_flight, deadline, request_id
                 )
@@ -181,6 +194,11 @@
         """Return whether nobody accepts connections at a server's address any more."""
         return await self._paths.has_ended(server)
 
+    async def _is_accepted(self, conn: ServerConnection) -> bool:
+        """Return whether a server has kept a new connection for a moment."""
+        await asyncio.sleep(min(MAX_SETTLE_S, SETTLE_S + conn.opening_s))
+        return conn.is_reusable()
+
     async def _send_on(
         self,
         conn: ServerConnection,
--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -31,17 +31,25 @@
     :param until_close: whether to accept a response whose end is marked by the close of the
         connection, because it has neither a length nor chunks.
     :param is_carried: whether another gateway carries the connection.
+    :param opening_s: how long it took to open, in seconds.
     """
 
     def __init__(
-        self, *, stream: TcpStream, until_close: bool = False, is_carried: bool = False
+        self,
+        *,
+        stream: TcpStream,
+        until_close: bool = False,
+        is_carried: bool = False,
+        opening_s: float = 0.0,
     ) -> None:
         self.is_carried = is_carried
+        self.opening_s = opening_s
         self._stream = stream
         self._until_close = until_close
         self._ends_at_close = False
         self._is_request_sent = True
         self._may_be_reused = True
+        self.is_new = True
         self._parser: ResponseParser | None = None
         self._method = b""
 
@@ -64,6 +72,7 @@
         :param body: the body as it is sent, or its beginning if :meth:`send_body` sends the rest.
         """
         self._method = head.method
+        self.is_new = False
         self._ends_at_close = False
         self._parser = ResponseParser(head_limit=HEAD_LIMIT_BYTES, to_head=head.method == b"HEAD")
         lines = [b"%b %b HTTP/1.1\r\n" % (head.method, head.target)]
@@ -181,7 +190,8 @@
     :raises OSError: if the server cannot be reached in time; TimeoutError is a subclass.
     """
     loop = asyncio.get_running_loop()
+    began = loop.time()
     async with asyncio.timeout(timeout_s):
         _, stream = await loop.create_connection(TcpStream, endpoint.host, endpoint.port)
     stream.probe_while_silent()
-    return ServerConnection(stream=stream, until_close=until_close)
+    return ServerConnection(stream=stream, until_close=until_close, opening_s=loop.time() - began)
