Let control replicas that stand by send callers to the leader

Cause: there are ten control VMs and five voters. The other five stand by, never hear of the leader, let each call wait 0.6 s and answer 503: every second call of an operator or a server, and the callers' pauses grow. Deployments with three control VMs have none that stands by. Change: the leader answers a request to join, which such a replica sends each 0.4 s, with its address, valid for 1.5 s.

--- a/packages/lychee-control/src/lychee_control/peers.py
+++ b/packages/lychee-control/src/lychee_control/peers.py
@@ -111,8 +111,25 @@
     newcomer: ReplicaAddress
 
 
+class LeaderHint(Struct, frozen=True, kw_only=True, tag=True):
+    """The leader tells a replica that has asked to join who leads; that one may have to stand by.
+
+    :param leader: the id and address of the leader.
+    """
+
+    leader: ReplicaAddress
+
+
 PeerFrame = (
-    PeerAlive | LogMessage | RelayUp | RelayDown | NoteUp | ReplyDown | NewsDown | JoinRequest
+    PeerAlive
+    | LogMessage
+    | RelayUp
+    | RelayDown
+    | NoteUp
+    | ReplyDown
+    | NewsDown
+    | JoinRequest
+    | LeaderHint
 )
 """Messages on a link between two control replicas."""
 
--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -11,6 +11,7 @@
 
 from lychee_control.peers import (
     JoinRequest,
+    LeaderHint,
     LogMessage,
     NewsDown,
     NoteUp,
@@ -302,7 +303,7 @@
         while self._clock.monotonic() < deadline:
             if self._leader is not None:
                 return await self._leader.answer(call)
-            leader = self._replica.leader
+            leader = self._join_handler.leader
             if leader is not None and leader.id != self._id:
                 leader_api = Endpoint(host=leader.endpoint.host, port=self._cfg.endpoint.port)
                 return NotLeader(leader=leader_api)
@@ -339,6 +340,8 @@
                 self._receive_news(news)
             case JoinRequest():
                 self._join_handler.handle_request(frame)
+            case LeaderHint():
+                self._join_handler.receive_hint(frame)
             case _:
                 logger.bind(event="unknown_frame").warning(
                     "unexpected message from a peer: {}", type(frame).__name__
--- a/packages/lychee-control/src/lychee_control/registry/joining.py
+++ b/packages/lychee-control/src/lychee_control/registry/joining.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from lychee_control.peers import JoinRequest, PeerFrame
+from lychee_control.peers import JoinRequest, LeaderHint, PeerFrame
 from lychee_log import Replica, ReplicaAddress, stored_replica_id
 from lychee_types.clock import Clock
 from lychee_types.exceptions import InvariantError, LycheeError
@@ -22,6 +22,9 @@
 REQUEST_VALID_S = 2.0
 """Time for which a request to join is valid, in seconds."""
 
+HINT_VALID_S = 1.5
+"""Time for which the leader's answer to a request to join is valid, in seconds."""
+
 VOTER_LOST_S = 4.0
 """Time without a reply from a voter after which a joining replica may replace it, in seconds."""
 
@@ -78,12 +81,30 @@
         self._post = post
         self._leader_silence_s = leader_silence_s
         self._requests: dict[Endpoint, tuple[ReplicaAddress, float]] = {}
+        self._hint: LeaderHint | None = None
+        self._hint_at = 0.0
+
+    @property
+    def leader(self) -> ReplicaAddress | None:
+        """Return the leader, as the log or, while this replica stands by, the leader itself says.
+
+        None if it is not known.
+        """
+        if self._replica.leader is not None or self._hint is None:
+            return self._replica.leader
+        is_valid = self._clock.monotonic() - self._hint_at <= HINT_VALID_S
+        return self._hint.leader if is_valid else None
+
+    def receive_hint(self, frame: LeaderHint) -> None:
+        """Record who leads."""
+        self._hint, self._hint_at = frame, self._clock.monotonic()
 
     def handle_request(self, frame: JoinRequest) -> None:
         """Record a request to join while leading, or else forward it to the leader."""
         leader = self._replica.leader
         if self._replica.is_leader:
             self._requests[frame.newcomer.endpoint] = (frame.newcomer, self._clock.monotonic())
+            self._post(to=frame.newcomer, frame=LeaderHint(leader=self._this_replica))
         elif leader is not None and leader.id != self._this_replica.id:
             self._post(to=leader, frame=frame)
 
