--- a/packages/lychee-control/src/lychee_control/registry/call_delivery.py
+++ b/packages/lychee-control/src/lychee_control/registry/call_delivery.py
@@ -11,12 +11,10 @@
     Released,
     ServerClient,
 )
-from lychee_control.registry.delivery import Spawn
+from lychee_control.registry.delivery import LeaderTerm
 from lychee_control.registry.grant_renewer import GrantRenewer
-from lychee_control.registry.heartbeats import HeartbeatTracker
 from lychee_control.registry.proposals import RangeWriter
 from lychee_ranges import KeyTable, OutstandingGrants, hold_limit_s
-from lychee_types.clock import Clock
 from lychee_types.registry import KeyRange, RegisteredServer, ServerIncarnation
 
 LOST_HOLD_FRACTION = 0.85
@@ -35,13 +33,7 @@
     :param codec: translates calls to servers.
     :param table: returns the service's ranges as applied.
     :param writer: proposes changes of ranges.
-    :param heartbeats: servers' last heartbeats.
-    :param spawn: starts a task.
-    :param clock: source of time.
-    :param lease_expires_at: returns the monotonic time in seconds until which no other replica can
-        be elected.
-    :param is_replaced: returns whether another incarnation of the same server is registered.
-    :param hold_s: hold time of a grant, in seconds.
+    :param term: what the leader's deliveries share.
     """
 
     def __init__(
@@ -50,26 +42,16 @@
         codec: GrantCodec,
         table: Callable[[], KeyTable],
         writer: RangeWriter,
-        heartbeats: HeartbeatTracker,
-        spawn: Spawn,
-        clock: Clock,
-        lease_expires_at: Callable[[], float],
-        is_replaced: Callable[[ServerIncarnation], bool],
-        hold_s: float,
+        term: LeaderTerm,
     ) -> None:
         self._codec = codec
         self._table = table
         self._writer = writer
-        self._heartbeats = heartbeats
-        self._spawn = spawn
-        self._clock = clock
-        self._lease_expires_at = lease_expires_at
-        self._is_replaced = is_replaced
-        self._hold_s = hold_s
+        self._term = term
         # A former leader may have sent grants until this one was elected; they may still arrive.
-        former_leader_until = clock.monotonic() + GRANT_TIMEOUT_S + hold_limit_s(hold_s)
+        former_leader_until = term.clock.monotonic() + GRANT_TIMEOUT_S + hold_limit_s(term.hold_s)
         self._outstanding_grants = OutstandingGrants(
-            hold_s=hold_s, former_leader_until=former_leader_until
+            hold_s=term.hold_s, former_leader_until=former_leader_until
         )
         self._renewers: dict[ServerIncarnation, GrantRenewer] = {}
         self._tasks: dict[ServerIncarnation, asyncio.Task[None]] = {}
@@ -100,7 +82,7 @@
         renewer = self._renewers.get(owner)
         if renewer is None or not renewer.is_failing:
             return False
-        return now - renewer.failing_since > LOST_HOLD_FRACTION * self._hold_s
+        return now - renewer.failing_since > LOST_HOLD_FRACTION * self._term.hold_s
 
     def may_move(self, keys: KeyRange, now: float) -> bool:
         """Return whether no unanswered grant of the keys may still start to hold."""
@@ -119,7 +101,7 @@
         Also returns if the owner does not answer but its hold on the keys has expired.
         """
         handover = await self._call_release(keys)
-        wait_s = self.free_at(keys) - self._clock.monotonic()
+        wait_s = self.free_at(keys) - self._term.clock.monotonic()
         if wait_s > 0:
             await asyncio.sleep(wait_s)
         return handover
@@ -129,7 +111,7 @@
         if renewer is None:
             return ""
         await renewer.wait_for_grant()
-        if self._is_replaced(renewer.server_incarnation):
+        if self._term.is_replaced(renewer.server_incarnation):
             # An incarnation ends with its process, and the one that replaced it holds no keys yet.
             self._outstanding_grants.record_incarnation_end(renewer.server_incarnation)
             return ""
@@ -138,7 +120,7 @@
             if isinstance(reply, Released):
                 self._outstanding_grants.record_release(keys)
                 return reply.handover
-            if self._clock.monotonic() >= self._outstanding_grants.free_at(keys):
+            if self._term.clock.monotonic() >= self._outstanding_grants.free_at(keys):
                 return ""
             logger.bind(event="release_failed", low=keys.low, high=keys.high).warning(
                 "a release failed: {}", reply
@@ -149,20 +131,18 @@
         renewer = GrantRenewer(
             incarnation=incarnation,
             client=ServerClient(
-                endpoint=server.endpoint, codec=self._codec, may_grant=self._holds_lease
+                endpoint=server.endpoint,
+                codec=self._codec,
+                may_grant=lambda: self._term.holds_lease,
             ),
             table=self._table,
             writer=self._writer,
             outstanding=self._outstanding_grants,
-            clock=self._clock,
-            lease_expires_at=self._lease_expires_at,
-            last_heartbeat_at=self._heartbeats.last_heartbeat_at,
-            is_replaced=self._is_replaced,
-            hold_s=self._hold_s,
+            clock=self._term.clock,
+            lease_expires_at=self._term.lease_expires_at,
+            last_heartbeat_at=self._term.heartbeats.last_heartbeat_at,
+            is_replaced=self._term.is_replaced,
+            hold_s=self._term.hold_s,
         )
         self._renewers[incarnation] = renewer
-        self._tasks[incarnation] = self._spawn(renewer.run(), f"owner {incarnation.server}")
-
-    def _holds_lease(self) -> bool:
-        """Return whether this replica's lease excludes any other leader."""
-        return self._clock.monotonic() < self._lease_expires_at()
+        self._tasks[incarnation] = self._term.spawn(renewer.run(), f"owner {incarnation.server}")
--- a/packages/lychee-control/src/lychee_control/registry/delivery.py
+++ b/packages/lychee-control/src/lychee_control/registry/delivery.py
@@ -2,14 +2,45 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable, Mapping
+from dataclasses import dataclass
 from typing import Any, Protocol
 
+from lychee_control.registry.heartbeats import HeartbeatTracker
+from lychee_types.clock import Clock
 from lychee_types.registry import KeyRange, RegisteredServer, ServerIncarnation
 
 Spawn = Callable[[Coroutine[Any, Any, None], str], "asyncio.Task[None]"]
 """Starts a named task that ends when this replica stops leading."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeaderTerm:
+    """What a leader's deliveries of grants share in one term.
+
+    :param heartbeats: servers' last heartbeats.
+    :param spawn: starts a task.
+    :param clock: source of time.
+    :param lease_expires_at: returns the monotonic time in seconds until which no other replica can
+        be elected.
+    :param is_replaced: returns whether another incarnation of the same server is registered.
+    :param heartbeat_s: interval between a server's heartbeats, in seconds.
+    :param hold_s: hold time of a grant, in seconds.
+    """
+
+    heartbeats: HeartbeatTracker
+    spawn: Spawn
+    clock: Clock
+    lease_expires_at: Callable[[], float]
+    is_replaced: Callable[[ServerIncarnation], bool]
+    heartbeat_s: float
+    hold_s: float
+
+    @property
+    def holds_lease(self) -> bool:
+        """Return whether this replica's lease excludes any other leader now."""
+        return self.clock.monotonic() < self.lease_expires_at()
+
+
 class GrantDelivery(Protocol):
     """Hands out and takes back the ranges of one service.
 
--- a/packages/lychee-control/src/lychee_control/registry/heartbeat_delivery.py
+++ b/packages/lychee-control/src/lychee_control/registry/heartbeat_delivery.py
@@ -6,12 +6,10 @@
 from loguru import logger
 from msgspec.structs import replace
 
-from lychee_control.registry.delivery import Spawn
-from lychee_control.registry.heartbeats import HeartbeatTracker
+from lychee_control.registry.delivery import LeaderTerm
 from lychee_control.registry.orders import GrantedKeys, Heartbeat
 from lychee_control.registry.proposals import RangeWriter
 from lychee_ranges import AnsweredGrants, KeyTable
-from lychee_types.clock import Clock
 from lychee_types.registry import (
     GrantPhase,
     KeyRange,
@@ -78,14 +76,7 @@
 
     :param table: returns the service's ranges as applied.
     :param writer: proposes changes of ranges.
-    :param heartbeats: servers' last heartbeats.
-    :param spawn: starts a task.
-    :param clock: source of time.
-    :param lease_expires_at: returns the monotonic time in seconds until which no other replica can
-        be elected.
-    :param is_replaced: returns whether another incarnation of the same server is registered.
-    :param heartbeat_s: interval between a server's heartbeats, in seconds.
-    :param hold_s: hold time of a grant, in seconds.
+    :param term: what the leader's deliveries share.
     """
 
     def __init__(
@@ -93,24 +84,12 @@
         *,
         table: Callable[[], KeyTable],
         writer: RangeWriter,
-        heartbeats: HeartbeatTracker,
-        spawn: Spawn,
-        clock: Clock,
-        lease_expires_at: Callable[[], float],
-        is_replaced: Callable[[ServerIncarnation], bool],
-        heartbeat_s: float,
-        hold_s: float,
+        term: LeaderTerm,
     ) -> None:
-        self._heartbeat_s = heartbeat_s
         self._table = table
         self._writer = writer
-        self._heartbeats = heartbeats
-        self._spawn = spawn
-        self._clock = clock
-        self._lease_expires_at = lease_expires_at
-        self._is_replaced = is_replaced
-        self._hold_s = hold_s
-        self._grants = AnsweredGrants(hold_s=hold_s, elected_at=clock.monotonic())
+        self._term = term
+        self._grants = AnsweredGrants(hold_s=term.hold_s, elected_at=term.clock.monotonic())
         self._owners: dict[ServerIncarnation, _Owner] = {}
         self._confirming: set[KeyRange] = set()
 
@@ -121,9 +100,9 @@
 
     def update_owners(self, owners: Mapping[ServerIncarnation, RegisteredServer]) -> None:
         """Forget incarnations that own nothing and have ended or are silent."""
-        now = self._clock.monotonic()
+        now = self._term.clock.monotonic()
         others = [run for run in self._owners if run not in owners]
-        ended = [run for run in others if self._is_replaced(run) or self.is_lost(run, now)]
+        ended = [run for run in others if self._term.is_replaced(run) or self.is_lost(run, now)]
         for incarnation in ended:
             del self._owners[incarnation]
             self._grants.record_incarnation_end(incarnation)
@@ -136,8 +115,8 @@
 
     def is_lost(self, owner: ServerIncarnation, now: float) -> bool:
         """Return whether an owner has sent no heartbeat for nearly its whole hold."""
-        silent_s = now - self._heartbeats.last_heartbeat_at(owner)
-        return silent_s > LOST_HOLD_FRACTION * self._hold_s
+        silent_s = now - self._term.heartbeats.last_heartbeat_at(owner)
+        return silent_s > LOST_HOLD_FRACTION * self._term.hold_s
 
     def may_move(self, keys: KeyRange, now: float) -> bool:
         """Return whether no grant of a former leader may be in force."""
@@ -155,9 +134,9 @@
         if keys.owner is None:
             return
         source, target = self._owner(keys.owner), self._owner(new_owner)
-        give_up_at = self._clock.monotonic() + TURN_LIMIT_S
+        give_up_at = self._term.clock.monotonic() + TURN_LIMIT_S
         while not self._is_good_moment(source, target):
-            if self._has_ended(keys) or self._clock.monotonic() >= give_up_at:
+            if self._has_ended(keys) or self._term.clock.monotonic() >= give_up_at:
                 break
             await asyncio.sleep(TURN_CHECK_S)
         source.taking_turns.append(keys)
@@ -168,10 +147,10 @@
         """Return whether the source can be told now, and the target once the keys are released."""
         if not source.in_hand or target is source:
             return bool(source.in_hand)
-        released_at = self._clock.monotonic() + RELEASE_S
+        released_at = self._term.clock.monotonic() + RELEASE_S
         if target.in_hand:
             return released_at <= target.received_at + ANSWER_WAIT_S
-        return released_at >= target.received_at + self._heartbeat_s
+        return released_at >= target.received_at + self._term.heartbeat_s
 
     async def release(self, keys: KeyRange) -> str:
         """Wait until the owner can't hold keys in phase releasing, and return its handover data."""
@@ -208,7 +187,7 @@
             owner.in_hand -= 1
             owner.taking_turns.clear()
         is_latest = owner.sequence == heartbeat.sequence
-        if not is_latest or self._clock.monotonic() >= self._lease_expires_at():
+        if not is_latest or not self._term.holds_lease:
             return None
         return self._grant(owner, heartbeat, received_at)
 
@@ -241,7 +220,7 @@
             if not is_committing and (not may_wait or self._is_news(owner, heartbeat)):
                 return
             wait_s = COMMIT_WAIT_S if is_committing else ANSWER_WAIT_S
-            left_s = received_at + wait_s - self._clock.monotonic()
+            left_s = received_at + wait_s - self._term.clock.monotonic()
             if left_s <= 0:
                 return
             await self._wait(owner.changed, left_s)
@@ -296,13 +275,13 @@
         )
         for item in ranges:
             if item.phase is GrantPhase.GRANTING and item not in self._confirming:
-                self._spawn(self._confirm(item), f"grant to {owner.incarnation.server}")
+                self._term.spawn(self._confirm(item), f"grant to {owner.incarnation.server}")
         known = {item.token for item in heartbeat.holds}
         return GrantedKeys(
             ranges=tuple(
                 replace(item, handover="") if item.token in known else item for item in ranges
             ),
-            hold_s=self._hold_s,
+            hold_s=self._term.hold_s,
         )
 
     async def _confirm(self, keys: KeyRange) -> None:
@@ -326,14 +305,14 @@
 
     def _has_ended(self, keys: KeyRange) -> bool:
         """Return whether the owner can't hold any of the keys now."""
-        if keys.owner is not None and self._is_replaced(keys.owner):
+        if keys.owner is not None and self._term.is_replaced(keys.owner):
             # An incarnation ends with its process, and the one that replaced it holds no keys yet.
             self._grants.record_incarnation_end(keys.owner)
             return True
         return self._free_in_s(keys) <= 0
 
     def _free_in_s(self, keys: KeyRange) -> float:
-        return self._grants.free_at(keys) - self._clock.monotonic()
+        return self._grants.free_at(keys) - self._term.clock.monotonic()
 
     async def _wait(self, event: asyncio.Event, timeout_s: float) -> None:
         try:
--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -12,7 +12,7 @@
 from lychee_control.registry.call_delivery import CallDelivery
 from lychee_control.registry.calls import GrantCodec
 from lychee_control.registry.crashes import CrashBoard
-from lychee_control.registry.delivery import GrantDelivery
+from lychee_control.registry.delivery import GrantDelivery, LeaderTerm
 from lychee_control.registry.gateways import GatewayBoard
 from lychee_control.registry.heartbeat_delivery import HeartbeatDelivery
 from lychee_control.registry.heartbeats import HeartbeatTracker
@@ -128,7 +128,15 @@
         self._spread_at = 0.0
         self._heartbeats = HeartbeatTracker(now=clock.monotonic())
         self._loads = LoadTracker(now=clock.monotonic())
-        self._hold_s = min(HOLD_S, cfg.bounds.hold_max_s)
+        self._term = LeaderTerm(
+            heartbeats=self._heartbeats,
+            spawn=self._spawn,
+            clock=clock,
+            lease_expires_at=replica.lease_expires_at,
+            is_replaced=self._is_replaced,
+            heartbeat_s=cfg.heartbeat_s,
+            hold_s=min(HOLD_S, cfg.bounds.hold_max_s),
+        )
         self._range_managers: dict[ServiceName, RangeManager] = {}
         self._tasks: dict[asyncio.Task[None], str] = {}
         self._left_at: dict[ServerIncarnation, float] = {}
@@ -185,7 +193,7 @@
                     self._spread_gateways_soon()
             case PermitRequest(limit=limit):
                 self._record_limits((limit,))
-                return self._permits.answer(note, holds_lease=self._holds_lease())
+                return self._permits.answer(note, holds_lease=self._term.holds_lease)
         return None
 
     async def answer(self, call: Heartbeat | Leave | ChangeOrder | ReadOrder) -> ApiReply:
@@ -329,12 +337,8 @@
         if news.gateways:
             self._spread(news)
 
-    def _holds_lease(self) -> bool:
-        """Return whether this replica's lease excludes any other leader."""
-        return self._clock.monotonic() < self._replica.lease_expires_at()
-
     def _read_routing(self) -> ApiReply:
-        if not self._holds_lease():
+        if not self._term.holds_lease:
             return Unavailable(reason="another replica may know a newer version")
         if self._state.version.number == 0:
             return Unavailable(reason="no routes have been submitted yet")
@@ -383,32 +387,12 @@
     def _make_call_delivery(
         self, table: Callable[[], KeyTable], writer: RangeWriter
     ) -> GrantDelivery:
-        return CallDelivery(
-            codec=self._codec,
-            table=table,
-            writer=writer,
-            heartbeats=self._heartbeats,
-            spawn=self._spawn,
-            clock=self._clock,
-            lease_expires_at=self._replica.lease_expires_at,
-            is_replaced=self._is_replaced,
-            hold_s=self._hold_s,
-        )
+        return CallDelivery(codec=self._codec, table=table, writer=writer, term=self._term)
 
     def _make_heartbeat_delivery(
         self, table: Callable[[], KeyTable], writer: RangeWriter
     ) -> GrantDelivery:
-        return HeartbeatDelivery(
-            table=table,
-            writer=writer,
-            heartbeats=self._heartbeats,
-            spawn=self._spawn,
-            clock=self._clock,
-            lease_expires_at=self._replica.lease_expires_at,
-            is_replaced=self._is_replaced,
-            heartbeat_s=self._cfg.heartbeat_s,
-            hold_s=self._hold_s,
-        )
+        return HeartbeatDelivery(table=table, writer=writer, term=self._term)
 
     def _is_replaced(self, incarnation: ServerIncarnation) -> bool:
         """Return whether another incarnation of the same server is registered."""
