Acknowledge no release before it is committed

Cause, found in reading: where the commit of a release took longer than the answer waits, or the lease had ended, the answer named no keys but was a 200, so that the server forgot its handover; the next owner's keys would be slow. Change: such a heartbeat gets 503 and is sent again. The new test fails before (200).

--- a/packages/lychee-control/src/lychee_control/registry/heartbeat_delivery.py
+++ b/packages/lychee-control/src/lychee_control/registry/heartbeat_delivery.py
@@ -171,7 +171,7 @@
     async def answer(
         self, heartbeat: Heartbeat, received_at: float, *, may_wait: bool
     ) -> GrantedKeys | None:
-        """Return what a server is to hold; None if the answer must renew nothing.
+        """Return what a server is to hold; None if nothing may be renewed or acknowledged.
 
         :param heartbeat: its newest heartbeat.
         :param received_at: when it was received, as monotonic time in seconds.
@@ -189,6 +189,8 @@
         is_latest = owner.sequence == heartbeat.sequence
         if not is_latest or not self._term.holds_lease:
             return None
+        if heartbeat.released and self._is_committing(owner, heartbeat):
+            return None
         return self._grant(owner, heartbeat, received_at)
 
     def _owner(self, incarnation: ServerIncarnation) -> _Owner:
--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -244,6 +244,9 @@
         if manager is None or not isinstance(manager.delivery, HeartbeatDelivery):
             return self._heard_reply()
         granted = await manager.delivery.answer(heartbeat, received_at, may_wait=may_wait)
+        if granted is None and heartbeat.released:
+            # Once its release is acknowledged, the server forgets its handover.
+            return Unavailable(reason="the release is not committed yet")
         return Heard(next_at=self._cfg.endpoint, granted=granted)
 
     def _log_registered(self, server: RegisteredServer) -> None:
