--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 from harness import CannotRun, Operator, ask, main, manifest, service, until  # noqa: E402
 from upstream import Upstream, double_holds, stale_takes  # noqa: E402
 
-UPSTREAMS = 7
+UPSTREAMS = 8
 CRASH_S = 0.7
 KILL_AFTER_S = 0.5
 DOWN_S = 1.0
--- a/review/lib/upstream.py
+++ b/review/lib/upstream.py
@@ -42,6 +42,8 @@
         self.lives = []
         self.runs = []  # (time, life, request id)
         self.state = "ready"
+        self.shed_share = self.garble_share = 0.0
+        self._draw = lambda share, rng=random.Random(id): rng.random() < share
         self._server = None
         self._tasks = set()
         self._writers = set()
@@ -139,11 +141,20 @@
         task = asyncio.current_task()
         self._tasks.add(task)
         self._writers.add(writer)
+        late = b""
         try:
             while (message := await read_message(reader)) is not None:
                 first, headers, body = message
-                writer.write(await self._answer(first.split()[1], headers, body))
+                if late:
+                    # An extra response, at the point where the next one is expected.
+                    writer.write(late)
+                    late = b""
+                answer = await self._answer(first.split()[1], headers, body)
+                writer.write(answer)
                 await writer.drain()
+                if "x-request-id" in headers and self.garble_share and self._draw(self.garble_share):
+                    late = answer
+                    self.record(f"{self.life.name} will repeat its answer to {headers['x-request-id']}")
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
@@ -153,7 +164,7 @@
 
     async def _answer(self, path, headers, body):
         if headers.get("x-target-instance", self.id) != self.id:
-            return encode("HTTP/1.1 421 Misdirected", {"x-not-executed": "1"})
+            return encode("HTTP/1.1 421 Misdirected", self._rejected(headers))
         if path == "/-/grant":
             return self._grant(json.loads(body))
         if path == "/-/release":
@@ -164,6 +175,12 @@
             return encode("HTTP/1.1 200 OK", {"x-handover": handover})
         return await self._run(headers, body)
 
+    def _rejected(self, headers):
+        sent = {"x-not-executed": "1"}
+        if "x-request-id" in headers:
+            sent["x-request-id"] = headers["x-request-id"]
+        return sent
+
     def _grant(self, order):
         low, high, fence = order["From"], order["To"], order["fence"]
         now = time.monotonic()
@@ -208,8 +225,13 @@
         if self.sharded and not any(
             h.low <= int(key) <= h.high and now < h.until for h in self.holds
         ):
-            return encode("HTTP/1.1 421 Misdirected", {"x-not-executed": "1"})
+            return encode("HTTP/1.1 421 Misdirected", self._rejected(headers))
         name = headers.get("x-request-id", "")
+        if self.shed_share and self._draw(self.shed_share):
+            return encode(
+                "HTTP/1.1 503 Service Unavailable",
+                {"x-request-id": name, "x-not-executed": "1", "x-instance-load": f"0,0,{self.slots}"},
+            )
         self.runs.append((now, self.life.name, name))
         await asyncio.sleep(self.work_s)
         sent = {"x-request-id": name, "x-response-signature": f"sig.{name}"}
