--- a/review/lib/clients.py
+++ b/review/lib/clients.py
@@ -57,6 +57,43 @@
             self._idle.append((reader, writer))
         return answer
 
+    async def pipeline(self, path, *, depth, until, ms=1_000):
+        """Send several requests at once on a kept connection, read their answers, and go on.
+
+        Each request's answer is recorded as its status, as "cut" if the connection ended inside
+        it, and as "none" if it ended before. Ends with the connection.
+
+        :param until: monotonic time after which no more are sent.
+        """
+        reader, writer = await asyncio.open_connection(*self._rng.choice(self.fronts))
+        while time.monotonic() < until:
+            names, sent = [], b""
+            for _ in range(depth):
+                self._number += 1
+                name = f"{self._rng.getrandbits(40):010x}{self._number:06x}"
+                headers = {"host": "desk.example", "x-request-id": name, "x-deadline-ms": str(ms)}
+                sent += encode(f"GET {path} HTTP/1.1", headers)
+                names.append(name)
+            writer.write(sent)
+            waiting = list(names)
+            try:
+                async with asyncio.timeout(ms / 1_000):
+                    while waiting:
+                        message = await read_message(reader)
+                        if message is None:
+                            raise ConnectionError("closed")
+                        self.answers[waiting.pop(0)] = int(message[0].split()[1])
+            except TimeoutError:
+                self.answers |= dict.fromkeys(waiting, "late")
+                break
+            except (ConnectionError, asyncio.IncompleteReadError) as exc:
+                self.record(f"client: its connection ended with {waiting} unanswered, of {names}")
+                if isinstance(exc, asyncio.IncompleteReadError):
+                    self.answers[waiting.pop(0)] = "cut"
+                self.answers |= dict.fromkeys(waiting, "none")
+                break
+        writer.close()
+
     async def load(self, per_s, for_s, **request):
         """Send requests at a rate, with random keys; return once all have their answers."""
         tasks, began = set(), time.monotonic()
--- a/review/lib/upstream.py
+++ b/review/lib/upstream.py
@@ -8,6 +8,10 @@
 from harness import ask, encode, read_message
 
 
+CUT_AFTER = 1_000
+"""Size of an answer that is worth breaking off, in bytes."""
+
+
 class Hold:
     """Keys that a life holds, from the arrival of a grant."""
 
@@ -42,7 +46,8 @@
         self.lives = []
         self.runs = []  # (time, life, request id)
         self.state = "ready"
-        self.shed_share = self.garble_share = 0.0
+        self.shed_share = self.garble_share = self.cut_share = 0.0
+        self.answer_bytes = 0
         self._draw = lambda share, rng=random.Random(id): rng.random() < share
         self._server = None
         self._tasks = set()
@@ -150,6 +155,11 @@
                     writer.write(late)
                     late = b""
                 answer = await self._answer(first.split()[1], headers, body)
+                if self.cut_share and len(answer) > CUT_AFTER and self._draw(self.cut_share):
+                    self.record(f"{self.life.name} breaks off its answer to {headers['x-request-id']}")
+                    writer.write(answer[: len(answer) * 9 // 10])
+                    await writer.drain()
+                    return
                 writer.write(answer)
                 await writer.drain()
                 if "x-request-id" in headers and self.garble_share and self._draw(self.garble_share):
@@ -235,7 +245,8 @@
         self.runs.append((now, self.life.name, name))
         await asyncio.sleep(self.work_s)
         sent = {"x-request-id": name, "x-response-signature": f"sig.{name}"}
-        return encode("HTTP/1.1 200 OK", sent, f"by {self.id} for {name}".encode())
+        text = f"by {self.id} for {name} ".encode()
+        return encode("HTTP/1.1 200 OK", sent, text + b"x" * max(0, self.answer_bytes - len(text)))
 
 
 def stale_takes(lives):
