--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,91 +1,74 @@
-"""Upstreams reject part of their requests, and repeat some of their answers late."""
+"""The core machines are replaced one after the other; the new one starts first, then SIGTERM."""
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib"))
 
-from clients import Clients  # noqa: E402
-from harness import CannotRun, Operator, ask, main, manifest, service, until  # noqa: E402
-from upstream import Upstream  # noqa: E402
+from harness import BOUNDS, CannotRun, Operator, ask, main, manifest, service  # noqa: E402
 
-UPSTREAMS = 10
-GARBLING = 6
-PER_S = 160
-SHED_SHARE = 0.2
-GARBLE_SHARE = 0.03
-GARBLE_S = 5.0
-PAUSE_S = 3.0
-WINDOWS = 4
+MARGIN_S = 4.0
+"""Time beyond CatchUpS that the successors run before the first machine is stopped, in seconds."""
+
+GAP_S = 3.0
+"""Time between the end of one machine and the SIGTERM of the next one, in seconds."""
+
+
+async def without_leader(core):
+    """Return the machines that redirect the operator to another one."""
+    answers = [await ask(machine.control, "GET", "/-/config/describe") for machine in core]
+    others = [machine for machine, answer in zip(core, answers) if answer.status == 307]
+    if len(others) != 2:
+        raise CannotRun("not two of the core machines redirect the operator")
+    return others
 
 
 async def case(world, record, trouble):
     core = world.start_core()
-    gateways = [world.add("gateway", 21 + n, zone) for n, zone in enumerate("ab")]
-    for gateway in gateways:
-        gateway.start()
     operator = Operator(world, list(core))
-    keyed = service("alpha", Sharded=True, WarmS=2.0, Grants="invocation")
-    form = manifest([("r-a", "/a/", "unsafe", "alpha"), ("r-b", "/b/", "unsafe", "alpha")], [keyed])
-    # The pages' own example allows two attempts; a route may allow more.
-    form["Hosts"][0]["Paths"][1]["MaxAttempts"] = 3
+    form = manifest([("r-a", "/a/", "safe", "alpha")], [service("alpha")])
     if not await operator.change(3, form, for_s=15):
         raise CannotRun("the first manifest was not accepted")
-    fleet = []
-    for number in range(UPSTREAMS):
-        upstream = Upstream(
-            world, core, f"i-{number:04x}", "alpha", slots=6, work_s=0.08, zone="abc"[number % 3]
-        )
-        await upstream.start(f"{world.net}.{101 + number}", world.server_port)
-        fleet.append(upstream)
-    await until(lambda: all(u.holds for u in fleet), for_s=15, what="all upstreams hold keys")
-
-    async def are_ready():
-        answers = [await ask(gateway.ready, "GET", "/-/readiness") for gateway in gateways]
-        return all(answer.status == 200 for answer in answers)
-
-    await until(are_ready, for_s=10, what="the gateways are ready")
-    clients = Clients(record, [gateway.front for gateway in gateways])
-    request = {"method": "POST", "body": b"one seat", "ms": 1_200}
-
-    async def load(for_s):
-        await asyncio.gather(
-            clients.load(PER_S / 2, for_s, path="/a/book", **request),
-            clients.load(PER_S / 2, for_s, path="/b/book", **request),
+    await asyncio.sleep(2 * BOUNDS["ContactS"])
+    if not await operator.change(5, form):
+        raise CannotRun("the second manifest was not accepted")
+    running = list(core)
+    leaving = await without_leader(core)
+    if trouble:
+        for number, old in enumerate(leaving):
+            new = world.add("control", 11 + number, old.zone)
+            new.start()
+            record(f"{new.name} is to replace {old.name}")
+            running.append(new)
+    await asyncio.sleep(BOUNDS["CatchUpS"] + MARGIN_S)
+    if trouble:
+        record("both successors have run for longer than CatchUpS")
+        for old in leaving:
+            running.remove(old)
+            operator.daemons = list(running)
+            await old.stop()
+            await asyncio.sleep(GAP_S)
+    record("the machines are replaced; RecoveryS begins")
+    await asyncio.sleep(BOUNDS["RecoveryS"])
+    broken = []
+    # The operator reads at each daemon, again and again, for longer than ContactS.
+    until, versions = time.monotonic() + BOUNDS["ContactS"] + 3, []
+    while time.monotonic() < until:
+        versions += [await operator.read(daemon) for daemon in running]
+        await asyncio.sleep(0.3)
+    known = [version for version in versions if version is not None]
+    if not known:
+        broken.append(
+            f"CONFIG: the manifest r{operator.acked} was acknowledged; read back {len(versions)} "
+            "times, it does not come"
         )
-
-    await load(6.0)
-    for _ in range(WINDOWS):
-        if trouble:
-            record("the upstreams reject part of their requests, and repeat some answers")
-            for upstream in fleet:
-                upstream.shed_share = SHED_SHARE
-            for upstream in fleet[:GARBLING]:
-                upstream.garble_share = GARBLE_SHARE
-        await load(GARBLE_S)
-        for upstream in fleet:
-            upstream.shed_share = upstream.garble_share = 0.0
-        await load(PAUSE_S)
-    runs = {}
-    for upstream in fleet:
-        for _, life, name in upstream.runs:
-            runs.setdefault(name, []).append(life)
-    record(f"{len(clients.answers)} requests, {sum(map(len, runs.values()))} runs")
-    broken = [
-        f"REFUSED: {name} got {status} and has run at {', '.join(runs[name])}"
-        for name, status in clients.answers.items()
-        if status in (408, 421, 429, 503) and name in runs
-    ]
-    broken += [
-        f"TWICE: {name} has run at {', '.join(lives)}"
-        for name, lives in runs.items()
-        if len(lives) > 1
-    ]
-    clients.close()
-    for upstream in fleet:
-        await upstream.crash()
+    elif max(known) < operator.acked:
+        broken.append(f"CONFIG: read back r{max(known)}, r{operator.acked} was acknowledged")
+    if not await operator.change(7, form, for_s=BOUNDS["AckS"] + 4):
+        record("a valid manifest was not acknowledged either")
     return broken
 
 
