Review: the stand-ins stand beside the cases, and each case reads TROUBLE

Cause: a folder under review/ that is no case was taken for one, and only the shared module read TROUBLE.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,12 +1,13 @@
 """The settings name other seeds; at the end all processes are killed and start again."""
 
 import asyncio
+import os
 import signal
 import sys
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib"))
+sys.path.insert(0, str(HERE.parent))
 
 from clients import Clients  # noqa: E402
 from harness import BOUNDS, CannotRun, Operator, ask, main, manifest, service, until  # noqa: E402
@@ -86,4 +87,4 @@
     ]
 
 
-main(case, HERE)
+main(case, HERE, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,11 +1,12 @@
 """Upstreams reject part of their requests, and repeat some of their answers late."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib"))
+sys.path.insert(0, str(HERE.parent))
 
 from clients import Clients  # noqa: E402
 from harness import CannotRun, Operator, ask, main, manifest, service, until  # noqa: E402
@@ -89,4 +90,4 @@
     return broken
 
 
-main(case, HERE)
+main(case, HERE, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,12 +1,13 @@
 """The core machines are replaced one after the other; the new one starts first, then SIGTERM."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib"))
+sys.path.insert(0, str(HERE.parent))
 
 from harness import BOUNDS, CannotRun, Operator, ask, main, manifest, service  # noqa: E402
 
@@ -72,4 +73,4 @@
     return broken
 
 
-main(case, HERE)
+main(case, HERE, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,7 +2,7 @@
 # Checks the stand-ins of the cases. They are plain Python and need nothing but the standard library.
 set -eu
 cd "$(dirname "$0")"
-python3 - lib/*.py */case.py <<'P'
+python3 - *.py */case.py <<'P'
 import sys
 
 for path in sys.argv[1:]:
--- a/review/lib/harness.py
+++ b/review/harness.py
@@ -19,7 +19,7 @@
 import traceback
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
 METRICS_PORT = 9464
 ROLES = {"control": "control", "gateway": "gateway"}
@@ -410,9 +410,8 @@
         await asyncio.sleep(0.02)
 
 
-def main(case, folder):
+def main(case, folder, *, trouble):
     """Run a case: exit with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(folder) / "record.txt")
     if not (ROOT / "target" / "deps").is_dir():
         print("target/deps is missing: run the build of the deploy file first", file=sys.stderr)
