Let gateways and replicas find the voters when all seeds stand by

Cause: a replica that stands by knew the leader for 1.5 s, in memory, never who votes; it asked and named its seeds only, and the leader knows nobody outside the group. A gateway whose seeds all stand by found nobody on a running deployment either.

Change: the leader's answer to a request to join names the voters; a replica outside the group stores them, asks them, names them to gateways, and passes requests on by them. The leader makes itself known to seeds that have not asked. A gateway tries what an outdated replica names at once, and forgets nothing by one that names nobody.

--- a/packages/lychee-control/src/lychee_control/peers.py
+++ b/packages/lychee-control/src/lychee_control/peers.py
@@ -106,18 +106,23 @@
     """A replica that is not a member of the group asks to become a voter.
 
     :param newcomer: the id and address of the joining replica.
+    :param to_pass_on: whether a replica that does not lead is to pass it on to the leader; False if
+        the joining replica asks the leader itself.
     """
 
     newcomer: ReplicaAddress
+    to_pass_on: bool = True
 
 
 class LeaderHint(Struct, frozen=True, kw_only=True, tag=True):
-    """The leader tells a replica that has asked to join who leads; that one may have to stand by.
+    """The leader tells a replica outside the group who leads; that one may have to stand by.
 
     :param leader: the id and address of the leader.
+    :param voters: the voters, itself among them; none if a leader of an earlier version says it.
     """
 
     leader: ReplicaAddress
+    voters: tuple[ReplicaAddress, ...] = ()
 
 
 PeerFrame = (
--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -192,6 +192,7 @@
             clock=self._clock,
             post=self._peers.post_frame,
             leader_silence_s=self._leader_message_age_s,
+            data=Path(cfg.data),
         )
         self._callers = CallerConnections(
             handle=self._handle_request,
@@ -362,7 +363,7 @@
         self._relay.send_up(session, note)
 
     def _make_pulse(self, asked_at: float) -> Pulse:
-        replicas = tuple(voter.endpoint for voter in self._replica.voters)
+        replicas = tuple(voter.endpoint for voter in self._join_handler.voters)
         # Gateways choose their replica at random, so each replica has about the same number.
         gateways = len(self._subscribers) * max(1, len(replicas))
         return Pulse(
--- a/packages/lychee-control/src/lychee_control/registry/joining.py
+++ b/packages/lychee-control/src/lychee_control/registry/joining.py
@@ -6,9 +6,17 @@
 from secrets import token_hex
 
 from loguru import logger
-
-from lychee_control.peers import JoinRequest, LeaderHint, PeerFrame
-from lychee_log import Replica, ReplicaAddress, stored_replica_id
+from msgspec.structs import replace
+
+from lychee_control.peers import JoinRequest, LeaderHint
+from lychee_log import (
+    Replica,
+    ReplicaAddress,
+    StorageError,
+    load_known_voters,
+    store_known_voters,
+    stored_replica_id,
+)
 from lychee_types.clock import Clock
 from lychee_types.exceptions import InvariantError, LycheeError
 from lychee_types.ids import ReplicaId
@@ -60,6 +68,7 @@
     :param clock: source of time.
     :param post: sends a frame to a peer.
     :param leader_silence_s: returns the time since a message of the leader, in seconds.
+    :param data: the data folder, which keeps the voters that the leader has told.
     """
 
     def __init__(
@@ -72,6 +81,7 @@
         clock: Clock,
         post: Post,
         leader_silence_s: Callable[[], float],
+        data: Path,
     ) -> None:
         self._replica = replica
         self._this_replica = this_replica
@@ -83,6 +93,9 @@
         self._requests: dict[Endpoint, tuple[ReplicaAddress, float]] = {}
         self._hint: LeaderHint | None = None
         self._hint_at = 0.0
+        self._data = data
+        self._told_voters = self._stored_voters = load_known_voters(data)
+        self._has_store_failed = False
 
     @property
     def leader(self) -> ReplicaAddress | None:
@@ -95,18 +108,28 @@
         is_valid = self._clock.monotonic() - self._hint_at <= HINT_VALID_S
         return self._hint.leader if is_valid else None
 
+    @property
+    def voters(self) -> tuple[ReplicaAddress, ...]:
+        """Return the voters, as the log or, while this replica stands by, the leader says."""
+        if self._told_voters and self._is_outside():
+            return self._told_voters
+        return self._replica.voters
+
     def receive_hint(self, frame: LeaderHint) -> None:
-        """Record who leads."""
+        """Record who leads, and who votes."""
         self._hint, self._hint_at = frame, self._clock.monotonic()
+        if frame.voters:
+            self._told_voters = frame.voters
 
     def handle_request(self, frame: JoinRequest) -> None:
         """Record a request to join while leading, or else forward it to the leader."""
-        leader = self._replica.leader
+        leader = self.leader
         if self._replica.is_leader:
             self._requests[frame.newcomer.endpoint] = (frame.newcomer, self._clock.monotonic())
-            self._post(to=frame.newcomer, frame=LeaderHint(leader=self._this_replica))
-        elif leader is not None and leader.id != self._this_replica.id:
-            self._post(to=leader, frame=frame)
+            self._send_hint(frame.newcomer)
+        elif frame.to_pass_on and leader is not None and leader.id != self._this_replica.id:
+            # Not passed on any further: two replicas may each take the other for the leader.
+            self._post(to=leader, frame=replace(frame, to_pass_on=False))
 
     def set_seeds(self, seeds: tuple[Endpoint, ...]) -> None:
         """Set the replicas to send requests to from now on."""
@@ -116,11 +139,19 @@
         """Ask to join, or add joining replicas, until cancelled."""
         while True:
             if self._replica.is_leader:
+                self._introduce_to_seeds()
                 await self._admit_next()
-            elif not self._replica.is_voter or self._may_have_been_replaced():
+            elif self._is_outside():
                 self._send_requests()
+                await self._store_voters()
+            else:
+                self._told_voters = ()
             await asyncio.sleep(REQUEST_INTERVAL_S)
 
+    def _is_outside(self) -> bool:
+        """Return whether this replica is no voter, or may be none any more."""
+        return not self._replica.is_voter or self._may_have_been_replaced()
+
     def _may_have_been_replaced(self) -> bool:
         """Return whether the leader has been silent so long that it may have replaced this voter.
 
@@ -129,14 +160,45 @@
         return self._leader_silence_s() > VOTER_LOST_S
 
     def _send_requests(self) -> None:
-        request: PeerFrame = JoinRequest(newcomer=self._this_replica)
-        known = {voter.endpoint: voter for voter in self._replica.voters}
+        leader = self.leader
+        known = {voter.endpoint: voter for voter in (*self._replica.voters, *self._told_voters)}
         for seed in self._seeds:
-            known.setdefault(seed, ReplicaAddress(id=replica_id(seed), endpoint=seed))
+            known.setdefault(seed, _address_of(seed))
+        request = JoinRequest(newcomer=self._this_replica, to_pass_on=leader is None)
+        if leader is not None:
+            known[leader.endpoint] = leader
         for replica in known.values():
             if replica.endpoint != self._this_replica.endpoint:
                 self._post(to=replica, frame=request)
 
+    def _send_hint(self, to: ReplicaAddress) -> None:
+        self._post(to=to, frame=LeaderHint(leader=self._this_replica, voters=self._replica.voters))
+
+    def _introduce_to_seeds(self) -> None:
+        """Tell the seeds who leads that are no voters and have not asked.
+
+        After a restart of all, replicas that stand by may know nobody but each other, and gateways
+        nobody but them.
+        """
+        known = {voter.endpoint for voter in self._replica.voters} | self._requests.keys()
+        for seed in self._seeds:
+            if seed not in known:
+                self._send_hint(_address_of(seed))
+
+    async def _store_voters(self) -> None:
+        """Store the voters that the leader has told if they are others than those stored."""
+        voters = self._told_voters
+        if voters == self._stored_voters or not voters or not self._replica.is_running:
+            return
+        try:
+            await asyncio.to_thread(store_known_voters, self._data, voters)
+        except StorageError as exc:
+            if not self._has_store_failed:
+                logger.bind(event="known_voters_unstored").warning("{}", exc)
+            self._has_store_failed = True
+            return
+        self._stored_voters, self._has_store_failed = voters, False
+
     async def _admit_next(self) -> None:
         now = self._clock.monotonic()
         for endpoint, (joining_replica, requested_at) in tuple(self._requests.items()):
@@ -178,5 +240,9 @@
         )
 
 
+def _address_of(seed: Endpoint) -> ReplicaAddress:
+    return ReplicaAddress(id=replica_id(seed), endpoint=seed)
+
+
 def _is_lost(state: ReplicaState) -> bool:
     return state.silent_ms > VOTER_LOST_S * 1_000
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Set as AbstractSet
 from enum import Enum
 from random import Random
 
@@ -133,7 +134,8 @@
         self._on_attempt_ended = on_attempt_ended
         self._rng = Random()
         self._seeds = cfg.seed_endpoints
-        self._replicas: list[Endpoint] = []
+        self._replicas: tuple[Endpoint, ...] = ()
+        self._named_by_outdated: tuple[Endpoint, ...] = ()
         self._link: Link[FromGateway, ToSubscriber] | None = None
         self._first_state_link: Link[FromGateway, ToSubscriber] | None = None
         self._contact = _Contact.UNTOLD
@@ -168,15 +170,20 @@
 
     async def _search(self) -> None:
         """Try replicas with staggered starts until one with a recent state is followed."""
+        untried = self._shuffled_replicas()
+        tried = set(untried)
         try:
-            for endpoint in self._shuffled_replicas():
-                task = asyncio.create_task(self._follow(endpoint), name="subscription")
-                self._attempts.add(task)
-                await asyncio.wait(self._attempts, timeout=NEXT_ATTEMPT_DELAY_S)
+            while untried or self._pending_attempts():
+                if untried:
+                    task = asyncio.create_task(self._follow(untried.pop(0)), name="subscription")
+                    self._attempts.add(task)
+                if pending := self._pending_attempts():
+                    await asyncio.wait(pending, timeout=NEXT_ATTEMPT_DELAY_S)
                 if self._is_followed_well:
                     return
-            while not self._is_followed_well and (pending := self._pending_attempts()):
-                await asyncio.wait(pending, timeout=NEXT_ATTEMPT_DELAY_S)
+                # A replica that was tried may have named others.
+                untried += self._shuffled_replicas(but=tried)
+                tried.update(untried)
         finally:
             attempts, self._attempts = self._attempts, set()
             await _cancel(attempts)
@@ -210,10 +217,13 @@
                 age_ms=self._age.age_ms,
             ).info("a followed control replica is late, silent or outdated; others are tried")
 
-    def _shuffled_replicas(self) -> list[Endpoint]:
-        known = list(dict.fromkeys((*self._replicas, *self._seeds)))
-        self._rng.shuffle(known)
-        return known
+    def _shuffled_replicas(self, but: AbstractSet[Endpoint] = frozenset()) -> list[Endpoint]:
+        """Return the known replicas without some, in random order."""
+        known = dict.fromkeys((*self._replicas, *self._named_by_outdated, *self._seeds))
+        chosen = [endpoint for endpoint in known if endpoint not in but]
+        if chosen:
+            self._rng.shuffle(chosen)
+        return chosen
 
     async def _follow(self, endpoint: Endpoint) -> None:
         began_at = self._clock.monotonic()
@@ -338,13 +348,21 @@
                 case RoutedDeltas():
                     self._view.apply_deltas(message)
                 case Pulse(gateways=gateways, replicas=replicas):
-                    self._replicas = list(replicas)
-                    self._on_gateway_count(gateways)
                     contact = self._record_pulse(message)
+                    if contact is not _Contact.OUTDATED:
+                        self._on_gateway_count(gateways)
+                    self._record_replicas(replicas, contact)
                 case _:
                     self._on_shared(message)
         return contact
 
+    def _record_replicas(self, replicas: tuple[Endpoint, ...], contact: _Contact) -> None:
+        """Record which replicas there are; one with an outdated state only adds to the others."""
+        if contact is not _Contact.OUTDATED:
+            self._replicas = replicas
+        elif replicas:
+            self._named_by_outdated = replicas
+
     def _record_pulse(self, pulse: Pulse) -> _Contact:
         """Record how old a replica's state is."""
         if pulse.age_ms is None:
--- a/packages/lychee-gateway/tests/test_subscription.py
+++ b/packages/lychee-gateway/tests/test_subscription.py
@@ -41,6 +41,7 @@
         self.answers_new_streams = True
         self.pulse_delay_s = 0.0
         self.is_damaged = False
+        self.names = ()
         self.ended = asyncio.Event()
         self.subscribed = asyncio.Event()
         self.may_answer = asyncio.Event()
@@ -82,7 +83,7 @@
             index=LogIndex(self.index),
             age_ms=self.age_ms,
             gateways=1,
-            replicas=(),
+            replicas=self.names,
         )
 
     @asynccontextmanager
@@ -273,3 +274,36 @@
                 assert damaged.followers == 1
 
     asyncio.run(body())
+
+
+def test_a_replica_without_a_state_leads_to_those_that_it_names():
+    # RECOVER: a gateway gave up where all replicas that it was told of stood by.
+    async def body():
+        async with Replica(0, age_ms=None).running() as outside, Replica(9).running() as voter:
+            outside.names = (voter.endpoint,)
+            gateway = Gateway(outside.endpoint)
+            async with gateway.running():
+                await gateway.wait_for_index(9)
+                assert gateway.subscription.replica == str(voter.endpoint)
+
+    asyncio.run(body())
+
+
+def test_a_replica_that_names_nobody_takes_none_from_what_others_named():
+    async def body():
+        async with AsyncExitStack() as stack:
+            first, second, outside = [
+                await stack.enter_async_context(replica.running())
+                for replica in (Replica(7), Replica(9), Replica(0, age_ms=None))
+            ]
+            first.names = (first.endpoint, second.endpoint)
+            gateway = Gateway(first.endpoint)
+            async with gateway.running():
+                await gateway.wait_for_index(7)
+                gateway.subscription.set_seeds((outside.endpoint,))
+                first.is_silent = True
+                await asyncio.sleep(0)
+                first.ended.set()
+                await gateway.wait_for_index(9)
+
+    asyncio.run(body())
--- a/packages/lychee-log/src/lychee_log/__init__.py
+++ b/packages/lychee-log/src/lychee_log/__init__.py
@@ -7,6 +7,7 @@
 from lychee_log.dump import ReplicaDump
 from lychee_log.exceptions import DiskFullError, LostStorageError, StorageError
 from lychee_log.interfaces import StateMachine, Transport
+from lychee_log.known_voters import load_known_voters, store_known_voters
 from lychee_log.membership import MembershipError
 from lychee_log.messages import PeerMessage
 from lychee_log.records import Committed, ReplicaAddress
@@ -25,5 +26,7 @@
     "StorageError",
     "Transport",
     "ReplicaAddress",
+    "load_known_voters",
+    "store_known_voters",
     "stored_replica_id",
 ]
--- a/packages/lychee-log/src/lychee_log/recovery.py
+++ b/packages/lychee-log/src/lychee_log/recovery.py
@@ -15,6 +15,7 @@
 IDENTITY_NAME = "identity"
 MANIFEST_NAME = "manifest"
 LOCK_NAME = "lock"
+KNOWN_VOTERS_NAME = "known-voters"
 
 
 class SealedSegment(Struct, frozen=True, kw_only=True):
@@ -100,6 +101,7 @@
     with translate_disk_errors(folder):
         file_names = {path.name for path in folder.iterdir() if path.suffix != TEMPORARY_SUFFIX}
     initial_files = {LOCK_NAME, SYNC_MARK_NAME, MANIFEST_NAME, "segment-0000000001"}
+    initial_files.add(KNOWN_VOTERS_NAME)
     if not file_names <= initial_files or _has_entries(folder, file_names):
         raise damage_error(folder / IDENTITY_NAME, "is missing while the folder holds a log")
     return True
--- a/packages/lychee-log/src/lychee_log/replica.py
+++ b/packages/lychee-log/src/lychee_log/replica.py
@@ -131,6 +131,11 @@
         self._is_stopping = False
         self._open_error: str | None = None
 
+    @property
+    def is_running(self) -> bool:
+        """Return whether the data folder is open, so that it has this replica's identity."""
+        return self._core is not None
+
     @property
     def role(self) -> str:
         """Return the role: leader, follower, pre-candidate, candidate or learner."""
