Let a replica that stands by take a stopping voter's place

Cause: a voter that ended stayed a voter until it had been silent for 4 s, so that the group bore no further loss, although a removed VM no longer counts by then.

Change: a stopping voter asks the leader to leave while a replica stands by, and ends when the committed voters are without it. Lost voters are replaced after 2 s, counted from the election at the earliest (a choice).

An older leader ignores the new field (test of frames); the stopping voter then ends after 2 s as before.

--- a/packages/lychee-control/src/lychee_control/peers.py
+++ b/packages/lychee-control/src/lychee_control/peers.py
@@ -103,15 +103,18 @@
 
 
 class JoinRequest(Struct, frozen=True, kw_only=True, tag=True):
-    """A replica that is not a member of the group asks to become a voter.
+    """A replica that is not a member of the group asks to become a voter, or one to be none.
 
-    :param newcomer: the id and address of the joining replica.
+    :param newcomer: the id and address of the replica that asks.
     :param to_pass_on: whether a replica that does not lead is to pass it on to the leader; False if
-        the joining replica asks the leader itself.
+        the leader is asked as well.
+    :param is_leaving: whether it is a voter that is being stopped, and whose place another replica
+        is to take. A leader of an earlier version ignores the request of a voter.
     """
 
     newcomer: ReplicaAddress
     to_pass_on: bool = True
+    is_leaving: bool = False
 
 
 class LeaderHint(Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -93,6 +93,9 @@
 BODY_TIMEOUT_S = 5.0
 """Maximum wait for the body of a call, in seconds."""
 
+LEAVE_S = 2.0
+"""Maximum time that a stopping voter waits for another replica to take its place, in seconds."""
+
 LEADER_WAIT_S = 0.6
 """Maximum wait for a leader before a call fails because there is none, in seconds."""
 
@@ -244,6 +247,9 @@
             await self.stopping.wait()
             logger.bind(event="stop").info("control replica stopping")
             await self._replica.hand_over_leadership(timeout_s=HAND_OVER_S)
+            await self._join_handler.leave(timeout_s=LEAVE_S)
+            # It may have been elected meanwhile, as another leader stopped as well.
+            await self._replica.hand_over_leadership(timeout_s=HAND_OVER_S)
             await self._listener.stop()
             await self._callers.finish()
             await self.cancel_tasks()
--- a/packages/lychee-control/src/lychee_control/registry/joining.py
+++ b/packages/lychee-control/src/lychee_control/registry/joining.py
@@ -1,7 +1,8 @@
-"""Adds replicas to the group: one that is not a member of it yet or any more asks to join."""
+"""Asks to join the group while this replica is outside it, and to leave it at a planned stop."""
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from secrets import token_hex
 
@@ -9,6 +10,7 @@
 from msgspec.structs import replace
 
 from lychee_control.peers import JoinRequest, LeaderHint
+from lychee_control.registry.admission import Admission
 from lychee_log import (
     Replica,
     ReplicaAddress,
@@ -18,24 +20,22 @@
     stored_replica_id,
 )
 from lychee_types.clock import Clock
-from lychee_types.exceptions import InvariantError, LycheeError
 from lychee_types.ids import ReplicaId
-from lychee_types.operator_messages import ReplicaState
 from lychee_types.records import Endpoint
 from lychee_types.routed_settings import replica_id
 
 REQUEST_INTERVAL_S = 0.4
 """Interval at which a replica that is not a member asks to join, in seconds."""
 
-REQUEST_VALID_S = 2.0
-"""Time for which a request to join is valid, in seconds."""
-
 HINT_VALID_S = 1.5
 """Time for which the leader's answer to a request to join is valid, in seconds."""
 
-VOTER_LOST_S = 4.0
+VOTER_LOST_S = 2.0
 """Time without a reply from a voter after which a joining replica may replace it, in seconds."""
 
+LEAVE_INTERVAL_S = 0.1
+"""Interval at which a stopping voter asks to leave, in seconds."""
+
 Post = Callable[..., None]
 """Sends a frame to a peer: ``post(to=..., frame=...)``."""
 
@@ -59,7 +59,7 @@
 
 
 class JoinHandler:
-    """Asks to join while this replica is not a member, and adds joining replicas while it leads.
+    """Asks to join while this replica is not a member, and has others join while it leads.
 
     :param replica: the replicated log.
     :param this_replica: id and address of this replica.
@@ -86,11 +86,17 @@
         self._replica = replica
         self._this_replica = this_replica
         self._seeds = seeds
-        self._target_voter_count = target_voter_count
         self._clock = clock
         self._post = post
         self._leader_silence_s = leader_silence_s
-        self._requests: dict[Endpoint, tuple[ReplicaAddress, float]] = {}
+        self._admission = Admission(
+            replica=replica,
+            target_voter_count=target_voter_count,
+            voter_lost_s=lambda: VOTER_LOST_S,
+            clock=clock,
+        )
+        self._has_news = asyncio.Event()
+        self._is_leaving = False
         self._hint: LeaderHint | None = None
         self._hint_at = 0.0
         self._data = data
@@ -122,10 +128,14 @@
             self._told_voters = frame.voters
 
     def handle_request(self, frame: JoinRequest) -> None:
-        """Record a request to join while leading, or else forward it to the leader."""
+        """Record a request to join or to leave, and answer it, or forward it to the leader."""
         leader = self.leader
+        if frame.is_leaving:
+            self._admission.record_leaving(frame.newcomer.id)
+            self._has_news.set()
+        else:
+            self._admission.record_joining(frame.newcomer)
         if self._replica.is_leader:
-            self._requests[frame.newcomer.endpoint] = (frame.newcomer, self._clock.monotonic())
             self._send_hint(frame.newcomer)
         elif frame.to_pass_on and leader is not None and leader.id != self._this_replica.id:
             # Not passed on any further: two replicas may each take the other for the leader.
@@ -140,13 +150,50 @@
         while True:
             if self._replica.is_leader:
                 self._introduce_to_seeds()
-                await self._admit_next()
+                await self._admission.carry_out_next()
+            elif self._is_leaving:
+                pass
             elif self._is_outside():
                 self._send_requests()
                 await self._store_voters()
             else:
                 self._told_voters = ()
-            await asyncio.sleep(REQUEST_INTERVAL_S)
+            await self._wait_for_news()
+
+    async def leave(self, *, timeout_s: float) -> None:
+        """Let a replica that stands by take this voter's place before it stops.
+
+        A voter that only ends counts as lost until the leader notices, and another loss in that
+        time may be one too many. Returns at once if no replica stands by.
+
+        :param timeout_s: maximum time in seconds.
+        """
+        self._is_leaving, self._told_voters = True, ()
+        until = self._clock.monotonic() + timeout_s
+        request = JoinRequest(newcomer=self._this_replica, is_leaving=True, to_pass_on=False)
+        while self._clock.monotonic() < until and self._can_be_replaced():
+            leader = self.leader
+            if leader is not None:
+                self._post(to=leader, frame=request)
+            await asyncio.sleep(LEAVE_INTERVAL_S)
+        if self._has_left():
+            logger.bind(event="left").info("another replica has taken this voter's place")
+
+    def _can_be_replaced(self) -> bool:
+        """Return whether this replica is a voter that another one can still replace."""
+        if not self._replica.is_voter or self._replica.is_leader or self._has_left():
+            return False
+        return bool(self._admission.candidates())
+
+    def _has_left(self) -> bool:
+        own_id = self._this_replica.id
+        return bool(self._told_voters) and own_id not in {v.id for v in self._told_voters}
+
+    async def _wait_for_news(self) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(REQUEST_INTERVAL_S):
+                await self._has_news.wait()
+        self._has_news.clear()
 
     def _is_outside(self) -> bool:
         """Return whether this replica is no voter, or may be none any more."""
@@ -172,7 +219,9 @@
                 self._post(to=replica, frame=request)
 
     def _send_hint(self, to: ReplicaAddress) -> None:
-        self._post(to=to, frame=LeaderHint(leader=self._this_replica, voters=self._replica.voters))
+        # A change that is not committed may be undone, and a leaving voter relies on its own.
+        voters = self._replica.voters if self._replica.is_membership_committed else ()
+        self._post(to=to, frame=LeaderHint(leader=self._this_replica, voters=voters))
 
     def _introduce_to_seeds(self) -> None:
         """Tell the seeds who leads that are no voters and have not asked.
@@ -180,7 +229,8 @@
         After a restart of all, replicas that stand by may know nobody but each other, and gateways
         nobody but them.
         """
-        known = {voter.endpoint for voter in self._replica.voters} | self._requests.keys()
+        known = {voter.endpoint for voter in self._replica.voters}
+        known |= self._admission.asking_endpoints
         for seed in self._seeds:
             if seed not in known:
                 self._send_hint(_address_of(seed))
@@ -199,50 +249,6 @@
             return
         self._stored_voters, self._has_store_failed = voters, False
 
-    async def _admit_next(self) -> None:
-        now = self._clock.monotonic()
-        for endpoint, (joining_replica, requested_at) in tuple(self._requests.items()):
-            if now - requested_at > REQUEST_VALID_S:
-                del self._requests[endpoint]
-                continue
-            if joining_replica.id in {voter.id for voter in self._replica.voters}:
-                del self._requests[endpoint]
-                continue
-            old = self._voter_to_replace(joining_replica)
-            if old is not None or len(self._replica.voters) < self._target_voter_count:
-                await self._replace_voter(old, joining_replica)
-                return
-
-    def _voter_to_replace(self, joining_replica: ReplicaAddress) -> ReplicaId | None:
-        """Return the voter that a joining replica may replace, None if there is none."""
-        states = self._replica.replica_states()
-        voters = {voter.id for voter in self._replica.voters}
-        for state in states:
-            if state.id in voters and state.endpoint == joining_replica.endpoint:
-                return state.id
-        if len(voters) < self._target_voter_count:
-            return None
-        return next((state.id for state in states if state.id in voters and _is_lost(state)), None)
-
-    async def _replace_voter(self, old: ReplicaId | None, joining_replica: ReplicaAddress) -> None:
-        logger.bind(event="voter_change", old=old or "", new=joining_replica.id).info(
-            "adding a replica to the group"
-        )
-        try:
-            voters = await self._replica.replace_voter(old=old, new=joining_replica)
-        except InvariantError:
-            raise
-        except LycheeError as exc:
-            logger.bind(event="voter_change_failed", new=joining_replica.id).warning("{}", exc)
-            return
-        logger.bind(event="voters", voters=[voter.id for voter in voters]).info(
-            "voters of the group changed"
-        )
-
 
 def _address_of(seed: Endpoint) -> ReplicaAddress:
     return ReplicaAddress(id=replica_id(seed), endpoint=seed)
-
-
-def _is_lost(state: ReplicaState) -> bool:
-    return state.silent_ms > VOTER_LOST_S * 1_000
--- a/packages/lychee-control/tests/test_frames_of_the_version_before.py
+++ b/packages/lychee-control/tests/test_frames_of_the_version_before.py
@@ -26,7 +26,7 @@
 
 
 def test_the_version_before_reads_frames_of_this_one():
-    request = JoinRequest(newcomer=ADDRESS, to_pass_on=False)
+    request = JoinRequest(newcomer=ADDRESS, to_pass_on=False, is_leaving=True)
     assert decode(encode(request), type=FormerJoinRequest).newcomer == ADDRESS
     hint = LeaderHint(leader=ADDRESS, voters=(ADDRESS,))
     assert decode(encode(hint), type=FormerLeaderHint).leader == ADDRESS
--- a/packages/lychee-log/src/lychee_log/dump.py
+++ b/packages/lychee-log/src/lychee_log/dump.py
@@ -69,7 +69,8 @@
 def replica_states(core: Core, now: float) -> tuple[ReplicaState, ...]:
     """Return the members' states as known to this replica; only a leader tracks their progress."""
     state = core.state
-    peers = core.leader.leadership.peers if core.leader is not None else {}
+    leadership = core.leader.leadership if core.leader is not None else None
+    peers = leadership.peers if leadership is not None else {}
     states = []
     for member in state.members.all_members:
         role, match, silent_ms = "voter", LogIndex(0), UNKNOWN_MS
@@ -80,7 +81,9 @@
         elif member.id in peers:
             peer = peers[member.id]
             role = "learner" if role == "learner" else "follower"
-            match, silent_ms = peer.match_index, int((now - peer.last_reply_at) * 1_000)
+            # A new leader has no replies yet, which does not say that its peers are silent.
+            heard_at = max(peer.last_reply_at, leadership.elected_at) if leadership else 0.0
+            match, silent_ms = peer.match_index, int((now - heard_at) * 1_000)
         elif state.leader is not None and state.leader.id == member.id:
             role = "leader"
         states.append(
--- a/packages/lychee-log/src/lychee_log/replacement.py
+++ b/packages/lychee-log/src/lychee_log/replacement.py
@@ -19,7 +19,13 @@
 """Interval at which a new replica is asked for its storage number, in seconds."""
 
 ANSWER_TIMEOUT_S = 10.0
-"""Maximum wait for a new replica's first reply or for a commit, in seconds."""
+"""Maximum wait for a commit, in seconds."""
+
+FIRST_REPLY_TIMEOUT_S = 3.0
+"""Maximum wait for a new replica's storage number, in seconds."""
+
+NEWCOMER_SILENCE_S = 3.0
+"""Time without a reply after which a new replica that catches up is given up, in seconds."""
 
 CATCH_UP_TIMEOUT_S = 120.0
 """Maximum wait until a new replica holds the whole log, in seconds."""
@@ -78,7 +84,7 @@
             await self._catch_up(new.id)
 
     async def _request_storage_id(self, new: ReplicaAddress) -> ReplicaAddress:
-        deadline = self._clock.monotonic() + ANSWER_TIMEOUT_S
+        deadline = self._clock.monotonic() + FIRST_REPLY_TIMEOUT_S
         while self._clock.monotonic() < deadline:
             self._core.request_storage_id(new)
             self._wake_loop()
@@ -93,12 +99,29 @@
         )
 
     async def _catch_up(self, replica: ReplicaId) -> None:
+        began = self._clock.monotonic()
+
+        def is_done() -> bool:
+            now = self._clock.monotonic()
+            if now - max(began, self._heard_at(replica)) > NEWCOMER_SILENCE_S:
+                raise UnavailableError(
+                    message=f"replica {replica} does not answer any more",
+                    remedy="check that it runs, then ask again",
+                )
+            return self._core.is_caught_up(replica, now)
+
         await self._wait_until(
-            lambda: self._core.is_caught_up(replica, self._clock.monotonic()),
+            is_done,
             CATCH_UP_TIMEOUT_S,
             f"replica {replica} does not hold the whole log yet",
         )
 
+    def _heard_at(self, replica: ReplicaId) -> float:
+        """Return when a member has replied last, 0.0 if it never has."""
+        leader = self._core.leader
+        peer = leader.leadership.peers.get(replica) if leader is not None else None
+        return peer.last_reply_at if peer is not None else 0.0
+
     async def _change_members(self, members: Membership) -> None:
         result: Result[EntryId, LycheeError] = self._core.change_members(members)
         if result.is_error():
--- a/packages/lychee-log/src/lychee_log/replica.py
+++ b/packages/lychee-log/src/lychee_log/replica.py
@@ -176,6 +176,12 @@
         """Return whether this replica counts itself among the voters."""
         return self._core is not None and self._core.state.is_voter
 
+    @property
+    def is_membership_committed(self) -> bool:
+        """Return whether the current membership is known to be committed."""
+        state = self._core.state if self._core else None
+        return state is not None and state.log.members_index <= state.commit_index
+
     @property
     def disk_fault(self) -> str | None:
         """Return why the disk accepts no writes, None if it does."""
