Refuse late requests at a stop that may outlast the grace time

Cause: a stopping gateway took each request that it read, on slow heads and behind requests in flight to the end, and never compared a request's time with what the stop leaves. Requests that waited for an owner or a permit at the end were cut as well.

Change: a schedule of the stop. Any request is taken for 2.8 s (a choice), later only one that ends within the grace time even if it uses up its time; others get 503 at once and are not run. Waits before sending end at 0.88 of the grace time with the same refusal.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -23,6 +23,7 @@
 from lychee_gateway.proxy.placing import ServerSelector
 from lychee_gateway.proxy.retries import RetryBudgets
 from lychee_gateway.proxy.servers import ServerList
+from lychee_gateway.proxy.stopping import StopSchedule
 from lychee_gateway.proxy.subscription import Subscription
 from lychee_gateway.proxy.view import RoutedView
 from lychee_http import CallerLimits, ResponseHead, TcpStream
@@ -42,12 +43,6 @@
 STOP_CHECK_S = 0.05
 """Interval at which a stopping gateway closes connections that have become idle, in seconds."""
 
-LISTEN_SHARE = 0.5
-"""Share of the grace time for which a stopping gateway still accepts connections."""
-
-FINISH_SHARE = 0.92
-"""Share of the grace time after which requests that are still in progress are aborted."""
-
 
 class ProxyDump(Struct, frozen=True, kw_only=True):
     """The state of a gateway, as shown by a dump.
@@ -134,6 +129,7 @@
         )
         self._guard = CrashGuard(clock=self._clock)
         self._retries = RetryBudgets(bounds=cfg.bounds)
+        self._stop = StopSchedule(grace_s=cfg.bounds.grace_s, clock=self._clock)
         self._forwarder = Forwarder(
             view=self._view,
             age=self._age,
@@ -151,6 +147,7 @@
             clock=self._clock,
             retries=self._retries,
             metrics=self._metrics,
+            stop=self._stop,
         )
         self._view.add_listener(lambda: self._servers.sync(self._view.state))
         self._view.add_listener(self._forget_departed_servers)
@@ -253,15 +250,13 @@
 
         Readiness probes fail meanwhile, so that callers move to other gateways.
         """
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        grace_s = self._cfg.bounds.grace_s
+        self._stop.begin()
         self._leave_peers()
         for conn in self._conns.values():
             conn.closing = True
-        await asyncio.sleep(grace_s * LISTEN_SHARE)
+        await asyncio.sleep(self._stop.listen_s)
         await self._listener.stop()
-        while self._has_work() and loop.time() < began + grace_s * FINISH_SHARE:
+        while self._has_work() and not self._stop.is_over:
             for conn in list(self._conns.values()):
                 conn.closing = True
                 conn.close_if_idle()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -22,6 +22,7 @@
 from lychee_gateway.proxy.placing import NoServer, RoutedRequest, ServerSelector
 from lychee_gateway.proxy.retries import RetryBudgets
 from lychee_gateway.proxy.servers import ProxyServer
+from lychee_gateway.proxy.stopping import StopSchedule
 from lychee_gateway.proxy.view import RoutedView
 from lychee_http import ResponseHead, header_value
 from lychee_http.exceptions import BadRequestError
@@ -53,6 +54,9 @@
 SUSPECT_RETRY_S = 0.3
 """Retry delay of a request that is sent to one server at a time, in seconds."""
 
+STOPPING_RETRY_S = 0.1
+"""Retry delay while the gateway stops, in seconds; others take the request at once."""
+
 MIN_ATTEMPT_S = 0.02
 """Remaining time below which no further attempt is made, in seconds."""
 
@@ -70,6 +74,7 @@
     :param clock: source of time.
     :param retries: this gateway's part of the retry budget.
     :param metrics: the gateway's metrics.
+    :param stop: the schedule of the gateway's stop.
     """
 
     def __init__(
@@ -85,6 +90,7 @@
         clock: Clock,
         retries: RetryBudgets,
         metrics: ProxyMetrics,
+        stop: StopSchedule,
     ) -> None:
         self._view = view
         self._age = age
@@ -96,6 +102,7 @@
         self._clock = clock
         self._metrics = metrics
         self._retries = retries
+        self._stop = stop
         self._success_count = 0
 
     async def handle(self, exchange: CallerExchange) -> None:
@@ -202,7 +209,7 @@
             if blocked is not None:
                 await self._give_up(call, blocked)
                 return
-            found = await self._selector.select(routed)
+            found = await self._select(routed)
             if isinstance(found, NoServer):
                 await self._give_up(call, found)
                 return
@@ -214,6 +221,16 @@
             if await self._attempt(call, body, found):
                 return
 
+    async def _select(self, routed: RoutedRequest) -> ProxyServer | NoServer:
+        """Return the server for the next attempt, or why there is none."""
+        stopping = NoServer(reason="this gateway stops", retry_after_s=STOPPING_RETRY_S)
+        try:
+            async with self._stop.limit_wait():
+                found = await self._selector.select(routed)
+        except TimeoutError:
+            return stopping
+        return found if self._stop.takes(routed.deadline) else stopping
+
     def _refuse_suspect(self, call: Call, body: Body) -> NoServer | None:
         """Return why a request under which servers have ended is not sent now, None if it is."""
         if call.ends >= MAX_ENDS:
--- /dev/null
+++ b/packages/lychee-gateway/tests/test_stopping.py
@@ -0,0 +1,55 @@
+"""Which requests a stopping gateway still takes."""
+
+import asyncio
+
+import pytest
+
+from lychee_gateway.proxy.stopping import StopSchedule
+
+GRACE_S = 6.0
+
+
+class FakeClock:
+    def __init__(self):
+        self.now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+
+@pytest.mark.parametrize(
+    "after_s, time_s, is_taken",
+    [
+        (0.0, 5.0, True),
+        (2.7, 5.0, True),
+        (2.9, 5.0, False),
+        (2.9, 2.0, True),
+        (4.4, 1.0, True),
+        (4.6, 1.0, False),
+        (5.5, 0.5, False),
+    ],
+)
+def test_a_late_request_is_taken_if_it_ends_within_the_grace_time(after_s, time_s, is_taken):
+    clock = FakeClock()
+    stop = StopSchedule(grace_s=GRACE_S, clock=clock)
+    stop.begin()
+    clock.now += after_s
+    assert stop.takes(clock.now + time_s) == is_taken
+
+
+def test_nothing_is_limited_before_the_stop():
+    clock = FakeClock()
+    stop = StopSchedule(grace_s=GRACE_S, clock=clock)
+    assert stop.takes(clock.now + 1_000.0) and not stop.is_over
+
+
+def test_a_wait_that_began_before_the_stop_ends_within_the_grace_time():
+    async def body():
+        clock = FakeClock()
+        stop = StopSchedule(grace_s=0.1, clock=clock)
+        asyncio.get_running_loop().call_later(0.02, stop.begin)
+        with pytest.raises(TimeoutError):
+            async with stop.limit_wait():
+                await asyncio.sleep(30)
+
+    asyncio.run(body())
