Refuse heartbeats that name no usable server, and odd numbers everywhere

Cause: types of fields were checked and values were not.

Change: a check of server records at every replica before anything is committed; gateways and the leader leave out what an earlier version has committed, and applying is unchanged, so that both versions keep the same state.

--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -25,12 +25,14 @@
 from lychee_control.registry.calls import GrantCodec
 from lychee_control.registry.crashes import CrashBoard
 from lychee_control.registry.gateways import GatewayBoard
+from lychee_control.registry.heartbeats import heartbeat_fault
 from lychee_control.registry.joining import JoinHandler, load_or_create_id
 from lychee_control.registry.leader import RegistryLeader
 from lychee_control.registry.limits import LimitBoard
 from lychee_control.registry.machine import RoutedMachine
 from lychee_control.registry.metrics import RegistryMetrics
 from lychee_control.registry.orders import (
+    ApiCall,
     ApiCodec,
     ApiReply,
     BadOrder,
@@ -288,7 +290,7 @@
 
     async def _handle_request(self, head: RequestHead, caller: CallerConnection) -> None:
         body = await caller.read_body(limit=BODY_LIMIT_BYTES, timeout_s=BODY_TIMEOUT_S)
-        call = self._api.read(head, body)
+        call = self._read_call(head, body)
         match call:
             case UnknownCall():
                 answer = self._api.not_found(head)
@@ -305,6 +307,12 @@
                 answer = self._api.reply(head, reply)
         await caller.send(*answer)
 
+    def _read_call(self, head: RequestHead, body: bytes) -> ApiCall:
+        """Decode a call; one that cannot be used counts as one that cannot be decoded."""
+        call = self._api.read(head, body)
+        fault = heartbeat_fault(call) if isinstance(call, Heartbeat) else None
+        return call if fault is None else BadOrder(reason=fault)
+
     async def _reply_to(self, call: Heartbeat | Leave | ChangeOrder | ReadOrder) -> ApiReply:
         deadline = self._clock.monotonic() + LEADER_WAIT_S
         while self._clock.monotonic() < deadline:
--- a/packages/lychee-control/src/lychee_control/registry/heartbeats.py
+++ b/packages/lychee-control/src/lychee_control/registry/heartbeats.py
@@ -1,9 +1,19 @@
-"""Servers' last heartbeats, kept by the leader only and not replicated."""
+"""Servers' heartbeats: whether they can be used, and the last ones, which only the leader keeps."""
 
 from dataclasses import dataclass
 
 from lychee_control.registry.orders import Heartbeat
 from lychee_types.registry import ServerIncarnation
+from lychee_types.server_check import MAX_NUMBER, server_fault
+
+
+def heartbeat_fault(heartbeat: Heartbeat) -> str | None:
+    """Return why a heartbeat is of no use, None if it is."""
+    if not 0 <= heartbeat.sequence <= MAX_NUMBER:
+        return "the number of the heartbeat is out of range"
+    if not all(0 <= keys.token <= MAX_NUMBER for keys in heartbeat.holds):
+        return "a token is out of range"
+    return server_fault(heartbeat.server)
 
 
 @dataclass(kw_only=True, slots=True)
--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -277,7 +277,10 @@
         return Heard(next_at=self._cfg.endpoint)
 
     async def _change_routing(self, call: ChangeOrder) -> ApiReply:
-        digest = xxh3_128_digest(_ENCODER.encode((call.based_on, call.number, call.change)))
+        try:
+            digest = xxh3_128_digest(_ENCODER.encode((call.based_on, call.number, call.change)))
+        except OverflowError:
+            return Refused(reason="a number has more than 64 bits")
         command = ChangeRouting(
             number=call.number, based_on=call.based_on, change=call.change, digest=digest
         )
--- a/packages/lychee-control/src/lychee_control/registry/range_manager.py
+++ b/packages/lychee-control/src/lychee_control/registry/range_manager.py
@@ -24,6 +24,7 @@
 from lychee_types.clock import Clock
 from lychee_types.ids import ServiceName, Token
 from lychee_types.registry import GrantPhase, KeyRange, RegisteredServer, ServerIncarnation
+from lychee_types.server_check import server_fault
 
 FIRST_SPLIT_DELAY_S = 0.6
 """Time without a new server after which the keys are first split, in seconds."""
@@ -153,6 +154,7 @@
             for server in self._state.servers.values()
             if server.service == self._service
             and not server.is_leaving
+            and server_fault(server) is None
             and not self._is_lost(server.run, now)
         ]
         mean_s = self._loads.mean_service_time_s(tuple(server.run.server for server in servers))
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from math import exp
 
+from loguru import logger
+
 from lychee_gateway.proxy.codec import Occupancy
 from lychee_http.pool import ServerPool
 from lychee_ranges import RoutedState
@@ -12,6 +14,7 @@
 from lychee_types.ids import ServerId, ServiceName
 from lychee_types.registry import RegisteredServer, ServerIncarnation
 from lychee_types.registry_messages import ServerStats
+from lychee_types.server_check import server_fault
 
 INITIAL_SERVICE_TIME_S = 0.06
 """Assumed service time of a request before any has been measured, in seconds."""
@@ -287,6 +290,7 @@
         self._estimated_at = clock.monotonic()
         self._by_id: dict[ServerId, ProxyServer] = {}
         self._by_service: dict[ServiceName, list[ProxyServer]] = {}
+        self._unusable: frozenset[ServerIncarnation] = frozenset()
 
     def set_gateway_count(self, count: int) -> None:
         """Set the approximate number of gateways."""
@@ -297,8 +301,9 @@
     def sync(self, state: RoutedState) -> None:
         """Add, update and remove servers to match the registrations in the state."""
         now, as_of = self._clock.monotonic(), self._as_of()
+        records = self._usable_records(state)
         for server_id, server in tuple(self._by_id.items()):
-            record = state.servers.get(server_id)
+            record = records.get(server_id)
             if (
                 record is None
                 or record.run != server.run
@@ -306,7 +311,7 @@
             ):
                 server.pool.close()
                 del self._by_id[server_id]
-        for server_id, record in state.servers.items():
+        for server_id, record in records.items():
             known = self._by_id.get(server_id)
             if known is None:
                 self._by_id[server_id] = ProxyServer(
@@ -322,6 +327,22 @@
         for server in self._by_id.values():
             self._by_service.setdefault(server.record.service, []).append(server)
 
+    def _usable_records(self, state: RoutedState) -> dict[ServerId, RegisteredServer]:
+        """Return the records without those that a replica of an earlier version took untested."""
+        records, unusable = {}, set()
+        for server_id, record in state.servers.items():
+            known = self._by_id.get(server_id)
+            is_checked = known is not None and known.record == record
+            fault = None if is_checked else server_fault(record)
+            if fault is None:
+                records[server_id] = record
+                continue
+            unusable.add(record.run)
+            if record.run not in self._unusable:
+                logger.bind(event="server_unusable", server=server_id[:64]).warning("{}", fault)
+        self._unusable = frozenset(unusable)
+        return records
+
     def estimate_anew(self) -> None:
         """Estimate the service times of servers that have not answered lately."""
         now = self._clock.monotonic()
--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -192,6 +192,9 @@
     loop = asyncio.get_running_loop()
     began = loop.time()
     async with asyncio.timeout(timeout_s):
-        _, stream = await loop.create_connection(TcpStream, endpoint.host, endpoint.port)
+        try:
+            _, stream = await loop.create_connection(TcpStream, endpoint.host, endpoint.port)
+        except (OverflowError, ValueError) as exc:
+            raise OSError(f"{endpoint} is no address of a server: {exc}") from exc
     stream.probe_while_silent()
     return ServerConnection(stream=stream, until_close=until_close, opening_s=loop.time() - began)
--- a/packages/lychee-types/src/lychee_types/records.py
+++ b/packages/lychee-types/src/lychee_types/records.py
@@ -16,6 +16,9 @@
     Token,
 )
 
+MAX_PORT = 65_535
+"""Highest TCP port."""
+
 
 class Endpoint(Struct, frozen=True, kw_only=True):
     """A TCP address.
--- a/packages/lychee-types/src/lychee_types/routed_settings.py
+++ b/packages/lychee-types/src/lychee_types/routed_settings.py
@@ -8,10 +8,13 @@
 from lychee_types.exceptions import SettingsError
 from lychee_types.findings import Finding, check_name, check_range, check_unique
 from lychee_types.ids import DomainName, GatewayId, ReplicaId
-from lychee_types.records import Endpoint
+from lychee_types.records import MAX_PORT, Endpoint
 from lychee_types.settings import LogSettings
 from lychee_types.timing import Timing
 
+MAX_PORT_DIGITS = 5
+"""Maximum number of digits of a TCP port."""
+
 ROUTED_TIMING = Timing(heartbeat_ms=60, election_ms=300, drift_ms=60)
 """Timing parameters of the replicated log of the control replicas."""
 
@@ -150,13 +153,20 @@
     host, _, port = text.rpartition(":")
     try:
         ip_address(host)
-        number = int(port)
     except ValueError as exc:
-        raise SettingsError(
-            message=f"{text[:64]!r} is not an address",
-            remedy="write an IP number and a port, for example 10.0.0.5:8080",
-        ) from exc
-    return Endpoint(host=host, port=number)
+        raise _address_error(text) from exc
+    if not (port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS):
+        raise _address_error(text)
+    if int(port) > MAX_PORT:
+        raise _address_error(text)
+    return Endpoint(host=host, port=int(port))
+
+
+def _address_error(text: str) -> SettingsError:
+    return SettingsError(
+        message=f"{text[:64]!r} is not an address",
+        remedy="write an IP number and a port up to 65535, for example 10.0.0.5:8080",
+    )
 
 
 def peer_endpoints(addresses: tuple[str, ...], port: int) -> tuple[Endpoint, ...]:
