--- a/packages/lychee-log/src/lychee_log/storage.py
+++ b/packages/lychee-log/src/lychee_log/storage.py
@@ -7,6 +7,7 @@
 ``snapshot-N``          state of the state machine after entry N
 ``synced``              length up to which the current segment is known to be synced
 ``lock``                locked by the process that uses the folder
+``known-voters``        voters that a replica outside the group was last told of
 ======================  =======================================================================
 """
 
@@ -24,6 +25,7 @@
 from lychee_log.records import HardState, Identity, RecoveredState, Snapshot, StorageId
 from lychee_log.recovery import (
     IDENTITY_NAME,
+    KNOWN_VOTERS_NAME,
     LOCK_NAME,
     MANIFEST_NAME,
     LoadedFolder,
@@ -209,7 +211,7 @@
     def _unlisted_files(self) -> list[Path]:
         listed_paths = {segment_path(self._folder, number) for number in self._manifest.segments}
         listed_paths.add(snapshot_path(self._folder, self._manifest.snapshot))
-        fixed_names = {IDENTITY_NAME, MANIFEST_NAME, SYNC_MARK_NAME, LOCK_NAME}
+        fixed_names = {IDENTITY_NAME, MANIFEST_NAME, SYNC_MARK_NAME, LOCK_NAME, KNOWN_VOTERS_NAME}
         with translate_disk_errors(self._folder):
             files = list(self._folder.iterdir())
         return [path for path in files if path not in listed_paths and path.name not in fixed_names]
--- a/packages/lychee-log/tests/test_known_voters.py
+++ b/packages/lychee-log/tests/test_known_voters.py
@@ -4,6 +4,7 @@
 
 from lychee_log import ReplicaAddress, load_known_voters, store_known_voters, stored_replica_id
 from lychee_log.recovery import KNOWN_VOTERS_NAME
+from lychee_log.storage import open_storage
 from lychee_types.records import Endpoint
 
 VOTERS = tuple(
@@ -30,3 +31,12 @@
     # A loss of power may keep the list's name and lose that of the identity.
     store_known_voters(tmp_path, VOTERS)
     assert stored_replica_id(tmp_path) is None
+
+
+def test_opening_the_folder_keeps_the_list(tmp_path):
+    # RECOVER: the list was removed as a file left behind, and a second restart found nobody.
+    for _ in range(2):
+        with open_storage(folder=tmp_path, replica="r1"):
+            store_known_voters(tmp_path, VOTERS)
+        with open_storage(folder=tmp_path, replica="r1"):
+            assert load_known_voters(tmp_path) == VOTERS
