--- a/packages/lychee-control/src/lychee_control/peers.py
+++ b/packages/lychee-control/src/lychee_control/peers.py
@@ -121,7 +121,8 @@
     """The leader tells a replica outside the group who leads; that one may have to stand by.
 
     :param leader: the id and address of the leader.
-    :param voters: the voters, itself among them; none if a leader of an earlier version says it.
+    :param voters: the committed voters, itself among them; none while a change of them is not
+        committed, and from a leader of an earlier version.
     """
 
     leader: ReplicaAddress
