Count what becomes of each request of callers' connections

Change: RequestTally counts each request twice: when its head is read, and by its answer or the reason for none (the new one, idle, is of connections closed as idle). Whole requests that are discarded behind a closing answer count too, and the bytes dropped. A rejected head no longer counts as two requests.

Evidence: the fixture fails with each of three mutants that leave a report out (an answer that breaks off, an aborted connection, a request behind a closing answer).

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -31,6 +31,7 @@
 from lychee_http.exchange import CallerExchange
 from lychee_http.listener import Listener
 from lychee_http.pipelining import PipelinedConnection
+from lychee_http.tally import RequestTally
 from lychee_http.textpage import TextPage
 from lychee_runtime import Daemon, format_dump
 from lychee_types.clock import Clock, SystemClock
@@ -103,6 +104,8 @@
             unreached=lambda: len(self._paths),
             carried=lambda: len(self._carrier) if self._carrier is not None else 0,
         )
+        self._tally = RequestTally(on_end=self._metrics.count_end)
+        self._metrics.show_tally(self._tally)
         self._peers = Peers(own_id=cfg.id, clock=self._clock)
         self._paths = ServerPaths(
             gateway=cfg.id,
@@ -203,7 +206,9 @@
             await self._drain_connections()
         if self._carrier is not None:
             await self._carrier.close()
-        logger.bind(event="stop", under_way=self._under_way()).info("gateway stopped")
+        logger.bind(event="stop", under_way=self._under_way(), **self._tally.summary()).info(
+            "gateway stopped"
+        )
 
     def dump(self) -> str:
         """Return the gateway's state as YAML."""
@@ -298,7 +303,7 @@
             limits=limits,
             handle=self._forwarder.handle,
             refuse=self._forwarder.refuse,
-            on_end=self._metrics.count_end,
+            tally=self._tally,
             idle_s=lambda: self._idle_limit.value_s,
         )
         conn.closing = self.stopping.is_set()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -4,6 +4,7 @@
 from time import monotonic
 
 from lychee_http.endings import ConnectionEnd
+from lychee_http.tally import RequestTally
 from lychee_runtime import PrometheusMetrics
 from lychee_types.ids import ServerId, ServiceName
 
@@ -73,6 +74,17 @@
         )
         self._latency = page.latency("answer", "From head to final answer.", "service")
 
+    def show_tally(self, tally: RequestTally) -> None:
+        """Add the counts of what became of all requests."""
+        page = self._page
+        page.total("requests_read", "Requests whose head was read.", lambda: tally.read)
+        page.total("requests_answered", "Requests answered whole.", lambda: tally.answered)
+        page.total(
+            "dropped_bytes",
+            "Bytes of callers that belong to no request that was read.",
+            lambda: tally.dropped_bytes.total(),
+        )
+
     def count_answer(self, service: ServiceName, status: int, seconds: float) -> None:
         """Count a final answer and record its latency in seconds."""
         self._answers.labels(service, str(status)).inc()
--- a/packages/lychee-http/src/lychee_http/endings.py
+++ b/packages/lychee-http/src/lychee_http/endings.py
@@ -25,6 +25,9 @@
     CLOSING_ANSWER = "closing_answer"
     """An answer closed the connection; its caller takes the requests behind it as not read."""
 
+    IDLE = "idle"
+    """The connection was closed as idle."""
+
     STOPPED = "stopped"
     """The process stopped before the answer came."""
 
--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -6,9 +6,10 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
-from lychee_http.endings import ConnectionEnd, EndReason, OnEnd, UnansweredRequest, log_end
+from lychee_http.endings import ConnectionEnd, EndReason, UnansweredRequest, log_end
 from lychee_http.inbound import BODILESS_STATUSES
 from lychee_http.messages import RequestHead, ResponseHead
+from lychee_http.tally import RequestTally
 
 if TYPE_CHECKING:
     from lychee_http.pipelining import PipelinedConnection
@@ -44,6 +45,7 @@
         self._conn = conn
         self._previous_done = previous_done
         self._is_chunked = False
+        conn.tally.count_read()
 
     def cancel(self) -> None:
         """Cancel the handling of a request that may be cancelled, unless its own task asks."""
@@ -115,8 +117,7 @@
             head = replace(head, length=len(body))
         self._conn.write(self._encode_response_head(head) + body)
         await self._conn.drain()
-        self.is_answered = True
-        self.mark_done()
+        self._mark_answered()
 
     async def send_head(self, head: ResponseHead) -> None:
         """Send the head of a response, after all earlier responses; the body follows."""
@@ -138,8 +139,7 @@
         if self._is_chunked and self.head.method != b"HEAD":
             self._conn.write(b"0\r\n\r\n")
         await self._conn.drain()
-        self.is_answered = True
-        self.mark_done()
+        self._mark_answered()
 
     def mark_done(self) -> None:
         """Mark the exchange as done, so that the next response can be sent."""
@@ -150,6 +150,12 @@
         """Close the connection so that the caller sees that the response is incomplete."""
         self._conn.truncate(self)
 
+    def _mark_answered(self) -> None:
+        if not self.is_reported:
+            self.is_answered = True
+            self._conn.tally.count_answered()
+        self.mark_done()
+
     def _encode_response_head(self, head: ResponseHead) -> bytes:
         self.response_started = True
         lines = [b"HTTP/1.1 %d %b\r\n" % (head.status, head.reason)]
@@ -169,11 +175,11 @@
 class UnansweredReports:
     """Logs and counts requests that get no answer, each of them once.
 
-    :param on_end: is told of them after they have been logged.
+    :param tally: counts them after they have been logged.
     """
 
-    def __init__(self, *, on_end: OnEnd) -> None:
-        self._on_end = on_end
+    def __init__(self, *, tally: RequestTally) -> None:
+        self._tally = tally
 
     def report(self, reason: EndReason, exchanges: Iterable[CallerExchange]) -> None:
         """Report those of some exchanges that have no answer and were not reported."""
@@ -184,4 +190,4 @@
             exchange.is_reported = True
         end = ConnectionEnd(reason=reason, requests=tuple(e.as_unanswered() for e in lost))
         log_end(end)
-        self._on_end(end)
+        self._tally.count_end(end)
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from lychee_http.endings import EndReason, OnEnd, ignore_end
+from lychee_http.endings import EndReason
 from lychee_http.exceptions import BadRequestError, CallerGoneError
 from lychee_http.exchange import CallerExchange, UnansweredReports
 from lychee_http.framing import (
@@ -22,6 +22,7 @@
 from lychee_http.incoming_body import IncomingBody
 from lychee_http.messages import RequestHead, ResponseHead
 from lychee_http.reader import RequestReader
+from lychee_http.tally import RequestTally
 from lychee_http.tcp import TcpStream
 
 PIPELINE_LIMIT = 16
@@ -53,7 +54,7 @@
     :param limits: limits on the connection.
     :param handle: handles a request and sends the response.
     :param refuse: sends the response to a rejected request.
-    :param on_end: is told of requests that got no answer.
+    :param tally: counts what becomes of each request.
     :param idle_s: returns how long callers may be idle now, in seconds; None if that never changes.
     """
 
@@ -64,16 +65,17 @@
         limits: CallerLimits,
         handle: Handle,
         refuse: Refuse,
-        on_end: OnEnd = ignore_end,
+        tally: RequestTally | None = None,
         idle_s: Callable[[], float] | None = None,
     ) -> None:
         self.closing = False
+        self.tally = tally or RequestTally()
         self._idle_s = idle_s or (lambda: limits.idle_s)
         self._stream = stream
         self._limits = limits
         self._handle = handle
         self._refuse = refuse
-        self._unanswered = UnansweredReports(on_end=on_end)
+        self._unanswered = UnansweredReports(tally=self.tally)
         self._reader = RequestReader(stream=stream, head_limit=limits.head_bytes)
         self._exchanges: list[CallerExchange] = []
         self._has_room = asyncio.Event()
@@ -216,11 +218,11 @@
             head = await self._read_head()
             if head is None:
                 return False
-            exchange = self._make_exchange(head)
             if self._last_exchange is not None:
-                self._unanswered.report(EndReason.CLOSING_ANSWER, (exchange,))
+                self._unanswered.report(EndReason.CLOSING_ANSWER, (self._make_exchange(head),))
                 return False
             check_head(head, limit=self._limits.head_bytes)
+            exchange = self._make_exchange(head)
         except CallerGoneError:
             # Only the request that was cut is lost; earlier ones still get their responses.
             return False
@@ -375,7 +377,8 @@
 
         :param reset: whether to reset it, so that no caller takes the close for a response's end.
         """
-        self._unanswered.report(reason, self._exchanges)
+        self._unanswered.report(reason, [*self._exchanges, *self._skip_requests()])
+        self.tally.count_dropped(reason, self._stream.unread_bytes)
         self._half_close.complete_prefix()
         if reset:
             self._stream.reset()
@@ -384,6 +387,11 @@
         for exchange in self._exchanges:
             exchange.cancel()
 
+    def _skip_requests(self) -> list[CallerExchange]:
+        """Return the requests that have been received and will not be handled."""
+        heads = self._reader.skip_requests()
+        return [CallerExchange(head=head, conn=self, previous_done=None) for head in heads]
+
     async def _read_head(self) -> RequestHead | None:
         return await self._reader.read_head(
             wait_for_request=self._wait_for_request, timeout_s=self._limits.head_s
@@ -419,6 +427,9 @@
                 self._stream.transport.write_eof()
             self._stream.stop_reading(stopped=False)
             await self._reader.discard_rest()
+        reason = EndReason.CLOSING_ANSWER if self.closing else EndReason.IDLE
+        self._unanswered.report(reason, self._skip_requests())
+        self.tally.count_dropped(reason, self._reader.discarded + self._stream.unread_bytes)
         self._stream.close()
         if self._stream.unsent:
             # A caller that reads nothing would keep a closing connection for ever.
--- a/packages/lychee-http/src/lychee_http/reader.py
+++ b/packages/lychee-http/src/lychee_http/reader.py
@@ -6,7 +6,7 @@
 
 from lychee_http.exceptions import BadRequestError, CallerGoneError
 from lychee_http.messages import RequestHead
-from lychee_http.parser import MalformedError, RequestEvent, RequestParser
+from lychee_http.parser import EndOfMessage, MalformedError, RequestEvent, RequestParser
 from lychee_http.tcp import TcpStream
 
 LINGER_S = 1.0
@@ -26,6 +26,7 @@
     def __init__(self, *, stream: TcpStream, head_limit: int) -> None:
         self._stream = stream
         self._parser = RequestParser(head_limit=head_limit)
+        self.discarded = 0
 
     @property
     def in_head(self) -> bool:
@@ -103,14 +104,35 @@
         )
 
     async def discard_rest(self) -> None:
-        """Read and discard what the caller still sends, within limits of time and bytes."""
-        discarded = 0
+        """Read and discard what the caller still sends, within limits of time and bytes.
+
+        Its size in bytes is :attr:`discarded`, and whole requests in it are left to
+        :meth:`skip_requests`.
+        """
         try:
             async with asyncio.timeout(LINGER_S):
-                while discarded < LINGER_BYTES:
+                while self.discarded < LINGER_BYTES:
                     data = await self._stream.read()
                     if not data:
                         return
-                    discarded += len(data)
+                    self.discarded += len(data)
+                    self._parser.feed(data)
         except TimeoutError:
             return
+
+    def skip_requests(self) -> list[RequestHead]:
+        """Return the heads of all whole requests that have been received and were not read."""
+        heads: list[RequestHead] = []
+        head: RequestHead | None = None
+        while self._parser.has_next_event:
+            try:
+                event = self._parser.next_event()
+            except MalformedError:
+                # What is malformed is no request.
+                break
+            if isinstance(event, RequestHead):
+                head = event
+            elif isinstance(event, EndOfMessage) and head is not None:
+                heads.append(head)
+                head = None
+        return heads
--- a/packages/lychee-http/tests/test_pipelining.py
+++ b/packages/lychee-http/tests/test_pipelining.py
@@ -11,6 +11,7 @@
 from lychee_http.endings import EndReason
 from lychee_http.listener import Listener
 from lychee_http.pipelining import PipelinedConnection
+from lychee_http.tally import RequestTally
 from lychee_types.records import Endpoint
 
 TEST_TIMEOUT_S = 10
@@ -50,6 +51,7 @@
         self.sent = []
         self.cancelled = []
         self.ends = []
+        self.tally = RequestTally(on_end=self.ends.append)
         self.limits = CallerLimits()
         self._released = {}
 
@@ -63,7 +65,7 @@
             limits=self.limits,
             handle=self._handle,
             refuse=self._refuse,
-            on_end=self.ends.append,
+            tally=self.tally,
         )
         self.conns.append(conn)
         self.tasks.append(asyncio.ensure_future(conn.run()))
@@ -128,6 +130,7 @@
         for task in h.tasks:
             task.cancel()
         await asyncio.gather(*h.tasks, return_exceptions=True)
+        assert h.tally.open == 0, h.tally.summary()
 
 
 @asynccontextmanager
@@ -238,6 +241,37 @@
     run(scenario())
 
 
+def test_requests_that_are_dropped_behind_a_closing_answer_are_counted():
+    async def scenario():
+        async with harness() as h, caller(h) as (reader, writer):
+            writer.write(get(b"a"))
+            await h.until_sent(b"a")
+            h.conns[0].closing = True
+            h.release(b"a")
+            await read_until(reader, b"by a")
+            writer.write(get(b"b") + get(b"c") + b"GET /d")
+            await read_to_end(reader)
+            await h.until(lambda: h.tasks[0].done())
+            assert h.tally.ended == {EndReason.CLOSING_ANSWER: 2} and h.tally.read == 3
+
+    run(scenario())
+
+
+def test_bytes_that_are_dropped_unread_are_counted():
+    async def scenario():
+        async with harness() as h, caller(h) as (reader, writer):
+            writer.write(get(b"a", b"connection: close"))
+            await h.until_sent(b"a")
+            h.release(b"a")
+            await read_until(reader, b"by a")
+            writer.write(b"x" * 100)
+            await read_to_end(reader)
+            await h.until(lambda: h.tasks[0].done())
+            assert h.tally.dropped_bytes == {EndReason.CLOSING_ANSWER: 100}
+
+    run(scenario())
+
+
 def test_a_request_behind_a_closing_answer_that_has_begun_is_not_passed_on():
     async def scenario():
         async with harness() as h, caller(h) as (reader, writer):
--- a/packages/lychee-runtime/src/lychee_runtime/exposition.py
+++ b/packages/lychee-runtime/src/lychee_runtime/exposition.py
@@ -1,6 +1,6 @@
 """Metrics in the Prometheus text format, for collectors that scrape them over HTTP."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from prometheus_client import (
     CollectorRegistry,
@@ -9,7 +9,9 @@
     Histogram,
     disable_created_metrics,
 )
+from prometheus_client.core import CounterMetricFamily
 from prometheus_client.exposition import generate_latest
+from prometheus_client.registry import Collector
 
 # Start times of counters would double the size of a page.
 disable_created_metrics()  # type: ignore[no-untyped-call]
@@ -18,6 +20,19 @@
 """Upper bounds of the latency histograms' buckets, in seconds."""
 
 
+class _CounterReader(Collector):
+    """A counter that is kept elsewhere."""
+
+    def __init__(self, *, name: str, help_text: str, read: Callable[[], float]) -> None:
+        self._name = name
+        self._help_text = help_text
+        self._read = read
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Yield the counter with its present value."""
+        yield CounterMetricFamily(self._name, self._help_text, value=self._read())
+
+
 class PrometheusMetrics:
     """The Prometheus metrics of one process, in the order in which they are added.
 
@@ -34,6 +49,11 @@
         """Add a counter."""
         return Counter(f"{self._prefix}_{name}", help_text, labels, registry=self._registry)
 
+    def total(self, name: str, help_text: str, read: Callable[[], float]) -> None:
+        """Add a counter that is kept elsewhere; it is read when the metrics are scraped."""
+        counter = _CounterReader(name=f"{self._prefix}_{name}", help_text=help_text, read=read)
+        self._registry.register(counter)
+
     def latency(self, name: str, help_text: str, *labels: str) -> Histogram:
         """Add a latency histogram in seconds."""
         return Histogram(
