Deliver an answer that is there when its deadline passes

Cause: while the event loop is busy across a deadline, the deadline's timer and the server's answer come in the same turn of the loop. asyncio.timeout cancels the wait, and the attempt counts as too late although its answer lies in the system. The caller gets 504 and the server a failure.

Change: timeout_after_input (lychee_types) limits a block as asyncio.timeout does, but at its time asks whether input is there. With has_input (here: the server's connection, asked of the system as well) it lets the loop turn as long as there is some, 64 turns at most, and ends the block at once where there is none. Without it it lets the loop turn 8 times, for waits whose input comes through other tasks.

Evidence: the loop is blocked for 0.1 s past a deadline with the whole answer in the system; answers of 3, 16,000 and 150,000 bytes, asyncio and uvloop: all six were lost before, all six are delivered now. A cut or missing answer is still too late.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -13,6 +13,7 @@
 from lychee_http.exceptions import BadRequestError, CallerGoneError, ServerResponseError
 from lychee_http.exchange import CallerExchange
 from lychee_types.clock import Clock
+from lychee_types.timeouts import timeout_after_input
 
 LAST_SEND_SHARE = 0.9
 """Share of the drain time after which nothing is sent to a leaving server, however late it opened
@@ -227,7 +228,7 @@
         head = _with_body_framing(head, body, exchange.head)
         self._limits.count_attempt(server.run)
         try:
-            async with asyncio.timeout(remaining_s):
+            async with timeout_after_input(remaining_s, has_input=conn.has_input):
                 exchange.was_sent = True
                 conn.send(head, _encode_buffered(head, body))
                 began = self._clock.monotonic()
--- /dev/null
+++ b/packages/lychee-gateway/tests/test_ready_answers.py
@@ -0,0 +1,126 @@
+"""Answers that arrive in time while the gateway's event loop is busy until after the deadline."""
+
+import asyncio
+import socket
+import time
+
+import pytest
+import uvloop
+
+from lychee_gateway.proxy.attempts import Body, PassedOn, Sender, TooLate, WholeAnswer
+from lychee_gateway.proxy.codec import ResponseInfo
+from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_gateway.proxy.testing import make_limits, make_paths
+from lychee_http import RequestHead
+from lychee_types.clock import SystemClock
+from lychee_types.ids import DomainName, Incarnation, ServerId, ServiceName
+from lychee_types.records import Endpoint
+from lychee_types.registry import RegisteredServer, ServerIncarnation
+
+LEFT_S = 0.3
+GET = RequestHead(method=b"GET", target=b"/", headers=())
+WHOLE = Body(buffered=b"", is_whole=True, rest=lambda: None)
+
+
+class Codec:
+    """Leaves heads as they are; blocks the loop once a request is sent."""
+
+    def __init__(self, block):
+        self._block = block
+
+    def forward_request(self, head, *, server, remaining_s):
+        asyncio.get_running_loop().call_soon(self._block)
+        return head
+
+    def read_response(self, head):
+        return ResponseInfo(
+            request_id="", is_not_run=False, is_misdirected=False, occupancy=None, is_encoded=False
+        )
+
+    def forward_response(self, head):
+        return head
+
+
+class Exchange:
+    """A caller's exchange that keeps what is sent to it."""
+
+    def __init__(self):
+        self.head = GET
+        self.has_requests_behind = False
+        self.is_streamed = False
+        self.body = b""
+
+    async def send_head(self, head):
+        pass
+
+    async def send_chunk(self, chunk):
+        self.body += chunk
+
+    async def finish(self):
+        pass
+
+
+async def attempt(*, answer):
+    """Return the result of an attempt, and the body that was streamed to its caller."""
+    clock, exchange = SystemClock(), Exchange()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        kept = []
+
+        def block():
+            conn, _ = listener.accept()
+            kept.append(conn)
+            conn.recv(65_536)
+            conn.sendall(answer)
+            time.sleep(LEFT_S + 0.1)
+
+        host, port = listener.getsockname()
+        record = RegisteredServer(
+            run=ServerIncarnation(server=ServerId("s1"), incarnation=Incarnation(1)),
+            endpoint=Endpoint(host=host, port=port),
+            domain=DomainName("d"),
+            service=ServiceName("s"),
+            release="1",
+            slots=1,
+        )
+        sender = Sender(
+            codec=Codec(block),
+            paths=make_paths(ServerList(clock=clock, as_of=clock.monotonic), clock),
+            limits=make_limits(clock),
+            drain_s=2.0,
+            clock=clock,
+        )
+        result = await sender.send(
+            exchange=exchange,
+            body=WHOLE,
+            server=ProxyServer(record=record, now=clock.monotonic()),
+            deadline=clock.monotonic() + LEFT_S,
+            request_id="",
+            used=set(),
+        )
+        for conn in kept:
+            conn.close()
+    return result, exchange.body
+
+
+def response(size):
+    return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size + bytes(size)
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+@pytest.mark.parametrize("size", [3, 16_000, 150_000])
+def test_an_answer_that_is_there_when_the_deadline_passes_is_delivered(run, size):
+    result, streamed = run(attempt(answer=response(size)))
+    match result:
+        case WholeAnswer(body=body):
+            assert len(body) == size
+        case PassedOn(is_whole=True):
+            assert len(streamed) == size
+        case _:
+            pytest.fail(f"the answer was lost: {result}")
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+@pytest.mark.parametrize("answer", [b"", b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nno"])
+def test_an_answer_that_is_not_whole_at_the_deadline_is_too_late(run, answer):
+    result, _ = run(attempt(answer=answer))
+    assert result == TooLate()
--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -65,6 +65,13 @@
         """
         return self._stream.is_quiet()
 
+    def has_input(self) -> bool:
+        """Return whether bytes of the server or the end of its stream are there and not read yet.
+
+        Ask the operating system as well, since the event loop may not have read yet.
+        """
+        return not self._stream.is_quiet()
+
     def send(self, head: RequestHead, body: bytes) -> None:
         """Send a request.
 
