Read a request that has arrived when the idle or another time limit of its caller ends

Cause: while the event loop is busy across a limit (a large state is applied, the processor is short), the timer and the received bytes come in the same turn. RequestReader.receive reported the timer, although the bytes were received (asyncio) or lay in the system (uvloop, whose timers come before its reads); the connection closed as idle over the request. A head or a body whose rest had arrived in time got 408 for the same reason. A stop asked the system before it closed an idle connection, the idle time did not.

Change: receive asks the stream and the system before it reports a timeout, and so does the wait for a caller that reads; idle connections are closed by the same question at a stop and at the limit. What arrives after a head's or body's time still doesn't count (TimedReads): only what is there when it ends.

--- a/packages/lychee-http/src/lychee_http/inbound.py
+++ b/packages/lychee-http/src/lychee_http/inbound.py
@@ -1,10 +1,8 @@
 """Server side of HTTP/1.1, on a caller's connection with one request at a time."""
 
-import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
-from time import monotonic
 
 from lychee_http.exceptions import CallerGoneError
 from lychee_http.framing import (
@@ -16,7 +14,7 @@
 )
 from lychee_http.messages import RequestHead, ResponseHead, header_tokens
 from lychee_http.parser import EndOfMessage
-from lychee_http.reader import RequestReader
+from lychee_http.reader import RequestReader, TimedReads
 from lychee_http.tcp import TcpStream
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -123,7 +121,7 @@
             self._stream.write(CONTINUE)
         chunks: list[bytes] = []
         size = 0
-        deadline = monotonic() + timeout_s
+        reads = TimedReads(reader=self._reader, timeout_s=timeout_s)
         while True:
             event = self._reader.next_event()
             if isinstance(event, EndOfMessage):
@@ -134,7 +132,7 @@
                 size += len(event)
                 if size > limit:
                     raise body_too_large_error(limit)
-            elif not await self._reader.receive(deadline - monotonic()):
+            elif not await reads.receive():
                 raise self._reader.incomplete_error("body")
 
     async def send(self, head: ResponseHead, body: bytes) -> None:
@@ -248,10 +246,7 @@
             self._is_waiting_for_request = False
 
     async def _drain(self, stall_s: float) -> None:
-        if not self._stream.is_congested:
-            return
         try:
-            async with asyncio.timeout(stall_s):
-                await self._stream.drain()
+            await self._stream.drain_within(stall_s)
         except (TimeoutError, ConnectionError) as exc:
             raise CallerGoneError() from exc
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -147,11 +147,8 @@
 
         :raises CallerGoneError: if the caller has disconnected or reads too slowly.
         """
-        if not self._stream.is_congested:
-            return
         try:
-            async with asyncio.timeout(self._limits.stall_s):
-                await self._stream.drain()
+            await self._stream.drain_within(self._limits.stall_s)
         except (TimeoutError, ConnectionError) as exc:
             raise CallerGoneError() from exc
 
--- a/packages/lychee-http/src/lychee_http/reader.py
+++ b/packages/lychee-http/src/lychee_http/reader.py
@@ -8,6 +8,7 @@
 from lychee_http.messages import RequestHead
 from lychee_http.parser import EndOfMessage, MalformedError, RequestEvent, RequestParser
 from lychee_http.tcp import TcpStream
+from lychee_types.timeouts import timeout_after_input
 
 LINGER_S = 1.0
 """Maximum time to read and discard what a caller still sends before its connection closes."""
@@ -55,15 +56,24 @@
     async def receive(self, timeout_s: float) -> bool:
         """Wait for bytes and parse them; return False at the end of the stream or a timeout.
 
+        Bytes that have arrived when the time is over are still parsed.
+
         :param timeout_s: maximum wait in seconds; a negative one counts as 0.
         """
-        try:
-            async with asyncio.timeout(max(timeout_s, 0)):
-                data = await self._stream.read()
-        except TimeoutError:
-            return False
-        self._parser.feed(data)
-        return bool(data)
+        while True:
+            try:
+                async with timeout_after_input(timeout_s, has_input=self._has_input):
+                    data = await self._stream.read()
+            except TimeoutError:
+                if not self._has_input():
+                    return False
+                timeout_s = 0.0
+            else:
+                self._parser.feed(data)
+                return bool(data)
+
+    def _has_input(self) -> bool:
+        return not self._stream.is_quiet()
 
     async def read_head(
         self, *, wait_for_request: Callable[[], Awaitable[bool]], timeout_s: float
@@ -86,9 +96,9 @@
         return event
 
     async def _read_rest_of_head(self, timeout_s: float) -> RequestEvent:
-        deadline = monotonic() + timeout_s
+        reads = TimedReads(reader=self, timeout_s=timeout_s)
         while (event := self.next_event()) is None:
-            if not await self.receive(deadline - monotonic()):
+            if not await reads.receive():
                 raise self.incomplete_error("head")
         return event
 
@@ -136,3 +146,24 @@
                 heads.append(head)
                 head = None
         return heads
+
+
+class TimedReads:
+    """Reads a part of a request that must arrive within a time; bytes after it do not count.
+
+    :param reader: reads the connection.
+    :param timeout_s: the time in seconds.
+    """
+
+    def __init__(self, *, reader: RequestReader, timeout_s: float) -> None:
+        self._reader = reader
+        self._deadline = monotonic() + timeout_s
+        self._is_over = False
+
+    async def receive(self) -> bool:
+        """Wait for bytes and parse them; return False at the end of the stream or of the time."""
+        if self._is_over:
+            return False
+        has_data = await self._reader.receive(self._deadline - monotonic())
+        self._is_over = monotonic() >= self._deadline
+        return has_data
--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import cast
 
+from lychee_types.timeouts import timeout_after_input
+
 READ_LIMIT_BYTES = 65_536
 """Number of unread bytes at which reading from the peer pauses."""
 
@@ -169,6 +171,27 @@
         if self.lost:
             raise ConnectionResetError("the peer has closed the connection")
 
+    async def drain_within(self, stall_s: float) -> None:
+        """Wait while too many bytes are unsent, as long as the peer goes on reading.
+
+        :param stall_s: maximum time without room for a byte, in seconds.
+        :raises TimeoutError: if it is over.
+        :raises ConnectionError: if the connection is lost.
+        """
+        while self.is_congested:
+            try:
+                async with timeout_after_input(stall_s, has_input=self._has_room):
+                    await self.drain()
+            except TimeoutError:
+                if not self._has_room():
+                    raise
+
+    def _has_room(self) -> bool:
+        """Return whether the operating system takes bytes, or the wait for that is over."""
+        if not self.is_congested or self.transport.is_closing():
+            return True
+        return bool(self._poll_events() & select.POLLOUT)
+
     def close(self) -> None:
         """Close the connection after the unsent bytes have been sent."""
         if self._transport is not None:
@@ -206,7 +229,7 @@
         """
         if self.eof or self._received_size or self.transport.is_closing():
             return False
-        return not self._poll_events()
+        return not self._poll_events() & ~select.POLLOUT
 
     def is_reset(self) -> bool:
         """Return whether the connection is lost, or the peer has reset it after ending its side.
@@ -227,7 +250,8 @@
         if self._poll is None:
             sock = self.transport.get_extra_info("socket")
             self._poll = select.poll()
-            self._poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
+            events = select.POLLIN | select.POLLOUT | select.POLLRDHUP
+            self._poll.register(sock.fileno(), events)
         return sum(events for _, events in self._poll.poll(0))
 
     def _notify_disconnect(self) -> None:
