Use a connection to a server that has opened when its time is over

Cause: where the event loop is busy across the limit of a connect (0.5 s, 0.1 s for the check whether a server has ended, 0.3 s for a carrying gateway), a connection that has long opened counts as not reached. The direct way to the server is then doubted and its open connections are set aside, the server may be counted as ended under a request, or the carrying gateway is not asked for 2 s.

Change: both connects use timeout_after_input. It lets the loop turn 12 times now, as an accept takes several.

An address whose queue is full still is not reached.

--- a/packages/lychee-http/src/lychee_http/carrying.py
+++ b/packages/lychee-http/src/lychee_http/carrying.py
@@ -20,6 +20,7 @@
 from lychee_types.exceptions import LycheeError
 from lychee_types.peer_messages import CarryAccepted, CarryRefused, CarryReply, CarryRequest
 from lychee_types.records import Endpoint
+from lychee_types.timeouts import timeout_after_input
 
 LENGTH = Layout(">I")
 """A frame's length."""
@@ -147,7 +148,7 @@
     :raises NotCarriedError: if it refuses.
     """
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(timeout_s):
+    async with timeout_after_input(timeout_s):
         _, stream = await loop.create_connection(CarriedStream, carrier.host, carrier.port)
         stream.probe_while_silent()
         try:
--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -9,6 +9,7 @@
 from lychee_http.parser import EndOfMessage, MalformedError, ResponseEvent, ResponseParser
 from lychee_http.tcp import TcpStream
 from lychee_types.records import Endpoint
+from lychee_types.timeouts import timeout_after_input
 
 HEAD_LIMIT_BYTES = 65_536
 """Maximum size of the head of a backend server's response."""
@@ -198,7 +199,7 @@
     """
     loop = asyncio.get_running_loop()
     began = loop.time()
-    async with asyncio.timeout(timeout_s):
+    async with timeout_after_input(timeout_s):
         try:
             _, stream = await loop.create_connection(TcpStream, endpoint.host, endpoint.port)
         except (OverflowError, ValueError) as exc:
--- a/packages/lychee-types/src/lychee_types/timeouts.py
+++ b/packages/lychee-types/src/lychee_types/timeouts.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from types import TracebackType
 
-INPUT_TURNS = 8
+INPUT_TURNS = 12
 """Turns of the event loop in which bytes that have arrived reach the task that waits for them.
 
 One turn reads them. Each task, future or stream on the way to the waiting task takes one more.
