Take in an owner, a permit or routes that have arrived before refusing a request

Cause: a request waits 0.12 s for an owner of its key, 0.1 s or 0.03 s for a permit and a moment for routes. Where the loop is busy across that time, the timer ends the wait although the control replica's message lies in the system, and the request is refused with 503. A request for a range that had no owner 0.12 s ago was refused without any look at all, which a busy loop makes likely: the request and the new owner are read in the same turn.

Change: these waits use timeout_after_input, and the first refusal for want of an owner lets the loop take in what is there.

--- a/conftest.py
+++ b/conftest.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import platform as standard_platform
+import socket
 import sys
 import threading
+import time
 from collections.abc import Iterator
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
@@ -357,3 +359,44 @@
 def make_endpoint():
     """Return a function that returns an address on which nobody listens."""
     return free_endpoint
+
+
+ACT_TURNS = 4
+"""Turns of the event loop after which bytes have come through a link to the function they are for.
+"""
+
+
+def block_until_late(act, seconds: float) -> None:
+    """Block the running event loop, while bytes arrive that make a task call a function.
+
+    :param act: the function.
+    :param seconds: for how long the loop is blocked.
+    """
+    loop = asyncio.get_running_loop()
+    near, far = socket.socketpair()
+    near.setblocking(False)
+
+    async def act_in_task() -> None:
+        for _ in range(ACT_TURNS):
+            await asyncio.sleep(0)
+        act()
+
+    def receive() -> None:
+        loop.remove_reader(near)
+        near.close()
+        tasks.append(loop.create_task(act_in_task()))
+
+    def block() -> None:
+        far.sendall(b"x")
+        far.close()
+        time.sleep(seconds)
+
+    tasks: list[asyncio.Task[None]] = []
+    loop.add_reader(near, receive)
+    loop.call_soon(block)
+
+
+@pytest.fixture
+def busy_loop():
+    """Return a function that blocks the event loop while bytes arrive."""
+    return block_until_late
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/age.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/age.py
@@ -6,6 +6,7 @@
 from lychee_gateway.proxy.view import RoutedView
 from lychee_types.clock import Clock
 from lychee_types.ids import LogIndex
+from lychee_types.timeouts import timeout_after_input
 
 
 class StateAge:
@@ -80,7 +81,7 @@
     async def wait_until_usable(self, timeout_s: float) -> None:
         """Wait until the state is usable, at most ``timeout_s`` seconds."""
         try:
-            async with asyncio.timeout(timeout_s):
+            async with timeout_after_input(timeout_s):
                 while not self.is_usable:
                     await self._change.wait()
         except TimeoutError:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/limits.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/limits.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from random import Random
 
@@ -28,6 +29,7 @@
     PermitRequest,
 )
 from lychee_types.registry import ServerIncarnation
+from lychee_types.timeouts import timeout_after_input
 
 ANSWER_WAIT_S = 0.1
 """Maximum wait for the leader's answer, in seconds; then the reserve is used."""
@@ -244,7 +246,9 @@
         """Wait for the leader's answer."""
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         stock.waiters.append(waiter)
-        await asyncio.wait((waiter,), timeout=max(0.0, timeout_s))
+        with suppress(TimeoutError):
+            async with timeout_after_input(timeout_s):
+                await waiter
 
     def _want(self, stock: _Stock) -> None:
         """Count a request; one from longer ago than a permit can be used says nothing."""
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -11,6 +11,7 @@
 from lychee_types.ids import DomainName, ServiceName
 from lychee_types.registry import GrantPhase, KeyRange, ServerIncarnation
 from lychee_types.routing import Route
+from lychee_types.timeouts import timeout_after_input
 
 REMOTE_DOMAIN_PENALTY_S = 0.012
 """Latency that is assumed to be added by a server in another failure domain, in seconds."""
@@ -238,6 +239,8 @@
 
     async def _select_owner(self, request: RoutedRequest, key: int) -> ProxyServer | NoServer:
         wait_until = min(self._clock.monotonic() + OWNER_WAIT_S, request.deadline)
+        # A change that has arrived is taken in before the first refusal too.
+        has_waited = False
         while True:
             now = self._clock.monotonic()
             key_range = self._range(request.service, key)
@@ -250,9 +253,10 @@
                 return await self._wait_for_permit(request, owner)
             vacant_until = self._vacant_since(request.service, key_range, now) + OWNER_WAIT_S
             left_s = min(vacant_until, wait_until) - now
-            if left_s <= 0:
+            if left_s <= 0 and has_waited:
                 return NoServer(reason="the key has no owner now", retry_after_s=NO_OWNER_RETRY_S)
             await self._wait_for_change(left_s)
+            has_waited = True
 
     def _vacant_since(self, service: ServiceName, key_range: KeyRange | None, now: float) -> float:
         """Return the monotonic time in seconds since which a key range has had no usable owner.
@@ -286,7 +290,7 @@
         if self._state_change is None:
             self._state_change = asyncio.get_running_loop().create_future()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with timeout_after_input(timeout_s):
                 await asyncio.shield(self._state_change)
         except TimeoutError:
             return
--- a/packages/lychee-gateway/tests/test_age.py
+++ b/packages/lychee-gateway/tests/test_age.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import uvloop
 
 from lychee_gateway.proxy.age import StateAge
 from lychee_gateway.proxy.view import RoutedView
@@ -98,3 +99,14 @@
         await asyncio.wait_for(waiting, 10)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_routes_that_arrive_while_the_loop_is_busy_are_there_when_the_wait_ends(run, busy_loop):
+    async def scenario():
+        gateway = Gateway()
+        busy_loop(lambda: gateway.install(5), 0.2)
+        await gateway.age.wait_until_usable(0.1)
+        assert gateway.age.is_usable
+
+    run(scenario())
--- a/packages/lychee-gateway/tests/test_limits.py
+++ b/packages/lychee-gateway/tests/test_limits.py
@@ -3,15 +3,18 @@
 import asyncio
 
 import pytest
+import uvloop
 
 from lychee_gateway.proxy.limits import (
     ANSWER_WAIT_S,
+    PROMPT_WAIT_S,
     REFRESH_S,
     PermitRefused,
     PermitTaken,
     ServerLimits,
 )
 from lychee_policy import PERMIT_HOLD_S
+from lychee_types.clock import SystemClock
 from lychee_types.ids import Incarnation, ServerId
 from lychee_types.limit_messages import KnownLimits, ObservedLimit, PermitReply
 from lychee_types.registry import ServerIncarnation
@@ -23,8 +26,8 @@
 class Setup:
     """A gateway's limits, and the questions that it has asked."""
 
-    def __init__(self, *, limit_per_s=10.0):
-        self.clock = ManualClock()
+    def __init__(self, *, limit_per_s=10.0, clock=None):
+        self.clock = clock or ManualClock()
         self.questions = []
         self.permits = []
         self.limits = ServerLimits(
@@ -216,3 +219,26 @@
     setup.clock.advance(2.0)
     setup.limits.try_take(RUN)
     assert [question.wanted for question in setup.questions] == [1, 1]
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_a_permit_that_arrives_while_the_loop_is_busy_is_used_when_the_wait_ends(run, busy_loop):
+    async def scenario():
+        setup = Setup(clock=SystemClock())
+        busy_loop(lambda: setup.reply(1), ANSWER_WAIT_S + 0.1)
+        deadline = setup.clock.monotonic() + 1.0
+        assert await setup.limits.take(RUN, deadline=deadline) == PermitTaken()
+        assert setup.permits == ["issued"]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_a_prompt_permit_that_arrives_while_the_loop_is_busy_is_used(run, busy_loop):
+    async def scenario():
+        setup = Setup()
+        busy_loop(lambda: setup.reply(1), PROMPT_WAIT_S + 0.1)
+        deadline = setup.clock.monotonic() + 1.0
+        assert await setup.limits.take_promptly(RUN, deadline=deadline)
+
+    run(scenario())
--- a/packages/lychee-gateway/tests/test_placing.py
+++ b/packages/lychee-gateway/tests/test_placing.py
@@ -4,13 +4,15 @@
 from random import Random
 
 import pytest
+import uvloop
 from msgspec.structs import replace
 
 from lychee_gateway.proxy.codec import Occupancy
-from lychee_gateway.proxy.placing import NoServer, RoutedRequest, ServerSelector
+from lychee_gateway.proxy.placing import OWNER_WAIT_S, NoServer, RoutedRequest, ServerSelector
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_gateway.proxy.testing import make_limits
 from lychee_gateway.proxy.view import RoutedView
+from lychee_types.clock import SystemClock
 from lychee_types.ids import DomainName, Incarnation, LogIndex, ServerId, ServiceName, Token
 from lychee_types.records import Endpoint
 from lychee_types.registry import (
@@ -65,8 +67,8 @@
 class Setup:
     """Some servers, and a selector that chooses among them."""
 
-    def __init__(self, *records, ranges=()):
-        self.clock = ManualClock()
+    def __init__(self, *records, ranges=(), clock=None):
+        self.clock = clock or ManualClock()
         self.view = RoutedView()
         self.as_of = None
         self.servers = ServerList(clock=self.clock, as_of=self._as_of)
@@ -393,3 +395,22 @@
     setup.install(record("a"), record("b"))
     answer(setup, "b", 0.03)
     assert setup.server("b").service_time_s < 0.015
+
+
+@pytest.mark.parametrize("has_waited", [False, True])
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_an_owner_that_arrives_while_the_loop_is_busy_is_known_when_the_wait_ends(
+    run, has_waited, busy_loop
+):
+    async def body():
+        moving = [all_keys(GrantPhase.GRANTING)]
+        setup = Setup(record("a"), ranges=moving, clock=SystemClock())
+        if not has_waited:
+            assert isinstance(await setup.select(key=7), NoServer)
+        busy_loop(
+            lambda: setup.install(record("a"), ranges=[all_keys(GrantPhase.ACTIVE)]),
+            OWNER_WAIT_S + 0.1,
+        )
+        assert (await setup.select(key=7)).run.server == "a"
+
+    run(body())
