Count a failed answer that is kept beside the next attempt's

While a request is repeated, its failed answer is kept for the case that no attempt succeeds. Its size was not counted in the bound of what a gateway holds back, so that this could be exceeded up to twice.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -295,6 +295,7 @@
             ):
                 call.attempts += 1
                 call.failed_answer = attempt
+                held.keep(len(attempt.body))
                 return False
             case WholeAnswer(head=head, body=answer):
                 await call.exchange.send(head, answer)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/held.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/held.py
@@ -99,6 +99,7 @@
         self._conn = conn
         self._route = route
         self._size = 0
+        self._kept = 0
         self._is_over = False
 
     def reserve(self) -> bool:
@@ -109,6 +110,10 @@
         """Make room for an answer of a size in bytes; return whether there is enough."""
         return self._take(size, share=1.0)
 
+    def keep(self, size: int) -> None:
+        """Keep room for an answer of a size in bytes beside the next attempt's."""
+        self._kept = size
+
     def learn(self, size: int) -> None:
         """Learn the answer's size."""
         self._answers.learn(self._route, size)
@@ -127,9 +132,10 @@
     def _take(self, size: int, *, share: float) -> bool:
         if self._is_over:
             return False
-        if size <= self._size:
+        missing = self._kept + size - self._size
+        if missing <= 0:
             return True
-        if not self._answers.take(self._conn, size - self._size, share=share):
+        if not self._answers.take(self._conn, missing, share=share):
             return False
-        self._size = size
+        self._size += missing
         return True
--- a/packages/lychee-gateway/tests/test_held.py
+++ b/packages/lychee-gateway/tests/test_held.py
@@ -32,6 +32,16 @@
     assert rooms[0].grow(52 * KIB) and rooms[0].reserve()
 
 
+def test_a_failed_answer_that_is_kept_counts_beside_the_next_one():
+    answers = HeldAnswers(max_bytes=100 * KIB)
+    with answers.track(conn="a", route="r") as held:
+        assert held.grow(60 * KIB)
+        held.keep(60 * KIB)
+        assert not held.grow(41 * KIB)
+        assert held.grow(40 * KIB) and answers.held_bytes == 100 * KIB
+    assert answers.held_bytes == 0
+
+
 def test_no_room_is_taken_for_a_request_that_is_over():
     answers = HeldAnswers()
     with answers.track(conn="a", route="r") as held:
