--- a/packages/lychee-gateway/tests/test_ready_answers.py
+++ b/packages/lychee-gateway/tests/test_ready_answers.py
@@ -9,6 +9,7 @@
 
 from lychee_gateway.proxy.attempts import Body, PassedOn, Sender, TooLate, WholeAnswer
 from lychee_gateway.proxy.codec import ResponseInfo
+from lychee_gateway.proxy.held import HeldAnswers
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_gateway.proxy.testing import make_limits, make_paths
 from lychee_http import RequestHead
@@ -47,6 +48,7 @@
     def __init__(self):
         self.head = GET
         self.has_requests_behind = False
+        self.is_followed = False
         self.is_streamed = False
         self.body = b""
 
@@ -89,14 +91,16 @@
             drain_s=2.0,
             clock=clock,
         )
-        result = await sender.send(
-            exchange=exchange,
-            body=WHOLE,
-            server=ProxyServer(record=record, now=clock.monotonic()),
-            deadline=clock.monotonic() + LEFT_S,
-            request_id="",
-            used=set(),
-        )
+        with HeldAnswers().track(conn=exchange, route="r") as held:
+            result = await sender.send(
+                exchange=exchange,
+                body=WHOLE,
+                server=ProxyServer(record=record, now=clock.monotonic()),
+                deadline=clock.monotonic() + LEFT_S,
+                request_id="",
+                used=set(),
+                held=held,
+            )
         for conn in kept:
             conn.close()
     return result, exchange.body
