Read answers and stream parts that are there, and answers to grants, when their time is over

A caller gets 504 or a truncated stream; a grant that was accepted counts as failed, so that its keys may not be renewed until the next heartbeat.

Change: all three use timeout_after_input and ask the server's connection. Holds are not longer by it: a grant still counts from its sending, and where no answer is there the call ends and resets its connection as before.

Evidence: the loop is blocked across each limit with the answer in the system. Before: one test of the path, four of the calls (asyncio and uvloop) and one of the streams failed. Tests of lychee-gateway, lychee-runtime and lychee-types pass.

--- a/packages/lychee-control/src/lychee_control/registry/calls.py
+++ b/packages/lychee-control/src/lychee_control/registry/calls.py
@@ -12,6 +12,7 @@
 from lychee_http.pool import ServerPool
 from lychee_types.records import Endpoint
 from lychee_types.registry import KeyRange
+from lychee_types.timeouts import timeout_after_input
 
 GRANT_TIMEOUT_S = 0.35
 """Maximum wait for the answer to a grant, in seconds; it delays the move of a lost owner's keys."""
@@ -181,7 +182,7 @@
             if not may_send():
                 return CallFailed(reason="another replica may lead", maybe_sent=False)
             try:
-                async with asyncio.timeout(timeout_s):
+                async with timeout_after_input(timeout_s, has_input=conn.has_input):
                     return await self._exchange(conn, call)
             except TimeoutError:
                 # On a plain close, the kernel would keep sending to the unresponsive server, and
--- a/packages/lychee-control/tests/test_registry_calls.py
+++ b/packages/lychee-control/tests/test_registry_calls.py
@@ -1,9 +1,12 @@
 """Calls to servers: which are sent, and which are not because the leader's lease has expired."""
 
 import asyncio
+import time
 
 import pytest
+import uvloop
 
+from lychee_control.registry import calls
 from lychee_control.registry.calls import (
     CallFailed,
     EncodedCall,
@@ -51,14 +54,22 @@
         return self.is_valid
 
 
-async def call(kind, lease):
-    """Return the outcome of a call, and the bytes that the server received."""
+def block(seconds):
+    time.sleep(seconds)
+
+
+async def call(kind, lease, *, blocked_s=0.0):
+    """Return the outcome of a call, and the bytes that the server received.
+
+    The loop is blocked for a time once the server has answered.
+    """
     received = bytearray()
 
     async def serve(reader, writer):
         received.extend(await reader.read(1_000))
         if received:
             writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+            block(blocked_s)
         writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
@@ -98,6 +109,14 @@
     assert received == b""
 
 
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+@pytest.mark.parametrize("kind", ["grant", "release"])
+def test_an_answer_that_is_there_when_the_call_times_out_is_read(run, kind, monkeypatch):
+    monkeypatch.setattr(calls, f"{kind.upper()}_TIMEOUT_S", 0.2)
+    reply, _ = run(call(kind, Lease(), blocked_s=0.3))
+    assert reply == GrantAccepted()
+
+
 def test_a_call_that_times_out_resets_its_connection():
     """After a plain close, the kernel would still send the call to an unresponsive server later."""
 
--- a/packages/lychee-gateway/src/lychee_gateway/exchange.py
+++ b/packages/lychee-gateway/src/lychee_gateway/exchange.py
@@ -1,6 +1,5 @@
 """A single attempt to send a request to a backend server."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from time import monotonic
 
@@ -30,6 +29,7 @@
 from lychee_types.document import BodyMode
 from lychee_types.ids import Token
 from lychee_types.records import Endpoint
+from lychee_types.timeouts import timeout_after_input
 
 REFUSAL_HEADER = b"lychee-refused"
 """Response header by which a server declares that it did not run the request."""
@@ -141,7 +141,8 @@
         sent_at = monotonic()
         may_have_run_before, call.may_have_run = call.may_have_run, True
         try:
-            async with asyncio.timeout_at(call.deadline):
+            left_s = call.deadline - monotonic()
+            async with timeout_after_input(left_s, has_input=conn.has_input):
                 with assignment.server.awaiting_response():
                     head = await conn.read_head()
                 named = header_value(head.headers, REQUEST_ID_HEADER)
--- a/packages/lychee-gateway/src/lychee_gateway/streams.py
+++ b/packages/lychee-gateway/src/lychee_gateway/streams.py
@@ -1,11 +1,10 @@
 """Streaming of a response from a server to the caller, in bounded memory."""
 
-import asyncio
-
 from loguru import logger
 
 from lychee_http import CallerConnection, ResponseHead, ServerConnection
 from lychee_http.exceptions import ServerResponseError
+from lychee_types.timeouts import timeout_after_input
 
 
 class StreamToCaller:
@@ -39,5 +38,5 @@
         return True
 
     async def _next_chunk(self, conn: ServerConnection) -> bytes:
-        async with asyncio.timeout(self._max_pause_s):
+        async with timeout_after_input(self._max_pause_s, has_input=conn.has_input):
             return await conn.read_chunk()
--- a/packages/lychee-gateway/tests/test_path.py
+++ b/packages/lychee-gateway/tests/test_path.py
@@ -1,7 +1,7 @@
 """The whole path of a request: caller, gateway and backend server."""
 
 import asyncio
-from time import time
+from time import sleep, time
 
 import pytest
 from msgspec.json import decode, encode
@@ -147,3 +147,23 @@
             assert harness.gateway.exit_code == 0
 
     run(scenario())
+
+
+def test_an_answer_that_is_there_when_the_deadline_passes_is_delivered():
+    def answer_and_block(writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes")
+        sleep(0.6)
+
+    async def script(request):
+        async def step(writer):
+            return answer_and_block(writer)
+
+        return step
+
+    async def scenario():
+        server = FakeServer("b1", "booking", script)
+        async with open_harness(server, document=services(deadline_ms=400)) as harness:
+            reply = await harness.get(b"/bench-booking/", method=b"POST", body=b"monday")
+            assert (reply.status, reply.body) == (200, b"yes")
+
+    run(scenario())
--- a/packages/lychee-gateway/tests/test_streams.py
+++ b/packages/lychee-gateway/tests/test_streams.py
@@ -1,6 +1,7 @@
 """Streamed responses: bounded memory, cancellation, and truncation that callers can detect."""
 
 import asyncio
+from time import sleep
 
 import pytest
 
@@ -166,3 +167,24 @@
             assert (head.status, head.body) == (200, b"")
 
     run(scenario())
+
+
+def test_a_part_that_is_there_when_the_pause_has_lasted_too_long_is_passed_on():
+    def write_and_block(writer):
+        writer.write(b"x" * 95)
+        sleep(1.2)
+
+    async def script(request):
+        async def step(writer):
+            writer.write(SIZED + b"hello")
+            await asyncio.sleep(0.2)
+            return write_and_block(writer)
+
+        return step
+
+    async def scenario():
+        async with open_harness(FakeServer("g1", "guides", script)) as harness:
+            reply = await harness.get(b"/guides/1")
+            assert reply.body == b"hello" + b"x" * 95
+
+    run(scenario())
