Read a control replica's bytes that are there before it is taken for silent

Cause: a gateway's stream to a replica (1.5 s without a byte while it is chosen, 0.7 s while it is followed) and a link between two replicas (0.8 s) count as silent by timers that know only the bytes that were read. After a busy loop a sound replica is doubted or left, and a new stream transfers its state again.

Change: a link counts four checks without a byte, and takes in what is there before each; so do the checks of a followed replica. The link between replicas and the opening of a stream use timeout_after_input.

The opening of a stream has no test of its own.

--- a/packages/lychee-control/src/lychee_control/peers.py
+++ b/packages/lychee-control/src/lychee_control/peers.py
@@ -18,6 +18,7 @@
     ToGateway,
 )
 from lychee_types.registry_messages import LeaderNews, LeaderNote, LeaderReply
+from lychee_types.timeouts import timeout_after_input
 
 ALIVE_INTERVAL_S = 0.2
 """Interval at which the receiving end of a link sends a keepalive message, in seconds."""
@@ -233,7 +234,7 @@
             self._link = link
             while not link.closed:
                 try:
-                    async with asyncio.timeout(SILENCE_LIMIT_S):
+                    async with timeout_after_input(SILENCE_LIMIT_S):
                         if not await link.receive():
                             return
                 except TimeoutError:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
@@ -31,6 +31,7 @@
     ToSubscriber,
 )
 from lychee_types.routed_settings import ProxySettings
+from lychee_types.timeouts import take_input
 
 SILENCE_S = 0.7
 """Time without a byte from the followed replica after which others are tried, in seconds."""
@@ -203,6 +204,7 @@
         known_bytes, heard_at = link.received_bytes, self._clock.monotonic()
         while not follower.done() and self._contact is _Contact.RECENT:
             await asyncio.wait({follower}, timeout=SILENCE_CHECK_S)
+            await take_input()
             now = self._clock.monotonic()
             if link.received_bytes > known_bytes:
                 known_bytes, heard_at = link.received_bytes, now
--- a/packages/lychee-gateway/tests/test_subscription.py
+++ b/packages/lychee-gateway/tests/test_subscription.py
@@ -3,8 +3,10 @@
 import asyncio
 from contextlib import AsyncExitStack, asynccontextmanager
 from itertools import cycle
+from types import SimpleNamespace
 
 import pytest
+import uvloop
 
 from lychee_gateway.proxy import subscription as module
 from lychee_gateway.proxy.age import StateAge
@@ -307,3 +309,28 @@
                 await gateway.wait_for_index(9)
 
     asyncio.run(body())
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_a_replica_whose_bytes_arrive_while_the_loop_is_busy_is_not_doubted(run, busy_loop):
+    async def body():
+        subscription = Gateway().subscription
+        link = SimpleNamespace(received_bytes=0, peer="r")
+        read = asyncio.Event()
+
+        def receive():
+            link.received_bytes += 1
+            read.set()
+
+        subscription._link, subscription._contact = link, module._Contact.RECENT
+        subscription._follower = asyncio.create_task(asyncio.Event().wait())
+        waiting = asyncio.create_task(subscription._wait_for_doubt())
+        await asyncio.sleep(0)
+        busy_loop(receive, module.SILENCE_S + 0.3)
+        await read.wait()
+        await asyncio.sleep(0.05)
+        assert not waiting.done()
+        waiting.cancel()
+        subscription._follower.cancel()
+
+    run(body())
--- a/packages/lychee-runtime/src/lychee_runtime/link.py
+++ b/packages/lychee-runtime/src/lychee_runtime/link.py
@@ -20,12 +20,13 @@
 from lychee_runtime.codec import MsgpackCodec
 from lychee_types.exceptions import UnavailableError
 from lychee_types.records import Endpoint
+from lychee_types.timeouts import take_input, timeout_after_input
 
 S = TypeVar("S")
 R = TypeVar("R")
 
-PROGRESS_CHECK_SHARE = 0.25
-"""Interval between checks whether bytes have arrived, as a share of the maximum silence."""
+SILENCE_CHECKS = 4
+"""Number of checks without a byte that make up the maximum silence."""
 
 PENDING_LIMIT = 20_000
 """Maximum number of unsent messages; a link whose peer doesn't read is closed beyond it."""
@@ -140,23 +141,22 @@
         if silence_s is None:
             yield
             return
-        async with asyncio.timeout(silence_s) as limit:
-            extension = asyncio.create_task(self._extend_while_bytes_arrive(limit, silence_s))
+        async with asyncio.timeout(None) as limit:
+            checks = asyncio.create_task(self._end_when_silent(limit, silence_s))
             try:
                 yield
             finally:
-                extension.cancel()
-
-    async def _extend_while_bytes_arrive(self, limit: asyncio.Timeout, silence_s: float) -> None:
-        loop = asyncio.get_running_loop()
-        known_bytes = self.received_bytes
-        while True:
-            await asyncio.sleep(silence_s * PROGRESS_CHECK_SHARE)
-            if limit.expired():
-                return
+                checks.cancel()
+
+    async def _end_when_silent(self, limit: asyncio.Timeout, silence_s: float) -> None:
+        known_bytes, silent_checks = self.received_bytes, 0
+        while silent_checks < SILENCE_CHECKS:
+            await asyncio.sleep(silence_s / SILENCE_CHECKS)
+            await take_input()
+            silent_checks += 1
             if self.received_bytes > known_bytes:
-                known_bytes = self.received_bytes
-                limit.reschedule(loop.time() + silence_s)
+                known_bytes, silent_checks = self.received_bytes, 0
+        limit.reschedule(asyncio.get_running_loop().time())
 
     async def run_writer(self) -> None:
         """Write posted messages until the link closes.
@@ -197,7 +197,7 @@
     channel = Channel(endpoint.host, endpoint.port, codec=MsgpackCodec(), ssl=ssl)
     try:
         with as_unavailable(peer):
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with timeout_after_input(CONNECT_TIMEOUT_S):
                 protocol = await channel.__connect__()
         request = channel.request(
             method, Cardinality.STREAM_STREAM, tuple[send, ...], tuple[receive, ...]
--- a/packages/lychee-runtime/tests/test_link.py
+++ b/packages/lychee-runtime/tests/test_link.py
@@ -1,8 +1,11 @@
 """Streams of messages between processes."""
 
 import asyncio
+import time
+from threading import Thread
 
 import pytest
+import uvloop
 
 from lychee_runtime import LinkService, open_link, serve_links
 from lychee_runtime.ports import free_endpoint
@@ -72,3 +75,73 @@
         return asyncio.current_task().cancelling()
 
     assert asyncio.run(scenario()) == 0
+
+
+def serve_in_thread(endpoint, handler):
+    """Serve links in another thread until a function that is returned is called."""
+    service = LinkService(name="gateway")
+    service.add(method="/t.T/Echo", send=ToGateway, receive=ToGateway, handler=handler)
+    loop, ended = asyncio.new_event_loop(), asyncio.Event()
+
+    async def serve():
+        async with serve_links(service=service, endpoint=endpoint):
+            await ended.wait()
+
+    thread = Thread(target=loop.run_until_complete, args=(serve(),))
+    thread.start()
+
+    def stop():
+        loop.call_soon_threadsafe(ended.set)
+        thread.join(10)
+        loop.close()
+
+    return stop
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_a_message_that_arrives_while_the_loop_is_busy_breaks_the_silence(run) -> None:
+    async def answer(link):
+        await link.receive()
+        await asyncio.sleep(0.2)
+        link.post(EndSession(session="s"))
+        await link.receive()
+
+    async def scenario():
+        async with open_link(
+            endpoint=endpoint, method="/t.T/Echo", send=ToGateway, receive=ToGateway
+        ) as link:
+            link.post(EndSession(session="s"))
+            await asyncio.sleep(0.1)
+            asyncio.get_running_loop().call_soon(time.sleep, 0.6)
+            assert await link.receive(silence_s=0.4) == (EndSession(session="s"),)
+
+    endpoint = free_endpoint()
+    stop = serve_in_thread(endpoint, answer)
+    try:
+        time.sleep(0.2)
+        run(scenario())
+    finally:
+        stop()
+
+
+def test_a_silent_peer_ends_the_wait() -> None:
+    async def wait(link):
+        await link.receive()
+        await link.receive()
+
+    async def scenario():
+        async with open_link(
+            endpoint=endpoint, method="/t.T/Echo", send=ToGateway, receive=ToGateway
+        ) as link:
+            link.post(EndSession(session="s"))
+            with pytest.raises(TimeoutError):
+                await link.receive(silence_s=0.1)
+
+    endpoint = free_endpoint()
+    stop = serve_in_thread(endpoint, wait)
+    try:
+        time.sleep(0.2)
+        run = asyncio.wait_for(scenario(), 10)
+        asyncio.run(run)
+    finally:
+        stop()
