Deliver the leader's replies that are there when a gateway's wait for them ends

Cause: at gateways with leases the wait for the ledger's reply (0.2 s, then the request is sent again) and for the grant of an announcement end by a plain timer. After a busy loop a request with an Idempotency-Key is refused, or its outcome counts as unknown, though the reply is there, and a server is told to ask elsewhere.

Change: both use timeout_after_input.

Evidence: loop blocked for 0.1 s past the limit while the reply arrives, asyncio and uvloop: all four cases failed before.

--- a/packages/lychee-gateway/src/lychee_gateway/ledger.py
+++ b/packages/lychee-gateway/src/lychee_gateway/ledger.py
@@ -17,6 +17,7 @@
     ToControl,
 )
 from lychee_types.records import LedgerEntry, LedgerStatus, StoredAnswer
+from lychee_types.timeouts import timeout_after_input
 
 RESEND_INTERVAL_S = 0.2
 """Time without a reply after which the request to open an entry is resent, in seconds."""
@@ -129,7 +130,7 @@
         reply: asyncio.Future[LedgerOutcome | None] = asyncio.get_running_loop().create_future()
         self._pending_replies[number] = reply
         try:
-            async with asyncio.timeout(timeout_s):
+            async with timeout_after_input(timeout_s):
                 return await reply
         except TimeoutError:
             return None
--- a/packages/lychee-gateway/src/lychee_gateway/reports.py
+++ b/packages/lychee-gateway/src/lychee_gateway/reports.py
@@ -7,6 +7,7 @@
     Announcement,
     ServerGrant,
 )
+from lychee_types.timeouts import timeout_after_input
 
 BATCH_WINDOW_S = 0.02
 """Time during which announcements are collected into one report, in seconds."""
@@ -48,7 +49,7 @@
         self._pending.append(announcement)
         self._announcement_pending.set()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with timeout_after_input(timeout_s):
                 return await reply
         except TimeoutError:
             return None
