Keep connections of a former idle limit for as long as under that limit

Cause: a connection is kept for 1.5 times the idle time and 2 s more, but a former, longer limit counted only for its plain time and the time of a change after a shorter one came in force (17 s instead of 26.5 s for 15 s and 2 s).

Change: a former limit counts until the last connection of its time is closed. kept_s says how long that is, in one place.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/idle.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/idle.py
@@ -1,5 +1,6 @@
 """How long callers' connections may be idle while the configuration changes."""
 
+from lychee_http.pipelining import kept_s
 from lychee_types.clock import Clock
 from lychee_types.routing import CallerBounds
 
@@ -8,7 +9,7 @@
     """The idle time that callers may rely on, whichever configuration they know.
 
     A connection that became idle under a longer limit, or whose caller does not know the shorter
-    one yet, is kept for as long as that said.
+    one yet, is kept for as long as under that.
 
     :param keep_s: time within which a change is known everywhere, in seconds.
     :param clock: source of time.
@@ -24,7 +25,9 @@
     def value_s(self) -> float:
         """Return the limit in seconds."""
         now = self._clock.monotonic()
-        self._former = [old for old in self._former if now - old[0] <= old[1] + self._keep_s]
+        self._former = [
+            old for old in self._former if now - old[0] <= kept_s(old[1]) + self._keep_s
+        ]
         return max([self._limit_s, *(limit_s for _, limit_s in self._former)])
 
     def set(self, limit_s: float) -> None:
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -47,6 +47,14 @@
 """Sends the response to a rejected request."""
 
 
+def kept_s(idle_s: float) -> float:
+    """Return how long an idle connection is kept, in seconds.
+
+    :param idle_s: how long its caller may be idle, in seconds.
+    """
+    return idle_s * KEPT_SHARE + CROSSING_S
+
+
 class PipelinedConnection:
     """One caller's connection with up to :data:`PIPELINE_LIMIT` requests in flight.
 
@@ -417,10 +425,10 @@
 
     def _idle_left_s(self) -> float:
         """Return how long to wait for the next request, from the last response, in seconds."""
-        kept_s = self._idle_s() * KEPT_SHARE + CROSSING_S
+        limit_s = kept_s(self._idle_s())
         if self._exchanges:
-            return kept_s
-        return kept_s - (monotonic() - self._quiet_since)
+            return limit_s
+        return limit_s - (monotonic() - self._quiet_since)
 
     async def _close(self) -> None:
         """Close after the caller has had time to read the last response."""
