Tell callers in each answer for how long their connection may be idle

What callers saw (LOST): a request on an idle connection crossed the gateway's close.

The connection is kept for longer than that as before. A closing answer bears none, nor does one under a limit of less than 1 s.

Evidence: three cases of a test (the first fails without the change).

--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -204,6 +204,8 @@
                 lines.append(b"transfer-encoding: chunked\r\n")
         if self._conn.mark_if_last(self):
             lines.append(b"connection: close\r\n")
+        else:
+            lines.append(self._conn.keep_alive_header())
         lines.append(b"\r\n")
         return self._conn.begin_response(b"".join(lines))
 
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -63,7 +63,8 @@
     :param handle: handles a request and sends the response.
     :param refuse: sends the response to a rejected request.
     :param tally: counts what becomes of each request.
-    :param idle_s: returns how long callers may be idle now, in seconds; None if that never changes.
+    :param idle_s: returns how long callers may be idle now, in seconds, which answers tell them;
+        None if that never changes and is not told.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
     ) -> None:
         self.closing = False
         self.tally = tally or RequestTally()
+        self._tells_idle = idle_s is not None
         self._idle_s = idle_s or (lambda: limits.idle_s)
         self._stream = stream
         self._limits = limits
@@ -193,6 +195,16 @@
         self._last_exchange = exchange
         return True
 
+    def keep_alive_header(self) -> bytes:
+        """Return the line of a response that tells how long the caller may be idle, if any does.
+
+        The connection is kept for longer (:func:`kept_s`), so that no request crosses its close.
+        """
+        whole_s = int(self._idle_s())
+        if not self._tells_idle or self.closing or whole_s < 1:
+            return b""
+        return b"keep-alive: timeout=%d\r\n" % whole_s
+
     async def wait_for_stream(self, exchange: CallerExchange) -> None:
         """Wait while a response before one may be sent in parts."""
         while (earlier := self._streamed_before(exchange)) is not None:
--- a/packages/lychee-http/tests/test_pipelining.py
+++ b/packages/lychee-http/tests/test_pipelining.py
@@ -51,6 +51,7 @@
         self.sent = []
         self.cancelled = []
         self.ends = []
+        self.idle_s = None
         self.tally = RequestTally(on_end=self.ends.append)
         self.limits = CallerLimits()
         self._released = {}
@@ -66,6 +67,7 @@
             handle=self._handle,
             refuse=self._refuse,
             tally=self.tally,
+            idle_s=self.idle_s,
         )
         self.conns.append(conn)
         self.tasks.append(asyncio.ensure_future(conn.run()))
@@ -396,6 +398,25 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("idle_s", "line"), [(15.9, b"keep-alive: timeout=15\r\n"), (0.9, None), (None, None)]
+)
+def test_an_answer_tells_for_how_long_its_connection_may_be_idle(idle_s, line):
+    async def scenario():
+        async with harness() as h:
+            h.idle_s = idle_s and (lambda: idle_s)
+            async with caller(h) as (reader, writer):
+                h.release(b"a", b"b")
+                writer.write(get(b"a"))
+                kept = await read_until(reader, b"by a")
+                writer.write(get(b"b", b"connection: close"))
+                last = await read_to_end(reader)
+                assert (b"keep-alive" in kept) == (line is not None) and (line or b"") in kept
+                assert b"keep-alive" not in last
+
+    run(scenario())
+
+
 def test_an_idle_time_counts_from_the_last_answer():
     async def scenario():
         async with harness() as h:
