Let a gateway's stop go on beside a carried connection that is being closed

Cause: Carrier.leave wrote to a carried connection whose sending side had already been ended (_close_after_delivery); RuntimeError 'Cannot call write() after write_eof()' ended the drain.

Change: TcpStream.end_writing ends the own side, and later writes are dropped.

Evidence: the two new tests failed before with that error, and pass.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -249,7 +249,7 @@
     """Close a connection once its peer has read what was sent and closed it too."""
     if stream.lost:
         return
-    stream.transport.write_eof()
+    stream.end_writing()
     with suppress(TimeoutError):
         async with asyncio.timeout(CLOSE_S):
             while await stream.read():
--- a/packages/lychee-gateway/tests/test_carrying.py
+++ b/packages/lychee-gateway/tests/test_carrying.py
@@ -5,6 +5,7 @@
 import socket
 from contextlib import asynccontextmanager
 
+import msgspec
 import pytest
 
 from lychee_gateway.proxy import carrier as carrier_module
@@ -268,6 +269,28 @@
     play(behave, scenario)
 
 
+@pytest.mark.parametrize(
+    "run", [RUN, ServerIncarnation(server=ServerId("s2"), incarnation=RUN.incarnation)]
+)
+def test_a_stop_does_not_fail_at_a_connection_that_is_being_closed(run):
+    # LOST: the gateway ended at the beginning of its stop, with requests in flight.
+    async def end_at_once(reader, writer):
+        writer.close()
+
+    async def scenario(setup):
+        request = CarryRequest(run=run, endpoint=setup.server.endpoint, timeout_ms=1_000)
+        reader, writer = await asyncio.open_connection(setup.address.host, setup.address.port)
+        writer.write(encode_frame(msgspec.msgpack.encode(request)))
+        await reader.read()
+        assert len(setup.carrier) == 1
+        try:
+            setup.carrier.leave()
+        finally:
+            writer.close()
+
+    play(end_at_once, scenario)
+
+
 def test_idle_connections_of_other_gateways_leave_room_for_new_ones(monkeypatch):
     monkeypatch.setattr(carrier_module, "MAX_OPEN", 3)
     monkeypatch.setattr(carrier_module, "SPARE_OPEN", 1)
--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -52,6 +52,7 @@
         self.lost = False
         self.was_reset = False
         self._is_reading_stopped = False
+        self._is_writing_ended = False
         self._on_connect = on_connect
         self._transport: asyncio.Transport | None = None
         self._received: list[bytes] = []
@@ -157,9 +158,17 @@
         self._wake_reader()
 
     def write(self, data: bytes) -> None:
-        """Send bytes; they are dropped if the connection is lost or closing."""
-        if not self.lost and not self.transport.is_closing():
-            self.transport.write(data)
+        """Send bytes; they are dropped if the connection is lost, closing or ended by this side."""
+        if self.lost or self._is_writing_ended or self.transport.is_closing():
+            return
+        self.transport.write(data)
+
+    def end_writing(self) -> None:
+        """End this side of the stream after the unsent bytes have been sent."""
+        if self.lost or self._is_writing_ended or self.transport.is_closing():
+            return
+        self._is_writing_ended = True
+        self.transport.write_eof()
 
     async def drain(self) -> None:
         """Wait until the number of unsent bytes is below the limit.
