--- a/packages/lychee-http/src/lychee_http/inbound.py
+++ b/packages/lychee-http/src/lychee_http/inbound.py
@@ -209,8 +209,7 @@
             not self._is_request_read or self._reader.has_next_event or self._stream.unread_bytes
         )
         if unread and not self._stream.eof:
-            if self._stream.transport.can_write_eof():
-                self._stream.transport.write_eof()
+            self._stream.end_writing()
             await self._reader.discard_rest()
         self._stream.close()
 
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -445,8 +445,7 @@
     async def _close(self) -> None:
         """Close after the caller has had time to read the last response."""
         if not self._stream.eof and (self.closing or self._stream.unread_bytes):
-            if self._stream.transport.can_write_eof():
-                self._stream.transport.write_eof()
+            self._stream.end_writing()
             self._stream.stop_reading(stopped=False)
             await self._reader.discard_rest()
         reason = EndReason.CLOSING_ANSWER if self.closing else EndReason.IDLE
