Leave the body that is still passed on to its handler when a connection ends

Cause: _end takes all parsed events to count the requests among them, also parts of a body that a request that must not be repeated still passes on.

Change: nothing is skipped while a body is being read.

Evidence: test_a_body_whose_caller_leaves_has_no_hole and test_no_server_runs_a_request_with_a_hole_in_its_body failed before and pass.

--- a/packages/lychee-http/src/lychee_http/incoming_body.py
+++ b/packages/lychee-http/src/lychee_http/incoming_body.py
@@ -35,6 +35,12 @@
         # The response of an earlier request may be sent only now, and says nothing of this one.
         self._finished = asyncio.Event()
 
+    @property
+    def is_being_read(self) -> bool:
+        """Whether a part of a body is due to a request that has not ended."""
+        exchange = self._exchange
+        return exchange is not None and not self._is_read and not exchange.done.done()
+
     def is_unread(self, exchange: CallerExchange) -> bool:
         """Return whether a request has a body of which a part is still due."""
         return self._exchange is exchange and not self._is_read
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -411,6 +411,9 @@
 
     def _skip_requests(self) -> list[CallerExchange]:
         """Return the requests that have been received and will not be handled."""
+        if self._body.is_being_read:
+            # What has been received is the rest of a body that its handler still passes on.
+            return []
         heads = self._reader.skip_requests()
         return [CallerExchange(head=head, conn=self, previous_done=None) for head in heads]
 
