Answer the requests ahead of an upgrade that is rejected for its body

Cause: the parser dropped all events that had not been read when a request to upgrade had a body, also whole requests before it.

Change: only the rejected request's own events are dropped.

--- a/packages/lychee-http/src/lychee_http/parser.py
+++ b/packages/lychee-http/src/lychee_http/parser.py
@@ -162,12 +162,17 @@
         for name in (b"content-length", b"transfer-encoding"):
             if header_value(tuple(self._headers), name) not in (None, b"0"):
                 self._error = MalformedError(message="a request to upgrade has a body")
-                self._events.clear()
+                self._drop_last_request()
                 return
         self._parser = httptools.HttpRequestParser(self)
         if rest:
             self.feed(rest)
 
+    def _drop_last_request(self) -> None:
+        """Drop the events of the last request; those before it are still to be answered."""
+        while not isinstance(self._events.pop(), RequestHead):
+            pass
+
 
 class ResponseParser(_HeadCollector):
     """Turns a server's bytes into one response; interim (1xx) responses are ignored.
