End a request whose task is cancelled before it begins

Cause: a task that is cancelled in the turn of the event loop in which it was created runs nothing, so that its request was never done. Behind an answer that broke off, the connection of a request with a body was then never closed; after the end of a connection, its task stayed for ever, and a stop waited for it up to its last share.

Change: the end of the task marks the request as done.

--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -264,6 +264,8 @@
     def _start(self, exchange: CallerExchange) -> None:
         self._add(exchange)
         exchange.task = asyncio.create_task(self._serve(exchange))
+        # A task that is cancelled before it begins runs nothing of its own.
+        exchange.task.add_done_callback(lambda _: exchange.mark_done())
 
     def _add(self, exchange: CallerExchange) -> None:
         self._exchanges.append(exchange)
