Read the leader's messages that are there before standing for election

Cause: after a busy event loop a replica handles the tick of its election timer in the same turn in which the loop begins to read: the leader's messages and the followers' replies still lie in the system, and it stands for election or steps down.

Change: where more than three ticks (one heartbeat) have passed without one, the replica lets the loop take in what is there before it handles the tick. Leases and promises not to vote count as before, from sending and from handling a message.

--- a/packages/lychee-log/src/lychee_log/replica.py
+++ b/packages/lychee-log/src/lychee_log/replica.py
@@ -43,6 +43,7 @@
     ReplicaState,
 )
 from lychee_types.records import Endpoint
+from lychee_types.timeouts import take_input
 from lychee_types.timing import Timing
 
 INBOX_LIMIT = 10_000
@@ -51,6 +52,9 @@
 TICKS_PER_HEARTBEAT = 3
 """Number of ticks per heartbeat interval."""
 
+LATE_TICKS = 3
+"""Number of ticks without one after which the event loop was busy."""
+
 DISK_RETRY_S = 0.5
 """Delay before a write to a full disk is retried, in seconds."""
 
@@ -308,6 +312,9 @@
             await self._wake.wait()
             timer.cancel()
             self._wake.clear()
+            if self._clock.monotonic() - self._last_tick_at > LATE_TICKS * tick_s:
+                # Messages that arrived meanwhile are handled before it is judged who is silent.
+                await take_input()
             self._process_events(core, tick_s)
             await asyncio.sleep(0)
 
--- a/packages/lychee-log/tests/test_replica.py
+++ b/packages/lychee-log/tests/test_replica.py
@@ -10,10 +10,11 @@
 from threading import Event
 
 import pytest
+import uvloop
 
 from lychee_log import Committed, LostStorageError, Replica, ReplicaAddress, StorageError
 from lychee_log.files import SystemDisk
-from lychee_log.messages import PeerMessage
+from lychee_log.messages import AppendRequest, PeerMessage, VoteRequest
 from lychee_types.clock import SystemClock
 from lychee_types.exceptions import NotLeaderError, UnavailableError
 from lychee_types.ids import LogIndex, ReplicaId
@@ -47,8 +48,10 @@
     def __init__(self) -> None:
         self.nodes: dict[ReplicaId, Node] = {}
         self.isolated: set[ReplicaId] = set()
+        self.posted: list[PeerMessage] = []
 
     def post(self, *, to: ReplicaAddress, message: PeerMessage) -> None:
+        self.posted.append(message)
         if to.id in self.nodes and not {to.id, message.sender} & self.isolated:
             self.nodes[to.id].replica.receive(message)
 
@@ -372,3 +375,41 @@
             assert (await group.propose(b"2")).result == 2
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_a_follower_reads_the_leaders_message_before_it_stands_for_election(
+    tmp_path: Path, run, busy_loop
+) -> None:
+    async def scenario() -> None:
+        async with running_group(data_folder=tmp_path, initial_voters="abc") as group:
+            await group.propose(b"x")
+            leader = await group.leader()
+            follower = next(node for node in group.nodes.values() if node is not leader)
+            is_for_follower = {"to": follower.replica.id, "sender": leader.replica.id}
+            heartbeat = [
+                message
+                for message in group.network.posted
+                if isinstance(message, AppendRequest)
+                and {"to": message.to, "sender": message.sender} == is_for_follower
+            ][-1]
+            for name in set(group.nodes) - {follower.replica.id}:
+                await group.stop(name)
+            group.network.posted.clear()
+            received = asyncio.Event()
+
+            def receive() -> None:
+                follower.replica.receive(heartbeat)
+                received.set()
+
+            busy_loop(receive, 2 * TIMING.longest_election_ms / 1_000)
+            await received.wait()
+            for _ in range(20):
+                await asyncio.sleep(0)
+            assert not [m for m in group.network.posted if isinstance(m, VoteRequest)]
+            # Without further messages of the leader it stands.
+            await group.wait_until(
+                lambda: any(isinstance(m, VoteRequest) for m in group.network.posted)
+            )
+
+    run(scenario())
