End a block of a busy loop at most 0.1 s and twelve turns after its time

With turns of 10 ms and input that goes on, a block ended 0.71 s after its time (one trial of the reviewer).

Change: after 0.1 s only the twelve turns count that input needs to reach its task.

--- a/packages/lychee-types/src/lychee_types/timeouts.py
+++ b/packages/lychee-types/src/lychee_types/timeouts.py
@@ -18,6 +18,10 @@
 """Maximum number of turns for a connection on which more and more bytes arrive."""
 
 
+MAX_LATE_S = 0.1
+"""Time after which only `INPUT_TURNS` turns in all are waited for, in seconds."""
+
+
 def _is_unknown() -> bool:
     """Return that input may be there, as nobody can tell."""
     return True
@@ -39,6 +43,7 @@
         self._loop = asyncio.get_running_loop()
         self._limit = asyncio.timeout(None)
         self._timer: asyncio.Handle | None = None
+        self._ends_by = self._loop.time() + self._delay_s + MAX_LATE_S
 
     async def __aenter__(self) -> None:
         await self._limit.__aenter__()
@@ -55,7 +60,8 @@
         await self._limit.__aexit__(exc_type, exc, traceback)
 
     def _end_without_input(self, turns: int) -> None:
-        if turns and self._has_input():
+        is_late = self._loop.time() > self._ends_by and self._turns - turns >= INPUT_TURNS
+        if turns and not is_late and self._has_input():
             self._timer = self._loop.call_soon(self._end_without_input, turns - 1)
         else:
             self._limit.reschedule(self._loop.time())
