Take no head behind other bytes for too large, and parse upgrades without recursion

What callers saw: a proper pipelined request behind a body got 431, and the connection closed. The size of a whole read counted for a head in which it ended, even if most of it was a body. By the same function, 600 requests to upgrade in one read exceeded the recursion limit (490 passed), and the connection's requests ended as failed.

Change: a read counts for a head only if all of it may belong to that head; the parser goes on behind an upgrade in a loop.

--- a/packages/lychee-http/src/lychee_http/parser.py
+++ b/packages/lychee-http/src/lychee_http/parser.py
@@ -50,6 +50,7 @@
         self._in_head = False
         self._head_bytes = 0
         self._head_count = 0
+        self._is_between_messages = True
         self._headers: list[Header] = []
         self._error: MalformedError | None = None
 
@@ -61,6 +62,7 @@
     def on_message_begin(self) -> None:
         """Begin a head."""
         self._in_head = True
+        self._is_between_messages = False
         self._head_count += 1
         self._head_bytes = 0
         self._headers = []
@@ -70,19 +72,24 @@
         if self._in_head:
             self._headers.append((name.lower(), (value or b"").strip()))
 
+    def on_message_complete(self) -> None:
+        """End a message."""
+        self._is_between_messages = True
+
     def _parse(self, parser: Any, data: bytes) -> None:
         """Parse bytes, and reject an incomplete head that exceeds the limit.
 
-        If a head began after another one in the same bytes, only its later bytes are counted.
+        If a head began behind other bytes in the same read, only its later bytes are counted.
         """
-        was_in_head, head_count_before = self._in_head, self._head_count
+        heads_if_all_of_one = self._head_count + self._is_between_messages
+        was_outside_body = self._in_head or self._is_between_messages
         try:
             parser.feed_data(data)
         except httptools.HttpParserError as exc:
             self._error = MalformedError(message=str(exc) or type(exc).__name__)
             return
         if self._in_head:
-            if was_in_head or self._head_count == head_count_before + 1:
+            if was_outside_body and self._head_count == heads_if_all_of_one:
                 self._head_bytes += len(data)
             if self._head_bytes > self._head_limit:
                 self._error = MalformedError(message="the head is too large", status=431)
@@ -118,12 +125,13 @@
 
     def feed(self, data: bytes) -> None:
         """Parse bytes."""
-        if self._error is not None:
-            return
-        try:
-            self._parse(self._parser, data)
-        except httptools.HttpParserUpgrade as exc:
-            self._continue_without_upgrade(data[exc.args[0] :])
+        while data and self._error is None:
+            try:
+                self._parse(self._parser, data)
+                return
+            except httptools.HttpParserUpgrade as exc:
+                data = data[exc.args[0] :]
+                self._continue_without_upgrade()
 
     def on_message_begin(self) -> None:
         """Begin a request."""
@@ -152,9 +160,10 @@
 
     def on_message_complete(self) -> None:
         """End a request."""
+        super().on_message_complete()
         self._events.append(_END_OF_MESSAGE)
 
-    def _continue_without_upgrade(self, rest: bytes) -> None:
+    def _continue_without_upgrade(self) -> None:
         """Continue after a request that asks for a protocol upgrade, which is never granted.
 
         The parser does not read such a request's body, so one with a body is rejected.
@@ -165,8 +174,6 @@
                 self._drop_last_request()
                 return
         self._parser = httptools.HttpRequestParser(self)
-        if rest:
-            self.feed(rest)
 
     def _drop_last_request(self) -> None:
         """Drop the events of the last request; those before it are still to be answered."""
@@ -262,6 +269,7 @@
 
     def on_message_complete(self) -> None:
         """End a response unless it was an interim one."""
+        super().on_message_complete()
         if not self._interim and not self.complete:
             self._complete_message()
 
