Send the rest of an answer before a stopping process ends, as long as its caller reads

What callers saw (LOST at a stop): the end of an answer was cut off. A connection counted as over while up to 64 KiB of its last answer were unsent, so that a stopping process ended and dropped them, and the request counted as answered. And a caller that read steadily but slowly was cut as stalled, as only a wait below the limit of unsent bytes counted as progress.

Change: a closing connection is over once its bytes are sent, or its caller reads none of them for the stall time; drain_within asks the same: whether fewer bytes are unsent than before.

--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -456,7 +456,5 @@
         reason = EndReason.CLOSING_ANSWER if self.closing else EndReason.IDLE
         self._unanswered.report(reason, self._skip_requests())
         self.tally.count_dropped(reason, self._reader.discarded + self._stream.unread_bytes)
-        self._stream.close()
-        if self._stream.unsent:
-            # A caller that reads nothing would keep a closing connection for ever.
-            asyncio.get_running_loop().call_later(self._limits.stall_s, self._stream.abort)
+        self._stream.on_disconnect = lambda: None
+        await self._stream.close_within(self._limits.stall_s)
--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -8,6 +8,7 @@
 import sys
 import termios
 from collections.abc import Callable
+from contextlib import suppress
 from typing import cast
 
 from lychee_types.timeouts import timeout_after_input
@@ -61,6 +62,7 @@
         self._data_waiter: asyncio.Future[None] | None = None
         self._drain_waiter: asyncio.Future[None] | None = None
         self._poll: select.poll | None = None
+        self._lost_event = asyncio.Event()
 
     @property
     def transport(self) -> asyncio.Transport:
@@ -110,6 +112,7 @@
         """Wake all tasks that wait on the connection."""
         self.eof = True
         self.lost = True
+        self._lost_event.set()
         self.was_reset = exc is not None
         self._wake_reader()
         self.resume_writing()
@@ -183,16 +186,17 @@
     async def drain_within(self, stall_s: float) -> None:
         """Wait while too many bytes are unsent, as long as the peer goes on reading.
 
-        :param stall_s: maximum time without room for a byte, in seconds.
+        :param stall_s: maximum time in which the peer reads nothing, in seconds.
         :raises TimeoutError: if it is over.
         :raises ConnectionError: if the connection is lost.
         """
         while self.is_congested:
+            unsent = self.unsent
             try:
                 async with timeout_after_input(stall_s, has_input=self._has_room):
                     await self.drain()
             except TimeoutError:
-                if not self._has_room():
+                if self.unsent >= unsent and not self._has_room():
                     raise
 
     def _has_room(self) -> bool:
@@ -206,6 +210,21 @@
         if self._transport is not None:
             self._transport.close()
 
+    async def close_within(self, stall_s: float) -> None:
+        """Close the connection, and wait until the unsent bytes have been sent.
+
+        :param stall_s: maximum time in which the peer reads nothing, in seconds; then the rest is
+            dropped.
+        """
+        self.close()
+        unsent = 0
+        while not self.lost and self.unsent != unsent:
+            unsent = self.unsent
+            with suppress(TimeoutError):
+                async with asyncio.timeout(stall_s):
+                    await self._lost_event.wait()
+        self.abort()
+
     def abort(self) -> None:
         """Close the connection at once; bytes that :attr:`unsent` counts are dropped."""
         if self._transport is not None:
--- a/packages/lychee-http/tests/test_review_idle.py
+++ b/packages/lychee-http/tests/test_review_idle.py
@@ -7,6 +7,7 @@
 import struct
 import time
 from contextlib import suppress
+from threading import Thread
 
 import uvloop
 
@@ -17,6 +18,7 @@
 from lychee_http.messages import RequestHead
 from lychee_http.parser import RequestParser
 from lychee_http.pipelining import PipelinedConnection
+from lychee_http.reader import LINGER_S
 from lychee_types.records import Endpoint
 from lychee_types.timeouts import timeout_after_input
 
@@ -117,7 +119,7 @@
                     h.conns[0]._stream.data_received(part)
                     await asyncio.sleep(0.05)
                 answers = await read_until(reader, b"by b") if h.tally.answered > 1 else b""
-                assert answers.count(b"200") == 2, await reader.read(65_536)
+                assert answers.count(b"HTTP/1.1 200") == 2, await reader.read(65_536)
 
     run(scenario())
 
@@ -160,7 +162,13 @@
 
 
 def test_an_answer_is_sent_whole_before_a_stopping_process_ends():
-    sock = socket.socket()
+    sock, received = socket.socket(), bytearray()
+
+    def read_late():
+        time.sleep(LINGER_S + 0.5)
+        with suppress(ConnectionError):
+            while data := sock.recv(65_536):
+                received.extend(data)
 
     async def serve_until_connection_ends():
         answered = asyncio.Event()
@@ -191,16 +199,15 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
         sock.connect((listener.endpoint.host, listener.endpoint.port))
         sock.sendall(get(b"a"))
+        reader.start()
         await answered.wait()
         # As a stopping gateway: it waits for its connections, then the process ends.
         await asyncio.wait(tasks)
         await listener.stop()
 
+    reader = Thread(target=read_late)
     uvloop.run(serve_until_connection_ends())
-    received = b""
-    with suppress(ConnectionError):
-        while data := sock.recv(65_536):
-            received += data
+    reader.join()
     sock.close()
     assert len(received.partition(b"\r\n\r\n")[2]) == ANSWER_BYTES
 
