Count requests that are skipped without an object and a log entry for each

And a head or body whose last bytes were already in the system was still rejected if others came in the turn in which its time ended.

Change: skipped requests are a number; under way are those without an answer or a reason for none; two reads of what has arrived count after a time limit.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -136,6 +136,8 @@
         for request in end.requests:
             sent = "yes" if request.was_sent else "no"
             self._unanswered.labels(end.reason.value, sent).inc()
+        if end.skipped:
+            self._unanswered.labels(end.reason.value, "no").inc(end.skipped)
 
     def count_permits(self, outcome: str, count: int) -> None:
         """Count permits for servers with a limit: issued, expired, or taken from the reserve."""
--- a/packages/lychee-http/src/lychee_http/endings.py
+++ b/packages/lychee-http/src/lychee_http/endings.py
@@ -62,10 +62,12 @@
 
     :param reason: why.
     :param requests: the requests, in the order in which they were sent.
+    :param skipped: number of whole requests behind these that were received and not handled.
     """
 
     reason: EndReason
     requests: tuple[UnansweredRequest, ...]
+    skipped: int = 0
 
 
 OnEnd = Callable[[ConnectionEnd], None]
@@ -79,6 +81,9 @@
 def log_end(end: ConnectionEnd) -> None:
     """Log requests that got no answer; a warning if the caller did not cause it."""
     level = "INFO" if end.reason.is_callers else "WARNING"
-    logger.bind(event="unanswered", reason=end.reason.value, requests=list(end.requests)).log(
-        level, "requests of a caller's connection got no answer"
-    )
+    logger.bind(
+        event="unanswered",
+        reason=end.reason.value,
+        requests=list(end.requests),
+        skipped=end.skipped,
+    ).log(level, "requests of a caller's connection got no answer")
--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -219,13 +219,21 @@
     def __init__(self, *, tally: RequestTally) -> None:
         self._tally = tally
 
-    def report(self, reason: EndReason, exchanges: Iterable[CallerExchange]) -> None:
-        """Report those of some exchanges that have no answer and were not reported."""
+    def report(
+        self, reason: EndReason, exchanges: Iterable[CallerExchange], *, skipped: int = 0
+    ) -> None:
+        """Report those of some exchanges that have no answer and were not reported.
+
+        :param reason: why they have none.
+        :param exchanges: the exchanges.
+        :param skipped: number of requests behind them that were received and not handled.
+        """
         lost = [e for e in exchanges if not (e.is_answered or e.is_reported)]
-        if not lost:
+        if not lost and not skipped:
             return
         for exchange in lost:
             exchange.is_reported = True
-        end = ConnectionEnd(reason=reason, requests=tuple(e.as_unanswered() for e in lost))
+        requests = tuple(e.as_unanswered() for e in lost)
+        end = ConnectionEnd(reason=reason, requests=requests, skipped=skipped)
         log_end(end)
         self._tally.count_end(end)
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -106,8 +106,8 @@
 
     @property
     def under_way(self) -> int:
-        """Number of requests without a complete response."""
-        return len(self._exchanges)
+        """Number of requests without a complete response or a reason for none."""
+        return sum(not (e.is_answered or e.is_reported) for e in self._exchanges)
 
     async def run(self) -> None:
         """Read requests and handle them until the connection ends."""
@@ -401,7 +401,7 @@
 
         :param reset: whether to reset it, so that no caller takes the close for a response's end.
         """
-        self._unanswered.report(reason, [*self._exchanges, *self._skip_requests()])
+        self._unanswered.report(reason, self._exchanges, skipped=self._skip_requests())
         self.tally.count_dropped(reason, self._stream.unread_bytes)
         self._half_close.complete_prefix()
         if reset:
@@ -411,13 +411,12 @@
         for exchange in self._exchanges:
             exchange.cancel()
 
-    def _skip_requests(self) -> list[CallerExchange]:
-        """Return the requests that have been received and will not be handled."""
+    def _skip_requests(self) -> int:
+        """Skip the requests that have been received and will not be handled; return how many."""
         if self._body.is_being_read:
             # What has been received is the rest of a body that its handler still passes on.
-            return []
-        heads = self._reader.skip_requests()
-        return [CallerExchange(head=head, conn=self, previous_done=None) for head in heads]
+            return 0
+        return self._reader.skip_requests()
 
     async def _read_head(self) -> RequestHead | None:
         return await self._reader.read_head(
@@ -454,7 +453,7 @@
             self._stream.stop_reading(stopped=False)
             await self._reader.discard_rest()
         reason = EndReason.CLOSING_ANSWER if self.closing else EndReason.IDLE
-        self._unanswered.report(reason, self._skip_requests())
+        self._unanswered.report(reason, (), skipped=self._skip_requests())
         self.tally.count_dropped(reason, self._reader.discarded + self._stream.unread_bytes)
         self._stream.on_disconnect = lambda: None
         await self._stream.close_within(self._limits.stall_s)
--- a/packages/lychee-http/src/lychee_http/reader.py
+++ b/packages/lychee-http/src/lychee_http/reader.py
@@ -17,6 +17,10 @@
 """Maximum number of bytes to read and discard before a connection closes."""
 
 
+LATE_READS = 2
+"""Maximum number of reads of what has arrived when a time limit is over."""
+
+
 class RequestReader:
     """Reads a connection's bytes as events of requests.
 
@@ -130,10 +134,10 @@
         except TimeoutError:
             return
 
-    def skip_requests(self) -> list[RequestHead]:
-        """Return the heads of all whole requests that have been received and were not read."""
-        heads: list[RequestHead] = []
-        head: RequestHead | None = None
+    def skip_requests(self) -> int:
+        """Skip what has been received; return how many whole requests in it were not read."""
+        count = 0
+        has_head = False
         while self._parser.has_next_event:
             try:
                 event = self._parser.next_event()
@@ -141,15 +145,17 @@
                 # What is malformed is no request.
                 break
             if isinstance(event, RequestHead):
-                head = event
-            elif isinstance(event, EndOfMessage) and head is not None:
-                heads.append(head)
-                head = None
-        return heads
+                has_head = True
+            elif isinstance(event, EndOfMessage):
+                count += has_head
+                has_head = False
+        return count
 
 
 class TimedReads:
-    """Reads a part of a request that must arrive within a time; bytes after it do not count.
+    """Reads a part of a request that must arrive within a time.
+
+    What has arrived when the time is over is read too, in :data:`LATE_READS` reads at most.
 
     :param reader: reads the connection.
     :param timeout_s: the time in seconds.
@@ -158,12 +164,13 @@
     def __init__(self, *, reader: RequestReader, timeout_s: float) -> None:
         self._reader = reader
         self._deadline = monotonic() + timeout_s
-        self._is_over = False
+        self._late_reads = 0
 
     async def receive(self) -> bool:
         """Wait for bytes and parse them; return False at the end of the stream or of the time."""
-        if self._is_over:
+        left_s = self._deadline - monotonic()
+        if left_s <= 0:
+            self._late_reads += 1
+        if self._late_reads > LATE_READS:
             return False
-        has_data = await self._reader.receive(self._deadline - monotonic())
-        self._is_over = monotonic() >= self._deadline
-        return has_data
+        return await self._reader.receive(left_s)
--- a/packages/lychee-http/src/lychee_http/tally.py
+++ b/packages/lychee-http/src/lychee_http/tally.py
@@ -35,8 +35,9 @@
         self.answered += 1
 
     def count_end(self, end: ConnectionEnd) -> None:
-        """Count requests that got no whole answer."""
-        self.ended[end.reason] += len(end.requests)
+        """Count requests that got no whole answer, and as read those that were skipped."""
+        self.read += end.skipped
+        self.ended[end.reason] += len(end.requests) + end.skipped
         self._on_end(end)
 
     def count_dropped(self, reason: EndReason, size: int) -> None:
