--- a/packages/lychee-http/src/lychee_http/reader.py
+++ b/packages/lychee-http/src/lychee_http/reader.py
@@ -18,7 +18,7 @@
 
 
 LATE_READS = 2
-"""Maximum number of reads of what has arrived when a time limit is over."""
+"""Maximum number of reads of what has arrived when the time for it is over."""
 
 
 class RequestReader:
--- a/packages/lychee-http/tests/test_busy_connects.py
+++ b/packages/lychee-http/tests/test_busy_connects.py
@@ -1,4 +1,4 @@
-"""Connections that open in time while the event loop is busy until after the time limit."""
+"""Connections that open in time while the event loop is busy until their time is over."""
 
 import asyncio
 import socket
