Close a caller's connection only once its answers are delivered or it has left

What callers saw: an answer of 400 kB on a slow link is cut, or never begins, if its caller sends anything 1 s after it; the gateway counts it as answered and logs nothing.

Cause: handing bytes to the operating system counted as giving the answer. After the last answer the connection was read on for 1 s (or 1 MiB) and then closed, whether or not the caller's system had acknowledged the answer. What the caller sends after that is answered by a reset, which drops what is unacknowledged. The same at each other way out: an idle close, the close of idle connections at a stop, a rejected head, an answer that breaks off behind it, a handler without an answer, a body that is not read to its end, HTTP/1.0, the control replicas' API, and carried connections.

Change: one way out. delivery.py decides, without I/O, from the bytes without acknowledgement, the caller's end and the time; closing.py waits. A connection closes when its caller's system has everything and the caller has ended its side or 1 s has passed, when it has left, or when it has acknowledged nothing for the stall time. A connection with unacknowledged bytes is not idle. A handler that sends no answer is answered 502 and takes no other request along. Whole answers that were not acknowledged at the end are logged and counted by reason.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -17,6 +17,7 @@
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_http import ServerConnection, TcpStream
 from lychee_http.carrying import LEAVING, LENGTH, MAX_REPLY_BYTES, encode_frame
+from lychee_http.closing import wait_until_delivered
 from lychee_http.listener import Listener
 from lychee_types.peer_messages import CarryAccepted, CarryRefused, CarryReply, CarryRequest
 from lychee_types.records import Endpoint
@@ -39,8 +40,8 @@
 UNKNOWN_RETRY_S = 0.2
 """The same for a server that is not registered here, as this gateway's state may be older."""
 
-CLOSE_S = 1.0
-"""Maximum time in which a carried connection may deliver its last bytes, in seconds."""
+STALL_S = 10.0
+"""Maximum time in which a gateway reads nothing of the last bytes carried to it, in seconds."""
 
 _ENCODER = Encoder()
 _REQUEST_DECODER: Decoder[CarryRequest] = Decoder(CarryRequest)
@@ -181,7 +182,8 @@
         self._on_request("unreached" if reply.is_unreached else "refused")
         logger.bind(event="carry_refused").info("a connection is not carried: {}", reply.reason)
         stream.write(_encode_reply(reply))
-        await _close_after_delivery(stream)
+        await _wait_until_delivered(stream)
+        stream.abort()
 
     async def _carry(self, caller: TcpStream, server: TcpStream) -> None:
         # The server takes the close as the end of the request, as from a caller of its own.
@@ -219,10 +221,11 @@
             caller.write(encode_frame(data))
             await caller.drain()
         if server.was_reset:
+            await _wait_until_delivered(caller, with_end=False)
             caller.reset()
             return
         caller.write(LENGTH.pack(0))
-        await _close_after_delivery(caller)
+        await _wait_until_delivered(caller)
 
 
 async def _read_frame(stream: TcpStream) -> bytes:
@@ -245,16 +248,14 @@
         received += data
 
 
-async def _close_after_delivery(stream: TcpStream) -> None:
-    """Close a connection once its peer has read what was sent and closed it too."""
-    if stream.lost:
-        return
-    stream.end_writing()
-    with suppress(TimeoutError):
-        async with asyncio.timeout(CLOSE_S):
-            while await stream.read():
-                pass
-    stream.close()
+async def _wait_until_delivered(stream: TcpStream, *, with_end: bool = True) -> None:
+    """Wait until the asking gateway has everything, or has left.
+
+    :param with_end: False if the connection is to be reset afterwards.
+    """
+    await wait_until_delivered(
+        stream, stall_s=STALL_S, discard=lambda data: None, with_end=with_end
+    )
 
 
 def _encode_reply(reply: CarryReply) -> bytes:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -79,6 +79,11 @@
         page = self._page
         page.total("requests_read", "Requests whose head was read.", lambda: tally.read)
         page.total("requests_answered", "Requests answered whole.", lambda: tally.answered)
+        page.total(
+            "requests_undelivered",
+            "Requests answered whole, whose answers were not acknowledged.",
+            lambda: tally.undelivered.total(),
+        )
         page.total(
             "dropped_bytes",
             "Bytes of callers that belong to no request that was read.",
--- a/packages/lychee-http/src/lychee_http/endings.py
+++ b/packages/lychee-http/src/lychee_http/endings.py
@@ -70,6 +70,20 @@
     skipped: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UndeliveredAnswers:
+    """Whole answers of a connection that its caller's system had not acknowledged at its end.
+
+    :param reason: why the connection ended.
+    :param requests: ids of the requests, in the order in which they were sent.
+    :param size: number of bytes without acknowledgement.
+    """
+
+    reason: EndReason
+    requests: tuple[str, ...]
+    size: int
+
+
 OnEnd = Callable[[ConnectionEnd], None]
 """Is told of requests that got no answer, after they have been logged."""
 
@@ -78,6 +92,17 @@
     """Count nothing."""
 
 
+def log_undelivered(answers: UndeliveredAnswers) -> None:
+    """Log answers that may not have reached their caller."""
+    level = "INFO" if answers.reason.is_callers else "WARNING"
+    logger.bind(
+        event="undelivered",
+        reason=answers.reason.value,
+        requests=list(answers.requests),
+        bytes=answers.size,
+    ).log(level, "a caller's connection ended before its answers were acknowledged")
+
+
 def log_end(end: ConnectionEnd) -> None:
     """Log requests that got no answer; a warning if the caller did not cause it."""
     level = "INFO" if end.reason.is_callers else "WARNING"
--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -185,7 +185,7 @@
     def _mark_answered(self) -> None:
         if not self.is_reported:
             self.is_answered = True
-            self._conn.tally.count_answered()
+            self._conn.count_answered(self)
         self.mark_done()
 
     def _settle(self) -> None:
--- a/packages/lychee-http/src/lychee_http/inbound.py
+++ b/packages/lychee-http/src/lychee_http/inbound.py
@@ -4,6 +4,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 
+from lychee_http.closing import wait_until_delivered
 from lychee_http.exceptions import CallerGoneError
 from lychee_http.framing import (
     body_too_large_error,
@@ -60,6 +61,7 @@
         self._is_request_read = False
         self._is_response_sent = False
         self._is_chunked = False
+        self._ends_by_reset = False
 
     def close_if_idle(self, *, include_unused: bool) -> None:
         """Close the connection if the task waits for a request and none has begun to arrive.
@@ -70,6 +72,7 @@
             self._is_waiting_for_request
             and (include_unused or self._has_served_request)
             and self._stream.is_quiet()
+            and self._stream.is_acknowledged()
         ):
             self._stream.abort()
 
@@ -192,26 +195,23 @@
         """Close the connection so that the caller sees that the response is incomplete.
 
         For an HTTP/1.0 caller the end of the stream may mark the end of the response, so the
-        connection is reset.
+        connection is reset. Both are done by :meth:`close`, after earlier responses have arrived.
         """
-        if self._head is not None and self._head.version == b"1.0":
-            self._stream.reset()
-        else:
-            self._stream.abort()
+        self.closing = True
+        self._ends_by_reset = self._head is not None and self._head.version == b"1.0"
 
     async def close(self) -> None:
-        """Close after the caller has had time to read the last response.
-
-        What it still sends is read and discarded, since closing with unread bytes resets the
-        connection.
-        """
-        unread = (
-            not self._is_request_read or self._reader.has_next_event or self._stream.unread_bytes
+        """Close once the caller has what was written, has left, or does not read on."""
+        await wait_until_delivered(
+            self._stream,
+            stall_s=self._limits.stall_s,
+            discard=self._reader.discard,
+            with_end=not self._ends_by_reset,
         )
-        if unread and not self._stream.eof:
-            self._stream.end_writing()
-            await self._reader.discard_rest()
-        self._stream.close()
+        if self._ends_by_reset:
+            self._stream.reset()
+        else:
+            self._stream.abort()
 
     def _encode_response_head(self, head: ResponseHead) -> bytes:
         """Return the bytes of a response's head, and record how its body is framed."""
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -9,7 +9,9 @@
 
 from loguru import logger
 
-from lychee_http.endings import EndReason
+from lychee_http.closing import wait_until_delivered
+from lychee_http.delivery import MAX_REMEMBERED, Outcome, SentResponses
+from lychee_http.endings import EndReason, UndeliveredAnswers, log_undelivered
 from lychee_http.exceptions import BadRequestError, CallerGoneError
 from lychee_http.exchange import CallerExchange, UnansweredReports
 from lychee_http.framing import (
@@ -92,6 +94,10 @@
         self._body = IncomingBody(stream=stream, reader=self._reader, limits=limits)
         self._is_waiting_for_request = False
         self._last_exchange: CallerExchange | None = None
+        self._is_ended_as_idle = False
+        self._ends_by_reset = False
+        self._sent = SentResponses()
+        self._unacknowledged_when_idle = 0
         self._quiet_since = monotonic()
         self._half_close = HalfCloseWatch(
             stream=stream, first=self._first, on_gone=lambda: self._end(EndReason.CALLER_LEFT)
@@ -100,7 +106,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is in flight or has begun to arrive."""
-        if not self._is_waiting_for_request or self._exchanges or self._stream.unsent:
+        if not self._is_waiting_for_request or self._exchanges or self._stream.unacknowledged:
             return False
         return self._stream.is_quiet()
 
@@ -113,27 +119,27 @@
         """Read requests and handle them until the connection ends."""
         self._stream.on_disconnect = self._on_disconnect
         try:
-            while await self._accept_request():
-                pass
-            while self._exchanges:
-                await asyncio.wait([exchange.done for exchange in self._exchanges])
-                self._remove_done()
+            await self._serve_requests()
             await self._close()
         except (CallerGoneError, ConnectionError):
             self._end(self._callers_reason())
-        except Exception:
-            logger.exception("unexpected error on a caller's connection")
-            self._end(EndReason.FAILED)
         finally:
-            self._stream.on_disconnect = lambda: None
-            self._half_close.stop()
-            if self._exchanges:
-                self._end(EndReason.STOPPED)
+            self._stop_watching()
+            self._end(EndReason.STOPPED)
 
     def close_if_idle(self) -> None:
         """Close the connection if it is idle."""
         if self.is_idle:
-            self._stream.abort()
+            self.closing = True
+            self._is_ended_as_idle = True
+            self._stream.stop_reading()
+
+    def count_answered(self, exchange: CallerExchange) -> None:
+        """Count a request whose whole response was written."""
+        self.tally.count_answered()
+        self._sent.add(end=self._stream.written, request=exchange.request_id)
+        if len(self._sent) > MAX_REMEMBERED:
+            self._forget_delivered()
 
     def check_open(self) -> None:
         """Raise an error unless responses can be sent.
@@ -166,11 +172,9 @@
         """Close the connection so that the caller sees that a response is incomplete.
 
         Earlier responses still arrive whole, and requests behind it end without an answer. For an
-        HTTP/1.0 caller, for which a close may end a response, the connection is reset.
+        HTTP/1.0 caller, for which a close may end a response, the connection is reset after these.
         """
-        if exchange.head.version == b"1.0":
-            self._end(reason, reset=True)
-            return
+        self._ends_by_reset = exchange.head.version == b"1.0"
         behind = self._behind(exchange)
         self._unanswered.report(reason, (exchange, *behind))
         self.closing = True
@@ -225,6 +229,20 @@
         """Yield the rest of the body that is being read, of a maximum size in bytes."""
         return self._body.rest(limit=limit)
 
+    async def _serve_requests(self) -> None:
+        """Read requests until none may follow, and wait for their responses."""
+        try:
+            while await self._accept_request():
+                pass
+            while self._exchanges:
+                await asyncio.wait([exchange.done for exchange in self._exchanges])
+                self._remove_done()
+        except (CallerGoneError, ConnectionError):
+            raise
+        except Exception:
+            logger.exception("unexpected error on a caller's connection")
+            self._cancel_requests(EndReason.FAILED)
+
     async def _accept_request(self) -> bool:
         """Read one request and start its handler; return False if no other may follow."""
         while len(self._exchanges) >= PIPELINE_LIMIT:
@@ -275,7 +293,8 @@
         try:
             await self._handle(exchange)
             if not exchange.is_answered and not exchange.is_reported:
-                self._end(EndReason.FAILED)
+                logger.error("a request's handler has sent no answer")
+                await self._answer_failure(exchange)
         except BadRequestError as exc:
             await self._reject(exchange, exc)
         except CallerGoneError:
@@ -283,7 +302,7 @@
         except asyncio.CancelledError:
             if not exchange.is_answered and not exchange.is_reported:
                 # The next answer would be taken for the one to this request.
-                self._end(EndReason.STOPPED)
+                self.truncate(exchange, EndReason.STOPPED)
             raise
         except Exception:
             logger.exception("unexpected error while handling a caller's request")
@@ -357,7 +376,9 @@
     @property
     def _is_over(self) -> bool:
         """Whether the last response that the connection carries has been sent."""
-        return self._last_exchange is not None and self._last_exchange.done.done()
+        if self._last_exchange is None:
+            return False
+        return all(e.done.done() for e in (self._last_exchange, *self._exchanges))
 
     def _first(self) -> CallerExchange | None:
         """Return the exchange whose response is due next."""
@@ -394,23 +415,42 @@
             return EndReason.CALLER_LEFT
         return EndReason.CALLER_STALLED
 
-    def _end(self, reason: EndReason, *, reset: bool = False) -> None:
-        """End the connection at once, and report and cancel the requests that get no answer.
+    def _end(self, reason: EndReason) -> None:
+        """End the connection at once; only its caller's end or the process's may do so.
 
-        Requests that must not be repeated are not cancelled.
-
-        :param reset: whether to reset it, so that no caller takes the close for a response's end.
+        All other ways out are closed by :meth:`_close` once the caller has what was written.
         """
-        self._unanswered.report(reason, self._exchanges, skipped=self._skip_requests())
+        self._cancel_requests(reason)
+        if self._stream.transport.is_closing():
+            return
         self.tally.count_dropped(reason, self._stream.unread_bytes)
         self._half_close.complete_prefix()
-        if reset:
-            self._stream.reset()
-        else:
-            self._stream.abort()
+        self._report_undelivered(reason)
+        self._stream.abort()
+
+    def _cancel_requests(self, reason: EndReason) -> None:
+        """Report and cancel the requests that get no answer.
+
+        Those that must not be repeated are not cancelled.
+        """
+        self._unanswered.report(reason, self._exchanges, skipped=self._skip_requests())
         for exchange in self._exchanges:
             exchange.cancel()
 
+    def _report_undelivered(self, reason: EndReason) -> None:
+        """Report the answers that the caller's system has not acknowledged."""
+        self._forget_delivered()
+        requests = self._sent.requests()
+        if not requests:
+            return
+        size = self._stream.unacknowledged
+        answers = UndeliveredAnswers(reason=reason, requests=requests, size=size)
+        log_undelivered(answers)
+        self.tally.count_undelivered(answers)
+
+    def _forget_delivered(self) -> None:
+        self._sent.forget(acknowledged=self._stream.written - self._stream.unacknowledged)
+
     def _skip_requests(self) -> int:
         """Skip the requests that have been received and will not be handled; return how many."""
         if self._body.is_being_read:
@@ -428,9 +468,14 @@
         try:
             while True:
                 has_data = await self._reader.receive(self._idle_left_s())
-                if has_data or self._stream.eof or self._is_over:
+                if has_data:
+                    self._is_ended_as_idle = False
+                    self._stream.stop_reading(stopped=False)
+                if has_data or self._stream.eof or self._is_over or self._is_ended_as_idle:
                     return has_data
-                if not self._exchanges and self._idle_left_s() <= 0:
+                if self._exchanges or self._idle_left_s() > 0:
+                    continue
+                if not self._reads_on():
                     logger.bind(event="idle_closed").debug(
                         "a caller's connection was idle for {:.1f} s",
                         monotonic() - self._quiet_since,
@@ -446,14 +491,40 @@
             return limit_s
         return limit_s - (monotonic() - self._quiet_since)
 
+    def _reads_on(self) -> bool:
+        """Return whether the caller still receives its answers; its idle time then begins anew."""
+        before = self._unacknowledged_when_idle
+        left = self._unacknowledged_when_idle = self._stream.unacknowledged
+        if not left or (before and left >= before):
+            return False
+        self._quiet_since = monotonic()
+        return True
+
     async def _close(self) -> None:
-        """Close after the caller has had time to read the last response."""
-        if not self._stream.eof and (self.closing or self._stream.unread_bytes):
-            self._stream.end_writing()
-            self._stream.stop_reading(stopped=False)
-            await self._reader.discard_rest()
-        reason = EndReason.CLOSING_ANSWER if self.closing else EndReason.IDLE
+        """Close once the caller has what was written, has left, or does not read on."""
+        self._stop_watching()
+        self._half_close.complete_prefix()
+        reason = self._closing_reason()
+        outcome = await wait_until_delivered(
+            self._stream,
+            stall_s=self._limits.stall_s,
+            discard=self._reader.discard,
+            with_end=not self._ends_by_reset,
+        )
         self._unanswered.report(reason, (), skipped=self._skip_requests())
         self.tally.count_dropped(reason, self._reader.discarded + self._stream.unread_bytes)
+        if outcome is Outcome.STALLED:
+            self._report_undelivered(EndReason.CALLER_STALLED)
+        if self._ends_by_reset:
+            self._stream.reset()
+        else:
+            self._stream.abort()
+
+    def _closing_reason(self) -> EndReason:
+        if self._is_ended_as_idle or not self.closing:
+            return EndReason.IDLE
+        return EndReason.CLOSING_ANSWER
+
+    def _stop_watching(self) -> None:
         self._stream.on_disconnect = lambda: None
-        await self._stream.close_within(self._limits.stall_s)
+        self._half_close.stop()
--- a/packages/lychee-http/src/lychee_http/reader.py
+++ b/packages/lychee-http/src/lychee_http/reader.py
@@ -1,6 +1,5 @@
 """Reading of request heads and bodies from a connection, in order and with timeouts."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from time import monotonic
 
@@ -10,13 +9,6 @@
 from lychee_http.tcp import TcpStream
 from lychee_types.timeouts import timeout_after_input
 
-LINGER_S = 1.0
-"""Maximum time to read and discard what a caller still sends before its connection closes."""
-
-LINGER_BYTES = 1_048_576
-"""Maximum number of bytes to read and discard before a connection closes."""
-
-
 LATE_READS = 2
 """Maximum number of reads of what has arrived when the time for it is over."""
 
@@ -32,6 +24,8 @@
         self._stream = stream
         self._parser = RequestParser(head_limit=head_limit)
         self.discarded = 0
+        self._skipped = 0
+        self._is_skipping = False
 
     @property
     def in_head(self) -> bool:
@@ -117,39 +111,34 @@
             status=408, message=f"the request's {part} took too long", remedy="send it faster"
         )
 
-    async def discard_rest(self) -> None:
-        """Read and discard what the caller still sends, within limits of time and bytes.
+    def discard(self, data: bytes) -> None:
+        """Drop bytes that nobody handles.
 
-        Its size in bytes is :attr:`discarded`, and whole requests in it are left to
-        :meth:`skip_requests`.
+        Their size is added to :attr:`discarded`, and :meth:`skip_requests` returns how many whole
+        requests they had.
         """
-        try:
-            async with asyncio.timeout(LINGER_S):
-                while self.discarded < LINGER_BYTES:
-                    data = await self._stream.read()
-                    if not data:
-                        return
-                    self.discarded += len(data)
-                    self._parser.feed(data)
-        except TimeoutError:
-            return
+        self.discarded += len(data)
+        self._parser.feed(data)
+        self._skip_events()
 
     def skip_requests(self) -> int:
         """Skip what has been received; return how many whole requests in it were not read."""
-        count = 0
-        has_head = False
+        self._skip_events()
+        skipped, self._skipped = self._skipped, 0
+        return skipped
+
+    def _skip_events(self) -> None:
         while self._parser.has_next_event:
             try:
                 event = self._parser.next_event()
             except MalformedError:
                 # What is malformed is no request.
-                break
+                return
             if isinstance(event, RequestHead):
-                has_head = True
+                self._is_skipping = True
             elif isinstance(event, EndOfMessage):
-                count += has_head
-                has_head = False
-        return count
+                self._skipped += self._is_skipping
+                self._is_skipping = False
 
 
 class TimedReads:
--- a/packages/lychee-http/src/lychee_http/tally.py
+++ b/packages/lychee-http/src/lychee_http/tally.py
@@ -2,7 +2,13 @@
 
 from collections import Counter
 
-from lychee_http.endings import ConnectionEnd, EndReason, OnEnd, ignore_end
+from lychee_http.endings import (
+    ConnectionEnd,
+    EndReason,
+    OnEnd,
+    UndeliveredAnswers,
+    ignore_end,
+)
 
 
 class RequestTally:
@@ -10,6 +16,8 @@
 
     Each request is counted twice: once when it is read, and once by what became of it. So
     :attr:`open` is the number of requests under way; any other value shows that one was lost.
+    Answers that their callers' systems have not acknowledged at the end count as answered and as
+    :attr:`undelivered`.
 
     :param on_end: is told of requests that got no answer.
     """
@@ -18,6 +26,7 @@
         self.read = 0
         self.answered = 0
         self.ended: Counter[EndReason] = Counter()
+        self.undelivered: Counter[EndReason] = Counter()
         self.dropped_bytes: Counter[EndReason] = Counter()
         self._on_end = on_end
 
@@ -40,6 +49,10 @@
         self.ended[end.reason] += len(end.requests) + end.skipped
         self._on_end(end)
 
+    def count_undelivered(self, answers: UndeliveredAnswers) -> None:
+        """Count answers that were handed over and not acknowledged when the connection ended."""
+        self.undelivered[answers.reason] += len(answers.requests)
+
     def count_dropped(self, reason: EndReason, size: int) -> None:
         """Count bytes of a caller that were received and belong to no request that was read."""
         if size:
@@ -51,5 +64,6 @@
             "read": self.read,
             "answered": self.answered,
             "ended": {reason.value: count for reason, count in self.ended.items()},
+            "undelivered": {reason.value: count for reason, count in self.undelivered.items()},
             "dropped_bytes": {reason.value: size for reason, size in self.dropped_bytes.items()},
         }
--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -8,7 +8,6 @@
 import sys
 import termios
 from collections.abc import Callable
-from contextlib import suppress
 from typing import cast
 
 from lychee_types.timeouts import timeout_after_input
@@ -63,6 +62,7 @@
         self._drain_waiter: asyncio.Future[None] | None = None
         self._poll: select.poll | None = None
         self._lost_event = asyncio.Event()
+        self._written = 0
 
     @property
     def transport(self) -> asyncio.Transport:
@@ -80,6 +80,23 @@
         """Number of bytes written and not yet passed to the operating system."""
         return self.transport.get_write_buffer_size()
 
+    @property
+    def unacknowledged(self) -> int:
+        """Number of bytes written that the peer's operating system has not confirmed.
+
+        The end of this side counts as one; 0 if the connection is lost or closing.
+        """
+        if self.lost or self.transport.is_closing():
+            return 0
+        sock = self.transport.get_extra_info("socket")
+        pending = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        return self.unsent + int.from_bytes(pending, sys.byteorder)
+
+    @property
+    def written(self) -> int:
+        """Number of bytes written since the connection opened."""
+        return self._written
+
     @property
     def is_congested(self) -> bool:
         """Whether :meth:`drain` has to wait, or the connection is lost."""
@@ -164,6 +181,7 @@
         """Send bytes; they are dropped if the connection is lost, closing or ended by this side."""
         if self.lost or self._is_writing_ended or self.transport.is_closing():
             return
+        self._written += len(data)
         self.transport.write(data)
 
     def end_writing(self) -> None:
@@ -210,20 +228,9 @@
         if self._transport is not None:
             self._transport.close()
 
-    async def close_within(self, stall_s: float) -> None:
-        """Close the connection, and wait until the unsent bytes have been sent.
-
-        :param stall_s: maximum time in which the peer reads nothing, in seconds; then the rest is
-            dropped.
-        """
-        self.close()
-        unsent = 0
-        while not self.lost and self.unsent != unsent:
-            unsent = self.unsent
-            with suppress(TimeoutError):
-                async with asyncio.timeout(stall_s):
-                    await self._lost_event.wait()
-        self.abort()
+    async def wait_until_lost(self) -> None:
+        """Wait until the connection is lost."""
+        await self._lost_event.wait()
 
     def abort(self) -> None:
         """Close the connection at once; bytes that :attr:`unsent` counts are dropped."""
@@ -268,11 +275,18 @@
             return True
         return bool(self._poll_events() & (select.POLLERR | select.POLLHUP))
 
+    def has_failed(self) -> bool:
+        """Return whether the connection is lost, or has been reset by the peer.
+
+        Ask the operating system as well; both sides may have ended.
+        """
+        if self.lost or self.transport.is_closing():
+            return True
+        return bool(self._poll_events() & select.POLLERR)
+
     def is_acknowledged(self) -> bool:
         """Return whether the peer's operating system has confirmed every byte written."""
-        sock = self.transport.get_extra_info("socket")
-        pending = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-        return not self.unsent and int.from_bytes(pending, sys.byteorder) == 0
+        return not self.unacknowledged
 
     def _poll_events(self) -> int:
         if self._poll is None:
--- a/packages/lychee-http/tests/test_pipelining.py
+++ b/packages/lychee-http/tests/test_pipelining.py
@@ -133,6 +133,8 @@
             task.cancel()
         await asyncio.gather(*h.tasks, return_exceptions=True)
         assert h.tally.open == 0, h.tally.summary()
+        lost = [reason for reason in h.tally.undelivered if not reason.is_callers]
+        assert not lost, h.tally.summary()
 
 
 @asynccontextmanager
--- a/packages/lychee-http/tests/test_review_idle.py
+++ b/packages/lychee-http/tests/test_review_idle.py
@@ -12,13 +12,13 @@
 import uvloop
 
 from lychee_http import CallerLimits, ResponseHead, TcpStream
+from lychee_http.delivery import LINGER_S
 from lychee_http.endings import EndReason
 from lychee_http.exceptions import CallerGoneError
 from lychee_http.listener import Listener
 from lychee_http.messages import RequestHead
 from lychee_http.parser import RequestParser
 from lychee_http.pipelining import PipelinedConnection
-from lychee_http.reader import LINGER_S
 from lychee_types.records import Endpoint
 from lychee_types.timeouts import timeout_after_input
 
