Give a half-closed caller 1 s to acknowledge, as its link may be full

A caller that has ended only its sending side is told from one that has closed by the first byte of its answer. If it hadn't acknowledged that within 0.2 s it counted as gone and lost its requests. A caller that has closed still resets the connection as soon as the byte reaches it, and a caller to whom nothing was sent still has 0.2 s.

With the former time the new test fails. The time is a choice.

--- a/packages/lychee-http/src/lychee_http/half_close.py
+++ b/packages/lychee-http/src/lychee_http/half_close.py
@@ -22,8 +22,11 @@
 """Interval at which a reset is looked for, in seconds; the event loop does not report it."""
 
 UNDECIDED_S = 0.2
-"""Time after which a caller that has neither reset the connection nor acknowledged anything counts
-as gone, in seconds."""
+"""Time after which a caller that was sent nothing and has not reset the connection counts as gone,
+in seconds."""
+
+UNACKNOWLEDGED_S = 1.0
+"""The same for one that was sent something and has not acknowledged it: its link may be full."""
 
 
 class HalfCloseWatch:
@@ -98,5 +101,5 @@
         self._stream.write(RESPONSE_PREFIX[self._prefix_sent : self._prefix_sent + 1])
         self._prefix_sent += 1
         self._probe_at = now + PROBE_S
-        self._decided_by = now + UNDECIDED_S
+        self._decided_by = now + UNACKNOWLEDGED_S
         self.has_written = True
--- a/packages/lychee-http/tests/test_half_close.py
+++ b/packages/lychee-http/tests/test_half_close.py
@@ -26,6 +26,9 @@
     def is_acknowledged(self):
         return self._acknowledges
 
+    def acknowledge(self):
+        self._acknowledges = True
+
 
 def watch(stream, *, response_started=False):
     gone = asyncio.Event()
@@ -39,6 +42,7 @@
 def fast(monkeypatch):
     monkeypatch.setattr(half_close, "CHECK_S", 0.001)
     monkeypatch.setattr(half_close, "UNDECIDED_S", 0.01)
+    monkeypatch.setattr(half_close, "UNACKNOWLEDGED_S", 0.2)
     monkeypatch.setattr(half_close, "PROBE_S", 0.01)
 
 
@@ -83,3 +87,15 @@
         assert b"".join(stream.written).startswith(b"HTTP/1.1 502 ")
 
     uvloop.run(scenario())
+
+
+def test_a_half_closed_caller_whose_full_link_delays_its_acknowledgement_is_not_gone():
+    async def scenario():
+        stream = FakeStream(acknowledges=False)
+        _, gone = watch(stream)
+        await asyncio.sleep(0.05)
+        stream.acknowledge()
+        await asyncio.sleep(0.05)
+        assert not gone.is_set()
+
+    uvloop.run(scenario())
