End a stopping gateway's connections before its last count, so that it names what they lost

At the end of the grace time the connections that were left were cancelled after the log line of the stop, so that its counts (read, answered, ended, undelivered) missed what these lost.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -206,6 +206,7 @@
             await self._drain_connections()
         if self._carrier is not None:
             await self._carrier.close()
+        await self._end_connections()
         logger.bind(event="stop", under_way=self._under_way(), **self._tally.summary()).info(
             "gateway stopped"
         )
@@ -272,6 +273,13 @@
                 conn.close_if_idle()
             await asyncio.sleep(STOP_CHECK_S)
 
+    async def _end_connections(self) -> None:
+        """End the connections that are left, so that what they lose is counted before the end."""
+        tasks = list(self._conns)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _has_work(self) -> bool:
         return bool(self._conns) or bool(self._carrier)
 
