Take a caller for stalled only if it has acknowledged nothing for the time

What callers saw: a large answer is cut as caller_stalled at a caller that reads steadily. Cause: the wait for room asked for the bytes that the system has not taken and for room in its buffer, which comes only once a large share of it is free. Now it asks for acknowledgements.

--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -63,6 +63,7 @@
         self._poll: select.poll | None = None
         self._lost_event = asyncio.Event()
         self._written = 0
+        self._acknowledged = 0
 
     @property
     def transport(self) -> asyncio.Transport:
@@ -97,6 +98,17 @@
         """Number of bytes written since the connection opened."""
         return self._written
 
+    @property
+    def acknowledged(self) -> int:
+        """Number of them that the peer's operating system is known to have confirmed.
+
+        Of a connection that is lost or closing, this is what was known when it was asked last.
+        """
+        if not self.lost and not self.transport.is_closing():
+            left = self.unacknowledged
+            self._acknowledged = self._written - max(0, left - self._is_writing_ended)
+        return self._acknowledged
+
     @property
     def is_congested(self) -> bool:
         """Whether :meth:`drain` has to wait, or the connection is lost."""
@@ -209,12 +221,12 @@
         :raises ConnectionError: if the connection is lost.
         """
         while self.is_congested:
-            unsent = self.unsent
+            acknowledged = self.acknowledged
             try:
                 async with timeout_after_input(stall_s, has_input=self._has_room):
                     await self.drain()
             except TimeoutError:
-                if self.unsent >= unsent and not self._has_room():
+                if self.acknowledged <= acknowledged and not self._has_room():
                     raise
 
     def _has_room(self) -> bool:
--- a/packages/lychee-http/tests/test_review_delivery.py
+++ b/packages/lychee-http/tests/test_review_delivery.py
@@ -128,7 +128,8 @@
     async def scenario():
         async with large_harness() as h:
             h.limits = CallerLimits(stall_s=0.5)
-            async with calling(h.endpoint, get(b"large", b"connection: close")) as caller:
+            sent = get(b"large", b"connection: close")
+            async with calling(h.endpoint, sent, buffer_bytes=65_536) as caller:
                 await caller.read(size=40_000, pause_s=0.04)
                 rest = bytes(caller.received).partition(b"\r\n\r\n")[2]
                 assert len(rest) == len(LARGE), (len(rest), h.tally.summary())
@@ -369,7 +370,7 @@
                 with suppress(OSError):
                     await caller.send(get(b"next"))
                     await caller.read(until=b"by next", pause_s=0.0)
-                assert caller.received.count(b"x") == 2 * len(BODY), h.tally.summary()
+                assert caller.received.count(BODY) == 2, h.tally.summary()
                 assert b"by next" in caller.received, h.tally.summary()
 
     run_on(None, scenario())
