Judge a half-closed caller by progress, not by its last acknowledgement

What callers saw: a caller that has ended its sending side and still receives an earlier answer counts as gone after 1 s, and its next request is cancelled. Cause: the watch asked whether every byte was acknowledged, the earlier answer's too. Now each acknowledgement gives it the time anew.

--- a/packages/lychee-http/src/lychee_http/half_close.py
+++ b/packages/lychee-http/src/lychee_http/half_close.py
@@ -51,11 +51,13 @@
         self._prefix_sent = 0
         self._probe_at = 0.0
         self._decided_by = 0.0
+        self._acknowledged = 0
         self.has_written = False
 
     def start(self) -> None:
         """Start to watch; the caller has ended its side just now."""
         self._decided_by = asyncio.get_running_loop().time() + UNDECIDED_S
+        self._acknowledged = self._stream.acknowledged
         self._task = asyncio.create_task(self._watch())
 
     def stop(self) -> None:
@@ -78,11 +80,20 @@
             first = self._first()
             if first is not None and not first.response_started:
                 self._probe()
+            self._note_progress()
             if first is not None and self._is_undecided():
                 break
             await asyncio.sleep(CHECK_S)
         self._on_gone()
 
+    def _note_progress(self) -> None:
+        """Give a caller that acknowledges earlier bytes the time to get to the latest."""
+        acknowledged = self._stream.acknowledged
+        if acknowledged > self._acknowledged:
+            self._acknowledged = acknowledged
+            now = asyncio.get_running_loop().time()
+            self._decided_by = max(self._decided_by, now + UNACKNOWLEDGED_S)
+
     def _is_undecided(self) -> bool:
         """Return whether it is still unknown, after a time, if the caller can read anything."""
         if asyncio.get_running_loop().time() < self._decided_by:
--- a/packages/lychee-http/tests/test_half_close.py
+++ b/packages/lychee-http/tests/test_half_close.py
@@ -17,6 +17,10 @@
         self.was_reset = False
         self._acknowledges = acknowledges
 
+    @property
+    def acknowledged(self):
+        return len(self.written) if self._acknowledges else 0
+
     def write(self, data):
         self.written.append(data)
 
