--- a/packages/lychee-http/src/lychee_http/closing.py
+++ b/packages/lychee-http/src/lychee_http/closing.py
@@ -13,6 +13,7 @@
     *,
     stall_s: float,
     discard: Callable[[bytes], None],
+    body_bytes: Callable[[], int] = lambda: 0,
     with_end: bool = True,
     linger_s: float = LINGER_S,
 ) -> Outcome:
@@ -22,6 +23,7 @@
 
     :param stall_s: maximum time in which the peer acknowledges nothing, in seconds.
     :param discard: is given what is read.
+    :param body_bytes: returns how many bytes have come while the peer is sending a body.
     :param with_end: whether to end this side first; False if the connection is to be reset, which
         is done without lingering.
     :param linger_s: time for which a peer that has everything is read on, in seconds.
@@ -32,19 +34,20 @@
     stream.stop_reading(stopped=False)
     delivery = Delivery(now=loop.time(), stall_s=stall_s, linger_s=linger_s if with_end else 0.0)
     while True:
-        match delivery.step(_progress(stream, loop.time())):
+        match delivery.step(_progress(stream, now=loop.time(), body_bytes=body_bytes())):
             case WaitUntil(at=at):
                 discard(await _read_until(stream, at - loop.time()))
             case Outcome() as outcome:
                 return outcome
 
 
-def _progress(stream: TcpStream, now: float) -> Progress:
+def _progress(stream: TcpStream, *, now: float, body_bytes: int) -> Progress:
     return Progress(
         now=now,
         unacknowledged=stream.unacknowledged,
         has_ended=stream.eof,
         has_left=stream.has_failed(),
+        body_bytes=body_bytes,
     )
 
 
--- a/packages/lychee-http/src/lychee_http/delivery.py
+++ b/packages/lychee-http/src/lychee_http/delivery.py
@@ -11,9 +11,15 @@
 LINGER_S = 1.0
 """Time for which a peer that has everything may still send or see the end, in seconds."""
 
+BODY_S = 30.0
+"""Time for which a peer that has everything is read on while it sends a body, in seconds."""
+
 CHECK_S = 0.05
 """Interval at which the bytes without acknowledgement are asked for, in seconds."""
 
+DELIVERY_CHECK_S = 1.0
+"""Interval at which a connection without requests is asked for what is on its way, in seconds."""
+
 MAX_REMEMBERED = 64
 """Number of responses from which on those that were acknowledged are forgotten."""
 
@@ -39,12 +45,14 @@
     :param unacknowledged: bytes written that the peer's system has not acknowledged.
     :param has_ended: whether the peer has ended its side.
     :param has_left: whether the connection is lost or reset.
+    :param body_bytes: bytes that have come while the peer is sending a body, 0 if it isn't.
     """
 
     now: float
     unacknowledged: int
     has_ended: bool
     has_left: bool
+    body_bytes: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -71,6 +79,8 @@
         self._stalled_at = now + stall_s
         self._least: int | None = None
         self._lingers_until: float | None = None
+        self._reads_until = 0.0
+        self._body_bytes = 0
 
     def step(self, progress: Progress) -> WaitUntil | Outcome:
         """Return until when to wait, or what became of the bytes; the connection closes then."""
@@ -83,6 +93,11 @@
     def _linger(self, progress: Progress) -> WaitUntil | Outcome:
         if self._lingers_until is None:
             self._lingers_until = progress.now + self._linger_s
+            self._reads_until = progress.now + BODY_S
+        if progress.body_bytes > self._body_bytes:
+            # A peer whose sending fails may not look for an answer any more.
+            self._body_bytes = progress.body_bytes
+            self._lingers_until = min(progress.now + self._linger_s, self._reads_until)
         if progress.has_ended or progress.now >= self._lingers_until:
             return Outcome.DELIVERED
         return WaitUntil(at=self._lingers_until)
@@ -96,6 +111,30 @@
         return WaitUntil(at=min(progress.now + CHECK_S, self._stalled_at))
 
 
+class StallWatch:
+    """Tells when a peer to which bytes are on their way has acknowledged nothing for too long.
+
+    :param stall_s: how long that is, in seconds.
+    """
+
+    def __init__(self, *, stall_s: float) -> None:
+        self._stall_s = stall_s
+        self._acknowledged = -1
+        self._since = 0.0
+
+    def is_stalled(self, *, now: float, acknowledged: int, written: int) -> bool:
+        """Return whether it has, as of now.
+
+        :param now: monotonic time in seconds.
+        :param acknowledged: number of bytes of the connection that were acknowledged.
+        :param written: number of bytes written to it.
+        """
+        if acknowledged == written or acknowledged != self._acknowledged:
+            self._acknowledged = acknowledged
+            self._since = now
+        return now >= self._since + self._stall_s
+
+
 class SentResponses:
     """The responses that were written whole to a connection, until they are acknowledged."""
 
@@ -122,6 +161,8 @@
         while self._ends and self._ends[0][0] <= acknowledged:
             self._ends.popleft()
 
-    def requests(self) -> tuple[str, ...]:
-        """Return the ids of the requests whose responses are remembered."""
-        return tuple(request for _, request in self._ends)
+    def take(self) -> tuple[str, ...]:
+        """Forget all, and return the ids of the requests whose responses were remembered."""
+        requests = tuple(request for _, request in self._ends)
+        self._ends.clear()
+        return requests
--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -51,6 +51,12 @@
         self._is_chunked = False
         conn.tally.count_read()
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether its response has begun and a close could be taken for the response's end."""
+        is_begun = self.response_started and not self.is_answered
+        return is_begun and self.head.version == b"1.0"
+
     def cancel(self) -> None:
         """Cancel the handling of a request that may be cancelled, unless its own task asks."""
         if self.task is None or self.task is asyncio.current_task():
--- a/packages/lychee-http/src/lychee_http/inbound.py
+++ b/packages/lychee-http/src/lychee_http/inbound.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
+from time import monotonic
 
 from lychee_http.closing import wait_until_delivered
+from lychee_http.delivery import StallWatch
 from lychee_http.exceptions import CallerGoneError
 from lychee_http.framing import (
     body_too_large_error,
@@ -62,20 +64,30 @@
         self._is_response_sent = False
         self._is_chunked = False
         self._ends_by_reset = False
+        self._stall = StallWatch(stall_s=limits.stall_s)
 
     def close_if_idle(self, *, include_unused: bool) -> None:
         """Close the connection if the task waits for a request and none has begun to arrive.
 
+        A caller that still receives its answer is left alone, unless it stalls.
+
         :param include_unused: whether to close also a connection without any request so far.
         """
         if (
             self._is_waiting_for_request
             and (include_unused or self._has_served_request)
             and self._stream.is_quiet()
-            and self._stream.is_acknowledged()
+            and (self._stream.is_acknowledged() or self._is_stalled())
         ):
             self._stream.abort()
 
+    def _is_stalled(self) -> bool:
+        return self._stall.is_stalled(
+            now=monotonic(),
+            acknowledged=self._stream.acknowledged,
+            written=self._stream.written,
+        )
+
     @contextmanager
     def cancel_on_disconnect(self, cancel: Callable[[], None]) -> Iterator[None]:
         """Call ``cancel`` if the caller disconnects inside the block.
@@ -188,8 +200,12 @@
         return True
 
     def abort(self) -> None:
-        """Close the connection at once."""
-        self._stream.abort()
+        """Close the connection at once, by a reset if its end could be taken for a response's."""
+        is_begun = self.response_started and not self._is_response_sent
+        if self._ends_by_reset or (is_begun and self._is_of_old_version()):
+            self._stream.reset()
+        else:
+            self._stream.abort()
 
     def truncate(self) -> None:
         """Close the connection so that the caller sees that the response is incomplete.
@@ -198,7 +214,7 @@
         connection is reset. Both are done by :meth:`close`, after earlier responses have arrived.
         """
         self.closing = True
-        self._ends_by_reset = self._head is not None and self._head.version == b"1.0"
+        self._ends_by_reset = self._is_of_old_version()
 
     async def close(self) -> None:
         """Close once the caller has what was written, has left, or does not read on."""
@@ -206,6 +222,7 @@
             self._stream,
             stall_s=self._limits.stall_s,
             discard=self._reader.discard,
+            body_bytes=self._reader.discarded_body_bytes,
             with_end=not self._ends_by_reset,
         )
         if self._ends_by_reset:
@@ -234,6 +251,9 @@
         lines.append(b"\r\n")
         return b"".join(lines)
 
+    def _is_of_old_version(self) -> bool:
+        return self._head is not None and self._head.version == b"1.0"
+
     def _is_head_request(self) -> bool:
         return self._head is not None and self._head.method == b"HEAD"
 
--- a/packages/lychee-http/src/lychee_http/parser.py
+++ b/packages/lychee-http/src/lychee_http/parser.py
@@ -59,6 +59,11 @@
         """Whether a head has begun and is incomplete."""
         return self._in_head
 
+    @property
+    def in_body(self) -> bool:
+        """Whether a message's head is complete and its end has not come."""
+        return not (self._in_head or self._is_between_messages or self._error)
+
     def on_message_begin(self) -> None:
         """Begin a head."""
         self._in_head = True
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -10,7 +10,13 @@
 from loguru import logger
 
 from lychee_http.closing import wait_until_delivered
-from lychee_http.delivery import MAX_REMEMBERED, Outcome, SentResponses
+from lychee_http.delivery import (
+    DELIVERY_CHECK_S,
+    MAX_REMEMBERED,
+    Outcome,
+    SentResponses,
+    StallWatch,
+)
 from lychee_http.endings import EndReason, UndeliveredAnswers, log_undelivered
 from lychee_http.exceptions import BadRequestError, CallerGoneError
 from lychee_http.exchange import CallerExchange, UnansweredReports
@@ -97,7 +103,8 @@
         self._is_ended_as_idle = False
         self._ends_by_reset = False
         self._sent = SentResponses()
-        self._unacknowledged_when_idle = 0
+        self._stall = StallWatch(stall_s=limits.stall_s)
+        self._delivery_check: asyncio.TimerHandle | None = None
         self._quiet_since = monotonic()
         self._half_close = HalfCloseWatch(
             stream=stream, first=self._first, on_gone=lambda: self._end(EndReason.CALLER_LEFT)
@@ -365,6 +372,7 @@
     def _exchange_done(self, exchange: CallerExchange) -> None:
         self._quiet_since = monotonic()
         self._remove_done()
+        self._check_delivery_later()
         if self._is_over:
             # The close tells the caller that later requests were not read.
             self._stream.stop_reading()
@@ -421,12 +429,19 @@
         All other ways out are closed by :meth:`_close` once the caller has what was written.
         """
         self._cancel_requests(reason)
+        self._report_undelivered(reason)
         if self._stream.transport.is_closing():
             return
         self.tally.count_dropped(reason, self._stream.unread_bytes)
         self._half_close.complete_prefix()
-        self._report_undelivered(reason)
-        self._stream.abort()
+        self._close_stream(by_reset=any(e.ends_with_connection for e in self._exchanges))
+
+    def _close_stream(self, *, by_reset: bool) -> None:
+        """Close the connection, by a reset if its end could be taken for that of a response."""
+        if by_reset or self._ends_by_reset:
+            self._stream.reset()
+        else:
+            self._stream.abort()
 
     def _cancel_requests(self, reason: EndReason) -> None:
         """Report and cancel the requests that get no answer.
@@ -440,16 +455,16 @@
     def _report_undelivered(self, reason: EndReason) -> None:
         """Report the answers that the caller's system has not acknowledged."""
         self._forget_delivered()
-        requests = self._sent.requests()
+        size = self._stream.written - self._stream.acknowledged
+        requests = self._sent.take()
         if not requests:
             return
-        size = self._stream.unacknowledged
         answers = UndeliveredAnswers(reason=reason, requests=requests, size=size)
         log_undelivered(answers)
         self.tally.count_undelivered(answers)
 
     def _forget_delivered(self) -> None:
-        self._sent.forget(acknowledged=self._stream.written - self._stream.unacknowledged)
+        self._sent.forget(acknowledged=self._stream.acknowledged)
 
     def _skip_requests(self) -> int:
         """Skip the requests that have been received and will not be handled; return how many."""
@@ -471,11 +486,15 @@
                 if has_data:
                     self._is_ended_as_idle = False
                     self._stream.stop_reading(stopped=False)
+                elif self._is_ended_as_idle and self._has_input():
+                    self._is_ended_as_idle = False
+                    self._stream.stop_reading(stopped=False)
+                    continue
                 if has_data or self._stream.eof or self._is_over or self._is_ended_as_idle:
                     return has_data
                 if self._exchanges or self._idle_left_s() > 0:
                     continue
-                if not self._reads_on():
+                if not self._begin_idle_time_anew():
                     logger.bind(event="idle_closed").debug(
                         "a caller's connection was idle for {:.1f} s",
                         monotonic() - self._quiet_since,
@@ -491,15 +510,36 @@
             return limit_s
         return limit_s - (monotonic() - self._quiet_since)
 
-    def _reads_on(self) -> bool:
-        """Return whether the caller still receives its answers; its idle time then begins anew."""
-        before = self._unacknowledged_when_idle
-        left = self._unacknowledged_when_idle = self._stream.unacknowledged
-        if not left or (before and left >= before):
+    def _has_input(self) -> bool:
+        """Return whether bytes of a request have arrived that were not read yet."""
+        return not self._stream.eof and not self._stream.is_quiet()
+
+    def _begin_idle_time_anew(self) -> bool:
+        """Begin it anew if the caller still receives an answer; return whether it does."""
+        if self._stream.is_acknowledged():
             return False
         self._quiet_since = monotonic()
+        self._check_delivery_later()
         return True
 
+    def _check_delivery_later(self) -> None:
+        if self._delivery_check is None:
+            loop = asyncio.get_running_loop()
+            self._delivery_check = loop.call_later(DELIVERY_CHECK_S, self._check_delivery)
+
+    def _check_delivery(self) -> None:
+        """Let the idle time begin when the caller has its answers, and end a caller that stalls."""
+        self._delivery_check = None
+        if self._exchanges or self._stream.transport.is_closing():
+            return
+        acknowledged, written = self._stream.acknowledged, self._stream.written
+        now = monotonic()
+        if self._stall.is_stalled(now=now, acknowledged=acknowledged, written=written):
+            self._end(EndReason.CALLER_STALLED)
+        elif acknowledged < written:
+            self._quiet_since = now + DELIVERY_CHECK_S
+            self._check_delivery_later()
+
     async def _close(self) -> None:
         """Close once the caller has what was written, has left, or does not read on."""
         self._stop_watching()
@@ -509,16 +549,19 @@
             self._stream,
             stall_s=self._limits.stall_s,
             discard=self._reader.discard,
+            body_bytes=self._reader.discarded_body_bytes,
             with_end=not self._ends_by_reset,
         )
         self._unanswered.report(reason, (), skipped=self._skip_requests())
         self.tally.count_dropped(reason, self._reader.discarded + self._stream.unread_bytes)
-        if outcome is Outcome.STALLED:
-            self._report_undelivered(EndReason.CALLER_STALLED)
-        if self._ends_by_reset:
-            self._stream.reset()
-        else:
-            self._stream.abort()
+        match outcome:
+            case Outcome.STALLED:
+                self._report_undelivered(EndReason.CALLER_STALLED)
+            case Outcome.PEER_LEFT:
+                self._report_undelivered(EndReason.CALLER_LEFT)
+            case Outcome.DELIVERED:
+                self._sent.take()
+        self._close_stream(by_reset=False)
 
     def _closing_reason(self) -> EndReason:
         if self._is_ended_as_idle or not self.closing:
@@ -528,3 +571,5 @@
     def _stop_watching(self) -> None:
         self._stream.on_disconnect = lambda: None
         self._half_close.stop()
+        if self._delivery_check is not None:
+            self._delivery_check.cancel()
--- a/packages/lychee-http/src/lychee_http/reader.py
+++ b/packages/lychee-http/src/lychee_http/reader.py
@@ -121,6 +121,10 @@
         self._parser.feed(data)
         self._skip_events()
 
+    def discarded_body_bytes(self) -> int:
+        """Return :attr:`discarded` while a body that nobody reads goes on, else 0."""
+        return self.discarded if self._parser.in_body else 0
+
     def skip_requests(self) -> int:
         """Skip what has been received; return how many whole requests in it were not read."""
         self._skip_events()
--- a/packages/lychee-http/tests/test_delivery.py
+++ b/packages/lychee-http/tests/test_delivery.py
@@ -290,6 +290,6 @@
     sent.add(end=10, request="a")
     sent.add(end=20, request="b")
     sent.forget(acknowledged=9)
-    assert sent.requests() == ("a", "b")
+    assert len(sent) == 2
     sent.forget(acknowledged=19)
-    assert sent.requests() == ("b",)
+    assert sent.take() == ("b",) and not sent
