Watch the delivery of a connection's answers in a module of its own

A move without a change of what is decided, out of pipelining.py: answers that are not yet acknowledged, the time for which a caller has had everything, and stalls.

--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -5,19 +5,12 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
-from time import monotonic
 
 from loguru import logger
 
 from lychee_http.closing import wait_until_delivered
-from lychee_http.delivery import (
-    DELIVERY_CHECK_S,
-    MAX_REMEMBERED,
-    Outcome,
-    SentResponses,
-    StallWatch,
-)
-from lychee_http.endings import EndReason, UndeliveredAnswers, log_undelivered
+from lychee_http.delivery import Outcome
+from lychee_http.endings import EndReason
 from lychee_http.exceptions import BadRequestError, CallerGoneError
 from lychee_http.exchange import CallerExchange, UnansweredReports
 from lychee_http.framing import (
@@ -32,6 +25,7 @@
 from lychee_http.reader import RequestReader
 from lychee_http.tally import RequestTally
 from lychee_http.tcp import TcpStream
+from lychee_http.watching import DeliveryWatch
 
 PIPELINE_LIMIT = 16
 """Maximum number of requests in flight on one connection."""
@@ -102,10 +96,13 @@
         self._last_exchange: CallerExchange | None = None
         self._is_ended_as_idle = False
         self._ends_by_reset = False
-        self._sent = SentResponses()
-        self._stall = StallWatch(stall_s=limits.stall_s)
-        self._delivery_check: asyncio.TimerHandle | None = None
-        self._quiet_since = monotonic()
+        self._delivery = DeliveryWatch(
+            stream=stream,
+            tally=self.tally,
+            stall_s=limits.stall_s,
+            has_requests=lambda: bool(self._exchanges),
+            on_stalled=lambda: self._end(EndReason.CALLER_STALLED),
+        )
         self._half_close = HalfCloseWatch(
             stream=stream, first=self._first, on_gone=lambda: self._end(EndReason.CALLER_LEFT)
         )
@@ -143,10 +140,7 @@
 
     def count_answered(self, exchange: CallerExchange) -> None:
         """Count a request whose whole response was written."""
-        self.tally.count_answered()
-        self._sent.add(end=self._stream.written, request=exchange.request_id)
-        if len(self._sent) > MAX_REMEMBERED:
-            self._forget_delivered()
+        self._delivery.add(exchange.request_id)
 
     def check_open(self) -> None:
         """Raise an error unless responses can be sent.
@@ -370,9 +364,8 @@
             exchange.mark_done()
 
     def _exchange_done(self, exchange: CallerExchange) -> None:
-        self._quiet_since = monotonic()
+        self._delivery.begin_quiet_time()
         self._remove_done()
-        self._check_delivery_later()
         if self._is_over:
             # The close tells the caller that later requests were not read.
             self._stream.stop_reading()
@@ -429,7 +422,7 @@
         All other ways out are closed by :meth:`_close` once the caller has what was written.
         """
         self._cancel_requests(reason)
-        self._report_undelivered(reason)
+        self._delivery.report(reason)
         if self._stream.transport.is_closing():
             return
         self.tally.count_dropped(reason, self._stream.unread_bytes)
@@ -452,20 +445,6 @@
         for exchange in self._exchanges:
             exchange.cancel()
 
-    def _report_undelivered(self, reason: EndReason) -> None:
-        """Report the answers that the caller's system has not acknowledged."""
-        self._forget_delivered()
-        size = self._stream.written - self._stream.acknowledged
-        requests = self._sent.take()
-        if not requests:
-            return
-        answers = UndeliveredAnswers(reason=reason, requests=requests, size=size)
-        log_undelivered(answers)
-        self.tally.count_undelivered(answers)
-
-    def _forget_delivered(self) -> None:
-        self._sent.forget(acknowledged=self._stream.acknowledged)
-
     def _skip_requests(self) -> int:
         """Skip the requests that have been received and will not be handled; return how many."""
         if self._body.is_being_read:
@@ -497,7 +476,7 @@
                 if not self._begin_idle_time_anew():
                     logger.bind(event="idle_closed").debug(
                         "a caller's connection was idle for {:.1f} s",
-                        monotonic() - self._quiet_since,
+                        self._delivery.quiet_s,
                     )
                     return False
         finally:
@@ -508,7 +487,7 @@
         limit_s = kept_s(self._idle_s())
         if self._exchanges:
             return limit_s
-        return limit_s - (monotonic() - self._quiet_since)
+        return limit_s - self._delivery.quiet_s
 
     def _has_input(self) -> bool:
         """Return whether bytes of a request have arrived that were not read yet."""
@@ -518,28 +497,9 @@
         """Begin it anew if the caller still receives an answer; return whether it does."""
         if self._stream.is_acknowledged():
             return False
-        self._quiet_since = monotonic()
-        self._check_delivery_later()
+        self._delivery.begin_quiet_time()
         return True
 
-    def _check_delivery_later(self) -> None:
-        if self._delivery_check is None:
-            loop = asyncio.get_running_loop()
-            self._delivery_check = loop.call_later(DELIVERY_CHECK_S, self._check_delivery)
-
-    def _check_delivery(self) -> None:
-        """Let the idle time begin when the caller has its answers, and end a caller that stalls."""
-        self._delivery_check = None
-        if self._exchanges or self._stream.transport.is_closing():
-            return
-        acknowledged, written = self._stream.acknowledged, self._stream.written
-        now = monotonic()
-        if self._stall.is_stalled(now=now, acknowledged=acknowledged, written=written):
-            self._end(EndReason.CALLER_STALLED)
-        elif acknowledged < written:
-            self._quiet_since = now + DELIVERY_CHECK_S
-            self._check_delivery_later()
-
     async def _close(self) -> None:
         """Close once the caller has what was written, has left, or does not read on."""
         self._stop_watching()
@@ -556,11 +516,11 @@
         self.tally.count_dropped(reason, self._reader.discarded + self._stream.unread_bytes)
         match outcome:
             case Outcome.STALLED:
-                self._report_undelivered(EndReason.CALLER_STALLED)
+                self._delivery.report(EndReason.CALLER_STALLED)
             case Outcome.PEER_LEFT:
-                self._report_undelivered(EndReason.CALLER_LEFT)
+                self._delivery.report(EndReason.CALLER_LEFT)
             case Outcome.DELIVERED:
-                self._sent.take()
+                self._delivery.forget()
         self._close_stream(by_reset=False)
 
     def _closing_reason(self) -> EndReason:
@@ -571,5 +531,4 @@
     def _stop_watching(self) -> None:
         self._stream.on_disconnect = lambda: None
         self._half_close.stop()
-        if self._delivery_check is not None:
-            self._delivery_check.cancel()
+        self._delivery.stop()
