Let slow callers of a soak count responses that are cut though their caller stayed

Cause: a soak's callers send one request at a time on a connection, read it at full speed and close after the closing answer. They could not see an answer that a close destroys on its way, and hid a broken one behind a resend.

The service is one whose responses are not streamed, so no fault of a server explains a cut. Each cut is a violation; the counts are printed.

--- a/packages/lychee-bench/src/lychee_bench/processes.py
+++ b/packages/lychee-bench/src/lychee_bench/processes.py
@@ -58,6 +58,11 @@
         """Return the id of a running process."""
         return self._running[name].pid
 
+    def running_pid(self, name: str) -> int | None:
+        """Return the id of a process, None if the bench has stopped it."""
+        process = self._running.get(name)
+        return None if process is None else process.pid
+
     def argv(self, name: str) -> tuple[str, ...]:
         """Return the program and the arguments that a process was last started with."""
         return self._argv[name]
--- a/packages/lychee-bench/src/lychee_bench/soak.py
+++ b/packages/lychee-bench/src/lychee_bench/soak.py
@@ -34,6 +34,8 @@
     make_schedule,
 )
 from lychee_bench.sizes import Sizes
+from lychee_bench.slow_callers import SlowCallers
+from lychee_types.document import BodyMode
 from lychee_types.exceptions import UnavailableError
 from lychee_types.timing import MAX_UNAVAILABLE_S
 
@@ -75,17 +77,20 @@
             )
             out(f"seed {plan.seed}, run folder {folder.path}\n{format_schedule(schedule)}")
             injector = Injector(deployment=deployment, network=network, out=out)
-            callers = await _send_requests(deployment, injector, plan, schedule)
+            slow = make_slow_callers(deployment)
+            callers = await _send_requests(deployment, injector, plan, schedule, slow)
             afterwards = await _check_afterwards(deployment, injector)
             exits = tuple(deployment.processes.unexpected_exits)
         runs = read_runs(deployment.run_files())
         report = make_report(callers=callers, runs=runs, exits=exits)
         violations = [*injector.violations, *injector.documents.violations, *afterwards]
+        violations += slow.violations
         violations += work_while_leaving(runs, injector.leaving_spans)
         reasons = [f"{violation.kind}: {violation.detail}" for violation in violations]
         reasons += list_failures(report, spans=_single_fault_spans(report, injector))
         out(format_services(report, callers.latency))
         out(format_table(report))
+        out(slow.summary())
         out(format_spans(report, injector))
         folder.passed = not reasons
         if reasons:
@@ -103,8 +108,21 @@
     )
 
 
+def make_slow_callers(deployment: Deployment) -> SlowCallers:
+    """Return slow callers of a service whose responses a fault of a server cannot cut."""
+    services = deployment.document.services
+    path = next(s.path for s in services if s.idempotent and s.body is BodyMode.WHOLE)
+    return SlowCallers(
+        gateways=deployment.gateways, path=path, process_id=deployment.processes.running_pid
+    )
+
+
 async def _send_requests(
-    deployment: Deployment, injector: Injector, plan: SoakPlan, schedule: tuple[Fault, ...]
+    deployment: Deployment,
+    injector: Injector,
+    plan: SoakPlan,
+    schedule: tuple[Fault, ...],
+    slow: SlowCallers,
 ) -> Callers:
     balancer = deployment.balancer()
     callers = Callers(
@@ -115,11 +133,13 @@
         asyncio.create_task(injector.poll_status()),
     ]
     injector_task = asyncio.create_task(injector.run(schedule))
+    slow_task = asyncio.create_task(slow.run(plan.seconds))
     try:
         await callers.run(plan.seconds)
         await injector_task
+        await slow_task
     finally:
-        tasks = [*monitor_tasks, injector_task]
+        tasks = [*monitor_tasks, injector_task, slow_task]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
