Judge at slow callers that a planned stop of a document gateway cuts no response

Cause: the test of a planned stop had only callers that read at full speed.

Change: a caller that reads slowly and sends on, with one, two or four requests at once, while the gateway is stopped: each request that a server has run to its end is answered whole, and nothing is left of a response that is not.

--- a/packages/lychee-bench/tests/test_proof_stop.py
+++ b/packages/lychee-bench/tests/test_proof_stop.py
@@ -5,6 +5,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
+import pytest
 import uvloop
 
 from lychee_bench.audit import Outcome
@@ -14,6 +15,7 @@
 from lychee_bench.runs import open_runs, read_runs
 from lychee_bench.server import BackendServer
 from lychee_bench.server_settings import Behaviour, ServerSettings
+from lychee_bench.slow_callers import SlowCaller, count_whole, open_slow
 from lychee_control.core import ControlDaemon
 from lychee_gateway.core import Gateway
 from lychee_runtime import Daemon
@@ -203,6 +205,29 @@
     uvloop.run(asyncio.wait_for(scenario(), TIMEOUT_S))
 
 
+@pytest.mark.parametrize("first", [1, 2, 4])
+def test_callers_on_slow_links_get_each_response_whole_at_a_planned_stop(
+    tmp_path: Path, first: int
+) -> None:
+    async def scenario() -> None:
+        async with Deployed(folder=tmp_path).running() as deployed:
+            with await open_slow(deployed.gateway_addresses[0].listen) as sock:
+                caller = SlowCaller(
+                    name="slow", path="/status/", sock=sock, first=first, asks_to_close=False
+                )
+                calling = asyncio.create_task(caller.call())
+                while not caller.received:  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+                await deployed.stop(deployed.gateways[0])
+                whole = await calling
+            runs = read_runs(tuple(Path(cfg.runs) for cfg in deployed.servers))
+            ran = [run for run in runs if run.began.key == "slow" and run.ended and run.ended.done]
+            rest = count_whole(bytes(caller.received), name="slow")[1]
+            assert whole >= len(ran) >= 1 and not rest, (whole, len(ran), len(rest))
+
+    uvloop.run(asyncio.wait_for(scenario(), TIMEOUT_S))
+
+
 def test_a_leaving_server_gets_no_new_work_after_a_few_seconds(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with Deployed(folder=tmp_path).running() as deployed:
