Pass the end of a connection to the system in the turn of the event loop that decides it

Cause: uvloop carries write_eof out a turn of the loop later. If that turn is busy, the caller does not see the end, and a request that it sends meanwhile is dropped.

Change: where nothing is unsent, TcpStream.end_writing shuts the descriptor down itself, by a socket object that is detached again (no new descriptor; uvloop's own socket object refuses shutdown). With unsent bytes it is as before.

The test was wrong: it hooked stream.close, which no code calls since connections end through end_writing, so it waited in vain, whatever the code did. It now hooks whichever of end_writing, close, abort and reset comes first, asks the same of it, and also that the caller sees no reset; it runs on asyncio too.

--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -8,6 +8,7 @@
 import sys
 import termios
 from collections.abc import Callable
+from contextlib import suppress
 from typing import cast
 
 from lychee_types.timeouts import timeout_after_input
@@ -197,11 +198,29 @@
         self.transport.write(data)
 
     def end_writing(self) -> None:
-        """End this side of the stream after the unsent bytes have been sent."""
+        """End this side of the stream after the unsent bytes have been sent.
+
+        If there are none, the operating system sends the end before this returns.
+        """
         if self.lost or self._is_writing_ended or self.transport.is_closing():
             return
         self._is_writing_ended = True
-        self.transport.write_eof()
+        if self.unsent:
+            self.transport.write_eof()
+        else:
+            self._shut_down()
+
+    def _shut_down(self) -> None:
+        """End this side now; uvloop would do so a turn later, and its socket object refuses to."""
+        own = self.transport.get_extra_info("socket")
+        sock = socket.socket(own.family, own.type, own.proto, fileno=own.fileno())
+        try:
+            # Fails if the peer has reset the connection, which the event loop tells.
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_WR)
+        finally:
+            # The descriptor stays the transport's.
+            sock.detach()
 
     async def drain(self) -> None:
         """Wait until the number of unsent bytes is below the limit.
--- a/packages/lychee-http/tests/test_review_idle.py
+++ b/packages/lychee-http/tests/test_review_idle.py
@@ -9,6 +9,7 @@
 from contextlib import suppress
 from threading import Thread
 
+import pytest
 import uvloop
 
 from lychee_http import CallerLimits, ResponseHead, TcpStream
@@ -22,7 +23,17 @@
 from lychee_types.records import Endpoint
 from lychee_types.timeouts import timeout_after_input
 
-from .test_pipelining import Harness, caller, get, harness, post, read_to_end, read_until, run
+from .test_pipelining import (
+    TEST_TIMEOUT_S,
+    Harness,
+    caller,
+    get,
+    harness,
+    post,
+    read_to_end,
+    read_until,
+    run,
+)
 
 BUSY_S = 0.3
 """Time for which the event loop is busy, in seconds."""
@@ -212,28 +223,34 @@
     assert len(received.partition(b"\r\n\r\n")[2]) == ANSWER_BYTES
 
 
-def test_a_caller_sees_the_close_of_an_idle_connection_while_the_loop_is_busy():
+@pytest.mark.parametrize("runner", [asyncio.run, uvloop.run], ids=["asyncio", "uvloop"])
+def test_a_caller_sees_the_close_of_an_idle_connection_while_the_loop_is_busy(runner):
     async def scenario():
-        async with harness() as h:
+        async with asyncio.timeout(TEST_TIMEOUT_S), harness() as h:
             h.limits = CallerLimits(idle_s=-1.2)
             async with caller(h) as (_, writer):
                 await h.until(lambda: h.conns)
                 seen = []
                 stream, fd = h.conns[0]._stream, writer.get_extra_info("socket").fileno()
-                close = stream.close
 
-                def close_and_be_busy():
-                    close()
-                    os.write(fd, get(b"a"))
-                    poll = select.poll()
-                    poll.register(fd, select.POLLIN | select.POLLRDHUP)
-                    seen.append(poll.poll(BUSY_S * 1_000))
+                def be_busy_after(end):
+                    def end_and_be_busy():
+                        end()
+                        os.write(fd, get(b"a"))
+                        poll = select.poll()
+                        poll.register(fd, select.POLLIN | select.POLLRDHUP)
+                        seen.append(poll.poll(BUSY_S * 1_000))
 
-                stream.close = close_and_be_busy
+                    return end_and_be_busy
+
+                # Whichever of them ends this side first.
+                for name in ("end_writing", "close", "abort", "reset"):
+                    setattr(stream, name, be_busy_after(getattr(stream, name)))
                 await h.until(lambda: seen)
                 assert seen[0], "the request is in the system, and the close comes after the work"
+                assert not seen[0][0][1] & (select.POLLERR | select.POLLHUP), "a reset, no end"
 
-    run(scenario())
+    runner(scenario())
 
 
 def test_a_head_whose_rest_is_in_the_system_is_not_rejected():
