Judge at a slow caller that a document gateway's stop waits for an answer on its way

A fourth case of the planned stop: the caller sends on only after the time at which a stop looks for idle connections.

--- a/packages/lychee-bench/src/lychee_bench/slow_callers.py
+++ b/packages/lychee-bench/src/lychee_bench/slow_callers.py
@@ -61,6 +61,7 @@
     :param sock: its connection.
     :param first: number of requests that it sends at once.
     :param asks_to_close: whether the last of these asks for the connection's end.
+    :param send_on_s: interval at which it sends another request while it reads, in seconds.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         sock: socket.socket,
         first: int = PIPELINED,
         asks_to_close: bool = True,
+        send_on_s: float = SEND_ON_S,
     ) -> None:
         self.received = bytearray()
         self._name = name
@@ -80,6 +82,7 @@
         self._began_at = self._loop.time()
         self._sent = 0
         self._first = first
+        self._send_on_s = send_on_s
         self._closing_request = first if asks_to_close else 0
 
     async def call(self) -> int:
@@ -91,11 +94,11 @@
         return count_whole(bytes(self.received), name=self._name)[0]
 
     async def _read_and_send_on(self) -> None:
-        send_at = self._began_at + SEND_ON_S
+        send_at = self._began_at + self._send_on_s
         while await self._read():
             if self._loop.time() >= send_at:
                 await self._send(1)
-                send_at += SEND_ON_S
+                send_at += self._send_on_s
 
     async def _send(self, number: int) -> None:
         data = b""
--- a/packages/lychee-bench/tests/test_proof_stop.py
+++ b/packages/lychee-bench/tests/test_proof_stop.py
@@ -15,7 +15,7 @@
 from lychee_bench.runs import open_runs, read_runs
 from lychee_bench.server import BackendServer
 from lychee_bench.server_settings import Behaviour, ServerSettings
-from lychee_bench.slow_callers import SlowCaller, count_whole, open_slow
+from lychee_bench.slow_callers import SEND_ON_S, SlowCaller, count_whole, open_slow
 from lychee_control.core import ControlDaemon
 from lychee_gateway.core import Gateway
 from lychee_runtime import Daemon
@@ -31,6 +31,9 @@
 REQUEST_TIMEOUT_S = 5.0
 LEAVING_TIMEOUT_S = 3.0
 STOP_NOTICE_MS = 500
+LATE_SEND_S = STOP_NOTICE_MS / 1_000 + 0.3
+"""Time after which a stop looks for idle connections, and an answer is still on a slow link."""
+
 DOCUMENT = Document(
     organisation="o",
     domains=("nord",),
@@ -205,15 +208,22 @@
     uvloop.run(asyncio.wait_for(scenario(), TIMEOUT_S))
 
 
-@pytest.mark.parametrize("first", [1, 2, 4])
+@pytest.mark.parametrize(
+    ("first", "send_on_s"), [(1, SEND_ON_S), (2, SEND_ON_S), (4, SEND_ON_S), (1, LATE_SEND_S)]
+)
 def test_callers_on_slow_links_get_each_response_whole_at_a_planned_stop(
-    tmp_path: Path, first: int
+    tmp_path: Path, first: int, send_on_s: float
 ) -> None:
     async def scenario() -> None:
         async with Deployed(folder=tmp_path).running() as deployed:
             with await open_slow(deployed.gateway_addresses[0].listen) as sock:
                 caller = SlowCaller(
-                    name="slow", path="/status/", sock=sock, first=first, asks_to_close=False
+                    name="slow",
+                    path="/status/",
+                    sock=sock,
+                    first=first,
+                    asks_to_close=False,
+                    send_on_s=send_on_s,
                 )
                 calling = asyncio.create_task(caller.call())
                 while not caller.received:  # noqa: ASYNC110
