Answer a request that crosses the close of an idle connection at a stop: 408, not run

Cause: a stopping gateway closes its idle connections after half of the grace time. A request that is on its way just then is never read; its caller sees a close, which promises nothing, so that a request which must run at most once can't be repeated by a caller that doesn't know whether it was read.

Change: before a connection is closed as idle by a stop, the caller is sent 408 with Connection: close (RFC 9110, 15.5.9), in the gateway's own form of a rejection. Nothing that arrives behind it is ever handled, so 408 is true. A request that arrives before the decision takes effect is handled as ever. Nothing is sent on a connection that had no request (its caller may not expect bytes yet: browsers open such connections ahead, and showed a 408 to their users), nor behind a closing answer. A request that arrives behind the 408 counts as answered only if its caller acknowledged everything; requests behind that one end as idle, as before.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -313,6 +313,7 @@
             refuse=self._forwarder.refuse,
             tally=self._tally,
             idle_s=lambda: self._idle_limit.value_s,
+            idle_answer=self._forwarder.idle_answer,
         )
         conn.closing = self.stopping.is_set()
         task = asyncio.get_running_loop().create_task(conn.run())
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -164,6 +164,11 @@
         rejection = Rejection(status=exc.status, reason=exc.message)
         await exchange.send(*self._codec.reject(rejection, ""))
 
+    def idle_answer(self) -> tuple[ResponseHead, bytes]:
+        """Return what a request gets that crosses the close of an idle connection at a stop."""
+        rejection = Rejection(status=408, reason="this gateway stops; use another connection")
+        return self._codec.reject(rejection, "")
+
     def _no_route(self) -> Rejection:
         if not self._view.has_routes:
             reason = "no routes are known yet"
--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -200,8 +200,7 @@
 
     def _encode_response_head(self, head: ResponseHead) -> bytes:
         self.response_started = True
-        lines = [b"HTTP/1.1 %d %b\r\n" % (head.status, head.reason)]
-        lines += [b"%b: %b\r\n" % header for header in head.headers]
+        lines = _status_and_headers(head)
         if head.status not in BODILESS_STATUSES:
             if head.length is not None:
                 lines.append(b"content-length: %d\r\n" % head.length)
@@ -216,6 +215,19 @@
         return self._conn.begin_response(b"".join(lines))
 
 
+def encode_closing_response(head: ResponseHead, body: bytes) -> bytes:
+    """Return a whole response behind which its connection closes."""
+    lines = _status_and_headers(head)
+    lines.append(b"content-length: %d\r\n" % len(body))
+    lines.append(b"connection: close\r\n\r\n")
+    return b"".join(lines) + body
+
+
+def _status_and_headers(head: ResponseHead) -> list[bytes]:
+    lines = [b"HTTP/1.1 %d %b\r\n" % (head.status, head.reason)]
+    return lines + [b"%b: %b\r\n" % header for header in head.headers]
+
+
 class UnansweredReports:
     """Logs and counts requests that get no answer, each of them once.
 
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -12,7 +12,7 @@
 from lychee_http.delivery import Outcome
 from lychee_http.endings import EndReason
 from lychee_http.exceptions import BadRequestError, CallerGoneError
-from lychee_http.exchange import CallerExchange, UnansweredReports
+from lychee_http.exchange import CallerExchange, UnansweredReports, encode_closing_response
 from lychee_http.framing import (
     check_head,
     has_body,
@@ -48,6 +48,9 @@
 Refuse = Callable[[CallerExchange, BadRequestError], Awaitable[None]]
 """Sends the response to a rejected request."""
 
+IdleAnswer = Callable[[], tuple[ResponseHead, bytes]]
+"""Returns the head and body that answer a request that crosses the close of an idle connection."""
+
 
 def kept_s(idle_s: float) -> float:
     """Return how long an idle connection is kept, in seconds.
@@ -67,6 +70,8 @@
     :param tally: counts what becomes of each request.
     :param idle_s: returns how long callers may be idle now, in seconds, which answers tell them;
         None if that never changes and is not told.
+    :param idle_answer: what is sent before :meth:`close_if_idle` closes; its status must say that
+        the request was not run. None to send nothing.
     """
 
     def __init__(
@@ -78,6 +83,7 @@
         refuse: Refuse,
         tally: RequestTally | None = None,
         idle_s: Callable[[], float] | None = None,
+        idle_answer: IdleAnswer | None = None,
     ) -> None:
         self.closing = False
         self.tally = tally or RequestTally()
@@ -87,6 +93,9 @@
         self._limits = limits
         self._handle = handle
         self._refuse = refuse
+        self._idle_answer = idle_answer
+        self._is_used = False
+        self._is_answered_ahead = False
         self._unanswered = UnansweredReports(tally=self.tally)
         self._reader = RequestReader(stream=stream, head_limit=limits.head_bytes)
         self._exchanges: list[CallerExchange] = []
@@ -132,7 +141,12 @@
             self._end(EndReason.STOPPED)
 
     def close_if_idle(self) -> None:
-        """Close the connection if it is idle."""
+        """Close the connection if it is idle.
+
+        A request that crosses the close is not read. If there has been one before, the caller is
+        sent ``idle_answer`` ahead, which it takes as the answer to that request. A connection
+        without any request is closed silently, as its caller may not expect bytes yet.
+        """
         if self.is_idle:
             self.closing = True
             self._is_ended_as_idle = True
@@ -281,6 +295,7 @@
         return exchange
 
     def _start(self, exchange: CallerExchange) -> None:
+        self._is_used = True
         self._add(exchange)
         exchange.task = asyncio.create_task(self._serve(exchange))
         # A task that is cancelled before it begins runs nothing of its own.
@@ -504,6 +519,7 @@
         """Close once the caller has what was written, has left, or does not read on."""
         self._stop_watching()
         self._half_close.complete_prefix()
+        self._answer_ahead()
         reason = self._closing_reason()
         outcome = await wait_until_delivered(
             self._stream,
@@ -512,7 +528,7 @@
             body_bytes=self._reader.discarded_body_bytes,
             with_end=not self._ends_by_reset,
         )
-        self._unanswered.report(reason, (), skipped=self._skip_requests())
+        self._unanswered.report(reason, (), skipped=self._skip_unanswered(outcome))
         self.tally.count_dropped(reason, self._reader.discarded + self._stream.unread_bytes)
         match outcome:
             case Outcome.STALLED:
@@ -523,6 +539,28 @@
                 self._delivery.forget()
         self._close_stream(by_reset=False)
 
+    def _answer_ahead(self) -> None:
+        """Answer a request that may be on its way to a connection that was closed as idle."""
+        if self._idle_answer is None or not (self._is_ended_as_idle and self._is_used):
+            return
+        if self._stream.eof or self._last_exchange is not None:
+            # No request follows, or a closing answer says already that none is read.
+            return
+        head, body = self._idle_answer()
+        self._is_answered_ahead = True
+        self._stream.write(encode_closing_response(head, body))
+
+    def _skip_unanswered(self, outcome: Outcome) -> int:
+        """Skip what has been received; return how many requests in it got no answer.
+
+        A caller that has reset the connection may not have read what was sent ahead.
+        """
+        skipped = self._skip_requests()
+        if not skipped or not self._is_answered_ahead or outcome is not Outcome.DELIVERED:
+            return skipped
+        self.tally.count_answered_ahead()
+        return skipped - 1
+
     def _closing_reason(self) -> EndReason:
         if self._is_ended_as_idle or not self.closing:
             return EndReason.IDLE
--- a/packages/lychee-http/src/lychee_http/tally.py
+++ b/packages/lychee-http/src/lychee_http/tally.py
@@ -43,6 +43,11 @@
         """Count a request whose whole answer was handed over to be sent."""
         self.answered += 1
 
+    def count_answered_ahead(self) -> None:
+        """Count a request that was received behind the answer to it, and not handled."""
+        self.read += 1
+        self.answered += 1
+
     def count_end(self, end: ConnectionEnd) -> None:
         """Count requests that got no whole answer, and as read those that were skipped."""
         self.read += end.skipped
--- a/packages/lychee-http/tests/test_pipelining.py
+++ b/packages/lychee-http/tests/test_pipelining.py
@@ -52,6 +52,7 @@
         self.cancelled = []
         self.ends = []
         self.idle_s = None
+        self.idle_answer = None
         self.tally = RequestTally(on_end=self.ends.append)
         self.limits = CallerLimits()
         self._released = {}
@@ -68,6 +69,7 @@
             refuse=self._refuse,
             tally=self.tally,
             idle_s=self.idle_s,
+            idle_answer=self.idle_answer,
         )
         self.conns.append(conn)
         self.tasks.append(asyncio.ensure_future(conn.run()))
