Answer all that a caller has sent before it learns that a stopping gateway closes

Change: a connection that is to close reads on, 16 requests at most, until its closing answer is chosen, which goes to the last request read, as before.

Both tests fail before.

--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -30,6 +30,9 @@
 PIPELINE_LIMIT = 16
 """Maximum number of requests in flight on one connection."""
 
+READ_ON_LIMIT = 16
+"""Maximum number of requests that are read on a connection that is to close."""
+
 KEPT_SHARE = 1.5
 """Time for which an idle connection is kept, as a share of the time for which callers may be idle.
 
@@ -95,6 +98,7 @@
         self._refuse = refuse
         self._idle_answer = idle_answer
         self._is_used = False
+        self._read_while_closing = 0
         self._is_answered_ahead = False
         self._unanswered = UnansweredReports(tally=self.tally)
         self._reader = RequestReader(stream=stream, head_limit=limits.head_bytes)
@@ -282,9 +286,12 @@
             await self._reject_head(exc)
             return False
         self._start(exchange)
-        if has_body(head):
-            self.closing = not await self._body.wait(exchange) or self.closing
-        return not self.closing and keeps_alive(head)
+        if has_body(head) and not await self._body.wait(exchange):
+            self.closing = True
+            return False
+        # What its caller has sent before it learns of the close is answered too.
+        self._read_while_closing += self.closing
+        return keeps_alive(head) and self._read_while_closing < READ_ON_LIMIT
 
     def _make_exchange(self, head: RequestHead) -> CallerExchange:
         previous_done = self._exchanges[-1].done if self._exchanges else None
--- a/packages/lychee-http/tests/test_pipelining.py
+++ b/packages/lychee-http/tests/test_pipelining.py
@@ -497,3 +497,33 @@
                 assert unanswered(h) == [(EndReason.CALLER_STALLED, ["big", "b"])]
 
     run(scenario())
+
+
+def test_requests_that_were_sent_at_once_to_a_stopping_gateway_are_all_answered():
+    async def scenario():
+        async with harness() as h, caller(h) as (reader, writer):
+            await h.until(lambda: h.conns)
+            h.conns[0].closing = True
+            h.release(b"b", b"c", b"d")
+            writer.write(get(b"a") + get(b"b") + get(b"c") + get(b"d"))
+            await h.until_sent(b"a", b"b", b"c", b"d")
+            h.release(b"a")
+            data = await read_to_end(reader)
+            assert data.count(b"HTTP/1.1 200") == 4 and data.endswith(b"by d"), data
+            assert data.count(b"connection: close") == 1 and not h.ends, unanswered(h)
+
+    run(scenario())
+
+
+def test_a_stopping_gateway_reads_no_more_requests_than_its_limit():
+    async def scenario():
+        async with harness() as h, caller(h) as (reader, writer):
+            await h.until(lambda: h.conns)
+            h.conns[0].closing = True
+            names = [b"r%02d" % n for n in range(40)]
+            h.release(*names)
+            writer.write(b"".join(get(name) for name in names))
+            data = await read_to_end(reader)
+            assert data.count(b"HTTP/1.1 200") <= pipelining.READ_ON_LIMIT == len(h.sent), h.sent
+
+    run(scenario())
