Resume reading only on a connection that was ended as idle

A read in the turn in which a connection's last answer was sent could undo its end, so that a part of a head behind it held the close (found by the review, by reading).

--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -484,13 +484,8 @@
         try:
             while True:
                 has_data = await self._reader.receive(self._idle_left_s())
-                if has_data:
-                    self._is_ended_as_idle = False
-                    self._stream.stop_reading(stopped=False)
-                elif self._is_ended_as_idle and self._has_input():
-                    self._is_ended_as_idle = False
-                    self._stream.stop_reading(stopped=False)
-                    continue
+                if self._is_ended_as_idle and (has_data or self._has_input()):
+                    self._resume()
                 if has_data or self._stream.eof or self._is_over or self._is_ended_as_idle:
                     return has_data
                 if self._exchanges or self._idle_left_s() > 0:
@@ -511,6 +506,11 @@
             return limit_s
         return limit_s - self._delivery.quiet_s
 
+    def _resume(self) -> None:
+        """Read on a connection that was ended as idle, as a request came in the same turn."""
+        self._is_ended_as_idle = False
+        self._stream.stop_reading(stopped=False)
+
     def _has_input(self) -> bool:
         """Return whether bytes of a request have arrived that were not read yet."""
         return not self._stream.eof and not self._stream.is_quiet()
