--- a/packages/lychee-http/tests/test_busy_loop.py
+++ b/packages/lychee-http/tests/test_busy_loop.py
@@ -72,7 +72,8 @@
 def test_a_head_that_goes_on_arriving_after_its_time_is_rejected(new_loop):
     async def scenario():
         async with harness() as h:
-            h.limits = CallerLimits(head_s=0.3)
+            # Its time must be over first, however many bytes the loop sends until then.
+            h.limits = CallerLimits(head_s=0.3, head_bytes=64 * 1_048_576)
             async with caller(h) as (reader, writer):
                 answer = asyncio.ensure_future(reader.readuntil(b"\r\n\r\n"))
                 writer.write(b"GET / HTTP/1.1\r\nx: ")
