Close a connection whose response was given up before its end

A server repeated its response to r1 ahead of its response to r2. r2 got 502, as the id is r1's, but the connection went back to the pool while r2's own response was still to come. The next request, r3, was sent on it and got r2's refusal, which has no id.

Cause: end_exchange asked only whether a response was parsed to its end, and the short duplicate was.

Change: the response must also have been read to its end. A response that is given up early, by its id, its coding or its framing, ends the use of its connection.

--- a/packages/lychee-gateway/tests/test_contract_servers.py
+++ b/packages/lychee-gateway/tests/test_contract_servers.py
@@ -150,6 +150,37 @@
     run(scenario())
 
 
+def test_a_response_that_is_due_behind_another_requests_is_not_the_next_ones():
+    # REFUSED: the refusal of the second request has no id, and the third one would get it.
+    refusal = response(b"", b"503 Busy", b"Lychee-Refused: shed")
+    runs = []
+
+    async def scenario():
+        async def script(request):
+            async def step(writer):
+                writer.write(response(b"", b"200 OK", b"Lychee-Request-Id: another"))
+                await asyncio.sleep(0.1)
+                return refusal
+
+            if request.target.endswith(b"second"):
+                return step
+            runs.append(request.target)
+            await asyncio.sleep(0.1)
+            return OK
+
+        server = FakeServer("b1", "booking", script)
+        async with open_harness(server) as harness:
+            caller = await harness.caller()
+            statuses = []
+            for name in (b"first", b"second", b"third"):
+                target = b"/bench-booking/" + name
+                statuses.append((await caller.get(target, method=b"POST", body=b"b")).status)
+            assert statuses == [200, 502, 200]
+            assert runs == [b"/bench-booking/first", b"/bench-booking/third"]
+
+    run(scenario())
+
+
 def test_a_late_response_has_an_unknown_outcome_and_reaches_no_caller():
     async def scenario():
         async def late(request):
--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -136,6 +136,9 @@
             return False
         if parser is not None and not (parser.complete and parser.allows_keep_alive):
             return False
+        if parser is not None and parser.has_unread_events:
+            # It was given up before its end, as that of another request, whose own may still come.
+            return False
         if parser is not None and parser.has_surplus:
             return False
         return not self._stream.unsent and self._stream.is_quiet()
--- a/packages/lychee-http/src/lychee_http/parser.py
+++ b/packages/lychee-http/src/lychee_http/parser.py
@@ -250,6 +250,11 @@
         self.has_surplus = False
         self.allows_keep_alive = False
 
+    @property
+    def has_unread_events(self) -> bool:
+        """Whether a part of the response, or its end, has been parsed and not been returned."""
+        return bool(self._events)
+
     def next_event(self) -> ResponseEvent | None:
         """Return the next event, or None if more bytes are needed.
 
