Never send two requests with the same id on a connection that may still bring a duplicate

What callers saw (REFUSED): 503 for a request that ran, when a caller sent another request with the id of one that had been refused, at once, 0.3 s later, or behind three others.

Cause: a call kept only its own connections. A new call with the same id was sent on the connection of the former one, where the server's late second copy of the refusal (503 or 421) came first; the id does not tell the two requests apart.

Change: a connection remembers the hashes of the ids that were sent on it, for 10 s and the last 16 for any time, and is passed over for a request with one of them. A connection that has to remember 1,024 takes no more. Copies come up to 2 s late, so that one of a forgotten request is not due. A caller that gives all requests one id would leave a connection behind for each, so the oldest is closed once a request passes over four. Both kinds of deployment.

--- a/packages/lychee-gateway/src/lychee_gateway/calls.py
+++ b/packages/lychee-gateway/src/lychee_gateway/calls.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from lychee_http import RequestHead, ResponseHead, ServerConnection
+from lychee_http import RequestHead, ResponseHead
+from lychee_http.used_connections import UsedConnections
 from lychee_types.document import Service
 from lychee_types.ids import KeyHash, ServerId
 
@@ -23,7 +24,7 @@
     :param avoided_servers: servers that failed or refused it.
     :param attempts: number of attempts so far, counted when a server is requested for each.
     :param may_have_run: whether a server may have run it.
-    :param used_connections: the connections on which it was sent.
+    :param used_connections: the connections on which it must not be sent any more.
     """
 
     request_id: str
@@ -38,7 +39,10 @@
     avoided_servers: set[ServerId] = field(default_factory=set)
     attempts: int = 0
     may_have_run: bool = False
-    used_connections: set[ServerConnection] = field(default_factory=set)
+    used_connections: UsedConnections = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.used_connections = UsedConnections(self.request_id)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -14,6 +14,7 @@
 from lychee_http.exceptions import BadRequestError, CallerGoneError, ServerResponseError
 from lychee_http.exchange import CallerExchange
 from lychee_http.outbound import BODILESS_STATUSES
+from lychee_http.used_connections import UsedConnections
 from lychee_types.clock import Clock
 from lychee_types.timeouts import timeout_after_input
 
@@ -160,7 +161,7 @@
         server: ProxyServer,
         deadline: float,
         request_id: str,
-        used: set[ServerConnection],
+        used: UsedConnections,
         held: HeldAnswer,
     ) -> Attempt:
         """Send a request to a server and return the result.
@@ -170,9 +171,9 @@
         :param server: the server to send it to.
         :param deadline: monotonic time in seconds by which the caller must have the final answer.
         :param request_id: the id that the answer must repeat, empty if the request has none.
-        :param used: the connections on which earlier attempts were sent, to which that of this one
-            is added. Another copy of an answer to an earlier attempt, which may still come there,
-            bears the same id.
+        :param used: the connections on which the request, or another one with the same id, was
+            sent before, to which that of this attempt is added. Another copy of an earlier answer,
+            which may still come there, bears the same id.
         :param held: the room for the answer.
         """
         began = self._clock.monotonic()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/calls.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/calls.py
@@ -13,8 +13,8 @@
 )
 from lychee_gateway.proxy.codec import CallerRequest
 from lychee_gateway.proxy.placing import RoutedRequest
-from lychee_http import ServerConnection
 from lychee_http.exchange import CallerExchange
+from lychee_http.used_connections import UsedConnections
 from lychee_types.ids import RequestSignature
 from lychee_types.routing import Route
 
@@ -51,7 +51,7 @@
     :param ends: number of servers that ended while they had the request.
     :param signature: the request's signature, None before it is needed.
     :param trail: decisions so far, for the log.
-    :param used_connections: the connections on which it was sent.
+    :param used_connections: the connections on which it must not be sent any more.
     """
 
     exchange: CallerExchange
@@ -64,7 +64,10 @@
     ends: int = 0
     signature: RequestSignature | None = None
     trail: list[Step] = field(default_factory=list)
-    used_connections: set[ServerConnection] = field(default_factory=set)
+    used_connections: UsedConnections = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.used_connections = UsedConnections(self.request.request_id)
 
     @property
     def is_idempotent(self) -> bool:
--- a/packages/lychee-gateway/tests/test_contract_servers.py
+++ b/packages/lychee-gateway/tests/test_contract_servers.py
@@ -181,6 +181,31 @@
     run(scenario())
 
 
+def test_a_request_with_the_id_of_an_earlier_one_gets_its_own_response():
+    # REFUSED: the copy of the refusal is due on its connection and bears the same id.
+    named = b"Lychee-Request-Id: q1"
+    refusal = response(b"", b"503 Busy", b"Lychee-Refused: shed", named)
+    runs = []
+
+    async def scenario():
+        async def script(request):
+            if request.target.endswith(b"first"):
+                return refusal
+            runs.append(request.target)
+            return response(b"ok", b"200 OK", named) if server.opened > refused_on else refusal
+
+        server = FakeServer("b1", "booking", script)
+        async with open_harness(server) as harness:
+            caller = await harness.caller()
+            ask = {"method": b"POST", "body": b"b", "headers": (named,)}
+            assert (await caller.get(b"/bench-booking/first", **ask)).status == 503
+            refused_on = server.opened
+            assert (await caller.get(b"/bench-booking/second", **ask)).status == 200
+            assert runs == [b"/bench-booking/second"]
+
+    run(scenario())
+
+
 def test_a_late_response_has_an_unknown_outcome_and_reaches_no_caller():
     async def scenario():
         async def late(request):
--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -7,6 +7,7 @@
 from lychee_http.exceptions import ServerResponseError
 from lychee_http.messages import RequestHead, ResponseHead, header_value, header_values
 from lychee_http.parser import EndOfMessage, MalformedError, ResponseEvent, ResponseParser
+from lychee_http.recent_requests import RecentRequests
 from lychee_http.tcp import TcpStream
 from lychee_types.records import Endpoint
 from lychee_types.timeouts import timeout_after_input
@@ -45,6 +46,7 @@
     ) -> None:
         self.is_carried = is_carried
         self.opening_s = opening_s
+        self.recent_requests = RecentRequests()
         self._stream = stream
         self._until_close = until_close
         self._ends_at_close = False
--- a/packages/lychee-http/src/lychee_http/pool.py
+++ b/packages/lychee-http/src/lychee_http/pool.py
@@ -9,11 +9,18 @@
 CONNECT_TIMEOUT_S = 0.5
 """Maximum wait for a connection to open, in seconds."""
 
+MAX_PASSED_OVER = 4
+"""Number of idle connections that a request passes over before the oldest of them is closed.
+
+Otherwise callers that give all their requests one id would leave a connection behind for each.
+"""
+
 
 class ServerPool:
     """Idle connections to one incarnation of a backend server; the last used is reused first.
 
-    The number of open connections never exceeds the highest number of requests in flight.
+    The number of open connections exceeds the highest number of requests in flight only by those
+    that a request passes over, `MAX_PASSED_OVER` at most.
 
     :param endpoint: the server's address.
     :param until_close: whether to accept a response whose end is marked by the close of the
@@ -133,10 +140,16 @@
     def _take_from(
         self, conns: list[ServerConnection], but: Container[ServerConnection]
     ) -> ServerConnection | None:
-        for conn in [conn for conn in reversed(conns) if conn not in but]:
+        passed_over = 0
+        for conn in conns[::-1]:
+            if conn in but:
+                passed_over += 1
+                continue
             conns.remove(conn)
             conn.stream.on_disconnect = conn.stream.on_input = lambda: None
             if conn.is_reusable():
                 return conn
             conn.close()
+        if passed_over >= MAX_PASSED_OVER:
+            self._remove(conns[0])
         return None
