Take no request on a carried connection with a part of a frame

What callers saw: 502 for a request that another gateway carried, as a duplicate of an earlier response came on its connection. The head of the duplicate's frame had arrived before the request was sent.

Cause: the asking gateway counted payload only as bytes of the server.

Change: a connection inside a frame, or inside its length, is not quiet.

Evidence: test_a_carried_connection_with_a_part_of_a_frame_takes_no_request failed for 2 and 4 bytes (6 held) and passes.

--- a/packages/lychee-http/src/lychee_http/carrying.py
+++ b/packages/lychee-http/src/lychee_http/carrying.py
@@ -97,7 +97,8 @@
 
     def is_quiet(self) -> bool:
         """Return whether a further request may be sent on the connection."""
-        return not self.is_leaving and super().is_quiet()
+        is_between_frames = not self._frame_left and not self._length_bytes
+        return is_between_frames and not self.is_leaving and super().is_quiet()
 
     def _read_length(self, view: memoryview) -> memoryview:
         missing = LENGTH.size - len(self._length_bytes)
--- a/packages/lychee-http/tests/test_used_connections.py
+++ b/packages/lychee-http/tests/test_used_connections.py
@@ -4,14 +4,20 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from msgspec.msgpack import Encoder
 
 from lychee_http import RequestHead
+from lychee_http.carrying import encode_frame, open_carried_connection
 from lychee_http.pool import MAX_PASSED_OVER, ServerPool
 from lychee_http.recent_requests import KEPT, KEPT_S, MAX_KEPT, RecentRequests
 from lychee_http.used_connections import UsedConnections
+from lychee_types.ids import Incarnation, ServerId
+from lychee_types.peer_messages import CarryAccepted, CarryRequest
 from lychee_types.records import Endpoint
+from lychee_types.registry import ServerIncarnation
 
 HEAD = RequestHead(method=b"GET", target=b"/", headers=())
+RUN = ServerIncarnation(server=ServerId("s1"), incarnation=Incarnation(1))
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
 
 
@@ -107,3 +113,31 @@
             assert len(conns[0].recent_requests) == MAX_KEPT
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("size", [2, 4, 6])
+def test_a_carried_connection_with_a_part_of_a_frame_takes_no_request(size):
+    # The rest is bytes of no request; the next request would be given up because of them.
+    async def scenario():
+        frame = encode_frame(ANSWER)
+
+        async def carry(reader, writer):
+            writer.write(encode_frame(Encoder().encode(CarryAccepted())))
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(frame + frame[:size])
+
+        server = await asyncio.start_server(carry, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        carrier = Endpoint(host=host, port=port)
+        request = CarryRequest(run=RUN, endpoint=carrier, timeout_ms=1_000)
+        conn = await open_carried_connection(carrier, request, timeout_s=1.0)
+        conn.send(HEAD, b"")
+        await conn.read_head()
+        while await conn.read_chunk():
+            pass
+        await asyncio.sleep(0.05)
+        assert not conn.end_exchange()
+        conn.close()
+        server.close()
+
+    asyncio.run(scenario())
