End a connection for grants as soon as a repeated answer comes on it

What the leader took: grants bear no id, so that a copy of one answer could count for the next grant, and that one's own answer for the grant after it. Keys that their owner had refused then counted as active until the next renewal, and gateways got 421 for them. No keys had two holders: a grant counts as held from its sending, whatever is answered.

Cause: the left-over answer was looked for only before the next grant, up to a third of a hold later.

Change: bytes on the idle connection end it at once, so that all its ranges are granted anew.

Evidence: test_a_repeated_answer_to_a_grant_ends_the_connection failed in both cases and passes.

--- a/packages/lychee-control/src/lychee_control/registry/calls.py
+++ b/packages/lychee-control/src/lychee_control/registry/calls.py
@@ -163,10 +163,14 @@
         if not self._may_grant():
             return CallFailed(reason="another replica may lead", maybe_sent=False)
         call = self._codec.grant(key_range=key_range, endpoint=self.endpoint, hold_s=hold_s)
+        conn.stream.on_input = _do_nothing
         try:
             answer = await self._send(conn, call, GRANT_TIMEOUT_S)
         finally:
-            if not conn.end_exchange():
+            if conn.end_exchange():
+                # What comes now is a second copy of an answer, or the answer that a copy preceded.
+                conn.stream.on_input = self._end_connection
+            else:
                 self._end_connection()
         return answer if isinstance(answer, CallFailed) else self._codec.read_grant(answer)
 
--- a/packages/lychee-control/tests/test_registry_calls.py
+++ b/packages/lychee-control/tests/test_registry_calls.py
@@ -209,3 +209,35 @@
         assert replies == [Released(handover=str(number)) for number in (1, 2, 3)]
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("is_idle", [False, True], ids=["ahead of the next", "while idle"])
+def test_a_repeated_answer_to_a_grant_ends_the_connection(is_idle):
+    # Grants bear no id. If the copy counted for the second grant, its own answer would be left over.
+    async def scenario():
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+        received = []
+
+        async def serve(reader, writer):
+            while head := await reader.read(1_000):
+                received.append(head)
+                writer.write(answer)
+                if is_idle or len(received) == 2:
+                    await asyncio.sleep(0.05)
+                    writer.write(answer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        endpoint = Endpoint(host="127.0.0.1", port=server.sockets[0].getsockname()[1])
+        client = ServerClient(endpoint=endpoint, codec=FakeCodec(), may_grant=lambda: True)
+        ends = []
+        client.on_ended = lambda: ends.append(len(received))
+        await client.connect()
+        for _ in range(1 if is_idle else 2):
+            assert await client.grant(KEYS, hold_s=3.0) == GrantAccepted()
+        await asyncio.sleep(0.1)
+        assert ends == [len(received)]
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
