Count and log requests kept off connections because of a repeated id

lychee_gateway_repeated_ids_total by service and the field repeated_id of the event answered show callers that give several requests one id, which costs connections.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -461,6 +461,9 @@
         routed = call.routed
         seconds = self._clock.monotonic() - routed.arrived_at
         self._metrics.count_answer(routed.service, status, seconds)
+        has_repeated_id = call.used_connections.has_repeated_id
+        if has_repeated_id:
+            self._metrics.count_repeated_id(routed.service)
         if status < 400 and len(call.trail) <= 1 and not self._is_sampled():
             return
         logger.bind(
@@ -473,6 +476,7 @@
             ms=round(seconds * 1_000),
             attempts=call.attempts,
             trail=call.trail,
+            repeated_id=has_repeated_id,
             signature=self._known_signature(call),
             version=self._view.state.version.number,
             index=self._view.state.index,
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -55,6 +55,9 @@
         self._server_ends = page.counter(
             "server_ends", "Requests at servers that ended without an answer.", "service"
         )
+        self._repeated_ids = page.counter(
+            "repeated_ids", "Requests with the id of an earlier one at the same server.", "service"
+        )
         self._blocked = page.counter(
             "blocked", "Requests not sent because servers end under them.", "service"
         )
@@ -111,6 +114,10 @@
         """Count a request at a server that ended without answering it."""
         self._server_ends.labels(service).inc()
 
+    def count_repeated_id(self, service: ServiceName) -> None:
+        """Count a request kept off a connection that another one with its id was sent on."""
+        self._repeated_ids.labels(service).inc()
+
     def count_blocked(self, service: ServiceName) -> None:
         """Count a request that was not sent because servers end under it."""
         self._blocked.labels(service).inc()
