Let the soak's servers repeat responses late

The stand-in servers name the request in their responses. The audit already finds requests that ran twice, and refused ones that ran.

--- a/packages/lychee-bench/src/lychee_bench/commands/server.py
+++ b/packages/lychee-bench/src/lychee_bench/commands/server.py
@@ -45,6 +45,7 @@
 @click.option("--service-ms", default=5.0, show_default=True, help="Time to run a request.")
 @click.option("--cold-s", default=0.0, show_default=True, help="Length of a cold start.")
 @click.option("--drain-s", default=10.0, show_default=True, help="Longest drain.")
+@click.option("--repeats/--answers-once", help="Whether a relay repeats its answers.")
 @click.option("--health-ok/--health-failed", default=True, help="What the health page says.")
 def command(
     *,
@@ -65,6 +66,7 @@
     service_ms: float,
     cold_s: float,
     drain_s: float,
+    repeats: bool,
     health_ok: bool,
 ) -> None:
     """Run one stand-in backend server until SIGTERM."""
@@ -85,6 +87,7 @@
         answer_bytes=answer_bytes,
         cold_s=cold_s,
         drain_s=drain_s,
+        repeats=repeats,
         behaviour=Behaviour(service_ms=service_ms, health_ok=health_ok),
     )
     uvloop.run(run_server(cfg))
--- a/packages/lychee-bench/src/lychee_bench/commands/soak.py
+++ b/packages/lychee-bench/src/lychee_bench/commands/soak.py
@@ -15,10 +15,18 @@
 @click.option("--user", type=click.Choice(list(SOAK_USERS)), default="skaft", show_default=True)
 @click.option("--examples", type=click.Path(path_type=Path), default=Path("examples"))
 @click.option("--rate", default=0.5, show_default=True, help="Factor on the rates of requests.")
-def command(*, seed: int, seconds: float, user: str, examples: Path, rate: float) -> None:
+@click.option("--repeats", is_flag=True, help="Let servers repeat answers up to 2 s late.")
+def command(
+    *, seed: int, seconds: float, user: str, examples: Path, rate: float, repeats: bool
+) -> None:
     """Run a deployment under a schedule of faults, and list the broken invariants."""
     sizes = SOAK_USERS[user]
     plan = SoakPlan(
-        sizes=sizes, document=examples / sizes.document, seconds=seconds, seed=seed, rate=rate
+        sizes=sizes,
+        document=examples / sizes.document,
+        seconds=seconds,
+        seed=seed,
+        rate=rate,
+        repeats=repeats,
     )
     run_until_done(run_soak(plan, out=click.echo))
--- a/packages/lychee-bench/src/lychee_bench/deployment.py
+++ b/packages/lychee-bench/src/lychee_bench/deployment.py
@@ -57,6 +57,7 @@
         self.sizes = sizes
         self.timing = Timing()
         self.rule = ""
+        self.repeats = False
         self._folder = folder
         ports = iter(free_endpoints(2 * sizes.controls + 2 * sizes.gateways + _server_count(sizes)))
         self.control_listen_addresses = {f"c{n}": next(ports) for n in range(1, sizes.controls + 1)}
@@ -226,6 +227,7 @@
         }
         flags = ["--checks-tokens" if service.checks_tokens else "--no-checks-tokens"]
         flags.append("--streamed" if service.body is BodyMode.STREAMED else "--whole")
+        flags.append("--repeats" if self.repeats else "--answers-once")
         for gateway in self.gateways:
             flags += ["--entry", str(gateway.announce)]
         arguments = [str(part) for option in options.items() for part in option]
--- a/packages/lychee-bench/src/lychee_bench/launch.py
+++ b/packages/lychee-bench/src/lychee_bench/launch.py
@@ -38,6 +38,7 @@
     document: Document,
     network: Network | None = None,
     rule: str = "",
+    repeats: bool = False,
 ) -> AsyncIterator[Deployment]:
     """Run a deployment for the duration of the block, which starts once all services are served.
 
@@ -47,11 +48,13 @@
     :param network: if given, connections to the control replicas go through relays, so that
         the network can be cut.
     :param rule: name of the rule by which gateways choose a server, empty for their default.
+    :param repeats: whether the servers repeat responses late.
     :raises UnavailableError: if it does not serve in time.
     """
     with running_processes(folder) as group:
         deployment = Deployment(folder=folder, sizes=sizes, document=document, group=group)
         deployment.rule = rule
+        deployment.repeats = repeats
         relays = () if network is None else deployment.use_relays(network)
         async with running_relays(relays):
             deployment.start_controls()
--- a/packages/lychee-bench/src/lychee_bench/server.py
+++ b/packages/lychee-bench/src/lychee_bench/server.py
@@ -15,9 +15,11 @@
 from lychee_bench.answers import make_response_body
 from lychee_bench.http_server import Connection, HttpServer, Request, Response
 from lychee_bench.lease import ServerLease
+from lychee_bench.repeating import RepeatingRelay
 from lychee_bench.runs import RunBegan, RunEnded, RunWriter, ServerBegan, open_runs
 from lychee_bench.server_settings import Behaviour, ServerSettings
 from lychee_bench.slots import ShedError, Slots
+from lychee_runtime.ports import free_endpoint
 from lychee_types.clock import SystemClock
 from lychee_types.exceptions import LycheeError
 from lychee_types.ids import DomainName, Incarnation, ServerId, ServiceName, Token
@@ -138,9 +140,12 @@
                 self.behaviour = msgspec.json.decode(request.body, type=Behaviour)
                 return Response()
         try:
-            return await self._serve(request, conn)
+            response = await self._serve(request, conn)
         except RefusedError as exc:
-            return Response(status=503, headers=(("Lychee-Refused", exc.reason),))
+            response = Response(status=503, headers=(("Lychee-Refused", exc.reason),))
+        request_id = ("Lychee-Request-Id", request.headers.get("lychee-request-id", ""))
+        named = (request_id, *response.headers) if request_id[1] else response.headers
+        return msgspec.structs.replace(response, headers=named)
 
     def _health(self) -> Response:
         return Response(status=200 if self.behaviour.health_ok else 503, body=b"ok")
@@ -246,6 +251,16 @@
     return unquote_to_bytes(segment).decode("latin-1")
 
 
+async def _listen(server: BackendServer, cfg: ServerSettings) -> asyncio.Server:
+    """Start to listen, behind a relay if the server repeats responses."""
+    if not cfg.repeats:
+        return await server.http.listen(cfg.listen.host, cfg.listen.port)
+    hidden = free_endpoint()
+    await server.http.listen(hidden.host, hidden.port)
+    relay = RepeatingRelay(target=hidden, rng=random.Random(cfg.id))
+    return await relay.listen(cfg.listen)
+
+
 async def run_server(cfg: ServerSettings) -> None:
     """Serve until SIGTERM, then drain the server and return.
 
@@ -255,7 +270,7 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
     with open_runs(Path(cfg.runs)) as runs:
         server = BackendServer(cfg=cfg, runs=runs)
-        listener = await server.http.listen(cfg.listen.host, cfg.listen.port)
+        listener = await _listen(server, cfg)
         announcer_task = asyncio.create_task(server.announcer.run())
         try:
             await stop.wait()
--- a/packages/lychee-bench/src/lychee_bench/server_settings.py
+++ b/packages/lychee-bench/src/lychee_bench/server_settings.py
@@ -42,6 +42,7 @@
     :param cold_s: duration of its cold start, in seconds.
     :param cold_factor: factor on the service time during the cold start.
     :param drain_s: maximum duration of the drain after SIGTERM, in seconds.
+    :param repeats: whether a relay in front of it repeats responses and refuses requests.
     :param behaviour: initial behaviour.
     """
 
@@ -63,4 +64,5 @@
     cold_s: float = 0.0
     cold_factor: float = 5.0
     drain_s: float = 10.0
+    repeats: bool = False
     behaviour: Behaviour = Behaviour()
--- a/packages/lychee-bench/src/lychee_bench/soak.py
+++ b/packages/lychee-bench/src/lychee_bench/soak.py
@@ -51,6 +51,8 @@
     :param seconds: how long requests are sent.
     :param seed: seed of faults, arrival times and keys.
     :param rate: factor on the request rates that the sizes give.
+    :param repeats: whether the servers repeat responses late; the audit finds requests that ran
+        twice, and those that were refused and ran.
     """
 
     sizes: Sizes
@@ -58,6 +60,7 @@
     seconds: float
     seed: int
     rate: float
+    repeats: bool = False
 
 
 async def run_soak(plan: SoakPlan, *, out: Callable[[str], None]) -> bool:
@@ -70,7 +73,11 @@
     network = Network()
     with run_folder() as folder:
         async with run_deployment(
-            folder=folder.path, sizes=plan.sizes, document=document, network=network
+            folder=folder.path,
+            sizes=plan.sizes,
+            document=document,
+            network=network,
+            repeats=plan.repeats,
         ) as deployment:
             schedule = make_schedule(
                 seed=plan.seed, seconds=plan.seconds, targets=make_fault_targets(deployment)
--- a/packages/lychee-control/tests/test_registry_calls.py
+++ b/packages/lychee-control/tests/test_registry_calls.py
@@ -213,7 +213,7 @@
 
 @pytest.mark.parametrize("is_idle", [False, True], ids=["ahead of the next", "while idle"])
 def test_a_repeated_answer_to_a_grant_ends_the_connection(is_idle):
-    # Grants bear no id. If the copy counted for the second grant, its own answer would be left over.
+    # Grants bear no id: if a copy counts for the next grant, the answer to that is left over.
     async def scenario():
         answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
         received = []
