Send refused requests to the same server again in the soak that repeats responses

Change: services that are not idempotent have one server each, the relay refuses a fifth of the requests, and 7 in 10 of its refusals come again, most of them early. The relay ends quietly with its process.

--- a/packages/lychee-bench/src/lychee_bench/repeating.py
+++ b/packages/lychee-bench/src/lychee_bench/repeating.py
@@ -8,12 +8,17 @@
 import random
 import re
 
+from loguru import logger
+
 from lychee_types.records import Endpoint
 
-REPEATED_SHARE = 0.05
+REPEATED_SHARE = 0.1
 """Share of the responses that are sent once more."""
 
-REFUSED_SHARE = 0.05
+REPEATED_REFUSAL_SHARE = 0.7
+"""The same for the relay's own refusals, after which gateways send the request again."""
+
+REFUSED_SHARE = 0.2
 """Share of the requests that the relay refuses and the server never gets."""
 
 MAX_LATE_S = 2.0
@@ -59,18 +64,22 @@
                 for due in [copy for copy in late if copy[0] <= loop.time()]:
                     late.remove(due)
                     await self._send(writer, due[1])
+                share = REPEATED_SHARE
                 if self._rng.random() < REFUSED_SHARE:
+                    share = REPEATED_REFUSAL_SHARE
                     response = _refusal(request)
                 else:
                     server_writer.write(request)
                     response = await _read_response(server_reader)
                 await self._send(writer, response)
-                is_repeated = self._rng.random() < REPEATED_SHARE
-                if is_repeated and len(response) <= MAX_REPEATED_BYTES:
-                    late.append((loop.time() + self._rng.uniform(0.0, MAX_LATE_S), response))
-        except (ConnectionError, asyncio.IncompleteReadError):
-            # The end of one side ends the other.
-            return
+                if self._rng.random() < share and len(response) <= MAX_REPEATED_BYTES:
+                    # Most copies are early, when the refused request is likely to be sent again.
+                    late.append((loop.time() + MAX_LATE_S * self._rng.random() ** 3, response))
+        except (ConnectionError, asyncio.IncompleteReadError) as exc:
+            logger.debug("one side of a relayed connection has ended: {!r}", exc)
+        except asyncio.CancelledError:
+            # Raised again, it would be logged as an error of the stream when the process ends.
+            logger.debug("a relayed connection ends with the process")
         finally:
             server_writer.transport.abort()
             writer.transport.abort()
@@ -80,6 +89,8 @@
         end = self._rng.randrange(len(data))
         for part in (data[:end], data[end:]):
             await asyncio.sleep(self._rng.uniform(0.0, MAX_DELAY_S))
+            if writer.transport.is_closing():
+                raise ConnectionResetError("the gateway has closed the connection")
             writer.write(part)
             await writer.drain()
 
--- a/packages/lychee-bench/src/lychee_bench/sizes.py
+++ b/packages/lychee-bench/src/lychee_bench/sizes.py
@@ -1,5 +1,7 @@
 """Sizes of the users' current deployments."""
 
+from collections.abc import Collection
+
 from msgspec import Struct, structs
 
 SERVER_SPEEDS = (0.5, 1.0, 1.0, 1.5, 2.0)
@@ -115,5 +117,14 @@
     return structs.replace(sizes, groups=groups)
 
 
+def with_one_server_each(sizes: Sizes, services: Collection[str]) -> Sizes:
+    """Return sizes with one server of each named service, which gets a refused request again."""
+    groups = tuple(
+        structs.replace(group, count=1) if group.service in services else group
+        for group in sizes.groups
+    )
+    return structs.replace(sizes, groups=groups)
+
+
 SOAK_USERS = {name: with_half_servers(sizes) for name, sizes in USERS.items()}
 """Sizes for soak tests, by the user's short name."""
--- a/packages/lychee-bench/src/lychee_bench/soak.py
+++ b/packages/lychee-bench/src/lychee_bench/soak.py
@@ -33,7 +33,7 @@
     format_schedule,
     make_schedule,
 )
-from lychee_bench.sizes import Sizes
+from lychee_bench.sizes import Sizes, with_one_server_each
 from lychee_bench.slow_callers import SlowCallers
 from lychee_types.document import BodyMode
 from lychee_types.exceptions import UnavailableError
@@ -71,10 +71,14 @@
     """
     document = load_document(plan.document)
     network = Network()
+    sizes = plan.sizes
+    if plan.repeats:
+        at_most_once = [s.name for s in document.services if not s.idempotent]
+        sizes = with_one_server_each(sizes, at_most_once)
     with run_folder() as folder:
         async with run_deployment(
             folder=folder.path,
-            sizes=plan.sizes,
+            sizes=sizes,
             document=document,
             network=network,
             repeats=plan.repeats,
