Count what is held for callers' connections, and parse their bytes as they are taken

Within the limits on heads and bodies, 200 to 400 callers made a process hold several times its VM's memory: one object a chunk of one byte, all heads of a pipeline at once, bodies collected in full.

An account a process counts what connections hold, and ends those that hold much and do not go on. The parser keeps bytes until their events are asked for, joins parts of a body, and limits framing beside content; connections whose bytes take long to parse take turns. What a connection that has ended had received is dropped at once, as parser and connection refer to each other.

--- a/packages/lychee-http/src/lychee_http/callers.py
+++ b/packages/lychee-http/src/lychee_http/callers.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from lychee_http import CallerConnection, CallerLimits, RequestHead, TcpStream
+from lychee_http.caller_memory import UNCOUNTED, CallerMemory
 from lychee_http.exceptions import BadRequestError, CallerGoneError
 from lychee_types.exceptions import InvariantError
 
@@ -38,6 +39,7 @@
     :param answer_failure: sends the response to a request whose handler raised an unexpected error.
     :param on_invariant_error: called when a handler raises an :class:`InvariantError`.
     :param limits: limits on each connection.
+    :param memory: the account of what the connections hold, None to count nothing.
     """
 
     def __init__(
@@ -48,12 +50,14 @@
         answer_failure: AnswerFailure,
         on_invariant_error: Callable[[InvariantError], None],
         limits: CallerLimits | None = None,
+        memory: CallerMemory | None = None,
     ) -> None:
         self._handle = handle
         self._refuse = refuse
         self._answer_failure = answer_failure
         self._on_invariant_error = on_invariant_error
         self._limits = limits or CallerLimits()
+        self._memory = memory
         self._tasks: dict[asyncio.Task[None], CallerConnection] = {}
         self._is_stopping = False
 
@@ -62,8 +66,18 @@
 
     async def accept(self, sock: socket.socket) -> None:
         """Start to serve an accepted connection."""
+        holding = UNCOUNTED if self._memory is None else self._memory.open()
+        if holding is None:
+            sock.close()
+            return
         loop = asyncio.get_running_loop()
-        await loop.connect_accepted_socket(lambda: TcpStream(on_connect=self._on_connect), sock)
+        try:
+            await loop.connect_accepted_socket(
+                lambda: TcpStream(on_connect=self._on_connect, holding=holding), sock
+            )
+        except OSError:
+            holding.end()
+            raise
 
     def begin_stop(self) -> None:
         """Close each connection after its next response."""
@@ -88,6 +102,9 @@
     def _on_connect(self, stream: TcpStream) -> None:
         conn = CallerConnection(stream=stream, limits=self._limits)
         conn.closing = self._is_stopping
+        stream.holding.watch(
+            shed=conn.shed, end_if_idle=lambda: conn.close_if_idle(include_unused=True)
+        )
         task = asyncio.get_running_loop().create_task(self._serve_connection(conn))
         self._tasks[task] = conn
         task.add_done_callback(self._tasks.pop)
@@ -105,6 +122,8 @@
         except Exception:
             logger.exception("unexpected error while handling a caller's request")
             await self._answer_unexpected_error(conn)
+        finally:
+            conn.release_memory()
 
     async def _answer_unexpected_error(self, conn: CallerConnection) -> None:
         """Answer a request whose handler raised an unexpected error, unless a response began."""
--- a/packages/lychee-http/src/lychee_http/endings.py
+++ b/packages/lychee-http/src/lychee_http/endings.py
@@ -32,6 +32,9 @@
     IDLE = "idle"
     """The connection was closed as idle."""
 
+    SHED = "shed"
+    """The process held too much for its callers, or had too many connections."""
+
     STOPPED = "stopped"
     """The process stopped before the answer came."""
 
--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -6,6 +6,7 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
+from lychee_http.caller_memory import EXCHANGE_BYTES, head_bytes
 from lychee_http.endings import ConnectionEnd, EndReason, UnansweredRequest, log_end
 from lychee_http.inbound import BODILESS_STATUSES
 from lychee_http.messages import RequestHead, ResponseHead
@@ -50,6 +51,8 @@
         self._conn = conn
         self._previous_done = previous_done
         self._is_chunked = False
+        self._memory = 0
+        self.hold_memory(EXCHANGE_BYTES + head_bytes(head))
         conn.tally.count_read()
 
     @property
@@ -65,6 +68,16 @@
         is_begun = self.response_started and not self.is_answered
         return is_begun and self.head.version == b"1.0"
 
+    def hold_memory(self, size: int) -> None:
+        """Count memory that the request takes up until it is done, in bytes."""
+        self._memory += size
+        self._conn.holding.add(size)
+
+    def release_memory(self) -> None:
+        """Count the memory as given back."""
+        self._conn.holding.add(-self._memory)
+        self._memory = 0
+
     def cancel(self) -> None:
         """Cancel the handling of a request that may be cancelled, unless its own task asks."""
         if self.task is None or self.task is asyncio.current_task():
@@ -190,6 +203,7 @@
         """Mark the exchange as done, so that the next response can be sent."""
         if not self.done.done():
             self.done.set_result(None)
+            self.release_memory()
         self._settle()
 
     def truncate(self) -> None:
--- a/packages/lychee-http/src/lychee_http/exchanges.py
+++ b/packages/lychee-http/src/lychee_http/exchanges.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterator
 
+from lychee_http.caller_memory import Holding
 from lychee_http.exchange import CallerExchange
 
 
@@ -10,10 +11,12 @@
     """Exchanges without a response, up to a limit.
 
     :param limit: maximum number of exchanges.
+    :param holding: what their connection holds.
     """
 
-    def __init__(self, *, limit: int) -> None:
+    def __init__(self, *, limit: int, holding: Holding) -> None:
         self._limit = limit
+        self._holding = holding
         self._exchanges: list[CallerExchange] = []
         self._has_room = asyncio.Event()
 
@@ -32,8 +35,10 @@
         return self._exchanges[-1].done if self._exchanges else None
 
     async def wait_for_room(self) -> None:
-        """Wait until there are fewer than the limit."""
-        while len(self._exchanges) >= self._limit:
+        """Wait until there are fewer than the limit, and what is held leaves room for another."""
+        while len(self._exchanges) >= self._limit or (
+            self._exchanges and not self._holding.has_room
+        ):
             self._has_room.clear()
             await self._has_room.wait()
 
--- a/packages/lychee-http/src/lychee_http/inbound.py
+++ b/packages/lychee-http/src/lychee_http/inbound.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 from time import monotonic
 
+from lychee_http.caller_memory import EXCHANGE_BYTES, head_bytes
 from lychee_http.closing import wait_until_delivered
 from lychee_http.delivery import StallWatch
 from lychee_http.exceptions import CallerGoneError
@@ -55,6 +56,8 @@
         self.closing = False
         self.response_started = False
         self._stream = stream
+        self._holding = stream.holding
+        self._memory = 0
         self._limits = limits
         self._reader = RequestReader(stream=stream, head_limit=limits.head_bytes)
         self._head: RequestHead | None = None
@@ -66,10 +69,11 @@
         self._ends_by_reset = False
         self._stall = StallWatch(stall_s=limits.stall_s)
 
-    def close_if_idle(self, *, include_unused: bool) -> None:
+    def close_if_idle(self, *, include_unused: bool) -> bool:
         """Close the connection if the task waits for a request and none has begun to arrive.
 
-        A caller that still receives its answer is left alone, unless it stalls.
+        A caller that still receives its answer is left alone, unless it stalls. Return whether it
+        was closed.
 
         :param include_unused: whether to close also a connection without any request so far.
         """
@@ -80,6 +84,8 @@
             and (self._stream.is_acknowledged() or self._is_stalled())
         ):
             self._stream.abort()
+            return True
+        return False
 
     def _is_stalled(self) -> bool:
         return self._stall.is_stalled(
@@ -114,6 +120,7 @@
         if head is None:
             return None
         self._head = head
+        self._hold_memory(EXCHANGE_BYTES + head_bytes(head))
         check_head(head, limit=self._limits.head_bytes)
         if not has_body(head):
             self._is_request_read = isinstance(self._reader.next_event(), EndOfMessage)
@@ -134,21 +141,29 @@
             raise body_too_large_error(limit)
         if b"100-continue" in header_tokens(self._head.headers, b"expect"):
             self._stream.write(CONTINUE)
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
         reads = TimedReads(reader=self._reader, timeout_s=timeout_s)
-        while True:
-            event = self._reader.next_event()
-            if isinstance(event, EndOfMessage):
-                self._is_request_read = True
-                return b"".join(chunks)
-            if isinstance(event, bytes):
-                chunks.append(event)
-                size += len(event)
-                if size > limit:
-                    raise body_too_large_error(limit)
-            elif not await reads.receive():
-                raise self._reader.incomplete_error("body")
+        while not isinstance(part := await self._reader.next_part(reads), EndOfMessage):
+            body += part
+            self._hold_memory(len(part))
+            if len(body) > limit:
+                raise body_too_large_error(limit)
+        self._is_request_read = True
+        return bytes(body)
+
+    def _hold_memory(self, size: int) -> None:
+        """Count memory that the current request takes up, in bytes."""
+        self._memory += size
+        self._holding.add(size)
+
+    def release_memory(self) -> None:
+        """Drop what was received, and count what the current request takes up as given back."""
+        self._reader.close()
+        self._give_back()
+
+    def _give_back(self) -> None:
+        self._holding.add(-self._memory)
+        self._memory = 0
 
     async def send(self, head: ResponseHead, body: bytes) -> None:
         """Send a whole response.
@@ -193,6 +208,7 @@
         ):
             return False
         self._head = None
+        self._give_back()
         self._has_served_request = True
         self._is_request_read = self.response_started = self._is_response_sent = (
             self._is_chunked
@@ -207,6 +223,11 @@
         else:
             self._stream.abort()
 
+    def shed(self) -> None:
+        """Close the connection at once, and drop what was received."""
+        self._reader.close()
+        self.abort()
+
     def truncate(self) -> None:
         """Close the connection so that the caller sees that the response is incomplete.
 
--- a/packages/lychee-http/src/lychee_http/listener.py
+++ b/packages/lychee-http/src/lychee_http/listener.py
@@ -11,8 +11,10 @@
 BACKLOG = 1_024
 """Maximum number of connections that the operating system queues until they are accepted."""
 
-MAX_ACCEPTS_PER_CALLBACK = 64
-"""Maximum number of connections accepted before the event loop does other work."""
+MAX_ACCEPTS_PER_CALLBACK = 16
+"""Maximum number of connections accepted before the event loop does other work; each takes a
+descriptor until it is known whether it is refused.
+"""
 
 ACCEPT_RETRY_DELAY_S = 0.1
 """Pause after the operating system failed to accept a connection, in seconds."""
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -14,11 +14,7 @@
 from lychee_http.exceptions import BadRequestError, CallerGoneError
 from lychee_http.exchange import CallerExchange, UnansweredReports, encode_closing_response
 from lychee_http.exchanges import ExchangeQueue
-from lychee_http.framing import (
-    check_head,
-    has_body,
-    keeps_alive,
-)
+from lychee_http.framing import check_head, has_body, keeps_alive
 from lychee_http.half_close import HalfCloseWatch
 from lychee_http.idle_wait import IdleWait
 from lychee_http.inbound import CallerLimits
@@ -87,7 +83,8 @@
         self._is_answered_ahead = False
         self._unanswered = UnansweredReports(tally=self.tally)
         self._reader = RequestReader(stream=stream, head_limit=limits.head_bytes)
-        self._exchanges = ExchangeQueue(limit=PIPELINE_LIMIT)
+        self.holding = stream.holding
+        self._exchanges = ExchangeQueue(limit=PIPELINE_LIMIT, holding=self.holding)
         self._body = IncomingBody(stream=stream, reader=self._reader, limits=limits)
         self._last_exchange: CallerExchange | None = None
         self._ends_by_reset = False
@@ -125,6 +122,7 @@
     async def run(self) -> None:
         """Read requests and handle them until the connection ends."""
         self._stream.on_disconnect = self._on_disconnect
+        self.holding.watch(shed=lambda: self._end(EndReason.SHED), end_if_idle=self.close_if_idle)
         try:
             await self._serve_requests()
             await self._close()
@@ -133,16 +131,18 @@
         finally:
             self._stop_watching()
             self._end(EndReason.STOPPED)
+            self._drop_input()
 
-    def close_if_idle(self) -> None:
-        """Close the connection if it is idle.
+    def close_if_idle(self) -> bool:
+        """Close the connection if it is idle; return whether it is.
 
         A request that crosses the close is not read. If there has been one before, the caller is
         sent ``idle_answer`` ahead, which it takes as the answer to that request. A connection
         without any request is closed silently, as its caller may not expect bytes yet.
         """
-        if self._idle.end_if_idle():
-            self.closing = True
+        is_idle = self._idle.end_if_idle()
+        self.closing = self.closing or is_idle
+        return is_idle
 
     def count_answered(self, exchange: CallerExchange) -> None:
         """Count a request whose whole response was written."""
@@ -372,6 +372,8 @@
     def _exchange_done(self, exchange: CallerExchange) -> None:
         self._delivery.begin_quiet_time()
         self._exchanges.remove_done()
+        if self._stream.transport.is_closing():
+            self._drop_input()
         if self._is_over:
             # The close tells the caller that later requests were not read.
             self._stream.stop_reading()
@@ -403,6 +405,7 @@
         All other ways out are closed by :meth:`_close` once the caller has what was written.
         """
         self._cancel_requests(reason)
+        self._drop_input(at_once=reason is EndReason.SHED)
         self._delivery.report(reason)
         if self._stream.transport.is_closing():
             return
@@ -410,6 +413,12 @@
         self._half_close.complete_prefix()
         self._close_stream(by_reset=any(e.ends_with_connection for e in self._exchanges))
 
+    def _drop_input(self, *, at_once: bool = False) -> None:
+        """Drop what was received, unless a request that goes on still reads its body."""
+        if at_once or not self._body.is_being_read:
+            self._reader.close()
+            self._body.begin(None)
+
     def _close_stream(self, *, by_reset: bool) -> None:
         """Close the connection, by a reset if its end could be taken for that of a response."""
         if by_reset or self._ends_by_reset:
--- a/packages/lychee-http/src/lychee_http/reader.py
+++ b/packages/lychee-http/src/lychee_http/reader.py
@@ -22,9 +22,11 @@
 
     def __init__(self, *, stream: TcpStream, head_limit: int) -> None:
         self._stream = stream
-        self._parser = RequestParser(head_limit=head_limit)
+        self._holding = stream.holding
+        self._parser = RequestParser(head_limit=head_limit, holding=self._holding)
         self.discarded = 0
         self._skipped = 0
+        self._is_closed = False
         self._is_skipping = False
 
     @property
@@ -41,7 +43,10 @@
         """Return the next event, or None if more bytes are needed.
 
         :raises BadRequestError: if the bytes are not a well-formed request.
+        :raises CallerGoneError: if the connection has ended and what was received was dropped.
         """
+        if self._is_closed:
+            raise CallerGoneError()
         try:
             return self._parser.next_event()
         except MalformedError as exc:
@@ -52,9 +57,9 @@
             ) from exc
 
     async def receive(self, timeout_s: float) -> bool:
-        """Wait for bytes and parse them; return False at the end of the stream or a timeout.
+        """Wait for bytes to parse; return False at the end of the stream or a timeout.
 
-        Bytes that have arrived when the time is over are still parsed.
+        Bytes that have arrived when the time is over are still taken.
 
         :param timeout_s: maximum wait in seconds; a negative one counts as 0.
         """
@@ -76,6 +81,11 @@
                         )
                 return bool(chunks)
 
+    async def take_turn(self) -> None:
+        """Let others go on if what was parsed last took long for its size, or memory is full."""
+        if self._parser.is_dense or self._holding.is_full:
+            await self._holding.take_turn()
+
     def _has_input(self) -> bool:
         return not self._stream.is_quiet()
 
@@ -89,10 +99,12 @@
         :raises BadRequestError: if that time is over.
         :raises CallerGoneError: if the connection ends inside the head.
         """
+        await self.take_turn()
         event = self.next_event()
         if event is None and not self.in_head:
             if not await wait_for_request():
                 return None
+            await self.take_turn()
             event = self.next_event()
         if event is None:
             event = await self._read_rest_of_head(timeout_s)
@@ -101,9 +113,32 @@
 
     async def _read_rest_of_head(self, timeout_s: float) -> RequestEvent:
         reads = TimedReads(reader=self, timeout_s=timeout_s)
+        self._holding.await_caller()
         while (event := self.next_event()) is None:
             if not await reads.receive():
                 raise self.incomplete_error("head")
+            await self.take_turn()
+        self._holding.settle()
+        return event
+
+    async def next_part(self, reads: "TimedReads") -> bytes | EndOfMessage:
+        """Return the next part of a body, or its end.
+
+        :param reads: reads until there is one.
+        :raises BadRequestError: if its time is over.
+        :raises CallerGoneError: if the connection ends before.
+        """
+        await self.take_turn()
+        while (event := self.next_event()) is None:
+            self._holding.await_caller()
+            if not await reads.receive():
+                raise self.incomplete_error("body")
+            await self.take_turn()
+        if isinstance(event, bytes):
+            self._holding.note_content(len(event))
+        else:
+            self._holding.settle()
+        assert not isinstance(event, RequestHead)
         return event
 
     def incomplete_error(self, part: str) -> BadRequestError | CallerGoneError:
@@ -117,28 +152,37 @@
             status=408, message=f"the request's {part} took too long", remedy="send it faster"
         )
 
+    def close(self) -> None:
+        """Drop what was received and not taken."""
+        self._is_closed = True
+        self._parser.close()
+
     def discard(self, data: bytes) -> None:
         """Drop bytes that nobody handles.
 
         Their size is added to :attr:`discarded`, and :meth:`skip_requests` returns how many whole
-        requests they had.
+        requests they had, unless they take long to parse for their size.
         """
         self.discarded += len(data)
-        self._parser.feed(data)
-        self._skip_events()
+        if not self._parser.is_dense:
+            self._parser.feed(data)
+            self._skip_events()
 
     def discarded_body_bytes(self) -> int:
         """Return :attr:`discarded` while a body that nobody reads goes on, else 0."""
         return self.discarded if self._parser.in_body else 0
 
     def skip_requests(self) -> int:
-        """Skip what has been received; return how many whole requests in it were not read."""
+        """Skip what has been received; return how many whole requests in it were not read.
+
+        Those behind bytes that take long to parse for their size are not told.
+        """
         self._skip_events()
         skipped, self._skipped = self._skipped, 0
         return skipped
 
     def _skip_events(self) -> None:
-        while self._parser.has_next_event:
+        while not self._parser.is_dense and self._parser.has_next_event:
             try:
                 event = self._parser.next_event()
             except MalformedError:
@@ -166,7 +210,7 @@
         self._late_reads = 0
 
     async def receive(self) -> bool:
-        """Wait for bytes and parse them; return False at the end of the stream or of the time."""
+        """Wait for bytes to parse; return False at the end of the stream or of the time."""
         left_s = self._deadline - monotonic()
         if left_s <= 0:
             self._late_reads += 1
--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -14,6 +14,7 @@
 
 from msgspec import Struct
 
+from lychee_http.caller_memory import UNCOUNTED, Holding
 from lychee_http.lateness import SegmentCount, since_data_s
 from lychee_types.clock import SystemClock
 from lychee_types.timeouts import timeout_after_input
@@ -35,9 +36,25 @@
 PROBES = 3
 """Probes without an answer after which a connection is lost; fewer may just be lost packets."""
 
+TIGHT_READ_BYTES = 4_096
+"""The same, and the number of unread bytes at which reading pauses, while memory is tight."""
+
+MAX_UNREAD_CHUNKS = 256
+"""Number of unread pieces at which reading from the peer pauses; each is an object."""
+
+CALLER_WRITE_LIMIT_BYTES = 16_384
+"""The same as :data:`WRITE_LIMIT_BYTES` for callers whose memory is counted."""
+
+CONGESTED_BYTES = 131_072
+"""Memory that counts for a caller who does not read on, in bytes: what is unsent, and what its
+server's connection has received.
+"""
+
 _READ_BUFFER = memoryview(bytearray(READ_SIZE_BYTES))
 """Shared by all connections: an event loop fills it and hands it over before it reads again."""
 
+_TIGHT_READ_BUFFER = _READ_BUFFER[:TIGHT_READ_BYTES]
+
 EARLIER_SPREAD_S = 0.4
 """Most by which bytes that waited may have come before the time that they bear, in seconds, where
 the system tells it of newer ones only.
@@ -88,6 +105,7 @@
     :param is_late: returns whether bytes that are read now may have waited in the system's buffer.
     :param earliest: returns a time before which none of these came, in seconds by
         :data:`RECEIPT_CLOCK`; infinite if none is known.
+    :param holding: counts what the connection holds, if it is a caller's.
     """
 
     def __init__(
@@ -97,7 +115,9 @@
         on_disconnect: Callable[[], None] = _do_nothing,
         is_late: Callable[[], bool] = _is_never_late,
         earliest: Callable[[], float] = _is_unknown,
+        holding: Holding = UNCOUNTED,
     ) -> None:
+        self.holding = holding
         self.on_disconnect = on_disconnect
         self.on_input: Callable[[], None] = _do_nothing
         self.eof = False
@@ -109,6 +129,7 @@
         self._transport: asyncio.Transport | None = None
         self._received: list[Chunk] = []
         self._received_size = 0
+        self._read_size = READ_SIZE_BYTES
         self._is_reading_paused = False
         self._is_late = is_late
         self._earliest = earliest
@@ -174,12 +195,18 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and call ``on_connect``."""
         self._transport = cast(asyncio.Transport, transport)
-        self._transport.set_write_buffer_limits(high=WRITE_LIMIT_BYTES)
+        is_counted = self.holding is not UNCOUNTED
+        limit = CALLER_WRITE_LIMIT_BYTES if is_counted else WRITE_LIMIT_BYTES
+        self._transport.set_write_buffer_limits(high=limit)
         if self._on_connect is not None:
             self._on_connect(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer that the event loop reads into."""
+        if self.holding.is_tight:
+            self._read_size = TIGHT_READ_BYTES
+            return _TIGHT_READ_BUFFER
+        self._read_size = READ_SIZE_BYTES
         return _READ_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -189,21 +216,29 @@
     def data_received(self, data: bytes) -> None:
         """Store received bytes, and pause reading when there are too many."""
         received_at = RECEIPT_CLOCK.monotonic()
-        if len(data) < READ_SIZE_BYTES:
+        is_full = len(data) >= self._read_size
+        if not is_full:
             self._segments.reads += 1
         if self._has_resumed or self._is_late():
             self._received.append(self._chunk_that_waited(data, received_at))
         else:
             self._received.append(Chunk(data, received_at))
         # Of what a full read leaves in the system's buffer it is not known when it came.
-        self._emptied_at = received_at if len(data) < READ_SIZE_BYTES else inf
+        self._emptied_at = inf if is_full else received_at
         self._received_size += len(data)
-        if self._received_size >= READ_LIMIT_BYTES and not self._is_reading_paused:
+        self.holding.add_input(len(data))
+        if not self._is_reading_paused and self._has_enough():
             self._is_reading_paused = True
             self.transport.pause_reading()
         self._wake_reader()
         self.on_input()
 
+    def _has_enough(self) -> bool:
+        """Return whether as much is unread as may be."""
+        if len(self._received) >= MAX_UNREAD_CHUNKS:
+            return True
+        return self._received_size >= min(READ_LIMIT_BYTES, self._read_size)
+
     def _chunk_that_waited(self, data: bytes, read_at: float) -> Chunk:
         """Return bytes that may have waited, with the times that are known of them."""
         earliest = self._emptied_at
@@ -231,12 +266,15 @@
         self.was_reset = exc is not None
         self._wake_reader()
         self.resume_writing()
+        self.holding.end()
         self._notify_disconnect()
 
     def pause_writing(self) -> None:
         """Make writers wait."""
         if self._drain_waiter is None:
             self._drain_waiter = asyncio.get_running_loop().create_future()
+            self.holding.add(CONGESTED_BYTES)
+            self.holding.await_caller()
 
     def resume_writing(self) -> None:
         """Let waiting writers continue."""
@@ -244,6 +282,8 @@
             if not self._drain_waiter.done():
                 self._drain_waiter.set_result(None)
             self._drain_waiter = None
+            self.holding.add(-CONGESTED_BYTES)
+            self.holding.settle()
 
     async def read(self) -> bytes:
         """Return all received bytes, waiting until there are some.
@@ -264,6 +304,7 @@
             finally:
                 self._data_waiter = None
         chunks, self._received = self._received, []
+        self.holding.add_input(-self._received_size)
         self._received_size = 0
         if self._is_reading_paused:
             self._is_reading_paused = False
