--- a/packages/lychee-types/src/lychee_types/routed_settings.py
+++ b/packages/lychee-types/src/lychee_types/routed_settings.py
@@ -19,6 +19,19 @@
 """Timing parameters of the replicated log of the control replicas."""
 
 
+LEAST_MEMORY_MB = 32
+"""Least memory of a VM on which a process is started, in MB."""
+
+MOST_MEMORY_MB = 1_048_576
+"""Largest memory of a VM that a setting may name, in MB."""
+
+LEAST_FDS = 64
+"""Least number of descriptors with which a process is started."""
+
+MOST_FDS = 10_000_000
+"""Largest number of descriptors that a setting may name."""
+
+
 class DeploymentLimits(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Timeouts and budgets that the deployment guarantees.
 
@@ -39,6 +52,17 @@
     retry_slack: float = 60.0
 
 
+class VmLimits(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Limits of a process's VM, from which the limits on callers are derived.
+
+    :param memory_mb: memory in MB, None if it is not known.
+    :param max_fds: maximum number of descriptors, None if it is not known.
+    """
+
+    memory_mb: float | None = None
+    max_fds: int | None = None
+
+
 class RegistrySettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Settings of a control replica of a routed deployment.
 
@@ -54,6 +78,7 @@
     :param tolerated: how many VMs with a disk may be lost at once.
     :param bounds: timeouts and budgets that the deployment guarantees.
     :param timing: timing parameters of the replicated log.
+    :param vm: limits of the VM.
     :param metrics: IP address and port at which metrics are fetched, None for no metrics.
     :param log: logging.
     """
@@ -69,6 +94,7 @@
     tolerated: int = 1
     bounds: DeploymentLimits = DeploymentLimits()
     timing: Timing = ROUTED_TIMING
+    vm: VmLimits = VmLimits()
     metrics: str | None = None
     log: LogSettings = LogSettings()
 
@@ -105,6 +131,7 @@
     :param carry: IP address and port at which other gateways connect that do not reach a server,
         None to carry nothing and to reach servers in no other way than directly.
     :param bounds: timeouts and budgets that the deployment guarantees.
+    :param vm: limits of the VM.
     :param metrics: IP address and port at which metrics are fetched, None for no metrics.
     :param log: logging.
     """
@@ -117,6 +144,7 @@
     seeds: tuple[str, ...]
     carry: str | None = None
     bounds: DeploymentLimits = DeploymentLimits()
+    vm: VmLimits = VmLimits()
     metrics: str | None = None
     log: LogSettings = LogSettings()
 
@@ -199,12 +227,22 @@
         except SettingsError as exc:
             yield Finding(place=place, message=exc.message, remedy=exc.remedy)
     yield from _check_own_addresses(settings)
+    yield from _check_vm(settings.vm)
     if not settings.seeds:
         yield Finding(
             place="seeds", message="the list is empty", remedy="name one control replica or more"
         )
 
 
+def _check_vm(vm: VmLimits) -> Iterator[Finding]:
+    if vm.memory_mb is not None:
+        yield from check_range(
+            vm.memory_mb, "vm.memory_mb", least=LEAST_MEMORY_MB, most=MOST_MEMORY_MB
+        )
+    if vm.max_fds is not None:
+        yield from check_range(vm.max_fds, "vm.max_fds", least=LEAST_FDS, most=MOST_FDS)
+
+
 def _check_own_addresses(settings: RegistrySettings | ProxySettings) -> Iterator[Finding]:
     """Check that no two listeners of the process get the same address."""
     own = [("listen", settings.listen)]
