--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -48,6 +48,8 @@
 from lychee_control.registry.relay import GatewayRelay
 from lychee_control.registry.subscribers import Subscribers
 from lychee_http import CallerConnection, CallerLimits, RequestHead, ResponseHead
+from lychee_http.caller_account import make_caller_memory
+from lychee_http.caller_memory import megabytes
 from lychee_http.callers import CallerConnections
 from lychee_http.exceptions import BadRequestError
 from lychee_http.listener import Listener
@@ -120,6 +122,11 @@
     :param domain: its failure domain.
     :param leads: whether it does the leader's work.
     :param gateways: number of gateways attached to it.
+    :param callers: number of open connections of servers and operators.
+    :param callers_max: maximum number of them, None for no limit.
+    :param callers_mb: memory that they take up by the replica's account, in MB.
+    :param callers_peak_mb: the most that they have taken up since the start, in MB.
+    :param callers_bound_mb: bound on it, in MB.
     :param log: the replicated log's own dump, None before it has started.
     :param image: the replicated state.
     """
@@ -128,6 +135,11 @@
     domain: DomainName
     leads: bool
     gateways: int
+    callers: int
+    callers_max: int | None
+    callers_mb: float
+    callers_peak_mb: float
+    callers_bound_mb: float
     log: ReplicaDump | None
     image: RoutedImage
 
@@ -204,12 +216,18 @@
             leader_silence_s=self._leader_message_age_s,
             data=Path(cfg.data),
         )
+        self._memory = make_caller_memory(
+            memory_mb=cfg.vm.memory_mb,
+            max_fds=cfg.vm.max_fds,
+            on_shed=lambda reason: self._metrics.count_shed(reason),
+        )
         self._callers = CallerConnections(
             handle=self._handle_request,
             refuse=self._answer_bad_request,
             answer_failure=self._answer_crash,
             on_invariant_error=self._on_broken_invariant,
             limits=API_LIMITS,
+            memory=self._memory,
         )
         self._listener = Listener(endpoint=cfg.endpoint, accept=self._callers.accept)
         self._link_service = LinkService(name=cfg.id)
@@ -224,6 +242,7 @@
             servers=lambda: len(self._machine.state.servers),
             ranges=lambda: sum(len(t.ranges) for t in self._machine.state.tables.values()),
         )
+        self._metrics.show_memory(self._memory)
         self._metrics_page = None
         if cfg.metrics is not None:
             self._metrics_page = TextPage(
@@ -269,6 +288,11 @@
                 domain=self._cfg.domain,
                 leads=self._leader is not None,
                 gateways=len(self._subscribers),
+                callers=len(self._memory),
+                callers_max=self._memory.bounds.connections,
+                callers_mb=megabytes(self._memory.held),
+                callers_peak_mb=megabytes(self._memory.peak),
+                callers_bound_mb=megabytes(self._memory.bounds.held_bytes),
                 log=self._replica.dump(),
                 image=self._machine.state.image(),
             )
--- a/packages/lychee-control/src/lychee_control/registry/metrics.py
+++ b/packages/lychee-control/src/lychee_control/registry/metrics.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from lychee_http.caller_memory import CallerMemory, Shedding
 from lychee_runtime import PrometheusMetrics
 
 
@@ -45,8 +46,22 @@
         page.gauge("servers", "Registered servers.", servers)
         page.gauge("key_ranges", "Key ranges of all services.", ranges)
         self._calls = page.counter("calls", "Calls of servers and operators.", "call", "reply")
+        self._shed = page.counter(
+            "callers_shed", "Connections of callers that were refused or ended.", "reason"
+        )
         self._latency = page.latency("call", "From head to answer.", "call")
 
+    def show_memory(self, memory: CallerMemory) -> None:
+        """Add what is held for servers and operators."""
+        page = self._page
+        page.gauge("callers", "Open connections of callers.", lambda: len(memory))
+        page.gauge("callers_bytes", "Memory held for callers.", lambda: memory.held)
+        page.gauge("callers_bound_bytes", "Bound on it.", lambda: memory.bounds.held_bytes)
+
+    def count_shed(self, reason: Shedding) -> None:
+        """Count a connection of a caller that was refused or ended, by reason."""
+        self._shed.labels(reason.value).inc()
+
     def record_call(self, call: str, reply: str, seconds: float) -> None:
         """Record an API call.
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -30,6 +30,9 @@
 MAX_OPEN = 512
 """Maximum number of connections that are carried."""
 
+CARRIED_FDS_SHARE = 1 / 6
+"""Share of the descriptors to which carried connections are limited; each takes two."""
+
 SPARE_OPEN = 32
 """Number of free places below which connections that are not in use are asked to end."""
 
@@ -75,6 +78,7 @@
         many bytes.
     :param on_request: called with the outcome of each request.
     :param on_bytes: called with the number of bytes that were carried, in either direction.
+    :param max_fds: maximum number of descriptors of the process, None if it is not known.
     """
 
     def __init__(
@@ -87,7 +91,9 @@
         on_bytes: Callable[[int], None],
         is_late: Callable[[], bool] = lambda: False,
         take_off: Callable[[bytes, float], bytes] = lambda data, waited_s: data,
+        max_fds: int | None = None,
     ) -> None:
+        self._max_fds = max_fds
         self._servers = servers
         self._connect = connect
         self._is_late = is_late
@@ -168,9 +174,10 @@
             raise _refused_error(
                 "this address is no registered server", retry_after_s=UNKNOWN_RETRY_S
             )
-        if len(self._tasks) > MAX_OPEN - SPARE_OPEN:
+        max_open = self._max_open()
+        if len(self._tasks) > max_open - SPARE_OPEN:
             self._end_an_unused_one()
-        if len(self._tasks) > MAX_OPEN or len(self._waiting) >= MAX_WAITING:
+        if len(self._tasks) > max_open or len(self._waiting) >= MAX_WAITING:
             raise _refused_error("this gateway has no room", retry_after_s=FULL_RETRY_S)
         try:
             return await self._connect(server, request.timeout_ms / 1_000)
@@ -185,6 +192,12 @@
                 f"the server accepts no connection: {exc!r}", is_unreached=True
             ) from exc
 
+    def _max_open(self) -> int:
+        """Return how many connections may be carried."""
+        if self._max_fds is None:
+            return MAX_OPEN
+        return min(MAX_OPEN, int(self._max_fds * CARRIED_FDS_SHARE))
+
     def _end_an_unused_one(self) -> None:
         """Ask for the end of a connection; an answer that it may still deliver comes to its end."""
         stream = next(iter(self._unused), None)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -15,6 +15,7 @@
 from lychee_gateway.proxy.codec import ProxyCodec, Rejection
 from lychee_gateway.proxy.crashes import CrashGuard
 from lychee_gateway.proxy.forwarding import Forwarder
+from lychee_gateway.proxy.held import CALLERS_SHARE, MAX_HELD_BYTES, HeldAnswers
 from lychee_gateway.proxy.idle import IdleLimit
 from lychee_gateway.proxy.limits import ServerLimits
 from lychee_gateway.proxy.loads import KeyLoads
@@ -28,6 +29,8 @@
 from lychee_gateway.proxy.subscription import Subscription
 from lychee_gateway.proxy.view import RoutedView
 from lychee_http import CallerLimits, ResponseHead, TcpStream
+from lychee_http.caller_account import make_caller_memory
+from lychee_http.caller_memory import CountedHolding, megabytes
 from lychee_http.exchange import CallerExchange
 from lychee_http.lateness import LoopWatch
 from lychee_http.listener import Listener
@@ -57,6 +60,10 @@
     :param routes: version number of the active routing configuration.
     :param servers: number of registered servers.
     :param callers: number of open connections from callers.
+    :param callers_max: maximum number of them, None for no limit.
+    :param callers_mb: memory that they take up by the gateway's account, in MB.
+    :param callers_peak_mb: the most that they have taken up since the start, in MB.
+    :param callers_bound_mb: bound on it, in MB.
     """
 
     id: str
@@ -66,6 +73,10 @@
     routes: int
     servers: int
     callers: int
+    callers_max: int | None
+    callers_mb: float
+    callers_peak_mb: float
+    callers_bound_mb: float
 
 
 class ProxyDaemon(Daemon):
@@ -105,6 +116,10 @@
             unreached=lambda: len(self._paths),
             carried=lambda: len(self._carrier) if self._carrier is not None else 0,
         )
+        self._memory = make_caller_memory(
+            memory_mb=cfg.vm.memory_mb, max_fds=cfg.vm.max_fds, on_shed=self._metrics.count_shed
+        )
+        self._metrics.show_memory(self._memory)
         self._tally = RequestTally(on_end=self._metrics.count_end)
         self._metrics.show_tally(self._tally)
         self._peers = Peers(own_id=cfg.id, clock=self._clock)
@@ -154,6 +169,9 @@
             retries=self._retries,
             metrics=self._metrics,
             stop=self._stop,
+            held=HeldAnswers(
+                max_bytes=min(MAX_HELD_BYTES, int(self._memory.bounds.held_bytes * CALLERS_SHARE))
+            ),
         )
         self._idle_limit = IdleLimit(keep_s=cfg.bounds.apply_s, clock=self._clock)
         self._view.add_listener(
@@ -226,6 +244,10 @@
                 routes=state.version.number,
                 servers=len(state.servers),
                 callers=len(self._conns),
+                callers_max=self._memory.bounds.connections,
+                callers_mb=megabytes(self._memory.held),
+                callers_peak_mb=megabytes(self._memory.peak),
+                callers_bound_mb=megabytes(self._memory.bounds.held_bytes),
             )
         )
 
@@ -253,6 +275,7 @@
             take_off=lambda data, waited_s: self._codec.take_off(data, waited_s=waited_s),
             on_request=self._metrics.count_carry_request,
             on_bytes=self._metrics.count_carried_bytes,
+            max_fds=self._cfg.vm.max_fds,
         )
 
     def _spawn_path_work(self, work: Coroutine[Any, Any, None], name: str) -> None:
@@ -295,11 +318,20 @@
             self._carrier.leave()
 
     async def _accept(self, sock: socket.socket) -> None:
+        holding = self._memory.open()
+        if holding is None:
+            sock.close()
+            return
         loop = asyncio.get_running_loop()
-        await loop.connect_accepted_socket(self._make_stream, sock)
+        try:
+            await loop.connect_accepted_socket(lambda: self._make_stream(holding), sock)
+        except OSError:
+            holding.end()
+            raise
 
-    def _make_stream(self) -> TcpStream:
+    def _make_stream(self, holding: CountedHolding) -> TcpStream:
         return TcpStream(
+            holding=holding,
             on_connect=self._start_connection,
             is_late=self._loop_watch.is_late,
             earliest=self._loop_watch.earliest,
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -77,6 +77,7 @@
     :param retries: this gateway's part of the retry budget.
     :param metrics: the gateway's metrics.
     :param stop: the schedule of the gateway's stop.
+    :param held: the room for answers that are held back.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         retries: RetryBudgets,
         metrics: ProxyMetrics,
         stop: StopSchedule,
+        held: HeldAnswers | None = None,
     ) -> None:
         self._view = view
         self._age = age
@@ -105,7 +107,7 @@
         self._metrics = metrics
         self._retries = retries
         self._stop = stop
-        self._held = HeldAnswers()
+        self._held = held or HeldAnswers()
         self._success_count = 0
 
     async def handle(self, exchange: CallerExchange) -> None:
@@ -165,8 +167,8 @@
         await exchange.send(*self._codec.reject(rejection, ""))
 
     def idle_answer(self) -> tuple[ResponseHead, bytes]:
-        """Return what a request gets that crosses the close of an idle connection at a stop."""
-        rejection = Rejection(status=408, reason="this gateway stops; use another connection")
+        """Return what a request gets that crosses the close of an idle connection."""
+        rejection = Rejection(status=408, reason="this connection closes; use another")
         return self._codec.reject(rejection, "")
 
     def _no_route(self) -> Rejection:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/held.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/held.py
@@ -14,6 +14,9 @@
 MAX_HELD_ON_CONNECTION_BYTES = 4_194_304
 """Maximum size of those on one caller's connection, in bytes."""
 
+CALLERS_SHARE = 0.5
+"""Share of the bound on callers' memory to which held answers are limited beside it."""
+
 RESERVABLE_SHARE = 0.5
 """Share of both that is reserved while sizes are unknown; answers may be larger than expected."""
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from time import monotonic
 
+from lychee_http.caller_memory import CallerMemory, Shedding
 from lychee_http.endings import ConnectionEnd
 from lychee_http.tally import RequestTally
 from lychee_runtime import PrometheusMetrics
@@ -75,6 +76,9 @@
         self._unanswered = page.counter(
             "unanswered", "Requests that ended without a whole answer.", "reason", "sent"
         )
+        self._shed = page.counter(
+            "callers_shed", "Connections of callers that were refused or ended.", "reason"
+        )
         self._latency = page.latency("answer", "From head to final answer.", "service")
 
     def show_tally(self, tally: RequestTally) -> None:
@@ -93,6 +97,17 @@
             lambda: tally.dropped_bytes.total(),
         )
 
+    def show_memory(self, memory: CallerMemory) -> None:
+        """Add what is held for callers."""
+        page = self._page
+        page.gauge("callers", "Open connections of callers.", lambda: len(memory))
+        page.gauge("callers_bytes", "Memory held for callers.", lambda: memory.held)
+        page.gauge("callers_bound_bytes", "Bound on it.", lambda: memory.bounds.held_bytes)
+
+    def count_shed(self, reason: Shedding) -> None:
+        """Count a connection of a caller that was refused or ended, by reason."""
+        self._shed.labels(reason.value).inc()
+
     def count_answer(self, service: ServiceName, status: int, seconds: float) -> None:
         """Count a final answer and record its latency in seconds."""
         self._answers.labels(service, str(status)).inc()
