--- a/packages/lychee-http/src/lychee_http/incoming_body.py
+++ b/packages/lychee-http/src/lychee_http/incoming_body.py
@@ -8,7 +8,7 @@
 from lychee_http.inbound import CONTINUE, CallerLimits
 from lychee_http.messages import header_tokens
 from lychee_http.parser import EndOfMessage
-from lychee_http.reader import RequestReader
+from lychee_http.reader import RequestReader, TimedReads
 from lychee_http.tcp import TcpStream
 
 
@@ -35,6 +35,22 @@
         # The response of an earlier request may be sent only now, and says nothing of this one.
         self._finished = asyncio.Event()
 
+    def finish(self, exchange: CallerExchange) -> None:
+        """Forget a request that has ended, as the connection may be idle for long."""
+        if self._exchange is exchange and self._is_read:
+            self._exchange = None
+        if self._stream.transport.is_closing():
+            self.drop()
+
+    def drop(self, *, at_once: bool = False) -> None:
+        """Drop what was received on a connection that ends.
+
+        :param at_once: False to keep it while a request that goes on still reads its body.
+        """
+        if at_once or not self.is_being_read:
+            self._reader.close()
+            self.begin(None)
+
     @property
     def is_being_read(self) -> bool:
         """Whether a part of a body is due to a request that has not ended."""
@@ -68,6 +84,7 @@
                 return b"".join(chunks), True
             chunks.append(chunk)
             size += len(chunk)
+            exchange.hold_memory(len(chunk))
         return b"".join(chunks), False
 
     async def rest(self, *, limit: int) -> AsyncIterator[bytes]:
@@ -85,12 +102,11 @@
             yield chunk
 
     async def _next_chunk(self) -> bytes | None:
-        while (event := self._reader.next_event()) is None:
-            if not await self._reader.receive(self._limits.stall_s):
-                raise self._reader.incomplete_error("body")
-        if isinstance(event, EndOfMessage):
+        # Its time counts from the last content: other bytes are no progress.
+        reads = TimedReads(reader=self._reader, timeout_s=self._limits.stall_s)
+        part = await self._reader.next_part(reads)
+        if isinstance(part, EndOfMessage):
             self._is_read = True
             self._finished.set()
             return None
-        assert isinstance(event, bytes)
-        return event
+        return part
