Take routes for uploads, and send their bodies on as they arrive

A configuration with a route of type upload was rejected as a whole, so that nothing was served. As an unsafe route, an upload was read to 64 KiB before a server was looked for, its rest was cut off by an early 200, a small one went to a second server after a refusal, and a stalled one got 408, which promises that it never runs.

The kind upload is not idempotent. A body of unknown size or above 64 KiB is sent on from its first byte. An upload that no server can take is refused before its body is read and before a 100 Continue. It goes to another server only while none can have read a byte of its body. After an early 2xx the rest is sent before the answer is passed on.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, replace
+from typing import Self
 
 from lychee_gateway.proxy.codec import ProxyCodec, ResponseInfo
 from lychee_gateway.proxy.held import HeldAnswer
@@ -38,6 +39,13 @@
 MIN_FAILURE_STATUS = 500
 """Lowest HTTP status by which a server says that it failed."""
 
+MIN_UNSUCCESSFUL_STATUS = 300
+"""Lowest HTTP status by which a server may refuse a request without reading on."""
+
+EARLY_ANSWER_MARGIN_S = 0.05
+"""Time before the deadline by which an early answer is sent even if the body goes on, in seconds.
+"""
+
 MAX_BUFFERED_ANSWER_BYTES = 16_384
 """Maximum size of an answer that is buffered whole before any of it is sent to the caller."""
 
@@ -52,11 +60,13 @@
     :param buffered: its first bytes, which can be sent again.
     :param is_whole: whether these are the whole body.
     :param rest: yields the rest from the caller; can be called once only.
+    :param is_upload: whether a server may accept the request before it has read the rest.
     """
 
     buffered: bytes
     is_whole: bool
     rest: Callable[[], AsyncIterator[bytes]]
+    is_upload: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -240,7 +250,7 @@
                 exchange.was_sent = True
                 conn.send(head, _encode_buffered(head, body))
                 began = self._clock.monotonic()
-                async with _sending(conn, head, body):
+                async with _sending(conn, head, body) as sending:
                     answer = await conn.read_head()
                     info = self._codec.read_response(answer)
                     seconds = self._clock.monotonic() - began
@@ -262,6 +272,8 @@
                         )
                     if info.is_encoded:
                         return NoAnswer(reason="the body is encoded")
+                    if body.is_upload and answer.status < MIN_UNSUCCESSFUL_STATUS:
+                        await sending.finish(deadline - self._clock.monotonic())
                     return await self._read_answer(conn, answer, exchange, held)
         except TimeoutError:
             return TooLate()
@@ -413,11 +425,18 @@
         self._conn = conn
         self._head = head
         self._body = body
+        self._may_run = body.is_upload
         self._task: asyncio.Task[None] | None = None
 
-    async def __aenter__(self) -> None:
+    async def __aenter__(self) -> Self:
         if not self._body.is_whole:
             self._task = asyncio.create_task(self._send())
+        return self
+
+    async def finish(self, timeout_s: float) -> None:
+        """Wait until the body is sent to a server that has answered early and reads on."""
+        if self._task is not None:
+            await asyncio.wait({self._task}, timeout=max(0.0, timeout_s - EARLY_ANSWER_MARGIN_S))
 
     async def __aexit__(self, *exc: object) -> None:
         if self._task is None:
@@ -425,6 +444,9 @@
         self._task.cancel()
         results = await asyncio.gather(self._task, return_exceptions=True)
         for result in results:
+            if self._may_run and isinstance(result, BadRequestError) and result.status == 408:
+                # 408 would say that the request never runs.
+                continue
             if isinstance(result, BadRequestError | CallerGoneError):
                 raise result
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -25,19 +25,17 @@
 from lychee_gateway.proxy.retries import RetryBudgets
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.stopping import StopSchedule
+from lychee_gateway.proxy.uploads import first_bytes, may_send_again
 from lychee_gateway.proxy.view import RoutedView
 from lychee_http import ResponseHead, header_value
 from lychee_http.exceptions import BadRequestError
 from lychee_http.exchange import CallerExchange
-from lychee_http.framing import declared_length_error
+from lychee_http.framing import declared_length_error, has_body
 from lychee_policy import Verdict
 from lychee_types.clock import Clock
 from lychee_types.ids import RequestSignature
 from lychee_types.routing import Route
 
-RETRY_BUFFER_BYTES = 65_536
-"""Bytes of a request body that are buffered, so that it can be sent to another server."""
-
 ROUTES_WAIT_S = 0.2
 """Maximum wait of a request for routes that are recent enough to decide on it, in seconds."""
 
@@ -205,12 +203,18 @@
         self._retries.count_request(routed.service, arrived_at=routed.arrived_at)
         if routed.key is not None:
             self._loads.count(routed.service, routed.key)
-        buffered, is_whole = await call.exchange.read_body(max_bytes=RETRY_BUFFER_BYTES)
+        refused = self._refuse_unread(call)
+        if refused is not None:
+            await self._give_up(call, refused)
+            return
+        max_bytes = first_bytes(call.route.kind, call.exchange.head)
+        buffered, is_whole = await call.exchange.read_body(max_bytes=max_bytes)
         limit = self._view.state.routing.bounds.body_bytes - len(buffered)
         body = Body(
             buffered=buffered,
             is_whole=is_whole,
             rest=lambda: call.exchange.rest_of_body(limit=limit),
+            is_upload=call.route.kind.is_upload,
         )
         while True:
             # The caller may have left during an attempt that had to go on.
@@ -227,6 +231,12 @@
             if await self._attempt(call, body, found, held):
                 return
 
+    def _refuse_unread(self, call: Call) -> NoServer | None:
+        """Return why an upload is refused before its body is read, None if it may be sent."""
+        if not call.route.kind.is_upload or not has_body(call.exchange.head):
+            return None
+        return self._selector.refusal(call.routed)
+
     async def _choose(self, call: Call, body: Body) -> ProxyServer | NoServer:
         """Return the server for the next attempt, or why none is made."""
         refused = self._refuse_suspect(call, body)
@@ -383,7 +393,7 @@
         return call.signature
 
     async def _after_not_run(self, call: Call, body: Body, attempt: NotRun) -> bool:
-        if self._has_attempt_left(call, body):
+        if self._has_attempt_left(call, body) and may_send_again(call.route.kind, body, attempt):
             return False
         await self._give_up(
             call, NoServer(reason="no server ran it", retry_after_s=attempt.retry_after_s)
@@ -412,7 +422,8 @@
     ) -> bool:
         attempts_made = call.attempts if attempts_made is None else attempts_made
         left_s = call.routed.deadline - self._clock.monotonic()
-        return attempts_made < call.route.max_attempts and left_s >= MIN_ATTEMPT_S and body.is_whole
+        is_kept = body.is_whole or call.route.kind.is_upload
+        return attempts_made < call.route.max_attempts and left_s >= MIN_ATTEMPT_S and is_kept
 
     def _try_spend_retry(self, call: Call) -> bool:
         return self._retries.try_spend(call.routed.service, now=self._clock.monotonic())
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -91,6 +91,10 @@
     retry_after_s: float
 
 
+NO_SERVER_LEFT = NoServer(reason="no server is left", retry_after_s=0.3)
+"""The result if no server of the service may be selected."""
+
+
 class ServerSelector:
     """Selects the server for each request.
 
@@ -155,6 +159,23 @@
             return await self._select_any(request)
         return await self._select_owner(request, request.key)
 
+    def refusal(self, request: RoutedRequest) -> NoServer | None:
+        """Return why no server can take a request now, None if one probably can.
+
+        Takes no permit, and waits for no owner.
+        """
+        now = self._clock.monotonic()
+        if request.key is not None:
+            best = self._owner(self._range(request.service, request.key))
+            if best is None:
+                return None
+        else:
+            best = self._find_best(request, now, skip=[])
+            if best is None:
+                return NO_SERVER_LEFT
+        admitted = self._admit(request, best, now)
+        return admitted if isinstance(admitted, NoServer) else None
+
     async def _select_any(self, request: RoutedRequest) -> ProxyServer | NoServer:
         """Return the best server; the best one without a rate limit if another has no permit."""
         limited: list[ServerIncarnation] = []
@@ -170,7 +191,7 @@
             server = self._servers.find(run)
             if server is not None:
                 return await self._wait_for_permit(request, server)
-        return NoServer(reason="no server is left", retry_after_s=0.3)
+        return NO_SERVER_LEFT
 
     def _find_best(
         self, request: RoutedRequest, now: float, *, skip: list[ServerIncarnation]
--- a/packages/lychee-gateway/tests/test_placing.py
+++ b/packages/lychee-gateway/tests/test_placing.py
@@ -414,3 +414,13 @@
         assert (await setup.select(key=7)).run.server == "a"
 
     run(body())
+
+
+def test_an_upload_is_refused_unread_only_if_the_best_server_is_full():
+    setup = Setup(record("a"), record("b"))
+    assert setup.selector.refusal(setup.request()) is None
+    for name in ("a", "b"):
+        report_occupancy(setup, name, 3, 12)
+    assert isinstance(setup.selector.refusal(setup.request()), NoServer)
+    setup.install()
+    assert isinstance(setup.selector.refusal(setup.request()), NoServer)
--- a/packages/lychee-types/src/lychee_types/routing.py
+++ b/packages/lychee-types/src/lychee_types/routing.py
@@ -18,11 +18,17 @@
     SAFE = "safe"
     UNSAFE = "unsafe"
     DOWNLOAD = "download"
+    UPLOAD = "upload"
 
     @property
     def is_idempotent(self) -> bool:
         """Return whether a request may be run more than once."""
-        return self is not RouteKind.UNSAFE
+        return self not in (RouteKind.UNSAFE, RouteKind.UPLOAD)
+
+    @property
+    def is_upload(self) -> bool:
+        """Return whether requests have large bodies, of which nothing is ever sent twice."""
+        return self is RouteKind.UPLOAD
 
 
 class GrantWay(Enum):
@@ -48,7 +54,7 @@
 
     :param name: its name, unique in the configuration.
     :param prefix: prefix of the paths that it matches; it starts and ends with a slash.
-    :param kind: safe, unsafe or download.
+    :param kind: safe, unsafe, download or upload.
     :param timeout_s: maximum time until the caller has the final response, in seconds.
     :param target_latency_s: response time up to which a response has its full value, in seconds.
     :param priority: priority of its requests; a lower number is more urgent.
