Read the speed that servers report as the fourth figure of their load

A load with four figures was discarded entirely, so that the gateways knew nothing of such servers but their own requests.

The speed counts in the expected service time, and so in the expected wait and in admission. Its weight decays to 1/e in 0.3 s. Measured service times are kept at the usual speed, so that slow answers count no longer than the speed that they came with.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/codec.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/codec.py
@@ -34,11 +34,13 @@
     :param running: number of requests that it works on.
     :param waiting: number of requests in its queue.
     :param slots: maximum number of requests that it works on at once.
+    :param speed: how fast it works at this moment, 1.0 as usual; None if it does not say.
     """
 
     running: int
     waiting: int
     slots: int
+    speed: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
-from math import exp
+from math import exp, inf
 
 from loguru import logger
 
@@ -42,6 +42,12 @@
 because it was full would stay full in the estimate.
 """
 
+SPEED_DECAY_S = 0.3
+"""Time in which the weight of a reported speed decays to 1/e, in seconds.
+
+The speed of a VM changes several times a second.
+"""
+
 OTHER_GATEWAYS_SHARE = 0.6
 """Assumed load of each other gateway at a server, as a share of this gateway's own load there.
 
@@ -73,10 +79,12 @@
 
     :param sent_at: monotonic time in seconds at which sending began.
     :param slowdown: expected response time as a multiple of the service time.
+    :param slowness: expected service time as a multiple of the usual one.
     """
 
     sent_at: float
     slowdown: float
+    slowness: float = 1.0
 
 
 class ProxyServer:
@@ -115,6 +123,8 @@
         self._others_occupancy = 0.0
         self._occupancy_at = now - 10 * OCCUPANCY_DECAY_S
         self._has_occupancy = False
+        self._slowness = 1.0
+        self._speed_at = -inf
         self.leaving_since = leaving_since
         self._cold_until = now + record.cold_s
         self._failures = 0
@@ -169,7 +179,21 @@
 
     def expected_service_time_s(self, now: float) -> float:
         """Return the expected service time of a request, without queueing, in seconds."""
-        return self.service_time_s * (COLD_FACTOR if now < self._cold_until else 1.0)
+        usual_s = self.service_time_s * (COLD_FACTOR if now < self._cold_until else 1.0)
+        return usual_s * self.slowness(now)
+
+    def slowness(self, now: float) -> float:
+        """Return how long work is expected to take at this moment, as a multiple of the usual time.
+
+        The last reported speed loses its weight with its age.
+        """
+        if self._slowness == 1.0:
+            return 1.0
+        return 1.0 + exp((self._speed_at - now) / SPEED_DECAY_S) * (self._slowness - 1.0)
+
+    def speed_age_s(self, now: float) -> float:
+        """Return the age of its last reported speed in seconds, infinite if it reported none."""
+        return now - self._speed_at
 
     def is_healthy(self, now: float) -> bool:
         """Return whether the server is not ejected because of repeated failures."""
@@ -185,7 +209,11 @@
         """Count a request as in flight inside the block."""
         self._last_number += 1
         number = self._last_number
-        in_flight = InFlightRequest(sent_at=now, slowdown=1 + self._queue_ahead(now) / self.slots)
+        in_flight = InFlightRequest(
+            sent_at=now,
+            slowdown=1 + self._queue_ahead(now) / self.slots,
+            slowness=self.slowness(now),
+        )
         self._sent_at[number] = now
         try:
             yield in_flight
@@ -205,9 +233,14 @@
         self._others_occupancy = known + gain * (others - known)
         self._occupancy_at = now
         self._has_occupancy = True
+        self._record_speed(occupancy.speed, now)
+
+    def _record_speed(self, speed: float | None, now: float) -> None:
+        if speed is not None:
+            self._slowness, self._speed_at = 1.0 / speed, now
 
     def record_answer(self, in_flight: InFlightRequest, seconds: float) -> None:
-        """Record an answer, and update the mean service time.
+        """Record an answer, and update the mean service time at the usual speed.
 
         The service time is the response time divided by the slowdown expected when the request was
         sent, so that a server that always has a queue is measured too.
@@ -217,12 +250,16 @@
         """
         self._failures = 0
         self._ejected_until = 0.0
-        service_time_s = seconds / in_flight.slowdown
+        answered_at = in_flight.sent_at + seconds
+        # The speed changes while a request is worked on; the load of its answer is known by now.
+        slowness = (in_flight.slowness + self.slowness(answered_at)) / 2
+        work_s = seconds / in_flight.slowdown
+        service_time_s = work_s / slowness
         gain = 1.0 if self._is_unknown else SERVICE_TIME_GAIN
         self.service_time_s += gain * (service_time_s - self.service_time_s)
         self.is_measured, self._is_unknown = True, False
-        self._answered_at = in_flight.sent_at + seconds
-        self._busy_s += service_time_s
+        self._answered_at = answered_at
+        self._busy_s += work_s
         self._answers += 1
 
     def estimate_anew(self, fastest_s: float, now: float) -> None:
--- a/packages/lychee-gateway/tests/test_placing.py
+++ b/packages/lychee-gateway/tests/test_placing.py
@@ -416,6 +416,40 @@
     run(body())
 
 
+def report_speed(setup, name, speed):
+    server, now = setup.server(name), setup.clock.monotonic()
+    with server.track_request(now) as in_flight:
+        occupancy = Occupancy(running=0, waiting=0, slots=3, speed=speed)
+        server.record_occupancy(occupancy, now)
+        server.record_answer(in_flight, 0.1)
+
+
+def test_a_reported_speed_counts_until_it_is_old():
+    """The figure was not read, and a slowed server got as many requests as the others."""
+    setup = Setup(record("a"), record("b"))
+    report_speed(setup, "a", 1 / 3)
+    report_speed(setup, "b", 1.0)
+    setup.clock.advance(0.02)
+    slowed = setup.server("a")
+    assert slowed.slowness(setup.clock.monotonic()) == pytest.approx(3.0, rel=0.1)
+    assert {run(setup.select()).run.server for _ in range(20)} == {"b"}
+    setup.clock.advance(2.0)
+    assert slowed.slowness(setup.clock.monotonic()) == pytest.approx(1.0, abs=0.01)
+
+
+def test_the_service_time_of_a_slowed_server_is_kept_at_the_usual_speed():
+    """Its slow answers would count on after the speed is back."""
+    setup = Setup(record("a"))
+    for _ in range(20):
+        server, now = setup.server("a"), setup.clock.monotonic()
+        with server.track_request(now) as in_flight:
+            setup.clock.advance(0.3)
+            occupancy = Occupancy(running=0, waiting=0, slots=3, speed=1 / 3)
+            server.record_occupancy(occupancy, setup.clock.monotonic())
+            server.record_answer(in_flight, 0.3)
+    assert setup.server("a").service_time_s == pytest.approx(0.1, rel=0.4)
+
+
 def test_an_upload_is_refused_unread_only_if_the_best_server_is_full():
     setup = Setup(record("a"), record("b"))
     assert setup.selector.refusal(setup.request()) is None
