Ask a few servers for their load just before a request is sent

A gateway knew a server's load and speed from its own answers only. Where the speed of servers changes within tenths of a second, it sent requests to slowed servers until late answers showed it, and to the same ones as other gateways.

Where the servers of a service without keys report the fourth figure of their load and have a health path, up to three servers are asked at once, those of the own failure domain first, with up to two further rounds in 15 ms in all. lychee_policy.probes decides whom to ask and which one is best. Without a usable answer a server is not chosen for the moment; nothing is ejected. The measured usual time of a server that tells its speed does not go stale.

A probe has an id. The connection of an answer that does not repeat it is kept for probes only, as a late copy would be taken for the answer to a request.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/__init__.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/__init__.py
@@ -7,6 +7,7 @@
 from lychee_gateway.proxy.codec import (
     CallerRequest,
     Occupancy,
+    ProbeAnswer,
     ProxyCodec,
     Rejection,
     ResponseInfo,
@@ -16,6 +17,7 @@
 __all__ = [
     "CallerRequest",
     "Occupancy",
+    "ProbeAnswer",
     "ProxyCodec",
     "ProxyDaemon",
     "Rejection",
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/calls.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/calls.py
@@ -28,6 +28,7 @@
     :param server: the selected server, empty if there was none.
     :param occupied: estimated number of requests at the server.
     :param word_age_ms: age of its last reported occupancy in ms, -1 if it has reported none.
+    :param probed: number of servers that had just reported their load when this one was chosen.
     """
 
     outcome: str
@@ -35,6 +36,7 @@
     server: str = ""
     occupied: float = 0.0
     word_age_ms: int = -1
+    probed: int = 0
 
 
 @dataclass(kw_only=True, slots=True)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/codec.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/codec.py
@@ -5,6 +5,7 @@
 
 from lychee_http import RequestHead, ResponseHead
 from lychee_types.ids import ServerId
+from lychee_types.registry import RegisteredServer
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,6 +65,20 @@
     limit_per_s: float | None = None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProbeAnswer:
+    """A server's response to a health check that asks for its load.
+
+    :param request_id: id of the health check, empty if not given.
+    :param occupancy: the server's load, None if it gives none or another server has responded.
+    :param cold_remaining_s: how long the server stays cold, in seconds; None if not given.
+    """
+
+    request_id: str
+    occupancy: Occupancy | None
+    cold_remaining_s: float | None = None
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Rejection:
     """An error response that the gateway itself sends.
@@ -109,6 +124,19 @@
         """Decode the head of a server's response."""
         ...
 
+    def probe(self, path: str, *, server: RegisteredServer, request_id: str) -> RequestHead:
+        """Return the head of a health check.
+
+        :param path: the health path of the server's service.
+        :param server: the server.
+        :param request_id: its id, which the response may repeat.
+        """
+        ...
+
+    def read_probe(self, head: ResponseHead) -> ProbeAnswer:
+        """Decode the head of a server's response to a health check."""
+        ...
+
     def forward_response(self, head: ResponseHead) -> ResponseHead:
         """Return the response head to send to the caller."""
         ...
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -22,6 +22,8 @@
 from lychee_gateway.proxy.paths import ServerPaths
 from lychee_gateway.proxy.peers import Peers
 from lychee_gateway.proxy.placing import ServerSelector
+from lychee_gateway.proxy.probed_choice import ProbedChoice
+from lychee_gateway.proxy.probing import Prober
 from lychee_gateway.proxy.retries import RetryBudgets
 from lychee_gateway.proxy.servers import ServerList
 from lychee_gateway.proxy.stopping import StopSchedule
@@ -37,7 +39,7 @@
 from lychee_runtime import Daemon, format_dump
 from lychee_types.clock import Clock, SystemClock
 from lychee_types.crash_messages import KnownCrashes
-from lychee_types.ids import DomainName, LogIndex, SessionId
+from lychee_types.ids import DomainName, LogIndex, ServiceName, SessionId
 from lychee_types.limit_messages import KnownLimits, PermitReply
 from lychee_types.peer_messages import KnownGateways
 from lychee_types.registry_messages import LeaderNews, LeaderNote, LeaderReply
@@ -57,6 +59,7 @@
     :param routes: version number of the active routing configuration.
     :param servers: number of registered servers.
     :param callers: number of open connections from callers.
+    :param probed_services: services whose servers are asked for their load before a request.
     """
 
     id: str
@@ -66,6 +69,7 @@
     routes: int
     servers: int
     callers: int
+    probed_services: tuple[ServiceName, ...] = ()
 
 
 class ProxyDaemon(Daemon):
@@ -125,6 +129,15 @@
             on_permits=self._metrics.count_permits,
             clock=self._clock,
         )
+        self._prober = Prober(
+            codec=codec,
+            view=self._view,
+            servers=self._servers,
+            spawn=lambda work, name: self.spawn(work, name=name),
+            is_late=self._loop_watch.is_late,
+            on_probes=self._metrics.count_probe,
+            clock=self._clock,
+        )
         self._selector = ServerSelector(
             view=self._view,
             servers=self._servers,
@@ -132,6 +145,12 @@
             domain=cfg.domain,
             clock=self._clock,
             drain_s=cfg.bounds.drain_s,
+            probed=ProbedChoice(
+                probing=self._prober,
+                domain=cfg.domain,
+                on_choice=self._metrics.count_probed_choice,
+                clock=self._clock,
+            ),
         )
         self._guard = CrashGuard(clock=self._clock, own_id=cfg.id, others=lambda: self._peers.ids)
         self._retries = RetryBudgets(bounds=cfg.bounds)
@@ -162,6 +181,7 @@
         self._view.add_listener(lambda: self._servers.sync(self._view.state))
         self._view.add_listener(self._forget_departed_servers)
         self._view.add_listener(self._paths.sync)
+        self._view.add_listener(self._prober.sync)
         self._view.add_listener(self._selector.state_changed)
         self._subscription = Subscription(
             cfg=cfg,
@@ -209,6 +229,7 @@
             await self._drain_connections()
         if self._carrier is not None:
             await self._carrier.close()
+        self._prober.close()
         await self._end_connections()
         logger.bind(event="stop", under_way=self._under_way(), **self._tally.summary()).info(
             "gateway stopped"
@@ -226,6 +247,7 @@
                 routes=state.version.number,
                 servers=len(state.servers),
                 callers=len(self._conns),
+                probed_services=self._prober.services,
             )
         )
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -317,6 +317,7 @@
                 server=server.run.server,
                 occupied=round(occupied, 1),
                 word_age_ms=word_age_ms,
+                probed=call.routed.probed,
                 at_ms=round((now - call.routed.arrived_at) * 1_000),
                 outcome=describe(attempt),
             )
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -62,6 +62,12 @@
             "limited_attempts", "Attempts at servers that have named a rate limit.", "server"
         )
         self._permits = page.counter("permits", "Permits for servers with a limit.", "outcome")
+        self._probes = page.counter(
+            "probes", "Questions to servers for their load.", "service", "outcome"
+        )
+        self._probed_choices = page.counter(
+            "probed_choices", "Requests for which servers were asked.", "service", "chosen"
+        )
         self._connections = page.counter(
             "server_connections", "Attempts to connect to a server.", "service", "way", "outcome"
         )
@@ -107,6 +113,14 @@
         """Count an attempt at a server that has named a rate limit."""
         self._limited.labels(server).inc()
 
+    def count_probe(self, service: ServiceName, outcome: str) -> None:
+        """Count a question to a server for its load: asked, answered, failed, or late."""
+        self._probes.labels(service, outcome).inc()
+
+    def count_probed_choice(self, service: ServiceName, chosen: str) -> None:
+        """Count a request for which servers were asked: own or other domain, or none of them."""
+        self._probed_choices.labels(service, chosen).inc()
+
     def count_server_end(self, service: ServiceName) -> None:
         """Count a request at a server that ended without answering it."""
         self._server_ends.labels(service).inc()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -1,12 +1,15 @@
 """Select the server for each request, or refuse the request if no server can answer in time."""
 
 import asyncio
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from random import Random
 
 from lychee_gateway.proxy.limits import PermitRefused, PermitTaken, ServerLimits
+from lychee_gateway.proxy.probed_choice import ProbedChoice
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_gateway.proxy.view import RoutedView
+from lychee_policy.probes import REMOTE_DOMAIN_SHARE
 from lychee_types.clock import Clock
 from lychee_types.ids import DomainName, ServiceName
 from lychee_types.registry import GrantPhase, KeyRange, ServerIncarnation
@@ -47,6 +50,9 @@
 OWNER_DRAIN_SHARE = 0.75
 """Share of the drain time for which a leaving owner still gets requests for its keys."""
 
+UNHEALTHY_PENALTY_S = 10.0
+"""Added to the score of a server that is ejected because of repeated failures, in seconds."""
+
 SUSPECT_PENALTY_S = 10.0
 """Added to the score of a server for each request there that a suspect may harm, in seconds."""
 
@@ -68,6 +74,7 @@
     :param deadline: monotonic time in seconds by which it must be answered.
     :param tried: servers that are not selected for it again.
     :param is_suspect: whether servers have ended under it, so that it needs an idle one.
+    :param probed: number of servers whose load was known when its server was chosen.
     """
 
     route: Route
@@ -77,6 +84,7 @@
     deadline: float
     tried: list[ServerIncarnation] = field(default_factory=list)
     is_suspect: bool = False
+    probed: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -107,6 +115,7 @@
     :param domain: this gateway's failure domain.
     :param clock: source of time.
     :param drain_s: time after which a leaving server must get no more requests, in seconds.
+    :param probed: chooses servers that are asked for their load, None if none are asked.
     :param rng: source of random numbers.
     """
 
@@ -119,8 +128,10 @@
         domain: DomainName,
         clock: Clock,
         drain_s: float,
+        probed: ProbedChoice | None = None,
         rng: Random | None = None,
     ) -> None:
+        self._probed = probed
         self._view = view
         self._servers = servers
         self._limits = limits
@@ -166,19 +177,23 @@
         """
         now = self._clock.monotonic()
         if request.key is not None:
-            best = self._owner(self._range(request.service, request.key))
-            if best is None:
-                return None
+            owner = self._owner(self._range(request.service, request.key))
+            admitted = self._admit(request, owner, now) if owner is not None else None
         else:
             best = self._find_best(request, now, skip=[])
-            if best is None:
-                return NO_SERVER_LEFT
-        admitted = self._admit(request, best, now)
+            admitted = self._admit(request, best, now) if best is not None else NO_SERVER_LEFT
         return admitted if isinstance(admitted, NoServer) else None
 
     async def _select_any(self, request: RoutedRequest) -> ProxyServer | NoServer:
         """Return the best server; the best one without a rate limit if another has no permit."""
         limited: list[ServerIncarnation] = []
+        request.probed = 0
+        if self._probed is not None and self._probed.is_used(
+            request.service, deadline=request.deadline
+        ):
+            found = await self._select_probed(request, self._probed, limited)
+            if found is not None:
+                return found
         now = self._clock.monotonic()
         while (best := self._find_best(request, now, skip=limited)) is not None:
             admitted = self._admit(request, best, now)
@@ -193,17 +208,50 @@
                 return await self._wait_for_permit(request, server)
         return NO_SERVER_LEFT
 
+    async def _select_probed(
+        self, request: RoutedRequest, probed: ProbedChoice, limited: list[ServerIncarnation]
+    ) -> ProxyServer | None:
+        """Return the best server of some that are asked for their load, None if none has room.
+
+        :param request: the request.
+        :param probed: asks the servers.
+        :param limited: servers without a permit, to which others are added.
+        """
+        usable = list(self._usable(request))
+        now = self._clock.monotonic()
+        ranked = await probed.rank(
+            usable, delay_s=lambda server: self._delay_s(request, server, now)
+        )
+        request.probed = len(ranked)
+        found: ProxyServer | None = None
+        for server in ranked:
+            # The state may have changed while they were asked.
+            if server.record.is_leaving or self._servers.find(server.run) is not server:
+                continue
+            if isinstance(self._admit(request, server, self._clock.monotonic()), NoServer):
+                break
+            if await self._limits.take_promptly(server.run, deadline=request.deadline):
+                found = server
+                break
+            limited.append(server.run)
+        probed.count(request.service, found)
+        return found
+
+    def _usable(self, request: RoutedRequest) -> Iterator[ProxyServer]:
+        """Yield the servers that may be selected for a request without a key."""
+        for server in self._servers.for_service(request.service):
+            if not server.record.is_leaving and server.run not in request.tried:
+                yield server
+
     def _find_best(
         self, request: RoutedRequest, now: float, *, skip: list[ServerIncarnation]
     ) -> ProxyServer | None:
         best: ProxyServer | None = None
         best_score = 0.0
-        for server in self._servers.for_service(request.service):
-            if server.record.is_leaving or server.run in request.tried or server.run in skip:
+        for server in self._usable(request):
+            if server.run in skip:
                 continue
-            score = self._score(server, now)
-            if request.is_suspect:
-                score += SUSPECT_PENALTY_S * server.estimated_occupancy(now)
+            score = self._score(server, now) + self._delay_s(request, server, now)
             if best is None or score < best_score:
                 best, best_score = server, score
         return best
@@ -227,11 +275,20 @@
         expected_s *= 1 + SCORE_JITTER * self._rng.random()
         if server.record.domain != self._domain:
             expected_s += REMOTE_DOMAIN_PENALTY_S
+            if server.tells_speed(now):
+                expected_s += REMOTE_DOMAIN_SHARE * server.expected_service_time_s(now)
+        return expected_s
+
+    def _delay_s(self, request: RoutedRequest, server: ProxyServer, now: float) -> float:
+        """Return what a server is charged with besides its load and domain, in seconds."""
+        delay_s = max(0.0, server.full_until - now)
         if not server.is_direct:
-            expected_s += CARRIED_PENALTY_S
+            delay_s += CARRIED_PENALTY_S
         if not server.is_healthy(now):
-            expected_s += 10.0
-        return expected_s
+            delay_s += UNHEALTHY_PENALTY_S
+        if request.is_suspect:
+            delay_s += SUSPECT_PENALTY_S * server.estimated_occupancy(now)
+        return delay_s
 
     def _admit(
         self, request: RoutedRequest, server: ProxyServer, now: float
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -42,6 +42,15 @@
 because it was full would stay full in the estimate.
 """
 
+SPEED_TOLD_S = 10.0
+"""Time after a reported speed in which a server is expected to report it again, in seconds."""
+
+USUAL_TIME_GAIN = 0.05
+"""The same as `SERVICE_TIME_GAIN` for the usual time of a server that reports its speed."""
+
+PRIOR_ANSWERS = 1
+"""Number of answers that the mean service time of a service counts for at one of its servers."""
+
 SPEED_DECAY_S = 0.3
 """Time in which the weight of a reported speed decays to 1/e, in seconds.
 
@@ -113,11 +122,14 @@
         self.pool = ServerPool(endpoint=record.endpoint, until_close=True)
         self.is_direct = True
         self.heard_at = 0.0
+        self.probed_at = -inf
+        self.full_until = -inf
         self._sent_at: dict[int, float] = {}
         self._last_number = 0
         self._is_unknown = service_time_s is None
         self.service_time_s = INITIAL_SERVICE_TIME_S if service_time_s is None else service_time_s
         self.is_measured = False
+        self._measured = 0
         self._answered_at = now
         self._estimated_at = now
         self._others_occupancy = 0.0
@@ -180,7 +192,7 @@
     def expected_service_time_s(self, now: float) -> float:
         """Return the expected service time of a request, without queueing, in seconds."""
         usual_s = self.service_time_s * (COLD_FACTOR if now < self._cold_until else 1.0)
-        return usual_s * self.slowness(now)
+        return usual_s if self._slowness == 1.0 else usual_s * self.slowness(now)
 
     def slowness(self, now: float) -> float:
         """Return how long work is expected to take at this moment, as a multiple of the usual time.
@@ -195,6 +207,10 @@
         """Return the age of its last reported speed in seconds, infinite if it reported none."""
         return now - self._speed_at
 
+    def tells_speed(self, now: float) -> bool:
+        """Return whether it has reported its speed lately."""
+        return now - self._speed_at < SPEED_TOLD_S
+
     def is_healthy(self, now: float) -> bool:
         """Return whether the server is not ejected because of repeated failures."""
         return now >= self._ejected_until
@@ -235,6 +251,29 @@
         self._has_occupancy = True
         self._record_speed(occupancy.speed, now)
 
+    def record_probe(self, occupancy: Occupancy, *, asked_at: float, now: float) -> None:
+        """Record a load that was asked for; it replaces all estimates.
+
+        :param occupancy: the load.
+        :param asked_at: monotonic time in seconds at which it was asked for. Requests that were
+            sent later may not be counted in it.
+        :param now: monotonic time in seconds.
+        """
+        counted = sum(sent_at < asked_at for sent_at in self._sent_at.values())
+        self.probed_at = now
+        self._others_occupancy = max(0.0, occupancy.running + occupancy.waiting - counted)
+        self._occupancy_at = now
+        self._has_occupancy = True
+        self._record_speed(occupancy.speed, now)
+
+    def record_cold(self, remaining_s: float, now: float) -> None:
+        """Record the time for which the server has just said that it stays cold, in seconds."""
+        self._cold_until = now + remaining_s
+
+    def record_full(self, now: float, *, for_s: float) -> None:
+        """Record a sign that the server's queue is full, which counts for a time in seconds."""
+        self.full_until = max(self.full_until, now + for_s)
+
     def _record_speed(self, speed: float | None, now: float) -> None:
         if speed is not None:
             self._slowness, self._speed_at = 1.0 / speed, now
@@ -255,21 +294,37 @@
         slowness = (in_flight.slowness + self.slowness(answered_at)) / 2
         work_s = seconds / in_flight.slowdown
         service_time_s = work_s / slowness
-        gain = 1.0 if self._is_unknown else SERVICE_TIME_GAIN
+        gain = 1.0 if self._is_unknown else self._service_time_gain(answered_at)
         self.service_time_s += gain * (service_time_s - self.service_time_s)
         self.is_measured, self._is_unknown = True, False
+        self._measured += 1
         self._answered_at = answered_at
         self._busy_s += work_s
         self._answers += 1
 
-    def estimate_anew(self, fastest_s: float, now: float) -> None:
+    def _service_time_gain(self, now: float) -> float:
+        """Return the weight of a measurement of the service time.
+
+        The first ones count for more where the usual time is measured, which does not change.
+        """
+        if not self.tells_speed(now):
+            return SERVICE_TIME_GAIN
+        return max(USUAL_TIME_GAIN, 1 / (PRIOR_ANSWERS + 1 + self._measured))
+
+    def estimate_anew(self, fastest_s: float, mean_s: float, now: float) -> None:
         """Let the service time approach that of the fastest server while no answer measures it.
 
-        A server that is believed to be slow gets no requests, and only requests show its speed.
+        A server that is believed to be slow gets no requests, and only requests show its speed. A
+        server that tells its speed keeps its usual service time, or the mean one if it has none.
 
         :param fastest_s: mean service time of the fastest measured server, in seconds.
+        :param mean_s: mean service time of all measured servers, in seconds.
         :param now: monotonic time in seconds.
         """
+        if self.tells_speed(now):
+            if not self.is_measured:
+                self.service_time_s, self._is_unknown = mean_s, False
+            return
         since = max(self._answered_at + STALE_AFTER_S, self._estimated_at)
         self._estimated_at = now
         if not self.is_measured:
@@ -329,6 +384,11 @@
         self._by_service: dict[ServiceName, list[ProxyServer]] = {}
         self._unusable: frozenset[ServerIncarnation] = frozenset()
 
+    @property
+    def gateway_count(self) -> int:
+        """Approximate number of gateways."""
+        return self._gateway_count
+
     def set_gateway_count(self, count: int) -> None:
         """Set the approximate number of gateways."""
         self._gateway_count = max(1, count)
@@ -390,9 +450,9 @@
             measured_s = [server.service_time_s for server in servers if server.is_measured]
             if not measured_s:
                 continue
-            fastest_s = min(measured_s)
+            fastest_s, mean_s = min(measured_s), sum(measured_s) / len(measured_s)
             for server in servers:
-                server.estimate_anew(fastest_s, now)
+                server.estimate_anew(fastest_s, mean_s, now)
 
     def _mean_service_time_s(self, service: ServiceName) -> float | None:
         """Return the mean service time of a service's servers in seconds, None if none is known."""
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/testing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/testing.py
@@ -17,6 +17,7 @@
 from lychee_gateway.proxy.paths import ServerPaths
 from lychee_gateway.proxy.peers import Peers
 from lychee_gateway.proxy.placing import NoServer, RoutedRequest, ServerSelector
+from lychee_gateway.proxy.probed_choice import ProbedChoice
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_gateway.proxy.view import RoutedView
 from lychee_types.clock import Clock
@@ -46,6 +47,9 @@
 SERVICE = ServiceName("s")
 """The only service."""
 
+DOMAIN = DomainName("d")
+"""The failure domain of the gateways."""
+
 HOP_S = 0.001
 """One-way latency between a gateway and a server, in seconds."""
 
@@ -60,11 +64,13 @@
     :param slots: number of requests that it works on at once.
     :param queue: number of requests that may wait; it rejects further ones.
     :param speed: work rate relative to `Load.service_time_s`.
+    :param domain: its failure domain.
     """
 
     slots: int = 4
     queue: int = 16
     speed: float = 1.0
+    domain: DomainName = DOMAIN
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -90,14 +96,30 @@
 
 
 @dataclass(kw_only=True)
-class _Caller:
+class Caller:
+    """A simulated caller.
+
+    :param first_at: monotonic time of its first call, in seconds.
+    :param key: the key of its requests, if any.
+    :param retries_left: number of calls that it still makes after refusals.
+    """
+
     first_at: float
     key: int | None
     retries_left: int = 1
 
 
 @dataclass(kw_only=True)
-class _Server:
+class SimulatedServer:
+    """State of a simulated server.
+
+    :param name: its id.
+    :param backend: what kind of server it is.
+    :param running: number of requests that it works on.
+    :param waiting: begins the work on each request in its queue.
+    """
+
+    name: ServerId
     backend: Backend
     running: int = 0
     waiting: deque[Callable[[], None]] = field(default_factory=deque)
@@ -129,7 +151,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_count = 0
         self._servers = {
-            ServerId(f"b{number}"): _Server(backend=backend)
+            ServerId(f"b{number}"): SimulatedServer(name=ServerId(f"b{number}"), backend=backend)
             for number, backend in enumerate(backends)
         }
         self._route = _route(load)
@@ -143,7 +165,7 @@
         Outcomes of a caller are in_time, late, refused and gone (its timeout passed).
         """
         for _ in range(self.load.initial_callers):
-            self._call(_Caller(first_at=-self._rng.random(), key=self._key()))
+            self._call(Caller(first_at=-self._rng.random(), key=self._key()))
         self._schedule(0.0, lambda: self._add_caller(seconds))
         while self._events:
             at, _, action = heapq.heappop(self._events)
@@ -156,7 +178,7 @@
         heapq.heappush(self._events, (self.clock.monotonic() + delay_s, self._event_count, action))
 
     def _add_caller(self, left_s: float) -> None:
-        self._call(_Caller(first_at=self.clock.monotonic(), key=self._key()))
+        self._call(Caller(first_at=self.clock.monotonic(), key=self._key()))
         gap_s = -log(1.0 - self._rng.random()) / self.load.per_s
         if gap_s < left_s:
             self._schedule(gap_s, lambda: self._add_caller(left_s - gap_s))
@@ -166,7 +188,7 @@
             return None
         return 1 if self._rng.random() < self.load.hot_share else self._rng.randint(0, LAST_KEY)
 
-    def _call(self, caller: _Caller) -> None:
+    def _call(self, caller: Caller) -> None:
         now = self.clock.monotonic()
         deadline = caller.first_at + self.load.timeout_s
         if now >= deadline:
@@ -175,14 +197,25 @@
         request = RoutedRequest(
             route=self._route, service=SERVICE, key=caller.key, arrived_at=now, deadline=deadline
         )
-        found = _run_without_waiting(self._rng.choice(self._gateways).select(request))
+        gateway = self._rng.choice(self._gateways)
+        self._select(gateway, request, lambda found: self._go_on(caller, found))
+
+    def _select(
+        self,
+        gateway: ServerSelector,
+        request: RoutedRequest,
+        go_on: Callable[[ProxyServer | NoServer], None],
+    ) -> None:
+        go_on(_run_without_waiting(gateway.select(request)))
+
+    def _go_on(self, caller: Caller, found: ProxyServer | NoServer) -> None:
         match found:
             case NoServer(retry_after_s=retry_after_s):
                 self._retry_or_refuse(caller, retry_after_s)
             case ProxyServer():
                 self._send(caller, found)
 
-    def _retry_or_refuse(self, caller: _Caller, retry_after_s: float) -> None:
+    def _retry_or_refuse(self, caller: Caller, retry_after_s: float) -> None:
         left_s = caller.first_at + self.load.timeout_s - self.clock.monotonic()
         self.counts["refusals"] += 1
         if caller.retries_left == 0:
@@ -191,7 +224,7 @@
         caller.retries_left -= 1
         self._schedule(min(retry_after_s, left_s / 3), lambda: self._call(caller))
 
-    def _send(self, caller: _Caller, found: ProxyServer) -> None:
+    def _send(self, caller: Caller, found: ProxyServer) -> None:
         server = self._servers[found.run.server]
         sent_at = self.clock.monotonic()
         stack = ExitStack()
@@ -203,7 +236,7 @@
             service_time_s = self.load.service_time_s * self._rng.lognormvariate(
                 -sigma * sigma / 2, sigma
             )
-            self._schedule(service_time_s / server.backend.speed, end)
+            self._schedule(self._duration_s(server, service_time_s), end)
 
         def end() -> None:
             server.running -= 1
@@ -236,7 +269,11 @@
 
         self._schedule(HOP_S, arrive)
 
-    def _occupancy(self, server: _Server) -> Occupancy:
+    def _duration_s(self, server: SimulatedServer, service_time_s: float) -> float:
+        """Return how long a server takes for work that begins now, in seconds."""
+        return service_time_s / server.backend.speed
+
+    def _occupancy(self, server: SimulatedServer) -> Occupancy:
         return Occupancy(
             running=server.running, waiting=len(server.waiting), slots=server.backend.slots
         )
@@ -255,22 +292,30 @@
         view.add_listener(lambda: servers.sync(view.state))
         view.install_snapshot(RoutedSnapshot.of(self._image()))
         servers.set_gateway_count(expected)
+        return self._selector(view, servers)
+
+    def _selector(self, view: RoutedView, servers: ServerList) -> ServerSelector:
         return ServerSelector(
             view=view,
             servers=servers,
             limits=make_limits(self.clock),
-            domain=DomainName("d"),
+            domain=DOMAIN,
             clock=self.clock,
             drain_s=2.0,
             rng=Random(self._rng.random()),
+            probed=self._probed(),
         )
 
+    def _probed(self) -> ProbedChoice | None:
+        """Return what asks servers for their load at one gateway."""
+        return None
+
     def _image(self) -> RoutedImage:
         records = tuple(
             RegisteredServer(
                 run=ServerIncarnation(server=name, incarnation=Incarnation(1)),
                 endpoint=Endpoint(host="10.0.0.1", port=1),
-                domain=DomainName("d"),
+                domain=server.backend.domain,
                 service=SERVICE,
                 release="v1",
                 slots=server.backend.slots,
