Prefer other servers for a moment after a server has reset a connection

Servers of some services reset a connection when they are full, also under a request. The outcome is unknown, so that an unsafe request is lost (502), and the next one could go to the same server until three had failed.

A reset under a request without an answer, or before it was sent, lets the server count as full for the time that a full queue takes, 1 s at most, in the choice among servers. A load with a free slot or an answered probe ends that. Owners of keys are used as before.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -10,6 +10,7 @@
 from lychee_gateway.proxy.limits import ServerLimits
 from lychee_gateway.proxy.paths import ServerPaths
 from lychee_gateway.proxy.peers import NotReachedError
+from lychee_gateway.proxy.resets import ResetRecorder
 from lychee_gateway.proxy.servers import InFlightRequest, ProxyServer
 from lychee_http import RequestHead, ResponseHead, ServerConnection, header_value
 from lychee_http.exceptions import BadRequestError, CallerGoneError, ServerResponseError
@@ -143,6 +144,7 @@
     :param codec: translates request and response heads.
     :param paths: opens connections to servers.
     :param limits: rate limits of the servers.
+    :param resets: records servers that reset connections.
     :param drain_s: time after which a leaving server must get no more requests, in seconds.
     :param clock: source of time.
     """
@@ -153,12 +155,14 @@
         codec: ProxyCodec,
         paths: ServerPaths,
         limits: ServerLimits,
+        resets: ResetRecorder,
         drain_s: float,
         clock: Clock,
     ) -> None:
         self._codec = codec
         self._paths = paths
         self._limits = limits
+        self._resets = resets
         self._last_send_s = drain_s * LAST_SEND_SHARE
         self._clock = clock
 
@@ -198,12 +202,15 @@
             with server.pool.release_after_use(conn):
                 if conn.is_new and not await self._is_accepted(conn):
                     server.record_failure(self._clock.monotonic())
+                    self._resets.record(server, conn)
                     return NotRun(reason="the server reset the connection", was_sent=False)
                 attempt = await self._send_on(
                     conn, exchange, body, server, in_flight, deadline, request_id, held
                 )
         if isinstance(attempt, NoAnswer | TooLate):
             server.record_failure(self._clock.monotonic())
+        if isinstance(attempt, NoAnswer):
+            self._resets.record(server, conn)
         if conn.is_carried and server.is_direct:
             # Its way was mended meanwhile, and nobody would take this connection again.
             server.pool.drop_carried()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -24,6 +24,7 @@
 from lychee_gateway.proxy.placing import ServerSelector
 from lychee_gateway.proxy.probed_choice import ProbedChoice
 from lychee_gateway.proxy.probing import Prober
+from lychee_gateway.proxy.resets import ResetRecorder
 from lychee_gateway.proxy.retries import RetryBudgets
 from lychee_gateway.proxy.servers import ServerList
 from lychee_gateway.proxy.stopping import StopSchedule
@@ -163,6 +164,7 @@
                 codec=codec,
                 paths=self._paths,
                 limits=self._limits,
+                resets=ResetRecorder(on_reset=self._metrics.count_reset, clock=self._clock),
                 drain_s=cfg.bounds.drain_s,
                 clock=self._clock,
             ),
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -62,6 +62,9 @@
             "limited_attempts", "Attempts at servers that have named a rate limit.", "server"
         )
         self._permits = page.counter("permits", "Permits for servers with a limit.", "outcome")
+        self._resets = page.counter(
+            "server_resets", "Connections that servers reset under a request.", "service"
+        )
         self._probes = page.counter(
             "probes", "Questions to servers for their load.", "service", "outcome"
         )
@@ -113,6 +116,10 @@
         """Count an attempt at a server that has named a rate limit."""
         self._limited.labels(server).inc()
 
+    def count_reset(self, service: ServiceName) -> None:
+        """Count a connection that a server reset under a request, or before it was sent."""
+        self._resets.labels(service).inc()
+
     def count_probe(self, service: ServiceName, outcome: str) -> None:
         """Count a question to a server for its load: asked, answered, failed, or late."""
         self._probes.labels(service, outcome).inc()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -69,6 +69,9 @@
 QUEUE_PER_SLOT = 3
 """Requests per slot that may wait at a server; a server may reject what its queue cannot hold."""
 
+MAX_FULL_S = 1.0
+"""Maximum time for which a server counts as full without having said so, in seconds."""
+
 OVERDUE_FACTOR = 4.0
 """Multiple of the expected service time after which a pending request indicates a queue."""
 
@@ -250,6 +253,8 @@
         self._occupancy_at = now
         self._has_occupancy = True
         self._record_speed(occupancy.speed, now)
+        if self._reported_occupancy < occupancy.slots:
+            self.full_until = -inf
 
     def record_probe(self, occupancy: Occupancy, *, asked_at: float, now: float) -> None:
         """Record a load that was asked for; it replaces all estimates.
@@ -261,6 +266,7 @@
         """
         counted = sum(sent_at < asked_at for sent_at in self._sent_at.values())
         self.probed_at = now
+        self.full_until = -inf
         self._others_occupancy = max(0.0, occupancy.running + occupancy.waiting - counted)
         self._occupancy_at = now
         self._has_occupancy = True
@@ -270,6 +276,11 @@
         """Record the time for which the server has just said that it stays cold, in seconds."""
         self._cold_until = now + remaining_s
 
+    def record_reset(self, now: float) -> None:
+        """Record that the server reset a connection: it may be full until its queue is served."""
+        queue_s = QUEUE_PER_SLOT * self.expected_service_time_s(now)
+        self.record_full(now, for_s=min(MAX_FULL_S, queue_s))
+
     def record_full(self, now: float, *, for_s: float) -> None:
         """Record a sign that the server's queue is full, which counts for a time in seconds."""
         self.full_until = max(self.full_until, now + for_s)
--- a/packages/lychee-gateway/tests/test_crashes.py
+++ b/packages/lychee-gateway/tests/test_crashes.py
@@ -13,6 +13,7 @@
     CrashGuard,
     request_signature,
 )
+from lychee_gateway.proxy.resets import ResetRecorder
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_gateway.proxy.testing import make_limits, make_paths
 from lychee_http import RequestHead
@@ -162,7 +163,12 @@
         clock = SystemClock()
         paths = make_paths(ServerList(clock=clock, as_of=clock.monotonic), clock)
         sender = Sender(
-            codec=None, paths=paths, limits=make_limits(clock), drain_s=2.0, clock=clock
+            codec=None,
+            paths=paths,
+            limits=make_limits(clock),
+            resets=ResetRecorder(on_reset=lambda service: None, clock=clock),
+            drain_s=2.0,
+            clock=clock,
         )
         ended = ProxyServer(record=record, now=clock.monotonic())
         conn = await ended.pool.acquire(timeout_s=1.0)
--- a/packages/lychee-gateway/tests/test_placing.py
+++ b/packages/lychee-gateway/tests/test_placing.py
@@ -458,3 +458,28 @@
     assert isinstance(setup.selector.refusal(setup.request()), NoServer)
     setup.install()
     assert isinstance(setup.selector.refusal(setup.request()), NoServer)
+
+
+def test_a_server_that_reset_a_connection_is_avoided_while_others_have_room():
+    """The next requests went to the server that was full, and were lost too."""
+    setup = Setup(record("a"), record("b"))
+    setup.server("a").record_reset(setup.clock.monotonic())
+    report_occupancy(setup, "b", 3, 1)
+    assert {run(setup.select()).run.server for _ in range(20)} == {"b"}
+    setup.clock.advance(1.1)
+    assert {run(setup.select()).run.server for _ in range(20)} == {"a", "b"}
+
+
+def test_a_load_with_a_free_slot_ends_the_time_after_a_reset():
+    setup = Setup(record("a"), record("b"))
+    setup.server("a").record_reset(setup.clock.monotonic())
+    report_occupancy(setup, "a", 3, 0)
+    assert setup.server("a").full_until > setup.clock.monotonic()
+    report_occupancy(setup, "a", 1, 0)
+    assert setup.server("a").full_until < setup.clock.monotonic()
+
+
+def test_a_server_that_reset_a_connection_is_used_if_there_is_no_other():
+    setup = Setup(record("a"))
+    setup.server("a").record_reset(setup.clock.monotonic())
+    assert run(setup.select()).run.server == "a"
--- a/packages/lychee-gateway/tests/test_ready_answers.py
+++ b/packages/lychee-gateway/tests/test_ready_answers.py
@@ -10,6 +10,7 @@
 from lychee_gateway.proxy.attempts import Body, PassedOn, Sender, TooLate, WholeAnswer
 from lychee_gateway.proxy.codec import ResponseInfo
 from lychee_gateway.proxy.held import HeldAnswers
+from lychee_gateway.proxy.resets import ResetRecorder
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_gateway.proxy.testing import make_limits, make_paths
 from lychee_http import RequestHead
@@ -88,6 +89,7 @@
             codec=Codec(block),
             paths=make_paths(ServerList(clock=clock, as_of=clock.monotonic), clock),
             limits=make_limits(clock),
+            resets=ResetRecorder(on_reset=lambda service: None, clock=clock),
             drain_s=2.0,
             clock=clock,
         )
