Ask for a large upload only once a server takes it

A caller that waits for 100 Continue was asked for its body before a server had been chosen, and could be refused after it had begun to send. Nothing of a large upload is read now before its head has been sent to a server. Where a service's servers are asked for their load, estimates alone refuse nothing.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -25,7 +25,7 @@
 from lychee_gateway.proxy.retries import RetryBudgets
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.stopping import StopSchedule
-from lychee_gateway.proxy.uploads import first_bytes, may_send_again
+from lychee_gateway.proxy.uploads import begin_body, may_send_again
 from lychee_gateway.proxy.view import RoutedView
 from lychee_http import ResponseHead, header_value
 from lychee_http.exceptions import BadRequestError
@@ -207,15 +207,8 @@
         if refused is not None:
             await self._give_up(call, refused)
             return
-        max_bytes = first_bytes(call.route.kind, call.exchange.head)
-        buffered, is_whole = await call.exchange.read_body(max_bytes=max_bytes)
-        limit = self._view.state.routing.bounds.body_bytes - len(buffered)
-        body = Body(
-            buffered=buffered,
-            is_whole=is_whole,
-            rest=lambda: call.exchange.rest_of_body(limit=limit),
-            is_upload=call.route.kind.is_upload,
-        )
+        limit = self._view.state.routing.bounds.body_bytes
+        body = await begin_body(call.exchange, kind=call.route.kind, limit=limit)
         while True:
             # The caller may have left during an attempt that had to go on.
             call.exchange.check_open()
@@ -232,7 +225,7 @@
                 return
 
     def _refuse_unread(self, call: Call) -> NoServer | None:
-        """Return why an upload is refused before its body is read, None if it may be sent."""
+        """Return why a small upload is refused before its body is read, None if it may be sent."""
         if not call.route.kind.is_upload or not has_body(call.exchange.head):
             return None
         return self._selector.refusal(call.routed)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -181,16 +181,17 @@
             admitted = self._admit(request, owner, now) if owner is not None else None
         else:
             best = self._find_best(request, now, skip=[])
-            admitted = self._admit(request, best, now) if best is not None else NO_SERVER_LEFT
+            if best is None:
+                return NO_SERVER_LEFT
+            is_probed = self._is_probed(request)
+            admitted = best if is_probed else self._admit(request, best, now)
         return admitted if isinstance(admitted, NoServer) else None
 
     async def _select_any(self, request: RoutedRequest) -> ProxyServer | NoServer:
         """Return the best server; the best one without a rate limit if another has no permit."""
         limited: list[ServerIncarnation] = []
         request.probed = 0
-        if self._probed is not None and self._probed.is_used(
-            request.service, deadline=request.deadline
-        ):
+        if self._probed is not None and self._is_probed(request):
             found = await self._select_probed(request, self._probed, limited)
             if found is not None:
                 return found
@@ -208,6 +209,12 @@
                 return await self._wait_for_permit(request, server)
         return NO_SERVER_LEFT
 
+    def _is_probed(self, request: RoutedRequest) -> bool:
+        """Return whether servers are asked for their load before the request is sent."""
+        return self._probed is not None and self._probed.is_used(
+            request.service, deadline=request.deadline
+        )
+
     async def _select_probed(
         self, request: RoutedRequest, probed: ProbedChoice, limited: list[ServerIncarnation]
     ) -> ProxyServer | None:
