Choose by estimates where a server that cannot be asked is much better

A probe opens no connection beyond the gateway's share of those that a server accepts, which is none where gateways are many. A gateway then asked only the servers to which earlier requests had opened connections, and kept to them.

If a server without a connection is expected to be better by more than half than the best one that was asked, the server is chosen by estimates.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/probe_testing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/probe_testing.py
@@ -61,6 +61,7 @@
     :param load: the load that callers generate.
     :param chooser: how servers are chosen.
     :param gateways: number of gateways.
+    :param opens_none: whether probes use only connections that requests have opened.
     :param seed: seed of the random numbers.
     """
 
@@ -71,8 +72,10 @@
         load: Load,
         chooser: Chooser,
         gateways: int = 12,
+        opens_none: bool = False,
         seed: int = 1,
     ) -> None:
+        self.opens_none = opens_none
         self._chooser = chooser
         self._seed = seed
         self.probes = 0
@@ -178,7 +181,10 @@
         return True
 
     def can_ask(self, server: ProxyServer) -> bool:
-        return True
+        return not self.lacks_connection(server)
+
+    def lacks_connection(self, server: ProxyServer) -> bool:
+        return self._simulation.opens_none and not server.is_measured
 
     async def ask(self, servers: Sequence[ProxyServer], *, until: float) -> list[ProxyServer]:
         simulation = self._simulation
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/probed_choice.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/probed_choice.py
@@ -5,7 +5,14 @@
 from typing import Protocol
 
 from lychee_gateway.proxy.servers import ProxyServer
-from lychee_policy.probes import MAX_ROUNDS, KnownLoad, is_good, rank, servers_to_probe
+from lychee_policy.probes import (
+    MAX_ROUNDS,
+    KnownLoad,
+    is_acceptable,
+    is_good,
+    rank,
+    servers_to_probe,
+)
 from lychee_types.clock import Clock
 from lychee_types.ids import DomainName, ServiceName
 
@@ -24,6 +31,10 @@
         """Return whether a server can be asked now."""
         ...
 
+    def lacks_connection(self, server: ProxyServer) -> bool:
+        """Return whether a server cannot be asked as there is no connection for that."""
+        ...
+
     async def ask(self, servers: Sequence[ProxyServer], *, until: float) -> list[ProxyServer]:
         """Ask servers at the same time, record their loads, and return those that have answered.
 
@@ -82,6 +93,8 @@
     ) -> list[ProxyServer]:
         """Return the servers whose load is known at this moment, the best one first.
 
+        Returns none if a server that cannot be asked is expected to be much better.
+
         :param servers: those that may get the request.
         :param delay_s: returns what a server is charged with besides its load, in seconds.
         """
@@ -103,6 +116,9 @@
             heard |= {server.run for server in answered}
         known = self._loads(by_run.values(), delay_s)
         ranked = rank([load for load in known if load.run in heard], rng=self._rng)
+        others = [server for server in servers if self._probing.lacks_connection(server)]
+        if ranked and not is_acceptable(ranked[0], self._loads(others, delay_s)):
+            return []
         return [by_run[load.run] for load in ranked]
 
     def _loads(
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/probing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/probing.py
@@ -140,6 +140,10 @@
             return False
         return server.run in self._pending or self._conns.is_available(server)
 
+    def lacks_connection(self, server: ProxyServer) -> bool:
+        """Return whether a server cannot be asked as there is no connection for that."""
+        return server.run not in self._pending and not self._conns.is_available(server)
+
     async def ask(self, servers: Sequence[ProxyServer], *, until: float) -> list[ProxyServer]:
         """Ask servers at the same time, record their loads, and return those that have answered.
 
--- a/packages/lychee-gateway/tests/test_probed_choice.py
+++ b/packages/lychee-gateway/tests/test_probed_choice.py
@@ -16,7 +16,7 @@
 SEEDS = (1, 2, 3)
 
 
-def simulate(chooser, per_s, *, seed=1, domains="d", seconds=SECONDS):
+def simulate(chooser, per_s, *, seed=1, domains="d", seconds=SECONDS, **options):
     servers = [
         Backend(
             slots=3,
@@ -28,7 +28,7 @@
     ]
     load = Load(per_s=per_s, service_time_s=0.223, spread=0.5, target_s=0.546, timeout_s=2.0)
     simulation = NoisySimulation(
-        backends=servers, load=load, chooser=chooser, gateways=6, seed=seed
+        backends=servers, load=load, chooser=chooser, gateways=6, seed=seed, **options
     )
     counts = simulation.run(seconds)
     total = sum(counts[name] for name in ("in_time", "late", "refused", "gone"))
@@ -46,6 +46,15 @@
     assert probes - estimates > 2 / 3 * (all_known - estimates)
 
 
+def test_probes_help_where_they_may_open_no_connection():
+    """Each gateway can ask only servers to which its requests have opened connections."""
+    estimates, probes = (
+        sum(simulate(chooser, 128.0, seed=seed, opens_none=True)[1]["in_time"] for seed in SEEDS)
+        for chooser in (Chooser.ESTIMATES, Chooser.PROBES)
+    )
+    assert (probes - estimates) / len(SEEDS) > 0.035
+
+
 def test_a_request_costs_few_probes():
     probes, shares = simulate(Chooser.PROBES, 200.0)
     assert probes < 3.0
--- a/packages/lychee-policy/src/lychee_policy/probes.py
+++ b/packages/lychee-policy/src/lychee_policy/probes.py
@@ -35,6 +35,9 @@
 GOOD_FACTOR = 1.15
 """Largest expected time of a server after which no others are asked, by that of the best one."""
 
+ACCEPTABLE_FACTOR = 1.5
+"""Largest expected time of the best server that was asked, by that of one that cannot be."""
+
 JITTER = 0.05
 """Maximum random increase of an expected time, as a share; spreads the gateways."""
 
@@ -118,6 +121,17 @@
     return best.expected_s <= GOOD_FACTOR * min(load.expected_s for load in loads)
 
 
+def is_acceptable(best: KnownLoad, others: Sequence[KnownLoad]) -> bool:
+    """Return whether the best server that was asked is not much worse than one that cannot be.
+
+    Otherwise a gateway that has connections to few servers would never use any others.
+
+    :param best: the best server whose load was heard.
+    :param others: what is known of the servers to which there is no connection to ask on.
+    """
+    return all(best.expected_s <= ACCEPTABLE_FACTOR * load.expected_s for load in others)
+
+
 def rank(loads: Sequence[KnownLoad], *, rng: Random) -> list[KnownLoad]:
     """Return servers whose load was heard, the best one first."""
     return sorted(loads, key=lambda load: load.expected_s * (1 + JITTER * rng.random()))
--- a/packages/lychee-policy/tests/test_probes.py
+++ b/packages/lychee-policy/tests/test_probes.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from lychee_policy.probes import MAX_PROBED, KnownLoad, is_good, rank, servers_to_probe
+from lychee_policy.probes import (
+    MAX_PROBED,
+    KnownLoad,
+    is_acceptable,
+    is_good,
+    rank,
+    servers_to_probe,
+)
 from lychee_types.ids import Incarnation, ServerId
 from lychee_types.registry import ServerIncarnation
 
@@ -81,6 +88,13 @@
     assert all(names(rank(loads, rng=Random(seed)))[0] == "better" for seed in range(20))
 
 
+def test_a_server_that_was_asked_is_not_used_where_one_that_cannot_be_is_much_better():
+    """A gateway with one connection would send everything there while others are idle."""
+    assert is_acceptable(load("a"), [])
+    assert is_acceptable(load("a", work_s=0.25), [load("b")])
+    assert not is_acceptable(load("a", occupied=6.0), [load("b"), load("c", occupied=6.0)])
+
+
 def test_no_more_servers_are_asked_once_one_is_almost_as_good_as_any():
     """Each further question costs bytes and up to 15 ms."""
     assert is_good(load("a"), [load("a"), load("b")])
