--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
-from math import exp
+from math import exp, inf
 
 from loguru import logger
 
@@ -42,6 +42,21 @@
 because it was full would stay full in the estimate.
 """
 
+SPEED_TOLD_S = 10.0
+"""Time after a reported speed in which a server is expected to report it again, in seconds."""
+
+USUAL_TIME_GAIN = 0.05
+"""The same as `SERVICE_TIME_GAIN` for the usual time of a server that reports its speed."""
+
+PRIOR_ANSWERS = 1
+"""Number of answers that the mean service time of a service counts for at one of its servers."""
+
+SPEED_DECAY_S = 0.3
+"""Time in which the weight of a reported speed decays to 1/e, in seconds.
+
+The speed of a VM changes several times a second.
+"""
+
 OTHER_GATEWAYS_SHARE = 0.6
 """Assumed load of each other gateway at a server, as a share of this gateway's own load there.
 
@@ -54,6 +69,9 @@
 QUEUE_PER_SLOT = 3
 """Requests per slot that may wait at a server; a server may reject what its queue cannot hold."""
 
+MAX_FULL_S = 1.0
+"""Maximum time for which a server counts as full without having said so, in seconds."""
+
 OVERDUE_FACTOR = 4.0
 """Multiple of the expected service time after which a pending request indicates a queue."""
 
@@ -73,10 +91,12 @@
 
     :param sent_at: monotonic time in seconds at which sending began.
     :param slowdown: expected response time as a multiple of the service time.
+    :param slowness: expected service time as a multiple of the usual one.
     """
 
     sent_at: float
     slowdown: float
+    slowness: float = 1.0
 
 
 class ProxyServer:
@@ -105,16 +125,21 @@
         self.pool = ServerPool(endpoint=record.endpoint, until_close=True)
         self.is_direct = True
         self.heard_at = 0.0
+        self.probed_at = -inf
+        self.full_until = -inf
         self._sent_at: dict[int, float] = {}
         self._last_number = 0
         self._is_unknown = service_time_s is None
         self.service_time_s = INITIAL_SERVICE_TIME_S if service_time_s is None else service_time_s
         self.is_measured = False
+        self._measured = 0
         self._answered_at = now
         self._estimated_at = now
         self._others_occupancy = 0.0
         self._occupancy_at = now - 10 * OCCUPANCY_DECAY_S
         self._has_occupancy = False
+        self._slowness = 1.0
+        self._speed_at = -inf
         self.leaving_since = leaving_since
         self._cold_until = now + record.cold_s
         self._failures = 0
@@ -169,7 +194,25 @@
 
     def expected_service_time_s(self, now: float) -> float:
         """Return the expected service time of a request, without queueing, in seconds."""
-        return self.service_time_s * (COLD_FACTOR if now < self._cold_until else 1.0)
+        usual_s = self.service_time_s * (COLD_FACTOR if now < self._cold_until else 1.0)
+        return usual_s if self._slowness == 1.0 else usual_s * self.slowness(now)
+
+    def slowness(self, now: float) -> float:
+        """Return how long work is expected to take at this moment, as a multiple of the usual time.
+
+        The last reported speed loses its weight with its age.
+        """
+        if self._slowness == 1.0:
+            return 1.0
+        return 1.0 + exp((self._speed_at - now) / SPEED_DECAY_S) * (self._slowness - 1.0)
+
+    def speed_age_s(self, now: float) -> float:
+        """Return the age of its last reported speed in seconds, infinite if it reported none."""
+        return now - self._speed_at
+
+    def tells_speed(self, now: float) -> bool:
+        """Return whether it has reported its speed lately."""
+        return now - self._speed_at < SPEED_TOLD_S
 
     def is_healthy(self, now: float) -> bool:
         """Return whether the server is not ejected because of repeated failures."""
@@ -185,7 +228,11 @@
         """Count a request as in flight inside the block."""
         self._last_number += 1
         number = self._last_number
-        in_flight = InFlightRequest(sent_at=now, slowdown=1 + self._queue_ahead(now) / self.slots)
+        in_flight = InFlightRequest(
+            sent_at=now,
+            slowdown=1 + self._queue_ahead(now) / self.slots,
+            slowness=self.slowness(now),
+        )
         self._sent_at[number] = now
         try:
             yield in_flight
@@ -205,9 +252,45 @@
         self._others_occupancy = known + gain * (others - known)
         self._occupancy_at = now
         self._has_occupancy = True
+        self._record_speed(occupancy.speed, now)
+        if self._reported_occupancy < occupancy.slots:
+            self.full_until = -inf
+
+    def record_probe(self, occupancy: Occupancy, *, asked_at: float, now: float) -> None:
+        """Record a load that was asked for; it replaces all estimates.
+
+        :param occupancy: the load.
+        :param asked_at: monotonic time in seconds at which it was asked for. Requests that were
+            sent later may not be counted in it.
+        :param now: monotonic time in seconds.
+        """
+        counted = sum(sent_at < asked_at for sent_at in self._sent_at.values())
+        self.probed_at = now
+        self.full_until = -inf
+        self._others_occupancy = max(0.0, occupancy.running + occupancy.waiting - counted)
+        self._occupancy_at = now
+        self._has_occupancy = True
+        self._record_speed(occupancy.speed, now)
+
+    def record_cold(self, remaining_s: float, now: float) -> None:
+        """Record the time for which the server has just said that it stays cold, in seconds."""
+        self._cold_until = now + remaining_s
+
+    def record_reset(self, now: float) -> None:
+        """Record that the server reset a connection: it may be full until its queue is served."""
+        queue_s = QUEUE_PER_SLOT * self.expected_service_time_s(now)
+        self.record_full(now, for_s=min(MAX_FULL_S, queue_s))
+
+    def record_full(self, now: float, *, for_s: float) -> None:
+        """Record a sign that the server's queue is full, which counts for a time in seconds."""
+        self.full_until = max(self.full_until, now + for_s)
+
+    def _record_speed(self, speed: float | None, now: float) -> None:
+        if speed is not None:
+            self._slowness, self._speed_at = 1.0 / speed, now
 
     def record_answer(self, in_flight: InFlightRequest, seconds: float) -> None:
-        """Record an answer, and update the mean service time.
+        """Record an answer, and update the mean service time at the usual speed.
 
         The service time is the response time divided by the slowdown expected when the request was
         sent, so that a server that always has a queue is measured too.
@@ -217,22 +300,42 @@
         """
         self._failures = 0
         self._ejected_until = 0.0
-        service_time_s = seconds / in_flight.slowdown
-        gain = 1.0 if self._is_unknown else SERVICE_TIME_GAIN
+        answered_at = in_flight.sent_at + seconds
+        # The speed changes while a request is worked on; the load of its answer is known by now.
+        slowness = (in_flight.slowness + self.slowness(answered_at)) / 2
+        work_s = seconds / in_flight.slowdown
+        service_time_s = work_s / slowness
+        gain = 1.0 if self._is_unknown else self._service_time_gain(answered_at)
         self.service_time_s += gain * (service_time_s - self.service_time_s)
         self.is_measured, self._is_unknown = True, False
-        self._answered_at = in_flight.sent_at + seconds
-        self._busy_s += service_time_s
+        self._measured += 1
+        self._answered_at = answered_at
+        self._busy_s += work_s
         self._answers += 1
 
-    def estimate_anew(self, fastest_s: float, now: float) -> None:
+    def _service_time_gain(self, now: float) -> float:
+        """Return the weight of a measurement of the service time.
+
+        The first ones count for more where the usual time is measured, which does not change.
+        """
+        if not self.tells_speed(now):
+            return SERVICE_TIME_GAIN
+        return max(USUAL_TIME_GAIN, 1 / (PRIOR_ANSWERS + 1 + self._measured))
+
+    def estimate_anew(self, fastest_s: float, mean_s: float, now: float) -> None:
         """Let the service time approach that of the fastest server while no answer measures it.
 
-        A server that is believed to be slow gets no requests, and only requests show its speed.
+        A server that is believed to be slow gets no requests, and only requests show its speed. A
+        server that tells its speed keeps its usual service time, or the mean one if it has none.
 
         :param fastest_s: mean service time of the fastest measured server, in seconds.
+        :param mean_s: mean service time of all measured servers, in seconds.
         :param now: monotonic time in seconds.
         """
+        if self.tells_speed(now):
+            if not self.is_measured:
+                self.service_time_s, self._is_unknown = mean_s, False
+            return
         since = max(self._answered_at + STALE_AFTER_S, self._estimated_at)
         self._estimated_at = now
         if not self.is_measured:
@@ -292,6 +395,11 @@
         self._by_service: dict[ServiceName, list[ProxyServer]] = {}
         self._unusable: frozenset[ServerIncarnation] = frozenset()
 
+    @property
+    def gateway_count(self) -> int:
+        """Approximate number of gateways."""
+        return self._gateway_count
+
     def set_gateway_count(self, count: int) -> None:
         """Set the approximate number of gateways."""
         self._gateway_count = max(1, count)
@@ -353,9 +461,9 @@
             measured_s = [server.service_time_s for server in servers if server.is_measured]
             if not measured_s:
                 continue
-            fastest_s = min(measured_s)
+            fastest_s, mean_s = min(measured_s), sum(measured_s) / len(measured_s)
             for server in servers:
-                server.estimate_anew(fastest_s, now)
+                server.estimate_anew(fastest_s, mean_s, now)
 
     def _mean_service_time_s(self, service: ServiceName) -> float | None:
         """Return the mean service time of a service's servers in seconds, None if none is known."""
