Use no old state just after a pause of the gateway's process

Cause: a gateway that had heard no current replica for apply_s counted as cut off and went on by its old state. One that had been paused (SIGSTOP, a suspended VM) has heard nobody either, so it sent what had arrived meanwhile by a state of any age, for example to servers that had left.

Change: silence counts from when the process runs again after a pause of more than 1.5 s, by the watch of the event loop. The state's age is checked again at each choice of a server and just before a request is sent, as the pause may come in between.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/age.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/age.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 
 from lychee_gateway.proxy.view import RoutedView
 from lychee_types.clock import Clock
@@ -20,18 +21,30 @@
     - No such replica has been heard: the group has no leader, and so nothing can change, or the
       gateway is cut off from it. Requests with a known route are still forwarded, so that callers
       do not depend on the control replicas. No request is denied for want of a route.
+    - The gateway has not run for that time, as its process was paused: whether it is cut off is not
+      known, and it is treated as one that has not caught up.
     - The state was never confirmed, as the gateway or all VMs have just started: it is used for
       as long as a change may take, and no longer.
 
     :param view: the gateway's copy of the replicated state.
     :param clock: source of time.
     :param apply_s: time within which a change must be in force, in seconds.
+    :param running_since: returns the monotonic time in seconds since which the process has run
+        without a pause.
     """
 
-    def __init__(self, *, view: RoutedView, clock: Clock, apply_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        view: RoutedView,
+        clock: Clock,
+        apply_s: float,
+        running_since: Callable[[], float] = lambda: -math.inf,
+    ) -> None:
         self._view = view
         self._clock = clock
         self._apply_s = apply_s
+        self._running_since = running_since
         self._confirmed_at: float | None = None
         self._heard_as_of: float | None = None
         self._installed_at: float | None = None
@@ -65,7 +78,7 @@
             return False
         if self._confirmed_at is None:
             return self._seconds_since(self._installed_at) <= self._apply_s
-        return self.is_current or self._seconds_since(self._heard_as_of) > self._apply_s
+        return self.is_current or self._silent_s() > self._apply_s
 
     def record_pulse(self, *, as_of: float, index: LogIndex) -> None:
         """Record that a replica's state was current.
@@ -96,5 +109,11 @@
         self._change.set()
         self._change = asyncio.Event()
 
+    def _silent_s(self) -> float:
+        """Return for how long the process has run and heard no current replica, in seconds."""
+        return min(
+            self._seconds_since(self._heard_as_of), self._seconds_since(self._running_since())
+        )
+
     def _seconds_since(self, moment: float | None) -> float:
         return math.inf if moment is None else self._clock.monotonic() - moment
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -135,6 +135,7 @@
     :param limits: rate limits of the servers.
     :param drain_s: time after which a leaving server must get no more requests, in seconds.
     :param clock: source of time.
+    :param is_usable: returns whether requests may be sent by the gateway's state.
     """
 
     def __init__(
@@ -145,12 +146,14 @@
         limits: ServerLimits,
         drain_s: float,
         clock: Clock,
+        is_usable: Callable[[], bool] = lambda: True,
     ) -> None:
         self._codec = codec
         self._paths = paths
         self._limits = limits
         self._last_send_s = drain_s * LAST_SEND_SHARE
         self._clock = clock
+        self._is_usable = is_usable
 
     async def send(
         self,
@@ -230,6 +233,9 @@
             return NotRun(reason="the time was up before it was sent", was_sent=False)
         if server.has_drained(self._clock.monotonic(), self._last_send_s):
             return NotRun(reason="the server left before it was sent", was_sent=False)
+        if not self._is_usable():
+            # The process was paused, or has fallen behind, since the server was selected.
+            return NotRun(reason="the state was outdated before it was sent", was_sent=False)
         head = self._codec.forward_request(
             exchange.head, server=server.run.server, remaining_s=remaining_s
         )
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -92,7 +92,13 @@
         self._clock = clock or SystemClock()
         self._session = SessionId(uuid4().hex)
         self._view = RoutedView()
-        self._age = StateAge(view=self._view, clock=self._clock, apply_s=cfg.bounds.apply_s)
+        self._loop_watch = LoopWatch(clock=self._clock)
+        self._age = StateAge(
+            view=self._view,
+            clock=self._clock,
+            apply_s=cfg.bounds.apply_s,
+            running_since=self._loop_watch.running_since,
+        )
         self._servers = ServerList(clock=self._clock, as_of=lambda: self._age.confirmed_at)
         self._loads = KeyLoads(clock=self._clock)
         self._metrics = ProxyMetrics(
@@ -118,7 +124,6 @@
             on_connection=self._metrics.count_connection,
             clock=self._clock,
         )
-        self._loop_watch = LoopWatch(clock=self._clock)
         self._carrier = self._make_carrier()
         self._limits = ServerLimits(
             on_attempt=self._metrics.count_limited_attempt,
@@ -146,6 +151,7 @@
                 limits=self._limits,
                 drain_s=cfg.bounds.drain_s,
                 clock=self._clock,
+                is_usable=lambda: self._age.is_usable,
             ),
             codec=codec,
             loads=self._loads,
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -241,6 +241,10 @@
     async def _select(self, routed: RoutedRequest) -> ProxyServer | NoServer:
         """Return the server for the next attempt, or why there is none."""
         stopping = NoServer(reason="this gateway stops", retry_after_s=STOPPING_RETRY_S)
+        if not self._age.is_usable:
+            await self._age.wait_until_usable(ROUTES_WAIT_S)
+        if not self._age.is_usable:
+            return NoServer(reason="the state is outdated", retry_after_s=NOT_READY_RETRY_S)
         try:
             async with self._stop.limit_wait():
                 found = await self._selector.select(routed)
--- a/packages/lychee-gateway/tests/test_age.py
+++ b/packages/lychee-gateway/tests/test_age.py
@@ -32,7 +32,13 @@
     def __init__(self):
         self.clock = ManualClock()
         self.view = RoutedView()
-        self.age = StateAge(view=self.view, clock=self.clock, apply_s=APPLY_S)
+        self.running_since = self.clock.now
+        self.age = StateAge(
+            view=self.view,
+            clock=self.clock,
+            apply_s=APPLY_S,
+            running_since=lambda: self.running_since,
+        )
 
     def install(self, index, version=1):
         image = RoutedImage(index=LogIndex(index), version=RoutingVersion(number=version))
@@ -78,6 +84,20 @@
     assert gateway.uses() == (False, False)
 
 
+def test_after_a_pause_an_old_state_is_not_used_until_the_gateway_has_listened_for_long_enough():
+    gateway = Gateway()
+    gateway.install(5)
+    gateway.hear(5)
+    gateway.clock.now += 60.0
+    gateway.running_since = gateway.clock.now
+    assert gateway.uses() == (False, False)
+    gateway.clock.now += APPLY_S + 0.1
+    assert gateway.uses() == (True, False)
+    gateway.running_since = gateway.clock.now
+    gateway.hear(5)
+    assert gateway.uses() == (True, True)
+
+
 @pytest.mark.parametrize(("waited_s", "is_usable"), [(0.0, True), (APPLY_S + 0.1, False)])
 def test_a_state_that_was_never_confirmed_is_used_for_a_short_time_only(waited_s, is_usable):
     gateway = Gateway()
--- a/packages/lychee-gateway/tests/test_ready_answers.py
+++ b/packages/lychee-gateway/tests/test_ready_answers.py
@@ -7,7 +7,7 @@
 import pytest
 import uvloop
 
-from lychee_gateway.proxy.attempts import Body, PassedOn, Sender, TooLate, WholeAnswer
+from lychee_gateway.proxy.attempts import Body, NotRun, PassedOn, Sender, TooLate, WholeAnswer
 from lychee_gateway.proxy.codec import ResponseInfo
 from lychee_gateway.proxy.held import HeldAnswers
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
@@ -62,7 +62,7 @@
         pass
 
 
-async def attempt(*, answer):
+async def attempt(*, answer, is_usable=True):
     """Return the result of an attempt, and the body that was streamed to its caller."""
     clock, exchange = SystemClock(), Exchange()
     with socket.create_server(("127.0.0.1", 0)) as listener:
@@ -90,6 +90,7 @@
             limits=make_limits(clock),
             drain_s=2.0,
             clock=clock,
+            is_usable=lambda: is_usable,
         )
         with HeldAnswers().track(conn=exchange, route="r") as held:
             result = await sender.send(
@@ -128,3 +129,9 @@
 def test_an_answer_that_is_not_whole_at_the_deadline_is_too_late(run, answer):
     result, _ = run(attempt(answer=answer))
     assert result == TooLate()
+
+
+def test_nothing_is_sent_by_a_state_that_has_become_outdated_since_the_server_was_selected():
+    # A gateway that was paused meanwhile may not know that the server has left.
+    result, _ = asyncio.run(attempt(answer=response(3), is_usable=False))
+    assert isinstance(result, NotRun) and not result.was_sent
--- a/packages/lychee-http/src/lychee_http/lateness.py
+++ b/packages/lychee-http/src/lychee_http/lateness.py
@@ -16,6 +16,12 @@
 MAX_LATE_S = 0.1
 """Delay of a tick above which bytes may have waited for longer than matters, in seconds."""
 
+MIN_PAUSE_S = 1.5
+"""Delay of a tick above which the process counts as paused, in seconds.
+
+Shorter delays leave nothing outdated that is confirmed several times a second and used for 2 s.
+"""
+
 LAST_DATA_RECEIVED = struct.Struct("52xI")
 """The beginning of the system's ``tcp_info``, up to the time since bytes came, in milliseconds."""
 
@@ -34,6 +40,7 @@
         self._ticked_at = clock.monotonic()
         self._ticked_before = self._ticked_at
         self._was_late = False
+        self._running_since = self._ticked_at
 
     async def run(self) -> None:
         """Watch the event loop until cancelled."""
@@ -47,6 +54,8 @@
         """Record that the event loop has taken another turn."""
         now = self._clock.monotonic()
         self._was_late = self._is_overdue(now)
+        if self._is_paused(now):
+            self._running_since = now
         self._ticked_before = self._ticked_at
         self._ticked_at = now
 
@@ -62,6 +71,15 @@
         """
         return self._ticked_before
 
+    def running_since(self) -> float:
+        """Return the monotonic time in seconds since which the process was not paused."""
+        # What waited with the tick may ask before it.
+        now = self._clock.monotonic()
+        return now if self._is_paused(now) else self._running_since
+
+    def _is_paused(self, now: float) -> bool:
+        return now - self._ticked_at > MIN_PAUSE_S
+
     def _is_overdue(self, now: float) -> bool:
         return now - self._ticked_at > TICK_S + MAX_LATE_S
 
--- a/packages/lychee-http/tests/test_lateness.py
+++ b/packages/lychee-http/tests/test_lateness.py
@@ -9,7 +9,7 @@
 from contextlib import asynccontextmanager
 
 from lychee_http import TcpStream
-from lychee_http.lateness import TICK_S, LoopWatch, since_data_s
+from lychee_http.lateness import MIN_PAUSE_S, TICK_S, LoopWatch, since_data_s
 from lychee_http.tcp import EARLIER_SPREAD_S, READ_SIZE_BYTES, RECEIPT_CLOCK
 
 from .test_pipelining import run
@@ -52,6 +52,23 @@
     assert not watch.is_late()
 
 
+def test_the_process_runs_since_its_last_pause_which_is_known_before_the_first_tick():
+    clock = SetClock()
+    watch = LoopWatch(clock=clock)
+    began_at = clock.now
+    clock.now += MIN_PAUSE_S
+    watch.tick()
+    assert watch.running_since() == began_at
+    clock.now += MIN_PAUSE_S + 0.1
+    assert watch.running_since() == clock.now
+    watch.tick()
+    resumed_at = clock.now
+    for _ in range(30):
+        clock.now += TICK_S
+        watch.tick()
+    assert watch.running_since() == resumed_at
+
+
 def test_what_is_unread_came_after_the_last_tick_but_one():
     clock = SetClock()
     watch = LoopWatch(clock=clock)
