Carry no request to a server that may have left meanwhile

Cause: a gateway that carries another one's connection sent on whatever it read. If it was paused, a request reached its server long after the asking gateway had given it up, also where the server had left.

Before: test_a_request_that_may_not_reach_its_server_any_more_is_not_carried fails in both cases, each with its half of the condition taken out.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -48,6 +48,12 @@
 MIN_WAIT_S = 0.1
 """Least time that is taken off the time that a carried request has left, in seconds."""
 
+MAX_WAIT_S = 2.0
+"""Time after which a request that waited here is not sent any more, in seconds.
+
+A gateway that was paused for longer may not know yet that the server has left.
+"""
+
 _ENCODER = Encoder()
 _REQUEST_DECODER: Decoder[CarryRequest] = Decoder(CarryRequest)
 
@@ -73,6 +79,7 @@
     :param is_late: returns whether bytes that are read now may have waited in the system's buffer.
     :param take_off: returns the first bytes of a request with less time left, by seconds, and as
         many bytes.
+    :param may_send: returns whether a request may be sent to a server now.
     :param on_request: called with the outcome of each request.
     :param on_bytes: called with the number of bytes that were carried, in either direction.
     """
@@ -87,11 +94,13 @@
         on_bytes: Callable[[int], None],
         is_late: Callable[[], bool] = lambda: False,
         take_off: Callable[[bytes, float], bytes] = lambda data, waited_s: data,
+        may_send: Callable[[ProxyServer], bool] = lambda server: True,
     ) -> None:
         self._servers = servers
         self._connect = connect
         self._is_late = is_late
         self._take_off = take_off
+        self._may_send = may_send
         self._on_request = on_request
         self._on_bytes = on_bytes
         self._listener = Listener(endpoint=endpoint, accept=self._accept)
@@ -136,7 +145,7 @@
 
     async def _serve(self, stream: TcpStream) -> None:
         try:
-            conn = await self._open(stream)
+            server, conn = await self._open(stream)
         except _RefusedError as exc:
             await self._refuse(stream, exc.reply)
             return
@@ -151,14 +160,14 @@
             self._unused[stream] = None
             if self._is_leaving:
                 stream.write(LENGTH.pack(LEAVING))
-            await self._carry(stream, conn.stream)
+            await self._carry(stream, conn.stream, server)
         finally:
             self._waiting.discard(stream)
             self._unused.pop(stream, None)
             conn.close()
             stream.abort()
 
-    async def _open(self, stream: TcpStream) -> ServerConnection:
+    async def _open(self, stream: TcpStream) -> tuple[ProxyServer, ServerConnection]:
         async with asyncio.timeout(REQUEST_TIMEOUT_S):
             request = _REQUEST_DECODER.decode(await _read_frame(stream))
         server = self._servers.find(request.run)
@@ -173,7 +182,7 @@
         if len(self._tasks) > MAX_OPEN or len(self._waiting) >= MAX_WAITING:
             raise _refused_error("this gateway has no room", retry_after_s=FULL_RETRY_S)
         try:
-            return await self._connect(server, request.timeout_ms / 1_000)
+            return server, await self._connect(server, request.timeout_ms / 1_000)
         except NotReachedError as exc:
             raise _refused_error(
                 "the server accepts no connection",
@@ -199,12 +208,12 @@
         await _wait_until_delivered(stream)
         stream.abort()
 
-    async def _carry(self, caller: TcpStream, server: TcpStream) -> None:
+    async def _carry(self, caller: TcpStream, server: TcpStream, target: ProxyServer) -> None:
         # The server takes the close as the end of the request, as from a caller of its own.
         caller.on_disconnect = server.abort
         if caller.eof:
             return
-        up = asyncio.ensure_future(self._carry_up(caller, server))
+        up = asyncio.ensure_future(self._carry_up(caller, server, target))
         try:
             await self._carry_down(server, caller)
         except ConnectionError as exc:
@@ -214,12 +223,16 @@
             with suppress(asyncio.CancelledError):
                 await up
 
-    async def _carry_up(self, caller: TcpStream, server: TcpStream) -> None:
+    async def _carry_up(self, caller: TcpStream, server: TcpStream, target: ProxyServer) -> None:
         try:
             while chunks := await caller.read_chunks():
                 data = b"".join(chunk.data for chunk in chunks)
                 if caller not in self._waiting:
-                    data = self._without_wait(data, chunks[0].received_at)
+                    waited_s = RECEIPT_CLOCK.monotonic() - chunks[0].received_at
+                    if waited_s > MAX_WAIT_S or not self._may_send(target):
+                        self._drop(caller, server, waited_s)
+                        return
+                    data = self._without_wait(data, waited_s)
                 self._waiting.add(caller)
                 self._unused.pop(caller, None)
                 self._on_bytes(len(data))
@@ -229,9 +242,17 @@
             # The other direction delivers what the server has sent until then.
             logger.debug("a server has ended a carried connection: {!r}", exc)
 
-    def _without_wait(self, data: bytes, received_at: float) -> bytes:
+    def _drop(self, caller: TcpStream, server: TcpStream, waited_s: float) -> None:
+        """End a connection without sending the request that came on it."""
+        logger.bind(event="carried_request_dropped", waited_ms=round(waited_s * 1_000)).info(
+            "a carried request came too late for its server"
+        )
+        self._on_request("dropped")
+        caller.abort()
+        server.abort()
+
+    def _without_wait(self, data: bytes, waited_s: float) -> bytes:
         """Return the first bytes of a request without the time that they waited here."""
-        waited_s = RECEIPT_CLOCK.monotonic() - received_at
         return data if waited_s < MIN_WAIT_S else self._take_off(data, waited_s)
 
     async def _carry_down(self, server: TcpStream, caller: TcpStream) -> None:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -10,7 +10,7 @@
 from msgspec import Struct
 
 from lychee_gateway.proxy.age import StateAge
-from lychee_gateway.proxy.attempts import Sender
+from lychee_gateway.proxy.attempts import LAST_SEND_SHARE, Sender
 from lychee_gateway.proxy.carrier import Carrier
 from lychee_gateway.proxy.codec import ProxyCodec, Rejection
 from lychee_gateway.proxy.crashes import CrashGuard
@@ -23,7 +23,7 @@
 from lychee_gateway.proxy.peers import Peers
 from lychee_gateway.proxy.placing import ServerSelector
 from lychee_gateway.proxy.retries import RetryBudgets
-from lychee_gateway.proxy.servers import ServerList
+from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_gateway.proxy.stopping import StopSchedule
 from lychee_gateway.proxy.subscription import Subscription
 from lychee_gateway.proxy.view import RoutedView
@@ -257,10 +257,15 @@
             connect=self._paths.connect,
             is_late=self._loop_watch.is_late,
             take_off=lambda data, waited_s: self._codec.take_off(data, waited_s=waited_s),
+            may_send=self._may_carry,
             on_request=self._metrics.count_carry_request,
             on_bytes=self._metrics.count_carried_bytes,
         )
 
+    def _may_carry(self, server: ProxyServer) -> bool:
+        last_send_s = self._cfg.bounds.drain_s * LAST_SEND_SHARE
+        return not server.has_drained(self._clock.monotonic(), last_send_s)
+
     def _spawn_path_work(self, work: Coroutine[Any, Any, None], name: str) -> None:
         self.spawn(work, name=name)
 
--- a/packages/lychee-gateway/tests/test_carrying.py
+++ b/packages/lychee-gateway/tests/test_carrying.py
@@ -82,10 +82,12 @@
         self.server = server
         self.address = free_endpoint()
         self.outcomes = []
+        self.may_send = True
         self.carrier = Carrier(
             endpoint=self.address,
             servers=list_servers(server.endpoint),
             connect=lambda server, timeout_s: server.pool.connect(timeout_s=timeout_s),
+            may_send=lambda server: self.may_send,
             on_request=self.outcomes.append,
             on_bytes=lambda size: None,
         )
@@ -318,3 +320,32 @@
         await use(third)
 
     play(behave, scenario)
+
+
+@pytest.mark.parametrize("is_late", [True, False], ids=["waited too long", "server has left"])
+def test_a_request_that_may_not_reach_its_server_any_more_is_not_carried(is_late, monkeypatch):
+    # A gateway that was paused read what was sent to a server of an evacuated domain before.
+    received = []
+
+    async def note(reader, writer):
+        while data := await reader.read(1_000):
+            received.append(data)
+            writer.write(ANSWER)
+
+    async def scenario(setup):
+        conn = await setup.open()
+        conn.send(GET, b"")
+        assert (await conn.read_head()).status == 200
+        await read_body(conn)
+        assert conn.end_exchange()
+        if is_late:
+            monkeypatch.setattr(carrier_module, "MAX_WAIT_S", -1.0)
+        else:
+            setup.may_send = False
+        conn.send(GET, b"")
+        with pytest.raises((ServerResponseError, ConnectionError)):
+            await conn.read_head()
+        await setup.server.ended.wait()
+        assert setup.outcomes == ["carried", "dropped"] and len(received) == 1
+
+    play(note, scenario)
