Add evacuated failure domains to the replicated state

Cause: operators need to stop all requests to a failure domain; there was no command for it.

Change: the command EvacuateDomain and a field of the image, empty by default, so that versions without it read images and commands as long as nothing is evacuated. A server is leaving if its record says so or its domain is evacuated. Settings of control replicas may name the domains.

--- a/packages/lychee-ranges/src/lychee_ranges/state.py
+++ b/packages/lychee-ranges/src/lychee_ranges/state.py
@@ -5,7 +5,7 @@
 from lychee_ranges.checks import find_fault
 from lychee_ranges.patching import apply_patch
 from lychee_ranges.table import KeyTable
-from lychee_types.ids import LogIndex, ServerId, ServiceName, Token
+from lychee_types.ids import DomainName, LogIndex, ServerId, ServiceName, Token
 from lychee_types.registry import (
     AcceptedChange,
     KeyRange,
@@ -17,6 +17,7 @@
 from lychee_types.registry_commands import (
     Applied,
     ChangeRouting,
+    EvacuateDomain,
     Obsolete,
     RegisterServer,
     RemoveServer,
@@ -56,6 +57,7 @@
             change.number: change for change in image.accepted
         }
         self._ended_incarnations: dict[ServerIncarnation, None] = dict.fromkeys(image.ended)
+        self.evacuated: set[DomainName] = set(image.evacuated)
 
     @property
     def routing(self) -> Routing:
@@ -74,6 +76,7 @@
                 for name in sorted(self.tables)
             ),
             ended=tuple(self._ended_incarnations),
+            evacuated=tuple(sorted(self.evacuated)),
         )
 
     def apply(self, index: LogIndex, command: RoutedCommand) -> RoutedOutcome:
@@ -92,6 +95,12 @@
                 return self._remove_server(run)
             case SetRanges():
                 return self._set_ranges(index, command)
+            case EvacuateDomain():
+                return self._evacuate(command)
+
+    def is_leaving(self, server: RegisteredServer) -> bool:
+        """Return whether a server gets no new requests: it leaves, or its domain is evacuated."""
+        return server.is_leaving or server.domain in self.evacuated
 
     def was_accepted(self, number: int, digest: bytes) -> bool:
         """Return whether exactly this change was accepted before.
@@ -165,6 +174,13 @@
         table.put(_with_token(key_range, token) for key_range in command.ranges)
         return Applied()
 
+    def _evacuate(self, command: EvacuateDomain) -> RoutedOutcome:
+        if command.is_evacuated:
+            self.evacuated.add(command.domain)
+        else:
+            self.evacuated.discard(command.domain)
+        return Applied()
+
 
 def _with_token(key_range: KeyRange, token: Token) -> KeyRange:
     if key_range.owner is not None and key_range.token == 0:
--- a/packages/lychee-ranges/tests/test_state.py
+++ b/packages/lychee-ranges/tests/test_state.py
@@ -15,6 +15,7 @@
 from lychee_types.registry_commands import (
     Applied,
     ChangeRouting,
+    EvacuateDomain,
     Obsolete,
     RegisterServer,
     RemoveServer,
@@ -204,6 +205,28 @@
     log.apply(RemoveServer(run=server("x").run))
     granting = KeyRange(low=3, high=9, owner=server().run, phase=GrantPhase.GRANTING)
     log.apply(SetRanges(service=ServiceName("k"), ranges=(granting,)))
+    log.apply(evacuate("syd"))
     copy = RoutedState(image=log.state.image())
     assert copy.image() == log.state.image()
     assert copy.was_accepted(4, b"d")
+
+
+def evacuate(domain, is_evacuated=True):
+    return EvacuateDomain(domain=DomainName(domain), is_evacuated=is_evacuated)
+
+
+def test_the_last_committed_order_on_a_domain_wins_also_if_it_is_repeated(log):
+    for is_evacuated in (True, True, False, False, True, False, True):
+        assert log.apply(evacuate("nord", is_evacuated)) == Applied()
+        assert log.state.evacuated == ({"nord"} if is_evacuated else set())
+
+
+def test_servers_of_an_evacuated_domain_are_leaving_whenever_they_register(log):
+    log.apply(RegisterServer(server=server("before", port=1)))
+    log.apply(evacuate("nord"))
+    log.apply(RegisterServer(server=server("after", port=2)))
+    log.apply(RegisterServer(server=server("other", port=3, domain=DomainName("syd"))))
+    leaving = {n: log.state.is_leaving(s) for n, s in log.state.servers.items()}
+    assert leaving == {"before": True, "after": True, "other": False}
+    log.apply(evacuate("nord", False))
+    assert not any(log.state.is_leaving(s) for s in log.state.servers.values())
--- a/packages/lychee-types/src/lychee_types/registry.py
+++ b/packages/lychee-types/src/lychee_types/registry.py
@@ -139,6 +139,7 @@
     :param tables: ranges of keyed services in order of name.
     :param ended: server incarnations that have been removed, oldest first; their late
         heartbeats are ignored.
+    :param evacuated: failure domains whose servers get no requests, in order of name.
     """
 
     index: LogIndex = LogIndex(0)
@@ -147,3 +148,4 @@
     servers: tuple[RegisteredServer, ...] = ()
     tables: tuple[RangeTable, ...] = ()
     ended: tuple[ServerIncarnation, ...] = ()
+    evacuated: tuple[DomainName, ...] = ()
--- a/packages/lychee-types/src/lychee_types/registry_commands.py
+++ b/packages/lychee-types/src/lychee_types/registry_commands.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 from msgspec.msgpack import Decoder, Encoder
 
-from lychee_types.ids import ServiceName
+from lychee_types.ids import DomainName, ServiceName
 from lychee_types.registry import KeyRange, RegisteredServer, ServerIncarnation
 from lychee_types.routing import Routing, RoutingPatch
 
@@ -56,7 +56,21 @@
     ranges: tuple[KeyRange, ...]
 
 
-RoutedCommand = ChangeRouting | RegisterServer | RemoveServer | SetRanges
+class EvacuateDomain(Struct, frozen=True, kw_only=True, tag=True):
+    """Start or end the evacuation of a failure domain; a repetition changes nothing.
+
+    Replicas and gateways of versions without this command can't read it; it is written only when an
+    operator orders an evacuation.
+
+    :param domain: the failure domain.
+    :param is_evacuated: whether its servers get no requests from now on.
+    """
+
+    domain: DomainName
+    is_evacuated: bool
+
+
+RoutedCommand = ChangeRouting | RegisterServer | RemoveServer | SetRanges | EvacuateDomain
 
 
 class Applied(Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/lychee-types/src/lychee_types/routed_settings.py
+++ b/packages/lychee-types/src/lychee_types/routed_settings.py
@@ -56,6 +56,7 @@
     :param timing: timing parameters of the replicated log.
     :param metrics: IP address and port at which metrics are fetched, None for no metrics.
     :param log: logging.
+    :param domains: the failure domains that can be evacuated; if empty, any name is accepted.
     """
 
     id: str
@@ -71,6 +72,7 @@
     timing: Timing = ROUTED_TIMING
     metrics: str | None = None
     log: LogSettings = LogSettings()
+    domains: tuple[DomainName, ...] = ()
 
     @property
     def endpoint(self) -> Endpoint:
