Let the leader commit evacuations, and move keys out of evacuated domains

The range manager gives keys to no server of an evacuated domain, and moves those that are there like those of a leaving server.

--- a/packages/lychee-control/src/lychee_control/registry/__init__.py
+++ b/packages/lychee-control/src/lychee_control/registry/__init__.py
@@ -20,6 +20,8 @@
     ChangeOrder,
     Conflict,
     CurrentRouting,
+    EvacuationOrder,
+    EvacuationSet,
     GrantedKeys,
     Heard,
     Heartbeat,
@@ -29,6 +31,7 @@
     Refused,
     Unavailable,
     UnknownCall,
+    UnknownDomain,
 )
 
 __all__ = [
@@ -39,6 +42,8 @@
     "ChangeOrder",
     "Conflict",
     "CurrentRouting",
+    "EvacuationOrder",
+    "EvacuationSet",
     "GrantAccepted",
     "GrantCodec",
     "GrantStale",
@@ -57,5 +62,6 @@
     "Unavailable",
     "CallFailed",
     "UnknownCall",
+    "UnknownDomain",
     "EncodedCall",
 ]
--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -36,11 +36,9 @@
     ApiCodec,
     ApiReply,
     BadOrder,
-    ChangeOrder,
     Heartbeat,
-    Leave,
+    LeaderCall,
     NotLeader,
-    ReadOrder,
     Refused,
     Unavailable,
     UnknownCall,
@@ -222,6 +220,7 @@
             sent_bytes=lambda: self._link_service.codec.sent_bytes,
             limits=lambda: len(self._limits),
             servers=lambda: len(self._machine.state.servers),
+            evacuated=lambda: len(self._machine.state.evacuated),
             ranges=lambda: sum(len(t.ranges) for t in self._machine.state.tables.values()),
         )
         self._metrics_page = None
@@ -319,7 +318,7 @@
         fault = heartbeat_fault(call) if isinstance(call, Heartbeat) else None
         return call if fault is None else BadOrder(reason=fault)
 
-    async def _reply_to(self, call: Heartbeat | Leave | ChangeOrder | ReadOrder) -> ApiReply:
+    async def _reply_to(self, call: LeaderCall) -> ApiReply:
         deadline = self._clock.monotonic() + LEADER_WAIT_S
         while self._clock.monotonic() < deadline:
             if self._leader is not None:
--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -13,6 +13,7 @@
 from lychee_control.registry.calls import GrantCodec
 from lychee_control.registry.crashes import CrashBoard
 from lychee_control.registry.delivery import GrantDelivery, LeaderTerm
+from lychee_control.registry.evacuations import EvacuationDesk
 from lychee_control.registry.gateways import GatewayBoard
 from lychee_control.registry.heartbeat_delivery import HeartbeatDelivery
 from lychee_control.registry.heartbeats import HeartbeatTracker
@@ -23,8 +24,10 @@
     ChangeOrder,
     Conflict,
     CurrentRouting,
+    EvacuationOrder,
     Heard,
     Heartbeat,
+    LeaderCall,
     Leave,
     ReadOrder,
     Refused,
@@ -122,6 +125,7 @@
         self._limits = limits
         self._permits = PermitDesk(board=limits, clock=clock)
         self._crashes = crashes
+        self._evacuations = EvacuationDesk(state=state, domains=cfg.domains, propose=self.propose)
         self._gateways = gateways
         self._is_batch_due = False
         self._spread = spread
@@ -198,7 +202,7 @@
                 return self._permits.answer(note, holds_lease=self._term.holds_lease)
         return None
 
-    async def answer(self, call: Heartbeat | Leave | ChangeOrder | ReadOrder) -> ApiReply:
+    async def answer(self, call: LeaderCall) -> ApiReply:
         """Answer a call of a server or an operator."""
         match call:
             case Heartbeat():
@@ -209,6 +213,8 @@
                 return await self._change_routing(call)
             case ReadOrder():
                 return self._read_routing()
+            case EvacuationOrder():
+                return await self._evacuations.answer(call)
 
     async def _handle_heartbeat(self, heartbeat: Heartbeat) -> ApiReply:
         server = heartbeat.server
--- a/packages/lychee-control/src/lychee_control/registry/metrics.py
+++ b/packages/lychee-control/src/lychee_control/registry/metrics.py
@@ -17,6 +17,7 @@
         answers to other replicas.
     :param limits: returns how many servers have named a rate limit.
     :param servers: returns how many servers are registered.
+    :param evacuated: returns how many failure domains are evacuated.
     :param ranges: returns how many key ranges there are.
     """
 
@@ -31,6 +32,7 @@
         sent_bytes: Callable[[], float],
         limits: Callable[[], float],
         servers: Callable[[], float],
+        evacuated: Callable[[], float],
         ranges: Callable[[], float],
     ) -> None:
         page = PrometheusMetrics(prefix="lychee_control")
@@ -43,6 +45,7 @@
         page.gauge("sent_bytes", "Bytes encoded for gateways and other replicas.", sent_bytes)
         page.gauge("server_limits", "Servers that have named a rate limit.", limits)
         page.gauge("servers", "Registered servers.", servers)
+        page.gauge("evacuated_domains", "Failure domains that are evacuated.", evacuated)
         page.gauge("key_ranges", "Key ranges of all services.", ranges)
         self._calls = page.counter("calls", "Calls of servers and operators.", "call", "reply")
         self._latency = page.latency("call", "From head to answer.", "call")
--- a/packages/lychee-control/src/lychee_control/registry/orders.py
+++ b/packages/lychee-control/src/lychee_control/registry/orders.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from lychee_http import RequestHead, ResponseHead
-from lychee_types.ids import ServerId
+from lychee_types.ids import DomainName, ServerId
 from lychee_types.records import Endpoint
 from lychee_types.registry import HeldKeys, KeyRange, RegisteredServer, ReleasedKeys
 from lychee_types.routing import Routing, RoutingPatch, RoutingVersion
@@ -58,6 +58,18 @@
     """An operator reads the routing configuration in force."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EvacuationOrder:
+    """An operator starts or ends the evacuation of a failure domain.
+
+    :param domain: the failure domain.
+    :param is_evacuated: whether its servers are to get no requests.
+    """
+
+    domain: DomainName
+    is_evacuated: bool
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BadOrder:
     """A call that cannot be decoded.
@@ -85,7 +97,10 @@
     hold_s: float
 
 
-ApiCall = Heartbeat | Leave | ChangeOrder | ReadOrder | BadOrder | UnknownCall
+LeaderCall = Heartbeat | Leave | ChangeOrder | ReadOrder | EvacuationOrder
+"""A decoded call that only the leader answers."""
+
+ApiCall = LeaderCall | BadOrder | UnknownCall
 """A decoded call."""
 
 
@@ -121,6 +136,28 @@
     version: RoutingVersion
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EvacuationSet:
+    """The order to start or end an evacuation is committed.
+
+    :param domain: the failure domain.
+    :param is_evacuated: whether its servers get no requests.
+    """
+
+    domain: DomainName
+    is_evacuated: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UnknownDomain:
+    """The call names a failure domain that the deployment does not have, and changed nothing.
+
+    :param domain: the name.
+    """
+
+    domain: DomainName
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Conflict:
     """The change is based on a version that is not in force.
@@ -161,7 +198,17 @@
     reason: str
 
 
-ApiReply = Heard | Accepted | CurrentRouting | Conflict | Refused | NotLeader | Unavailable
+ApiReply = (
+    Heard
+    | Accepted
+    | CurrentRouting
+    | EvacuationSet
+    | UnknownDomain
+    | Conflict
+    | Refused
+    | NotLeader
+    | Unavailable
+)
 """The reply to a call."""
 
 
--- a/packages/lychee-control/src/lychee_control/registry/range_manager.py
+++ b/packages/lychee-control/src/lychee_control/registry/range_manager.py
@@ -161,7 +161,7 @@
             server
             for server in self._state.servers.values()
             if server.service == self._service
-            and not server.is_leaving
+            and not self._state.is_leaving(server)
             and server_fault(server) is None
             and not self._is_lost(server.run, now)
         ]
@@ -191,7 +191,7 @@
     def _can_own(self, incarnation: ServerIncarnation) -> bool:
         """Return whether an incarnation is registered, ready and not lost, and stays."""
         server = self._state.servers.get(incarnation.server)
-        if server is None or server.run != incarnation or server.is_leaving:
+        if server is None or server.run != incarnation or self._state.is_leaving(server):
             return False
         if self._is_lost(incarnation, self._clock.monotonic()):
             return False
