Send nothing to servers of evacuated failure domains

Change: a gateway treats them like leaving servers: no requests without a key at once, requests with one until the drain time is nearly over, counted from when its state may have missed the order. When the evacuation ends they are usable again, with their connections; ProxyServer.assume_cold is told. A server whose record is removed or replaced counts as leaving, as a request may still wait for a connection to it. Log event evacuation, gauge evacuated_domains, a row in the dump.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -14,6 +14,7 @@
 from lychee_gateway.proxy.carrier import Carrier
 from lychee_gateway.proxy.codec import ProxyCodec, Rejection
 from lychee_gateway.proxy.crashes import CrashGuard
+from lychee_gateway.proxy.evacuations import EvacuationLog
 from lychee_gateway.proxy.forwarding import Forwarder
 from lychee_gateway.proxy.idle import IdleLimit
 from lychee_gateway.proxy.limits import ServerLimits
@@ -56,6 +57,7 @@
     :param index: log index of its state.
     :param routes: version number of the active routing configuration.
     :param servers: number of registered servers.
+    :param evacuated: the failure domains that are evacuated.
     :param callers: number of open connections from callers.
     """
 
@@ -65,6 +67,7 @@
     index: LogIndex
     routes: int
     servers: int
+    evacuated: tuple[DomainName, ...]
     callers: int
 
 
@@ -110,6 +113,7 @@
             silence_s=lambda: self._clock.monotonic() - self._subscription.last_message_at,
             unreached=lambda: len(self._paths),
             carried=lambda: len(self._carrier) if self._carrier is not None else 0,
+            evacuated=lambda: len(self._view.state.evacuated),
         )
         self._tally = RequestTally(on_end=self._metrics.count_end)
         self._metrics.show_tally(self._tally)
@@ -169,6 +173,7 @@
         self._view.add_listener(self._forget_departed_servers)
         self._view.add_listener(self._paths.sync)
         self._view.add_listener(self._selector.state_changed)
+        self._view.add_listener(EvacuationLog(view=self._view).update)
         self._subscription = Subscription(
             cfg=cfg,
             session=self._session,
@@ -231,6 +236,7 @@
                 index=state.index,
                 routes=state.version.number,
                 servers=len(state.servers),
+                evacuated=tuple(sorted(state.evacuated)),
                 callers=len(self._conns),
             )
         )
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -20,6 +20,7 @@
     :param silence_s: returns the time since the last message of a control replica, in seconds.
     :param unreached: returns how many servers this gateway does not reach directly.
     :param carried: returns how many connections it carries for other gateways.
+    :param evacuated: returns how many failure domains are evacuated.
     """
 
     def __init__(
@@ -33,6 +34,7 @@
         silence_s: Callable[[], float],
         unreached: Callable[[], float],
         carried: Callable[[], float],
+        evacuated: Callable[[], float],
     ) -> None:
         page = PrometheusMetrics(prefix="lychee_gateway")
         self._page = page
@@ -43,6 +45,7 @@
         page.gauge("server_limits", "Servers that have named a rate limit.", limits)
         page.gauge("servers_unreached", "Servers that are not reached directly.", unreached)
         page.gauge("carried", "Connections carried for other gateways.", carried)
+        page.gauge("evacuated_domains", "Failure domains that are evacuated.", evacuated)
         page.gauge("requests_under_way", "Requests without a final answer.", under_way)
         page.gauge("monotonic_seconds", "The process's monotonic clock.", monotonic)
         self._subscriptions = page.counter(
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -178,7 +178,7 @@
         best: ProxyServer | None = None
         best_score = 0.0
         for server in self._servers.for_service(request.service):
-            if server.record.is_leaving or server.run in request.tried or server.run in skip:
+            if server.is_leaving or server.run in request.tried or server.run in skip:
                 continue
             score = self._score(server, now)
             if request.is_suspect:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -133,16 +133,30 @@
         """Number of requests that the server works on at once."""
         return max(1, self.record.slots)
 
-    def update(self, record: RegisteredServer, *, as_of: float) -> None:
-        """Replace the registration of the same incarnation.
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the server leaves, or its failure domain is evacuated."""
+        return self.leaving_since is not None
+
+    def leave(self, as_of: float) -> None:
+        """Record that the server may be allowed to leave.
 
-        :param record: the registration.
-        :param as_of: monotonic time as of which the former one was known to hold, in seconds.
+        :param as_of: monotonic time as of which it was known to stay, in seconds.
         """
-        self.record = record
-        if record.is_leaving and self.leaving_since is None:
+        if self.leaving_since is None:
             self.leaving_since = as_of
 
+    def stay(self) -> None:
+        """Record that the server stays, as the evacuation of its domain has ended."""
+        self.leaving_since = None
+
+    def assume_cold(self, for_s: float, now: float) -> None:
+        """Assume that the server may have started again; does nothing yet.
+
+        :param for_s: time for which it stays cold unless it says otherwise, in seconds.
+        :param now: monotonic time in seconds.
+        """
+
     def has_drained(self, now: float, after_s: float) -> bool:
         """Return whether the server may have been allowed to leave longer ago than ``after_s``."""
         return self.leaving_since is not None and now - self.leaving_since > after_s
@@ -310,6 +324,8 @@
                 or record.endpoint != server.record.endpoint
             ):
                 server.pool.close()
+                # A request that was to be sent there may still wait for a connection.
+                server.leave(as_of)
                 del self._by_id[server_id]
         for server_id, record in records.items():
             known = self._by_id.get(server_id)
@@ -317,16 +333,26 @@
                 self._by_id[server_id] = ProxyServer(
                     record=record,
                     now=now,
-                    leaving_since=as_of if record.is_leaving else None,
+                    leaving_since=as_of if state.is_leaving(record) else None,
                     gateway_count=self._gateway_count,
                     service_time_s=self._mean_service_time_s(record.service),
                 )
             else:
-                known.update(record, as_of=as_of)
+                known.record = record
+                self._update_leaving(known, state, now=now, as_of=as_of)
         self._by_service = {}
         for server in self._by_id.values():
             self._by_service.setdefault(server.record.service, []).append(server)
 
+    def _update_leaving(
+        self, server: ProxyServer, state: RoutedState, *, now: float, as_of: float
+    ) -> None:
+        if state.is_leaving(server.record):
+            server.leave(as_of)
+        elif server.is_leaving:
+            server.stay()
+            server.assume_cold(server.record.cold_s, now)
+
     def _usable_records(self, state: RoutedState) -> dict[ServerId, RegisteredServer]:
         """Return the records without those that a replica of an earlier version took untested."""
         records, unusable = {}, set()
