--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -11,7 +11,7 @@
 from lychee_http.pool import ServerPool
 from lychee_ranges import RoutedState
 from lychee_types.clock import Clock
-from lychee_types.ids import ServerId, ServiceName
+from lychee_types.ids import DomainName, ServerId, ServiceName
 from lychee_types.registry import RegisteredServer, ServerIncarnation
 from lychee_types.registry_messages import ServerStats
 from lychee_types.server_check import server_fault
@@ -305,6 +305,7 @@
         self._by_id: dict[ServerId, ProxyServer] = {}
         self._by_service: dict[ServiceName, list[ProxyServer]] = {}
         self._unusable: frozenset[ServerIncarnation] = frozenset()
+        self._evacuated_since: dict[DomainName, float] = {}
 
     def set_gateway_count(self, count: int) -> None:
         """Set the approximate number of gateways."""
@@ -315,6 +316,9 @@
     def sync(self, state: RoutedState) -> None:
         """Add, update and remove servers to match the registrations in the state."""
         now, as_of = self._clock.monotonic(), self._as_of()
+        self._evacuated_since = {
+            domain: self._evacuated_since.get(domain, as_of) for domain in state.evacuated
+        }
         records = self._usable_records(state)
         for server_id, server in tuple(self._by_id.items()):
             record = records.get(server_id)
@@ -333,22 +337,29 @@
                 self._by_id[server_id] = ProxyServer(
                     record=record,
                     now=now,
-                    leaving_since=as_of if state.is_leaving(record) else None,
+                    leaving_since=self._leaving_since(record, as_of),
                     gateway_count=self._gateway_count,
                     service_time_s=self._mean_service_time_s(record.service),
                 )
             else:
                 known.record = record
-                self._update_leaving(known, state, now=now, as_of=as_of)
+                self._update_leaving(known, now=now, as_of=as_of)
         self._by_service = {}
         for server in self._by_id.values():
             self._by_service.setdefault(server.record.service, []).append(server)
 
-    def _update_leaving(
-        self, server: ProxyServer, state: RoutedState, *, now: float, as_of: float
-    ) -> None:
-        if state.is_leaving(server.record):
-            server.leave(as_of)
+    def _leaving_since(self, record: RegisteredServer, as_of: float) -> float | None:
+        """Return since when a server may be allowed to leave, None if it stays.
+
+        A server that registers in an evacuated domain gets no drain time of its own.
+        """
+        since = self._evacuated_since.get(record.domain)
+        return as_of if since is None and record.is_leaving else since
+
+    def _update_leaving(self, server: ProxyServer, *, now: float, as_of: float) -> None:
+        since = self._leaving_since(server.record, as_of)
+        if since is not None:
+            server.leave(since)
         elif server.is_leaving:
             server.stay()
             server.assume_cold(server.record.cold_s, now)
--- a/packages/lychee-gateway/tests/test_evacuations.py
+++ b/packages/lychee-gateway/tests/test_evacuations.py
@@ -195,10 +195,14 @@
 def test_a_server_that_registers_in_an_evacuated_domain_gets_nothing(is_restart):
     gateway = Gateway(record("a", "nord"), record("b", "syd"))
     gateway.order("nord")
+    gateway.clock.advance(1.6)
+    gateway.confirmed_at = gateway.clock.monotonic()
     new = record("a", "nord", incarnation=2) if is_restart else record("c", "nord")
     gateway.apply(RegisterServer(server=new))
+    keys = replace(keys_of("a"), owner=new.run)
+    gateway.apply(SetRanges(service=SERVICE, ranges=(keys,)))
     assert gateway.server(new.run.server).run == new.run
-    assert gateway.chosen() == {"b"}
+    assert gateway.chosen() == {"b"} and gateway.choose(key=7) is None
 
 
 def test_a_server_that_leaves_by_itself_is_not_taken_back_with_its_domain():
