--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -148,6 +148,7 @@
     :param resets: records servers that reset connections.
     :param drain_s: time after which a leaving server must get no more requests, in seconds.
     :param clock: source of time.
+    :param is_usable: returns whether requests may be sent by the gateway's state.
     """
 
     def __init__(
@@ -159,6 +160,7 @@
         resets: ResetRecorder,
         drain_s: float,
         clock: Clock,
+        is_usable: Callable[[], bool] = lambda: True,
     ) -> None:
         self._codec = codec
         self._paths = paths
@@ -166,6 +168,7 @@
         self._resets = resets
         self._last_send_s = drain_s * LAST_SEND_SHARE
         self._clock = clock
+        self._is_usable = is_usable
 
     async def send(
         self,
@@ -248,6 +251,9 @@
             return NotRun(reason="the time was up before it was sent", was_sent=False)
         if server.has_drained(self._clock.monotonic(), self._last_send_s):
             return NotRun(reason="the server left before it was sent", was_sent=False)
+        if not self._is_usable():
+            # The process was paused, or has fallen behind, since the server was selected.
+            return NotRun(reason="the state was outdated before it was sent", was_sent=False)
         head = self._codec.forward_request(
             exchange.head, server=server.run.server, remaining_s=remaining_s
         )
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -10,10 +10,11 @@
 from msgspec import Struct
 
 from lychee_gateway.proxy.age import StateAge
-from lychee_gateway.proxy.attempts import Sender
+from lychee_gateway.proxy.attempts import LAST_SEND_SHARE, Sender
 from lychee_gateway.proxy.carrier import Carrier
 from lychee_gateway.proxy.codec import ProxyCodec, Rejection
 from lychee_gateway.proxy.crashes import CrashGuard
+from lychee_gateway.proxy.evacuations import EvacuationLog
 from lychee_gateway.proxy.forwarding import Forwarder
 from lychee_gateway.proxy.held import CALLERS_SHARE, MAX_HELD_BYTES, HeldAnswers
 from lychee_gateway.proxy.idle import IdleLimit
@@ -27,7 +28,7 @@
 from lychee_gateway.proxy.probing import Prober
 from lychee_gateway.proxy.resets import ResetRecorder
 from lychee_gateway.proxy.retries import RetryBudgets
-from lychee_gateway.proxy.servers import ServerList
+from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_gateway.proxy.stopping import StopSchedule
 from lychee_gateway.proxy.subscription import Subscription
 from lychee_gateway.proxy.view import RoutedView
@@ -62,6 +63,7 @@
     :param index: log index of its state.
     :param routes: version number of the active routing configuration.
     :param servers: number of registered servers.
+    :param evacuated: the failure domains that are evacuated.
     :param callers: number of open connections from callers.
     :param callers_max: maximum number of them, None for no limit.
     :param callers_mb: memory that they take up by the gateway's account, in MB.
@@ -76,6 +78,7 @@
     index: LogIndex
     routes: int
     servers: int
+    evacuated: tuple[DomainName, ...]
     callers: int
     callers_max: int | None
     callers_mb: float
@@ -108,7 +111,13 @@
         self._clock = clock or SystemClock()
         self._session = SessionId(uuid4().hex)
         self._view = RoutedView()
-        self._age = StateAge(view=self._view, clock=self._clock, apply_s=cfg.bounds.apply_s)
+        self._loop_watch = LoopWatch(clock=self._clock)
+        self._age = StateAge(
+            view=self._view,
+            clock=self._clock,
+            apply_s=cfg.bounds.apply_s,
+            running_since=self._loop_watch.running_since,
+        )
         self._servers = ServerList(clock=self._clock, as_of=lambda: self._age.confirmed_at)
         self._loads = KeyLoads(clock=self._clock)
         self._metrics = ProxyMetrics(
@@ -120,6 +129,7 @@
             silence_s=lambda: self._clock.monotonic() - self._subscription.last_message_at,
             unreached=lambda: len(self._paths),
             carried=lambda: len(self._carrier) if self._carrier is not None else 0,
+            evacuated=lambda: len(self._view.state.evacuated),
         )
         self._memory = make_caller_memory(
             memory_mb=cfg.vm.memory_mb, max_fds=cfg.vm.max_fds, on_shed=self._metrics.count_shed
@@ -138,7 +148,6 @@
             on_connection=self._metrics.count_connection,
             clock=self._clock,
         )
-        self._loop_watch = LoopWatch(clock=self._clock)
         self._carrier = self._make_carrier()
         self._limits = ServerLimits(
             on_attempt=self._metrics.count_limited_attempt,
@@ -182,6 +191,7 @@
                 resets=ResetRecorder(on_reset=self._metrics.count_reset, clock=self._clock),
                 drain_s=cfg.bounds.drain_s,
                 clock=self._clock,
+                is_usable=lambda: self._age.is_usable,
             ),
             codec=codec,
             loads=self._loads,
@@ -203,6 +213,7 @@
         self._view.add_listener(self._paths.sync)
         self._view.add_listener(self._prober.sync)
         self._view.add_listener(self._selector.state_changed)
+        self._view.add_listener(EvacuationLog(view=self._view).update)
         self._subscription = Subscription(
             cfg=cfg,
             session=self._session,
@@ -266,6 +277,7 @@
                 index=state.index,
                 routes=state.version.number,
                 servers=len(state.servers),
+                evacuated=tuple(sorted(state.evacuated)),
                 callers=len(self._conns),
                 callers_max=self._memory.bounds.connections,
                 callers_mb=megabytes(self._memory.held),
@@ -297,11 +309,16 @@
             connect=self._paths.connect,
             is_late=self._loop_watch.is_late,
             take_off=lambda data, waited_s: self._codec.take_off(data, waited_s=waited_s),
+            may_send=self._may_carry,
             on_request=self._metrics.count_carry_request,
             on_bytes=self._metrics.count_carried_bytes,
             max_fds=self._cfg.vm.max_fds,
         )
 
+    def _may_carry(self, server: ProxyServer) -> bool:
+        last_send_s = self._cfg.bounds.drain_s * LAST_SEND_SHARE
+        return not server.has_drained(self._clock.monotonic(), last_send_s)
+
     def _spawn_path_work(self, work: Coroutine[Any, Any, None], name: str) -> None:
         self.spawn(work, name=name)
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -233,7 +233,7 @@
         found: ProxyServer | None = None
         for server in ranked:
             # The state may have changed while they were asked.
-            if server.record.is_leaving or self._servers.find(server.run) is not server:
+            if server.is_leaving or self._servers.find(server.run) is not server:
                 continue
             if isinstance(self._admit(request, server, self._clock.monotonic()), NoServer):
                 break
@@ -247,7 +247,7 @@
     def _usable(self, request: RoutedRequest) -> Iterator[ProxyServer]:
         """Yield the servers that may be selected for a request without a key."""
         for server in self._servers.for_service(request.service):
-            if not server.record.is_leaving and server.run not in request.tried:
+            if not server.is_leaving and server.run not in request.tried:
                 yield server
 
     def _find_best(
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -11,7 +11,7 @@
 from lychee_http.pool import ServerPool
 from lychee_ranges import RoutedState
 from lychee_types.clock import Clock
-from lychee_types.ids import ServerId, ServiceName
+from lychee_types.ids import DomainName, ServerId, ServiceName
 from lychee_types.registry import RegisteredServer, ServerIncarnation
 from lychee_types.registry_messages import ServerStats
 from lychee_types.server_check import server_fault
@@ -158,16 +158,30 @@
         """Number of requests that the server works on at once."""
         return max(1, self.record.slots)
 
-    def update(self, record: RegisteredServer, *, as_of: float) -> None:
-        """Replace the registration of the same incarnation.
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the server leaves, or its failure domain is evacuated."""
+        return self.leaving_since is not None
+
+    def leave(self, as_of: float) -> None:
+        """Record that the server may be allowed to leave.
 
-        :param record: the registration.
-        :param as_of: monotonic time as of which the former one was known to hold, in seconds.
+        :param as_of: monotonic time as of which it was known to stay, in seconds.
         """
-        self.record = record
-        if record.is_leaving and self.leaving_since is None:
+        if self.leaving_since is None:
             self.leaving_since = as_of
 
+    def stay(self) -> None:
+        """Record that the server stays, as the evacuation of its domain has ended."""
+        self.leaving_since = None
+
+    def assume_cold(self, for_s: float, now: float) -> None:
+        """Assume that the server may have started again; does nothing yet.
+
+        :param for_s: time for which it stays cold unless it says otherwise, in seconds.
+        :param now: monotonic time in seconds.
+        """
+
     def has_drained(self, now: float, after_s: float) -> bool:
         """Return whether the server may have been allowed to leave longer ago than ``after_s``."""
         return self.leaving_since is not None and now - self.leaving_since > after_s
@@ -394,6 +408,7 @@
         self._by_id: dict[ServerId, ProxyServer] = {}
         self._by_service: dict[ServiceName, list[ProxyServer]] = {}
         self._unusable: frozenset[ServerIncarnation] = frozenset()
+        self._evacuated_since: dict[DomainName, float] = {}
 
     @property
     def gateway_count(self) -> int:
@@ -409,6 +424,9 @@
     def sync(self, state: RoutedState) -> None:
         """Add, update and remove servers to match the registrations in the state."""
         now, as_of = self._clock.monotonic(), self._as_of()
+        self._evacuated_since = {
+            domain: self._evacuated_since.get(domain, as_of) for domain in state.evacuated
+        }
         records = self._usable_records(state)
         for server_id, server in tuple(self._by_id.items()):
             record = records.get(server_id)
@@ -418,6 +436,8 @@
                 or record.endpoint != server.record.endpoint
             ):
                 server.pool.close()
+                # A request that was to be sent there may still wait for a connection.
+                server.leave(as_of)
                 del self._by_id[server_id]
         for server_id, record in records.items():
             known = self._by_id.get(server_id)
@@ -425,16 +445,33 @@
                 self._by_id[server_id] = ProxyServer(
                     record=record,
                     now=now,
-                    leaving_since=as_of if record.is_leaving else None,
+                    leaving_since=self._leaving_since(record, as_of),
                     gateway_count=self._gateway_count,
                     service_time_s=self._mean_service_time_s(record.service),
                 )
             else:
-                known.update(record, as_of=as_of)
+                known.record = record
+                self._update_leaving(known, now=now, as_of=as_of)
         self._by_service = {}
         for server in self._by_id.values():
             self._by_service.setdefault(server.record.service, []).append(server)
 
+    def _leaving_since(self, record: RegisteredServer, as_of: float) -> float | None:
+        """Return since when a server may be allowed to leave, None if it stays.
+
+        A server that registers in an evacuated domain gets no drain time of its own.
+        """
+        since = self._evacuated_since.get(record.domain)
+        return as_of if since is None and record.is_leaving else since
+
+    def _update_leaving(self, server: ProxyServer, *, now: float, as_of: float) -> None:
+        since = self._leaving_since(server.record, as_of)
+        if since is not None:
+            server.leave(since)
+        elif server.is_leaving:
+            server.stay()
+            server.assume_cold(server.record.cold_s, now)
+
     def _usable_records(self, state: RoutedState) -> dict[ServerId, RegisteredServer]:
         """Return the records without those that a replica of an earlier version took untested."""
         records, unusable = {}, set()
--- a/packages/lychee-types/src/lychee_types/routed_settings.py
+++ b/packages/lychee-types/src/lychee_types/routed_settings.py
@@ -81,6 +81,7 @@
     :param vm: limits of the VM.
     :param metrics: IP address and port at which metrics are fetched, None for no metrics.
     :param log: logging.
+    :param domains: the failure domains that can be evacuated; if empty, any name is accepted.
     """
 
     id: str
@@ -97,6 +98,7 @@
     vm: VmLimits = VmLimits()
     metrics: str | None = None
     log: LogSettings = LogSettings()
+    domains: tuple[DomainName, ...] = ()
 
     @property
     def endpoint(self) -> Endpoint:
