Keep the warm-up time and rate of a service's servers

WarmupS and WarmupPerS of a service were dropped, so nothing knew how many requests a cold server handles, and a configuration was not sent back as it had come.

They are kept, validated and encoded again. They are left out of stored records where they are not set, so that the digest of a change that is sent again is that of earlier versions.

--- a/packages/lychee-ranges/src/lychee_ranges/checks.py
+++ b/packages/lychee-ranges/src/lychee_ranges/checks.py
@@ -1,9 +1,11 @@
 """Validation of a routing configuration."""
 
 from collections.abc import Iterator
+from math import inf
 
 from lychee_types.ids import ServiceName
-from lychee_types.routing import Route, Routing
+from lychee_types.routing import Route, RoutedService, Routing
+from lychee_types.server_check import MAX_COLD_S
 
 
 def find_fault(routing: Routing) -> str | None:
@@ -18,6 +20,8 @@
     services = [service.name for service in routing.services]
     if len(set(services)) < len(services):
         yield "two services have the same name"
+    for service in routing.services:
+        yield from _cold_faults(service)
     hosts = [host.host for host in routing.hosts]
     if len(set(hosts)) < len(hosts):
         yield "a host is listed twice"
@@ -33,6 +37,16 @@
             yield from _route_faults(route, known)
 
 
+def _cold_faults(service: RoutedService) -> Iterator[str]:
+    rule = service.cold_rule
+    if rule is None:
+        return
+    if not 0.0 <= rule.warmup_s <= MAX_COLD_S:
+        yield f"service {service.name}: servers would be cold for {rule.warmup_s} s"
+    if not 0.0 < rule.per_s < inf:
+        yield f"service {service.name}: {rule.per_s} is no rate of cold servers"
+
+
 def _route_faults(route: Route, known: frozenset[ServiceName]) -> Iterator[str]:
     place = f"route {route.name}"
     if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
--- a/packages/lychee-types/src/lychee_types/routing.py
+++ b/packages/lychee-types/src/lychee_types/routing.py
@@ -7,10 +7,15 @@
 
 from enum import Enum
 
-from msgspec import Struct
+from msgspec import UNSET, Struct, UnsetType
 
 from lychee_types.ids import ServiceName
 
+DEFAULT_WARMUP_S = 30.0
+"""Time for which a server is cold after its start if only the rate of cold ones is known, in
+seconds.
+"""
+
 
 class RouteKind(Enum):
     """How a request may be handled if the outcome of an attempt is not known."""
@@ -79,6 +84,17 @@
     routes: tuple[Route, ...]
 
 
+class ColdRule(Struct, frozen=True, kw_only=True):
+    """How a service's servers are treated while they are cold.
+
+    :param warmup_s: how long a server is cold after its start, in seconds.
+    :param per_s: requests per second that a cold server can handle.
+    """
+
+    warmup_s: float
+    per_s: float
+
+
 class RoutedService(Struct, frozen=True, kw_only=True):
     """A service that routes forward requests to.
 
@@ -90,6 +106,9 @@
     :param is_keyed: whether each key has one owner among its servers.
     :param warm_s: how long keys are slow at a new owner without a handover, in seconds.
     :param grants: how keys are granted to servers, None if the operator did not say.
+    :param warmup_s: how long a server is cold after its start, in seconds; unset values are not
+        encoded, so that the digest of a change without them is that of earlier versions.
+    :param warmup_per_s: requests per second that a cold server can handle.
     """
 
     name: ServiceName
@@ -100,12 +119,22 @@
     is_keyed: bool | None = None
     warm_s: float | None = None
     grants: GrantWay | None = None
+    warmup_s: float | UnsetType = UNSET
+    warmup_per_s: float | UnsetType = UNSET
 
     @property
     def grants_by_heartbeat(self) -> bool:
         """Return whether servers learn of their keys from the answers to their heartbeats."""
         return self.grants is GrantWay.HEARTBEAT
 
+    @property
+    def cold_rule(self) -> ColdRule | None:
+        """Return how its cold servers are treated, None if they are treated as warm ones."""
+        if self.warmup_per_s is UNSET:
+            return None
+        warmup_s = DEFAULT_WARMUP_S if self.warmup_s is UNSET else self.warmup_s
+        return ColdRule(warmup_s=warmup_s, per_s=self.warmup_per_s)
+
 
 class CallerBounds(Struct, frozen=True, kw_only=True):
     """Limits on the size of callers' requests and on the time that callers may take.
@@ -138,6 +167,11 @@
         """Return the service with a name, or None."""
         return next((service for service in self.services if service.name == name), None)
 
+    def cold_rules(self) -> dict[ServiceName, ColdRule]:
+        """Return how cold servers are treated, for the services that have a rate for them."""
+        rules = ((service.name, service.cold_rule) for service in self.services)
+        return {name: rule for name, rule in rules if rule is not None}
+
 
 class RoutingPatch(Struct, frozen=True, kw_only=True, tag=True):
     """A change of the items that it names; all others stay as they are.
