Give a cold server its keys in steps, and hot keys last

A server without keys got half the mean number of keys at once, and keys without an owner went to the server with the fewest keys, whatever their load. Above its rate a cold server ends itself.

A cold candidate gets the end of a range with at most half of the load that it has room for in each step, and keys without an owner only if no other server is warm. The tests need Candidate.is_cold and cannot run on the former code.

--- a/packages/lychee-ranges/src/lychee_ranges/moves.py
+++ b/packages/lychee-ranges/src/lychee_ranges/moves.py
@@ -30,11 +30,13 @@
     :param server: its record.
     :param service_time_s: mean time that it takes to serve a request, in seconds.
     :param limit_per_s: its rate limit in requests per second, None if it has none.
+    :param is_cold: whether it gets keys in steps, and only as many as it can serve.
     """
 
     server: RegisteredServer
     service_time_s: float
     limit_per_s: float | None = None
+    is_cold: bool = False
 
     @property
     def run(self) -> ServerIncarnation:
@@ -74,6 +76,10 @@
         self._moves = sorted(moves, key=lambda move: move.keys.low)
         self._lows = [move.keys.low for move in self._moves]
 
+    def is_receiver(self, incarnation: ServerIncarnation) -> bool:
+        """Return whether keys are moving to a server."""
+        return any(move.new_owner == incarnation for move in self._moves)
+
     def overlapping(self, key_range: KeyRange) -> list[Move]:
         """Return the moves that share keys with a range, in order of their keys."""
         first = max(0, bisect_right(self._lows, key_range.low) - 1)
@@ -82,10 +88,11 @@
 
 
 def first_split(candidates: tuple[Candidate, ...]) -> tuple[KeyRange, ...]:
-    """Split all keys among servers in proportion to their slots.
+    """Split all keys among servers in proportion to their slots; cold ones get keys later.
 
     :param candidates: the servers, at least one.
     """
+    candidates = tuple(item for item in candidates if not item.is_cold) or candidates
     total = sum(max(1, candidate.server.slots) for candidate in candidates)
     ranges = []
     low = slots = 0
--- a/packages/lychee-ranges/src/lychee_ranges/planner.py
+++ b/packages/lychee-ranges/src/lychee_ranges/planner.py
@@ -7,7 +7,7 @@
 from lychee_ranges.server_ranges import MAX_RECEIVER_UTILIZATION, ServerRanges, balancing_rate
 from lychee_ranges.sub_ranges import RangeLoads, SubRange
 from lychee_ranges.table import KeyTable
-from lychee_types.registry import LAST_KEY, GrantPhase, KeyRange
+from lychee_types.registry import LAST_KEY, GrantPhase, KeyRange, ServerIncarnation
 
 BUSY_UTILIZATION = 0.7
 """Slot utilization from which a server is busy and its keys are moved away without delay."""
@@ -28,6 +28,14 @@
 """Fraction of the mean number of keys per server that a server without keys gets first."""
 
 
+COLD_STEP_FRACTION = 0.5
+"""Fraction of the rate that a cold server can still be given that moves to it in one step."""
+
+
+MIN_COLD_STEP_PER_S = 0.1
+"""Minimum rate of the keys that move to a cold server in one step, in requests per second."""
+
+
 class MovePlanner:
     """Plans moves from a snapshot of a service's ranges and load.
 
@@ -53,6 +61,7 @@
             candidate.run: ServerRanges(candidate=candidate) for candidate in candidates
         }
         self._unowned: list[KeyRange] = []
+        self._stepped: set[ServerIncarnation] = set()
         for key_range in table.ranges:
             self._count(key_range)
 
@@ -76,6 +85,8 @@
         optional = 0
         while len(moves) < limit:
             move = self._fill_empty_server() or self._move_load(is_optional=False)
+            if move is None:
+                move = self._fill_cold_server()
             if move is None and optional < optional_limit:
                 optional += 1
                 move = self._move_load(is_optional=True)
@@ -110,8 +121,9 @@
 
     def _assign_unowned(self, key_range: KeyRange) -> Move:
         load = self._range_loads.load(key_range.low, key_range.high)
+        warm = [server for server in self._servers.values() if not server.candidate.is_cold]
         receiver = min(
-            self._servers.values(),
+            warm or self._servers.values(),
             key=lambda server: (
                 (max(server.steady, server.latest) + load.steady) / server.candidate.capacity,
                 server.keys,
@@ -122,7 +134,14 @@
 
     def _fill_empty_server(self) -> Move | None:
         """Move keys to a server that has none, from the server with the highest utilization."""
-        empty = next((server for server in self._servers.values() if server.keys == 0), None)
+        empty = next(
+            (
+                server
+                for server in self._servers.values()
+                if server.keys == 0 and not server.candidate.is_cold
+            ),
+            None,
+        )
         donors = [server for server in self._servers.values() if server.movable_ranges]
         if empty is None or not donors:
             return None
@@ -137,6 +156,31 @@
         sub_range = SubRange(source=source, low=low, high=source.high, rate=rate)
         return self._record_move(donor, empty, sub_range, "newcomer")
 
+    def _fill_cold_server(self) -> Move | None:
+        """Move the end of a range to a cold server that has no keys in motion.
+
+        Its load is known and a part of what the server can still be given, so that no hot key is
+        among them and each step shows its effect before the next one.
+        """
+        warm = [
+            server
+            for server in self._servers.values()
+            if server.movable_ranges and not server.candidate.is_cold
+        ]
+        for cold in self._servers.values():
+            target_rate = cold.spare_rate * COLD_STEP_FRACTION
+            if not cold.candidate.is_cold or target_rate < MIN_COLD_STEP_PER_S or not warm:
+                continue
+            run = cold.candidate.run
+            if run in self._stepped or self._pending.is_receiver(run):
+                continue
+            donor = max(warm, key=lambda server: (server.utilization, server.keys))
+            sub_range = self._range_loads.find_end(donor, target_rate)
+            if sub_range is not None:
+                self._stepped.add(run)
+                return self._record_move(donor, cold, sub_range, "cold")
+        return None
+
     def _move_load(self, *, is_optional: bool) -> Move | None:
         """Move load from one of the three slowest servers to the one that will respond fastest."""
         donors = [
@@ -163,6 +207,7 @@
         ]
         if not receivers:
             return None
+        receivers = [item for item in receivers if not item.candidate.is_cold] or receivers
         step = donor.rate / 4
         receiver = min(
             receivers, key=lambda server: server.response_s(min(step, server.spare_rate))
@@ -173,7 +218,8 @@
         if gain_s < max(MIN_GAIN_S, min_fraction * donor.response_s()):
             return None
         sub_range = None if donor.is_rising else self._range_loads.find_end(donor, target_rate)
-        sub_range = sub_range or self._range_loads.find_part(donor, target_rate)
+        if not receiver.candidate.is_cold:
+            sub_range = sub_range or self._range_loads.find_part(donor, target_rate)
         return (
             self._record_move(donor, receiver, sub_range, "load") if sub_range is not None else None
         )
--- a/packages/lychee-ranges/tests/test_planner.py
+++ b/packages/lychee-ranges/tests/test_planner.py
@@ -1,5 +1,7 @@
 """The move planner against constant loads: which keys move, and which load servers end up with."""
 
+import dataclasses
+
 import pytest
 from msgspec.structs import replace
 
@@ -187,3 +189,35 @@
         if (key_range := table.find(key)) is not None and key_range.owner == limited.run
     )
     assert per_s <= 5.0
+
+
+def test_a_cold_server_gets_keys_in_steps_up_to_its_rate_and_no_hot_ones():
+    # It got half the mean number of keys at once, whatever their load.
+    warm = candidate("warm")
+    cold = replace_candidate(candidate("cold", limit_per_s=2.8), is_cold=True)
+    table = table_of((warm,))
+    rates = steady_rates({key: 0.05 for key in range(0, LAST_KEY, 400)} | {LAST_KEY: 9.0})
+    run_plans(table, (warm, cold), rates, rounds=1)
+    first = load_per_s(table, cold, rates)
+    run_plans(table, (warm, cold), rates)
+    assert 0.0 < first < load_per_s(table, cold, rates) <= 2.8
+    assert table.find(LAST_KEY).owner == warm.run
+
+
+def test_keys_without_an_owner_go_to_warm_servers_first():
+    # Their load is unknown to a new leader, and may be above the rate of a cold server.
+    warm = candidate("warm")
+    cold = replace_candidate(candidate("cold", limit_per_s=2.8), is_cold=True)
+    table = table_of((candidate("lost"),))
+    run_plans(table, (warm, cold), BucketRates(), rounds=1)
+    assert {key_range.owner for key_range in table.ranges} == {warm.run}
+    assert {r.owner for r in first_split((warm, cold))} == {warm.run}
+    assert {r.owner for r in first_split((cold,))} == {cold.run}
+
+
+def replace_candidate(known, **changes):
+    return dataclasses.replace(known, **changes)
+
+
+def load_per_s(table, owner, rates):
+    return sum(rate for key, rate in rates.steady.items() if table.find(key).owner == owner.run)
