Decide how long a server is cold from reports, news and assumptions

Adds ColdTime and the messages about cold servers. A report that extends the cold time holds at once; one that shortens it only if it is certain to be later, as news may be late or come from a replica without contact. What is unknown counts as cold.

--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -11,6 +11,7 @@
     choose,
 )
 from lychee_policy.clocks import ClockChecker
+from lychee_policy.cold_servers import ColdReading, ColdTime, received_reading
 from lychee_policy.crashes import (
     BLOCK_S,
     MAX_REQUESTS,
@@ -34,7 +35,7 @@
 )
 from lychee_policy.paths import PathTable
 from lychee_policy.peers import GatewayTable, choose_carriers
-from lychee_policy.permits import PERMIT_HOLD_S, Issued, PermitIssuer, PermitReserve
+from lychee_policy.permits import MAX_TURN_S, PERMIT_HOLD_S, Issued, PermitIssuer, PermitReserve
 from lychee_policy.queue import DeadlineQueue, Waiter, can_meet_deadline
 from lychee_policy.rate_limits import (
     MAX_RAISED_PER_S,
@@ -70,6 +71,8 @@
     "warm_up_share",
     "Candidate",
     "ClockChecker",
+    "ColdReading",
+    "ColdTime",
     "CrashTable",
     "EndedAttempt",
     "GatewayTable",
@@ -85,6 +88,7 @@
     "LimitTable",
     "MAX_RAISED_PER_S",
     "Issued",
+    "MAX_TURN_S",
     "PERMIT_HOLD_S",
     "PermitIssuer",
     "PermitReserve",
@@ -103,5 +107,6 @@
     "latest_observation",
     "limits_for",
     "received_observation",
+    "received_reading",
     "wait_for_turn_s",
 ]
--- a/packages/lychee-types/src/lychee_types/limit_messages.py
+++ b/packages/lychee-types/src/lychee_types/limit_messages.py
@@ -47,11 +47,13 @@
     :param limit: the server, and what the gateway knows of its limit.
     :param number: number of the question, repeated in its answer.
     :param wanted: number of permits.
+    :param is_cold: whether the server is cold or counts as cold at the gateway.
     """
 
     limit: ObservedLimit
     number: int
     wanted: int
+    is_cold: bool = False
 
 
 class PermitReply(Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/lychee-types/src/lychee_types/registry_messages.py
+++ b/packages/lychee-types/src/lychee_types/registry_messages.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from lychee_types.cold_messages import ColdReport, KnownCold
 from lychee_types.crash_messages import CrashReport, KnownCrashes
 from lychee_types.ids import GatewayId, LogIndex, ServerId, ServiceName, SessionId
 from lychee_types.limit_messages import KnownLimits, LimitReport, PermitReply, PermitRequest
@@ -170,13 +171,13 @@
     replicas: tuple[Endpoint, ...]
 
 
-LeaderNote = LoadReport | LimitReport | PermitRequest | CrashReport | GatewayReport
+LeaderNote = LoadReport | LimitReport | PermitRequest | CrashReport | GatewayReport | ColdReport
 """Messages of a gateway that its replica passes on to the leader."""
 
 LeaderReply = PermitReply
 """Messages of the leader to one gateway."""
 
-LeaderNews = KnownLimits | KnownCrashes | KnownGateways
+LeaderNews = KnownLimits | KnownCrashes | KnownGateways | KnownCold
 """Messages of the leader to all gateways."""
 
 FromGateway = Subscribe | Probe | Follow | LeaderNote
