Tell gateways of cold servers, and issue permits at their rate

The leader dropped the cold time in heartbeats of servers that it knew, so nobody learnt that a server had become cold again.

Each replica keeps a ColdBoard. Key ranges are planned with the same rate. Services without a rate cause no message.

--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -23,6 +23,7 @@
     serve_peer,
 )
 from lychee_control.registry.calls import GrantCodec
+from lychee_control.registry.cold import ColdBoard
 from lychee_control.registry.crashes import CrashBoard
 from lychee_control.registry.gateways import GatewayBoard
 from lychee_control.registry.heartbeats import heartbeat_fault
@@ -55,6 +56,7 @@
 from lychee_log import Replica, ReplicaAddress, ReplicaDump
 from lychee_runtime import Daemon, Link, LinkService, format_dump, serve_links
 from lychee_types.clock import Clock, SystemClock
+from lychee_types.cold_messages import KnownCold
 from lychee_types.crash_messages import KnownCrashes
 from lychee_types.exceptions import InvariantError
 from lychee_types.ids import DomainName, SessionId
@@ -120,6 +122,7 @@
     :param domain: its failure domain.
     :param leads: whether it does the leader's work.
     :param gateways: number of gateways attached to it.
+    :param cold: number of servers that are cold.
     :param log: the replicated log's own dump, None before it has started.
     :param image: the replicated state.
     """
@@ -128,6 +131,7 @@
     domain: DomainName
     leads: bool
     gateways: int
+    cold: int
     log: ReplicaDump | None
     image: RoutedImage
 
@@ -165,13 +169,14 @@
         self._leader_message_at = self._clock.monotonic()
         self._machine = RoutedMachine(on_applied=self._on_applied, on_restored=self._on_restored)
         self._limits = LimitBoard(clock=self._clock)
+        self._cold = ColdBoard(state=lambda: self._machine.state, clock=self._clock)
         self._crashes = CrashBoard(clock=self._clock)
         self._gateways = GatewayBoard(clock=self._clock)
         self._subscribers = Subscribers(
             machine=self._machine,
             on_note=self._send_note_up,
             pulse=self._make_pulse,
-            news=lambda: (self._limits.news(), self._crashes.news(), self._gateways.news()),
+            news=self._news,
         )
         seed = xxh3_64_intdigest(self._id.encode())
         self._peers = PeerLinks(spawn=self._spawn_peer_link, ssl=None, seed=seed)
@@ -221,6 +226,7 @@
             gateways=lambda: len(self._subscribers),
             sent_bytes=lambda: self._link_service.codec.sent_bytes,
             limits=lambda: len(self._limits),
+            cold=lambda: len(self._cold),
             servers=lambda: len(self._machine.state.servers),
             ranges=lambda: sum(len(t.ranges) for t in self._machine.state.tables.values()),
         )
@@ -269,6 +275,7 @@
                 domain=self._cfg.domain,
                 leads=self._leader is not None,
                 gateways=len(self._subscribers),
+                cold=len(self._cold),
                 log=self._replica.dump(),
                 image=self._machine.state.image(),
             )
@@ -373,12 +380,20 @@
         match news:
             case KnownLimits(limits=limits):
                 self._limits.record(limits)
+            case KnownCold(servers=servers):
+                self._cold.record(servers)
             case KnownCrashes(requests=requests):
                 self._crashes.record(requests)
             case KnownGateways(gateways=gateways):
                 self._gateways.record_known(gateways)
         self._subscribers.post_all(news)
 
+    def _news(self) -> tuple[LeaderNews, ...]:
+        """Return the leader's news so far; earlier versions do not know those of cold servers."""
+        news = (self._limits.news(), self._crashes.news(), self._gateways.news())
+        cold = self._cold.news()
+        return news if cold is None else (*news, cold)
+
     def _send_note_up(self, session: SessionId, note: LeaderNote) -> None:
         self._relay.send_up(session, note)
 
@@ -431,6 +446,7 @@
             codec=self._grants,
             limits=self._limits,
             crashes=self._crashes,
+            cold=self._cold,
             gateways=self._gateways,
             spread=self._relay.spread,
             clock=self._clock,
--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -11,6 +11,7 @@
 
 from lychee_control.registry.call_delivery import CallDelivery
 from lychee_control.registry.calls import GrantCodec
+from lychee_control.registry.cold import ColdBoard, ColdDesk
 from lychee_control.registry.crashes import CrashBoard
 from lychee_control.registry.delivery import GrantDelivery, LeaderTerm
 from lychee_control.registry.gateways import GatewayBoard
@@ -35,6 +36,7 @@
 from lychee_log import Replica
 from lychee_ranges import KeyTable, LoadTracker, RoutedState
 from lychee_types.clock import Clock
+from lychee_types.cold_messages import ColdReport
 from lychee_types.crash_messages import CrashReport
 from lychee_types.exceptions import InvariantError, LycheeError
 from lychee_types.ids import ServiceName
@@ -99,6 +101,7 @@
     :param gateways: what gateways have reported of themselves.
     :param spread: sends news to all gateways.
     :param clock: source of time.
+    :param cold: what is known of cold servers, None for nothing yet.
     """
 
     def __init__(
@@ -113,6 +116,7 @@
         gateways: GatewayBoard,
         spread: Callable[[LeaderNews], None],
         clock: Clock,
+        cold: ColdBoard | None = None,
     ) -> None:
         self._cfg = cfg
         self._replica = replica
@@ -120,7 +124,9 @@
         self._codec = codec
         self._clock = clock
         self._limits = limits
-        self._permits = PermitDesk(board=limits, clock=clock)
+        cold = cold or ColdBoard(state=lambda: state, clock=clock)
+        self._cold = ColdDesk(board=cold, spread=spread, clock=clock)
+        self._permits = PermitDesk(board=limits, cold=cold, clock=clock)
         self._crashes = crashes
         self._gateways = gateways
         self._is_batch_due = False
@@ -193,8 +199,11 @@
             case GatewayReport():
                 if self._gateways.record(note):
                     self._spread_gateways_soon()
-            case PermitRequest(limit=limit):
-                self._record_limits((limit,))
+            case ColdReport(servers=servers):
+                self._cold.record(servers)
+            case PermitRequest(limit=limit, is_cold=is_cold):
+                if limit.per_s is not None or not is_cold:
+                    self._record_limits((limit,))
                 return self._permits.answer(note, holds_lease=self._term.holds_lease)
         return None
 
@@ -219,6 +228,7 @@
                 "heartbeat {} is older than the last one", heartbeat.sequence
             )
             return self._heard_reply()
+        self._cold.record_heartbeat(server)
         if known is not None and known.run == server.run:
             server = replace(
                 server, cold_s=known.cold_s, is_leaving=known.is_leaving or server.is_leaving
@@ -331,6 +341,7 @@
     def _spread_again(self) -> None:
         """Send all news again from time to time, as messages may have been lost."""
         now = self._clock.monotonic()
+        self._cold.spread_again({server.run for server in self._state.servers.values()})
         if now < self._spread_at:
             return
         self._spread_at = now + SPREAD_INTERVAL_S
@@ -401,7 +412,8 @@
                 propose=self.propose,
                 spawn=self._spawn,
                 clock=self._clock,
-                limit_per_s=self._limits.limit_per_s,
+                limit_per_s=self._permits.limit_per_s,
+                is_cold=self._cold.is_cold,
                 heartbeat_s=self._cfg.heartbeat_s,
             )
             self._range_managers[service.name] = manager
--- a/packages/lychee-control/src/lychee_control/registry/limits.py
+++ b/packages/lychee-control/src/lychee_control/registry/limits.py
@@ -2,6 +2,7 @@
 
 from loguru import logger
 
+from lychee_control.registry.cold import ColdBoard
 from lychee_policy import LimitTable, PermitIssuer, received_observation
 from lychee_types.clock import Clock
 from lychee_types.limit_messages import KnownLimits, ObservedLimit, PermitReply, PermitRequest
@@ -76,14 +77,28 @@
 
     :param board: what is known of the limits.
     :param clock: source of time.
+    :param cold: what is known of cold servers, None for nothing.
     """
 
-    def __init__(self, *, board: LimitBoard, clock: Clock) -> None:
+    def __init__(self, *, board: LimitBoard, clock: Clock, cold: ColdBoard | None = None) -> None:
         self._board = board
+        self._cold = cold
         self._clock = clock
         self._issuers: dict[ServerIncarnation, PermitIssuer] = {}
         self._began_at = clock.monotonic()
 
+    def limit_per_s(self, run: ServerIncarnation, *, is_cold: bool = False) -> float | None:
+        """Return the requests per second that a server takes, None if there is no limit.
+
+        :param run: the server.
+        :param is_cold: whether it counts as cold whatever is known here.
+        """
+        named_per_s = self._board.limit_per_s(run)
+        cold_per_s = self._cold.rate_per_s(run, is_cold=is_cold) if self._cold is not None else None
+        if cold_per_s is None or named_per_s is None:
+            return named_per_s if cold_per_s is None else cold_per_s
+        return min(named_per_s, cold_per_s)
+
     def answer(self, request: PermitRequest, *, holds_lease: bool) -> PermitReply:
         """Return the answer to a gateway.
 
@@ -91,7 +106,7 @@
         :param holds_lease: whether no other replica can lead now.
         """
         run, now = request.limit.run, self._clock.monotonic()
-        per_s = self._board.limit_per_s(run)
+        per_s = self.limit_per_s(run, is_cold=request.is_cold)
         count, retry_after_s = 0, NO_LEASE_RETRY_S
         if per_s is None:
             # The limit has ended, which the gateway learns from the board's news.
--- a/packages/lychee-control/src/lychee_control/registry/metrics.py
+++ b/packages/lychee-control/src/lychee_control/registry/metrics.py
@@ -16,6 +16,7 @@
     :param sent_bytes: returns the size of all messages sent to gateways on their streams and as
         answers to other replicas.
     :param limits: returns how many servers have named a rate limit.
+    :param cold: returns how many servers are cold.
     :param servers: returns how many servers are registered.
     :param ranges: returns how many key ranges there are.
     """
@@ -30,6 +31,7 @@
         gateways: Callable[[], float],
         sent_bytes: Callable[[], float],
         limits: Callable[[], float],
+        cold: Callable[[], float],
         servers: Callable[[], float],
         ranges: Callable[[], float],
     ) -> None:
@@ -42,6 +44,7 @@
         page.gauge("gateways", "Gateways that follow this replica.", gateways)
         page.gauge("sent_bytes", "Bytes encoded for gateways and other replicas.", sent_bytes)
         page.gauge("server_limits", "Servers that have named a rate limit.", limits)
+        page.gauge("cold_servers", "Servers that are cold.", cold)
         page.gauge("servers", "Registered servers.", servers)
         page.gauge("key_ranges", "Key ranges of all services.", ranges)
         self._calls = page.counter("calls", "Calls of servers and operators.", "call", "reply")
--- a/packages/lychee-control/src/lychee_control/registry/range_manager.py
+++ b/packages/lychee-control/src/lychee_control/registry/range_manager.py
@@ -68,6 +68,7 @@
     :param clock: source of time.
     :param limit_per_s: returns a server's rate limit in requests per second, None for none.
     :param heartbeat_s: interval between heartbeats, in seconds.
+    :param is_cold: returns whether a server is cold and gets its keys in steps.
     """
 
     def __init__(
@@ -83,7 +84,9 @@
         clock: Clock,
         limit_per_s: Callable[[ServerIncarnation], float | None],
         heartbeat_s: float,
+        is_cold: Callable[[ServerIncarnation], bool] = lambda run: False,
     ) -> None:
+        self._is_cold = is_cold
         self._service = service
         self._state = state
         self._heartbeats = heartbeats
@@ -172,6 +175,7 @@
                 server=server,
                 service_time_s=self._loads.service_time_s(server.run.server, default_s=mean_s),
                 limit_per_s=self._limit_per_s(server.run),
+                is_cold=self._is_cold(server.run),
             )
             for server in ordered
         )
--- a/packages/lychee-control/src/lychee_control/registry/subscribers.py
+++ b/packages/lychee-control/src/lychee_control/registry/subscribers.py
@@ -7,6 +7,7 @@
 
 from lychee_control.registry.machine import RoutedMachine
 from lychee_runtime import Link
+from lychee_types.cold_messages import ColdReport
 from lychee_types.crash_messages import CrashReport
 from lychee_types.ids import GatewayId, LogIndex, SessionId
 from lychee_types.limit_messages import LimitReport, PermitRequest
@@ -97,7 +98,14 @@
                 self._links[session] = link
                 self._add_follower(link, gateway, have)
                 link.post(self._pulse(sent_at))
-            case LoadReport() | LimitReport() | PermitRequest() | CrashReport() | GatewayReport():
+            case (
+                LoadReport()
+                | LimitReport()
+                | PermitRequest()
+                | CrashReport()
+                | GatewayReport()
+                | ColdReport()
+            ):
                 self._on_note(session, message)
 
     def broadcast(self, delta: RoutedDelta) -> None:
