Send requests to cold servers by permits only

A cold server only had a longer expected time, and a keyed one got 23 requests in a second where 12.2 are allowed.

A gateway takes a permit for each request to a cold server, prefers warm servers, and counts a server as cold until it has heard of it. Reserves for cold servers are used 3 s after the number of gateways is known and by the highest count of 10 s.

ProxyServer.record_cold takes what health checks tell; ServerList.assume_cold counts a domain's servers as cold until a later report.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -231,6 +231,8 @@
             return NotRun(reason="the time was up before it was sent", was_sent=False)
         if server.has_drained(self._clock.monotonic(), self._last_send_s):
             return NotRun(reason="the server left before it was sent", was_sent=False)
+        if not self._limits.may_send(server, selected_at=in_flight.sent_at):
+            return NotRun(reason="the permit expired before it was sent", was_sent=False)
         head = self._codec.forward_request(
             exchange.head, server=server.run.server, remaining_s=remaining_s
         )
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -13,6 +13,7 @@
 from lychee_gateway.proxy.attempts import Sender
 from lychee_gateway.proxy.carrier import Carrier
 from lychee_gateway.proxy.codec import ProxyCodec, Rejection
+from lychee_gateway.proxy.cold import ColdServers
 from lychee_gateway.proxy.crashes import CrashGuard
 from lychee_gateway.proxy.forwarding import Forwarder
 from lychee_gateway.proxy.idle import IdleLimit
@@ -36,6 +37,7 @@
 from lychee_http.textpage import TextPage
 from lychee_runtime import Daemon, format_dump
 from lychee_types.clock import Clock, SystemClock
+from lychee_types.cold_messages import KnownCold
 from lychee_types.crash_messages import KnownCrashes
 from lychee_types.ids import DomainName, LogIndex, SessionId
 from lychee_types.limit_messages import KnownLimits, PermitReply
@@ -56,6 +58,7 @@
     :param index: log index of its state.
     :param routes: version number of the active routing configuration.
     :param servers: number of registered servers.
+    :param cold: number of servers that are cold.
     :param callers: number of open connections from callers.
     """
 
@@ -65,6 +68,7 @@
     index: LogIndex
     routes: int
     servers: int
+    cold: int
     callers: int
 
 
@@ -100,6 +104,7 @@
             index=lambda: self._view.state.index,
             version=lambda: self._view.state.version.number,
             limits=lambda: len(self._limits),
+            cold=lambda: self._cold.count(),
             age_s=lambda: self._age.age_s,
             silence_s=lambda: self._clock.monotonic() - self._subscription.last_message_at,
             unreached=lambda: len(self._paths),
@@ -120,10 +125,12 @@
         )
         self._loop_watch = LoopWatch(clock=self._clock)
         self._carrier = self._make_carrier()
+        self._cold = ColdServers(servers=self._servers, clock=self._clock)
         self._limits = ServerLimits(
             on_attempt=self._metrics.count_limited_attempt,
             on_permits=self._metrics.count_permits,
             clock=self._clock,
+            cold=self._cold,
         )
         self._selector = ServerSelector(
             view=self._view,
@@ -225,6 +232,7 @@
                 index=state.index,
                 routes=state.version.number,
                 servers=len(state.servers),
+                cold=self._cold.count(),
                 callers=len(self._conns),
             )
         )
@@ -352,6 +360,7 @@
         notes = (
             load,
             self._limits.take_report(),
+            self._cold.take_report(),
             self._guard.take_report(),
             self._paths.reports.take(),
         )
@@ -363,6 +372,8 @@
                 self._limits.receive_reply(message)
             case KnownLimits():
                 self._limits.receive_news(message)
+            case KnownCold():
+                self._cold.receive_news(message)
             case KnownCrashes():
                 self._guard.receive_news(message)
             case KnownGateways():
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/limits.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/limits.py
@@ -13,7 +13,10 @@
 
 from loguru import logger
 
+from lychee_gateway.proxy.cold import ColdServers
+from lychee_gateway.proxy.servers import ProxyServer
 from lychee_policy import (
+    MAX_TURN_S,
     PERMIT_HOLD_S,
     LimitObservation,
     LimitTable,
@@ -25,6 +28,7 @@
 from lychee_types.limit_messages import (
     KnownLimits,
     LimitReport,
+    ObservedLimit,
     PermitReply,
     PermitRequest,
 )
@@ -44,6 +48,21 @@
 """Interval at which known limits are reported again, for new leaders, in seconds."""
 
 
+RESERVE_START_S = 3.0
+"""Time after the number of gateways is first known from which the reserve of a cold server is used,
+in seconds.
+
+When many gateways start at the same time, the first ones count too few others.
+"""
+
+GATEWAY_COUNT_HOLD_S = 10.0
+"""Time for which the highest number of gateways counts for the reserve of a cold server, in
+seconds.
+
+A control replica that has just started counts too few.
+"""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PermitTaken:
     """A request may be sent to the server."""
@@ -74,6 +93,7 @@
     :param wanted: recent requests since the last question that found no permit.
     :param wanted_at: when the last of them came.
     :param waiters: requests that wait for the answer.
+    :param is_cold: whether the permits are for a cold server.
     """
 
     reserve: PermitReserve
@@ -87,6 +107,16 @@
     wanted: float = 0.0
     wanted_at: float = 0.0
     waiters: deque[asyncio.Future[None]] = field(default_factory=deque)
+    is_cold: bool = False
+
+    def start_cold(self) -> None:
+        """Drop the permits and the question of the time before the server was cold."""
+        self.expiries.clear()
+        self.number += 1
+        self.asked_at = None
+        self.silent_since = None
+        self.asks_at = 0.0
+        self.is_cold = True
 
 
 class ServerLimits:
@@ -96,6 +126,7 @@
     :param on_permits: called with a number of permits and whether they were issued, have expired or
         are from the reserve.
     :param clock: source of time.
+    :param cold: the servers that are cold, None if no service has a rate for them.
     :param rng: source of random numbers.
     """
 
@@ -105,8 +136,10 @@
         on_attempt: Callable[[ServerId], None],
         on_permits: Callable[[str, int], None],
         clock: Clock,
+        cold: ColdServers | None = None,
         rng: Random | None = None,
     ) -> None:
+        self._cold = cold
         self._on_attempt = on_attempt
         self._on_permits = on_permits
         self._clock = clock
@@ -114,6 +147,9 @@
         self._table = LimitTable()
         self._stocks: dict[ServerIncarnation, _Stock] = {}
         self._gateway_count = 1
+        self._counted_since: float | None = None
+        self._highest_count = 1
+        self._highest_count_at = 0.0
         self._has_news = False
         self._reported_at = 0.0
         self._post: Callable[[PermitRequest], None] = _post_nothing
@@ -128,11 +164,28 @@
 
     def set_gateway_count(self, count: int) -> None:
         """Set the approximate number of gateways."""
+        now = self._clock.monotonic()
         self._gateway_count = max(1, count)
+        if self._counted_since is None:
+            self._counted_since = now
+        is_old = now - self._highest_count_at > GATEWAY_COUNT_HOLD_S
+        if self._gateway_count >= self._highest_count or is_old:
+            self._highest_count, self._highest_count_at = self._gateway_count, now
 
     def limit_per_s(self, run: ServerIncarnation) -> float | None:
         """Return a server's limit in requests per second, None if it has none."""
-        return self._table.limit_per_s(run)
+        named_per_s = self._table.limit_per_s(run)
+        cold_per_s = self._cold_per_s(run)
+        if cold_per_s is None or named_per_s is None:
+            return named_per_s if cold_per_s is None else cold_per_s
+        return min(named_per_s, cold_per_s)
+
+    def may_send(self, server: ProxyServer, *, selected_at: float) -> bool:
+        """Return whether a request may still be sent to a server, see :class:`ColdServers`."""
+        if self._cold is None or self._cold.may_send(server, selected_at=selected_at):
+            return True
+        self._on_permits("late", 1)
+        return False
 
     def record(self, run: ServerIncarnation, per_s: float | None, *, sent_at: float) -> None:
         """Record what an answer that has just arrived says of its server's limit.
@@ -185,6 +238,10 @@
         if self.limit_per_s(run) is None:
             return True
         stock = self._stock(run)
+        is_cold = self._cold_per_s(run) is not None
+        if is_cold and not stock.is_cold:
+            stock.start_cold()
+        stock.is_cold = is_cold
         if self._take_held(run, stock):
             return True
         self._want(stock)
@@ -267,8 +324,10 @@
             return True
         if stock.silent_since is None or now - stock.silent_since < ANSWER_WAIT_S:
             return False
+        if stock.is_cold and not self._may_use_cold_reserve(now):
+            return False
         is_taken = stock.reserve.try_take(
-            per_s=self.limit_per_s(run) or 0.0, gateways=self._gateway_count, now=now
+            per_s=self.limit_per_s(run) or 0.0, gateways=self._reserve_count(stock), now=now
         )
         self._on_permits("reserve", int(is_taken))
         return is_taken
@@ -278,14 +337,17 @@
         if stock.asked_at is None:
             return PermitRefused(retry_after_s=max(0.0, stock.asks_at - now))
         due_in_s = stock.reserve.due_in_s(
-            per_s=self.limit_per_s(run) or 0.0, gateways=self._gateway_count, now=now
+            per_s=self.limit_per_s(run) or 0.0, gateways=self._reserve_count(stock), now=now
         )
-        return PermitRefused(retry_after_s=due_in_s)
+        # The next leader is expected sooner than this gateway's turn among many.
+        return PermitRefused(retry_after_s=min(MAX_TURN_S, due_in_s) if stock.is_cold else due_in_s)
 
     def _ask(self, run: ServerIncarnation, stock: _Stock) -> None:
         now = self._clock.monotonic()
         is_pending = stock.asked_at is not None and now - stock.asked_at < PERMIT_HOLD_S
         limit = self._table.export(run, now)
+        if limit is None and stock.is_cold:
+            limit = ObservedLimit(run=run, per_s=None, sent_ms_ago=0, heard_ms_ago=0)
         if is_pending or now < stock.asks_at or limit is None:
             return
         stock.asked = min(round(stock.wanted), MAX_WANTED)
@@ -293,7 +355,20 @@
         stock.number += 1
         stock.asked_at = now
         stock.silent_since = now if stock.silent_since is None else stock.silent_since
-        self._post(PermitRequest(limit=limit, number=stock.number, wanted=stock.asked))
+        self._post(
+            PermitRequest(
+                limit=limit, number=stock.number, wanted=stock.asked, is_cold=stock.is_cold
+            )
+        )
+
+    def _cold_per_s(self, run: ServerIncarnation) -> float | None:
+        return self._cold.rate_per_s(run) if self._cold is not None else None
+
+    def _may_use_cold_reserve(self, now: float) -> bool:
+        return self._counted_since is not None and now - self._counted_since >= RESERVE_START_S
+
+    def _reserve_count(self, stock: _Stock) -> int:
+        return self._highest_count if stock.is_cold else self._gateway_count
 
     def _stock(self, run: ServerIncarnation) -> _Stock:
         stock = self._stocks.get(run)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -17,6 +17,7 @@
     :param version: returns the version number of the routes in force.
     :param limits: returns how many servers have named a rate limit.
     :param age_s: returns the maximum age of the gateway's state in seconds, infinite if unknown.
+    :param cold: returns how many servers are cold.
     :param silence_s: returns the time since the last message of a control replica, in seconds.
     :param unreached: returns how many servers this gateway does not reach directly.
     :param carried: returns how many connections it carries for other gateways.
@@ -29,6 +30,7 @@
         index: Callable[[], float],
         version: Callable[[], float],
         limits: Callable[[], float],
+        cold: Callable[[], float],
         age_s: Callable[[], float],
         silence_s: Callable[[], float],
         unreached: Callable[[], float],
@@ -41,6 +43,7 @@
         page.gauge("state_age_seconds", "Maximum age of the state; +Inf if unknown.", age_s)
         page.gauge("control_silence_seconds", "Time since a replica was heard.", silence_s)
         page.gauge("server_limits", "Servers that have named a rate limit.", limits)
+        page.gauge("cold_servers", "Servers that are cold.", cold)
         page.gauge("servers_unreached", "Servers that are not reached directly.", unreached)
         page.gauge("carried", "Connections carried for other gateways.", carried)
         page.gauge("requests_under_way", "Requests without a final answer.", under_way)
@@ -152,7 +155,7 @@
             self._unanswered.labels(end.reason.value, "no").inc(end.skipped)
 
     def count_permits(self, outcome: str, count: int) -> None:
-        """Count permits for servers with a limit: issued, expired, or taken from the reserve."""
+        """Count permits: issued, expired, from the reserve, or too late for a cold server."""
         self._permits.labels(outcome).inc(count)
 
     def count_subscription(self, outcome: str, received_bytes: int) -> None:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -156,21 +156,44 @@
         return await self._select_owner(request, request.key)
 
     async def _select_any(self, request: RoutedRequest) -> ProxyServer | NoServer:
-        """Return the best server; the best one without a rate limit if another has no permit."""
+        """Return the best server; the best one without a rate limit if another has no permit.
+
+        A cold server is waited for only where no other one has room.
+        """
         limited: list[ServerIncarnation] = []
+        full: list[ServerIncarnation] = []
+        refusal = NoServer(reason="no server is left", retry_after_s=0.3)
         now = self._clock.monotonic()
-        while (best := self._find_best(request, now, skip=limited)) is not None:
+        while (best := self._find_best(request, now, skip=[*limited, *full])) is not None:
+            is_cold = best.is_cold(now)
             admitted = self._admit(request, best, now)
             if isinstance(admitted, NoServer):
-                return admitted
-            if await self._limits.take_promptly(best.run, deadline=request.deadline):
+                refusal = admitted
+                if not is_cold:
+                    limited = [run for run in limited if self._is_cold(run, now)]
+                    break
+                full.append(best.run)
+                continue
+            if await self._take_permit(request, best, is_cold=is_cold):
                 return admitted
             limited.append(best.run)
         for run in limited:
             server = self._servers.find(run)
             if server is not None:
                 return await self._wait_for_permit(request, server)
-        return NoServer(reason="no server is left", retry_after_s=0.3)
+        return refusal
+
+    async def _take_permit(
+        self, request: RoutedRequest, server: ProxyServer, *, is_cold: bool
+    ) -> bool:
+        """Take a permit if there is one soon; for a cold server, only one that is at hand."""
+        if is_cold:
+            return self._limits.try_take(server.run)
+        return await self._limits.take_promptly(server.run, deadline=request.deadline)
+
+    def _is_cold(self, run: ServerIncarnation, now: float) -> bool:
+        server = self._servers.find(run)
+        return server is not None and server.is_cold(now)
 
     def _find_best(
         self, request: RoutedRequest, now: float, *, skip: list[ServerIncarnation]
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -9,12 +9,15 @@
 
 from lychee_gateway.proxy.codec import Occupancy
 from lychee_http.pool import ServerPool
+from lychee_policy import ColdReading, ColdTime
 from lychee_ranges import RoutedState
 from lychee_types.clock import Clock
-from lychee_types.ids import ServerId, ServiceName
+from lychee_types.cold_messages import ObservedCold
+from lychee_types.ids import DomainName, ServerId, ServiceName
 from lychee_types.registry import RegisteredServer, ServerIncarnation
 from lychee_types.registry_messages import ServerStats
-from lychee_types.server_check import server_fault
+from lychee_types.routing import ColdRule
+from lychee_types.server_check import MAX_COLD_S, server_fault
 
 INITIAL_SERVICE_TIME_S = 0.06
 """Assumed service time of a request before any has been measured, in seconds."""
@@ -89,6 +92,7 @@
     :param gateway_count: approximate number of gateways.
     :param service_time_s: mean service time of its service until its own has been measured, in
         seconds; None if that is not known either.
+    :param cold_rule: how it is treated while it is cold, None if its service has no rate for that.
     """
 
     def __init__(
@@ -96,6 +100,7 @@
         *,
         record: RegisteredServer,
         now: float,
+        cold_rule: ColdRule | None = None,
         leaving_since: float | None = None,
         gateway_count: int = 1,
         service_time_s: float | None = None,
@@ -117,6 +122,11 @@
         self._has_occupancy = False
         self.leaving_since = leaving_since
         self._cold_until = now + record.cold_s
+        self.cold_rule: ColdRule | None = None
+        self.cold_since = now
+        self._cold_time = ColdTime()
+        self._has_cold_news = False
+        self.set_cold_rule(cold_rule, now)
         self._failures = 0
         self._ejected_until = 0.0
         self._busy_s = 0.0
@@ -143,6 +153,55 @@
         if record.is_leaving and self.leaving_since is None:
             self.leaving_since = as_of
 
+    def set_cold_rule(self, rule: ColdRule | None, now: float) -> None:
+        """Set how the server is treated while it is cold.
+
+        It counts as cold until it is heard to be warm, as the time of its registration is unknown
+        and it may have become cold again since.
+        """
+        if rule is not None and self.cold_rule is None:
+            assumed_until = now + max(rule.warmup_s, self.record.cold_s)
+            self._cold_time = ColdTime(assumed_until=assumed_until)
+            self.cold_since = now
+        self.cold_rule = rule
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the server is cold and gets requests by permits only."""
+        return self.cold_rule is not None and self._cold_time.is_cold(now)
+
+    def assume_cold(self, for_s: float, now: float) -> None:
+        """Count the server as cold until a later report says otherwise."""
+        if not self.is_cold(now):
+            self.cold_since = now
+        self._cold_time.assume(for_s, now)
+
+    def record_cold(self, remaining_s: float, now: float) -> None:
+        """Record the time for which the server has just said that it stays cold, in seconds."""
+        reading = ColdReading(remaining_s=min(remaining_s, MAX_COLD_S), heard_at=now)
+        if self.record_cold_reading(reading, now):
+            self._has_cold_news = True
+
+    def record_cold_reading(self, reading: ColdReading, now: float) -> bool:
+        """Record a report of the server, and return whether it changes its cold time."""
+        if self.cold_rule is None:
+            return False
+        was_cold = self.is_cold(now)
+        has_changed = self._cold_time.record(reading, now)
+        is_cold = self.is_cold(now)
+        if is_cold is not was_cold:
+            self.cold_since = now
+            logger.bind(event="server_cold", server=self.run.server, is_cold=is_cold).info(
+                "a server has reported that it is {}", "cold" if is_cold else "warm"
+            )
+        return has_changed
+
+    def take_cold_news(self, now: float) -> ObservedCold | None:
+        """Return what the server has said itself since the last call, None if nothing is new."""
+        if not self._has_cold_news:
+            return None
+        self._has_cold_news = False
+        return self._cold_time.export(self.run, now)
+
     def has_drained(self, now: float, after_s: float) -> bool:
         """Return whether the server may have been allowed to leave longer ago than ``after_s``."""
         return self.leaving_since is not None and now - self.leaving_since > after_s
@@ -169,6 +228,8 @@
 
     def expected_service_time_s(self, now: float) -> float:
         """Return the expected service time of a request, without queueing, in seconds."""
+        if self.cold_rule is not None:
+            return self.service_time_s * self._cold_time.slowdown(now, factor=COLD_FACTOR)
         return self.service_time_s * (COLD_FACTOR if now < self._cold_until else 1.0)
 
     def is_healthy(self, now: float) -> bool:
@@ -302,6 +363,7 @@
         """Add, update and remove servers to match the registrations in the state."""
         now, as_of = self._clock.monotonic(), self._as_of()
         records = self._usable_records(state)
+        cold_rules = state.routing.cold_rules()
         for server_id, server in tuple(self._by_id.items()):
             record = records.get(server_id)
             if (
@@ -320,9 +382,11 @@
                     leaving_since=as_of if record.is_leaving else None,
                     gateway_count=self._gateway_count,
                     service_time_s=self._mean_service_time_s(record.service),
+                    cold_rule=cold_rules.get(record.service),
                 )
             else:
                 known.update(record, as_of=as_of)
+                known.set_cold_rule(cold_rules.get(record.service), now)
         self._by_service = {}
         for server in self._by_id.values():
             self._by_service.setdefault(server.record.service, []).append(server)
@@ -377,6 +441,16 @@
         server = self._by_id.get(incarnation.server)
         return server if server is not None and server.run == incarnation else None
 
+    def assume_cold(self, domain: DomainName) -> None:
+        """Count a domain's servers as cold for their warm-up until a later report says otherwise.
+
+        They may have become cold while nothing was sent to them.
+        """
+        now = self._clock.monotonic()
+        for server in self._by_id.values():
+            if server.record.domain == domain and server.cold_rule is not None:
+                server.assume_cold(server.cold_rule.warmup_s, now)
+
     def take_stats(self) -> tuple[ServerStats, ...]:
         """Return the statistics of all servers since the last call."""
         all_stats = (server.take_stats() for server in self._by_id.values())
