--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -23,6 +23,7 @@
     serve_peer,
 )
 from lychee_control.registry.calls import GrantCodec
+from lychee_control.registry.cold import ColdBoard
 from lychee_control.registry.crashes import CrashBoard
 from lychee_control.registry.gateways import GatewayBoard
 from lychee_control.registry.heartbeats import heartbeat_fault
@@ -55,6 +56,7 @@
 from lychee_log import Replica, ReplicaAddress, ReplicaDump
 from lychee_runtime import Daemon, Link, LinkService, format_dump, serve_links
 from lychee_types.clock import Clock, SystemClock
+from lychee_types.cold_messages import KnownCold
 from lychee_types.crash_messages import KnownCrashes
 from lychee_types.exceptions import InvariantError
 from lychee_types.ids import DomainName, SessionId
@@ -63,7 +65,7 @@
 from lychee_types.peer_messages import KnownGateways
 from lychee_types.records import Endpoint
 from lychee_types.registry import RoutedImage
-from lychee_types.registry_commands import RoutedOutcome
+from lychee_types.registry_commands import EvacuateDomain, RoutedOutcome
 from lychee_types.registry_messages import (
     SUBSCRIBE,
     FromGateway,
@@ -125,6 +127,7 @@
     :param callers_mb: memory that they take up by the replica's account, in MB.
     :param callers_peak_mb: the most that they have taken up since the start, in MB.
     :param callers_bound_mb: bound on it, in MB.
+    :param cold: number of servers that are cold.
     :param log: the replicated log's own dump, None before it has started.
     :param image: the replicated state.
     """
@@ -138,6 +141,7 @@
     callers_mb: float
     callers_peak_mb: float
     callers_bound_mb: float
+    cold: int
     log: ReplicaDump | None
     image: RoutedImage
 
@@ -175,13 +179,14 @@
         self._leader_message_at = self._clock.monotonic()
         self._machine = RoutedMachine(on_applied=self._on_applied, on_restored=self._on_restored)
         self._limits = LimitBoard(clock=self._clock)
+        self._cold = ColdBoard(state=lambda: self._machine.state, clock=self._clock)
         self._crashes = CrashBoard(clock=self._clock)
         self._gateways = GatewayBoard(clock=self._clock)
         self._subscribers = Subscribers(
             machine=self._machine,
             on_note=self._send_note_up,
             pulse=self._make_pulse,
-            news=lambda: (self._limits.news(), self._crashes.news(), self._gateways.news()),
+            news=self._news,
         )
         seed = xxh3_64_intdigest(self._id.encode())
         self._peers = PeerLinks(spawn=self._spawn_peer_link, ssl=None, seed=seed)
@@ -237,6 +242,7 @@
             gateways=lambda: len(self._subscribers),
             sent_bytes=lambda: self._link_service.codec.sent_bytes,
             limits=lambda: len(self._limits),
+            cold=lambda: len(self._cold),
             servers=lambda: len(self._machine.state.servers),
             evacuated=lambda: len(self._machine.state.evacuated),
             ranges=lambda: sum(len(t.ranges) for t in self._machine.state.tables.values()),
@@ -292,6 +298,7 @@
                 callers_mb=megabytes(self._memory.held),
                 callers_peak_mb=megabytes(self._memory.peak),
                 callers_bound_mb=megabytes(self._memory.bounds.held_bytes),
+                cold=len(self._cold),
                 log=self._replica.dump(),
                 image=self._machine.state.image(),
             )
@@ -396,12 +403,20 @@
         match news:
             case KnownLimits(limits=limits):
                 self._limits.record(limits)
+            case KnownCold(servers=servers):
+                self._cold.record(servers)
             case KnownCrashes(requests=requests):
                 self._crashes.record(requests)
             case KnownGateways(gateways=gateways):
                 self._gateways.record_known(gateways)
         self._subscribers.post_all(news)
 
+    def _news(self) -> tuple[LeaderNews, ...]:
+        """Return the leader's news so far; earlier versions do not know those of cold servers."""
+        news = (self._limits.news(), self._crashes.news(), self._gateways.news())
+        cold = self._cold.news()
+        return news if cold is None else (*news, cold)
+
     def _send_note_up(self, session: SessionId, note: LeaderNote) -> None:
         self._relay.send_up(session, note)
 
@@ -454,6 +469,7 @@
             codec=self._grants,
             limits=self._limits,
             crashes=self._crashes,
+            cold=self._cold,
             gateways=self._gateways,
             spread=self._relay.spread,
             clock=self._clock,
@@ -463,6 +479,9 @@
 
     def _on_applied(self, delta: RoutedDelta, outcome: RoutedOutcome) -> None:
         self._subscribers.broadcast(delta)
+        match delta.command:
+            case EvacuateDomain(domain=domain, is_evacuated=False):
+                self._cold.assume(domain)
         if self._leader is not None:
             self._leader.on_applied(delta.command, outcome)
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -254,6 +254,8 @@
         if not self._is_usable():
             # The process was paused, or has fallen behind, since the server was selected.
             return NotRun(reason="the state was outdated before it was sent", was_sent=False)
+        if not self._limits.may_send(server, selected_at=in_flight.sent_at):
+            return NotRun(reason="the permit expired before it was sent", was_sent=False)
         head = self._codec.forward_request(
             exchange.head, server=server.run.server, remaining_s=remaining_s
         )
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -13,6 +13,7 @@
 from lychee_gateway.proxy.attempts import LAST_SEND_SHARE, Sender
 from lychee_gateway.proxy.carrier import Carrier
 from lychee_gateway.proxy.codec import ProxyCodec, Rejection
+from lychee_gateway.proxy.cold import ColdServers
 from lychee_gateway.proxy.crashes import CrashGuard
 from lychee_gateway.proxy.evacuations import EvacuationLog
 from lychee_gateway.proxy.forwarding import Forwarder
@@ -43,6 +44,7 @@
 from lychee_http.textpage import TextPage
 from lychee_runtime import Daemon, format_dump
 from lychee_types.clock import Clock, SystemClock
+from lychee_types.cold_messages import KnownCold
 from lychee_types.crash_messages import KnownCrashes
 from lychee_types.ids import DomainName, LogIndex, ServiceName, SessionId
 from lychee_types.limit_messages import KnownLimits, PermitReply
@@ -64,6 +66,7 @@
     :param routes: version number of the active routing configuration.
     :param servers: number of registered servers.
     :param evacuated: the failure domains that are evacuated.
+    :param cold: number of servers that are cold.
     :param callers: number of open connections from callers.
     :param callers_max: maximum number of them, None for no limit.
     :param callers_mb: memory that they take up by the gateway's account, in MB.
@@ -79,6 +82,7 @@
     routes: int
     servers: int
     evacuated: tuple[DomainName, ...]
+    cold: int
     callers: int
     callers_max: int | None
     callers_mb: float
@@ -125,6 +129,7 @@
             index=lambda: self._view.state.index,
             version=lambda: self._view.state.version.number,
             limits=lambda: len(self._limits),
+            cold=lambda: self._cold.count(),
             age_s=lambda: self._age.age_s,
             silence_s=lambda: self._clock.monotonic() - self._subscription.last_message_at,
             unreached=lambda: len(self._paths),
@@ -149,10 +154,12 @@
             clock=self._clock,
         )
         self._carrier = self._make_carrier()
+        self._cold = ColdServers(servers=self._servers, clock=self._clock)
         self._limits = ServerLimits(
             on_attempt=self._metrics.count_limited_attempt,
             on_permits=self._metrics.count_permits,
             clock=self._clock,
+            cold=self._cold,
         )
         self._prober = Prober(
             codec=codec,
@@ -278,6 +285,7 @@
                 routes=state.version.number,
                 servers=len(state.servers),
                 evacuated=tuple(sorted(state.evacuated)),
+                cold=self._cold.count(),
                 callers=len(self._conns),
                 callers_max=self._memory.bounds.connections,
                 callers_mb=megabytes(self._memory.held),
@@ -425,6 +433,7 @@
         notes = (
             load,
             self._limits.take_report(),
+            self._cold.take_report(),
             self._guard.take_report(),
             self._paths.reports.take(),
         )
@@ -436,6 +445,8 @@
                 self._limits.receive_reply(message)
             case KnownLimits():
                 self._limits.receive_news(message)
+            case KnownCold():
+                self._cold.receive_news(message)
             case KnownCrashes():
                 self._guard.receive_news(message)
             case KnownGateways():
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -188,26 +188,37 @@
         return admitted if isinstance(admitted, NoServer) else None
 
     async def _select_any(self, request: RoutedRequest) -> ProxyServer | NoServer:
-        """Return the best server; the best one without a rate limit if another has no permit."""
+        """Return the best server; the best one without a rate limit if another has no permit.
+
+        A cold server is waited for only where no other one has room.
+        """
         limited: list[ServerIncarnation] = []
         request.probed = 0
         if self._probed is not None and self._is_probed(request):
             found = await self._select_probed(request, self._probed, limited)
             if found is not None:
                 return found
+        full: list[ServerIncarnation] = []
+        refusal = NO_SERVER_LEFT
         now = self._clock.monotonic()
-        while (best := self._find_best(request, now, skip=limited)) is not None:
+        while (best := self._find_best(request, now, skip=[*limited, *full])) is not None:
+            is_cold = best.is_cold(now)
             admitted = self._admit(request, best, now)
             if isinstance(admitted, NoServer):
-                return admitted
-            if await self._limits.take_promptly(best.run, deadline=request.deadline):
+                refusal = admitted
+                if not is_cold:
+                    limited = [run for run in limited if self._is_cold(run, now)]
+                    break
+                full.append(best.run)
+                continue
+            if await self._take_permit(request, best, is_cold=is_cold):
                 return admitted
             limited.append(best.run)
         for run in limited:
             server = self._servers.find(run)
             if server is not None:
                 return await self._wait_for_permit(request, server)
-        return NO_SERVER_LEFT
+        return refusal
 
     def _is_probed(self, request: RoutedRequest) -> bool:
         """Return whether servers are asked for their load before the request is sent."""
@@ -237,7 +248,8 @@
                 continue
             if isinstance(self._admit(request, server, self._clock.monotonic()), NoServer):
                 break
-            if await self._limits.take_promptly(server.run, deadline=request.deadline):
+            is_cold = server.is_cold(self._clock.monotonic())
+            if await self._take_permit(request, server, is_cold=is_cold):
                 found = server
                 break
             limited.append(server.run)
@@ -250,6 +262,18 @@
             if not server.is_leaving and server.run not in request.tried:
                 yield server
 
+    async def _take_permit(
+        self, request: RoutedRequest, server: ProxyServer, *, is_cold: bool
+    ) -> bool:
+        """Take a permit if there is one soon; for a cold server, only one that is at hand."""
+        if is_cold:
+            return self._limits.try_take(server.run)
+        return await self._limits.take_promptly(server.run, deadline=request.deadline)
+
+    def _is_cold(self, run: ServerIncarnation, now: float) -> bool:
+        server = self._servers.find(run)
+        return server is not None and server.is_cold(now)
+
     def _find_best(
         self, request: RoutedRequest, now: float, *, skip: list[ServerIncarnation]
     ) -> ProxyServer | None:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -9,12 +9,15 @@
 
 from lychee_gateway.proxy.codec import Occupancy
 from lychee_http.pool import ServerPool
+from lychee_policy import ColdReading, ColdTime
 from lychee_ranges import RoutedState
 from lychee_types.clock import Clock
+from lychee_types.cold_messages import ObservedCold
 from lychee_types.ids import DomainName, ServerId, ServiceName
 from lychee_types.registry import RegisteredServer, ServerIncarnation
 from lychee_types.registry_messages import ServerStats
-from lychee_types.server_check import server_fault
+from lychee_types.routing import ColdRule
+from lychee_types.server_check import MAX_COLD_S, server_fault
 
 INITIAL_SERVICE_TIME_S = 0.06
 """Assumed service time of a request before any has been measured, in seconds."""
@@ -109,6 +112,7 @@
     :param gateway_count: approximate number of gateways.
     :param service_time_s: mean service time of its service until its own has been measured, in
         seconds; None if that is not known either.
+    :param cold_rule: how it is treated while it is cold, None if its service has no rate for that.
     """
 
     def __init__(
@@ -116,6 +120,7 @@
         *,
         record: RegisteredServer,
         now: float,
+        cold_rule: ColdRule | None = None,
         leaving_since: float | None = None,
         gateway_count: int = 1,
         service_time_s: float | None = None,
@@ -142,6 +147,11 @@
         self._speed_at = -inf
         self.leaving_since = leaving_since
         self._cold_until = now + record.cold_s
+        self.cold_rule: ColdRule | None = None
+        self.cold_since = now
+        self._cold_time = ColdTime()
+        self._has_cold_news = False
+        self.set_cold_rule(cold_rule, now)
         self._failures = 0
         self._ejected_until = 0.0
         self._busy_s = 0.0
@@ -175,12 +185,57 @@
         """Record that the server stays, as the evacuation of its domain has ended."""
         self.leaving_since = None
 
-    def assume_cold(self, for_s: float, now: float) -> None:
-        """Assume that the server may have started again; does nothing yet.
+    def set_cold_rule(self, rule: ColdRule | None, now: float) -> None:
+        """Set how the server is treated while it is cold.
 
-        :param for_s: time for which it stays cold unless it says otherwise, in seconds.
-        :param now: monotonic time in seconds.
+        It counts as cold until it is heard to be warm, as the time of its registration is unknown
+        and it may have become cold again since.
         """
+        if rule is not None and self.cold_rule is None:
+            assumed_until = now + max(rule.warmup_s, self.record.cold_s)
+            self._cold_time = ColdTime(assumed_until=assumed_until)
+            self.cold_since = now
+        self.cold_rule = rule
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the server is cold and gets requests by permits only."""
+        return self.cold_rule is not None and self._cold_time.is_cold(now)
+
+    def assume_cold(self, now: float) -> None:
+        """Count the server as cold for its warm-up until a later report says otherwise."""
+        if self.cold_rule is None:
+            return
+        if not self.is_cold(now):
+            self.cold_since = now
+        self._cold_time.assume(self.cold_rule.warmup_s, now)
+
+    def record_cold(self, remaining_s: float, now: float) -> None:
+        """Record the time for which the server has just said that it stays cold, in seconds."""
+        self._cold_until = now + remaining_s
+        reading = ColdReading(remaining_s=min(remaining_s, MAX_COLD_S), heard_at=now)
+        if self.record_cold_reading(reading, now):
+            self._has_cold_news = True
+
+    def record_cold_reading(self, reading: ColdReading, now: float) -> bool:
+        """Record a report of the server, and return whether it changes its cold time."""
+        if self.cold_rule is None:
+            return False
+        was_cold = self.is_cold(now)
+        has_changed = self._cold_time.record(reading, now)
+        is_cold = self.is_cold(now)
+        if is_cold is not was_cold:
+            self.cold_since = now
+            logger.bind(event="server_cold", server=self.run.server, is_cold=is_cold).info(
+                "a server has reported that it is {}", "cold" if is_cold else "warm"
+            )
+        return has_changed
+
+    def take_cold_news(self, now: float) -> ObservedCold | None:
+        """Return what the server has said itself since the last call, None if nothing is new."""
+        if not self._has_cold_news:
+            return None
+        self._has_cold_news = False
+        return self._cold_time.export(self.run, now)
 
     def has_drained(self, now: float, after_s: float) -> bool:
         """Return whether the server may have been allowed to leave longer ago than ``after_s``."""
@@ -208,9 +263,14 @@
 
     def expected_service_time_s(self, now: float) -> float:
         """Return the expected service time of a request, without queueing, in seconds."""
-        usual_s = self.service_time_s * (COLD_FACTOR if now < self._cold_until else 1.0)
+        usual_s = self.service_time_s * self._cold_slowdown(now)
         return usual_s if self._slowness == 1.0 else usual_s * self.slowness(now)
 
+    def _cold_slowdown(self, now: float) -> float:
+        if self.cold_rule is not None:
+            return self._cold_time.slowdown(now, factor=COLD_FACTOR)
+        return COLD_FACTOR if now < self._cold_until else 1.0
+
     def slowness(self, now: float) -> float:
         """Return how long work is expected to take at this moment, as a multiple of the usual time.
 
@@ -286,10 +346,6 @@
         self._has_occupancy = True
         self._record_speed(occupancy.speed, now)
 
-    def record_cold(self, remaining_s: float, now: float) -> None:
-        """Record the time for which the server has just said that it stays cold, in seconds."""
-        self._cold_until = now + remaining_s
-
     def record_reset(self, now: float) -> None:
         """Record that the server reset a connection: it may be full until its queue is served."""
         queue_s = QUEUE_PER_SLOT * self.expected_service_time_s(now)
@@ -428,6 +484,7 @@
             domain: self._evacuated_since.get(domain, as_of) for domain in state.evacuated
         }
         records = self._usable_records(state)
+        cold_rules = state.routing.cold_rules()
         for server_id, server in tuple(self._by_id.items()):
             record = records.get(server_id)
             if (
@@ -448,10 +505,12 @@
                     leaving_since=self._leaving_since(record, as_of),
                     gateway_count=self._gateway_count,
                     service_time_s=self._mean_service_time_s(record.service),
+                    cold_rule=cold_rules.get(record.service),
                 )
             else:
                 known.record = record
                 self._update_leaving(known, now=now, as_of=as_of)
+                known.set_cold_rule(cold_rules.get(record.service), now)
         self._by_service = {}
         for server in self._by_id.values():
             self._by_service.setdefault(server.record.service, []).append(server)
@@ -470,7 +529,8 @@
             server.leave(since)
         elif server.is_leaving:
             server.stay()
-            server.assume_cold(server.record.cold_s, now)
+            # It may have become cold while nothing was sent to it.
+            server.assume_cold(now)
 
     def _usable_records(self, state: RoutedState) -> dict[ServerId, RegisteredServer]:
         """Return the records without those that a replica of an earlier version took untested."""
--- a/packages/lychee-gateway/tests/test_evacuations.py
+++ b/packages/lychee-gateway/tests/test_evacuations.py
@@ -219,7 +219,7 @@
     told = []
     for name in "ab":
         monkeypatch.setattr(
-            gateway.server(name), "assume_cold", lambda for_s, now, name=name: told.append(name)
+            gateway.server(name), "assume_cold", lambda now, name=name: told.append(name)
         )
     for is_evacuated in (False, True, True, False, False):
         gateway.order("nord", is_evacuated)
