--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -207,9 +207,7 @@
             retries=self._retries,
             metrics=self._metrics,
             stop=self._stop,
-            held=HeldAnswers(
-                max_bytes=min(MAX_HELD_BYTES, int(self._memory.bounds.held_bytes * CALLERS_SHARE))
-            ),
+            held=self._make_held_answers(),
         )
         self._idle_limit = IdleLimit(keep_s=cfg.bounds.apply_s, clock=self._clock)
         self._view.add_listener(
@@ -307,6 +305,13 @@
     def _forget_departed_servers(self) -> None:
         self._limits.keep_only({record.run for record in self._view.state.servers.values()})
 
+    def _make_held_answers(self) -> HeldAnswers | None:
+        """Return the room for answers that follows from the VM, None for the usual one."""
+        if self._cfg.vm.memory_mb is None:
+            return None
+        share = int(self._memory.bounds.held_bytes * CALLERS_SHARE)
+        return HeldAnswers(max_bytes=min(MAX_HELD_BYTES, share))
+
     def _make_carrier(self) -> Carrier | None:
         endpoint = self._cfg.carry_endpoint
         if endpoint is None:
--- a/packages/lychee-http/src/lychee_http/caller_memory.py
+++ b/packages/lychee-http/src/lychee_http/caller_memory.py
@@ -247,7 +247,8 @@
         """The same for what was received, which is given back when the connection ends."""
         if not self._has_ended:
             self._input += size
-            self.add(size)
+            self.held += size
+            self._memory.add(self, size)
 
     def await_caller(self) -> None:
         """Record that the caller has to send, or read, for its request to go on."""
@@ -353,9 +354,11 @@
     def add(self, holding: CountedHolding, size: int) -> None:
         """Count memory of a connection, and have connections ended if it is too much."""
         self.held += size
+        if size <= 0:
+            return
         if self.held > self.peak:
             self.peak = self.held
-        if size <= 0 or self._is_deferred:
+        if self._is_deferred:
             return
         if self.held > self.bounds.held_bytes or holding.held > self.connection_bytes:
             self._is_deferred = True
--- a/packages/lychee-http/src/lychee_http/parser.py
+++ b/packages/lychee-http/src/lychee_http/parser.py
@@ -31,6 +31,9 @@
 DENSE_CALLBACKS = 256
 """Callbacks in a slice from which on parsing it takes long for its size."""
 
+FEW_HEADERS = 32
+"""Headers in a slice up to which only their bytes count until they are taken."""
+
 DENSE_IN_MESSAGE = 64
 """The same for each message in it; many usual requests are no such slice."""
 
@@ -244,6 +247,8 @@
     def _parse_until_event(self) -> None:
         if self._memory and not self._events:
             self._count_memory(self._head_memory())
+        if not self._unparsed:
+            return
         while self._unparsed and not self._events and self._error is None:
             self._parse_slice()
         if self._memory and not self._events:
@@ -279,7 +284,8 @@
         callbacks = self._header_count + self._part_count
         messages = 1 + self._head_count - head_count
         self.is_dense = callbacks >= max(DENSE_CALLBACKS, DENSE_IN_MESSAGE * messages)
-        added = HEADER_BYTES * self._header_count if self._events or self._in_head else 0
+        is_kept = self._header_count > FEW_HEADERS and (self._events or self._in_head)
+        added = HEADER_BYTES * self._header_count if is_kept else 0
         # What was counted for the bytes themselves now counts for what was made of them.
         self._memory += len(data)
         self._count_memory(self._memory + added)
