Add the decisions on second copies of requests

A request whose server is slow waits for it until its deadline. RouteCopies decides when a copy is due (a percentile of the route's response times of about ten seconds), and limits copies to a share of the route's requests with a burst of three. It sends none while more requests are slow than the percentile accounts for, so that copies add no load where all are slow.

--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -19,6 +19,7 @@
     EndedAttempt,
     Verdict,
 )
+from lychee_policy.hedging import CopyRequest, RouteCopies, Suppression
 from lychee_policy.hotkeys import HotKeyCounter
 from lychee_policy.limits import Limits, limits_for
 from lychee_policy.outliers import (
@@ -70,6 +71,7 @@
     "warm_up_share",
     "Candidate",
     "ClockChecker",
+    "CopyRequest",
     "CrashTable",
     "EndedAttempt",
     "GatewayTable",
@@ -94,6 +96,8 @@
     "RETRY_WINDOW_S",
     "RetryBudget",
     "RoundRobin",
+    "RouteCopies",
+    "Suppression",
     "MAX_TURNS",
     "TURN_S",
     "Waiter",
