Add the settings of second copies

hedging.max_share is the share of a route's requests that may get a copy, 0 (none) by default; hedging.percentile is when a copy is due. Values out of range, and misspelt ones, are faults with their line, as the tests check; before, each file with hedging was refused as it has an unknown field.

--- a/packages/lychee-types/src/lychee_types/routed_settings.py
+++ b/packages/lychee-types/src/lychee_types/routed_settings.py
@@ -39,6 +39,27 @@
     retry_slack: float = 60.0
 
 
+MAX_COPY_SHARE = 0.5
+"""Maximum value of `HedgingSettings.max_share`."""
+
+LEAST_PERCENTILE = 50.0
+"""Minimum value of `HedgingSettings.percentile`."""
+
+MOST_PERCENTILE = 99.9
+"""Maximum value of `HedgingSettings.percentile`; a higher one is not known within seconds."""
+
+
+class HedgingSettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Second copies of requests that may run more than once.
+
+    :param max_share: maximum number of copies for each request of a route, 0 for no copies.
+    :param percentile: percentile of a route's response times after which a copy is sent.
+    """
+
+    max_share: float = 0.0
+    percentile: float = 95.0
+
+
 class RegistrySettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Settings of a control replica of a routed deployment.
 
@@ -105,6 +126,7 @@
     :param carry: IP address and port at which other gateways connect that do not reach a server,
         None to carry nothing and to reach servers in no other way than directly.
     :param bounds: timeouts and budgets that the deployment guarantees.
+    :param hedging: second copies of requests.
     :param metrics: IP address and port at which metrics are fetched, None for no metrics.
     :param log: logging.
     """
@@ -117,6 +139,7 @@
     seeds: tuple[str, ...]
     carry: str | None = None
     bounds: DeploymentLimits = DeploymentLimits()
+    hedging: HedgingSettings = HedgingSettings()
     metrics: str | None = None
     log: LogSettings = LogSettings()
 
@@ -199,12 +222,21 @@
         except SettingsError as exc:
             yield Finding(place=place, message=exc.message, remedy=exc.remedy)
     yield from _check_own_addresses(settings)
+    if isinstance(settings, ProxySettings):
+        yield from _check_hedging(settings.hedging)
     if not settings.seeds:
         yield Finding(
             place="seeds", message="the list is empty", remedy="name one control replica or more"
         )
 
 
+def _check_hedging(hedging: HedgingSettings) -> Iterator[Finding]:
+    yield from check_range(hedging.max_share, "hedging.max_share", least=0.0, most=MAX_COPY_SHARE)
+    yield from check_range(
+        hedging.percentile, "hedging.percentile", least=LEAST_PERCENTILE, most=MOST_PERCENTILE
+    )
+
+
 def _check_own_addresses(settings: RegistrySettings | ProxySettings) -> Iterator[Finding]:
     """Check that no two listeners of the process get the same address."""
     own = [("listen", settings.listen)]
--- a/packages/lychee-types/tests/test_settings_check.py
+++ b/packages/lychee-types/tests/test_settings_check.py
@@ -49,6 +49,7 @@
 domain: nord
 seeds: ["10.0.0.1:7100"]
 carry: 10.0.0.2:7201
+hedging: {max_share: 0.05, percentile: 95}
 metrics: 10.0.0.2:9464
 """
 CONSOLE = """\
@@ -126,6 +127,12 @@
     (PROXY, "0.2:9464", "0.2:8081", "metrics", "change or remove"),
     (PROXY, "0.2:7201", "0.2:8081", "carry", "change or remove"),
     (PROXY, "10.0.0.2:7201", "here", "carry", "an IP number and a port"),
+    (PROXY, "max_share: 0.05", "max_share: 0.6", "hedging.max_share", "from 0.0 to 0.5"),
+    (PROXY, "max_share: 0.05", "max_share: -0.1", "hedging.max_share", "from 0.0 to 0.5"),
+    (PROXY, "max_share: 0.05", "max_share: .nan", "hedging.max_share", "write a number"),
+    (PROXY, "max_share: 0.05", "max_shar: 0.05", "hedging.max_shar", "write max_share"),
+    (PROXY, "percentile: 95", "percentile: 100", "hedging.percentile", "from 50.0 to 99.9"),
+    (PROXY, "percentile: 95", "percentile: 49", "hedging.percentile", "from 50.0 to 99.9"),
     (CONSOLE, "operators.yaml", "''", "operators", "name a YAML file"),
 ]
 
@@ -146,6 +153,11 @@
     assert any(f.place == place and remedy in f.remedy and f.line for f in faults), faults
 
 
+def test_settings_without_hedging_send_no_copies() -> None:
+    text = PROXY.replace("hedging: {max_share: 0.05, percentile: 95}\n", "")
+    assert parse_settings(text, ProxySettings).ok.hedging.max_share == 0
+
+
 def test_an_even_number_of_voters_gives_a_hint_but_no_fault() -> None:
     even = parse_settings(CONTROL.replace("  - {id: c3", "  # - {id: c3"), ControlSettings).ok
     assert "use 1 or 3 voters" in hints(even)[0].remedy
