Select a server for a copy, and measure attempts that are cancelled

ServerSelector.select_for_copy gives the best server that was not tried, if it has a free slot and a permit at once. ProxyServer.record_cancelled counts the time of a cancelled attempt as a lower bound: without it, a server whose slow attempts are cancelled would be taken for as fast as its other answers.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -155,6 +155,17 @@
             return await self._select_any(request)
         return await self._select_owner(request, request.key)
 
+    def select_for_copy(self, request: RoutedRequest) -> ProxyServer | None:
+        """Return the best server that was not tried, None unless it has a free slot and a permit.
+
+        Waits for nothing.
+        """
+        now = self._clock.monotonic()
+        best = self._find_best(request, now, skip=[])
+        if best is None or not (best.is_healthy(now) and best.has_free_slot(now)):
+            return None
+        return best if self._limits.try_take(best.run) else None
+
     async def _select_any(self, request: RoutedRequest) -> ProxyServer | NoServer:
         """Return the best server; the best one without a rate limit if another has no permit."""
         limited: list[ServerIncarnation] = []
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -167,6 +167,10 @@
         """Return whether its queue has probably reached the limit."""
         return self.estimated_occupancy(now) + 1 > self.slots * (1 + QUEUE_PER_SLOT)
 
+    def has_free_slot(self, now: float) -> bool:
+        """Return whether it has probably no queue; one slow request does not count as a queue."""
+        return self._queue_ahead(now) == 0
+
     def expected_service_time_s(self, now: float) -> float:
         """Return the expected service time of a request, without queueing, in seconds."""
         return self.service_time_s * (COLD_FACTOR if now < self._cold_until else 1.0)
@@ -225,6 +229,20 @@
         self._busy_s += service_time_s
         self._answers += 1
 
+    def record_cancelled(self, sent_at: float, now: float) -> None:
+        """Record an attempt that was cancelled before its answer, as another one was faster.
+
+        The time so far counts if it shows a longer service time; without it, a server would never
+        be seen to be slow where the slow ones of its attempts are cancelled.
+
+        :param sent_at: monotonic time in seconds at which it was sent.
+        :param now: monotonic time in seconds.
+        """
+        service_time_s = (now - sent_at) / (1 + self._queue_ahead(now) / self.slots)
+        if service_time_s > self.service_time_s:
+            self.service_time_s += SERVICE_TIME_GAIN * (service_time_s - self.service_time_s)
+            self._answered_at = now
+
     def estimate_anew(self, fastest_s: float, now: float) -> None:
         """Let the service time approach that of the fastest server while no answer measures it.
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/stopping.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/stopping.py
@@ -35,6 +35,11 @@
         self._began_at: float | None = None
         self._waits: set[asyncio.Timeout] = set()
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the gateway stops."""
+        return self._began_at is not None
+
     @property
     def is_over(self) -> bool:
         """Whether the requests that are still in progress are to be aborted."""
--- a/packages/lychee-gateway/tests/test_placing.py
+++ b/packages/lychee-gateway/tests/test_placing.py
@@ -414,3 +414,46 @@
         assert (await setup.select(key=7)).run.server == "a"
 
     run(body())
+
+
+def test_a_copy_goes_to_a_server_that_was_not_tried_and_has_a_free_slot():
+    setup = Setup(record("a"), record("b"), record("c", is_leaving=True))
+    request = setup.request()
+    request.tried.append(setup.server("a").run)
+    assert setup.selector.select_for_copy(request) is setup.server("b")
+    request.tried.append(setup.server("b").run)
+    assert setup.selector.select_for_copy(request) is None
+
+
+def test_no_copy_goes_to_a_server_with_a_queue_a_failing_one_or_one_without_a_permit():
+    setup = Setup(record("a", slots=1))
+    server, request = setup.server("a"), setup.request()
+    now = setup.clock.monotonic()
+    with server.track_request(now):
+        assert setup.selector.select_for_copy(request) is None
+    assert setup.selector.select_for_copy(request) is server
+    setup.limits.record(server.run, 1.0, sent_at=now)
+    assert setup.selector.select_for_copy(request) is None
+    setup.limits.record(server.run, None, sent_at=now + 0.1)
+    for _ in range(3):
+        server.record_failure(now)
+    assert setup.selector.select_for_copy(request) is None
+
+
+def test_a_server_whose_slow_attempts_are_cancelled_is_measured_as_slow():
+    setup = Setup(record("a"))
+    server, now = setup.server("a"), setup.clock.monotonic()
+    before = server.service_time_s
+    server.record_cancelled(now - before / 2, now)
+    assert server.service_time_s == before
+    for _ in range(20):
+        server.record_cancelled(now - 1.0, now)
+    assert server.service_time_s > 0.8
+
+
+def test_a_copy_may_go_to_a_server_with_one_slow_request_if_slots_are_free():
+    setup = Setup(record("a", slots=3))
+    server, now = setup.server("a"), setup.clock.monotonic()
+    with server.track_request(now - 5.0):
+        assert server.expected_wait_s(now) > 0
+        assert setup.selector.select_for_copy(setup.request()) is server
