Move suspect checks and the record of attempts out of forwarding.py

SuspectChecks (suspects.py) says how requests under which servers have ended are sent; TrackedSender (tracked_sender.py) makes an attempt and records it in the trail, the metrics and the crash guard, so that more than one attempt at a request can run. A server counts as tried when its attempt begins instead of when it ends, which nothing in between reads.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -26,6 +26,8 @@
 from lychee_gateway.proxy.servers import ServerList
 from lychee_gateway.proxy.stopping import StopSchedule
 from lychee_gateway.proxy.subscription import Subscription
+from lychee_gateway.proxy.suspects import SuspectChecks
+from lychee_gateway.proxy.tracked_sender import TrackedSender
 from lychee_gateway.proxy.view import RoutedView
 from lychee_http import CallerLimits, ResponseHead, TcpStream
 from lychee_http.exchange import CallerExchange
@@ -136,20 +138,24 @@
         self._guard = CrashGuard(clock=self._clock, own_id=cfg.id, others=lambda: self._peers.ids)
         self._retries = RetryBudgets(bounds=cfg.bounds)
         self._stop = StopSchedule(grace_s=cfg.bounds.grace_s, clock=self._clock)
+        sender = Sender(
+            codec=codec,
+            paths=self._paths,
+            limits=self._limits,
+            drain_s=cfg.bounds.drain_s,
+            clock=self._clock,
+        )
+        suspects = SuspectChecks(guard=self._guard, sender=sender, metrics=self._metrics)
         self._forwarder = Forwarder(
             view=self._view,
             age=self._age,
             selector=self._selector,
-            sender=Sender(
-                codec=codec,
-                paths=self._paths,
-                limits=self._limits,
-                drain_s=cfg.bounds.drain_s,
-                clock=self._clock,
+            sender=TrackedSender(
+                sender=sender, suspects=suspects, metrics=self._metrics, clock=self._clock
             ),
             codec=codec,
             loads=self._loads,
-            guard=self._guard,
+            suspects=suspects,
             clock=self._clock,
             retries=self._retries,
             metrics=self._metrics,
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -5,19 +5,16 @@
 from lychee_gateway.proxy.age import StateAge
 from lychee_gateway.proxy.attempts import (
     MIN_FAILURE_STATUS,
-    Attempt,
     Body,
     NoAnswer,
     NotRun,
     PassedOn,
-    Sender,
     TooLarge,
     TooLate,
     WholeAnswer,
 )
-from lychee_gateway.proxy.calls import Call, Step, describe, has_lost_key
+from lychee_gateway.proxy.calls import Call, Step
 from lychee_gateway.proxy.codec import CallerRequest, ProxyCodec, Rejection
-from lychee_gateway.proxy.crashes import CrashGuard, request_signature
 from lychee_gateway.proxy.held import HeldAnswer, HeldAnswers
 from lychee_gateway.proxy.loads import KeyLoads
 from lychee_gateway.proxy.metrics import ProxyMetrics
@@ -25,14 +22,14 @@
 from lychee_gateway.proxy.retries import RetryBudgets
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.stopping import StopSchedule
+from lychee_gateway.proxy.suspects import SuspectChecks
+from lychee_gateway.proxy.tracked_sender import TrackedSender
 from lychee_gateway.proxy.view import RoutedView
-from lychee_http import ResponseHead, header_value
+from lychee_http import ResponseHead
 from lychee_http.exceptions import BadRequestError
 from lychee_http.exchange import CallerExchange
 from lychee_http.framing import declared_length_error
-from lychee_policy import Verdict
 from lychee_types.clock import Clock
-from lychee_types.ids import RequestSignature
 from lychee_types.routing import Route
 
 RETRY_BUFFER_BYTES = 65_536
@@ -50,12 +47,6 @@
 SUCCESS_LOG_INTERVAL = 100
 """One in this many successful requests is logged."""
 
-MAX_ENDS = 2
-"""Ended servers after which a request is sent to no other one before its caller repeats it."""
-
-SUSPECT_RETRY_S = 0.3
-"""Retry delay of a request that is sent to one server at a time, in seconds."""
-
 STOPPING_RETRY_S = 0.1
 """Retry delay while the gateway stops, in seconds; others take the request at once."""
 
@@ -72,7 +63,7 @@
     :param sender: sends requests to servers.
     :param codec: translates request and response heads.
     :param loads: counts requests by key.
-    :param guard: knows the requests under which servers end.
+    :param suspects: knows the requests under which servers end.
     :param clock: source of time.
     :param retries: this gateway's part of the retry budget.
     :param metrics: the gateway's metrics.
@@ -85,10 +76,10 @@
         view: RoutedView,
         age: StateAge,
         selector: ServerSelector,
-        sender: Sender,
+        sender: TrackedSender,
         codec: ProxyCodec,
         loads: KeyLoads,
-        guard: CrashGuard,
+        suspects: SuspectChecks,
         clock: Clock,
         retries: RetryBudgets,
         metrics: ProxyMetrics,
@@ -100,7 +91,7 @@
         self._sender = sender
         self._codec = codec
         self._loads = loads
-        self._guard = guard
+        self._suspects = suspects
         self._clock = clock
         self._metrics = metrics
         self._retries = retries
@@ -229,14 +220,14 @@
 
     async def _choose(self, call: Call, body: Body) -> ProxyServer | NoServer:
         """Return the server for the next attempt, or why none is made."""
-        refused = self._refuse_suspect(call, body)
+        refused = self._suspects.refuse(call, body)
         if refused is not None:
             return refused
         found = await self._select(call.routed)
         if isinstance(found, NoServer):
             return found
         # Servers may have ended under it while it waited.
-        return self._refuse_suspect(call, body) or found
+        return self._suspects.refuse(call, body) or found
 
     async def _select(self, routed: RoutedRequest) -> ProxyServer | NoServer:
         """Return the server for the next attempt, or why there is none."""
@@ -248,70 +239,12 @@
             return stopping
         return found if self._stop.takes(routed.deadline) else stopping
 
-    def _refuse_suspect(self, call: Call, body: Body) -> NoServer | None:
-        """Return why a request under which servers have ended is not sent now, None if it is."""
-        if call.ends >= MAX_ENDS:
-            return NoServer(reason="servers end under this request", retry_after_s=SUSPECT_RETRY_S)
-        if not len(self._guard):
-            return None
-        signature = self._signature(call, body)
-        match self._guard.verdict(signature):
-            case Verdict.BLOCKED:
-                self._metrics.count_blocked(call.routed.service)
-                return NoServer(
-                    reason="servers end under this request; it is blocked",
-                    retry_after_s=self._guard.blocked_for_s(signature),
-                )
-            case Verdict.SUSPECTED if call.attempts or self._guard.is_running(signature):
-                return NoServer(
-                    reason="servers ended under this request; it is sent to one at a time",
-                    retry_after_s=SUSPECT_RETRY_S,
-                )
-            case Verdict.SUSPECTED:
-                call.routed.is_suspect = True
-                return self._wait_for_turn(signature)
-        return None
-
-    def _wait_for_turn(self, signature: RequestSignature) -> NoServer | None:
-        """Return why this gateway does not send a suspected request now, None if it may."""
-        wait_s = self._guard.wait_for_turn_s(signature)
-        if not wait_s:
-            return None
-        return NoServer(
-            reason="servers ended under this request; it is another gateway's turn to send it",
-            retry_after_s=wait_s,
-        )
-
     async def _attempt(self, call: Call, body: Body, server: ProxyServer, held: HeldAnswer) -> bool:
-        """Make one attempt; return whether the caller has its final answer."""
+        """Send the request to a server; return whether the caller has its final answer."""
         # An attempt that must not be repeated continues even if the caller disconnects.
         call.exchange.is_cancellable = call.is_idempotent
-        now = self._clock.monotonic()
-        occupied, word_age_ms = server.estimated_occupancy(now), server.occupancy_age_ms(now)
-        with self._guard.track(call.signature):
-            attempt = await self._sender.send(
-                exchange=call.exchange,
-                body=body,
-                server=server,
-                deadline=call.routed.deadline,
-                request_id=call.request.request_id,
-                used=call.used_connections,
-                held=held,
-            )
-        await self._update_guard(call, body, server, attempt, sent_at=now)
+        attempt = await self._sender.send(call, body, server, held)
         call.exchange.is_cancellable = True
-        if call.routed.key is None or has_lost_key(attempt):
-            call.routed.tried.append(server.run)
-        call.trail.append(
-            Step(
-                server=server.run.server,
-                occupied=round(occupied, 1),
-                word_age_ms=word_age_ms,
-                at_ms=round((now - call.routed.arrived_at) * 1_000),
-                outcome=describe(attempt),
-            )
-        )
-        self._metrics.count_attempt(call.routed.service, type(attempt).__name__)
         match attempt:
             case WholeAnswer(head=head) if head.status >= MIN_FAILURE_STATUS and self._can_repeat(
                 call, body
@@ -345,43 +278,6 @@
                 await self._end_with_rejection(call, rejection)
                 return True
 
-    async def _update_guard(
-        self, call: Call, body: Body, server: ProxyServer, attempt: Attempt, *, sent_at: float
-    ) -> None:
-        """Record whether the server has answered, or has ended and not just lost an answer."""
-        match attempt:
-            case WholeAnswer(head=ResponseHead(status=status)) | PassedOn(
-                status=status, is_whole=True
-            ):
-                # A server in trouble may fail a request before it runs it.
-                if len(self._guard) and status < MIN_FAILURE_STATUS:
-                    self._guard.record_answer(self._signature(call, body))
-            case NoAnswer(is_disconnected=True) | PassedOn(is_disconnected=True):
-                if await self._sender.has_ended(server):
-                    self._record_end(call, body, server, sent_at=sent_at)
-
-    def _record_end(self, call: Call, body: Body, server: ProxyServer, *, sent_at: float) -> None:
-        call.ends += 1
-        self._guard.record_end(
-            self._signature(call, body),
-            server.run,
-            sent_at=sent_at,
-            request_id=call.request.request_id,
-        )
-        self._metrics.count_server_end(call.routed.service)
-
-    def _signature(self, call: Call, body: Body) -> RequestSignature:
-        if call.signature is None:
-            head = call.exchange.head
-            call.signature = request_signature(
-                call.request,
-                method=head.method,
-                target=head.target,
-                body=body.buffered,
-                declared_length=header_value(head.headers, b"content-length"),
-            )
-        return call.signature
-
     async def _after_not_run(self, call: Call, body: Body, attempt: NotRun) -> bool:
         if self._has_attempt_left(call, body):
             return False
@@ -445,12 +341,6 @@
     ) -> None:
         await exchange.send(*self._codec.reject(rejection, request_id))
 
-    def _known_signature(self, call: Call) -> str | None:
-        """Return the signature of a request under which servers have ended, for the log."""
-        if call.signature is None or call.signature not in self._guard:
-            return None
-        return call.signature.hex()
-
     def _is_sampled(self) -> bool:
         """Return whether to log this successful request as a sample."""
         self._success_count += 1
@@ -473,7 +363,7 @@
             ms=round(seconds * 1_000),
             attempts=call.attempts,
             trail=call.trail,
-            signature=self._known_signature(call),
+            signature=self._suspects.known_signature(call),
             version=self._view.state.version.number,
             index=self._view.state.index,
         ).info("request answered")
--- /dev/null
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/tracked_sender.py
@@ -0,0 +1,65 @@
+"""Make attempts at servers, and record what they show."""
+
+from lychee_gateway.proxy.attempts import Attempt, Body, Sender
+from lychee_gateway.proxy.calls import Call, Step, describe, has_lost_key
+from lychee_gateway.proxy.held import HeldAnswer
+from lychee_gateway.proxy.metrics import ProxyMetrics
+from lychee_gateway.proxy.servers import ProxyServer
+from lychee_gateway.proxy.suspects import SuspectChecks
+from lychee_types.clock import Clock
+
+
+class TrackedSender:
+    """Makes attempts that are recorded in the trail of their requests and in the metrics.
+
+    :param sender: sends requests to servers.
+    :param suspects: learns under which requests servers end.
+    :param metrics: the gateway's metrics.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self, *, sender: Sender, suspects: SuspectChecks, metrics: ProxyMetrics, clock: Clock
+    ) -> None:
+        self._sender = sender
+        self._suspects = suspects
+        self._metrics = metrics
+        self._clock = clock
+
+    async def send(self, call: Call, body: Body, server: ProxyServer, held: HeldAnswer) -> Attempt:
+        """Make one attempt and return its result.
+
+        :param call: the request.
+        :param body: its body.
+        :param server: the server.
+        :param held: the room for the answer.
+        """
+        now = self._clock.monotonic()
+        occupied, word_age_ms = server.estimated_occupancy(now), server.occupancy_age_ms(now)
+
+        if call.routed.key is None:
+            call.routed.tried.append(server.run)
+        with self._suspects.track(call):
+            attempt = await self._sender.send(
+                exchange=call.exchange,
+                body=body,
+                server=server,
+                deadline=call.routed.deadline,
+                request_id=call.request.request_id,
+                used=call.used_connections,
+                held=held,
+            )
+        await self._suspects.record(call, body, server, attempt, sent_at=now)
+        if call.routed.key is not None and has_lost_key(attempt):
+            call.routed.tried.append(server.run)
+        call.trail.append(
+            Step(
+                server=server.run.server,
+                occupied=round(occupied, 1),
+                word_age_ms=word_age_ms,
+                at_ms=round((now - call.routed.arrived_at) * 1_000),
+                outcome=describe(attempt),
+            )
+        )
+        self._metrics.count_attempt(call.routed.service, type(attempt).__name__)
+        return attempt
