Send second copies of slow requests that may run more than once

A request whose server is slow waited for it until its deadline. Where hedging.max_share is above 0, the Hedger sends a copy to another server after the route's usual response time. An attempt claims the exchange before it streams, or with a whole answer below 500; the other one is then cancelled and its connection closed. Both count as attempts, in the trail, the metrics and the retry budget.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, replace
 
+from lychee_gateway.proxy.claims import AnswerClaim
 from lychee_gateway.proxy.codec import ProxyCodec, ResponseInfo
 from lychee_gateway.proxy.held import HeldAnswer
 from lychee_gateway.proxy.limits import ServerLimits
@@ -162,6 +163,7 @@
         request_id: str,
         used: set[ServerConnection],
         held: HeldAnswer,
+        claim: AnswerClaim | None = None,
     ) -> Attempt:
         """Send a request to a server and return the result.
 
@@ -174,6 +176,7 @@
             is added. Another copy of an answer to an earlier attempt, which may still come there,
             bears the same id.
         :param held: the room for the answer.
+        :param claim: the attempt's claim to pass its answer on, None for the only attempt.
         """
         began = self._clock.monotonic()
         with server.track_request(began) as in_flight:
@@ -190,7 +193,7 @@
                     server.record_failure(self._clock.monotonic())
                     return NotRun(reason="the server reset the connection", was_sent=False)
                 attempt = await self._send_on(
-                    conn, exchange, body, server, in_flight, deadline, request_id, held
+                    conn, exchange, body, server, in_flight, deadline, request_id, held, claim
                 )
         if isinstance(attempt, NoAnswer | TooLate):
             server.record_failure(self._clock.monotonic())
@@ -224,6 +227,7 @@
         deadline: float,
         request_id: str,
         held: HeldAnswer,
+        claim: AnswerClaim | None,
     ) -> Attempt:
         remaining_s = deadline - self._clock.monotonic()
         if remaining_s <= 0:
@@ -262,7 +266,9 @@
                         )
                     if info.is_encoded:
                         return NoAnswer(reason="the body is encoded")
-                    return await self._read_answer(conn, answer, exchange, held)
+                    return await self._read_answer(
+                        conn, answer, exchange, held, claim or AnswerClaim()
+                    )
         except TimeoutError:
             return TooLate()
         except ServerResponseError as exc:
@@ -296,7 +302,9 @@
         answer: ResponseHead,
         exchange: CallerExchange,
         held: HeldAnswer,
+        claim: AnswerClaim,
     ) -> Attempt:
+        claim.has_begun = True
         head = self._codec.forward_response(answer)
         declared = _declared_size(answer, exchange)
         body = bytearray()
@@ -309,6 +317,7 @@
         if exchange.is_followed:
             held.learn(max(declared or 0, len(body)))
             return TooLarge()
+        claim.take()
         # From now on no request behind it is passed on, also before its first part comes.
         exchange.is_streamed = True
         held.release()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/calls.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/calls.py
@@ -52,6 +52,7 @@
     :param signature: the request's signature, None before it is needed.
     :param trail: decisions so far, for the log.
     :param used_connections: the connections on which it was sent.
+    :param copy: what became of its second copy, or why it got none; None if none was due.
     """
 
     exchange: CallerExchange
@@ -65,12 +66,25 @@
     signature: RequestSignature | None = None
     trail: list[Step] = field(default_factory=list)
     used_connections: set[ServerConnection] = field(default_factory=set)
+    copy: str | None = None
 
     @property
     def is_idempotent(self) -> bool:
         """Return whether the request may be run more than once."""
         return self.route.kind.is_idempotent
 
+    def count_other(self, attempt: Attempt) -> None:
+        """Count a failed attempt beside which another one went on."""
+        match attempt:
+            case NotRun(was_sent=was_sent):
+                self.attempts += 1 if was_sent else 0
+            case WholeAnswer():
+                self.attempts += 1
+                self.failed_answer = attempt
+            case _:
+                self.attempts += 1
+                self.may_have_run = True
+
 
 def has_lost_key(attempt: Attempt) -> bool:
     """Return whether a key's owner must not be selected again for this request."""
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -15,6 +15,7 @@
 from lychee_gateway.proxy.codec import ProxyCodec, Rejection
 from lychee_gateway.proxy.crashes import CrashGuard
 from lychee_gateway.proxy.forwarding import Forwarder
+from lychee_gateway.proxy.hedging import Hedger, RouteCopiesDump
 from lychee_gateway.proxy.idle import IdleLimit
 from lychee_gateway.proxy.limits import ServerLimits
 from lychee_gateway.proxy.loads import KeyLoads
@@ -59,6 +60,7 @@
     :param routes: version number of the active routing configuration.
     :param servers: number of registered servers.
     :param callers: number of open connections from callers.
+    :param copies: what is known of routes' second copies, empty if none are sent.
     """
 
     id: str
@@ -68,6 +70,7 @@
     routes: int
     servers: int
     callers: int
+    copies: tuple[RouteCopiesDump, ...] = ()
 
 
 class ProxyDaemon(Daemon):
@@ -146,13 +149,23 @@
             clock=self._clock,
         )
         suspects = SuspectChecks(guard=self._guard, sender=sender, metrics=self._metrics)
+        self._hedger = Hedger(
+            sender=TrackedSender(
+                sender=sender, suspects=suspects, metrics=self._metrics, clock=self._clock
+            ),
+            selector=self._selector,
+            suspects=suspects,
+            retries=self._retries,
+            metrics=self._metrics,
+            stop=self._stop,
+            settings=cfg.hedging,
+            clock=self._clock,
+        )
         self._forwarder = Forwarder(
             view=self._view,
             age=self._age,
             selector=self._selector,
-            sender=TrackedSender(
-                sender=sender, suspects=suspects, metrics=self._metrics, clock=self._clock
-            ),
+            hedger=self._hedger,
             codec=codec,
             loads=self._loads,
             suspects=suspects,
@@ -232,6 +245,7 @@
                 routes=state.version.number,
                 servers=len(state.servers),
                 callers=len(self._conns),
+                copies=self._hedger.dump(),
             )
         )
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -15,6 +15,7 @@
 )
 from lychee_gateway.proxy.calls import Call, Step
 from lychee_gateway.proxy.codec import CallerRequest, ProxyCodec, Rejection
+from lychee_gateway.proxy.hedging import Hedger
 from lychee_gateway.proxy.held import HeldAnswer, HeldAnswers
 from lychee_gateway.proxy.loads import KeyLoads
 from lychee_gateway.proxy.metrics import ProxyMetrics
@@ -23,7 +24,6 @@
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.stopping import StopSchedule
 from lychee_gateway.proxy.suspects import SuspectChecks
-from lychee_gateway.proxy.tracked_sender import TrackedSender
 from lychee_gateway.proxy.view import RoutedView
 from lychee_http import ResponseHead
 from lychee_http.exceptions import BadRequestError
@@ -60,7 +60,7 @@
     :param view: the gateway's copy of the replicated state.
     :param age: the age of that state.
     :param selector: selects servers.
-    :param sender: sends requests to servers.
+    :param hedger: sends requests to servers.
     :param codec: translates request and response heads.
     :param loads: counts requests by key.
     :param suspects: knows the requests under which servers end.
@@ -76,7 +76,7 @@
         view: RoutedView,
         age: StateAge,
         selector: ServerSelector,
-        sender: TrackedSender,
+        hedger: Hedger,
         codec: ProxyCodec,
         loads: KeyLoads,
         suspects: SuspectChecks,
@@ -88,7 +88,7 @@
         self._view = view
         self._age = age
         self._selector = selector
-        self._sender = sender
+        self._hedger = hedger
         self._codec = codec
         self._loads = loads
         self._suspects = suspects
@@ -243,7 +243,7 @@
         """Send the request to a server; return whether the caller has its final answer."""
         # An attempt that must not be repeated continues even if the caller disconnects.
         call.exchange.is_cancellable = call.is_idempotent
-        attempt = await self._sender.send(call, body, server, held)
+        attempt = await self._hedger.send(call, body, server, held)
         call.exchange.is_cancellable = True
         match attempt:
             case WholeAnswer(head=head) if head.status >= MIN_FAILURE_STATUS and self._can_repeat(
@@ -363,6 +363,7 @@
             ms=round(seconds * 1_000),
             attempts=call.attempts,
             trail=call.trail,
+            copy=call.copy,
             signature=self._suspects.known_signature(call),
             version=self._view.state.version.number,
             index=self._view.state.index,
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/held.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/held.py
@@ -101,6 +101,12 @@
         self._size = 0
         self._kept = 0
         self._is_over = False
+        self._other: HeldAnswer | None = None
+
+    def make_other(self) -> "HeldAnswer":
+        """Return the room for another answer to the same request; it ends with this one."""
+        self._other = HeldAnswer(answers=self._answers, conn=self._conn, route=self._route)
+        return self._other
 
     def reserve(self) -> bool:
         """Reserve room for an answer of the expected size; return whether there is enough."""
@@ -128,6 +134,8 @@
         """Give the room back for good."""
         self.release()
         self._is_over = True
+        if self._other is not None:
+            self._other.end()
 
     def _take(self, size: int, *, share: float) -> bool:
         if self._is_over:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -58,6 +58,16 @@
         self._blocked = page.counter(
             "blocked", "Requests not sent because servers end under them.", "service"
         )
+        self._copies = page.counter("copies", "Second copies of requests.", "service", "outcome")
+        self._copies_suppressed = page.counter(
+            "copies_suppressed",
+            "Requests that got no copy though one was due.",
+            "service",
+            "reason",
+        )
+        self._cancelled_s = page.counter(
+            "copies_cancelled_seconds", "Time of attempts that another one overtook.", "service"
+        )
         self._limited = page.counter(
             "limited_attempts", "Attempts at servers that have named a rate limit.", "server"
         )
@@ -103,6 +113,18 @@
         """Count an attempt, with the class name of its result as outcome."""
         self._attempts.labels(service, outcome).inc()
 
+    def count_copy(self, service: ServiceName, outcome: str) -> None:
+        """Count a second copy: sent, and later won, lost, failed or left."""
+        self._copies.labels(service, outcome).inc()
+
+    def count_suppressed_copy(self, service: ServiceName, reason: str) -> None:
+        """Count a request that got no second copy, by reason."""
+        self._copies_suppressed.labels(service, reason).inc()
+
+    def count_cancelled(self, service: ServiceName, seconds: float) -> None:
+        """Count the time of an attempt that was cancelled as another one was faster, in seconds."""
+        self._cancelled_s.labels(service).inc(seconds)
+
     def count_limited_attempt(self, server: ServerId) -> None:
         """Count an attempt at a server that has named a rate limit."""
         self._limited.labels(server).inc()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/suspects.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/suspects.py
@@ -64,6 +64,12 @@
                 return self._wait_for_turn(signature)
         return None
 
+    def is_free(self, call: Call, body: Body) -> bool:
+        """Return whether a request may be at several servers at once."""
+        if call.routed.is_suspect or call.ends:
+            return False
+        return not len(self._guard) or (self._guard.verdict(_signature(call, body)) is Verdict.FREE)
+
     def track(self, call: Call) -> AbstractContextManager[None]:
         """Count a request as running inside the block, if its signature is needed."""
         return self._guard.track(call.signature)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/tracked_sender.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/tracked_sender.py
@@ -1,7 +1,10 @@
 """Make attempts at servers, and record what they show."""
 
+import asyncio
+
 from lychee_gateway.proxy.attempts import Attempt, Body, Sender
 from lychee_gateway.proxy.calls import Call, Step, describe, has_lost_key
+from lychee_gateway.proxy.claims import AnswerClaim
 from lychee_gateway.proxy.held import HeldAnswer
 from lychee_gateway.proxy.metrics import ProxyMetrics
 from lychee_gateway.proxy.servers import ProxyServer
@@ -26,40 +29,55 @@
         self._metrics = metrics
         self._clock = clock
 
-    async def send(self, call: Call, body: Body, server: ProxyServer, held: HeldAnswer) -> Attempt:
+    async def send(
+        self, call: Call, body: Body, server: ProxyServer, held: HeldAnswer, claim: AnswerClaim
+    ) -> Attempt:
         """Make one attempt and return its result.
 
         :param call: the request.
         :param body: its body.
         :param server: the server.
         :param held: the room for the answer.
+        :param claim: the attempt's claim to pass its answer on.
         """
         now = self._clock.monotonic()
         occupied, word_age_ms = server.estimated_occupancy(now), server.occupancy_age_ms(now)
 
+        def add_step(outcome: str) -> None:
+            call.trail.append(
+                Step(
+                    server=server.run.server,
+                    occupied=round(occupied, 1),
+                    word_age_ms=word_age_ms,
+                    at_ms=round((now - call.routed.arrived_at) * 1_000),
+                    outcome=outcome,
+                )
+            )
+
         if call.routed.key is None:
             call.routed.tried.append(server.run)
-        with self._suspects.track(call):
-            attempt = await self._sender.send(
-                exchange=call.exchange,
-                body=body,
-                server=server,
-                deadline=call.routed.deadline,
-                request_id=call.request.request_id,
-                used=call.used_connections,
-                held=held,
-            )
+        try:
+            with self._suspects.track(call):
+                attempt = await self._sender.send(
+                    exchange=call.exchange,
+                    body=body,
+                    server=server,
+                    deadline=call.routed.deadline,
+                    request_id=call.request.request_id,
+                    used=call.used_connections,
+                    held=held,
+                    claim=claim,
+                )
+        except asyncio.CancelledError:
+            if claim.is_lost:
+                add_step("cancelled")
+                self._metrics.count_attempt(call.routed.service, "Cancelled")
+                server.record_cancelled(now, self._clock.monotonic())
+            raise
+        claim.is_over = True
         await self._suspects.record(call, body, server, attempt, sent_at=now)
         if call.routed.key is not None and has_lost_key(attempt):
             call.routed.tried.append(server.run)
-        call.trail.append(
-            Step(
-                server=server.run.server,
-                occupied=round(occupied, 1),
-                word_age_ms=word_age_ms,
-                at_ms=round((now - call.routed.arrived_at) * 1_000),
-                outcome=describe(attempt),
-            )
-        )
+        add_step(describe(attempt))
         self._metrics.count_attempt(call.routed.service, type(attempt).__name__)
         return attempt
