--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 from typing import Self
 
+from lychee_gateway.proxy.claims import AnswerClaim
 from lychee_gateway.proxy.codec import ProxyCodec, ResponseInfo
 from lychee_gateway.proxy.held import HeldAnswer
 from lychee_gateway.proxy.limits import ServerLimits
@@ -180,6 +181,7 @@
         request_id: str,
         used: UsedConnections,
         held: HeldAnswer,
+        claim: AnswerClaim | None = None,
     ) -> Attempt:
         """Send a request to a server and return the result.
 
@@ -192,6 +194,7 @@
             sent before, to which that of this attempt is added. Another copy of an earlier answer,
             which may still come there, bears the same id.
         :param held: the room for the answer.
+        :param claim: the attempt's claim to pass its answer on, None for the only attempt.
         """
         began = self._clock.monotonic()
         with server.track_request(began) as in_flight:
@@ -209,7 +212,7 @@
                     self._resets.record(server, conn)
                     return NotRun(reason="the server reset the connection", was_sent=False)
                 attempt = await self._send_on(
-                    conn, exchange, body, server, in_flight, deadline, request_id, held
+                    conn, exchange, body, server, in_flight, deadline, request_id, held, claim
                 )
         if isinstance(attempt, NoAnswer | TooLate):
             server.record_failure(self._clock.monotonic())
@@ -245,6 +248,7 @@
         deadline: float,
         request_id: str,
         held: HeldAnswer,
+        claim: AnswerClaim | None,
     ) -> Attempt:
         remaining_s = deadline - self._clock.monotonic()
         if remaining_s <= 0:
@@ -290,7 +294,9 @@
                         return NoAnswer(reason="the body is encoded")
                     if body.is_upload and answer.status < MIN_UNSUCCESSFUL_STATUS:
                         await sending.finish(deadline - self._clock.monotonic())
-                    return await self._read_answer(conn, answer, exchange, held)
+                    return await self._read_answer(
+                        conn, answer, exchange, held, claim or AnswerClaim()
+                    )
         except TimeoutError:
             return TooLate()
         except ServerResponseError as exc:
@@ -324,7 +330,9 @@
         answer: ResponseHead,
         exchange: CallerExchange,
         held: HeldAnswer,
+        claim: AnswerClaim,
     ) -> Attempt:
+        claim.has_begun = True
         head = self._codec.forward_response(answer)
         declared = _declared_size(answer, exchange)
         body = bytearray()
@@ -337,6 +345,7 @@
         if exchange.is_followed:
             held.learn(max(declared or 0, len(body)))
             return TooLarge()
+        claim.take()
         # From now on no request behind it is passed on, also before its first part comes.
         exchange.is_streamed = True
         held.release()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -17,6 +17,7 @@
 from lychee_gateway.proxy.crashes import CrashGuard
 from lychee_gateway.proxy.evacuations import EvacuationLog
 from lychee_gateway.proxy.forwarding import Forwarder
+from lychee_gateway.proxy.hedging import Hedger, RouteCopiesDump
 from lychee_gateway.proxy.held import CALLERS_SHARE, MAX_HELD_BYTES, HeldAnswers
 from lychee_gateway.proxy.idle import IdleLimit
 from lychee_gateway.proxy.limits import ServerLimits
@@ -32,6 +33,8 @@
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_gateway.proxy.stopping import StopSchedule
 from lychee_gateway.proxy.subscription import Subscription
+from lychee_gateway.proxy.suspects import SuspectChecks
+from lychee_gateway.proxy.tracked_sender import TrackedSender
 from lychee_gateway.proxy.view import RoutedView
 from lychee_http import CallerLimits, ResponseHead, TcpStream
 from lychee_http.caller_account import make_caller_memory
@@ -73,6 +76,7 @@
     :param callers_peak_mb: the most that they have taken up since the start, in MB.
     :param callers_bound_mb: bound on it, in MB.
     :param probed_services: services whose servers are asked for their load before a request.
+    :param copies: what is known of routes' second copies, empty if none are sent.
     """
 
     id: str
@@ -89,6 +93,7 @@
     callers_peak_mb: float
     callers_bound_mb: float
     probed_services: tuple[ServiceName, ...] = ()
+    copies: tuple[RouteCopiesDump, ...] = ()
 
 
 class ProxyDaemon(Daemon):
@@ -187,22 +192,36 @@
         self._guard = CrashGuard(clock=self._clock, own_id=cfg.id, others=lambda: self._peers.ids)
         self._retries = RetryBudgets(bounds=cfg.bounds)
         self._stop = StopSchedule(grace_s=cfg.bounds.grace_s, clock=self._clock)
+        sender = Sender(
+            codec=codec,
+            paths=self._paths,
+            limits=self._limits,
+            resets=ResetRecorder(on_reset=self._metrics.count_reset, clock=self._clock),
+            drain_s=cfg.bounds.drain_s,
+            clock=self._clock,
+            is_usable=lambda: self._age.is_usable,
+        )
+        suspects = SuspectChecks(guard=self._guard, sender=sender, metrics=self._metrics)
+        self._hedger = Hedger(
+            sender=TrackedSender(
+                sender=sender, suspects=suspects, metrics=self._metrics, clock=self._clock
+            ),
+            selector=self._selector,
+            suspects=suspects,
+            retries=self._retries,
+            metrics=self._metrics,
+            stop=self._stop,
+            settings=cfg.hedging,
+            clock=self._clock,
+        )
         self._forwarder = Forwarder(
             view=self._view,
             age=self._age,
             selector=self._selector,
-            sender=Sender(
-                codec=codec,
-                paths=self._paths,
-                limits=self._limits,
-                resets=ResetRecorder(on_reset=self._metrics.count_reset, clock=self._clock),
-                drain_s=cfg.bounds.drain_s,
-                clock=self._clock,
-                is_usable=lambda: self._age.is_usable,
-            ),
+            hedger=self._hedger,
             codec=codec,
             loads=self._loads,
-            guard=self._guard,
+            suspects=suspects,
             clock=self._clock,
             retries=self._retries,
             metrics=self._metrics,
@@ -290,6 +309,7 @@
                 callers_peak_mb=megabytes(self._memory.peak),
                 callers_bound_mb=megabytes(self._memory.bounds.held_bytes),
                 probed_services=self._prober.services,
+                copies=self._hedger.dump(),
             )
         )
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -261,6 +261,10 @@
         """Return whether its queue has probably reached the limit."""
         return self.estimated_occupancy(now) + 1 > self.slots * (1 + QUEUE_PER_SLOT)
 
+    def has_free_slot(self, now: float) -> bool:
+        """Return whether it has probably no queue; one slow request does not count as a queue."""
+        return self._queue_ahead(now) == 0
+
     def expected_service_time_s(self, now: float) -> float:
         """Return the expected service time of a request, without queueing, in seconds."""
         usual_s = self.service_time_s * self._cold_slowdown(now)
@@ -392,6 +396,20 @@
             return SERVICE_TIME_GAIN
         return max(USUAL_TIME_GAIN, 1 / (PRIOR_ANSWERS + 1 + self._measured))
 
+    def record_cancelled(self, sent_at: float, now: float) -> None:
+        """Record an attempt that was cancelled before its answer, as another one was faster.
+
+        The time so far counts if it shows a longer service time; without it, a server would never
+        be seen to be slow where the slow ones of its attempts are cancelled.
+
+        :param sent_at: monotonic time in seconds at which it was sent.
+        :param now: monotonic time in seconds.
+        """
+        service_time_s = (now - sent_at) / (1 + self._queue_ahead(now) / self.slots)
+        if service_time_s > self.service_time_s:
+            self.service_time_s += SERVICE_TIME_GAIN * (service_time_s - self.service_time_s)
+            self._answered_at = now
+
     def estimate_anew(self, fastest_s: float, mean_s: float, now: float) -> None:
         """Let the service time approach that of the fastest server while no answer measures it.
 
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -20,6 +20,7 @@
     EndedAttempt,
     Verdict,
 )
+from lychee_policy.hedging import CopyRequest, RouteCopies, Suppression
 from lychee_policy.hotkeys import HotKeyCounter
 from lychee_policy.limits import Limits, limits_for
 from lychee_policy.outliers import (
@@ -73,6 +74,7 @@
     "ClockChecker",
     "ColdReading",
     "ColdTime",
+    "CopyRequest",
     "CrashTable",
     "EndedAttempt",
     "GatewayTable",
@@ -98,6 +100,8 @@
     "RETRY_WINDOW_S",
     "RetryBudget",
     "RoundRobin",
+    "RouteCopies",
+    "Suppression",
     "MAX_TURNS",
     "TURN_S",
     "Waiter",
--- a/packages/lychee-types/src/lychee_types/routed_settings.py
+++ b/packages/lychee-types/src/lychee_types/routed_settings.py
@@ -52,6 +52,16 @@
     retry_slack: float = 60.0
 
 
+MAX_COPY_SHARE = 0.5
+"""Maximum value of `HedgingSettings.max_share`."""
+
+LEAST_PERCENTILE = 50.0
+"""Minimum value of `HedgingSettings.percentile`."""
+
+MOST_PERCENTILE = 99.9
+"""Maximum value of `HedgingSettings.percentile`; a higher one is not known within seconds."""
+
+
 class VmLimits(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Limits of a process's VM, from which the limits on callers are derived.
 
@@ -63,6 +73,17 @@
     max_fds: int | None = None
 
 
+class HedgingSettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Second copies of requests that may run more than once.
+
+    :param max_share: maximum number of copies for each request of a route, 0 for no copies.
+    :param percentile: percentile of a route's response times after which a copy is sent.
+    """
+
+    max_share: float = 0.0
+    percentile: float = 95.0
+
+
 class RegistrySettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Settings of a control replica of a routed deployment.
 
@@ -134,6 +155,7 @@
         None to carry nothing and to reach servers in no other way than directly.
     :param bounds: timeouts and budgets that the deployment guarantees.
     :param vm: limits of the VM.
+    :param hedging: second copies of requests.
     :param metrics: IP address and port at which metrics are fetched, None for no metrics.
     :param log: logging.
     """
@@ -147,6 +169,7 @@
     carry: str | None = None
     bounds: DeploymentLimits = DeploymentLimits()
     vm: VmLimits = VmLimits()
+    hedging: HedgingSettings = HedgingSettings()
     metrics: str | None = None
     log: LogSettings = LogSettings()
 
@@ -230,6 +253,8 @@
             yield Finding(place=place, message=exc.message, remedy=exc.remedy)
     yield from _check_own_addresses(settings)
     yield from _check_vm(settings.vm)
+    if isinstance(settings, ProxySettings):
+        yield from _check_hedging(settings.hedging)
     if not settings.seeds:
         yield Finding(
             place="seeds", message="the list is empty", remedy="name one control replica or more"
@@ -245,6 +270,13 @@
         yield from check_range(vm.max_fds, "vm.max_fds", least=LEAST_FDS, most=MOST_FDS)
 
 
+def _check_hedging(hedging: HedgingSettings) -> Iterator[Finding]:
+    yield from check_range(hedging.max_share, "hedging.max_share", least=0.0, most=MAX_COPY_SHARE)
+    yield from check_range(
+        hedging.percentile, "hedging.percentile", least=LEAST_PERCENTILE, most=MOST_PERCENTILE
+    )
+
+
 def _check_own_addresses(settings: RegistrySettings | ProxySettings) -> Iterator[Finding]:
     """Check that no two listeners of the process get the same address."""
     own = [("listen", settings.listen)]
