Report unanswered requests and the work of answers by server

Gateways now report, in new fields with defaults, how many requests got no answer until their deadline and the work without the queue that each answer reports.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -198,6 +198,8 @@
         if conn.is_carried and server.is_direct:
             # Its way was mended meanwhile, and nobody would take this connection again.
             server.pool.drop_carried()
+        if isinstance(attempt, TooLate):
+            server.record_unanswered()
         match attempt:
             case TooLate() | NoAnswer(is_disconnected=True) if conn.is_carried:
                 # The carrying gateway may be cut off itself by now.
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -121,6 +121,8 @@
         self._ejected_until = 0.0
         self._busy_s = 0.0
         self._answers = 0
+        self._unanswered = 0
+        self._work_s = 0.0
         self._reported_occupancy = -1
 
     @property
@@ -224,6 +226,8 @@
         self._answered_at = in_flight.sent_at + seconds
         self._busy_s += service_time_s
         self._answers += 1
+        queue = max(0, self._reported_occupancy + 1 - self.slots)
+        self._work_s += seconds / max(in_flight.slowdown, 1 + queue / self.slots)
 
     def estimate_anew(self, fastest_s: float, now: float) -> None:
         """Let the service time approach that of the fastest server while no answer measures it.
@@ -248,6 +252,10 @@
             ejection_s = min(EJECT_MAX_S, EJECT_S * 2 ** (self._failures - EJECT_AFTER))
             self._ejected_until = now + ejection_s
 
+    def record_unanswered(self) -> None:
+        """Record a request without an answer until its deadline."""
+        self._unanswered += 1
+
     def _queue_ahead(self, now: float) -> float:
         """Return how many requests must finish before the server starts on a new one."""
         return max(0.0, self.estimated_occupancy(now) + 1 - self.slots)
@@ -263,15 +271,18 @@
 
     def take_stats(self) -> ServerStats | None:
         """Return statistics since the last call, None if there is nothing new."""
-        if self._answers == 0 and self._reported_occupancy < 0:
+        if not self._answers and not self._unanswered and self._reported_occupancy < 0:
             return None
         stats = ServerStats(
             server=self.run.server,
             busy_s=self._busy_s,
             answers=self._answers,
             occupied=self._reported_occupancy,
+            unanswered=self._unanswered,
+            work_s=self._work_s,
         )
-        self._busy_s, self._answers, self._reported_occupancy = 0.0, 0, -1
+        self._busy_s, self._answers, self._unanswered = 0.0, 0, 0
+        self._work_s, self._reported_occupancy = 0.0, -1
         return stats
 
 
--- a/packages/lychee-ranges/src/lychee_ranges/__init__.py
+++ b/packages/lychee-ranges/src/lychee_ranges/__init__.py
@@ -2,7 +2,14 @@
 
 from lychee_ranges.answered_grants import AnsweredGrants
 from lychee_ranges.load_merging import LoadMerger
-from lychee_ranges.loads import BUCKET_KEYS, BucketRates, LoadTracker, bucket_of
+from lychee_ranges.loads import (
+    BUCKET_KEYS,
+    DEFAULT_SERVICE_TIME_S,
+    LATEST_DECAY_S,
+    BucketRates,
+    LoadTracker,
+    bucket_of,
+)
 from lychee_ranges.matching import RouteMatcher
 from lychee_ranges.moves import NO_OWNER, Candidate, Move, first_split, mergeable_ranges
 from lychee_ranges.outstanding_grants import OutstandingGrants, SentGrant, hold_limit_s
@@ -17,6 +24,8 @@
     "Candidate",
     "OutstandingGrants",
     "KeyTable",
+    "DEFAULT_SERVICE_TIME_S",
+    "LATEST_DECAY_S",
     "NO_OWNER",
     "LoadMerger",
     "LoadTracker",
--- a/packages/lychee-ranges/src/lychee_ranges/load_merging.py
+++ b/packages/lychee-ranges/src/lychee_ranges/load_merging.py
@@ -57,4 +57,6 @@
         busy_s=known.busy_s + later.busy_s,
         answers=known.answers + later.answers,
         occupied=later.occupied if later.occupied >= 0 else known.occupied,
+        unanswered=known.unanswered + later.unanswered,
+        work_s=known.work_s + later.work_s,
     )
--- a/packages/lychee-types/src/lychee_types/registry_messages.py
+++ b/packages/lychee-types/src/lychee_types/registry_messages.py
@@ -5,6 +5,7 @@
 from lychee_types.crash_messages import CrashReport, KnownCrashes
 from lychee_types.ids import GatewayId, LogIndex, ServerId, ServiceName, SessionId
 from lychee_types.limit_messages import KnownLimits, LimitReport, PermitReply, PermitRequest
+from lychee_types.overload_messages import KnownOverloads
 from lychee_types.packing import pack, unpack
 from lychee_types.peer_messages import GatewayReport, KnownGateways
 from lychee_types.records import Endpoint
@@ -80,12 +81,17 @@
     :param answers: number of responses.
     :param occupied: number of requests that it runs or queues, as it reported last; -1 if it
         hasn't reported any.
+    :param unanswered: number of requests without a response until their deadline.
+    :param work_s: sum of the response times without the wait that the queue reported in each
+        response explains, in seconds; 0 from a gateway that does not measure it.
     """
 
     server: ServerId
     busy_s: float
     answers: int
     occupied: int
+    unanswered: int = 0
+    work_s: float = 0.0
 
 
 class LoadReport(Struct, frozen=True, kw_only=True, tag=True):
@@ -176,7 +182,7 @@
 LeaderReply = PermitReply
 """Messages of the leader to one gateway."""
 
-LeaderNews = KnownLimits | KnownCrashes | KnownGateways
+LeaderNews = KnownLimits | KnownCrashes | KnownGateways | KnownOverloads
 """Messages of the leader to all gateways."""
 
 FromGateway = Subscribe | Probe | Follow | LeaderNote
