Decide the shares of overloaded owners of keys

An owner that gets several times its capacity leaves requests unanswered, and no gateway can know its queue. Adds the leader's shares, their bounds, and a gateway's admission by them, without I/O.

--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -32,6 +32,15 @@
     is_slow,
     is_stuck,
 )
+from lychee_policy.owner_admission import (
+    EVIDENCE_S,
+    AnsweredWork,
+    OwnerAdmission,
+    OwnerLoad,
+    OwnerShares,
+    estimated_demand,
+    mean_service_time_s,
+)
 from lychee_policy.paths import PathTable
 from lychee_policy.peers import GatewayTable, choose_carriers
 from lychee_policy.permits import PERMIT_HOLD_S, Issued, PermitIssuer, PermitReserve
@@ -72,6 +81,13 @@
     "ClockChecker",
     "CrashTable",
     "EndedAttempt",
+    "EVIDENCE_S",
+    "AnsweredWork",
+    "OwnerAdmission",
+    "OwnerLoad",
+    "OwnerShares",
+    "estimated_demand",
+    "mean_service_time_s",
     "GatewayTable",
     "PathTable",
     "BLOCK_S",
