--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -120,6 +120,7 @@
     :param domain: its failure domain.
     :param leads: whether it does the leader's work.
     :param gateways: number of gateways attached to it.
+    :param overloaded: number of overloaded owners of keys, as known to the leader.
     :param log: the replicated log's own dump, None before it has started.
     :param image: the replicated state.
     """
@@ -128,6 +129,7 @@
     domain: DomainName
     leads: bool
     gateways: int
+    overloaded: int
     log: ReplicaDump | None
     image: RoutedImage
 
@@ -222,6 +224,7 @@
             sent_bytes=lambda: self._link_service.codec.sent_bytes,
             limits=lambda: len(self._limits),
             servers=lambda: len(self._machine.state.servers),
+            overloaded=self._overloaded_owners,
             ranges=lambda: sum(len(t.ranges) for t in self._machine.state.tables.values()),
         )
         self._metrics_page = None
@@ -269,6 +272,7 @@
                 domain=self._cfg.domain,
                 leads=self._leader is not None,
                 gateways=len(self._subscribers),
+                overloaded=self._overloaded_owners(),
                 log=self._replica.dump(),
                 image=self._machine.state.image(),
             )
@@ -379,6 +383,9 @@
                 self._gateways.record_known(gateways)
         self._subscribers.post_all(news)
 
+    def _overloaded_owners(self) -> int:
+        return 0 if self._leader is None else len(self._leader.overloads)
+
     def _send_note_up(self, session: SessionId, note: LeaderNote) -> None:
         self._relay.send_up(session, note)
 
--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -30,6 +30,7 @@
     Refused,
     Unavailable,
 )
+from lychee_control.registry.overloads import OverloadBoard
 from lychee_control.registry.proposals import RangeWriter
 from lychee_control.registry.range_manager import RangeManager
 from lychee_log import Replica
@@ -128,6 +129,7 @@
         self._spread_at = 0.0
         self._heartbeats = HeartbeatTracker(now=clock.monotonic())
         self._loads = LoadTracker(now=clock.monotonic())
+        self.overloads = OverloadBoard(state=state, loads=self._loads, spread=spread, clock=clock)
         self._term = LeaderTerm(
             heartbeats=self._heartbeats,
             spawn=self._spawn,
@@ -150,6 +152,7 @@
 
         :raises InvariantError: if an invariant is violated.
         """
+        self._spawn(self.overloads.run(), "shares of overloaded owners")
         try:
             while not self._ended.is_set():
                 self._start_range_managers()
@@ -185,6 +188,7 @@
         match note:
             case LoadReport():
                 self._loads.add_report(note, self._clock.monotonic())
+                self.overloads.record(note)
             case LimitReport(limits=limits):
                 self._record_limits(limits)
             case CrashReport(requests=requests):
--- a/packages/lychee-control/src/lychee_control/registry/metrics.py
+++ b/packages/lychee-control/src/lychee_control/registry/metrics.py
@@ -17,6 +17,7 @@
         answers to other replicas.
     :param limits: returns how many servers have named a rate limit.
     :param servers: returns how many servers are registered.
+    :param overloaded: returns how many owners of keys are overloaded, 0 unless it leads.
     :param ranges: returns how many key ranges there are.
     """
 
@@ -31,6 +32,7 @@
         sent_bytes: Callable[[], float],
         limits: Callable[[], float],
         servers: Callable[[], float],
+        overloaded: Callable[[], float],
         ranges: Callable[[], float],
     ) -> None:
         page = PrometheusMetrics(prefix="lychee_control")
@@ -43,6 +45,7 @@
         page.gauge("sent_bytes", "Bytes encoded for gateways and other replicas.", sent_bytes)
         page.gauge("server_limits", "Servers that have named a rate limit.", limits)
         page.gauge("servers", "Registered servers.", servers)
+        page.gauge("overloaded_owners", "Overloaded owners of keys.", overloaded)
         page.gauge("key_ranges", "Key ranges of all services.", ranges)
         self._calls = page.counter("calls", "Calls of servers and operators.", "call", "reply")
         self._latency = page.latency("call", "From head to answer.", "call")
