Refuse what an overloaded owner of keys cannot serve

Gateways admitted requests for a hot key by answers that were seconds old, and most of them waited for their deadline. They now admit the share that the leader names, the more urgent routes first, and refuse the others at once.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -19,6 +19,7 @@
 from lychee_gateway.proxy.limits import ServerLimits
 from lychee_gateway.proxy.loads import KeyLoads
 from lychee_gateway.proxy.metrics import ProxyMetrics
+from lychee_gateway.proxy.overloads import OverloadedOwners
 from lychee_gateway.proxy.paths import ServerPaths
 from lychee_gateway.proxy.peers import Peers
 from lychee_gateway.proxy.placing import ServerSelector
@@ -37,8 +38,9 @@
 from lychee_runtime import Daemon, format_dump
 from lychee_types.clock import Clock, SystemClock
 from lychee_types.crash_messages import KnownCrashes
-from lychee_types.ids import DomainName, LogIndex, SessionId
+from lychee_types.ids import DomainName, LogIndex, ServerId, SessionId
 from lychee_types.limit_messages import KnownLimits, PermitReply
+from lychee_types.overload_messages import KnownOverloads
 from lychee_types.peer_messages import KnownGateways
 from lychee_types.registry_messages import LeaderNews, LeaderNote, LeaderReply
 from lychee_types.routed_settings import METRICS_PATH, ProxySettings, parse_endpoint
@@ -57,6 +59,7 @@
     :param routes: version number of the active routing configuration.
     :param servers: number of registered servers.
     :param callers: number of open connections from callers.
+    :param shares: admitted share of the requests for each overloaded owner of keys.
     """
 
     id: str
@@ -66,6 +69,7 @@
     routes: int
     servers: int
     callers: int
+    shares: dict[ServerId, float]
 
 
 class ProxyDaemon(Daemon):
@@ -100,6 +104,7 @@
             index=lambda: self._view.state.index,
             version=lambda: self._view.state.version.number,
             limits=lambda: len(self._limits),
+            owner_share=lambda: self._overloads.lowest_share,
             age_s=lambda: self._age.age_s,
             silence_s=lambda: self._clock.monotonic() - self._subscription.last_message_at,
             unreached=lambda: len(self._paths),
@@ -125,10 +130,14 @@
             on_permits=self._metrics.count_permits,
             clock=self._clock,
         )
+        self._overloads = OverloadedOwners(
+            clock=self._clock, on_refused=self._metrics.count_owner_refusal
+        )
         self._selector = ServerSelector(
             view=self._view,
             servers=self._servers,
             limits=self._limits,
+            overloads=self._overloads,
             domain=cfg.domain,
             clock=self._clock,
             drain_s=cfg.bounds.drain_s,
@@ -226,6 +235,7 @@
                 routes=state.version.number,
                 servers=len(state.servers),
                 callers=len(self._conns),
+                shares=self._overloads.shares,
             )
         )
 
@@ -367,6 +377,8 @@
                 self._guard.receive_news(message)
             case KnownGateways():
                 self._peers.receive_news(message)
+            case KnownOverloads():
+                self._overloads.receive_news(message)
 
     def _set_gateway_count(self, count: int) -> None:
         self._servers.set_gateway_count(count)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -16,6 +16,7 @@
     :param index: returns the log index of the gateway's state.
     :param version: returns the version number of the routes in force.
     :param limits: returns how many servers have named a rate limit.
+    :param owner_share: returns the lowest admitted share of an owner's requests, 1 for all.
     :param age_s: returns the maximum age of the gateway's state in seconds, infinite if unknown.
     :param silence_s: returns the time since the last message of a control replica, in seconds.
     :param unreached: returns how many servers this gateway does not reach directly.
@@ -29,6 +30,7 @@
         index: Callable[[], float],
         version: Callable[[], float],
         limits: Callable[[], float],
+        owner_share: Callable[[], float],
         age_s: Callable[[], float],
         silence_s: Callable[[], float],
         unreached: Callable[[], float],
@@ -41,6 +43,7 @@
         page.gauge("state_age_seconds", "Maximum age of the state; +Inf if unknown.", age_s)
         page.gauge("control_silence_seconds", "Time since a replica was heard.", silence_s)
         page.gauge("server_limits", "Servers that have named a rate limit.", limits)
+        page.gauge("owner_share", "Lowest admitted share of an owner's requests.", owner_share)
         page.gauge("servers_unreached", "Servers that are not reached directly.", unreached)
         page.gauge("carried", "Connections carried for other gateways.", carried)
         page.gauge("requests_under_way", "Requests without a final answer.", under_way)
@@ -61,6 +64,9 @@
         self._blocked = page.counter(
             "blocked", "Requests not sent because servers end under them.", "service"
         )
+        self._owner_refusals = page.counter(
+            "owner_refusals", "Requests refused as the key's owner is overloaded.", "route"
+        )
         self._limited = page.counter(
             "limited_attempts", "Attempts at servers that have named a rate limit.", "server"
         )
@@ -106,6 +112,10 @@
         """Count an attempt, with the class name of its result as outcome."""
         self._attempts.labels(service, outcome).inc()
 
+    def count_owner_refusal(self, route: str) -> None:
+        """Count a request that was refused because its key's owner is overloaded."""
+        self._owner_refusals.labels(route).inc()
+
     def count_limited_attempt(self, server: ServerId) -> None:
         """Count an attempt at a server that has named a rate limit."""
         self._limited.labels(server).inc()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from lychee_gateway.proxy.limits import PermitRefused, PermitTaken, ServerLimits
+from lychee_gateway.proxy.overloads import OverloadedOwners
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_gateway.proxy.view import RoutedView
 from lychee_types.clock import Clock
@@ -104,6 +105,7 @@
     :param clock: source of time.
     :param drain_s: time after which a leaving server must get no more requests, in seconds.
     :param rng: source of random numbers.
+    :param overloads: overloaded owners of keys; None for a gateway without a leader.
     """
 
     def __init__(
@@ -116,6 +118,7 @@
         clock: Clock,
         drain_s: float,
         rng: Random | None = None,
+        overloads: OverloadedOwners | None = None,
     ) -> None:
         self._view = view
         self._servers = servers
@@ -124,6 +127,7 @@
         self._clock = clock
         self._drain_s = drain_s
         self._rng = rng or Random()
+        self._overloads = OverloadedOwners(clock=clock) if overloads is None else overloads
         self._state_change: asyncio.Future[None] | None = None
         self._vacancies: dict[tuple[ServiceName, int, int], float] = {}
 
@@ -247,7 +251,7 @@
             owner = self._owner(key_range)
             has_drained = owner is not None and self._has_drained(owner)
             if owner is not None and not has_drained and owner.run not in request.tried:
-                admitted = self._admit(request, owner, now)
+                admitted = self._admit_at_owner(request, owner, now)
                 if isinstance(admitted, NoServer):
                     return admitted
                 return await self._wait_for_permit(request, owner)
@@ -258,6 +262,16 @@
             await self._wait_for_change(left_s)
             has_waited = True
 
+    def _admit_at_owner(
+        self, request: RoutedRequest, owner: ProxyServer, now: float
+    ) -> ProxyServer | NoServer:
+        retry_after_s = self._overloads.refused_for_s(owner.run, request.route, request.service)
+        if retry_after_s is None:
+            return self._admit(request, owner, now)
+        return NoServer(
+            reason="the key's owner gets more than it can serve", retry_after_s=retry_after_s
+        )
+
     def _vacant_since(self, service: ServiceName, key_range: KeyRange | None, now: float) -> float:
         """Return the monotonic time in seconds since which a key range has had no usable owner.
 
