--- a/packages/lychee-gateway/tests/test_placing.py
+++ b/packages/lychee-gateway/tests/test_placing.py
@@ -8,12 +8,14 @@
 from msgspec.structs import replace
 
 from lychee_gateway.proxy.codec import Occupancy
+from lychee_gateway.proxy.overloads import OverloadedOwners
 from lychee_gateway.proxy.placing import OWNER_WAIT_S, NoServer, RoutedRequest, ServerSelector
 from lychee_gateway.proxy.servers import ProxyServer, ServerList
 from lychee_gateway.proxy.testing import make_limits
 from lychee_gateway.proxy.view import RoutedView
 from lychee_types.clock import SystemClock
 from lychee_types.ids import DomainName, Incarnation, LogIndex, ServerId, ServiceName, Token
+from lychee_types.overload_messages import KnownOverloads, OwnerShare
 from lychee_types.records import Endpoint
 from lychee_types.registry import (
     LAST_KEY,
@@ -73,10 +75,15 @@
         self.as_of = None
         self.servers = ServerList(clock=self.clock, as_of=self._as_of)
         self.limits = make_limits(self.clock)
+        self.refused_routes = []
+        self.overloads = OverloadedOwners(
+            clock=self.clock, on_refused=self.refused_routes.append, rng=Random(1)
+        )
         self.selector = ServerSelector(
             view=self.view,
             servers=self.servers,
             limits=self.limits,
+            overloads=self.overloads,
             domain=DomainName("nord"),
             clock=self.clock,
             drain_s=2.0,
@@ -237,6 +244,19 @@
     assert {run(setup.select(key=7)).run.server for _ in range(10)} == {"a"}
 
 
+def test_a_share_of_the_requests_for_an_overloaded_owner_is_admitted():
+    setup = Setup(record("a"), record("b"), ranges=[all_keys(GrantPhase.ACTIVE)])
+    share = OwnerShare(run=setup.server("a").run, share=0.25, retry_s=2.0)
+    setup.overloads.receive_news(KnownOverloads(owners=(share,)))
+    found = [run(setup.select(key=7)) for _ in range(200)]
+    refused = [item for item in found if isinstance(item, NoServer)]
+    assert 130 <= len(refused) <= 170 and len(setup.refused_routes) == len(refused)
+    assert all(0 < item.retry_after_s <= 2.0 for item in refused)
+    assert setup.overloads.lowest_share == 0.25
+    setup.overloads.receive_news(KnownOverloads(owners=()))
+    assert isinstance(run(setup.select(key=7)), ProxyServer)
+
+
 @pytest.mark.parametrize("phase", [GrantPhase.GRANTING, GrantPhase.RELEASING])
 def test_a_request_waits_while_its_key_moves(phase):
     async def body():
--- a/packages/lychee-gateway/tests/test_ready_answers.py
+++ b/packages/lychee-gateway/tests/test_ready_answers.py
@@ -63,8 +63,12 @@
         pass
 
 
-async def attempt(*, answer):
-    """Return the result of an attempt, and the body that was streamed to its caller."""
+async def attempt(*, answer, reported=None):
+    """Return the result of an attempt, and the body that was streamed to its caller.
+
+    :param answer: the bytes that the server sends.
+    :param reported: list to which the server's statistics are added.
+    """
     clock, exchange = SystemClock(), Exchange()
     with socket.create_server(("127.0.0.1", 0)) as listener:
         kept = []
@@ -92,11 +96,12 @@
             drain_s=2.0,
             clock=clock,
         )
+        server = ProxyServer(record=record, now=clock.monotonic())
         with HeldAnswers().track(conn=exchange, route="r") as held:
             result = await sender.send(
                 exchange=exchange,
                 body=WHOLE,
-                server=ProxyServer(record=record, now=clock.monotonic()),
+                server=server,
                 deadline=clock.monotonic() + LEFT_S,
                 request_id="",
                 used=UsedConnections(""),
@@ -104,6 +109,8 @@
             )
         for conn in kept:
             conn.close()
+        if reported is not None:
+            reported.append(server.take_stats())
     return result, exchange.body
 
 
@@ -129,3 +136,12 @@
 def test_an_answer_that_is_not_whole_at_the_deadline_is_too_late(run, answer):
     result, _ = run(attempt(answer=answer))
     assert result == TooLate()
+
+
+@pytest.mark.parametrize(("answer", "unanswered"), [(b"", 1), (response(3), 0)])
+def test_requests_without_an_answer_until_their_deadline_are_reported(answer, unanswered):
+    """By these reports the leader tells servers that leave requests unanswered from others."""
+    reported = []
+    asyncio.run(attempt(answer=answer, reported=reported))
+    (stats,) = reported
+    assert (stats.unanswered, stats.answers) == (unanswered, 1 - unanswered)
