Compute shares only while requests are left unanswered

The leader's task for shares ran in every deployment. It now starts with the first report of unanswered requests and ends with the evidence.

--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -129,7 +129,9 @@
         self._spread_at = 0.0
         self._heartbeats = HeartbeatTracker(now=clock.monotonic())
         self._loads = LoadTracker(now=clock.monotonic())
-        self.overloads = OverloadBoard(state=state, loads=self._loads, spread=spread, clock=clock)
+        self.overloads = OverloadBoard(
+            state=state, loads=self._loads, spread=spread, spawn=self._spawn, clock=clock
+        )
         self._term = LeaderTerm(
             heartbeats=self._heartbeats,
             spawn=self._spawn,
@@ -152,7 +154,6 @@
 
         :raises InvariantError: if an invariant is violated.
         """
-        self._spawn(self.overloads.run(), "shares of overloaded owners")
         try:
             while not self._ended.is_set():
                 self._start_range_managers()
--- a/packages/lychee-control/src/lychee_control/registry/overloads.py
+++ b/packages/lychee-control/src/lychee_control/registry/overloads.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from lychee_control.registry.delivery import Spawn
 from lychee_policy import (
     EVIDENCE_S,
     AnsweredWork,
@@ -36,6 +37,7 @@
     :param state: the replicated state.
     :param loads: demand by bucket of keys.
     :param spread: sends news to all gateways.
+    :param spawn: starts a task.
     :param clock: source of time.
     """
 
@@ -45,11 +47,14 @@
         state: RoutedState,
         loads: LoadTracker,
         spread: Callable[[LeaderNews], None],
+        spawn: Spawn,
         clock: Clock,
     ) -> None:
         self._state = state
         self._loads = loads
         self._spread = spread
+        self._spawn = spawn
+        self._is_running = False
         self._clock = clock
         self._shares = OwnerShares()
         self._answers: dict[ServerId, AnsweredWork] = {}
@@ -60,11 +65,14 @@
         """Return how many owners are overloaded."""
         return len(self._shares)
 
-    async def run(self) -> None:
-        """Compute the shares and send them until cancelled."""
-        while True:
-            await asyncio.sleep(SHARE_INTERVAL_S)
-            self.update()
+    async def _run(self) -> None:
+        """Compute the shares and send them while requests have been left unanswered lately."""
+        try:
+            while self._unanswered_at:
+                await asyncio.sleep(SHARE_INTERVAL_S)
+                self.update()
+        finally:
+            self._is_running = False
 
     def record(self, report: LoadReport) -> None:
         """Record what gateways have measured of servers."""
@@ -80,10 +88,21 @@
                 known.record_occupied(stats.occupied, now)
             if stats.unanswered:
                 self._unanswered_at[server.service] = now
+                self._start()
+
+    def _start(self) -> None:
+        if not self._is_running:
+            self._is_running = True
+            self._spawn(self._run(), "shares of overloaded owners")
 
     def update(self) -> None:
         """Compute the shares, and send them if there are any or the last ones have ended."""
         now = self._clock.monotonic()
+        self._unanswered_at = {
+            service: unanswered_at
+            for service, unanswered_at in self._unanswered_at.items()
+            if now - unanswered_at <= EVIDENCE_S
+        }
         for server in self._answers.keys() - self._state.servers.keys():
             del self._answers[server]
         owners = self._shares.update(self._owner_loads(now))
@@ -104,9 +123,8 @@
 
     def _owner_loads(self, now: float) -> Iterator[OwnerLoad]:
         """Yield the loads of the owners of each service that has left requests unanswered."""
-        for service, unanswered_at in self._unanswered_at.items():
-            if now - unanswered_at <= EVIDENCE_S:
-                yield from self._loads_of(service, now)
+        for service in self._unanswered_at:
+            yield from self._loads_of(service, now)
 
     def _loads_of(self, service: ServiceName, now: float) -> Iterator[OwnerLoad]:
         works: dict[ServerIncarnation, AnsweredWork] = {}
--- a/packages/lychee-control/tests/test_registry_overloads.py
+++ b/packages/lychee-control/tests/test_registry_overloads.py
@@ -78,13 +78,19 @@
         self.clock = ManualClock()
         self.loads = LoadTracker(now=self.clock.monotonic())
         self.sent = []
+        self.started = 0
         self.board = OverloadBoard(
             state=RoutedState(image=RoutedImage(servers=servers, tables=tables)),
             loads=self.loads,
             spread=self.sent.append,
+            spawn=self.spawn,
             clock=self.clock,
         )
 
+    def spawn(self, work, name):
+        self.started += 1
+        work.close()
+
     def run(self, seconds, *, per_s, unanswered=0):
         """Let callers want the hot key for some seconds."""
         for step in range(round(seconds / SHARE_INTERVAL_S)):
@@ -104,7 +110,7 @@
 def test_servers_that_answer_every_request_get_no_share():
     setup = Setup()
     setup.run(5.0, per_s=100)
-    assert not setup.sent
+    assert not setup.sent and not setup.started
 
 
 def test_an_overloaded_owner_is_told_once_requests_were_left_unanswered():
