--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -128,6 +128,7 @@
     :param callers_peak_mb: the most that they have taken up since the start, in MB.
     :param callers_bound_mb: bound on it, in MB.
     :param cold: number of servers that are cold.
+    :param overloaded: number of overloaded owners of keys, as known to the leader.
     :param log: the replicated log's own dump, None before it has started.
     :param image: the replicated state.
     """
@@ -142,6 +143,7 @@
     callers_peak_mb: float
     callers_bound_mb: float
     cold: int
+    overloaded: int
     log: ReplicaDump | None
     image: RoutedImage
 
@@ -245,6 +247,7 @@
             cold=lambda: len(self._cold),
             servers=lambda: len(self._machine.state.servers),
             evacuated=lambda: len(self._machine.state.evacuated),
+            overloaded=self._overloaded_owners,
             ranges=lambda: sum(len(t.ranges) for t in self._machine.state.tables.values()),
         )
         self._metrics.show_memory(self._memory)
@@ -299,6 +302,7 @@
                 callers_peak_mb=megabytes(self._memory.peak),
                 callers_bound_mb=megabytes(self._memory.bounds.held_bytes),
                 cold=len(self._cold),
+                overloaded=self._overloaded_owners(),
                 log=self._replica.dump(),
                 image=self._machine.state.image(),
             )
@@ -417,6 +421,9 @@
         cold = self._cold.news()
         return news if cold is None else (*news, cold)
 
+    def _overloaded_owners(self) -> int:
+        return 0 if self._leader is None else len(self._leader.overloads)
+
     def _send_note_up(self, session: SessionId, note: LeaderNote) -> None:
         self._relay.send_up(session, note)
 
--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -34,6 +34,7 @@
     Refused,
     Unavailable,
 )
+from lychee_control.registry.overloads import OverloadBoard
 from lychee_control.registry.proposals import RangeWriter
 from lychee_control.registry.range_manager import RangeManager
 from lychee_log import Replica
@@ -138,6 +139,9 @@
         self._spread_at = 0.0
         self._heartbeats = HeartbeatTracker(now=clock.monotonic())
         self._loads = LoadTracker(now=clock.monotonic())
+        self.overloads = OverloadBoard(
+            state=state, loads=self._loads, spread=spread, spawn=self._spawn, clock=clock
+        )
         self._term = LeaderTerm(
             heartbeats=self._heartbeats,
             spawn=self._spawn,
@@ -195,6 +199,7 @@
         match note:
             case LoadReport():
                 self._loads.add_report(note, self._clock.monotonic())
+                self.overloads.record(note)
             case LimitReport(limits=limits):
                 self._record_limits(limits)
             case CrashReport(requests=requests):
--- a/packages/lychee-control/src/lychee_control/registry/metrics.py
+++ b/packages/lychee-control/src/lychee_control/registry/metrics.py
@@ -20,6 +20,7 @@
     :param cold: returns how many servers are cold.
     :param servers: returns how many servers are registered.
     :param evacuated: returns how many failure domains are evacuated.
+    :param overloaded: returns how many owners of keys are overloaded, 0 unless it leads.
     :param ranges: returns how many key ranges there are.
     """
 
@@ -36,6 +37,7 @@
         cold: Callable[[], float],
         servers: Callable[[], float],
         evacuated: Callable[[], float],
+        overloaded: Callable[[], float],
         ranges: Callable[[], float],
     ) -> None:
         page = PrometheusMetrics(prefix="lychee_control")
@@ -50,6 +52,7 @@
         page.gauge("cold_servers", "Servers that are cold.", cold)
         page.gauge("servers", "Registered servers.", servers)
         page.gauge("evacuated_domains", "Failure domains that are evacuated.", evacuated)
+        page.gauge("overloaded_owners", "Overloaded owners of keys.", overloaded)
         page.gauge("key_ranges", "Key ranges of all services.", ranges)
         self._calls = page.counter("calls", "Calls of servers and operators.", "call", "reply")
         self._shed = page.counter(
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -23,6 +23,7 @@
 from lychee_gateway.proxy.limits import ServerLimits
 from lychee_gateway.proxy.loads import KeyLoads
 from lychee_gateway.proxy.metrics import ProxyMetrics
+from lychee_gateway.proxy.overloads import OverloadedOwners
 from lychee_gateway.proxy.paths import ServerPaths
 from lychee_gateway.proxy.peers import Peers
 from lychee_gateway.proxy.placing import ServerSelector
@@ -49,8 +50,9 @@
 from lychee_types.clock import Clock, SystemClock
 from lychee_types.cold_messages import KnownCold
 from lychee_types.crash_messages import KnownCrashes
-from lychee_types.ids import DomainName, LogIndex, ServiceName, SessionId
+from lychee_types.ids import DomainName, LogIndex, ServerId, ServiceName, SessionId
 from lychee_types.limit_messages import KnownLimits, PermitReply
+from lychee_types.overload_messages import KnownOverloads
 from lychee_types.peer_messages import KnownGateways
 from lychee_types.registry_messages import LeaderNews, LeaderNote, LeaderReply
 from lychee_types.routed_settings import METRICS_PATH, ProxySettings, parse_endpoint
@@ -77,6 +79,7 @@
     :param callers_bound_mb: bound on it, in MB.
     :param probed_services: services whose servers are asked for their load before a request.
     :param copies: what is known of routes' second copies, empty if none are sent.
+    :param shares: admitted share of the requests for each overloaded owner of keys.
     """
 
     id: str
@@ -94,6 +97,7 @@
     callers_bound_mb: float
     probed_services: tuple[ServiceName, ...] = ()
     copies: tuple[RouteCopiesDump, ...] = ()
+    shares: dict[ServerId, float] = {}
 
 
 class ProxyDaemon(Daemon):
@@ -135,6 +139,7 @@
             version=lambda: self._view.state.version.number,
             limits=lambda: len(self._limits),
             cold=lambda: self._cold.count(),
+            owner_share=lambda: self._overloads.lowest_share,
             age_s=lambda: self._age.age_s,
             silence_s=lambda: self._clock.monotonic() - self._subscription.last_message_at,
             unreached=lambda: len(self._paths),
@@ -175,10 +180,14 @@
             on_probes=self._metrics.count_probe,
             clock=self._clock,
         )
+        self._overloads = OverloadedOwners(
+            clock=self._clock, on_refused=self._metrics.count_owner_refusal
+        )
         self._selector = ServerSelector(
             view=self._view,
             servers=self._servers,
             limits=self._limits,
+            overloads=self._overloads,
             domain=cfg.domain,
             clock=self._clock,
             drain_s=cfg.bounds.drain_s,
@@ -310,6 +319,7 @@
                 callers_bound_mb=megabytes(self._memory.bounds.held_bytes),
                 probed_services=self._prober.services,
                 copies=self._hedger.dump(),
+                shares=self._overloads.shares,
             )
         )
 
@@ -476,6 +486,8 @@
                 self._guard.receive_news(message)
             case KnownGateways():
                 self._peers.receive_news(message)
+            case KnownOverloads():
+                self._overloads.receive_news(message)
 
     def _set_gateway_count(self, count: int) -> None:
         self._servers.set_gateway_count(count)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -17,6 +17,7 @@
     :param index: returns the log index of the gateway's state.
     :param version: returns the version number of the routes in force.
     :param limits: returns how many servers have named a rate limit.
+    :param owner_share: returns the lowest admitted share of an owner's requests, 1 for all.
     :param age_s: returns the maximum age of the gateway's state in seconds, infinite if unknown.
     :param cold: returns how many servers are cold.
     :param silence_s: returns the time since the last message of a control replica, in seconds.
@@ -33,6 +34,7 @@
         version: Callable[[], float],
         limits: Callable[[], float],
         cold: Callable[[], float],
+        owner_share: Callable[[], float],
         age_s: Callable[[], float],
         silence_s: Callable[[], float],
         unreached: Callable[[], float],
@@ -47,6 +49,7 @@
         page.gauge("control_silence_seconds", "Time since a replica was heard.", silence_s)
         page.gauge("server_limits", "Servers that have named a rate limit.", limits)
         page.gauge("cold_servers", "Servers that are cold.", cold)
+        page.gauge("owner_share", "Lowest admitted share of an owner's requests.", owner_share)
         page.gauge("servers_unreached", "Servers that are not reached directly.", unreached)
         page.gauge("carried", "Connections carried for other gateways.", carried)
         page.gauge("evacuated_domains", "Failure domains that are evacuated.", evacuated)
@@ -78,6 +81,9 @@
         self._cancelled_s = page.counter(
             "copies_cancelled_seconds", "Time of attempts that another one overtook.", "service"
         )
+        self._owner_refusals = page.counter(
+            "owner_refusals", "Requests refused as the key's owner is overloaded.", "route"
+        )
         self._limited = page.counter(
             "limited_attempts", "Attempts at servers that have named a rate limit.", "server"
         )
@@ -158,6 +164,10 @@
         """Count the time of an attempt that was cancelled as another one was faster, in seconds."""
         self._cancelled_s.labels(service).inc(seconds)
 
+    def count_owner_refusal(self, route: str) -> None:
+        """Count a request that was refused because its key's owner is overloaded."""
+        self._owner_refusals.labels(route).inc()
+
     def count_limited_attempt(self, server: ServerId) -> None:
         """Count an attempt at a server that has named a rate limit."""
         self._limited.labels(server).inc()
--- a/packages/lychee-gateway/tests/test_hedging.py
+++ b/packages/lychee-gateway/tests/test_hedging.py
@@ -116,8 +116,8 @@
 
 
 def make_metrics():
-    names = "under_way index version evacuated cold limits age_s silence_s unreached carried"
-    return ProxyMetrics(**{name: lambda: 0.0 for name in names.split()})
+    names = "under_way index version evacuated cold owner_share limits age_s silence_s"
+    return ProxyMetrics(**{name: lambda: 0.0 for name in (*names.split(), "unreached", "carried")})
 
 
 class Setup:
--- a/packages/lychee-gateway/tests/test_ready_answers.py
+++ b/packages/lychee-gateway/tests/test_ready_answers.py
@@ -64,8 +64,13 @@
         pass
 
 
-async def attempt(*, answer, is_usable=True):
-    """Return the result of an attempt, and the body that was streamed to its caller."""
+async def attempt(*, answer, is_usable=True, reported=None):
+    """Return the result of an attempt, and the body that was streamed to its caller.
+
+    :param answer: the bytes that the server sends.
+    :param is_usable: whether the gateway's state is recent when the request is sent.
+    :param reported: list to which the server's statistics are added.
+    """
     clock, exchange = SystemClock(), Exchange()
     with socket.create_server(("127.0.0.1", 0)) as listener:
         kept = []
@@ -95,11 +100,12 @@
             clock=clock,
             is_usable=lambda: is_usable,
         )
+        server = ProxyServer(record=record, now=clock.monotonic())
         with HeldAnswers().track(conn=exchange, route="r") as held:
             result = await sender.send(
                 exchange=exchange,
                 body=WHOLE,
-                server=ProxyServer(record=record, now=clock.monotonic()),
+                server=server,
                 deadline=clock.monotonic() + LEFT_S,
                 request_id="",
                 used=UsedConnections(""),
@@ -107,6 +113,8 @@
             )
         for conn in kept:
             conn.close()
+        if reported is not None:
+            reported.append(server.take_stats())
     return result, exchange.body
 
 
@@ -138,3 +146,12 @@
     # A gateway that was paused meanwhile may not know that the server has left.
     result, _ = asyncio.run(attempt(answer=response(3), is_usable=False))
     assert isinstance(result, NotRun) and not result.was_sent
+
+
+@pytest.mark.parametrize(("answer", "unanswered"), [(b"", 1), (response(3), 0)])
+def test_requests_without_an_answer_until_their_deadline_are_reported(answer, unanswered):
+    """By these reports the leader tells servers that leave requests unanswered from others."""
+    reported = []
+    asyncio.run(attempt(answer=answer, reported=reported))
+    (stats,) = reported
+    assert (stats.unanswered, stats.answers) == (unanswered, 1 - unanswered)
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -34,6 +34,15 @@
     is_slow,
     is_stuck,
 )
+from lychee_policy.owner_admission import (
+    EVIDENCE_S,
+    AnsweredWork,
+    OwnerAdmission,
+    OwnerLoad,
+    OwnerShares,
+    estimated_demand,
+    mean_service_time_s,
+)
 from lychee_policy.paths import PathTable
 from lychee_policy.peers import GatewayTable, choose_carriers
 from lychee_policy.permits import MAX_TURN_S, PERMIT_HOLD_S, Issued, PermitIssuer, PermitReserve
@@ -77,6 +86,13 @@
     "CopyRequest",
     "CrashTable",
     "EndedAttempt",
+    "EVIDENCE_S",
+    "AnsweredWork",
+    "OwnerAdmission",
+    "OwnerLoad",
+    "OwnerShares",
+    "estimated_demand",
+    "mean_service_time_s",
     "GatewayTable",
     "PathTable",
     "BLOCK_S",
