Tell gateways of the cold servers that have changed, not of all of them each time

Each change of one server sent what is known of all servers to all gateways, and all of it again each 2 s. A gateway that misses that a server is warm counts it as cold for its warm-up at most.

--- a/packages/lychee-control/src/lychee_control/registry/cold.py
+++ b/packages/lychee-control/src/lychee_control/registry/cold.py
@@ -1,6 +1,6 @@
 """Cold servers: what a replica knows of them, and the leader's news of it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from loguru import logger
 
@@ -12,10 +12,16 @@
 from lychee_types.registry import RegisteredServer, ServerIncarnation
 from lychee_types.routing import ColdRule
 
-REPEAT_S = 2.0
-"""Interval at which all that is known is sent again, in seconds; what matters is sent more often.
+REPEAT_S = 10.0
+"""Interval at which what is known of all servers is sent again, in seconds.
+
+Cold and new servers are sent more often. A gateway that has missed that a server is warm counts it
+as cold for its warm-up at most, and every message goes to each gateway, many in other domains.
 """
 
+NEW_S = 2.0
+"""Time for which news of a server are repeated after it has become known, in seconds."""
+
 
 class ColdBoard:
     """What a replica knows of the time for which servers are cold.
@@ -60,16 +66,15 @@
         reading = ColdReading(remaining_s=server.cold_s, heard_at=self._clock.monotonic())
         return self._record(server.run, reading)
 
-    def record(self, servers: tuple[ObservedCold, ...]) -> bool:
-        """Record what another process has heard, and return whether it is news."""
+    def record(self, servers: tuple[ObservedCold, ...]) -> frozenset[ServerIncarnation]:
+        """Record what another process has heard, and return the servers of which it is news."""
         now = self._clock.monotonic()
         rated = {server.run for server in self._state().servers.values() if self._rule(server)}
-        news = [
-            self._record(observed.run, received_reading(observed, now))
+        return frozenset(
+            observed.run
             for observed in servers
-            if observed.run in rated
-        ]
-        return any(news)
+            if observed.run in rated and self._record(observed.run, received_reading(observed, now))
+        )
 
     def assume(self, domain: DomainName) -> None:
         """Count a domain's servers as cold for their warm-up until a later report says otherwise.
@@ -88,21 +93,32 @@
             del self._known[run]
             self._first_at.pop(run, None)
 
-    def news(self, *, is_urgent: bool = False) -> KnownCold | None:
+    def news(self, *, of: Container[ServerIncarnation] | None = None) -> KnownCold | None:
         """Return what is known, for gateways and other replicas; None if there is nothing.
 
-        :param is_urgent: whether to leave out servers that have been known to be warm for longer;
-            gateways that have just learnt of a server count it as cold until they hear.
+        :param of: the servers, None for all.
         """
         now = self._clock.monotonic()
         observed = tuple(
             item
             for run, known in self._known.items()
-            if not is_urgent or known.is_cold(now) or now - self._first_at.get(run, now) < REPEAT_S
+            if of is None or run in of
             if (item := known.export(run, now)) is not None
         )
         return KnownCold(servers=observed) if observed else None
 
+    def urgent(self) -> frozenset[ServerIncarnation]:
+        """Return the servers that are cold, and those that have not been known for long.
+
+        Gateways that have just learnt of a server count it as cold until they hear.
+        """
+        now = self._clock.monotonic()
+        return frozenset(
+            run
+            for run, known in self._known.items()
+            if known.is_cold(now) or now - self._first_at.get(run, now) < NEW_S
+        )
+
     def _record(self, run: ServerIncarnation, reading: ColdReading) -> bool:
         now = self._clock.monotonic()
         known = self._known.setdefault(run, ColdTime())
@@ -144,12 +160,13 @@
     def record_heartbeat(self, server: RegisteredServer) -> None:
         """Record a server's newest heartbeat, and tell all gateways what it changes."""
         if self._board.record_heartbeat(server):
-            self._send(self._board.news())
+            self._send(self._board.news(of=(server.run,)))
 
     def record(self, servers: tuple[ObservedCold, ...]) -> None:
         """Record what a gateway has heard, and tell all gateways what it changes."""
-        if self._board.record(servers):
-            self._send(self._board.news())
+        changed = self._board.record(servers)
+        if changed:
+            self._send(self._board.news(of=changed))
 
     def spread_again(self, runs: set[ServerIncarnation]) -> None:
         """Send the news again, as messages may have been lost.
@@ -158,10 +175,11 @@
         """
         now = self._clock.monotonic()
         self._board.keep_only(runs)
-        is_urgent = now < self._spread_at
-        if not is_urgent:
-            self._spread_at = now + REPEAT_S
-        self._send(self._board.news(is_urgent=is_urgent))
+        if now < self._spread_at:
+            self._send(self._board.news(of=self._board.urgent()))
+            return
+        self._spread_at = now + REPEAT_S
+        self._send(self._board.news())
 
     def _send(self, news: KnownCold | None) -> None:
         if news is not None:
