Move the list of servers out of the module of one server

ProxyServer stays there; ServerList, which follows the replicated state, is in server_list.py. No change of behaviour.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -15,7 +15,8 @@
 from msgspec.msgpack import Decoder, Encoder
 
 from lychee_gateway.proxy.peers import NotReachedError
-from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_gateway.proxy.server_list import ServerList
+from lychee_gateway.proxy.servers import ProxyServer
 from lychee_http import ServerConnection, TcpStream
 from lychee_http.carrying import LEAVING, LENGTH, MAX_REPLY_BYTES, encode_frame
 from lychee_http.closing import wait_until_delivered
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/cold.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/cold.py
@@ -1,6 +1,7 @@
 """Cold servers, as known to this gateway: their rates, and the news of them from and for others."""
 
-from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_gateway.proxy.server_list import ServerList
+from lychee_gateway.proxy.servers import ProxyServer
 from lychee_policy import received_reading
 from lychee_types.clock import Clock
 from lychee_types.cold_messages import ColdReport, KnownCold
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -31,7 +31,8 @@
 from lychee_gateway.proxy.probing import Prober
 from lychee_gateway.proxy.resets import ResetRecorder
 from lychee_gateway.proxy.retries import RetryBudgets
-from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_gateway.proxy.server_list import ServerList
+from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.stopping import StopSchedule
 from lychee_gateway.proxy.subscription import Subscription
 from lychee_gateway.proxy.suspects import SuspectChecks
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
@@ -13,7 +13,8 @@
 
 from lychee_gateway.proxy.path_reports import PathReports
 from lychee_gateway.proxy.peers import NotReachedError, Peers
-from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_gateway.proxy.server_list import ServerList
+from lychee_gateway.proxy.servers import ProxyServer
 from lychee_http import ServerConnection
 from lychee_policy import PathTable
 from lychee_types.clock import Clock
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -8,7 +8,8 @@
 from lychee_gateway.proxy.limits import PermitRefused, PermitTaken, ServerLimits
 from lychee_gateway.proxy.overloads import OverloadedOwners
 from lychee_gateway.proxy.probed_choice import ProbedChoice
-from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_gateway.proxy.server_list import ServerList
+from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.view import RoutedView
 from lychee_policy.probes import REMOTE_DOMAIN_SHARE
 from lychee_types.clock import Clock
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/probing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/probing.py
@@ -11,7 +11,8 @@
 
 from lychee_gateway.proxy.codec import ProbeAnswer, ProxyCodec
 from lychee_gateway.proxy.probe_connections import ProbeConnections
-from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_gateway.proxy.server_list import ServerList
+from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.view import RoutedView
 from lychee_http import ServerConnection
 from lychee_http.exceptions import ServerResponseError
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/testing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/testing.py
@@ -18,7 +18,8 @@
 from lychee_gateway.proxy.peers import Peers
 from lychee_gateway.proxy.placing import NoServer, RoutedRequest, ServerSelector
 from lychee_gateway.proxy.probed_choice import ProbedChoice
-from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_gateway.proxy.server_list import ServerList
+from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.view import RoutedView
 from lychee_types.clock import Clock
 from lychee_types.ids import (
--- a/packages/lychee-gateway/tests/test_carrying.py
+++ b/packages/lychee-gateway/tests/test_carrying.py
@@ -10,7 +10,7 @@
 
 from lychee_gateway.proxy import carrier as carrier_module
 from lychee_gateway.proxy.carrier import Carrier
-from lychee_gateway.proxy.servers import ServerList
+from lychee_gateway.proxy.server_list import ServerList
 from lychee_http import RequestHead
 from lychee_http.carrying import LENGTH, NotCarriedError, encode_frame, open_carried_connection
 from lychee_http.exceptions import ServerResponseError
--- a/packages/lychee-gateway/tests/test_cold.py
+++ b/packages/lychee-gateway/tests/test_cold.py
@@ -8,7 +8,7 @@
 from lychee_gateway.proxy.cold import MAX_SEND_DELAY_S, ColdServers
 from lychee_gateway.proxy.limits import ANSWER_WAIT_S, ServerLimits
 from lychee_gateway.proxy.placing import NoServer, RoutedRequest, ServerSelector
-from lychee_gateway.proxy.servers import ServerList
+from lychee_gateway.proxy.server_list import ServerList
 from lychee_gateway.proxy.view import RoutedView
 from lychee_types.cold_messages import KnownCold, ObservedCold
 from lychee_types.ids import LogIndex
--- a/packages/lychee-gateway/tests/test_crashes.py
+++ b/packages/lychee-gateway/tests/test_crashes.py
@@ -14,7 +14,8 @@
     request_signature,
 )
 from lychee_gateway.proxy.resets import ResetRecorder
-from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_gateway.proxy.server_list import ServerList
+from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.testing import make_limits, make_paths
 from lychee_http import RequestHead
 from lychee_policy import TURN_S, Verdict
--- a/packages/lychee-gateway/tests/test_ends.py
+++ b/packages/lychee-gateway/tests/test_ends.py
@@ -12,7 +12,7 @@
 from lychee_gateway.proxy.carrier import Carrier
 from lychee_gateway.proxy.paths import ServerPaths
 from lychee_gateway.proxy.peers import Peers
-from lychee_gateway.proxy.servers import ServerList
+from lychee_gateway.proxy.server_list import ServerList
 from lychee_ranges import RoutedState
 from lychee_runtime.ports import free_endpoint
 from lychee_types.clock import SystemClock
--- a/packages/lychee-gateway/tests/test_evacuation_runs.py
+++ b/packages/lychee-gateway/tests/test_evacuation_runs.py
@@ -12,7 +12,8 @@
 
 from lychee_gateway.proxy.age import StateAge
 from lychee_gateway.proxy.placing import NoServer, RoutedRequest, ServerSelector
-from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_gateway.proxy.server_list import ServerList
+from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.testing import make_limits
 from lychee_gateway.proxy.view import RoutedView
 from lychee_http.lateness import TICK_S, LoopWatch
--- a/packages/lychee-gateway/tests/test_evacuations.py
+++ b/packages/lychee-gateway/tests/test_evacuations.py
@@ -6,7 +6,7 @@
 from msgspec.structs import replace
 
 from lychee_gateway.proxy.placing import OWNER_WAIT_S, NoServer, RoutedRequest, ServerSelector
-from lychee_gateway.proxy.servers import ServerList
+from lychee_gateway.proxy.server_list import ServerList
 from lychee_gateway.proxy.testing import make_limits
 from lychee_gateway.proxy.view import RoutedView
 from lychee_types.ids import DomainName, Incarnation, LogIndex, ServerId, ServiceName, Token
--- a/packages/lychee-gateway/tests/test_placing.py
+++ b/packages/lychee-gateway/tests/test_placing.py
@@ -10,7 +10,8 @@
 from lychee_gateway.proxy.codec import Occupancy
 from lychee_gateway.proxy.overloads import OverloadedOwners
 from lychee_gateway.proxy.placing import OWNER_WAIT_S, NoServer, RoutedRequest, ServerSelector
-from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_gateway.proxy.server_list import ServerList
+from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.testing import make_limits
 from lychee_gateway.proxy.view import RoutedView
 from lychee_types.clock import SystemClock
--- a/packages/lychee-gateway/tests/test_ready_answers.py
+++ b/packages/lychee-gateway/tests/test_ready_answers.py
@@ -11,7 +11,8 @@
 from lychee_gateway.proxy.codec import ResponseInfo
 from lychee_gateway.proxy.held import HeldAnswers
 from lychee_gateway.proxy.resets import ResetRecorder
-from lychee_gateway.proxy.servers import ProxyServer, ServerList
+from lychee_gateway.proxy.server_list import ServerList
+from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.testing import make_limits, make_paths
 from lychee_http import RequestHead
 from lychee_http.used_connections import UsedConnections
