Blame no server for uploads whose callers stall, and count attempts and cold times at the right moment

No copy goes to a server that has just shown that it is full. Permits of the time before a server was cold do not count after a wait. Replicas forget the cold times of servers that have gone when they tell what they know.

--- a/packages/lychee-control/src/lychee_control/registry/cold.py
+++ b/packages/lychee-control/src/lychee_control/registry/cold.py
@@ -98,6 +98,7 @@
 
         :param of: the servers, None for all.
         """
+        self.keep_only({server.run for server in self._state().servers.values()})
         now = self._clock.monotonic()
         observed = tuple(
             item
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, replace
-from typing import Self
 
 from lychee_gateway.proxy.claims import AnswerClaim
 from lychee_gateway.proxy.codec import ProxyCodec, ResponseInfo
@@ -120,15 +119,22 @@
 
     :param reason: what happened.
     :param is_disconnected: whether the server ended the connection.
+    :param is_callers_fault: whether it had not got the whole body from its caller.
     """
 
     reason: str
     is_disconnected: bool = False
+    is_callers_fault: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TooLate:
-    """The deadline passed before the server answered; it may have run the request."""
+    """The deadline passed before the server answered; it may have run the request.
+
+    :param is_callers_fault: whether it had not got the whole body from its caller.
+    """
+
+    is_callers_fault: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -182,6 +188,7 @@
         used: UsedConnections,
         held: HeldAnswer,
         claim: AnswerClaim | None = None,
+        selected_at: float | None = None,
     ) -> Attempt:
         """Send a request to a server and return the result.
 
@@ -195,8 +202,11 @@
             which may still come there, bears the same id.
         :param held: the room for the answer.
         :param claim: the attempt's claim to pass its answer on, None for the only attempt.
+        :param selected_at: monotonic time at which the server was selected, in seconds; None for
+            just now.
         """
         began = self._clock.monotonic()
+        selected_at = began if selected_at is None else selected_at
         with server.track_request(began) as in_flight:
             try:
                 conn = await self._paths.acquire(
@@ -212,8 +222,19 @@
                     self._resets.record(server, conn)
                     return NotRun(reason="the server reset the connection", was_sent=False)
                 attempt = await self._send_on(
-                    conn, exchange, body, server, in_flight, deadline, request_id, held, claim
+                    conn,
+                    exchange,
+                    body,
+                    server,
+                    in_flight,
+                    deadline,
+                    request_id,
+                    held,
+                    claim,
+                    selected_at,
                 )
+        if isinstance(attempt, NoAnswer | TooLate) and attempt.is_callers_fault:
+            return attempt
         if isinstance(attempt, NoAnswer | TooLate):
             server.record_failure(self._clock.monotonic())
         if isinstance(attempt, NoAnswer):
@@ -251,6 +272,7 @@
         request_id: str,
         held: HeldAnswer,
         claim: AnswerClaim | None,
+        selected_at: float,
     ) -> Attempt:
         remaining_s = deadline - self._clock.monotonic()
         if remaining_s <= 0:
@@ -260,19 +282,20 @@
         if not self._is_usable():
             # The process was paused, or has fallen behind, since the server was selected.
             return NotRun(reason="the state was outdated before it was sent", was_sent=False)
-        if not self._limits.may_send(server, selected_at=in_flight.sent_at):
+        if not self._limits.may_send(server, selected_at=selected_at):
             return NotRun(reason="the permit expired before it was sent", was_sent=False)
         head = self._codec.forward_request(
             exchange.head, server=server.run.server, remaining_s=remaining_s
         )
         head = _with_body_framing(head, body, exchange.head)
         self._limits.count_attempt(server.run)
+        sending = _sending(conn, head, body)
         try:
             async with timeout_after_input(remaining_s, has_input=conn.has_input):
                 exchange.was_sent = True
                 conn.send(head, _encode_buffered(head, body))
                 began = self._clock.monotonic()
-                async with _sending(conn, head, body) as sending:
+                async with sending:
                     answer = await conn.read_head()
                     info = self._codec.read_response(answer)
                     seconds = self._clock.monotonic() - began
@@ -300,11 +323,11 @@
                         conn, answer, exchange, held, claim or AnswerClaim()
                     )
         except TimeoutError:
-            return TooLate()
-        except ServerResponseError as exc:
-            return NoAnswer(reason=exc.message, is_disconnected=conn.stream.eof)
-        except ConnectionError as exc:
-            return NoAnswer(reason=f"its connection failed: {exc!r}", is_disconnected=True)
+            return TooLate(is_callers_fault=sending.awaits_caller)
+        except (ServerResponseError, ConnectionError) as exc:
+            if sending.has_stalled:
+                return NoAnswer(reason="the caller stopped sending the body", is_callers_fault=True)
+            return _no_answer(conn, exc)
 
     def _record_answer(
         self,
@@ -452,13 +475,14 @@
         self._conn = conn
         self._head = head
         self._body = body
+        self.awaits_caller = False
+        self.has_stalled = False
         self._may_run = body.is_upload
         self._task: asyncio.Task[None] | None = None
 
-    async def __aenter__(self) -> Self:
+    async def __aenter__(self) -> None:
         if not self._body.is_whole:
             self._task = asyncio.create_task(self._send())
-        return self
 
     async def finish(self, timeout_s: float) -> None:
         """Wait until the body is sent to a server that has answered early and reads on."""
@@ -479,12 +503,32 @@
 
     async def _send(self) -> None:
         try:
-            await self._conn.send_body(self._body.rest(), chunked=_is_chunked(self._head))
+            await self._conn.send_body(self._rest(), chunked=_is_chunked(self._head))
         except (BadRequestError, CallerGoneError):
+            self.has_stalled = self._body.is_upload
             # The server cannot get the whole request, so the block must not wait for its answer.
             self._conn.close()
             raise
 
+    async def _rest(self) -> AsyncIterator[bytes]:
+        """Yield the rest of the body, and note while an upload waits for its caller."""
+        rest = self._body.rest()
+        while True:
+            self.awaits_caller = self._body.is_upload
+            chunk = await anext(rest, None)
+            self.awaits_caller = False
+            if chunk is None:
+                return
+            yield chunk
+
+
+def _no_answer(conn: ServerConnection, exc: ServerResponseError | ConnectionError) -> NoAnswer:
+    match exc:
+        case ServerResponseError(message=message):
+            return NoAnswer(reason=message, is_disconnected=conn.stream.eof)
+        case _:
+            return NoAnswer(reason=f"its connection failed: {exc!r}", is_disconnected=True)
+
 
 async def _read_body(conn: ServerConnection, *, max_bytes: int) -> tuple[bytes, bool]:
     """Read a body until it ends or exceeds a size; return what was read and whether it ended."""
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -218,7 +218,7 @@
                 return
 
     def _refuse_unread(self, call: Call) -> NoServer | None:
-        """Return why a small upload is refused before its body is read, None if it may be sent."""
+        """Return why an upload is refused before its body is read, None if it may be sent."""
         if not call.route.kind.is_upload or not has_body(call.exchange.head):
             return None
         return self._selector.refusal(call.routed)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/hedging.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/hedging.py
@@ -85,7 +85,9 @@
         """
         is_excluded = not call.is_idempotent or call.routed.key is not None or bool(call.trail)
         if not self._settings.max_share or is_excluded:
-            return await self._sender.send(call, body, server, held, AnswerClaim())
+            return await self._sender.send(
+                call, body, server, held, AnswerClaim(), self._clock.monotonic()
+            )
         now = self._clock.monotonic()
         copies = self._find(call.route.name, now)
         copies.count_request(now)
@@ -137,7 +139,8 @@
         }
 
     def _maker(self, call: Call, body: Body, server: ProxyServer, held: HeldAnswer) -> MakeAttempt:
-        return lambda claim: self._sender.send(call, body, server, held, claim)
+        selected_at = self._clock.monotonic()
+        return lambda claim: self._sender.send(call, body, server, held, claim, selected_at)
 
     def _try_copy(self, call: Call, body: Body, copies: RouteCopies, race: CopyRace) -> None:
         """Send a copy to another server unless there is a reason against it."""
@@ -197,7 +200,8 @@
         else:
             call.copy = "lost" if winner is first else "won"
             loser = race.racers[1] if winner is first else first
-            if not loser.is_over:
+            if not loser.is_counted:
                 call.attempts += 1
+            if not loser.is_over:
                 self._metrics.count_cancelled(service, race.won_at - loser.sent_at)
         self._metrics.count_copy(service, call.copy)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/limits.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/limits.py
@@ -264,6 +264,9 @@
         if not has_just_asked or stock.answer_s > PROMPT_WAIT_S:
             return False
         await self._wait(stock, min(PROMPT_WAIT_S, deadline - now))
+        if (self._cold_per_s(run) is not None) is not stock.is_cold:
+            # It has become cold or warm meanwhile, and permits of the time before do not count.
+            return self.try_take(run)
         return self.limit_per_s(run) is None or self._take_held(run, stock)
 
     async def take(self, run: ServerIncarnation, *, deadline: float) -> PermitTaken | PermitRefused:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -199,7 +199,9 @@
         """
         now = self._clock.monotonic()
         best = self._find_best(request, now, skip=[])
-        if best is None or not (best.is_healthy(now) and best.has_free_slot(now)):
+        if best is None or now < best.full_until:
+            return None
+        if not (best.is_healthy(now) and best.has_free_slot(now)):
             return None
         return best if self._limits.try_take(best.run) else None
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/probing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/probing.py
@@ -209,6 +209,8 @@
             async with timeout_after_input(PROBE_TIMEOUT_S, has_input=conn.has_input):
                 asked_at = self._clock.monotonic()
                 path = self._health_path(server.record.service)
+                if not path:
+                    return None
                 head = self._codec.probe(path, server=server.record, request_id=probe_id)
                 conn.send(head, b"")
                 answer = self._codec.read_probe(await conn.read_head())
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/races.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/races.py
@@ -29,6 +29,7 @@
         super().__init__()
         self.held = held
         self.sent_at = sent_at
+        self.is_counted = False
         self._race = race
         self.task = asyncio.create_task(self._run(make))
 
@@ -101,7 +102,7 @@
     async def finish(self) -> Attempt:
         """Wait for the result that decides: the winner's, else that of the last to fail."""
         pending = {racer.task for racer in self.racers}
-        failed: Attempt | None = None
+        failed: tuple[Racer, Attempt] | None = None
         while pending:
             done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
             for racer in self.racers:
@@ -109,16 +110,17 @@
                     continue
                 attempt = racer.task.result()
                 if failed is not None:
-                    self._on_failure(failed)
+                    failed[0].is_counted = True
+                    self._on_failure(failed[1])
                 if racer is self.winner:
                     return attempt
                 if isinstance(attempt, WholeAnswer):
                     racer.held.keep(len(attempt.body))
-                failed = attempt
+                failed = (racer, attempt)
         if failed is None:
             # Something other than this race has cancelled the attempts.
             raise asyncio.CancelledError()
-        return failed
+        return failed[1]
 
     async def end(self) -> None:
         """Cancel what still runs, and wait until its connections are closed."""
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/server_list.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/server_list.py
@@ -77,8 +77,8 @@
                 )
             else:
                 known.record = record
-                self._update_leaving(known, now=now, as_of=as_of)
                 known.set_cold_rule(cold_rules.get(record.service), now)
+                self._update_leaving(known, now=now, as_of=as_of)
         self._by_service = {}
         for server in self._by_id.values():
             self._by_service.setdefault(server.record.service, []).append(server)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -207,8 +207,9 @@
 
     def record_cold(self, remaining_s: float, now: float) -> None:
         """Record the time for which the server has just said that it stays cold, in seconds."""
+        remaining_s = min(remaining_s, MAX_COLD_S)
         self._cold_until = now + remaining_s
-        reading = ColdReading(remaining_s=min(remaining_s, MAX_COLD_S), heard_at=now)
+        reading = ColdReading(remaining_s=remaining_s, heard_at=now)
         if self.record_cold_reading(reading, now):
             self._has_cold_news = True
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/tracked_sender.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/tracked_sender.py
@@ -30,7 +30,13 @@
         self._clock = clock
 
     async def send(
-        self, call: Call, body: Body, server: ProxyServer, held: HeldAnswer, claim: AnswerClaim
+        self,
+        call: Call,
+        body: Body,
+        server: ProxyServer,
+        held: HeldAnswer,
+        claim: AnswerClaim,
+        selected_at: float,
     ) -> Attempt:
         """Make one attempt and return its result.
 
@@ -39,6 +45,7 @@
         :param server: the server.
         :param held: the room for the answer.
         :param claim: the attempt's claim to pass its answer on.
+        :param selected_at: monotonic time at which the server was selected, in seconds.
         """
         now = self._clock.monotonic()
         occupied, word_age_ms = server.estimated_occupancy(now), server.occupancy_age_ms(now)
@@ -70,6 +77,7 @@
                     used=call.used_connections,
                     held=held,
                     claim=claim,
+                    selected_at=selected_at,
                 )
         except asyncio.CancelledError:
             if claim.is_lost:
--- a/packages/lychee-gateway/tests/test_hedging.py
+++ b/packages/lychee-gateway/tests/test_hedging.py
@@ -76,11 +76,13 @@
     def __init__(self, script):
         self.script = script
         self.sent = []
+        self.selected_at = []
         self.cancelled = []
 
-    async def send(self, *, server, claim, **rest):
+    async def send(self, *, server, claim, selected_at, **rest):
         name = server.run.server
         self.sent.append(name)
+        self.selected_at.append(selected_at)
         try:
             return await self.script[name](claim)
         except asyncio.CancelledError:
@@ -428,3 +430,17 @@
     recorded = setup.copies.times._newer
     assert recorded.get_total_count() == 42
     assert recorded.get_value_at_percentile(49) > 2_000
+
+
+def test_an_attempt_is_told_when_its_server_was_selected_not_when_its_task_runs():
+    """News of a cold server that came in between did not stop the request."""
+    setup = Setup(after(0.0, answer()))
+
+    async def scenario():
+        selected = asyncio.ensure_future(setup.send())
+        asyncio.get_running_loop().call_soon(lambda: handled.append(setup.clock.monotonic()))
+        await selected
+
+    handled = []
+    asyncio.run(scenario())
+    assert setup.fake.selected_at[0] < handled[0]
