Name the account of callers in the terms of the field, and let log lines say what happened

From a newcomer's read of the change: the account's names (shed priority, wait, base wait, shed target) were private ones, and several log lines named a change without its direction. No change of behaviour besides these texts.

--- a/packages/lychee-control/src/lychee_control/registry/evacuations.py
+++ b/packages/lychee-control/src/lychee_control/registry/evacuations.py
@@ -48,7 +48,11 @@
             was_evacuated=was_evacuated,
             is_committed=is_committed,
             servers=sum(item.domain == order.domain for item in self._state.servers.values()),
-        ).info("operator ordered to {} an evacuation", "start" if order.is_evacuated else "end")
+        ).info(
+            "the order to {} an evacuation is {}",
+            "start" if order.is_evacuated else "end",
+            "committed" if is_committed else "not known to be committed",
+        )
         if not is_committed:
             return Unavailable(reason="the evacuation is not known to be committed")
         self._warn_if_none_is_left()
--- a/packages/lychee-control/src/lychee_control/registry/metrics.py
+++ b/packages/lychee-control/src/lychee_control/registry/metrics.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from lychee_http.caller_memory import CallerMemory, Shedding
+from lychee_http.caller_memory import CallerMemory, ShedReason
 from lychee_runtime import PrometheusMetrics
 
 
@@ -67,7 +67,7 @@
         page.gauge("callers_bytes", "Memory held for callers.", lambda: memory.held)
         page.gauge("callers_bound_bytes", "Bound on it.", lambda: memory.bounds.held_bytes)
 
-    def count_shed(self, reason: Shedding) -> None:
+    def count_shed(self, reason: ShedReason) -> None:
         """Count a connection of a caller that was refused or ended, by reason."""
         self._shed.labels(reason.value).inc()
 
--- a/packages/lychee-control/src/lychee_control/registry/overloads.py
+++ b/packages/lychee-control/src/lychee_control/registry/overloads.py
@@ -118,7 +118,10 @@
                 event="owner_overloaded" if server in overloaded else "owner_relieved",
                 server=server,
                 share=round(overloaded.get(server, 1.0), 3),
-            ).info("whether an owner of keys gets more than it can serve has changed")
+            ).info(
+                "an owner of keys is {}",
+                "overloaded" if server in overloaded else "no longer overloaded",
+            )
         self._told = set(overloaded)
 
     def _owner_loads(self, now: float) -> Iterator[OwnerLoad]:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/claims.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/claims.py
@@ -2,7 +2,7 @@
 
 
 class AnswerClaim:
-    """The claim of a request's only attempt, which is always granted.
+    """An attempt's right to pass its answer on; always granted to a request's only attempt.
 
     :ivar has_begun: whether the answer to the attempt has begun to arrive.
     :ivar is_over: whether the attempt has a result.
@@ -15,7 +15,7 @@
         self.is_lost = False
 
     def take(self) -> None:
-        """Take the right to send an answer; to be called before anything of it is sent.
+        """Take the right to pass the answer on, before any of it is sent.
 
-        :raises asyncio.CancelledError: if another attempt has it.
+        :raises asyncio.CancelledError: in subclasses, if another attempt has it.
         """
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/evacuations.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/evacuations.py
@@ -28,5 +28,8 @@
                 is_evacuated=domain in state.evacuated,
                 index=state.index,
                 servers=sum(server.domain == domain for server in state.servers.values()),
-            ).info("the evacuation of a failure domain has begun or ended")
+            ).info(
+                "the evacuation of a failure domain has {}",
+                "begun" if domain in state.evacuated else "ended",
+            )
         self._evacuated = frozenset(state.evacuated)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from time import monotonic
 
-from lychee_http.caller_memory import CallerMemory, Shedding
+from lychee_http.caller_memory import CallerMemory, ShedReason
 from lychee_http.endings import ConnectionEnd
 from lychee_http.tally import RequestTally
 from lychee_runtime import PrometheusMetrics
@@ -135,7 +135,7 @@
         page.gauge("callers_bytes", "Memory held for callers.", lambda: memory.held)
         page.gauge("callers_bound_bytes", "Bound on it.", lambda: memory.bounds.held_bytes)
 
-    def count_shed(self, reason: Shedding) -> None:
+    def count_shed(self, reason: ShedReason) -> None:
         """Count a connection of a caller that was refused or ended, by reason."""
         self._shed.labels(reason.value).inc()
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/overloads.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/overloads.py
@@ -52,7 +52,10 @@
             logger.bind(
                 event="owners_overloaded" if shares else "owners_relieved",
                 shares={server: round(share, 3) for server, share in shares.items()},
-            ).info("whether owners of keys get more than they can serve has changed")
+            ).info(
+                "{}",
+                "owners of keys are overloaded" if shares else "no owner is overloaded any more",
+            )
 
     def refused_for_s(
         self, owner: ServerIncarnation, route: Route, service: ServiceName
--- a/packages/lychee-http/src/lychee_http/caller_account.py
+++ b/packages/lychee-http/src/lychee_http/caller_account.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from lychee_http.caller_memory import CallerMemory, Shedding, caller_bounds, megabytes
+from lychee_http.caller_memory import CallerMemory, ShedReason, caller_bounds, megabytes
 from lychee_http.turns import LoopTurns
 
 LOG_INTERVAL_S = 1.0
@@ -15,7 +15,7 @@
 
 
 def make_caller_memory(
-    *, memory_mb: float | None, max_fds: int | None, on_shed: Callable[[Shedding], None]
+    *, memory_mb: float | None, max_fds: int | None, on_shed: Callable[[ShedReason], None]
 ) -> CallerMemory:
     """Return an account for callers on the event loop that runs when one connects.
 
@@ -25,7 +25,7 @@
     """
     log = _ShedLog()
 
-    def note(reason: Shedding) -> None:
+    def note(reason: ShedReason) -> None:
         on_shed(reason)
         log.note(reason, held=memory.held, connections=len(memory))
 
@@ -45,7 +45,7 @@
         self._counts: Counter[str] = Counter()
         self._logged_at = float("-inf")
 
-    def note(self, reason: Shedding, *, held: float, connections: int) -> None:
+    def note(self, reason: ShedReason, *, held: float, connections: int) -> None:
         """Count a connection, and log the counts if it is time."""
         self._counts[reason.value] += 1
         now = monotonic()
@@ -57,5 +57,5 @@
             reasons=dict(self._counts),
             held_mb=megabytes(held),
             connections=connections,
-        ).warning("connections of callers were refused or ended, as they held too much")
+        ).warning("connections of callers were refused or ended to stay within the limits")
         self._counts.clear()
--- a/packages/lychee-http/src/lychee_http/caller_memory.py
+++ b/packages/lychee-http/src/lychee_http/caller_memory.py
@@ -22,7 +22,7 @@
 HEADER_BYTES = 200
 """Memory of a header beside its name and value, in bytes: objects of the interpreter."""
 
-FLOOR_BYTES = CONNECTION_BYTES + EXCHANGE_BYTES + 24_576
+MIN_SHED_BYTES = CONNECTION_BYTES + EXCHANGE_BYTES + 24_576
 """What a connection may hold at any time, in bytes: a request with a head of usual size."""
 
 CONNECTION_SHARE = 1 / 8
@@ -31,22 +31,22 @@
 ROOM_SHARE = 1 / 4
 """Share of what a connection may hold above which it reads no further request beside others."""
 
-TIGHT_SHARE = 1 / 2
+NEARLY_FULL_SHARE = 1 / 2
 """Share of the bound above which connections read little at once."""
 
-RELIEF_SHARE = 7 / 8
+SHED_TARGET_SHARE = 7 / 8
 """Share of the bound to which what is held is brought down when it was reached."""
 
-ENDING_SHARE = 1 / 8
+OVERSHOOT_SHARE = 1 / 8
 """Connections beyond the limit that are accepted while idle ones end, as a share of the limit."""
 
-SETTLED_S = 0.05
-"""Time by which what a connection holds is weighted if its caller owes nothing, in seconds."""
+BASE_WAIT_S = 0.05
+"""Added to the time waited for a caller when connections are ranked for shedding, in seconds."""
 
 PROGRESS_BYTES = 16_384
 """Content of bodies that counts as progress, in bytes."""
 
-OWN_MB = 64
+PROCESS_MB = 64
 """Memory that a process needs beside its callers, in MB: the program and its state."""
 
 CALLERS_SHARE = 0.5
@@ -86,7 +86,7 @@
     """
     held_bytes = float(DEFAULT_BOUND_BYTES)
     if memory_mb is not None:
-        rest = max(0.0, memory_mb - OWN_MB) * BYTES_PER_MB
+        rest = max(0.0, memory_mb - PROCESS_MB) * BYTES_PER_MB
         held_bytes = max(LEAST_BOUND_BYTES, rest * CALLERS_SHARE)
     connections = None if max_fds is None else max(1, int(max_fds * CALLERS_FDS_SHARE))
     return CallerBounds(held_bytes=held_bytes, connections=connections)
@@ -106,7 +106,7 @@
     return size + sum(len(name) + len(value) for name, value in head.headers)
 
 
-class Shedding(Enum):
+class ShedReason(Enum):
     """Why a connection of a caller was refused or ended."""
 
     MEMORY = "memory"
@@ -141,7 +141,7 @@
     return False
 
 
-def _ignore(reason: Shedding) -> None:
+def _ignore(reason: ShedReason) -> None:
     """Record nothing."""
 
 
@@ -161,7 +161,7 @@
         return True
 
     @property
-    def is_tight(self) -> bool:
+    def is_nearly_full(self) -> bool:
         """Whether the connection is to read little at once."""
         return False
 
@@ -176,13 +176,13 @@
     def add_input(self, size: int) -> None:
         """The same for what was received, which is given back when the connection ends."""
 
-    def await_caller(self) -> None:
+    def start_wait(self) -> None:
         """Record that the caller has to send, or read, for its request to go on."""
 
     def note_content(self, size: int) -> None:
         """Record that content was received, in bytes; framing does not count."""
 
-    def settle(self) -> None:
+    def end_wait(self) -> None:
         """Record that the caller has done what was waited for."""
 
     async def take_turn(self) -> None:
@@ -206,7 +206,7 @@
         self.shed = _do_nothing
         self.end_if_idle = _is_not_idle
         self.held = 0
-        self.owing_since: float | None = None
+        self.waiting_since: float | None = None
         self.is_ending = False
         self.is_closing_idle = False
         self._memory = memory
@@ -229,9 +229,9 @@
         return self.held < self._memory.connection_bytes * ROOM_SHARE
 
     @property
-    def is_tight(self) -> bool:
+    def is_nearly_full(self) -> bool:
         """Whether the connection is to read little at once."""
-        return self._memory.is_tight
+        return self._memory.is_nearly_full
 
     @property
     def is_full(self) -> bool:
@@ -250,24 +250,24 @@
             self.held += size
             self._memory.add(self, size)
 
-    def await_caller(self) -> None:
+    def start_wait(self) -> None:
         """Record that the caller has to send, or read, for its request to go on."""
-        if self.owing_since is None:
+        if self.waiting_since is None:
             self._content = 0
-            self.owing_since = self._memory.now()
+            self.waiting_since = self._memory.now()
 
     def note_content(self, size: int) -> None:
         """Record that content was received, in bytes; framing does not count."""
-        if self.owing_since is None:
+        if self.waiting_since is None:
             return
         self._content += size
         if self._content >= PROGRESS_BYTES:
             self._content = 0
-            self.owing_since = self._memory.now()
+            self.waiting_since = self._memory.now()
 
-    def settle(self) -> None:
+    def end_wait(self) -> None:
         """Record that the caller has done what was waited for."""
-        self.owing_since = None
+        self.waiting_since = None
 
     async def take_turn(self) -> None:
         """Wait while other connections parse much framing."""
@@ -281,10 +281,10 @@
             self.watch(shed=_do_nothing, end_if_idle=_is_not_idle)
             self._memory.forget(self)
 
-    def burden(self, now: float) -> float:
+    def shed_priority(self, now: float) -> float:
         """Return how much the connection holds, weighted by the time that its caller owes."""
-        owing_s = 0.0 if self.owing_since is None else now - self.owing_since
-        return self.held * (SETTLED_S + owing_s)
+        waiting_s = 0.0 if self.waiting_since is None else now - self.waiting_since
+        return self.held * (BASE_WAIT_S + waiting_s)
 
 
 class CallerMemory:
@@ -303,7 +303,7 @@
         bounds: CallerBounds,
         turns: Turns,
         defer: Callable[[Callable[[], None]], object],
-        on_shed: Callable[[Shedding], None] = _ignore,
+        on_shed: Callable[[ShedReason], None] = _ignore,
         now: Callable[[], float] = monotonic,
     ) -> None:
         self.held = 0
@@ -316,14 +316,14 @@
         self._on_shed = on_shed
         self._is_deferred = False
         self._open: dict[CountedHolding, None] = {}
-        self._tight_bytes = bounds.held_bytes * TIGHT_SHARE
+        self._tight_bytes = bounds.held_bytes * NEARLY_FULL_SHARE
 
     def __len__(self) -> int:
         """Return how many connections are open."""
         return len(self._open)
 
     @property
-    def is_tight(self) -> bool:
+    def is_nearly_full(self) -> bool:
         """Whether connections are to read little at once."""
         return self.held > self._tight_bytes
 
@@ -336,8 +336,8 @@
         """Count a new connection; return None if it is to be refused, as there are too many."""
         limit = self.bounds.connections
         if limit is not None and len(self._open) >= limit:
-            if len(self._open) >= limit + ceil(limit * ENDING_SHARE):
-                self._on_shed(Shedding.REFUSED)
+            if len(self._open) >= limit + ceil(limit * OVERSHOOT_SHARE):
+                self._on_shed(ShedReason.REFUSED)
                 return None
             self._make_room()
         holding = CountedHolding(self)
@@ -369,13 +369,13 @@
         self._is_deferred = False
         for holding in [h for h in self._open if h.held > self.connection_bytes]:
             if not holding.is_ending:
-                self._shed(holding, Shedding.SHARE)
+                self._shed(holding, ShedReason.SHARE)
         if self._staying_bytes() <= self.bounds.held_bytes:
             return
-        excess = self._staying_bytes() - self.bounds.held_bytes * RELIEF_SHARE
-        for holding in self._by_burden():
+        excess = self._staying_bytes() - self.bounds.held_bytes * SHED_TARGET_SHARE
+        for holding in self._by_shed_priority():
             excess -= holding.held
-            self._shed(holding, Shedding.MEMORY)
+            self._shed(holding, ShedReason.MEMORY)
             if excess <= 0:
                 return
 
@@ -383,25 +383,25 @@
         """Return what is held, without that of connections that are ending, in bytes."""
         return self.held - sum(h.held for h in self._open if h.is_ending)
 
-    def _by_burden(self) -> list[CountedHolding]:
-        """Return the connections that hold more than the floor, the heaviest burden first."""
+    def _by_shed_priority(self) -> list[CountedHolding]:
+        """Return the connections that may be shed, those to be shed first at the beginning."""
         now = self.now()
-        found = [h for h in self._open if h.held > FLOOR_BYTES and not h.is_ending]
-        return sorted(found, key=lambda h: h.burden(now), reverse=True)
+        found = [h for h in self._open if h.held > MIN_SHED_BYTES and not h.is_ending]
+        return sorted(found, key=lambda h: h.shed_priority(now), reverse=True)
 
     def _make_room(self) -> None:
         """End the connection that has been idle for longest, or whose caller owes for longest."""
         for holding in self._open:
             if not holding.is_closing_idle and holding.end_if_idle():
                 holding.is_closing_idle = True
-                self._on_shed(Shedding.IDLE)
+                self._on_shed(ShedReason.IDLE)
                 return
-        owing = [h for h in self._open if h.owing_since is not None and not h.is_ending]
+        owing = [h for h in self._open if h.waiting_since is not None and not h.is_ending]
         if owing:
-            longest = min(owing, key=lambda h: h.owing_since or 0.0)
-            self._shed(longest, Shedding.CONNECTIONS)
+            longest = min(owing, key=lambda h: h.waiting_since or 0.0)
+            self._shed(longest, ShedReason.CONNECTIONS)
 
-    def _shed(self, holding: CountedHolding, reason: Shedding) -> None:
+    def _shed(self, holding: CountedHolding, reason: ShedReason) -> None:
         """End a connection at once; it counts until its descriptor is closed a turn later."""
         holding.is_ending = True
         self._on_shed(reason)
--- a/packages/lychee-http/src/lychee_http/reader.py
+++ b/packages/lychee-http/src/lychee_http/reader.py
@@ -113,12 +113,12 @@
 
     async def _read_rest_of_head(self, timeout_s: float) -> RequestEvent:
         reads = TimedReads(reader=self, timeout_s=timeout_s)
-        self._holding.await_caller()
+        self._holding.start_wait()
         while (event := self.next_event()) is None:
             if not await reads.receive():
                 raise self.incomplete_error("head")
             await self.take_turn()
-        self._holding.settle()
+        self._holding.end_wait()
         return event
 
     async def next_part(self, reads: "TimedReads") -> bytes | EndOfMessage:
@@ -130,14 +130,14 @@
         """
         await self.take_turn()
         while (event := self.next_event()) is None:
-            self._holding.await_caller()
+            self._holding.start_wait()
             if not await reads.receive():
                 raise self.incomplete_error("body")
             await self.take_turn()
         if isinstance(event, bytes):
             self._holding.note_content(len(event))
         else:
-            self._holding.settle()
+            self._holding.end_wait()
         assert not isinstance(event, RequestHead)
         return event
 
--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -203,7 +203,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer that the event loop reads into."""
-        if self.holding.is_tight:
+        if self.holding.is_nearly_full:
             self._read_size = TIGHT_READ_BYTES
             return _TIGHT_READ_BUFFER
         self._read_size = READ_SIZE_BYTES
@@ -274,7 +274,7 @@
         if self._drain_waiter is None:
             self._drain_waiter = asyncio.get_running_loop().create_future()
             self.holding.add(CONGESTED_BYTES)
-            self.holding.await_caller()
+            self.holding.start_wait()
 
     def resume_writing(self) -> None:
         """Let waiting writers continue."""
@@ -283,7 +283,7 @@
                 self._drain_waiter.set_result(None)
             self._drain_waiter = None
             self.holding.add(-CONGESTED_BYTES)
-            self.holding.settle()
+            self.holding.end_wait()
 
     async def read(self) -> bytes:
         """Return all received bytes, waiting until there are some.
--- a/packages/lychee-http/tests/test_caller_memory.py
+++ b/packages/lychee-http/tests/test_caller_memory.py
@@ -8,12 +8,12 @@
     BYTES_PER_MB,
     CONNECTION_BYTES,
     DEFAULT_BOUND_BYTES,
-    FLOOR_BYTES,
     LEAST_BOUND_BYTES,
+    MIN_SHED_BYTES,
     PROGRESS_BYTES,
     CallerBounds,
     CallerMemory,
-    Shedding,
+    ShedReason,
     caller_bounds,
 )
 
@@ -70,7 +70,7 @@
     account = Account()
     stalled, uploading = account.open("stalled"), account.open("uploading")
     for holding in (stalled, uploading):
-        holding.await_caller()
+        holding.start_wait()
     stalled.add(400_000)
     uploading.add(1_000_000)
     account.now = 5.0
@@ -86,12 +86,12 @@
 def test_framing_is_no_progress():
     account = Account()
     holding = account.open("drip")
-    holding.await_caller()
+    holding.start_wait()
     account.now = 9.0
     for _ in range(100):
         holding.note_content(1)
-        holding.await_caller()
-    assert holding.owing_since == 0.0
+        holding.start_wait()
+    assert holding.waiting_since == 0.0
 
 
 def test_a_connection_above_its_share_ends_alone():
@@ -99,14 +99,14 @@
     account.open("other").add(100_000)
     account.open("greedy").add(BOUND // 8)
     assert account.run() == ["greedy"]
-    assert account.reasons == [Shedding.SHARE]
+    assert account.reasons == [ShedReason.SHARE]
 
 
 def test_connections_that_hold_what_a_usual_request_does_are_left_alone():
     account = Account()
-    small = [account.open(f"small {n}") for n in range(BOUND // FLOOR_BYTES + 20)]
+    small = [account.open(f"small {n}") for n in range(BOUND // MIN_SHED_BYTES + 20)]
     for holding in small:
-        holding.add(FLOOR_BYTES - CONNECTION_BYTES)
+        holding.add(MIN_SHED_BYTES - CONNECTION_BYTES)
     assert account.memory.held > BOUND
     assert account.run() == []
 
@@ -114,7 +114,7 @@
 def test_too_many_connections_end_idle_ones_first_then_those_whose_callers_owe():
     account = Account(connections=3)
     account.open("busy")
-    account.open("owing").await_caller()
+    account.open("owing").start_wait()
     account.open("idle", idle=True)
     assert account.open("new") is not None
     assert account.run() == ["idle"]
@@ -122,7 +122,7 @@
     assert account.run() == ["owing"]
     assert account.open("newest") is not None
     assert account.open("too many") is None
-    assert account.reasons == [Shedding.IDLE, Shedding.CONNECTIONS, Shedding.REFUSED]
+    assert account.reasons == [ShedReason.IDLE, ShedReason.CONNECTIONS, ShedReason.REFUSED]
 
 
 def test_what_ends_gives_back_all_that_it_held():
@@ -149,7 +149,7 @@
             if holding is not None:
                 crowd[name] = holding
             continue
-        crowd[name].await_caller()
+        crowd[name].start_wait()
         crowd[name].add_input(rng.randrange(65_536))
         assert account.memory.held <= BOUND + 65_536
         for ended in account.run():
--- a/packages/lychee-policy/src/lychee_policy/owner_admission.py
+++ b/packages/lychee-policy/src/lychee_policy/owner_admission.py
@@ -17,10 +17,10 @@
 """Share of an owner's capacity up to which requests are admitted while its queue is as intended."""
 
 MIN_UTILIZATION = 0.1
-"""The same while its queue is long."""
+"""Share of an owner's capacity up to which requests are admitted while its queue is long."""
 
 MAX_UTILIZATION = 1.0
-"""The same while its queue is short."""
+"""Share of an owner's capacity up to which requests are admitted while its queue is short."""
 
 REQUESTS_PER_SLOT = 1.25
 """Intended number of requests that an owner runs or queues, per slot."""
@@ -65,7 +65,7 @@
 """Maximum time over which the returns of refused callers are spread, in seconds."""
 
 EARLIEST_RETURN_SHARE = 0.4
-"""Share of this time before which no caller returns, so that a share can take effect first."""
+"""Share of a share's `retry_s` before which no refused caller is told to return."""
 
 MAX_MIX_REQUESTS = 64.0
 """Number of requests after which the weights of all requests in the mix of routes are halved."""
--- a/packages/lychee-policy/src/lychee_policy/probes.py
+++ b/packages/lychee-policy/src/lychee_policy/probes.py
@@ -29,7 +29,7 @@
 REMOTE_DOMAIN_SHARE = 0.5
 """Delay that a server of another failure domain is charged with, as a share of the time of work.
 
-Bytes between domains are dear, and the load of the servers in the own domain is known.
+Traffic between failure domains is expensive, and the load of the own domain's servers is known.
 """
 
 GOOD_FACTOR = 1.15
