Count resets and unanswered requests as signs of a full server only where they are ones

Deployments whose servers do not report their speed are to be served as before. There a reset usually says that too many connections are open, and yet counted as a full queue. A timeout counted as evidence of servers that are silent when full also where servers refuse at once when they are full. Both are left out now: resets count where servers report their speed, timeouts unless a server of the service has refused within 0.1 s.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/resets.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/resets.py
@@ -13,6 +13,7 @@
 class ResetRecorder:
     """Lets requests go to other servers for a moment after a server has reset a connection.
 
+    It does so where servers report their speed: there the choice is corrected by the next probe.
     It says nothing about the outcome of the request on that connection.
 
     :param on_reset: counts resets by service.
@@ -28,6 +29,9 @@
         if conn.is_carried or not conn.stream.was_reset:
             return
         now = self._clock.monotonic()
+        if not server.tells_speed(now):
+            # Elsewhere a reset may only say that too many connections are open.
+            return
         is_new = server.full_until <= now
         server.record_reset(now)
         self._on_reset(server.record.service)
--- a/packages/lychee-gateway/tests/test_ready_answers.py
+++ b/packages/lychee-gateway/tests/test_ready_answers.py
@@ -65,6 +65,17 @@
         pass
 
 
+def make_record(endpoint):
+    return RegisteredServer(
+        run=ServerIncarnation(server=ServerId("s1"), incarnation=Incarnation(1)),
+        endpoint=endpoint,
+        domain=DomainName("d"),
+        service=ServiceName("s"),
+        release="1",
+        slots=1,
+    )
+
+
 async def attempt(*, answer, is_usable=True, reported=None):
     """Return the result of an attempt, and the body that was streamed to its caller.
 
@@ -84,14 +95,7 @@
             time.sleep(LEFT_S + 0.1)
 
         host, port = listener.getsockname()
-        record = RegisteredServer(
-            run=ServerIncarnation(server=ServerId("s1"), incarnation=Incarnation(1)),
-            endpoint=Endpoint(host=host, port=port),
-            domain=DomainName("d"),
-            service=ServiceName("s"),
-            release="1",
-            slots=1,
-        )
+        record = make_record(Endpoint(host=host, port=port))
         sender = Sender(
             codec=Codec(block),
             paths=make_paths(ServerList(clock=clock, as_of=clock.monotonic), clock),
@@ -156,3 +160,12 @@
     asyncio.run(attempt(answer=answer, reported=reported))
     (stats,) = reported
     assert (stats.unanswered, stats.answers) == (unanswered, 1 - unanswered)
+
+
+def test_servers_that_refuse_at_once_when_full_count_as_leaving_nothing_unanswered():
+    """Their owners' requests were limited too after any timeout."""
+    sender = Sender(codec=None, paths=None, limits=None, resets=None, drain_s=2.0, clock=None)
+    server = ProxyServer(record=make_record(Endpoint(host="127.0.0.1", port=1)), now=0.0)
+    sender._record_silence(server, NotRun(reason="busy", was_sent=True), 0.01)
+    sender._record_silence(server, TooLate(), 1.0)
+    assert server.take_stats() is None
