Follow control replicas of the own failure domain, and give each domain a voter

Gateways followed a replica at random, and only three of the four domains had a voter.

A replica now says in its pulses which domain it is in. A gateway moves to one of its own domain, if its settings say so; a leader adds voters in domains that have none first. As gateways no longer spread evenly over replicas, the leader tells how many there are; limits and retry budgets are divided by that number.

--- a/packages/lychee-control/src/lychee_control/peers.py
+++ b/packages/lychee-control/src/lychee_control/peers.py
@@ -11,7 +11,7 @@
 from lychee_log import PeerMessage, ReplicaAddress
 from lychee_runtime import Link, open_link
 from lychee_types.exceptions import UnavailableError
-from lychee_types.ids import ReplicaId, SessionId
+from lychee_types.ids import UNKNOWN_DOMAIN, DomainName, ReplicaId, SessionId
 from lychee_types.messages import (
     PEER,
     ToControl,
@@ -34,7 +34,12 @@
 
 
 class PeerAlive(Struct, frozen=True, kw_only=True, tag=True):
-    """Keepalive message of the receiving end of a link."""
+    """Keepalive message of the receiving end of a link.
+
+    :param domain: its failure domain, empty if it is not told.
+    """
+
+    domain: DomainName = UNKNOWN_DOMAIN
 
 
 class LogMessage(Struct, frozen=True, kw_only=True, tag=True):
@@ -111,11 +116,13 @@
         the leader is asked as well.
     :param is_leaving: whether it is a voter that is being stopped, and whose place another replica
         is to take. A leader of an earlier version ignores the request of a voter.
+    :param domain: the failure domain of the replica that asks, empty from an earlier version.
     """
 
     newcomer: ReplicaAddress
     to_pass_on: bool = True
     is_leaving: bool = False
+    domain: DomainName = UNKNOWN_DOMAIN
 
 
 class LeaderHint(Struct, frozen=True, kw_only=True, tag=True):
@@ -186,6 +193,11 @@
             self._spawn(link)
         return link
 
+    def domain_of(self, replica: ReplicaId) -> DomainName:
+        """Return the failure domain that a replica has told, empty if it has told none."""
+        link = self._links.get(replica)
+        return link.domain if link is not None else UNKNOWN_DOMAIN
+
 
 class PeerLink:
     """The outgoing link to one replica; it is reopened when it breaks.
@@ -197,6 +209,7 @@
 
     def __init__(self, *, peer: ReplicaAddress, ssl: SSLContext | None, rng: Random) -> None:
         self.peer = peer
+        self.domain = UNKNOWN_DOMAIN
         self._ssl = ssl
         self._rng = rng
         self._link: Link[PeerFrame, PeerFrame] | None = None
@@ -235,22 +248,35 @@
             while not link.closed:
                 try:
                     async with timeout_after_input(SILENCE_LIMIT_S):
-                        if not await link.receive():
-                            return
+                        batch = await link.receive()
                 except TimeoutError:
                     return
+                if not batch:
+                    return
+                self._record_domain(batch)
+
+    def _record_domain(self, batch: tuple[PeerFrame, ...]) -> None:
+        for frame in batch:
+            if isinstance(frame, PeerAlive) and frame.domain:
+                self.domain = frame.domain
 
 
-async def serve_peer(link: Link[PeerFrame, PeerFrame], *, handle: FrameHandler) -> None:
+async def serve_peer(
+    link: Link[PeerFrame, PeerFrame],
+    *,
+    handle: FrameHandler,
+    domain: DomainName = UNKNOWN_DOMAIN,
+) -> None:
     """Serve the receiving end of another replica's link.
 
     :param link: the link.
     :param handle: called with each message.
+    :param domain: this replica's failure domain, empty to tell none.
     """
 
     async def send_alive() -> None:
         while not link.closed:
-            link.post(PeerAlive())
+            link.post(PeerAlive(domain=domain))
             await asyncio.sleep(ALIVE_INTERVAL_S)
 
     alive_task = asyncio.create_task(send_alive())
--- a/packages/lychee-control/src/lychee_control/registry/admission.py
+++ b/packages/lychee-control/src/lychee_control/registry/admission.py
@@ -1,19 +1,40 @@
 """Decides, at the leader, which replica becomes a voter and which voter leaves the group."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from loguru import logger
 
 from lychee_log import Replica, ReplicaAddress
 from lychee_types.clock import Clock
 from lychee_types.exceptions import InvariantError, LycheeError
-from lychee_types.ids import ReplicaId
+from lychee_types.ids import UNKNOWN_DOMAIN, DomainName, ReplicaId
 from lychee_types.operator_messages import ReplicaState
 from lychee_types.records import Endpoint
 
 REQUEST_VALID_S = 2.0
 """Time for which a request to join or to leave is valid, in seconds."""
 
+COLLECT_S = 0.6
+"""Time for which a new leader collects requests before it adds a voter, in seconds.
+
+The first replica that asks may be in a failure domain that has a voter.
+"""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _JoinOrder:
+    """A replica's request to join.
+
+    :param newcomer: the replica.
+    :param domain: its failure domain.
+    :param heard_at: monotonic time in seconds at which the request arrived.
+    """
+
+    newcomer: ReplicaAddress
+    domain: DomainName
+    heard_at: float
+
 
 class Admission:
     """Keeps requests to join and to leave, and carries one out at a time while this replica leads.
@@ -25,6 +46,8 @@
     :param voter_lost_s: returns the time without a reply after which a voter counts as lost, in
         seconds.
     :param clock: source of time.
+    :param domain_of: returns the failure domain of a voter; None if voters are not spread over
+        failure domains.
     """
 
     def __init__(
@@ -34,12 +57,15 @@
         target_voter_count: int,
         voter_lost_s: Callable[[], float],
         clock: Clock,
+        domain_of: Callable[[ReplicaId], DomainName] | None = None,
     ) -> None:
         self._replica = replica
         self._target_voter_count = target_voter_count
         self._voter_lost_s = voter_lost_s
         self._clock = clock
-        self._joining: dict[Endpoint, tuple[ReplicaAddress, float]] = {}
+        self._domain_of = domain_of
+        self._leads_since: float | None = None
+        self._joining: dict[Endpoint, _JoinOrder] = {}
         self._leaving: dict[ReplicaId, float] = {}
         self._failed_at: dict[ReplicaId, float] = {}
 
@@ -48,9 +74,11 @@
         """Return the addresses of the replicas that ask to join."""
         return frozenset(self._joining)
 
-    def record_joining(self, newcomer: ReplicaAddress) -> None:
-        """Record that a replica asks to join."""
-        self._joining[newcomer.endpoint] = (newcomer, self._clock.monotonic())
+    def record_joining(self, newcomer: ReplicaAddress, domain: DomainName = UNKNOWN_DOMAIN) -> None:
+        """Record that a replica of a failure domain asks to join."""
+        self._joining[newcomer.endpoint] = _JoinOrder(
+            newcomer=newcomer, domain=domain, heard_at=self._clock.monotonic()
+        )
         self._leaving.pop(newcomer.id, None)
 
     def record_leaving(self, voter: ReplicaId) -> None:
@@ -60,30 +88,50 @@
     def candidates(self) -> list[ReplicaAddress]:
         """Return the replicas that ask to join and are no voters, the most promising first.
 
-        Those that could not be added come last, the others by how recently they were heard of.
+        Those that could not be added come last, then those of failure domains that have voters, if
+        voters are spread. The others are ordered by how recently they were heard of.
         """
         self._forget_outdated()
         voters = self._voter_ids()
-        requests = [req for req in self._joining.values() if req[0].id not in voters]
-        requests.sort(key=lambda req: (self._failed_at.get(req[0].id, 0.0), -req[1]))
-        return [newcomer for newcomer, _ in requests]
+        domains = [self._domain_of(voter) for voter in voters] if self._domain_of else []
+        requests = [req for req in self._joining.values() if req.newcomer.id not in voters]
+        requests.sort(
+            key=lambda req: (
+                self._failed_at.get(req.newcomer.id, 0.0),
+                domains.count(req.domain),
+                -req.heard_at,
+            )
+        )
+        return [req.newcomer for req in requests]
+
+    def begin_term(self) -> None:
+        """Record that this replica begins to lead."""
+        self._leads_since = self._clock.monotonic()
 
     async def carry_out_next(self) -> None:
         """Let one replica join in place of another or in addition, or remove a lost member."""
         for newcomer in self.candidates():
             old = self._voter_to_replace(newcomer)
-            if old is not None or len(self._replica.voters) < self._target_voter_count:
+            if old is not None or self._may_add():
                 await self._replace(old, newcomer)
                 return
         surplus = self._surplus_member()
         if surplus is not None:
             await self._replace(surplus, None)
 
+    def _may_add(self) -> bool:
+        """Return whether the group lacks voters, and enough replicas were waited for."""
+        if len(self._replica.voters) >= self._target_voter_count:
+            return False
+        if self._domain_of is None or self._leads_since is None:
+            return True
+        return self._clock.monotonic() - self._leads_since >= COLLECT_S
+
     def _forget_outdated(self) -> None:
         oldest = self._clock.monotonic() - REQUEST_VALID_S
-        self._joining = {key: req for key, req in self._joining.items() if req[1] >= oldest}
+        self._joining = {key: req for key, req in self._joining.items() if req.heard_at >= oldest}
         self._leaving = {key: at for key, at in self._leaving.items() if at >= oldest}
-        asking = {newcomer.id for newcomer, _ in self._joining.values()}
+        asking = {req.newcomer.id for req in self._joining.values()}
         self._failed_at = {key: at for key, at in self._failed_at.items() if key in asking}
 
     def _voter_ids(self) -> set[ReplicaId]:
--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -59,7 +59,7 @@
 from lychee_types.cold_messages import KnownCold
 from lychee_types.crash_messages import KnownCrashes
 from lychee_types.exceptions import InvariantError
-from lychee_types.ids import DomainName, SessionId
+from lychee_types.ids import DomainName, ReplicaId, SessionId
 from lychee_types.limit_messages import KnownLimits
 from lychee_types.messages import PEER
 from lychee_types.peer_messages import KnownGateways
@@ -220,6 +220,8 @@
             post=self._peers.post_frame,
             leader_silence_s=self._leader_message_age_s,
             data=Path(cfg.data),
+            domain=cfg.domain,
+            domain_of=self._domain_of if cfg.spread_voters else None,
         )
         self._memory = make_caller_memory(
             memory_mb=cfg.vm.memory_mb,
@@ -376,7 +378,10 @@
         self.on_task_failed("call", exc)
 
     async def _serve_peer(self, link: Link[PeerFrame, PeerFrame]) -> None:
-        await serve_peer(link, handle=self._handle_frame)
+        await serve_peer(link, handle=self._handle_frame, domain=self._cfg.domain)
+
+    def _domain_of(self, replica: ReplicaId) -> DomainName:
+        return self._cfg.domain if replica == self._id else self._peers.domain_of(replica)
 
     def _handle_frame(self, frame: PeerFrame) -> None:
         match frame:
@@ -411,8 +416,8 @@
                 self._cold.record(servers)
             case KnownCrashes(requests=requests):
                 self._crashes.record(requests)
-            case KnownGateways(gateways=gateways):
-                self._gateways.record_known(gateways)
+            case KnownGateways():
+                self._gateways.record_known(news)
         self._subscribers.post_all(news)
 
     def _news(self) -> tuple[LeaderNews, ...]:
@@ -429,14 +434,15 @@
 
     def _make_pulse(self, asked_at: float) -> Pulse:
         replicas = tuple(voter.endpoint for voter in self._join_handler.voters)
-        # Gateways choose their replica at random, so each replica has about the same number.
-        gateways = len(self._subscribers) * max(1, len(replicas))
+        # Until a leader has told their number, each replica is taken to have the same one.
+        gateways = self._gateways.total or len(self._subscribers) * max(1, len(replicas))
         return Pulse(
             asked_at=asked_at,
             index=self._machine.state.index,
             age_ms=self._state_age_ms(),
             gateways=gateways,
             replicas=replicas,
+            domain=self._cfg.domain,
         )
 
     def _state_age_ms(self) -> int | None:
--- a/packages/lychee-control/src/lychee_control/registry/gateways.py
+++ b/packages/lychee-control/src/lychee_control/registry/gateways.py
@@ -8,11 +8,17 @@
 from lychee_policy import GatewayTable
 from lychee_types.clock import Clock
 from lychee_types.ids import GatewayId
-from lychee_types.peer_messages import GatewayReport, KnownGateway, KnownGateways
+from lychee_types.peer_messages import GatewayReport, KnownGateways
 
 MAX_AGE_S = 10.0
 """Time after which a gateway that reports nothing is forgotten, in seconds."""
 
+TOTAL_S = 10.0
+"""Time for which the largest number of gateways is kept, in seconds.
+
+A new leader knows few of them until all have reported.
+"""
+
 SAMPLE_SHARE = 1 / 25
 """Share of the gateways that is told of again at a time, as messages may have been lost."""
 
@@ -30,11 +36,32 @@
         self._table = GatewayTable(max_age_s=MAX_AGE_S)
         self._changed: set[GatewayId] = set()
         self._next: deque[GatewayId] = deque()
+        self._totals: deque[tuple[float, int]] = deque()
 
     def __len__(self) -> int:
         """Return how many gateways are known."""
         return len(self._table)
 
+    @property
+    def total(self) -> int:
+        """Return how many gateways there are, 0 if no leader has told it lately.
+
+        It is the largest number of the last `TOTAL_S`: too large a number lets no limit that
+        gateways share be exceeded.
+        """
+        self._drop_old_totals(self._clock.monotonic())
+        return max((total for _, total in self._totals), default=0)
+
+    def _record_total(self, total: int) -> None:
+        now = self._clock.monotonic()
+        self._drop_old_totals(now)
+        if total:
+            self._totals.append((now, total))
+
+    def _drop_old_totals(self, now: float) -> None:
+        while self._totals and self._totals[0][0] < now - TOTAL_S:
+            self._totals.popleft()
+
     def record(self, report: GatewayReport) -> bool:
         """Record a gateway's report, and return whether it says something new."""
         if not self._table.record(report, self._clock.monotonic()):
@@ -49,10 +76,11 @@
         ).info("a gateway reaches other servers than before, or is new")
         return True
 
-    def record_known(self, gateways: tuple[KnownGateway, ...]) -> None:
+    def record_known(self, news: KnownGateways) -> None:
         """Record what the leader knows."""
         now = self._clock.monotonic()
-        for known in gateways:
+        self._record_total(news.total)
+        for known in news.gateways:
             self._table.record(known.report, now - known.ms_ago / 1_000)
 
     def news(self) -> KnownGateways:
@@ -61,17 +89,24 @@
         return self._export(self._table.gateways)
 
     def take_changes(self) -> KnownGateways:
-        """Return the reports that have changed since the last call."""
+        """Return the reports that have changed since the last call, at the leader."""
         changed, self._changed = self._changed, set()
-        return self._export(tuple(changed))
+        return self._export_total(tuple(changed))
 
     def take_sample(self) -> KnownGateways:
-        """Return the next few reports, all in turn."""
+        """Return the next few reports, all in turn, at the leader."""
         if not self._next:
             self._table.drop_old(self._clock.monotonic())
             self._next.extend(self._table.gateways)
         count = min(ceil(len(self._table) * SAMPLE_SHARE), len(self._next))
-        return self._export(tuple(self._next.popleft() for _ in range(count)))
+        return self._export_total(tuple(self._next.popleft() for _ in range(count)))
+
+    def _export_total(self, gateways: tuple[GatewayId, ...]) -> KnownGateways:
+        news = self._export(gateways)
+        self._record_total(news.total)
+        return news
 
     def _export(self, gateways: tuple[GatewayId, ...]) -> KnownGateways:
-        return KnownGateways(gateways=self._table.export(gateways, self._clock.monotonic()))
+        now = self._clock.monotonic()
+        self._table.drop_old(now)
+        return KnownGateways(gateways=self._table.export(gateways, now), total=len(self._table))
--- a/packages/lychee-control/src/lychee_control/registry/joining.py
+++ b/packages/lychee-control/src/lychee_control/registry/joining.py
@@ -20,7 +20,7 @@
     stored_replica_id,
 )
 from lychee_types.clock import Clock
-from lychee_types.ids import ReplicaId
+from lychee_types.ids import UNKNOWN_DOMAIN, DomainName, ReplicaId
 from lychee_types.records import Endpoint
 from lychee_types.routed_settings import replica_id
 
@@ -69,6 +69,9 @@
     :param post: sends a frame to a peer.
     :param leader_silence_s: returns the time since a message of the leader, in seconds.
     :param data: the data folder, which keeps the voters that the leader has told.
+    :param domain: this replica's failure domain.
+    :param domain_of: returns the failure domain of a voter; None if voters are not spread over
+        failure domains.
     """
 
     def __init__(
@@ -82,8 +85,11 @@
         post: Post,
         leader_silence_s: Callable[[], float],
         data: Path,
+        domain: DomainName = UNKNOWN_DOMAIN,
+        domain_of: Callable[[ReplicaId], DomainName] | None = None,
     ) -> None:
         self._replica = replica
+        self._domain = domain
         self._this_replica = this_replica
         self._seeds = seeds
         self._clock = clock
@@ -94,6 +100,7 @@
             target_voter_count=target_voter_count,
             voter_lost_s=lambda: VOTER_LOST_S,
             clock=clock,
+            domain_of=domain_of,
         )
         self._has_news = asyncio.Event()
         self._is_leaving = False
@@ -134,7 +141,7 @@
             self._admission.record_leaving(frame.newcomer.id)
             self._has_news.set()
         else:
-            self._admission.record_joining(frame.newcomer)
+            self._admission.record_joining(frame.newcomer, frame.domain)
         if self._replica.is_leader:
             self._send_hint(frame.newcomer)
         elif frame.to_pass_on and leader is not None and leader.id != self._this_replica.id:
@@ -147,8 +154,13 @@
 
     async def run(self) -> None:
         """Ask to join, or add joining replicas, until cancelled."""
+        was_leader = False
         while True:
-            if self._replica.is_leader:
+            is_leader = self._replica.is_leader
+            if is_leader and not was_leader:
+                self._admission.begin_term()
+            was_leader = is_leader
+            if is_leader:
                 self._introduce_to_seeds()
                 await self._admission.carry_out_next()
             elif self._is_leaving:
@@ -211,7 +223,9 @@
         known = {voter.endpoint: voter for voter in (*self._replica.voters, *self._told_voters)}
         for seed in self._seeds:
             known.setdefault(seed, _address_of(seed))
-        request = JoinRequest(newcomer=self._this_replica, to_pass_on=leader is None)
+        request = JoinRequest(
+            newcomer=self._this_replica, to_pass_on=leader is None, domain=self._domain
+        )
         if leader is not None:
             known[leader.endpoint] = leader
         for replica in known.values():
--- a/packages/lychee-control/tests/test_registry_gateways.py
+++ b/packages/lychee-control/tests/test_registry_gateways.py
@@ -1,6 +1,6 @@
 """Gateways' reports on themselves, as known to control replicas."""
 
-from lychee_control.registry.gateways import MAX_AGE_S, GatewayBoard
+from lychee_control.registry.gateways import MAX_AGE_S, TOTAL_S, GatewayBoard
 from lychee_types.ids import DomainName, GatewayId
 from lychee_types.peer_messages import GatewayReport
 from lychee_types.records import Endpoint
@@ -61,5 +61,28 @@
 def test_the_next_leader_begins_with_what_the_former_one_has_told():
     former, _ = make_board(3)
     following = GatewayBoard(clock=ManualClock())
-    following.record_known(former.news().gateways)
+    following.record_known(former.news())
     assert told(following.news()) == {"g1", "g2", "g3"}
+
+
+def test_a_replica_knows_the_number_of_gateways_that_its_leader_has_told():
+    leading, _ = make_board(60)
+    clock = ManualClock()
+    following = GatewayBoard(clock=clock)
+    assert following.total == 0
+    following.record_known(leading.take_sample())
+    assert following.total == leading.total == 60
+    clock.advance(TOTAL_S + 0.1)
+    assert following.total == 0
+
+
+def test_the_total_does_not_fall_while_a_new_leader_has_heard_of_few_gateways():
+    # Each gateway's share of a limit would be too large.
+    board, clock = make_board(60)
+    board.take_sample()
+    new_leader, _ = make_board(4)
+    board.record_known(new_leader.take_changes())
+    assert board.total == 60
+    clock.advance(TOTAL_S + 0.1)
+    board.record_known(new_leader.take_changes())
+    assert board.total == 4
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -68,6 +68,7 @@
     :param id: its id.
     :param domain: its failure domain.
     :param replica: address of the control replica that it is subscribed to.
+    :param follows_near: whether that replica is in its failure domain.
     :param index: log index of its state.
     :param routes: version number of the active routing configuration.
     :param servers: number of registered servers.
@@ -86,6 +87,7 @@
     id: str
     domain: DomainName
     replica: str
+    follows_near: bool
     index: LogIndex
     routes: int
     servers: int
@@ -146,6 +148,7 @@
             unreached=lambda: len(self._paths),
             carried=lambda: len(self._carrier) if self._carrier is not None else 0,
             evacuated=lambda: len(self._view.state.evacuated),
+            follows_near=lambda: float(self._subscription.follows_near),
         )
         self._memory = make_caller_memory(
             memory_mb=cfg.vm.memory_mb, max_fds=cfg.vm.max_fds, on_shed=self._metrics.count_shed
@@ -308,6 +311,7 @@
                 id=self._cfg.id,
                 domain=self._cfg.domain,
                 replica=self._subscription.replica,
+                follows_near=self._subscription.follows_near,
                 index=state.index,
                 routes=state.version.number,
                 servers=len(state.servers),
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -24,6 +24,7 @@
     :param unreached: returns how many servers this gateway does not reach directly.
     :param carried: returns how many connections it carries for other gateways.
     :param evacuated: returns how many failure domains are evacuated.
+    :param follows_near: returns 1 while a control replica of the own failure domain is followed.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         unreached: Callable[[], float],
         carried: Callable[[], float],
         evacuated: Callable[[], float],
+        follows_near: Callable[[], float],
     ) -> None:
         page = PrometheusMetrics(prefix="lychee_gateway")
         self._page = page
@@ -53,6 +55,11 @@
         page.gauge("servers_unreached", "Servers that are not reached directly.", unreached)
         page.gauge("carried", "Connections carried for other gateways.", carried)
         page.gauge("evacuated_domains", "Failure domains that are evacuated.", evacuated)
+        page.gauge(
+            "follows_own_domain",
+            "Whether a control replica of the own failure domain is followed.",
+            follows_near,
+        )
         page.gauge("requests_under_way", "Requests without a final answer.", under_way)
         page.gauge("monotonic_seconds", "The process's monotonic clock.", monotonic)
         self._subscriptions = page.counter(
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/subscription.py
@@ -2,13 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Set as AbstractSet
 from enum import Enum
 from random import Random
 
 from loguru import logger
 
 from lychee_gateway.proxy.age import StateAge
+from lychee_gateway.proxy.replica_list import ReplicaList
 from lychee_gateway.proxy.view import RoutedView
 from lychee_runtime import Link, open_link
 from lychee_types.clock import Clock
@@ -91,6 +91,10 @@
     """The replica's state is too old to follow it."""
 
 
+class _OtherDomainError(Exception):
+    """The replica is in another failure domain, and one of the own domain was looked for."""
+
+
 class Subscription:
     """Keeps a stream open to one control replica and applies its messages to the state.
 
@@ -134,9 +138,12 @@
         self._on_shared = on_shared
         self._on_attempt_ended = on_attempt_ended
         self._rng = Random()
-        self._seeds = cfg.seed_endpoints
-        self._replicas: tuple[Endpoint, ...] = ()
-        self._named_by_outdated: tuple[Endpoint, ...] = ()
+        self._replicas = ReplicaList(
+            seeds=cfg.seed_endpoints,
+            domain=cfg.domain if cfg.follow_own_domain else None,
+            clock=clock,
+            rng=self._rng,
+        )
         self._link: Link[FromGateway, ToSubscriber] | None = None
         self._first_state_link: Link[FromGateway, ToSubscriber] | None = None
         self._contact = _Contact.UNTOLD
@@ -148,9 +155,14 @@
         """Address of the replica that is subscribed to, empty if there is none."""
         return self._link.peer if self._link is not None else ""
 
+    @property
+    def follows_near(self) -> bool:
+        """Whether that replica is in the preferred failure domain."""
+        return self._link is not None and self._replicas.is_near(self._link.peer)
+
     def set_seeds(self, seeds: tuple[Endpoint, ...]) -> None:
         """Set the replicas to try, in addition to those that a replica has listed."""
-        self._seeds = seeds
+        self._replicas.set_seeds(seeds)
 
     def post(self, note: LeaderNote) -> None:
         """Send a message to the leader; it is lost while no replica is followed."""
@@ -161,17 +173,17 @@
         """Keep a subscription to one replica at a time until cancelled."""
         try:
             while True:
-                await self._search()
+                if not self._is_followed_well:
+                    await self._search()
                 await self._wait_for_doubt()
                 is_late = self._link is not None and self._contact is _Contact.LATE
                 await asyncio.sleep(self._rng.uniform(*(LATE_BACKOFF_S if is_late else BACKOFF_S)))
         finally:
-            if self._follower is not None:
-                await _cancel({self._follower})
+            await _cancel(self._attempts | ({self._follower} if self._follower else set()))
 
     async def _search(self) -> None:
         """Try replicas with staggered starts until one with a recent state is followed."""
-        untried = self._shuffled_replicas()
+        untried = self._replicas.shuffled()
         tried = set(untried)
         try:
             while untried or self._pending_attempts():
@@ -183,7 +195,7 @@
                 if self._is_followed_well:
                     return
                 # A replica that was tried may have named others.
-                untried += self._shuffled_replicas(but=tried)
+                untried += self._replicas.shuffled(but=tried)
                 tried.update(untried)
         finally:
             attempts, self._attempts = self._attempts, set()
@@ -203,6 +215,7 @@
             return
         known_bytes, heard_at = link.received_bytes, self._clock.monotonic()
         while not follower.done() and self._contact is _Contact.RECENT:
+            self._try_nearer(link)
             await asyncio.wait({follower}, timeout=SILENCE_CHECK_S)
             await take_input()
             now = self._clock.monotonic()
@@ -219,23 +232,26 @@
                 age_ms=self._age.age_ms,
             ).info("a followed control replica is late, silent or outdated; others are tried")
 
-    def _shuffled_replicas(self, but: AbstractSet[Endpoint] = frozenset()) -> list[Endpoint]:
-        """Return the known replicas without some, in random order."""
-        known = dict.fromkeys((*self._replicas, *self._named_by_outdated, *self._seeds))
-        chosen = [endpoint for endpoint in known if endpoint not in but]
-        if chosen:
-            self._rng.shuffle(chosen)
-        return chosen
+    def _try_nearer(self, link: Link[FromGateway, ToSubscriber]) -> None:
+        """Try to follow a replica of the own failure domain in place of one of another."""
+        if self._pending_attempts():
+            return
+        endpoint = self._replicas.next_nearer(link.peer)
+        if endpoint is not None:
+            work = self._follow(endpoint, only_near=True)
+            self._attempts = {asyncio.create_task(work, name="subscription")}
 
-    async def _follow(self, endpoint: Endpoint) -> None:
+    async def _follow(self, endpoint: Endpoint, *, only_near: bool = False) -> None:
         began_at = self._clock.monotonic()
         link: Link[FromGateway, ToSubscriber] | None = None
         try:
             async with open_link(
                 endpoint=endpoint, method=SUBSCRIBE, send=FromGateway, receive=ToSubscriber
             ) as link:
-                await self._follow_link(link)
+                await self._follow_link(link, only_near=only_near)
             outcome, reason = "ended", "the stream ended"
+        except _OtherDomainError:
+            outcome, reason = "other domain", "it is in another failure domain"
         except _OutdatedError:
             outcome, reason = "outdated", f"its state is older than {self._contact_s} s"
         except TimeoutError:
@@ -256,15 +272,21 @@
             age_ms=self._age.age_ms,
         ).info("subscription to a control replica lost")
 
-    async def _follow_link(self, link: Link[FromGateway, ToSubscriber]) -> None:
-        """Subscribe, and follow the replica unless another one can be followed first."""
+    async def _follow_link(self, link: Link[FromGateway, ToSubscriber], *, only_near: bool) -> None:
+        """Subscribe, and follow the replica unless another one can be followed first.
+
+        :raises _OtherDomainError: if it is in another domain and only a near one is wanted.
+        """
         now = self._clock.monotonic()
         link.post(Subscribe(gateway=self._cfg.id, session=self._session, sent_at=now))
         prober = asyncio.create_task(self._probe_periodically(link))
         try:
             contact = await self._wait_for_contact(link)
-            if contact is not _Contact.UNTOLD:
-                await self._follow_selected(link, contact)
+            if contact is _Contact.UNTOLD:
+                return
+            if only_near and not self._replicas.is_near(link.peer):
+                raise _OtherDomainError
+            await self._follow_selected(link, contact)
         finally:
             prober.cancel()
             if self._first_state_link is link:
@@ -278,7 +300,7 @@
         reporter = asyncio.create_task(self._report_periodically(link))
         try:
             while batch := await link.receive():
-                contact = self._apply_batch(batch)
+                contact = self._apply_batch(link, batch)
                 if self._link is link and contact is not _Contact.UNTOLD:
                     self._contact = contact
         finally:
@@ -301,7 +323,7 @@
         """
         until = self._clock.monotonic() + CONTACT_WAIT_S
         while batch := await link.receive(silence_s=ATTEMPT_SILENCE_S):
-            contact = self._apply_batch(batch)
+            contact = self._apply_batch(link, batch)
             match contact:
                 case _Contact.RECENT:
                     return contact
@@ -326,6 +348,7 @@
         """Select the replica in place of the one that is followed, and leave all others."""
         self._link = link
         self._contact = contact
+        self._replicas.record_followed(link.peer)
         former, self._follower = self._follower, asyncio.current_task()
         self._attempts.discard(self._follower)
         if former is not None:
@@ -335,11 +358,14 @@
         logger.bind(
             event="replica_found",
             replica=link.peer,
+            is_near=self._replicas.is_near(link.peer),
             index=self._view.state.index,
             age_ms=self._age.age_ms,
         ).info("subscribed to a control replica")
 
-    def _apply_batch(self, batch: tuple[ToSubscriber, ...]) -> _Contact:
+    def _apply_batch(
+        self, link: Link[FromGateway, ToSubscriber], batch: tuple[ToSubscriber, ...]
+    ) -> _Contact:
         """Apply messages; return what the last pulse among them says of the replica."""
         self.last_message_at = self._clock.monotonic()
         contact = _Contact.UNTOLD
@@ -353,18 +379,12 @@
                     contact = self._record_pulse(message)
                     if contact is not _Contact.OUTDATED:
                         self._on_gateway_count(gateways)
-                    self._record_replicas(replicas, contact)
+                    self._replicas.record(replicas, is_outdated=contact is _Contact.OUTDATED)
+                    self._replicas.record_domain(link.peer, message.domain)
                 case _:
                     self._on_shared(message)
         return contact
 
-    def _record_replicas(self, replicas: tuple[Endpoint, ...], contact: _Contact) -> None:
-        """Record which replicas there are; one with an outdated state only adds to the others."""
-        if contact is not _Contact.OUTDATED:
-            self._replicas = replicas
-        elif replicas:
-            self._named_by_outdated = replicas
-
     def _record_pulse(self, pulse: Pulse) -> _Contact:
         """Record how old a replica's state is."""
         if pulse.age_ms is None:
--- a/packages/lychee-gateway/tests/test_subscription.py
+++ b/packages/lychee-gateway/tests/test_subscription.py
@@ -8,6 +8,7 @@
 import pytest
 import uvloop
 
+from lychee_gateway.proxy import replica_list
 from lychee_gateway.proxy import subscription as module
 from lychee_gateway.proxy.age import StateAge
 from lychee_gateway.proxy.subscription import Subscription
@@ -33,8 +34,9 @@
 class Replica:
     """A control replica with its own state; it ends its streams once `ended` is set."""
 
-    def __init__(self, index, *, age_ms=0):
+    def __init__(self, index, *, age_ms=0, domain=""):
         self.endpoint = free_endpoint()
+        self.domain = DomainName(domain)
         self.index = index
         self.age_ms = age_ms
         self.subscribers = 0
@@ -86,6 +88,7 @@
             age_ms=self.age_ms,
             gateways=1,
             replicas=self.names,
+            domain=self.domain,
         )
 
     @asynccontextmanager
@@ -99,7 +102,7 @@
 class Gateway:
     """A gateway's subscription that tries replicas in the order of its seeds."""
 
-    def __init__(self, *seeds):
+    def __init__(self, *seeds, follow_own_domain=False):
         self.view = RoutedView()
         cfg = ProxySettings(
             id="g",
@@ -108,6 +111,7 @@
             ready="127.0.0.1:2",
             peer_port=3,
             seeds=("127.0.0.1:4",),
+            follow_own_domain=follow_own_domain,
         )
         self.age = StateAge(view=self.view, clock=SystemClock(), apply_s=cfg.bounds.apply_s)
         self.subscription = Subscription(
@@ -334,3 +338,76 @@
         subscription._follower.cancel()
 
     run(body())
+
+
+def follow_three_replicas(monkeypatch, first, near, *, follow_own_domain=True):
+    """Return a gateway, as a context, that follows one of three replicas."""
+    monkeypatch.setattr(replica_list, "NEARER_INTERVAL_S", (0.05, 0.1))
+
+    @asynccontextmanager
+    async def running():
+        async with AsyncExitStack() as stack:
+            other = Replica(5, domain="other")
+            for replica in (first, other, near):
+                await stack.enter_async_context(replica.running())
+            seeds = (first.endpoint, other.endpoint, near.endpoint)
+            gateway = Gateway(*seeds, follow_own_domain=follow_own_domain)
+            yield await stack.enter_async_context(gateway.running())
+
+    return running()
+
+
+def test_a_replica_of_the_own_failure_domain_is_followed_in_place_of_another_one(monkeypatch):
+    async def body():
+        first, near = Replica(7, domain="other"), Replica(9, domain="d")
+        async with follow_three_replicas(monkeypatch, first, near) as gateway:
+            await gateway.wait_for_index(7)
+            await gateway.wait_for_index(9)
+            assert gateway.subscription.replica == str(near.endpoint)
+            await asyncio.sleep(0.5)
+            assert (first.followers, near.followers) == (1, 1)
+
+    asyncio.run(body())
+
+
+def test_an_outdated_replica_of_the_own_failure_domain_is_not_followed(monkeypatch):
+    # A gateway cut off together with it would lose the leader's news and its place in the limits.
+    monkeypatch.setattr(module, "CONTACT_WAIT_S", 0.2)
+
+    async def body():
+        first, near = Replica(7, domain="other"), Replica(9, domain="d", age_ms=60_000)
+        async with follow_three_replicas(monkeypatch, first, near) as gateway:
+            await gateway.wait_for_index(7)
+            await near.subscribed.wait()
+            await asyncio.sleep(0.5)
+            assert gateway.subscription.replica == str(first.endpoint)
+            assert near.followers == 0
+
+    asyncio.run(body())
+
+
+def test_another_replica_is_followed_when_that_of_the_own_failure_domain_is_lost(monkeypatch):
+    monkeypatch.setattr(module, "SILENCE_S", 0.3)
+
+    async def body():
+        first, near = Replica(7, domain="other"), Replica(9, domain="d")
+        async with follow_three_replicas(monkeypatch, first, near) as gateway:
+            await gateway.wait_for_index(9)
+            near.is_silent, near.answers_new_streams = True, False
+            first.index = 11
+            await gateway.wait_for_index(11)
+            assert gateway.subscription.replica == str(first.endpoint)
+
+    asyncio.run(body())
+
+
+def test_no_replica_is_preferred_unless_the_settings_say_so(monkeypatch):
+    async def body():
+        first, near = Replica(7, domain="other"), Replica(9, domain="d")
+        running = follow_three_replicas(monkeypatch, first, near, follow_own_domain=False)
+        async with running as gateway:
+            await gateway.wait_for_index(7)
+            await asyncio.sleep(0.5)
+            assert near.subscribers == 0
+
+    asyncio.run(body())
--- a/packages/lychee-types/src/lychee_types/ids.py
+++ b/packages/lychee-types/src/lychee_types/ids.py
@@ -23,6 +23,9 @@
 DomainName = NewType("DomainName", str)
 """Name of a failure domain."""
 
+UNKNOWN_DOMAIN = DomainName("")
+"""Failure domain of a process that has not told its own."""
+
 RequestSignature = NewType("RequestSignature", bytes)
 """Hash of all that tells a request apart from others, the same for each repeat of it."""
 
--- a/packages/lychee-types/src/lychee_types/peer_messages.py
+++ b/packages/lychee-types/src/lychee_types/peer_messages.py
@@ -43,9 +43,11 @@
     """What the leader knows of some gateways, for all gateways.
 
     :param gateways: one entry a gateway.
+    :param total: number of gateways that the leader knows, 0 from one of an earlier version.
     """
 
     gateways: tuple[KnownGateway, ...]
+    total: int = 0
 
 
 class CarryRequest(Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/lychee-types/src/lychee_types/registry_messages.py
+++ b/packages/lychee-types/src/lychee_types/registry_messages.py
@@ -4,7 +4,15 @@
 
 from lychee_types.cold_messages import ColdReport, KnownCold
 from lychee_types.crash_messages import CrashReport, KnownCrashes
-from lychee_types.ids import GatewayId, LogIndex, ServerId, ServiceName, SessionId
+from lychee_types.ids import (
+    UNKNOWN_DOMAIN,
+    DomainName,
+    GatewayId,
+    LogIndex,
+    ServerId,
+    ServiceName,
+    SessionId,
+)
 from lychee_types.limit_messages import KnownLimits, LimitReport, PermitReply, PermitRequest
 from lychee_types.overload_messages import KnownOverloads
 from lychee_types.packing import pack, unpack
@@ -168,6 +176,7 @@
         acknowledged, in milliseconds; None if that was never known.
     :param gateways: approximate number of gateways.
     :param replicas: addresses of all replicas, for gateways that must connect to another one.
+    :param domain: the replica's failure domain, empty from one of an earlier version.
     """
 
     asked_at: float
@@ -175,6 +184,7 @@
     age_ms: int | None
     gateways: int
     replicas: tuple[Endpoint, ...]
+    domain: DomainName = UNKNOWN_DOMAIN
 
 
 LeaderNote = LoadReport | LimitReport | PermitRequest | CrashReport | GatewayReport | ColdReport
--- a/packages/lychee-types/src/lychee_types/routed_settings.py
+++ b/packages/lychee-types/src/lychee_types/routed_settings.py
@@ -103,6 +103,7 @@
     :param metrics: IP address and port at which metrics are fetched, None for no metrics.
     :param log: logging.
     :param domains: the failure domains that can be evacuated; if empty, any name is accepted.
+    :param spread_voters: whether a replica of a failure domain without a voter becomes one first.
     """
 
     id: str
@@ -120,6 +121,7 @@
     metrics: str | None = None
     log: LogSettings = LogSettings()
     domains: tuple[DomainName, ...] = ()
+    spread_voters: bool = False
 
     @property
     def endpoint(self) -> Endpoint:
@@ -156,6 +158,7 @@
     :param bounds: timeouts and budgets that the deployment guarantees.
     :param vm: limits of the VM.
     :param hedging: second copies of requests.
+    :param follow_own_domain: whether the gateway prefers control replicas of its failure domain.
     :param metrics: IP address and port at which metrics are fetched, None for no metrics.
     :param log: logging.
     """
@@ -170,6 +173,7 @@
     bounds: DeploymentLimits = DeploymentLimits()
     vm: VmLimits = VmLimits()
     hedging: HedgingSettings = HedgingSettings()
+    follow_own_domain: bool = False
     metrics: str | None = None
     log: LogSettings = LogSettings()
 
