Add lychee explain: where a gateway would send a request now, and why

Operators had to send a request, or read the trail of one that was sent, to learn why a server is chosen or a request refused. A gateway now answers the question at its metrics address (GET /explain) from the objects that decide on requests, and the command prints the answer as a table or as JSON. It asks no server, takes no permit and draws no random number; a test compares the random state and all counts before and after, another one that the explained decision is the selector's. The selector's cost is split into its parts for this; requests are decided as before.

--- a/packages/lychee-cli/src/lychee_cli/cli.py
+++ b/packages/lychee-cli/src/lychee_cli/cli.py
@@ -4,6 +4,7 @@
 
 from lychee_cli.deployment import dump, replace_control, status
 from lychee_cli.documents import check, diff, history, show, submit
+from lychee_cli.explain import explain
 from lychee_cli.servers import drain, undrain
 
 EXIT_CODES = """\b
@@ -51,5 +52,6 @@
     undrain,
     replace_control,
     dump,
+    explain,
 ):
     main.add_command(command)
--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -52,7 +52,7 @@
 from lychee_http.callers import CallerConnections
 from lychee_http.exceptions import BadRequestError
 from lychee_http.listener import Listener
-from lychee_http.textpage import TextPage
+from lychee_http.textpage import PageText, TextPages
 from lychee_log import Replica, ReplicaAddress, ReplicaDump
 from lychee_runtime import Daemon, Link, LinkService, format_dump, serve_links
 from lychee_types.clock import Clock, SystemClock
@@ -255,10 +255,9 @@
         self._metrics.show_memory(self._memory)
         self._metrics_page = None
         if cfg.metrics is not None:
-            self._metrics_page = TextPage(
+            self._metrics_page = TextPages(
                 endpoint=parse_endpoint(cfg.metrics),
-                path=METRICS_PATH,
-                render=self._metrics.render,
+                pages={METRICS_PATH: lambda query: PageText(text=self._metrics.render())},
             )
 
     async def serve(self) -> None:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -16,6 +16,7 @@
 from lychee_gateway.proxy.cold import ColdServers
 from lychee_gateway.proxy.crashes import CrashGuard
 from lychee_gateway.proxy.evacuations import EvacuationLog
+from lychee_gateway.proxy.explaining import Explainer
 from lychee_gateway.proxy.forwarding import Forwarder
 from lychee_gateway.proxy.hedging import Hedger, RouteCopiesDump
 from lychee_gateway.proxy.held import CALLERS_SHARE, MAX_HELD_BYTES, HeldAnswers
@@ -24,6 +25,7 @@
 from lychee_gateway.proxy.loads import KeyLoads
 from lychee_gateway.proxy.metrics import ProxyMetrics
 from lychee_gateway.proxy.overloads import OverloadedOwners
+from lychee_gateway.proxy.pages import make_pages
 from lychee_gateway.proxy.paths import ServerPaths
 from lychee_gateway.proxy.peers import Peers
 from lychee_gateway.proxy.placing import ServerSelector
@@ -46,7 +48,7 @@
 from lychee_http.listener import Listener
 from lychee_http.pipelining import PipelinedConnection
 from lychee_http.tally import RequestTally
-from lychee_http.textpage import TextPage
+from lychee_http.textpage import TextPages
 from lychee_runtime import Daemon, format_dump
 from lychee_types.clock import Clock, SystemClock
 from lychee_types.cold_messages import KnownCold
@@ -56,7 +58,7 @@
 from lychee_types.overload_messages import KnownOverloads
 from lychee_types.peer_messages import KnownGateways
 from lychee_types.registry_messages import LeaderNews, LeaderNote, LeaderReply
-from lychee_types.routed_settings import METRICS_PATH, ProxySettings, parse_endpoint
+from lychee_types.routed_settings import ProxySettings, parse_endpoint
 
 STOP_CHECK_S = 0.05
 """Interval at which a stopping gateway closes connections that have become idle, in seconds."""
@@ -268,10 +270,11 @@
         self._ready_listener = Listener(endpoint=cfg.ready_endpoint, accept=self._accept_probe)
         self._metrics_page = None
         if cfg.metrics is not None:
-            self._metrics_page = TextPage(
+            self._metrics_page = TextPages(
                 endpoint=parse_endpoint(cfg.metrics),
-                path=METRICS_PATH,
-                render=self._metrics.render,
+                pages=make_pages(
+                    render_metrics=self._metrics.render, explainer=self._make_explainer()
+                ),
             )
         self._is_listening = False
 
@@ -347,6 +350,22 @@
         share = int(self._memory.bounds.held_bytes * CALLERS_SHARE)
         return HeldAnswers(max_bytes=min(MAX_HELD_BYTES, share))
 
+    def _make_explainer(self) -> Explainer:
+        return Explainer(
+            gateway=self._cfg.id,
+            domain=self._cfg.domain,
+            view=self._view,
+            age=self._age,
+            servers=self._servers,
+            selector=self._selector,
+            limits=self._limits,
+            overloads=self._overloads,
+            retries=self._retries,
+            hedger=self._hedger,
+            is_stopping=self.stopping.is_set,
+            clock=self._clock,
+        )
+
     def _make_carrier(self) -> Carrier | None:
         endpoint = self._cfg.carry_endpoint
         if endpoint is None:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/hedging.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/hedging.py
@@ -20,6 +20,7 @@
 from lychee_policy import CopyRequest, RouteCopies, Suppression
 from lychee_types.clock import Clock
 from lychee_types.routed_settings import HedgingSettings
+from lychee_types.routing import Route
 
 FORGET_S = 60.0
 """Time without a request after which a route's response times are dropped, in seconds."""
@@ -119,6 +120,20 @@
             )
         return tuple(rows)
 
+    def explain(self, route: Route) -> str:
+        """Return when a second copy of a route's requests is sent, or why none is."""
+        if not self._settings.max_share:
+            return "none: hedging.max_share is 0"
+        if not route.kind.is_idempotent:
+            return "none: the requests may run only once"
+        copies = self._routes.get(route.name)
+        delay_s = copies.delay_s(self._clock.monotonic()) if copies is not None else None
+        if copies is None or delay_s is None:
+            return "none: too few response times are known"
+        if copies.saved < 1:
+            return "none now: max_share is used up"
+        return f"after {round(delay_s * 1_000)} ms without an answer, to a server with a free slot"
+
     def _find(self, route: str, now: float) -> RouteCopies:
         copies = self._routes.get(route)
         if copies is None:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/limits.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/limits.py
@@ -219,6 +219,11 @@
         self._reported_at = now
         return LimitReport(limits=self._table.export_all(now))
 
+    def held(self, run: ServerIncarnation) -> int:
+        """Return the number of permits for a server that are at hand."""
+        stock, now = self._stocks.get(run), self._clock.monotonic()
+        return 0 if stock is None else sum(expires_at >= now for expires_at in stock.expiries)
+
     def count_attempt(self, run: ServerIncarnation) -> None:
         """Count a request that is sent to a server, if the server has a limit."""
         if self.limit_per_s(run) is not None:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/overloads.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/overloads.py
@@ -73,3 +73,14 @@
         if retry_after_s is not None:
             self._on_refused(route.name)
         return retry_after_s
+
+    def admitted_share(self, owner: ServerIncarnation, route: Route, service: ServiceName) -> float:
+        """Return the share of a route's requests for an owner that is admitted.
+
+        :param owner: the owner of the requests' keys.
+        :param route: the route.
+        :param service: the service that they are sent to.
+        """
+        return self._admission.admitted_share(
+            owner, service, priority=route.priority, now=self._clock.monotonic()
+        )
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -183,13 +183,13 @@
         now = self._clock.monotonic()
         if request.key is not None:
             owner = self._owner(self._range(request.service, request.key))
-            admitted = self._admit(request, owner, now) if owner is not None else None
+            admitted = self.admit(request, owner, now) if owner is not None else None
         else:
             best = self._find_best(request, now, skip=[])
             if best is None:
                 return NO_SERVER_LEFT
-            is_probed = self._is_probed(request)
-            admitted = best if is_probed else self._admit(request, best, now)
+            is_probed = self.is_probed(request)
+            admitted = best if is_probed else self.admit(request, best, now)
         return admitted if isinstance(admitted, NoServer) else None
 
     def select_for_copy(self, request: RoutedRequest) -> ProxyServer | None:
@@ -212,7 +212,7 @@
         """
         limited: list[ServerIncarnation] = []
         request.probed = 0
-        if self._probed is not None and self._is_probed(request):
+        if self._probed is not None and self.is_probed(request):
             found = await self._select_probed(request, self._probed, limited)
             if found is not None:
                 return found
@@ -221,7 +221,7 @@
         now = self._clock.monotonic()
         while (best := self._find_best(request, now, skip=[*limited, *full])) is not None:
             is_cold = best.is_cold(now)
-            admitted = self._admit(request, best, now)
+            admitted = self.admit(request, best, now)
             if isinstance(admitted, NoServer):
                 refusal = admitted
                 if not is_cold:
@@ -238,7 +238,7 @@
                 return await self._wait_for_permit(request, server)
         return refusal
 
-    def _is_probed(self, request: RoutedRequest) -> bool:
+    def is_probed(self, request: RoutedRequest) -> bool:
         """Return whether servers are asked for their load before the request is sent."""
         return self._probed is not None and self._probed.is_used(
             request.service, deadline=request.deadline
@@ -264,7 +264,7 @@
             # The state may have changed while they were asked.
             if server.is_leaving or self._servers.find(server.run) is not server:
                 continue
-            if isinstance(self._admit(request, server, self._clock.monotonic()), NoServer):
+            if isinstance(self.admit(request, server, self._clock.monotonic()), NoServer):
                 break
             is_cold = server.is_cold(self._clock.monotonic())
             if await self._take_permit(request, server, is_cold=is_cold):
@@ -318,15 +318,34 @@
                 )
 
     def _score(self, server: ProxyServer, now: float) -> float:
-        expected_s = server.expected_wait_s(now) + server.expected_service_time_s(now) * (
+        jitter = 1 + SCORE_JITTER * self._rng.random()
+        return self._expected_s(server, now) * jitter + self._remote_s(server, self._domain, now)
+
+    def _expected_s(self, server: ProxyServer, now: float) -> float:
+        return server.expected_wait_s(now) + server.expected_service_time_s(now) * (
             1 + 0.3 * server.estimated_occupancy(now) / server.slots
         )
-        expected_s *= 1 + SCORE_JITTER * self._rng.random()
-        if server.record.domain != self._domain:
-            expected_s += REMOTE_DOMAIN_PENALTY_S
-            if server.tells_speed(now):
-                expected_s += REMOTE_DOMAIN_SHARE * server.expected_service_time_s(now)
-        return expected_s
+
+    def _remote_s(self, server: ProxyServer, domain: DomainName, now: float) -> float:
+        """Return what a server is charged with if it is not in a failure domain, in seconds."""
+        if server.record.domain == domain:
+            return 0.0
+        if not server.tells_speed(now):
+            return REMOTE_DOMAIN_PENALTY_S
+        return REMOTE_DOMAIN_PENALTY_S + REMOTE_DOMAIN_SHARE * server.expected_service_time_s(now)
+
+    def cost_s(
+        self, request: RoutedRequest, server: ProxyServer, domain: DomainName, now: float
+    ) -> float:
+        """Return the cost by which a server is chosen, without its random part, in seconds.
+
+        :param request: the request.
+        :param server: the server.
+        :param domain: the failure domain of the gateway that chooses.
+        :param now: monotonic time in seconds.
+        """
+        cost_s = self._expected_s(server, now) + self._remote_s(server, domain, now)
+        return cost_s + self._delay_s(request, server, now)
 
     def _delay_s(self, request: RoutedRequest, server: ProxyServer, now: float) -> float:
         """Return what a server is charged with besides its load and domain, in seconds."""
@@ -339,9 +358,10 @@
             delay_s += SUSPECT_PENALTY_S * server.estimated_occupancy(now)
         return delay_s
 
-    def _admit(
+    def admit(
         self, request: RoutedRequest, server: ProxyServer, now: float
     ) -> ProxyServer | NoServer:
+        """Return a server if it can probably answer a request in time, else why it cannot."""
         wait_s, service_time_s = server.expected_wait_s(now), server.expected_service_time_s(now)
         is_in_time = now + wait_s + service_time_s <= request.deadline
         is_short = wait_s <= self._max_wait_s(request, service_time_s)
@@ -372,7 +392,7 @@
             now = self._clock.monotonic()
             key_range = self._range(request.service, key)
             owner = self._owner(key_range)
-            has_drained = owner is not None and self._has_drained(owner)
+            has_drained = owner is not None and self.has_drained(owner)
             if owner is not None and not has_drained and owner.run not in request.tried:
                 admitted = self._admit_at_owner(request, owner, now)
                 if isinstance(admitted, NoServer):
@@ -390,7 +410,7 @@
     ) -> ProxyServer | NoServer:
         retry_after_s = self._overloads.refused_for_s(owner.run, request.route, request.service)
         if retry_after_s is None:
-            return self._admit(request, owner, now)
+            return self.admit(request, owner, now)
         return NoServer(
             reason="the key's owner gets more than it can serve", retry_after_s=retry_after_s
         )
@@ -408,6 +428,13 @@
         table = self._view.state.tables.get(service)
         return table.find(key) if table is not None else None
 
+    def find_owner(
+        self, service: ServiceName, key: int
+    ) -> tuple[KeyRange | None, ProxyServer | None]:
+        """Return the range of a key, and the server that may get requests for it."""
+        key_range = self._range(service, key)
+        return key_range, self._owner(key_range)
+
     def _is_vacant(self, service: ServiceName, low: int, token: int) -> bool:
         key_range = self._range(service, low)
         return key_range is not None and key_range.token == token and not self._owner(key_range)
@@ -419,7 +446,7 @@
             return None
         return self._servers.find(key_range.owner)
 
-    def _has_drained(self, owner: ProxyServer) -> bool:
+    def has_drained(self, owner: ProxyServer) -> bool:
         """Return whether a leaving owner gets no more requests, even if it still owns its keys."""
         return owner.has_drained(self._clock.monotonic(), self._drain_s * OWNER_DRAIN_SHARE)
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/retries.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/retries.py
@@ -123,10 +123,24 @@
         """
         budget = self._find(service)
         budget.least = self._slack.retries(now)
-        most = None
-        if self._slack.run_share(now) < 1:
-            most = self._start_share * budget.recent_requests(now) + self._slack.started(now)
-        return budget.try_spend(now, most=most)
+        return budget.try_spend(now, most=self._most(budget, now))
+
+    def left(self, service: ServiceName, *, now: float) -> int:
+        """Return how many retries the budget allows now.
+
+        :param now: monotonic time in seconds.
+        """
+        budget = self._budgets.get(service)
+        if budget is None:
+            return int(self._slack.retries(now))
+        budget.least = self._slack.retries(now)
+        return max(0, int(budget.left(now, most=self._most(budget, now))))
+
+    def _most(self, budget: RetryBudget, now: float) -> float | None:
+        """Return the maximum number of retries in the first window, None after it."""
+        if self._slack.run_share(now) >= 1:
+            return None
+        return self._start_share * budget.recent_requests(now) + self._slack.started(now)
 
     def _find(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/packages/lychee-http/src/lychee_http/textpage.py
+++ b/packages/lychee-http/src/lychee_http/textpage.py
@@ -1,8 +1,9 @@
-"""HTTP server of a single text page, for metrics collectors."""
+"""HTTP server of a few text pages, for metrics collectors and operators."""
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 from lychee_http.exceptions import BadRequestError
 from lychee_http.exchange import CallerExchange
@@ -13,21 +14,40 @@
 from lychee_http.tcp import TcpStream
 from lychee_types.records import Endpoint
 
-CONTENT_TYPE = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
-"""Content type of the page: the Prometheus text format."""
+METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+"""Content type of the Prometheus text format."""
 
+JSON_TYPE = b"application/json"
+"""Content type of JSON."""
 
-class TextPage:
-    """Serves a text under one path.
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PageText:
+    """The answer to a request for a page.
+
+    :param text: the text.
+    :param content_type: its content type.
+    :param status: the HTTP status.
+    """
+
+    text: bytes
+    content_type: bytes = METRICS_TYPE
+    status: int = 200
+
+
+RenderPage = Callable[[str], PageText]
+"""Returns a page's text, given the query string of the request."""
+
+
+class TextPages:
+    """Serves texts, each under one path.
 
     :param endpoint: the address to listen on.
-    :param path: path of the page.
-    :param render: returns the text; called for each request.
+    :param pages: returns the text of each path; called for each request.
     """
 
-    def __init__(self, *, endpoint: Endpoint, path: str, render: Callable[[], bytes]) -> None:
-        self._path = path.encode()
-        self._render = render
+    def __init__(self, *, endpoint: Endpoint, pages: Mapping[str, RenderPage]) -> None:
+        self._pages = {path.encode(): render for path, render in pages.items()}
         self._tasks: set[asyncio.Task[None]] = set()
         self._listener = Listener(endpoint=endpoint, accept=self._accept)
 
@@ -55,10 +75,14 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _handle(self, exchange: CallerExchange) -> None:
-        if exchange.head.target.partition(b"?")[0] != self._path:
+        path, _, query = exchange.head.target.partition(b"?")
+        render = self._pages.get(path)
+        if render is None:
             await exchange.send(ResponseHead(status=404, headers=()), b"")
             return
-        await exchange.send(ResponseHead(status=200, headers=(CONTENT_TYPE,)), self._render())
+        page = render(query.decode("latin-1"))
+        headers = ((b"content-type", page.content_type),)
+        await exchange.send(ResponseHead(status=page.status, headers=headers), page.text)
 
     async def _refuse(self, exchange: CallerExchange, exc: BadRequestError) -> None:
         await exchange.send(ResponseHead(status=exc.status, headers=()), exc.message.encode())
--- a/packages/lychee-policy/src/lychee_policy/budget.py
+++ b/packages/lychee-policy/src/lychee_policy/budget.py
@@ -87,10 +87,18 @@
         :param now: monotonic time in seconds.
         :param most: number of retries that the window allows at most, None if any.
         """
-        allowed = max(self.least, self.share * self._requests.get(now))
-        if most is not None:
-            allowed = min(allowed, most)
-        if self._retries.get(now) + 1 > allowed:
+        if self.left(now, most=most) < 1:
             return False
         self._retries.add(now)
         return True
+
+    def left(self, now: float, *, most: float | None = None) -> float:
+        """Return how many retries the window still allows.
+
+        :param now: monotonic time in seconds.
+        :param most: number of retries that the window allows at most, None if any.
+        """
+        allowed = max(self.least, self.share * self._requests.get(now))
+        if most is not None:
+            allowed = min(allowed, most)
+        return allowed - self._retries.get(now)
--- a/packages/lychee-policy/src/lychee_policy/owner_admission.py
+++ b/packages/lychee-policy/src/lychee_policy/owner_admission.py
@@ -291,9 +291,23 @@
         known = self.shares(now).get(run)
         if known is None:
             return None
-        mix = self._mixes.get(service)
-        share = known.share if mix is None else mix.admitted_share(priority, known.share)
-        if self._rng.random() < share:
+        if self._rng.random() < self.admitted_share(run, service, priority=priority, now=now):
             return None
         spread = EARLIEST_RETURN_SHARE + (1 - EARLIEST_RETURN_SHARE) * self._rng.random()
         return known.retry_s * spread
+
+    def admitted_share(
+        self, run: ServerIncarnation, service: Hashable, *, priority: int, now: float
+    ) -> float:
+        """Return the share of requests that is admitted, 1.0 at an owner that is not overloaded.
+
+        :param run: the owner of the requests' keys.
+        :param service: the service, whose routes share the owner.
+        :param priority: priority of the requests' route.
+        :param now: monotonic time in seconds.
+        """
+        known = self.shares(now).get(run)
+        if known is None:
+            return 1.0
+        mix = self._mixes.get(service)
+        return known.share if mix is None else mix.admitted_share(priority, known.share)
