End the circle of imports between an exchange and its connection

CallerExchange imported PipelinedConnection for its type, which imports it, as do the queue, the half-close watch and the incoming body.

--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -4,17 +4,81 @@
 from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import replace
 from time import monotonic
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from lychee_http.caller_memory import EXCHANGE_BYTES, head_bytes
+from lychee_http.caller_memory import EXCHANGE_BYTES, Holding, head_bytes
 from lychee_http.endings import ConnectionEnd, EndReason, UnansweredRequest, log_end
 from lychee_http.inbound import BODILESS_STATUSES
 from lychee_http.messages import RequestHead, ResponseHead
 from lychee_http.tally import RequestTally
 from lychee_http.tcp import RECEIPT_CLOCK
 
-if TYPE_CHECKING:
-    from lychee_http.pipelining import PipelinedConnection
+
+class ResponseChannel(Protocol):
+    """The connection on which an exchange reads its request's body and sends its response.
+
+    It sends the responses of its exchanges in the order of their requests.
+    """
+
+    tally: RequestTally
+    """Counts what becomes of each request."""
+
+    holding: Holding
+    """What the connection holds."""
+
+    def check_open(self) -> None:
+        """Raise an error unless responses can be sent.
+
+        :raises CallerGoneError: if the connection has ended.
+        """
+        ...
+
+    def begin_response(self, head: bytes) -> bytes:
+        """Return what is still to be sent of a response's head."""
+        ...
+
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+        ...
+
+    async def drain(self) -> None:
+        """Wait while too many bytes are unsent.
+
+        :raises CallerGoneError: if the caller has disconnected or reads too slowly.
+        """
+        ...
+
+    def truncate(self, exchange: "CallerExchange") -> None:
+        """Close the connection so that the caller sees that a response is incomplete."""
+        ...
+
+    def mark_if_last(self, exchange: "CallerExchange") -> bool:
+        """Return whether the connection closes after this response."""
+        ...
+
+    def keep_alive_header(self) -> bytes:
+        """Return the line that tells how long the caller may be idle, empty if none does."""
+        ...
+
+    def count_answered(self, exchange: "CallerExchange") -> None:
+        """Count a request whose whole response was written."""
+        ...
+
+    def has_requests_behind(self, exchange: "CallerExchange") -> bool:
+        """Return whether requests that follow one have been read and have no response."""
+        ...
+
+    async def wait_for_stream(self, exchange: "CallerExchange") -> None:
+        """Wait while a response before one may be sent in parts."""
+        ...
+
+    async def read_body(self, exchange: "CallerExchange", *, max_bytes: int) -> tuple[bytes, bool]:
+        """Read the beginning of a request's body; return it, and whether it is the whole body."""
+        ...
+
+    def rest_of_body(self, *, limit: int) -> AsyncIterator[bytes]:
+        """Yield the rest of the body that is being read, of a maximum size in bytes."""
+        ...
 
 
 class CallerExchange:
@@ -30,7 +94,7 @@
         self,
         *,
         head: RequestHead,
-        conn: "PipelinedConnection",
+        conn: ResponseChannel,
         previous_done: "asyncio.Future[None] | None",
     ) -> None:
         self.head = head
@@ -140,7 +204,7 @@
         await asyncio.shield(self.done if is_begun else self._settled)
 
     @property
-    def connection(self) -> "PipelinedConnection":
+    def connection(self) -> ResponseChannel:
         """The caller's connection."""
         return self._conn
 
