Limit owners of keys only where full servers are known to leave requests unanswered

Cause: a single timeout anywhere in the service was enough to compute shares for 10 s, and each share kept them going. That a gateway stopped to report timeouts once a server had refused it did not help: gateways send little to servers with a long queue, so they are not refused either.

Now the leader has to see six requests given up at servers with a long queue, and one for eleven answers of such servers; then it stays known for 600 s that full servers are silent, and shares begin with the first long queue instead of the first timeout.

Tests: test_timeouts_that_are_few_or_at_servers_without_a_queue_cause_no_shares and test_timeouts_among_many_answers_of_servers_with_a_queue_ cause_no_shares fail before (shares are sent). The test that gateways leave out timeouts after a refusal goes with that rule; these replace it. The test with connections has 8 gateways in place of 3: a few of them learn from their own timeouts before the leader can, as is intended.

--- a/packages/lychee-control/src/lychee_control/registry/overloads.py
+++ b/packages/lychee-control/src/lychee_control/registry/overloads.py
@@ -9,6 +9,7 @@
 from lychee_policy import (
     EVIDENCE_S,
     AnsweredWork,
+    FullServerSigns,
     OwnerLoad,
     OwnerShares,
     estimated_demand,
@@ -58,7 +59,8 @@
         self._clock = clock
         self._shares = OwnerShares()
         self._answers: dict[ServerId, AnsweredWork] = {}
-        self._unanswered_at: dict[ServiceName, float] = {}
+        self._signs: dict[ServiceName, FullServerSigns] = {}
+        self._overflow_at: dict[ServiceName, float] = {}
         self._told: set[ServerId] = set()
 
     def __len__(self) -> int:
@@ -66,9 +68,9 @@
         return len(self._shares)
 
     async def _run(self) -> None:
-        """Compute the shares and send them while requests have been left unanswered lately."""
+        """Compute the shares and send them while owners may leave requests unanswered."""
         try:
-            while self._unanswered_at:
+            while self._overflow_at:
                 await asyncio.sleep(SHARE_INTERVAL_S)
                 self.update()
         finally:
@@ -85,9 +87,13 @@
             if stats.answers:
                 known.add(stats.answers, stats.work_s or stats.busy_s, now)
             if stats.occupied >= 0:
-                known.record_occupied(stats.occupied, now)
-            if stats.unanswered:
-                self._unanswered_at[server.service] = now
+                known.record_occupied(stats.occupied, now, slots=max(1, server.slots))
+            signs = self._signs.setdefault(server.service, FullServerSigns(updated_at=now))
+            if known.had_long_queue(now):
+                signs.record(unanswered=stats.unanswered, answered=stats.answers, now=now)
+            may_overflow = bool(stats.unanswered) or known.long_queue_at == now
+            if may_overflow and signs.leaves_unanswered(now):
+                self._overflow_at[server.service] = now
                 self._start()
 
     def _start(self) -> None:
@@ -98,17 +104,17 @@
     def update(self) -> None:
         """Compute the shares, and send them if there are any or the last ones have ended."""
         now = self._clock.monotonic()
-        self._unanswered_at = {
-            service: unanswered_at
-            for service, unanswered_at in self._unanswered_at.items()
-            if now - unanswered_at <= EVIDENCE_S
+        self._overflow_at = {
+            service: overflow_at
+            for service, overflow_at in self._overflow_at.items()
+            if now - overflow_at <= EVIDENCE_S
         }
         for server in self._answers.keys() - self._state.servers.keys():
             del self._answers[server]
         owners = self._shares.update(self._owner_loads(now))
         for owner in owners:
             # What gateways refuse would be left unanswered; else shares would end every 10 s.
-            self._unanswered_at[self._state.servers[owner.run.server].service] = now
+            self._overflow_at[self._state.servers[owner.run.server].service] = now
         if not owners and not self._told:
             return
         self._spread(KnownOverloads(owners=owners))
@@ -125,8 +131,8 @@
         self._told = set(overloaded)
 
     def _owner_loads(self, now: float) -> Iterator[OwnerLoad]:
-        """Yield the loads of the owners of each service that has left requests unanswered."""
-        for service in self._unanswered_at:
+        """Yield the loads of the owners of each service that may leave requests unanswered."""
+        for service in self._overflow_at:
             yield from self._loads_of(service, now)
 
     def _loads_of(self, service: ServiceName, now: float) -> Iterator[OwnerLoad]:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -18,7 +18,6 @@
 from lychee_http.outbound import BODILESS_STATUSES
 from lychee_http.used_connections import UsedConnections
 from lychee_types.clock import Clock
-from lychee_types.ids import ServiceName
 from lychee_types.timeouts import timeout_after_input
 
 LAST_SEND_SHARE = 0.9
@@ -39,9 +38,6 @@
 NOT_RUN_RETRY_S = 0.1
 """Retry delay after a request that a server did not run, in seconds."""
 
-PROMPT_REFUSAL_S = 0.1
-"""Time within which a refusal shows that a service's servers refuse when full, in seconds."""
-
 MIN_FAILURE_STATUS = 500
 """Lowest HTTP status by which a server says that it failed."""
 
@@ -178,7 +174,6 @@
         self._limits = limits
         self._resets = resets
         self._last_send_s = drain_s * LAST_SEND_SHARE
-        self._refusing: set[ServiceName] = set()
         self._clock = clock
         self._is_usable = is_usable
 
@@ -247,7 +242,8 @@
         if conn.is_carried and server.is_direct:
             # Its way was mended meanwhile, and nobody would take this connection again.
             server.pool.drop_carried()
-        self._record_silence(server, attempt, self._clock.monotonic() - began)
+        if isinstance(attempt, TooLate):
+            server.record_unanswered()
         match attempt:
             case TooLate() | NoAnswer(is_disconnected=True) if conn.is_carried:
                 # The carrying gateway may be cut off itself by now.
@@ -256,18 +252,6 @@
                 self._paths.suspect(server, since=began)
         return attempt
 
-    def _record_silence(self, server: ProxyServer, attempt: Attempt, seconds: float) -> None:
-        """Record a request that was left unanswered, unless the service's servers refuse when full.
-
-        A server that refuses at once leaves no request unanswered for lack of room.
-        """
-        service = server.record.service
-        match attempt:
-            case NotRun(was_sent=True, is_misdirected=False) if seconds < PROMPT_REFUSAL_S:
-                self._refusing.add(service)
-            case TooLate() if service not in self._refusing:
-                server.record_unanswered()
-
     async def has_ended(self, server: ProxyServer) -> bool:
         """Return whether nobody accepts connections at a server's address any more."""
         return await self._paths.has_ended(server)
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -20,6 +20,7 @@
     EndedAttempt,
     Verdict,
 )
+from lychee_policy.full_servers import FullServerSigns, has_long_queue
 from lychee_policy.hedging import CopyRequest, RouteCopies, Suppression
 from lychee_policy.hotkeys import HotKeyCounter
 from lychee_policy.limits import Limits, limits_for
@@ -87,6 +88,8 @@
     "CrashTable",
     "EndedAttempt",
     "EVIDENCE_S",
+    "FullServerSigns",
+    "has_long_queue",
     "AnsweredWork",
     "OwnerAdmission",
     "OwnerLoad",
--- a/packages/lychee-policy/src/lychee_policy/owner_admission.py
+++ b/packages/lychee-policy/src/lychee_policy/owner_admission.py
@@ -10,6 +10,7 @@
 from math import exp, sqrt
 from random import Random
 
+from lychee_policy.full_servers import has_long_queue
 from lychee_types.overload_messages import OwnerShare
 from lychee_types.registry import ServerIncarnation
 
@@ -35,7 +36,13 @@
 """Time after which a reported number of requests at an owner is no longer used, in seconds."""
 
 EVIDENCE_S = 10.0
-"""Time after a report of an unanswered request in which shares are computed, in seconds."""
+"""Time after a report of unanswered requests in which shares are computed, in seconds."""
+
+QUEUE_HOLD_S = 4.0
+"""Time for which a reported queue may have left a request unanswered, in seconds.
+
+A caller's timeout ends long after the request found the queue full.
+"""
 
 SHARE_HOLD_S = 1.5
 """Time after which a share that is not repeated expires, in seconds."""
@@ -123,6 +130,7 @@
     :param work_s: time that they took, without queueing, in seconds.
     :param occupied: number of requests that it runs or queues, as reported last.
     :param occupied_at: monotonic time in seconds of that report.
+    :param long_queue_at: monotonic time in seconds at which it last reported a long queue.
     """
 
     updated_at: float
@@ -130,14 +138,25 @@
     work_s: float = 0.0
     occupied: int = 0
     occupied_at: float = -OCCUPIED_HOLD_S
+    long_queue_at: float = -QUEUE_HOLD_S
+
+    def had_long_queue(self, now: float) -> bool:
+        """Return whether requests that are given up now may have found the server full.
 
-    def record_occupied(self, occupied: int, now: float) -> None:
+        :param now: monotonic time in seconds.
+        """
+        return now - self.long_queue_at < QUEUE_HOLD_S
+
+    def record_occupied(self, occupied: int, now: float, *, slots: int) -> None:
         """Record how many requests the server runs or queues.
 
         :param occupied: the number, as it reported last.
         :param now: monotonic time in seconds.
+        :param slots: number of requests that it works on at once.
         """
         self.occupied, self.occupied_at = occupied, now
+        if has_long_queue(occupied, slots):
+            self.long_queue_at = now
 
     def excess(self, *, slots: int, now: float) -> float:
         """Return how many requests it runs or queues beyond the intended number, 0 if unknown."""
