Prefer servers to which a gateway has an idle connection, where the settings say so

Each costs the caller a round trip and the server a slot for a moment.

A server without an idle connection is charged with a fifth of its time for the work; that is more than the random part of a cost, and less than a queue.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -197,6 +197,7 @@
             domain=cfg.domain,
             clock=self._clock,
             drain_s=cfg.bounds.drain_s,
+            prefers_open=cfg.prefer_open_connections,
             probed=ProbedChoice(
                 probing=self._prober,
                 domain=cfg.domain,
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/placing.py
@@ -24,6 +24,13 @@
 CARRIED_PENALTY_S = 0.025
 """Latency that is assumed to be added by another gateway that carries the bytes, in seconds."""
 
+NEW_CONNECTION_SHARE = 0.2
+"""Delay that a server without an idle connection is charged with, as a share of the time of work.
+
+Where many gateways share many servers, each request would otherwise go to a server that has closed
+the last connection as idle. The share is above `SCORE_JITTER`, which spreads requests over servers.
+"""
+
 WAIT_SHARE = 0.4
 """Maximum queueing delay, as a share of the target latency minus the mean service time.
 
@@ -120,6 +127,7 @@
     :param probed: chooses servers that are asked for their load, None if none are asked.
     :param rng: source of random numbers.
     :param overloads: overloaded owners of keys; None for a gateway without a leader.
+    :param prefers_open: whether servers are preferred to which there is an idle connection.
     """
 
     def __init__(
@@ -134,7 +142,9 @@
         probed: ProbedChoice | None = None,
         rng: Random | None = None,
         overloads: OverloadedOwners | None = None,
+        prefers_open: bool = False,
     ) -> None:
+        self._prefers_open = prefers_open
         self._probed = probed
         self._view = view
         self._servers = servers
@@ -354,6 +364,8 @@
             delay_s += CARRIED_PENALTY_S
         if not server.is_healthy(now):
             delay_s += UNHEALTHY_PENALTY_S
+        if self._prefers_open and not server.pool:
+            delay_s += NEW_CONNECTION_SHARE * server.expected_service_time_s(now)
         if request.is_suspect:
             delay_s += SUSPECT_PENALTY_S * server.estimated_occupancy(now)
         return delay_s
--- a/packages/lychee-gateway/tests/test_placing.py
+++ b/packages/lychee-gateway/tests/test_placing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 import uvloop
@@ -70,7 +71,7 @@
 class Setup:
     """Some servers, and a selector that chooses among them."""
 
-    def __init__(self, *records, ranges=(), clock=None):
+    def __init__(self, *records, ranges=(), clock=None, prefers_open=False):
         self.clock = clock or ManualClock()
         self.view = RoutedView()
         self.as_of = None
@@ -89,6 +90,7 @@
             clock=self.clock,
             drain_s=2.0,
             rng=Random(1),
+            prefers_open=prefers_open,
         )
         self.view.add_listener(lambda: self.servers.sync(self.view.state))
         self.view.add_listener(self.selector.state_changed)
@@ -150,6 +152,36 @@
     assert run(setup.select()).run.server == "far"
 
 
+class IdleConnection:
+    """A connection that can take a request."""
+
+    def __init__(self):
+        self.stream = SimpleNamespace()
+        self.is_carried = False
+
+    def is_reusable(self):
+        return True
+
+
+def test_a_server_with_an_idle_connection_is_preferred_where_the_settings_say_so():
+    # With many gateways and servers, nearly each request opened a connection.
+    chosen = {}
+    for prefers_open in (False, True):
+        setup = Setup(*(record(name) for name in "abcdef"), prefers_open=prefers_open)
+        setup.server("c").pool.add(IdleConnection())
+        names = [run(setup.select()).run.server for _ in range(60)]
+        chosen[prefers_open] = names.count("c")
+    assert chosen[True] == 60
+    assert chosen[False] < 30
+
+
+def test_a_server_with_an_idle_connection_is_not_preferred_to_one_without_a_queue():
+    setup = Setup(record("a"), record("b"), prefers_open=True)
+    setup.server("a").pool.add(IdleConnection())
+    report_occupancy(setup, "a", 3, 2)
+    assert run(setup.select()).run.server == "b"
+
+
 def test_a_cold_server_gets_fewer_requests():
     setup = Setup(record("warm"), record("cold", cold_s=3.0))
     chosen = [run(setup.select()).run.server for _ in range(20)]
--- a/packages/lychee-types/src/lychee_types/routed_settings.py
+++ b/packages/lychee-types/src/lychee_types/routed_settings.py
@@ -158,6 +158,8 @@
     :param bounds: timeouts and budgets that the deployment guarantees.
     :param vm: limits of the VM.
     :param hedging: second copies of requests.
+    :param prefer_open_connections: whether servers are preferred to which the gateway has an idle
+        connection.
     :param follow_own_domain: whether the gateway prefers control replicas of its failure domain.
     :param metrics: IP address and port at which metrics are fetched, None for no metrics.
     :param log: logging.
@@ -174,6 +176,7 @@
     vm: VmLimits = VmLimits()
     hedging: HedgingSettings = HedgingSettings()
     follow_own_domain: bool = False
+    prefer_open_connections: bool = False
     metrics: str | None = None
     log: LogSettings = LogSettings()
 
