Try servers that join later, as if they were as fast as the fastest one

Cause: a server without an answer counted as fast as the mean of its service, and requests go to the best of three that are asked, which is faster than the mean.

A server that is registered while the gateway knows others of its service now counts as fast as the fastest one until it has answered, so each gateway that may choose it tries it once. Servers that the gateway finds at its start keep the mean.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/server_list.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/server_list.py
@@ -74,6 +74,7 @@
                     gateway_count=self._gateway_count,
                     service_time_s=self._mean_service_time_s(record.service),
                     cold_rule=cold_rules.get(record.service),
+                    is_newcomer=bool(self.for_service(record.service)),
                 )
             else:
                 known.record = record
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -107,6 +107,7 @@
     :param service_time_s: mean service time of its service until its own has been measured, in
         seconds; None if that is not known either.
     :param cold_rule: how it is treated while it is cold, None if its service has no rate for that.
+    :param is_newcomer: whether it was registered while the gateway knew others of its service.
     """
 
     def __init__(
@@ -118,8 +119,10 @@
         leaving_since: float | None = None,
         gateway_count: int = 1,
         service_time_s: float | None = None,
+        is_newcomer: bool = False,
     ) -> None:
         self.record = record
+        self._is_newcomer = is_newcomer
         self.gateway_count = gateway_count
         self.pool = ServerPool(endpoint=record.endpoint, until_close=True)
         self.is_direct = True
@@ -413,7 +416,9 @@
         """Let the service time approach that of the fastest server while no answer measures it.
 
         A server that is believed to be slow gets no requests, and only requests show its speed. A
-        server that tells its speed keeps its usual service time, or the mean one if it has none.
+        server that tells its speed keeps its usual service time. If it has none, it gets the mean
+        one, or as a newcomer the fastest one: the best of those that are measured are faster than
+        the mean, and nobody would try it.
 
         :param fastest_s: mean service time of the fastest measured server, in seconds.
         :param mean_s: mean service time of all measured servers, in seconds.
@@ -421,7 +426,8 @@
         """
         if self.tells_speed(now):
             if not self.is_measured:
-                self.service_time_s, self._is_unknown = mean_s, False
+                self.service_time_s = fastest_s if self._is_newcomer else mean_s
+                self._is_unknown = False
             return
         since = max(self._answered_at + STALE_AFTER_S, self._estimated_at)
         self._estimated_at = now
--- a/packages/lychee-gateway/tests/test_placing.py
+++ b/packages/lychee-gateway/tests/test_placing.py
@@ -582,6 +582,29 @@
         assert run(setup.selector.select_for_copy(setup.request())) is server
 
 
+def probe(setup, name):
+    now = setup.clock.monotonic()
+    load = Occupancy(running=0, waiting=0, slots=3, speed=1.0)
+    setup.server(name).record_probe(load, asked_at=now, now=now)
+
+
+def test_a_server_that_joins_later_is_tried_though_others_are_known_to_be_fast():
+    # It was taken for as fast as the mean; the best of three that were asked was always faster.
+    setup = Setup(record("slow"), record("fast"), record("unknown"))
+    for name in ("slow", "fast", "unknown"):
+        probe(setup, name)
+    for name, seconds in (("slow", 0.4), ("fast", 0.1)):
+        server, now = setup.server(name), setup.clock.monotonic()
+        with server.track_request(now) as in_flight:
+            server.record_answer(in_flight, seconds)
+    setup.install(*(record(name) for name in ("slow", "fast", "unknown", "later")))
+    probe(setup, "later")
+    setup.clock.advance(1.0)
+    setup.servers.estimate_anew()
+    assert setup.server("later").service_time_s == pytest.approx(0.1)
+    assert setup.server("unknown").service_time_s == pytest.approx(0.25)
+
+
 class FakeProbing:
     """Asks servers; all but the first of those that it knows have a queue."""
 
