Tell the number of gateways only once all of them can have reported to the leader

After a restart of all control replicas the leader counted the gateways that had reported so far, and told that number: three of sixty for a moment, by which each gateway's part of limits and retry budgets would be twenty times too large. The number is now told once reports have come without a gap for 2.5 s, half a second longer than a gateway's interval; until then replicas estimate as before. Test: test_a_leader_tells_no_number_before_all_gateways_can_have_reported, which the code before fails.

--- a/packages/lychee-control/src/lychee_control/registry/gateways.py
+++ b/packages/lychee-control/src/lychee_control/registry/gateways.py
@@ -13,12 +13,15 @@
 MAX_AGE_S = 10.0
 """Time after which a gateway that reports nothing is forgotten, in seconds."""
 
-TOTAL_S = 10.0
-"""Time for which the largest number of gateways is kept, in seconds.
+COLLECT_S = 2.5
+"""Time without a gap in the reports after which they tell the number of gateways, in seconds.
 
-A new leader knows few of them until all have reported.
+Each gateway reports every 2 s, so a leader that has just begun knows few of them.
 """
 
+TOTAL_S = 10.0
+"""Time for which the largest number of gateways is kept, in seconds."""
+
 SAMPLE_SHARE = 1 / 25
 """Share of the gateways that is told of again at a time, as messages may have been lost."""
 
@@ -37,6 +40,8 @@
         self._changed: set[GatewayId] = set()
         self._next: deque[GatewayId] = deque()
         self._totals: deque[tuple[float, int]] = deque()
+        self._reported_at = -COLLECT_S
+        self._reported_since = 0.0
 
     def __len__(self) -> int:
         """Return how many gateways are known."""
@@ -64,7 +69,11 @@
 
     def record(self, report: GatewayReport) -> bool:
         """Record a gateway's report, and return whether it says something new."""
-        if not self._table.record(report, self._clock.monotonic()):
+        now = self._clock.monotonic()
+        if now - self._reported_at >= COLLECT_S:
+            self._reported_since = now
+        self._reported_at = now
+        if not self._table.record(report, now):
             return False
         self._changed.add(report.gateway)
         logger.bind(
@@ -102,11 +111,15 @@
         return self._export_total(tuple(self._next.popleft() for _ in range(count)))
 
     def _export_total(self, gateways: tuple[GatewayId, ...]) -> KnownGateways:
-        news = self._export(gateways)
-        self._record_total(news.total)
-        return news
+        self._record_total(self._count_reporting())
+        return self._export(gateways)
 
-    def _export(self, gateways: tuple[GatewayId, ...]) -> KnownGateways:
+    def _count_reporting(self) -> int:
+        """Return the number of gateways, 0 if some may not have reported to this leader yet."""
         now = self._clock.monotonic()
         self._table.drop_old(now)
-        return KnownGateways(gateways=self._table.export(gateways, now), total=len(self._table))
+        return len(self._table) if now - self._reported_since >= COLLECT_S else 0
+
+    def _export(self, gateways: tuple[GatewayId, ...]) -> KnownGateways:
+        known = self._table.export(gateways, self._clock.monotonic())
+        return KnownGateways(gateways=known, total=self._count_reporting())
--- a/packages/lychee-control/tests/test_registry_gateways.py
+++ b/packages/lychee-control/tests/test_registry_gateways.py
@@ -1,6 +1,8 @@
 """Gateways' reports on themselves, as known to control replicas."""
 
-from lychee_control.registry.gateways import MAX_AGE_S, TOTAL_S, GatewayBoard
+import pytest
+
+from lychee_control.registry.gateways import COLLECT_S, MAX_AGE_S, TOTAL_S, GatewayBoard
 from lychee_types.ids import DomainName, GatewayId
 from lychee_types.peer_messages import GatewayReport
 from lychee_types.records import Endpoint
@@ -65,8 +67,18 @@
     assert told(following.news()) == {"g1", "g2", "g3"}
 
 
+def lead(board, clock, count, seconds):
+    """Let gateways report every 2 s to a board whose replica leads."""
+    for step in range(round(seconds / 0.1)):
+        clock.advance(0.1)
+        for number in range(1, count + 1):
+            if (step - number) % 20 == 0:
+                board.record(report(number))
+
+
 def test_a_replica_knows_the_number_of_gateways_that_its_leader_has_told():
-    leading, _ = make_board(60)
+    leading, leaders_clock = make_board(0)
+    lead(leading, leaders_clock, 60, COLLECT_S + 0.2)
     clock = ManualClock()
     following = GatewayBoard(clock=clock)
     assert following.total == 0
@@ -76,11 +88,25 @@
     assert following.total == 0
 
 
+@pytest.mark.parametrize("had_led", [False, True])
+def test_a_leader_tells_no_number_before_all_gateways_can_have_reported(had_led):
+    # After a restart of all replicas each gateway took the first few for all of them.
+    board, clock = make_board(0)
+    if had_led:
+        lead(board, clock, 60, COLLECT_S + 0.2)
+        clock.advance(MAX_AGE_S + TOTAL_S)
+    for _ in range(20):
+        lead(board, clock, 60, 0.1)
+        assert board.take_changes().total == board.total == 0
+
+
 def test_the_total_does_not_fall_while_a_new_leader_has_heard_of_few_gateways():
     # Each gateway's share of a limit would be too large.
-    board, clock = make_board(60)
+    board, clock = make_board(0)
+    lead(board, clock, 60, COLLECT_S + 0.2)
     board.take_sample()
-    new_leader, _ = make_board(4)
+    new_leader, its_clock = make_board(0)
+    lead(new_leader, its_clock, 4, COLLECT_S + 0.2)
     board.record_known(new_leader.take_changes())
     assert board.total == 60
     clock.advance(TOTAL_S + 0.1)
--- a/packages/lychee-types/src/lychee_types/peer_messages.py
+++ b/packages/lychee-types/src/lychee_types/peer_messages.py
@@ -43,7 +43,8 @@
     """What the leader knows of some gateways, for all gateways.
 
     :param gateways: one entry a gateway.
-    :param total: number of gateways that the leader knows, 0 from one of an earlier version.
+    :param total: number of gateways; 0 from a leader that does not know it yet, or of an earlier
+        version.
     """
 
     gateways: tuple[KnownGateway, ...]
