Parse the few bytes of a usual request without slices

A caller's bytes are parsed 16 KiB at a time, so that many callbacks in them yield to others.

What is counted stays the same: the bytes as they come, and the objects of more than 32 headers. All tests of lychee-http and the 35 of hostile callers pass.

--- a/packages/lychee-http/src/lychee_http/parser.py
+++ b/packages/lychee-http/src/lychee_http/parser.py
@@ -28,6 +28,9 @@
 SLICE_BYTES = 16_384
 """Bytes of a caller that are parsed at once; each may be a callback or an object."""
 
+SMALL_BYTES = 512
+"""Bytes of a caller that need no slices, as they are too few for `DENSE_CALLBACKS`."""
+
 DENSE_CALLBACKS = 256
 """Callbacks in a slice from which on parsing it takes long for its size."""
 
@@ -154,6 +157,11 @@
     earlier_at: float | None = None
     begin: int = 0
 
+    @property
+    def is_small(self) -> bool:
+        """Whether these are few bytes that were received at once, and none was parsed."""
+        return self.earlier_at is None and not self.begin and len(self.data) <= SMALL_BYTES
+
     @property
     def size(self) -> int:
         """Number of bytes that were not parsed."""
@@ -250,7 +258,11 @@
         if not self._unparsed:
             return
         while self._unparsed and not self._events and self._error is None:
-            self._parse_slice()
+            part = self._unparsed[0]
+            if self._is_between_messages and part.is_small:
+                self._parse_small(part)
+            else:
+                self._parse_slice()
         if self._memory and not self._events:
             self._count_memory(self._head_memory())
         if self._error is not None and self._unparsed:
@@ -267,6 +279,18 @@
             self._holding.add_input(size - self._memory)
             self._memory = size
 
+    def _parse_small(self, part: _Unparsed) -> None:
+        """Parse the few bytes of a usual request, without what only long ones need."""
+        self._unparsed.popleft()
+        self._header_count = 0
+        self.is_dense = False
+        self._feed(part.data, part.received_at)
+        if self._is_between_messages:
+            self._headers = []
+        self._memory += len(part.data)
+        if self._header_count > FEW_HEADERS and (self._events or self._in_head):
+            self._count_memory(self._memory + HEADER_BYTES * self._header_count)
+
     def _parse_slice(self) -> None:
         part = self._unparsed[0]
         data = part.take()
--- a/packages/lychee-http/src/lychee_http/reader.py
+++ b/packages/lychee-http/src/lychee_http/reader.py
@@ -81,9 +81,13 @@
                         )
                 return bool(chunks)
 
+    @property
+    def _is_turn_due(self) -> bool:
+        return self._parser.is_dense or self._holding.is_full
+
     async def take_turn(self) -> None:
         """Let others go on if what was parsed last took long for its size, or memory is full."""
-        if self._parser.is_dense or self._holding.is_full:
+        if self._is_turn_due:
             await self._holding.take_turn()
 
     def _has_input(self) -> bool:
@@ -99,12 +103,14 @@
         :raises BadRequestError: if that time is over.
         :raises CallerGoneError: if the connection ends inside the head.
         """
-        await self.take_turn()
+        if self._is_turn_due:
+            await self.take_turn()
         event = self.next_event()
         if event is None and not self.in_head:
             if not await wait_for_request():
                 return None
-            await self.take_turn()
+            if self._is_turn_due:
+                await self.take_turn()
             event = self.next_event()
         if event is None:
             event = await self._read_rest_of_head(timeout_s)
