--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -16,6 +16,7 @@
 from lychee_http.exceptions import BadRequestError, CallerGoneError, ServerResponseError
 from lychee_http.exchange import CallerExchange
 from lychee_http.outbound import BODILESS_STATUSES
+from lychee_http.stages import Stage
 from lychee_http.used_connections import UsedConnections
 from lychee_types.clock import Clock
 from lychee_types.timeouts import timeout_after_input
@@ -207,6 +208,7 @@
         """
         began = self._clock.monotonic()
         selected_at = began if selected_at is None else selected_at
+        exchange.stage = Stage.CONNECTION
         with server.track_request(began) as in_flight:
             try:
                 conn = await self._paths.acquire(
@@ -292,7 +294,7 @@
         sending = _sending(conn, head, body)
         try:
             async with timeout_after_input(remaining_s, has_input=conn.has_input):
-                exchange.was_sent = True
+                exchange.record_sending(server=server.run.server, is_carried=conn.is_carried)
                 conn.send(head, _encode_buffered(head, body))
                 began = self._clock.monotonic()
                 async with sending:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -30,6 +30,7 @@
 from lychee_http.exceptions import BadRequestError
 from lychee_http.exchange import CallerExchange
 from lychee_http.framing import declared_length_error, has_body
+from lychee_http.stages import Stage
 from lychee_types.clock import Clock
 from lychee_types.routing import Route
 
@@ -135,6 +136,7 @@
             return
         with self._held.track(conn=exchange.connection, route=route.name) as held:
             exchange.reserve = held.reserve
+            exchange.stage = Stage.EARLIER
             if call.is_idempotent:
                 await exchange.wait_for_stream()
             else:
@@ -201,6 +203,7 @@
             await self._give_up(call, refused)
             return
         limit = self._view.state.routing.bounds.body_bytes
+        call.exchange.stage = Stage.BODY
         body = await begin_body(call.exchange, kind=call.route.kind, limit=limit)
         while True:
             # The caller may have left during an attempt that had to go on.
@@ -225,6 +228,7 @@
 
     async def _choose(self, call: Call, body: Body) -> ProxyServer | NoServer:
         """Return the server for the next attempt, or why none is made."""
+        call.exchange.stage = Stage.SELECTION
         refused = self._suspects.refuse(call, body)
         if refused is not None:
             return refused
--- a/packages/lychee-http/src/lychee_http/endings.py
+++ b/packages/lychee-http/src/lychee_http/endings.py
@@ -7,6 +7,8 @@
 
 from loguru import logger
 
+from lychee_http.stages import Stage
+
 if TYPE_CHECKING:
     from loguru import Logger
 
@@ -60,12 +62,18 @@
     :param was_sent: whether it was sent to a backend server.
     :param has_begun: whether a part of its answer was sent.
     :param age_ms: time since its head was read, in ms.
+    :param stage: what it waited for.
+    :param server: the server to which it was sent last, empty if it was sent to none.
+    :param is_carried: whether another gateway carried it there.
     """
 
     request: str
     was_sent: bool
     has_begun: bool
     age_ms: int
+    stage: Stage = Stage.HANDLING
+    server: str = ""
+    is_carried: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -10,6 +10,7 @@
 from lychee_http.endings import ConnectionEnd, EndReason, UnansweredRequest, log_end
 from lychee_http.inbound import BODILESS_STATUSES
 from lychee_http.messages import RequestHead, ResponseHead
+from lychee_http.stages import Sending, Stage
 from lychee_http.tally import RequestTally
 from lychee_http.tcp import RECEIPT_CLOCK
 
@@ -108,7 +109,8 @@
         self.is_answered = False
         self.is_reported = False
         self.request_id = ""
-        self.was_sent = False
+        self.stage = Stage.HANDLING
+        self.sendings: list[Sending] = []
         self._read_at = monotonic()
         self._is_held = False
         self._settled: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -151,13 +153,26 @@
 
     def as_unanswered(self) -> UnansweredRequest:
         """Return what is to be reported of a request that gets no answer."""
+        last = self.sendings[-1] if self.sendings else None
         return UnansweredRequest(
             request=self.request_id,
-            was_sent=self.was_sent,
+            was_sent=last is not None,
             has_begun=self.response_started,
             age_ms=round((monotonic() - self._read_at) * 1_000),
+            stage=self.stage,
+            server=last.server if last is not None else "",
+            is_carried=last is not None and last.is_carried,
         )
 
+    def record_sending(self, *, server: str, is_carried: bool) -> None:
+        """Record that the request is sent to a server now.
+
+        :param server: the server's id.
+        :param is_carried: whether another gateway carries it there.
+        """
+        self.stage = Stage.RESPONSE
+        self.sendings.append(Sending(server=server, is_carried=is_carried))
+
     async def wait(self) -> None:
         """Wait until all earlier responses on the connection have been sent.
 
@@ -232,6 +247,7 @@
 
         :raises CallerGoneError: if the caller has disconnected or reads too slowly.
         """
+        self.stage = Stage.DELIVERY
         await self.wait()
         if self.head.method == b"HEAD" or head.status in BODILESS_STATUSES:
             body = b""
--- a/packages/lychee-http/tests/test_pipelining.py
+++ b/packages/lychee-http/tests/test_pipelining.py
@@ -85,7 +85,7 @@
         name = exchange.head.target[1:]
         exchange.request_id = name.decode()
         body, _ = await exchange.read_body(max_bytes=1 << 20)
-        exchange.was_sent = True
+        exchange.record_sending(server="s1", is_carried=False)
         self.sent.append(name)
         try:
             if name.startswith(b"stream"):
