--- a/packages/lychee-gateway/tests/test_ready_answers.py
+++ b/packages/lychee-gateway/tests/test_ready_answers.py
@@ -55,6 +55,9 @@
         self.is_streamed = False
         self.body = b""
 
+    def record_sending(self, *, server, is_carried):
+        pass
+
     async def send_head(self, head):
         pass
 
