--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager, nullcontext, suppress
 from dataclasses import dataclass, replace
 
 from lychee_gateway.proxy.claims import AnswerClaim
@@ -159,6 +160,7 @@
     :param drain_s: time after which a leaving server must get no more requests, in seconds.
     :param clock: source of time.
     :param is_usable: returns whether requests may be sent by the gateway's state.
+    :param limit_wait: limits a wait without which an answer can still be passed on.
     """
 
     def __init__(
@@ -171,6 +173,7 @@
         drain_s: float,
         clock: Clock,
         is_usable: Callable[[], bool] = lambda: True,
+        limit_wait: Callable[[], AbstractAsyncContextManager[None]] = nullcontext,
     ) -> None:
         self._codec = codec
         self._paths = paths
@@ -179,6 +182,7 @@
         self._last_send_s = drain_s * LAST_SEND_SHARE
         self._clock = clock
         self._is_usable = is_usable
+        self._limit_wait = limit_wait
 
     async def send(
         self,
@@ -322,7 +326,9 @@
                     if info.is_encoded:
                         return NoAnswer(reason="the body is encoded")
                     if body.is_upload and answer.status < MIN_UNSUCCESSFUL_STATUS:
-                        await sending.finish(deadline - self._clock.monotonic())
+                        with suppress(TimeoutError):
+                            async with self._limit_wait():
+                                await sending.finish(deadline - self._clock.monotonic())
                     return await self._read_answer(
                         conn, answer, exchange, held, claim or AnswerClaim()
                     )
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -217,6 +217,7 @@
             drain_s=cfg.bounds.drain_s,
             clock=self._clock,
             is_usable=lambda: self._age.is_usable,
+            limit_wait=self._stop.limit_wait,
         )
         suspects = SuspectChecks(guard=self._guard, sender=sender, metrics=self._metrics)
         self._hedger = Hedger(
