Answer a request whose wait was cancelled from elsewhere

A request whose handler waited for something that another task cancelled (a shared future, both attempts of a race) ended without an answer, and all requests behind it on the connection with it. It was reported as stopped although the process went on.

Cause: the connection took any CancelledError for the end of the process. It asks now whether the request's own task was cancelled; if not, that is a fault of the program, which is logged with its stack and answered by 502, as every other fault of a handler.

No wait in the gateway is known to be cancelled in that way: this closes an exit, found by reading. test_end_reasons.py failed before ("assert [] == [502, 200, 200]"), and passes.

--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -308,6 +308,10 @@
         except CallerGoneError:
             self._caller_gone(exchange)
         except asyncio.CancelledError:
+            if exchange.task is None or not exchange.task.cancelling():
+                logger.exception("a wait of a caller's request was cancelled from elsewhere")
+                await self._answer_failure(exchange)
+                return
             if not exchange.is_answered and not exchange.is_reported:
                 # The next answer would be taken for the one to this request.
                 self.truncate(exchange, EndReason.STOPPED)
--- /dev/null
+++ b/packages/lychee-http/tests/test_end_reasons.py
@@ -0,0 +1,36 @@
+"""Requests without an answer are reported with a reason that is true."""
+
+import asyncio
+
+import pytest
+
+from .test_pipelining import Harness, caller, get, harness, post, read_to_end, run
+
+
+class StrayHarness(Harness):
+    """Handles ``/stray`` by a wait that something else cancels."""
+
+    async def _handle(self, exchange):
+        if exchange.head.target != b"/stray":
+            await super()._handle(exchange)
+            return
+        shared = asyncio.get_running_loop().create_future()
+        asyncio.get_running_loop().call_soon(shared.cancel)
+        await shared
+
+
+@pytest.mark.parametrize("ahead", [b"", get(b"a")])
+def test_a_request_whose_wait_is_cancelled_from_elsewhere_is_answered(ahead):
+    """It ended without an answer, as ``stopped``, and so did those behind it."""
+
+    async def scenario():
+        async with harness(StrayHarness) as h, caller(h) as (reader, writer):
+            h.release(b"a", b"b", b"c")
+            writer.write(ahead + get(b"stray") + post(b"b", b"body"))
+            writer.write(get(b"c", b"connection: close"))
+            data = await read_to_end(reader)
+            statuses = [int(part[:3]) for part in data.split(b"HTTP/1.1 ")[1:]]
+            assert statuses == [200] * bool(ahead) + [502, 200, 200]
+            assert h.ends == []
+
+    run(scenario())
