--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -105,8 +105,9 @@
         )
         self._half_close = HalfCloseWatch(
             stream=stream,
+            stall_s=limits.stall_s,
             first=self._exchanges.first,
-            on_gone=lambda: self._end(EndReason.CALLER_LEFT),
+            on_gone=self._end,
         )
 
     @property
@@ -307,6 +308,10 @@
         except CallerGoneError:
             self._caller_gone(exchange)
         except asyncio.CancelledError:
+            if exchange.task is None or not exchange.task.cancelling():
+                logger.exception("a wait of a caller's request was cancelled from elsewhere")
+                await self._answer_failure(exchange)
+                return
             if not exchange.is_answered and not exchange.is_reported:
                 # The next answer would be taken for the one to this request.
                 self.truncate(exchange, EndReason.STOPPED)
