--- a/packages/lychee-log/src/lychee_log/testing.py
+++ b/packages/lychee-log/src/lychee_log/testing.py
@@ -104,7 +104,7 @@
     def start(self, node: Node) -> None:
         """Start a replica with the state on its disk."""
         node.start_count += 1
-        node.items = []
+        self._restore(node, b"")
         self._seed += 1
         node.core = Core(
             endpoint=node.address.endpoint,
@@ -166,7 +166,7 @@
     def take_snapshot(self, node: Node) -> None:
         """Take a snapshot of the state machine."""
         if node.core is not None and node.core.state.applied_index:
-            data = b"\n".join(node.items)
+            data = self._image(node)
             snapshot = node.core.build_snapshot(node.core.state.applied_index, data)
             if snapshot is not None:
                 self.step(node, SnapshotTaken(snapshot=snapshot))
@@ -245,7 +245,7 @@
                 case Apply(entries=entries):
                     self._apply(node, entries)
                 case RestoreSnapshot(snapshot=snapshot):
-                    node.items = snapshot.data.split(b"\n") if snapshot.data else []
+                    self._restore(node, snapshot.data)
                     self.step(node, Applied(index=snapshot.index))
         self._check_commits(node)
 
@@ -254,9 +254,21 @@
             known = self.committed.setdefault(entry.index, entry)
             require(known == entry, "all state machines apply the same entries")
             if entry.data:
-                node.items.append(entry.data)
+                self._apply_entry(node, entry)
         self.step(node, Applied(index=entries[-1].index))
 
+    def _apply_entry(self, node: Node, entry: Entry) -> None:
+        """Apply an entry to a replica's state machine; groups with another one override this."""
+        node.items.append(entry.data)
+
+    def _image(self, node: Node) -> bytes:
+        """Return the contents of a replica's state machine."""
+        return b"\n".join(node.items)
+
+    def _restore(self, node: Node, image: bytes) -> None:
+        """Replace the contents of a replica's state machine; an empty image is that of a start."""
+        node.items = image.split(b"\n") if image else []
+
     def _store(self, node: Node, write: Write | SaveSnapshot) -> None:
         disk = node.disk
         if isinstance(write, SaveSnapshot):
