Say on what evidence a way to a server is doubted

The line path_doubted named the error only, so that a full link of the gateway's own could not be told from a cut one. It now says `evidence` (timeout, refusal, reset) and what the gateway's other connections carried while this one was to open: bytes acknowledged, received, and waiting for an acknowledgement.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -25,6 +25,7 @@
 from lychee_gateway.proxy.loads import KeyLoads
 from lychee_gateway.proxy.metrics import ProxyMetrics
 from lychee_gateway.proxy.overloads import OverloadedOwners
+from lychee_gateway.proxy.own_link import OwnLink
 from lychee_gateway.proxy.pages import make_pages
 from lychee_gateway.proxy.paths import ServerPaths
 from lychee_gateway.proxy.peers import Peers
@@ -159,12 +160,14 @@
         self._tally = RequestTally(on_end=self._metrics.count_end)
         self._metrics.show_tally(self._tally)
         self._peers = Peers(own_id=cfg.id, clock=self._clock)
+        self._link = OwnLink()
         self._paths = ServerPaths(
             gateway=cfg.id,
             domain=cfg.domain,
             carry=cfg.carry_endpoint,
             servers=self._servers,
             peers=self._peers,
+            link=self._link,
             spawn=self._spawn_path_work,
             on_connection=self._metrics.count_connection,
             clock=self._clock,
@@ -453,6 +456,7 @@
         )
 
     def _start_connection(self, stream: TcpStream) -> None:
+        self._link.add(stream)
         bounds = self._view.state.routing.bounds
         limits = CallerLimits(
             head_bytes=bounds.head_bytes, head_s=bounds.head_s, idle_s=bounds.idle_s
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
@@ -11,12 +11,13 @@
 
 from loguru import logger
 
+from lychee_gateway.proxy.own_link import Opening, OwnLink
 from lychee_gateway.proxy.path_reports import PathReports
 from lychee_gateway.proxy.peers import NotReachedError, Peers
 from lychee_gateway.proxy.server_list import ServerList
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_http import ServerConnection
-from lychee_policy import PathTable
+from lychee_policy import LinkUse, PathTable
 from lychee_types.clock import Clock
 from lychee_types.ids import DomainName, GatewayId, ServiceName
 from lychee_types.records import Endpoint
@@ -64,6 +65,7 @@
     :param carry: address at which it takes other gateways' connections, None if it takes none.
     :param servers: the registered servers.
     :param peers: the other gateways.
+    :param link: the open connections that share this gateway's link.
     :param spawn: runs work in a task.
     :param on_connection: called with each attempt to connect to a server of a service: the way,
         "direct" or "carried", and its error if any.
@@ -82,6 +84,7 @@
         spawn: Spawn,
         on_connection: Callable[[ServiceName, str, OSError | None], None],
         clock: Clock,
+        link: OwnLink | None = None,
         rng: Random | None = None,
     ) -> None:
         self._servers = servers
@@ -89,6 +92,7 @@
         self._spawn = spawn
         self._on_connection = on_connection
         self._clock = clock
+        self._link = link or OwnLink()
         self._rng = rng or Random()
         self._table = PathTable(rng=self._rng)
         self._checked_at: dict[ServerIncarnation, float] = {}
@@ -205,12 +209,12 @@
             self._update_all()
             logger.bind(event="paths_open", doubted=len(self)).info("some servers are reached")
 
-    def record_failed(self, server: ProxyServer, exc: OSError) -> None:
-        """Record that a direct connection did not open."""
+    def record_failed(self, server: ProxyServer, exc: OSError, use: LinkUse) -> None:
+        """Record that a direct connection did not open, and what others carried meanwhile."""
         self._on_connection(server.record.service, "direct", exc)
-        self._doubt(server, exc)
+        self._doubt(server, exc, use)
 
-    def _doubt(self, server: ProxyServer, exc: OSError) -> None:
+    def _doubt(self, server: ProxyServer, exc: OSError, use: LinkUse) -> None:
         reached_none = self._table.reaches_none
         is_new = self._table.record_failed(server.run, self._clock.monotonic())
         # Where connections are refused, those that are open may live on.
@@ -218,7 +222,7 @@
         if is_silent:
             server.pool.doubt_direct()
         if is_new:
-            self._log_doubt(server, repr(exc))
+            self._log_doubt(server, exc, use)
         if self._table.reaches_none and not reached_none:
             self._doubt_all(is_silent=is_silent)
         elif is_new and len(self._table) > 1:
@@ -235,13 +239,17 @@
         if server.is_direct:
             server.pool.trust_direct()
 
-    def _log_doubt(self, server: ProxyServer, reason: str) -> None:
+    def _log_doubt(self, server: ProxyServer, exc: OSError, use: LinkUse) -> None:
         logger.bind(
             event="path_doubted",
             server=server.run.server,
+            evidence=_evidence(exc),
+            waiting_bytes=use.waiting,
+            acknowledged_bytes=use.acknowledged,
+            received_bytes=use.received,
             doubted=len(self),
             peers=len(self._peers),
-        ).info("a server is not reached directly: {}", reason)
+        ).info("a server is not reached directly: {!r}", exc)
 
     def _doubt_all(self, *, is_silent: bool) -> None:
         logger.bind(event="paths_cut", doubted=len(self), peers=len(self._peers)).warning(
@@ -320,17 +328,20 @@
         return None
 
     async def _open_direct(self, server: ProxyServer, *, timeout_s: float) -> ServerConnection:
-        began = self._clock.monotonic()
+        opening = Opening(
+            link=self._link, timeout_s=min(timeout_s, DIRECT_TIMEOUT_S), clock=self._clock
+        )
         try:
-            conn = await server.pool.connect(timeout_s=timeout_s)
+            conn = await server.pool.connect(timeout_s=opening.first_s, more_s=opening.more_s)
         except TimeoutError as exc:
             # A server that has answered meanwhile is reached, and its way or queue is just full.
-            if timeout_s >= MIN_EVIDENCE_S and server.heard_at < began:
-                self.record_failed(server, exc)
+            if timeout_s >= MIN_EVIDENCE_S and server.heard_at < opening.began:
+                self.record_failed(server, exc, opening.use)
             raise
         except OSError as exc:
-            self.record_failed(server, exc)
+            self.record_failed(server, exc, opening.use)
             raise
+        self._link.add(conn.stream)
         self.record_opened(server)
         return conn
 
@@ -398,11 +409,25 @@
             if exc.is_unreached:
                 self._table.record_unreached(server.run, self._clock.monotonic())
             raise
+        self._link.add(conn.stream)
         self._table.record_carried(server.run)
         self._on_connection(server.record.service, "carried", None)
         return conn
 
 
+def _evidence(exc: OSError) -> str:
+    """Return what says that a direct connection did not open."""
+    match exc:
+        case TimeoutError():
+            return "timeout"
+        case ConnectionRefusedError():
+            return "refusal"
+        case ConnectionResetError():
+            return "reset"
+        case _:
+            return type(exc).__name__
+
+
 def _has_opened(direct: "asyncio.Future[ServerConnection]") -> bool:
     return direct.done() and direct.exception() is None
 
--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -1,7 +1,7 @@
 """Client side of HTTP/1.1, on a connection to a backend server."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 
 from lychee_http.exceptions import ServerResponseError
@@ -192,7 +192,11 @@
 
 
 async def open_server_connection(
-    endpoint: Endpoint, *, timeout_s: float, until_close: bool = False
+    endpoint: Endpoint,
+    *,
+    timeout_s: float,
+    until_close: bool = False,
+    more_s: Callable[[], float] = lambda: 0.0,
 ) -> ServerConnection:
     """Connect to a backend server.
 
@@ -200,11 +204,12 @@
     :param timeout_s: maximum wait in seconds.
     :param until_close: whether to accept a response whose end is marked by the close of the
         connection.
+    :param more_s: returns, when the wait is over, how much longer it may be, in seconds.
     :raises OSError: if the server cannot be reached in time; TimeoutError is a subclass.
     """
     loop = asyncio.get_running_loop()
     began = loop.time()
-    async with timeout_after_input(timeout_s):
+    async with timeout_after_input(timeout_s, more_s=more_s):
         try:
             _, stream = await loop.create_connection(TcpStream, endpoint.host, endpoint.port)
         except (OverflowError, ValueError) as exc:
--- a/packages/lychee-http/src/lychee_http/pool.py
+++ b/packages/lychee-http/src/lychee_http/pool.py
@@ -1,6 +1,6 @@
 """Pool of connections to one backend server, kept open between requests."""
 
-from collections.abc import Container, Iterator
+from collections.abc import Callable, Container, Iterator
 from contextlib import contextmanager
 
 from lychee_http import ServerConnection, open_server_connection
@@ -48,16 +48,20 @@
         """
         return self.take_idle(but) or await self.connect(timeout_s=timeout_s)
 
-    async def connect(self, *, timeout_s: float) -> ServerConnection:
+    async def connect(
+        self, *, timeout_s: float, more_s: Callable[[], float] = lambda: 0.0
+    ) -> ServerConnection:
         """Return a new connection, which shows that the server still accepts some.
 
         :param timeout_s: maximum wait in seconds.
+        :param more_s: returns, when it is over, how much longer the wait may be, in seconds.
         :raises OSError: if the server cannot be reached in time.
         """
         return await open_server_connection(
             self.endpoint,
             timeout_s=min(timeout_s, CONNECT_TIMEOUT_S),
             until_close=self._until_close,
+            more_s=more_s,
         )
 
     @contextmanager
--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -142,6 +142,7 @@
         self._lost_event = asyncio.Event()
         self._written = 0
         self._acknowledged = 0
+        self._received_in_all = 0
 
     @property
     def transport(self) -> asyncio.Transport:
@@ -187,6 +188,11 @@
             self._acknowledged = self._written - max(0, left - self._is_writing_ended)
         return self._acknowledged
 
+    @property
+    def received(self) -> int:
+        """Number of bytes received since the connection opened."""
+        return self._received_in_all
+
     @property
     def is_congested(self) -> bool:
         """Whether :meth:`drain` has to wait, or the connection is lost."""
@@ -226,6 +232,7 @@
         # Of what a full read leaves in the system's buffer it is not known when it came.
         self._emptied_at = inf if is_full else received_at
         self._received_size += len(data)
+        self._received_in_all += len(data)
         self.holding.add_input(len(data))
         if not self._is_reading_paused and self._has_enough():
             self._is_reading_paused = True
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -35,6 +35,7 @@
     is_slow,
     is_stuck,
 )
+from lychee_policy.own_link import LinkUse, StreamUse, sum_of_uses
 from lychee_policy.owner_admission import (
     EVIDENCE_S,
     AnsweredWork,
@@ -97,7 +98,10 @@
     "estimated_demand",
     "mean_service_time_s",
     "GatewayTable",
+    "LinkUse",
     "PathTable",
+    "StreamUse",
+    "sum_of_uses",
     "BLOCK_S",
     "MAX_REQUESTS",
     "SUSPECT_S",
--- a/packages/lychee-types/src/lychee_types/timeouts.py
+++ b/packages/lychee-types/src/lychee_types/timeouts.py
@@ -22,6 +22,11 @@
 """Time after which only `INPUT_TURNS` turns in all are waited for, in seconds."""
 
 
+def _no_more() -> float:
+    """Return that a block gets no further time."""
+    return 0.0
+
+
 def _is_unknown() -> bool:
     """Return that input may be there, as nobody can tell."""
     return True
@@ -33,12 +38,20 @@
     :param delay_s: maximum time in seconds; a negative one counts as 0.
     :param has_input: returns whether there is input that the block has not taken yet; None if that
         is unknown, and then the block ends `INPUT_TURNS` turns of the loop later.
+    :param more_s: returns, when the time is over, how much more of it the block gets, in seconds.
     :raises TimeoutError: if the time is over and no input ends the block.
     """
 
-    def __init__(self, delay_s: float, *, has_input: Callable[[], bool] | None = None) -> None:
+    def __init__(
+        self,
+        delay_s: float,
+        *,
+        has_input: Callable[[], bool] | None = None,
+        more_s: Callable[[], float] = _no_more,
+    ) -> None:
         self._delay_s = max(0.0, delay_s)
         self._has_input = has_input or _is_unknown
+        self._more_s = more_s
         self._turns = INPUT_TURNS if has_input is None else MAX_INPUT_TURNS
         self._loop = asyncio.get_running_loop()
         self._limit = asyncio.timeout(None)
@@ -63,6 +76,11 @@
         is_late = self._loop.time() > self._ends_by and self._turns - turns >= INPUT_TURNS
         if turns and not is_late and self._has_input():
             self._timer = self._loop.call_soon(self._end_without_input, turns - 1)
+            return
+        more_s = self._more_s()
+        if more_s > 0:
+            self._ends_by = self._loop.time() + more_s + MAX_LATE_S
+            self._timer = self._loop.call_later(more_s, self._end_without_input, self._turns)
         else:
             self._limit.reschedule(self._loop.time())
 
