Take a timeout on a full link of the gateway's own for no evidence of a cut

What callers saw: while an upload filled a gateway's narrow link, requests for other servers got 503, and connections went through other gateways, over two narrow links more, although no server was cut off.

Cause: a connection that does not open in 0.1 to 0.5 s said that the way to its server is cut, also where what opens it waited behind the gateway's own bytes.

Change: while a connection is late, the other ones are asked every 0.1 s what they have carried since. If one has moved 8 KB in either direction, is not done, and has not been still for 0.4 s, the timeout is no evidence: the attempt gets up to 1.5 s, no other gateway is asked meanwhile, the server is not counted as failing, and `path_late` is logged. Late connections to one server that go on for 1.5 s without one that opens, or an answer, count as before. The decision is lychee_policy/own_link.py. TIOCOUTQ and a count of received bytes are enough; TCP_INFO isn't used.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -8,6 +8,7 @@
 from lychee_gateway.proxy.codec import ProxyCodec, ResponseInfo
 from lychee_gateway.proxy.held import HeldAnswer
 from lychee_gateway.proxy.limits import ServerLimits
+from lychee_gateway.proxy.own_link import OwnLinkFullError
 from lychee_gateway.proxy.paths import ServerPaths
 from lychee_gateway.proxy.peers import NotReachedError
 from lychee_gateway.proxy.resets import ResetRecorder
@@ -213,7 +214,8 @@
                     server, timeout_s=max(0.0, deadline - began), but=used
                 )
             except OSError as exc:
-                server.record_failure(self._clock.monotonic())
+                if not isinstance(exc, OwnLinkFullError):
+                    server.record_failure(self._clock.monotonic())
                 return _not_connected(exc)
             used.add(conn)
             with server.pool.release_after_use(conn):
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/own_link.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/own_link.py
@@ -1,6 +1,7 @@
 """Ask the gateway's own connections what its link carries while another one opens."""
 
 from dataclasses import dataclass
+from math import inf
 from weakref import WeakSet
 
 from loguru import logger
@@ -24,6 +25,10 @@
 _NONE = _Mark()
 
 
+class OwnLinkFullError(TimeoutError):
+    """A connection did not open in time, but this gateway's own link was full meanwhile."""
+
+
 class OwnLink:
     """The open connections that share this gateway's link."""
 
@@ -48,37 +53,48 @@
 
     :param link: the open connections.
     :param timeout_s: maximum wait in seconds.
+    :param limit_s: the same while the link is shown to be full.
     :param clock: source of time.
     """
 
-    def __init__(self, *, link: OwnLink, timeout_s: float, clock: Clock) -> None:
+    def __init__(self, *, link: OwnLink, timeout_s: float, limit_s: float, clock: Clock) -> None:
         self._link = link
         self._clock = clock
         self._first: dict[TcpStream, _Mark] | None = None
         self._last: dict[TcpStream, _Mark] = {}
+        self._moved_at: dict[TcpStream, float] = {}
         self.began = clock.monotonic()
         self.timeout_s = timeout_s
+        self._limit_s = max(limit_s, timeout_s)
         self.use = LinkUse()
 
     @property
     def first_s(self) -> float:
         """Time until the first look, in seconds."""
-        return min(LOOK_GAP_S, self.timeout_s / 2)
+        return min(LOOK_GAP_S, self.timeout_s) / 2
 
     def more_s(self) -> float:
         """Look, and return how much longer the connection may take to open, in seconds."""
         self._look()
-        left_s = self.began + self.timeout_s - self._clock.monotonic()
-        return min(LOOK_GAP_S, left_s)
+        waited_s = self._clock.monotonic() - self.began
+        if waited_s < self.timeout_s:
+            return min(LOOK_GAP_S, self.timeout_s - waited_s)
+        return min(LOOK_GAP_S, self._limit_s - waited_s) if self.use.is_filled else 0.0
 
     def _look(self) -> None:
-        marks = self._link.marks()
+        marks, now = self._link.marks(), self._clock.monotonic()
         if self._first is None:
             self._first = self._last = marks
-        first, last = self._first, self._last
-        uses = [_use(stream, mark, first, last) for stream, mark in marks.items()]
-        self.use = sum_of_uses(uses)
-        self._last = marks
+        for stream, mark in marks.items():
+            if mark != self._last.get(stream, _NONE):
+                self._moved_at[stream] = now
+        first, self._last = self._first, marks
+        self.use = sum_of_uses(
+            [
+                _use(stream, mark, first.get(stream, _NONE), now - self._moved_at.get(stream, -inf))
+                for stream, mark in marks.items()
+            ]
+        )
 
 
 def _mark(stream: TcpStream) -> _Mark:
@@ -93,16 +109,10 @@
         return stream.written - stream.unsent
 
 
-def _use(
-    stream: TcpStream,
-    mark: _Mark,
-    first: dict[TcpStream, _Mark],
-    last: dict[TcpStream, _Mark],
-) -> StreamUse:
-    before = first.get(stream, _NONE)
+def _use(stream: TcpStream, mark: _Mark, first: _Mark, still_s: float) -> StreamUse:
     return StreamUse(
-        acknowledged=mark.acknowledged - before.acknowledged,
+        acknowledged=mark.acknowledged - first.acknowledged,
         waiting=stream.written - mark.acknowledged,
-        received=mark.received - before.received,
-        is_moving=mark != last.get(stream, _NONE),
+        received=mark.received - first.received,
+        still_s=still_s,
     )
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/paths.py
@@ -11,13 +11,13 @@
 
 from loguru import logger
 
-from lychee_gateway.proxy.own_link import Opening, OwnLink
+from lychee_gateway.proxy.own_link import LOOK_GAP_S, Opening, OwnLink, OwnLinkFullError
 from lychee_gateway.proxy.path_reports import PathReports
 from lychee_gateway.proxy.peers import NotReachedError, Peers
 from lychee_gateway.proxy.server_list import ServerList
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_http import ServerConnection
-from lychee_policy import LinkUse, PathTable
+from lychee_policy import MAX_LATE_S, LateOpenings, LinkUse, PathTable
 from lychee_types.clock import Clock
 from lychee_types.ids import DomainName, GatewayId, ServiceName
 from lychee_types.records import Endpoint
@@ -29,6 +29,9 @@
 END_CHECK_S = 0.1
 """Maximum wait for a connection that shows that a server still listens, in seconds."""
 
+LATE_END_CHECK_S = 0.3
+"""The same while this gateway's own link is full, in seconds."""
+
 CARRIED_END_CHECK_S = 0.25
 """The same for a connection that another gateway carries, in seconds."""
 
@@ -95,6 +98,7 @@
         self._link = link or OwnLink()
         self._rng = rng or Random()
         self._table = PathTable(rng=self._rng)
+        self._late = LateOpenings()
         self._checked_at: dict[ServerIncarnation, float] = {}
         self._looked_at = 0.0
         self.reports = PathReports(
@@ -114,6 +118,7 @@
         """Forget the servers that are no longer registered."""
         runs = {server.run for server in self._servers.all()}
         self._table.keep_only(runs)
+        self._late.keep_only(runs)
         for run in self._checked_at.keys() - runs:
             del self._checked_at[run]
 
@@ -156,6 +161,9 @@
                 return await self._open_direct(
                     server, timeout_s=max(END_CHECK_S, timeout_s - END_CHECK_S)
                 )
+            except OwnLinkFullError as exc:
+                # The comparison would show nothing either.
+                raise NotReachedError(is_unreached=False, retry_after_s=DIRECT_TIMEOUT_S) from exc
             except OSError as exc:
                 logger.debug("server {} accepts no connection: {!r}", server.run.server, exc)
         raise NotReachedError(
@@ -181,7 +189,7 @@
         It is not taken for ended where only this gateway does not reach it.
         """
         # An idle connection may not have been reset yet.
-        if await self._try_direct(server, END_CHECK_S):
+        if await self._try_direct(server, END_CHECK_S, limit_s=LATE_END_CHECK_S):
             return False
         if not self._peers.knows_carrier(server):
             return await self._is_server_at_fault(server)
@@ -244,9 +252,7 @@
             event="path_doubted",
             server=server.run.server,
             evidence=_evidence(exc),
-            waiting_bytes=use.waiting,
-            acknowledged_bytes=use.acknowledged,
-            received_bytes=use.received,
+            **_figures(use),
             doubted=len(self),
             peers=len(self._peers),
         ).info("a server is not reached directly: {!r}", exc)
@@ -277,7 +283,9 @@
 
     async def _reaches_any(self, servers: list[ProxyServer]) -> bool:
         """Return whether any of some servers accepts a direct connection in a moment."""
-        tries = [self._try_direct(server, END_CHECK_S) for server in servers]
+        tries = [
+            self._try_direct(server, END_CHECK_S, limit_s=LATE_END_CHECK_S) for server in servers
+        ]
         return any(await asyncio.gather(*tries))
 
     def _check_others(self) -> None:
@@ -304,12 +312,18 @@
         self._spawn(self._check_direct(server), "path check")
 
     async def _check_direct(self, server: ProxyServer) -> None:
-        await self._try_direct(server, DIRECT_TIMEOUT_S)
+        await self._try_direct(server, DIRECT_TIMEOUT_S, limit_s=MAX_LATE_S)
+
+    async def _try_direct(self, server: ProxyServer, timeout_s: float, *, limit_s: float) -> bool:
+        """Return whether a server accepts a direct connection, and keep that connection.
 
-    async def _try_direct(self, server: ProxyServer, timeout_s: float) -> bool:
-        """Return whether a server accepts a direct connection, and keep that connection."""
+        :param server: the server.
+        :param timeout_s: maximum wait in seconds.
+        :param limit_s: the same while this gateway's own link is full.
+        """
         try:
-            server.pool.add(await self._open_direct(server, timeout_s=timeout_s))
+            opening = self._begin_opening(timeout_s, limit_s=limit_s)
+            server.pool.add(await self._open(server, opening))
             return True
         except OSError as exc:
             logger.debug("server {} is not reached directly: {!r}", server.run.server, exc)
@@ -328,33 +342,65 @@
         return None
 
     async def _open_direct(self, server: ProxyServer, *, timeout_s: float) -> ServerConnection:
-        opening = Opening(
-            link=self._link, timeout_s=min(timeout_s, DIRECT_TIMEOUT_S), clock=self._clock
+        return await self._open(server, self._begin_opening(timeout_s, limit_s=timeout_s))
+
+    def _begin_opening(self, timeout_s: float, *, limit_s: float) -> Opening:
+        return Opening(
+            link=self._link,
+            timeout_s=min(timeout_s, DIRECT_TIMEOUT_S),
+            limit_s=min(limit_s, MAX_LATE_S),
+            clock=self._clock,
         )
+
+    async def _open(self, server: ProxyServer, opening: Opening) -> ServerConnection:
         try:
             conn = await server.pool.connect(timeout_s=opening.first_s, more_s=opening.more_s)
         except TimeoutError as exc:
             # A server that has answered meanwhile is reached, and its way or queue is just full.
-            if timeout_s >= MIN_EVIDENCE_S and server.heard_at < opening.began:
-                self.record_failed(server, exc, opening.use)
+            if opening.timeout_s >= MIN_EVIDENCE_S and server.heard_at < opening.began:
+                self._record_timeout(server, exc, opening)
             raise
         except OSError as exc:
             self.record_failed(server, exc, opening.use)
             raise
         self._link.add(conn.stream)
+        self._late.record_opened(server.run)
         self.record_opened(server)
         return conn
 
+    def _record_timeout(self, server: ProxyServer, exc: TimeoutError, opening: Opening) -> None:
+        """Record that a connection did not open in time.
+
+        :raises OwnLinkFullError: if that says nothing of the way to the server.
+        """
+        now = self._clock.monotonic()
+        if self._late.is_evidence(
+            server.run, opening.use, began=opening.began, heard_at=server.heard_at, now=now
+        ):
+            self.record_failed(server, exc, opening.use)
+            return
+        self._on_connection(server.record.service, "direct", exc)
+        logger.bind(
+            event="path_late",
+            server=server.run.server,
+            waited_ms=round((now - opening.began) * 1_000),
+            **_figures(opening.use),
+        ).info("a connection opened too late, as this gateway's own link is full")
+        raise OwnLinkFullError("this gateway's own link is full") from exc
+
     async def _open_either(self, server: ProxyServer, *, timeout_s: float) -> ServerConnection:
         """Open a direct connection and, if it is late or fails, a carried one; use the first."""
-        began = self._clock.monotonic()
-        direct = asyncio.ensure_future(self._open_direct(server, timeout_s=timeout_s))
+        opening = self._begin_opening(timeout_s, limit_s=timeout_s)
+        direct = asyncio.ensure_future(self._open(server, opening))
         unused: list[asyncio.Future[ServerConnection] | asyncio.Future[ServerConnection | None]]
         unused = [direct]
         try:
             await asyncio.wait({direct}, timeout=HEDGE_S)
+            while opening.use.is_filled and not direct.done():
+                # The other gateway's reply would wait on the same link.
+                await asyncio.wait({direct}, timeout=LOOK_GAP_S)
             if not _has_opened(direct):
-                left_s = timeout_s - (self._clock.monotonic() - began)
+                left_s = timeout_s - (self._clock.monotonic() - opening.began)
                 around = asyncio.ensure_future(
                     self._open_unless_unreached(server, timeout_s=left_s)
                 )
@@ -415,6 +461,15 @@
         return conn
 
 
+def _figures(use: LinkUse) -> dict[str, int]:
+    """Return what a log line says of other connections."""
+    return {
+        "waiting_bytes": use.waiting,
+        "acknowledged_bytes": use.acknowledged,
+        "received_bytes": use.received,
+    }
+
+
 def _evidence(exc: OSError) -> str:
     """Return what says that a direct connection did not open."""
     match exc:
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -35,7 +35,7 @@
     is_slow,
     is_stuck,
 )
-from lychee_policy.own_link import LinkUse, StreamUse, sum_of_uses
+from lychee_policy.own_link import MAX_LATE_S, LateOpenings, LinkUse, StreamUse, sum_of_uses
 from lychee_policy.owner_admission import (
     EVIDENCE_S,
     AnsweredWork,
@@ -98,7 +98,9 @@
     "estimated_demand",
     "mean_service_time_s",
     "GatewayTable",
+    "LateOpenings",
     "LinkUse",
+    "MAX_LATE_S",
     "PathTable",
     "StreamUse",
     "sum_of_uses",
--- a/packages/lychee-types/tests/test_timeouts.py
+++ b/packages/lychee-types/tests/test_timeouts.py
@@ -83,3 +83,14 @@
         assert not asyncio.current_task().cancelling()
 
     run(scenario())
+
+
+def test_a_block_gets_more_time_as_long_as_there_is_some():
+    async def scenario():
+        further = [0.01, 0.01, 0.0]
+        with pytest.raises(TimeoutError):
+            async with timeout_after_input(0.01, more_s=lambda: further.pop(0)):
+                await asyncio.Event().wait()
+        assert further == []
+
+    asyncio.run(scenario())
