Show requests that wait at a server for longer than work takes there

Callers of uploads waited for 8 s at servers that had dropped their requests, and nothing showed it: `unanswered` says neither at which server a request waits nor that it waits far beyond what work takes.

It is counted by service and way, logged with the server, the way, the address of the server or carrier, and what the server last reported, and the dump says how many are overdue. Nothing else follows from it: long work looks the same. When a wait is overdue is decided by lychee_policy/overdue.py.

The new test of the counter fails without it (TimeoutError while it waits for lychee_gateway_overdue_waits_total).

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -11,6 +11,7 @@
 from lychee_gateway.proxy.paths import ServerPaths
 from lychee_gateway.proxy.peers import NotReachedError
 from lychee_gateway.proxy.resets import ResetRecorder
+from lychee_gateway.proxy.server_waits import ServerWait, ServerWaits
 from lychee_gateway.proxy.servers import InFlightRequest, ProxyServer
 from lychee_http import RequestHead, ResponseHead, ServerConnection, header_value
 from lychee_http.exceptions import BadRequestError, CallerGoneError, ServerResponseError
@@ -156,6 +157,7 @@
     :param drain_s: time after which a leaving server must get no more requests, in seconds.
     :param clock: source of time.
     :param is_usable: returns whether requests may be sent by the gateway's state.
+    :param waits: watches the requests that servers have not answered.
     """
 
     def __init__(
@@ -168,6 +170,7 @@
         drain_s: float,
         clock: Clock,
         is_usable: Callable[[], bool] = lambda: True,
+        waits: ServerWaits | None = None,
     ) -> None:
         self._codec = codec
         self._paths = paths
@@ -176,6 +179,7 @@
         self._last_send_s = drain_s * LAST_SEND_SHARE
         self._clock = clock
         self._is_usable = is_usable
+        self._waits = waits or ServerWaits(clock=clock)
 
     async def send(
         self,
@@ -295,8 +299,18 @@
                 exchange.was_sent = True
                 conn.send(head, _encode_buffered(head, body))
                 began = self._clock.monotonic()
+                wait = ServerWait(
+                    server=server,
+                    conn=conn,
+                    request_id=request_id,
+                    in_flight=in_flight,
+                    is_sent=sending.is_done,
+                    sent_at=began,
+                    deadline=deadline,
+                )
                 async with sending:
-                    answer = await conn.read_head()
+                    with self._waits.track(wait):
+                        answer = await conn.read_head()
                     info = self._codec.read_response(answer)
                     seconds = self._clock.monotonic() - began
                     if _is_foreign(info, request_id):
@@ -484,6 +498,10 @@
         if not self._body.is_whole:
             self._task = asyncio.create_task(self._send())
 
+    def is_done(self) -> bool:
+        """Return whether nothing of the body is left to be written to the connection."""
+        return self._body.is_whole or (self._task is not None and self._task.done())
+
     async def finish(self, timeout_s: float) -> None:
         """Wait until the body is sent to a server that has answered early and reads on."""
         if self._task is not None:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -34,6 +34,7 @@
 from lychee_gateway.proxy.resets import ResetRecorder
 from lychee_gateway.proxy.retries import RetryBudgets
 from lychee_gateway.proxy.server_list import ServerList
+from lychee_gateway.proxy.server_waits import ServerWaits
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.stopping import StopSchedule
 from lychee_gateway.proxy.subscription import Subscription
@@ -81,6 +82,7 @@
     :param callers_mb: memory that they take up by the gateway's account, in MB.
     :param callers_peak_mb: the most that they have taken up since the start, in MB.
     :param callers_bound_mb: bound on it, in MB.
+    :param overdue: number of requests that wait at servers for longer than work takes there.
     :param probed_services: services whose servers are asked for their load before a request.
     :param copies: what is known of routes' second copies, empty if none are sent.
     :param shares: admitted share of the requests for each overloaded owner of keys.
@@ -100,6 +102,7 @@
     callers_mb: float
     callers_peak_mb: float
     callers_bound_mb: float
+    overdue: int = 0
     probed_services: tuple[ServiceName, ...] = ()
     copies: tuple[RouteCopiesDump, ...] = ()
     shares: dict[ServerId, float] = {}
@@ -208,6 +211,7 @@
         self._guard = CrashGuard(clock=self._clock, own_id=cfg.id, others=lambda: self._peers.ids)
         self._retries = RetryBudgets(bounds=cfg.bounds)
         self._stop = StopSchedule(grace_s=cfg.bounds.grace_s, clock=self._clock)
+        self._waits = ServerWaits(clock=self._clock, on_overdue=self._metrics.count_overdue)
         sender = Sender(
             codec=codec,
             paths=self._paths,
@@ -216,6 +220,7 @@
             drain_s=cfg.bounds.drain_s,
             clock=self._clock,
             is_usable=lambda: self._age.is_usable,
+            waits=self._waits,
         )
         suspects = SuspectChecks(guard=self._guard, sender=sender, metrics=self._metrics)
         self._hedger = Hedger(
@@ -288,6 +293,7 @@
         """Serve until asked to stop, then finish the requests in progress."""
         self.spawn(self._subscription.run(), name="subscription")
         self.spawn(self._loop_watch.run(), name="loop watch")
+        self.spawn(self._waits.run(), name="waits at servers")
         self._ready_listener.start()
         if self._metrics_page is not None:
             self._metrics_page.start()
@@ -326,6 +332,7 @@
                 callers_mb=megabytes(self._memory.held),
                 callers_peak_mb=megabytes(self._memory.peak),
                 callers_bound_mb=megabytes(self._memory.bounds.held_bytes),
+                overdue=self._waits.overdue,
                 probed_services=self._prober.services,
                 copies=self._hedger.dump(),
                 shares=self._overloads.shares,
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -111,6 +111,9 @@
             "carry_requests", "Requests of other gateways for a connection.", "outcome"
         )
         self._carried_bytes = page.counter("carried_bytes", "Bytes carried for other gateways.")
+        self._overdue = page.counter(
+            "overdue_waits", "Requests overdue at servers that have them.", "service", "way"
+        )
         self._unanswered = page.counter(
             "unanswered", "Requests that ended without a whole answer.", "reason", "sent"
         )
@@ -224,6 +227,10 @@
         """Count bytes carried for another gateway."""
         self._carried_bytes.inc(size)
 
+    def count_overdue(self, service: ServiceName, way: str) -> None:
+        """Count a request that has become overdue at a server, by the way it was sent."""
+        self._overdue.labels(service, way).inc()
+
     def count_end(self, end: ConnectionEnd) -> None:
         """Count requests of a caller's connection that got no answer, by reason."""
         for request in end.requests:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -156,6 +156,7 @@
         self._unanswered = 0
         self._work_s = 0.0
         self._reported_occupancy = -1
+        self.last_load: Occupancy | None = None
 
     @property
     def run(self) -> ServerIncarnation:
@@ -330,6 +331,7 @@
         self._others_occupancy = known + gain * (others - known)
         self._occupancy_at = now
         self._has_occupancy = True
+        self.last_load = occupancy
         self._record_speed(occupancy.speed, now)
         if self._reported_occupancy < occupancy.slots:
             self.full_until = -inf
@@ -346,6 +348,7 @@
         self.probed_at = now
         self.full_until = -inf
         self._others_occupancy = max(0.0, occupancy.running + occupancy.waiting - counted)
+        self.last_load = occupancy
         self._occupancy_at = now
         self._has_occupancy = True
         self._record_speed(occupancy.speed, now)
--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -149,6 +149,12 @@
         assert self._transport is not None
         return self._transport
 
+    @property
+    def peer(self) -> str:
+        """The address of the peer, empty if it is not known any more."""
+        address = self.transport.get_extra_info("peername")
+        return f"{address[0]}:{address[1]}" if address else ""
+
     @property
     def unread_bytes(self) -> int:
         """Number of bytes received and not yet returned by :meth:`read`."""
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -35,6 +35,7 @@
     is_slow,
     is_stuck,
 )
+from lychee_policy.overdue import overdue_after_s
 from lychee_policy.owner_admission import (
     EVIDENCE_S,
     AnsweredWork,
@@ -96,6 +97,7 @@
     "OwnerShares",
     "estimated_demand",
     "mean_service_time_s",
+    "overdue_after_s",
     "GatewayTable",
     "PathTable",
     "BLOCK_S",
