End a wait once its server has told that it no longer has the request

Callers of uploads waited until their deadline of 8 to 9 s, or until the end of a stop, at servers that had dropped the request: a full server of such a service reads it, does nothing and says nothing.

Silence proves nothing, and a gateway gets an answer of one of 200 servers too rarely to learn from others' answers. So an overdue request's server is asked for its load by its health path, if its service tells loads and the caller gains by it. The request is gone if the server's own system had confirmed all of it, the server has answered since, and 0.5 s later tells a load of zero, with no byte of an answer in the 0.5 s after. A request that may be repeated is sent to another server, within the attempts and the retry budget; others get 504.

No test was changed.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -121,11 +121,13 @@
     :param reason: what happened.
     :param is_disconnected: whether the server ended the connection.
     :param is_callers_fault: whether it had not got the whole body from its caller.
+    :param is_dropped: whether the server has told that it no longer has the request.
     """
 
     reason: str
     is_disconnected: bool = False
     is_callers_fault: bool = False
+    is_dropped: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -246,7 +248,7 @@
         if conn.is_carried and server.is_direct:
             # Its way was mended meanwhile, and nobody would take this connection again.
             server.pool.drop_carried()
-        if isinstance(attempt, TooLate):
+        if isinstance(attempt, TooLate) or (isinstance(attempt, NoAnswer) and attempt.is_dropped):
             server.record_unanswered()
         match attempt:
             case TooLate() | NoAnswer(is_disconnected=True) if conn.is_carried:
@@ -294,20 +296,20 @@
         head = _with_body_framing(head, body, exchange.head)
         self._limits.count_attempt(server.run)
         sending = _sending(conn, head, body)
+        wait = ServerWait(
+            server=server,
+            conn=conn,
+            request_id=request_id,
+            in_flight=in_flight,
+            is_sent=sending.is_done,
+            sent_at=self._clock.monotonic(),
+            deadline=deadline,
+        )
         try:
             async with timeout_after_input(remaining_s, has_input=conn.has_input):
                 exchange.was_sent = True
                 conn.send(head, _encode_buffered(head, body))
                 began = self._clock.monotonic()
-                wait = ServerWait(
-                    server=server,
-                    conn=conn,
-                    request_id=request_id,
-                    in_flight=in_flight,
-                    is_sent=sending.is_done,
-                    sent_at=began,
-                    deadline=deadline,
-                )
                 async with sending:
                     with self._waits.track(wait):
                         answer = await conn.read_head()
@@ -339,6 +341,8 @@
         except TimeoutError:
             return TooLate(is_callers_fault=sending.awaits_caller)
         except (ServerResponseError, ConnectionError) as exc:
+            if wait.is_dropped:
+                return NoAnswer(reason="its server no longer has it", is_dropped=True)
             if sending.has_stalled:
                 return NoAnswer(reason="the caller stopped sending the body", is_callers_fault=True)
             return _no_answer(conn, exc)
@@ -352,7 +356,10 @@
         seconds: float,
     ) -> None:
         if info.occupancy is not None:
-            server.record_occupancy(info.occupancy, self._clock.monotonic())
+            now = self._clock.monotonic()
+            server.record_occupancy(info.occupancy, now)
+            if info.request_id and not info.is_misdirected:
+                server.record_load_evidence(info.occupancy, asked_at=in_flight.sent_at, now=now)
         has_failed = answer.status >= MIN_FAILURE_STATUS
         if has_failed and not info.is_not_run:
             # Its time says nothing: a server that fails at once would look like the fastest one.
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -211,7 +211,12 @@
         self._guard = CrashGuard(clock=self._clock, own_id=cfg.id, others=lambda: self._peers.ids)
         self._retries = RetryBudgets(bounds=cfg.bounds)
         self._stop = StopSchedule(grace_s=cfg.bounds.grace_s, clock=self._clock)
-        self._waits = ServerWaits(clock=self._clock, on_overdue=self._metrics.count_overdue)
+        self._waits = ServerWaits(
+            clock=self._clock,
+            questions=self._prober,
+            on_overdue=self._metrics.count_overdue,
+            on_dropped=self._metrics.count_dropped,
+        )
         sender = Sender(
             codec=codec,
             paths=self._paths,
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -275,7 +275,7 @@
             case NoAnswer():
                 call.attempts += 1
                 call.may_have_run = True
-                return await self._after_no_answer(call, body)
+                return await self._after_no_answer(call, body, attempt)
             case TooLate():
                 call.may_have_run = True
                 await self._end_with_rejection(
@@ -295,15 +295,16 @@
         )
         return True
 
-    async def _after_no_answer(self, call: Call, body: Body) -> bool:
+    async def _after_no_answer(self, call: Call, body: Body, attempt: NoAnswer) -> bool:
         if call.exchange.response_started:
             call.exchange.truncate()
             self._log(call, status=502)
             return True
         if call.is_idempotent and self._has_attempt_left(call, body):
             return False
+        status = 504 if attempt.is_dropped else 502
         await self._end_with_rejection(
-            call, Rejection(status=502, reason="the server's answer was lost")
+            call, Rejection(status=status, reason="the server's answer was lost")
         )
         return True
 
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/metrics.py
@@ -114,6 +114,9 @@
         self._overdue = page.counter(
             "overdue_waits", "Requests overdue at servers that have them.", "service", "way"
         )
+        self._dropped = page.counter(
+            "dropped_requests", "Requests that their servers no longer had.", "service"
+        )
         self._unanswered = page.counter(
             "unanswered", "Requests that ended without a whole answer.", "reason", "sent"
         )
@@ -231,6 +234,10 @@
         """Count a request that has become overdue at a server, by the way it was sent."""
         self._overdue.labels(service, way).inc()
 
+    def count_dropped(self, service: ServiceName) -> None:
+        """Count a request that its server no longer had, and had not answered."""
+        self._dropped.labels(service).inc()
+
     def count_end(self, end: ConnectionEnd) -> None:
         """Count requests of a caller's connection that got no answer, by reason."""
         for request in end.requests:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/probe_connections.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/probe_connections.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from math import inf
+from weakref import WeakKeyDictionary
 
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_http import ServerConnection
@@ -16,11 +18,25 @@
     """A connection during one probe.
 
     :param conn: the connection.
+    :param former_at: when the probe before it on this connection was sent, if its answer did not
+        name it, as monotonic time in seconds; None if there was none.
     """
 
-    def __init__(self, conn: ServerConnection) -> None:
+    def __init__(self, conn: ServerConnection, *, former_at: float | None) -> None:
         self.conn = conn
         self.names_requests = False
+        self.asked_at = -inf
+        self._former_at = former_at
+
+    def earliest_asked_at(self, asked_at: float) -> float:
+        """Return when the answer that has come can have been asked for at the earliest.
+
+        An answer that does not name its request may be a late copy of the one before it.
+
+        :param asked_at: when the probe was sent, as monotonic time in seconds.
+        """
+        self.asked_at = asked_at
+        return asked_at if self.names_requests or self._former_at is None else self._former_at
 
 
 class ProbeConnections:
@@ -41,6 +57,7 @@
         self._gateways = gateways
         self._nameless: set[ServiceName] = set()
         self._kept: dict[ServerIncarnation, ServerConnection] = {}
+        self._asked_at: WeakKeyDictionary[ServerConnection, float] = WeakKeyDictionary()
 
     def is_available(self, server: ProxyServer) -> bool:
         """Return whether there is a connection to a server, or may be another one."""
@@ -55,7 +72,7 @@
     @contextmanager
     def use(self, server: ProxyServer, conn: ServerConnection) -> Iterator[ProbeConnection]:
         """Keep a connection for its next use when the block ends, or close it."""
-        probe = ProbeConnection(conn)
+        probe = ProbeConnection(conn, former_at=self._asked_at.get(conn))
         try:
             yield probe
         except BaseException:
@@ -70,6 +87,7 @@
             conn.close()
             return
         self._kept[server.run] = conn
+        self._asked_at[conn] = probe.asked_at
         conn.stream.on_disconnect = conn.stream.on_input = lambda: self._drop(server.run, conn)
 
     async def acquire(self, server: ProxyServer) -> ServerConnection | None:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/probing.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/probing.py
@@ -145,6 +145,21 @@
         """Return whether a server cannot be asked as there is no connection for that."""
         return server.run not in self._pending and not self._conns.is_available(server)
 
+    def can_ask_soon(self, server: ProxyServer) -> bool:
+        """Return whether a server can be asked now that has left a request unanswered for long.
+
+        Its service must have a health path and servers that tell their load.
+        """
+        service = server.record.service
+        if self._is_late() or len(self._pending) >= MAX_PROBES or not self.can_ask(server):
+            return False
+        tells_load = any(other.last_load for other in self._servers.for_service(service))
+        return tells_load and bool(self._health_path(service))
+
+    def ask_soon(self, server: ProxyServer) -> None:
+        """Ask a server for its load, and record it when the answer comes."""
+        self._probe_task(server)
+
     async def ask(self, servers: Sequence[ProxyServer], *, until: float) -> list[ProxyServer]:
         """Ask servers at the same time, record their loads, and return those that have answered.
 
@@ -219,6 +234,7 @@
                 raise ConnectionError("the answer belongs to another request")
             probe.names_requests = bool(answer.request_id)
             self._record(server, answer, asked_at)
+            self._record_evidence(server, answer, probe.earliest_asked_at(asked_at))
         return answer if answer.occupancy is not None else None
 
     def _record(self, server: ProxyServer, answer: ProbeAnswer, asked_at: float) -> None:
@@ -228,6 +244,11 @@
         if answer.cold_remaining_s is not None:
             server.record_cold(answer.cold_remaining_s, now)
 
+    def _record_evidence(self, server: ProxyServer, answer: ProbeAnswer, asked_at: float) -> None:
+        if answer.occupancy is not None:
+            now = self._clock.monotonic()
+            server.record_load_evidence(answer.occupancy, asked_at=asked_at, now=now)
+
     def _health_path(self, service: ServiceName) -> str:
         known = self._view.state.routing.service(service)
         path = known.health_path if known is not None else ""
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/servers.py
@@ -9,7 +9,7 @@
 
 from lychee_gateway.proxy.codec import Occupancy
 from lychee_http.pool import ServerPool
-from lychee_policy import ColdReading, ColdTime
+from lychee_policy import AbsenceProof, ColdReading, ColdTime
 from lychee_types.cold_messages import ObservedCold
 from lychee_types.registry import RegisteredServer, ServerIncarnation
 from lychee_types.registry_messages import ServerStats
@@ -157,6 +157,7 @@
         self._work_s = 0.0
         self._reported_occupancy = -1
         self.last_load: Occupancy | None = None
+        self.proofs: set[AbsenceProof] = set()
 
     @property
     def run(self) -> ServerIncarnation:
@@ -318,6 +319,16 @@
         finally:
             del self._sent_at[number]
 
+    def record_load_evidence(self, load: Occupancy, *, asked_at: float, now: float) -> None:
+        """Record what a load says of the requests that it has left unanswered for long.
+
+        :param load: the load.
+        :param asked_at: monotonic time in seconds at which it was asked for at the earliest.
+        :param now: monotonic time in seconds.
+        """
+        for proof in self.proofs:
+            proof.record_load(load.running + load.waiting, asked_at=asked_at, heard_at=now)
+
     def record_occupancy(self, occupancy: Occupancy, now: float) -> None:
         """Update the estimated load of other gateways from an occupancy that the server reported.
 
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -1,5 +1,6 @@
 """Load-balancing policies: choice of server, limits, queues, retry budgets, outlier detection."""
 
+from lychee_policy.absence import AbsenceProof, question_gap_s
 from lychee_policy.budget import MIN_RETRIES, RetryBudget
 from lychee_policy.budget import WINDOW_S as RETRY_WINDOW_S
 from lychee_policy.choice import (
@@ -98,6 +99,8 @@
     "estimated_demand",
     "mean_service_time_s",
     "overdue_after_s",
+    "AbsenceProof",
+    "question_gap_s",
     "GatewayTable",
     "PathTable",
     "BLOCK_S",
