Wait a second for an answer that may be on its way from an idle server

Answers that a server has sent before a load come ahead of it on that link, but lost packets are sent again later, after 0.2 and 0.4 s. So 0.5 s after the load was too short a proof that no answer comes.

--- a/packages/lychee-policy/src/lychee_policy/absence.py
+++ b/packages/lychee-policy/src/lychee_policy/absence.py
@@ -22,8 +22,8 @@
 SETTLE_S = 0.5
 """Time in which a server that runs reads what its system has received, in seconds."""
 
-WAY_S = 0.5
-"""Longest time that an answer is on its way from a server, in seconds."""
+WAY_S = 1.0
+"""Longest time that an answer is on its way from a server, with lost packets, in seconds."""
 
 QUESTION_GAP_S = 0.55
 """Time between the first questions for a load, in seconds; longer than `SETTLE_S`."""
