Log what servers told of the overdue requests that they were asked about

Without it nobody sees why a wait went on to its deadline: whether the server told a load above zero, answered no health check, or was at work.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/server_waits.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/server_waits.py
@@ -182,6 +182,8 @@
             wait.conn.stream.on_input = _ignore
             self._waits.discard(wait)
             wait.server.proofs.discard(wait.proof)
+            if wait.questions:
+                self._log_asked(wait)
 
     async def run(self) -> None:
         """Check the waits regularly."""
@@ -228,6 +230,19 @@
             left_ms=round((wait.deadline - now) * 1_000),
         ).info("a server has told that it runs and queues nothing, and has not answered a request")
 
+    def _log_asked(self, wait: ServerWait) -> None:
+        """Log what became of a request about which its server was asked."""
+        logger.bind(
+            event="overdue_over",
+            request=wait.request_id,
+            server=wait.server.run.server,
+            ms=round((self._clock.monotonic() - wait.sent_at) * 1_000),
+            is_answered=wait.has_begun,
+            is_dropped=wait.is_dropped,
+            questions=wait.questions,
+            least_load=wait.proof.least,
+        ).info("the wait for an overdue request is over")
+
     def _log_overdue(self, wait: ServerWait, now: float) -> None:
         if now - self._logged_since >= LOG_INTERVAL_S:
             self._logged_since, self._logged = now, 0
--- a/packages/lychee-policy/src/lychee_policy/absence.py
+++ b/packages/lychee-policy/src/lychee_policy/absence.py
@@ -45,11 +45,13 @@
     :param arrived_at: when the server's system was seen to have all of it, infinite before that.
     :param running_at: when the server was first heard to have run after that.
     :param idle_at: when it was heard to run and queue nothing, long enough after that.
+    :param least: the lowest load that was asked for since it had arrived, -1 before there is one.
     """
 
     arrived_at: float = inf
     running_at: float = inf
     idle_at: float = inf
+    least: int = -1
 
     def record_load(self, occupied: int, *, asked_at: float, heard_at: float) -> None:
         """Record a load that the server has told.
@@ -61,6 +63,7 @@
         """
         if asked_at < self.arrived_at:
             return
+        self.least = occupied if self.least < 0 else min(self.least, occupied)
         if self.running_at == inf:
             self.running_at = heard_at
         elif occupied == 0 and asked_at >= self.running_at + SETTLE_S:
