--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -13,6 +13,7 @@
 from lychee_gateway.proxy.paths import ServerPaths
 from lychee_gateway.proxy.peers import NotReachedError
 from lychee_gateway.proxy.resets import ResetRecorder
+from lychee_gateway.proxy.server_waits import ServerWait, ServerWaits
 from lychee_gateway.proxy.servers import InFlightRequest, ProxyServer
 from lychee_http import RequestHead, ResponseHead, ServerConnection, header_value
 from lychee_http.exceptions import BadRequestError, CallerGoneError, ServerResponseError
@@ -123,11 +124,13 @@
     :param reason: what happened.
     :param is_disconnected: whether the server ended the connection.
     :param is_callers_fault: whether it had not got the whole body from its caller.
+    :param is_dropped: whether the server has told that it no longer has the request.
     """
 
     reason: str
     is_disconnected: bool = False
     is_callers_fault: bool = False
+    is_dropped: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -162,6 +165,7 @@
     :param clock: source of time.
     :param is_usable: returns whether requests may be sent by the gateway's state.
     :param limit_wait: limits a wait without which an answer can still be passed on.
+    :param waits: watches the requests that servers have not answered.
     """
 
     def __init__(
@@ -175,6 +179,7 @@
         clock: Clock,
         is_usable: Callable[[], bool] = lambda: True,
         limit_wait: Callable[[], AbstractAsyncContextManager[None]] = nullcontext,
+        waits: ServerWaits | None = None,
     ) -> None:
         self._codec = codec
         self._paths = paths
@@ -184,6 +189,7 @@
         self._clock = clock
         self._is_usable = is_usable
         self._limit_wait = limit_wait
+        self._waits = waits or ServerWaits(clock=clock)
 
     async def send(
         self,
@@ -252,7 +258,7 @@
         if conn.is_carried and server.is_direct:
             # Its way was mended meanwhile, and nobody would take this connection again.
             server.pool.drop_carried()
-        if isinstance(attempt, TooLate):
+        if isinstance(attempt, TooLate) or (isinstance(attempt, NoAnswer) and attempt.is_dropped):
             server.record_unanswered()
         match attempt:
             case TooLate() | NoAnswer(is_disconnected=True) if conn.is_carried:
@@ -300,13 +306,23 @@
         head = _with_body_framing(head, body, exchange.head)
         self._limits.count_attempt(server.run)
         sending = _sending(conn, head, body)
+        wait = ServerWait(
+            server=server,
+            conn=conn,
+            request_id=request_id,
+            in_flight=in_flight,
+            is_sent=sending.is_done,
+            sent_at=self._clock.monotonic(),
+            deadline=deadline,
+        )
         try:
             async with timeout_after_input(remaining_s, has_input=conn.has_input):
                 exchange.record_sending(server=server.run.server, is_carried=conn.is_carried)
                 conn.send(head, _encode_buffered(head, body))
                 began = self._clock.monotonic()
                 async with sending:
-                    answer = await conn.read_head()
+                    with self._waits.track(wait):
+                        answer = await conn.read_head()
                     info = self._codec.read_response(answer)
                     seconds = self._clock.monotonic() - began
                     if _is_foreign(info, request_id):
@@ -337,6 +353,8 @@
         except TimeoutError:
             return TooLate(is_callers_fault=sending.awaits_caller)
         except (ServerResponseError, ConnectionError) as exc:
+            if wait.is_dropped:
+                return NoAnswer(reason="its server no longer has it", is_dropped=True)
             if sending.has_stalled:
                 return NoAnswer(reason="the caller stopped sending the body", is_callers_fault=True)
             return _no_answer(conn, exc)
@@ -350,7 +368,10 @@
         seconds: float,
     ) -> None:
         if info.occupancy is not None:
-            server.record_occupancy(info.occupancy, self._clock.monotonic())
+            now = self._clock.monotonic()
+            server.record_occupancy(info.occupancy, now)
+            if info.request_id and not info.is_misdirected:
+                server.record_load_evidence(info.occupancy, asked_at=in_flight.sent_at, now=now)
         has_failed = answer.status >= MIN_FAILURE_STATUS
         if has_failed and not info.is_not_run:
             # Its time says nothing: a server that fails at once would look like the fastest one.
@@ -496,6 +517,10 @@
         if not self._body.is_whole:
             self._task = asyncio.create_task(self._send())
 
+    def is_done(self) -> bool:
+        """Return whether nothing of the body is left to be written to the connection."""
+        return self._body.is_whole or (self._task is not None and self._task.done())
+
     async def finish(self, timeout_s: float) -> None:
         """Wait until the body is sent to a server that has answered early and reads on."""
         if self._task is not None:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -281,7 +281,7 @@
             case NoAnswer():
                 call.attempts += 1
                 call.may_have_run = True
-                return await self._after_no_answer(call, body)
+                return await self._after_no_answer(call, body, attempt)
             case TooLate(reason=reason):
                 call.may_have_run = True
                 await self._answers.end(call, Rejection(status=504, reason=reason))
@@ -299,14 +299,16 @@
         )
         return True
 
-    async def _after_no_answer(self, call: Call, body: Body) -> bool:
+    async def _after_no_answer(self, call: Call, body: Body, attempt: NoAnswer) -> bool:
         if call.exchange.response_started:
             call.exchange.truncate()
             self._answers.log(call, status=502)
             return True
         if call.is_idempotent and self._has_attempt_left(call, body):
             return False
-        await self._answers.end(call, Rejection(status=502, reason="the server's answer was lost"))
+        status = 504 if attempt.is_dropped else 502
+        rejection = Rejection(status=status, reason="the server's answer was lost")
+        await self._answers.end(call, rejection)
         return True
 
     def _can_repeat(self, call: Call, body: Body) -> bool:
--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -1,5 +1,6 @@
 """Load-balancing policies: choice of server, limits, queues, retry budgets, outlier detection."""
 
+from lychee_policy.absence import AbsenceProof, question_gap_s
 from lychee_policy.budget import MIN_RETRIES, RetryBudget
 from lychee_policy.budget import WINDOW_S as RETRY_WINDOW_S
 from lychee_policy.choice import (
@@ -36,6 +37,7 @@
     is_stuck,
 )
 from lychee_policy.own_link import MAX_LATE_S, LateOpenings, LinkUse, StreamUse, sum_of_uses
+from lychee_policy.overdue import overdue_after_s
 from lychee_policy.owner_admission import (
     EVIDENCE_S,
     AnsweredWork,
@@ -97,6 +99,9 @@
     "OwnerShares",
     "estimated_demand",
     "mean_service_time_s",
+    "overdue_after_s",
+    "AbsenceProof",
+    "question_gap_s",
     "GatewayTable",
     "LateOpenings",
     "LinkUse",
