--- a/packages/lychee-policy/src/lychee_policy/__init__.py
+++ b/packages/lychee-policy/src/lychee_policy/__init__.py
@@ -36,8 +36,8 @@
     is_slow,
     is_stuck,
 )
-from lychee_policy.own_link import MAX_LATE_S, LateOpenings, LinkUse, StreamUse, sum_of_uses
 from lychee_policy.overdue import overdue_after_s
+from lychee_policy.own_link import MAX_LATE_S, LateOpenings, LinkUse, StreamUse, sum_of_uses
 from lychee_policy.owner_admission import (
     EVIDENCE_S,
     AnsweredWork,
