Log an answer that was cut as cut

An answer that broke off after a part of it was sent was logged as answered with 504 or 502, which its caller never got. The line has is_cut now.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/final_answers.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/final_answers.py
@@ -68,10 +68,11 @@
         """Log and send a rejection; cut the answer if a part of one was sent."""
         at_ms = round((self._clock.monotonic() - call.routed.arrived_at) * 1_000)
         call.trail.append(Step(outcome=rejection.reason, at_ms=at_ms))
-        self.log(call, status=rejection.status)
         if call.exchange.response_started:
             call.exchange.truncate()
+            self.log(call, status=rejection.status)
             return
+        self.log(call, status=rejection.status)
         await self.reject(call.exchange, call.request.request_id, rejection)
 
     async def reject(self, exchange: CallerExchange, request_id: str, rejection: Rejection) -> None:
@@ -101,6 +102,7 @@
             key=routed.key,
             status=status,
             ms=round(seconds * 1_000),
+            is_cut=call.exchange.is_reported,
             attempts=call.attempts,
             trail=call.trail,
             repeated_id=has_repeated_id,
