Remove a voter that has lost its disk before the newcomer at its address votes

A VM that comes back without its disk joins under a new id, and the leader made it a voter before it removed the old one. Between the two changes (until the first is committed, found so by a poll, and the second is committed; until the next leader has found the old one silent for 2 s, if the leader is lost in between) the group had four voters, of which the others were only two: had the same VM been lost again while all lost power, the two VMs that never lost anything could not have elected a leader, and nothing that was acknowledged could have been read. With five voters and two losses tolerated, another VM had to be lost with it.

The newcomer still learns first. Once it holds the log, the old voter leaves, and only then the newcomer is promoted. A removal of a voter that cannot come back never raises the number of the others that are needed. A voter at another address may come back with its disk, and leaves last, as before. The leader logs `voter_out_first`.

The test repairs a group, and after each round of it takes all power and the disk of the VM in repair. Before: "no leader in time", with one loss tolerated and with two. After: a leader at each moment.

--- a/packages/lychee-control/tests/test_final_losses.py
+++ b/packages/lychee-control/tests/test_final_losses.py
@@ -384,8 +384,6 @@
                 break
             self.play(day, rounds=1)
         self.play(day, rounds=self.rng.randrange(12))
-        for desk in self.desks.values():
-            desk.close()
 
     def lose_power(self):
         """Take the power from all VMs at once, and as many disks as are tolerated from some."""
@@ -411,6 +409,12 @@
     def must_serve(self, ids):
         return all(len(ids & each) > len(each) // 2 for each in self.member_sets())
 
+    def copy_without_desks(self):
+        """Return a copy; changes of voters that are under way end in it."""
+        desks, self.desks = self.desks, {}
+        future, self.desks = deepcopy(self), desks
+        return future
+
     def choose_replicas(self):
         """Return all replicas that have a disk, or some of them, which start again."""
         ids = sorted(self.nodes)
@@ -489,7 +493,45 @@
         deployment.play(day, rounds=rng.randrange(20, 250))
     deployment.play_until_the_end(day)
     for number in range(5):
-        future = deepcopy(deployment)
+        future = deployment.copy_without_desks()
         future.rng.seed(seed * 5 + number)
         future.lose_power()
         future.start_again(future.choose_replicas())
+
+
+@pytest.mark.parametrize("tolerated", [1, 2])
+def test_the_others_suffice_when_a_disk_is_lost_again_while_its_voter_is_replaced(tolerated):
+    """At each moment of the repair, the VM is lost again and all others lose power.
+
+    Where two losses are tolerated, another VM is lost with it.
+    """
+    deployment = Deployment(seed=1, tolerated=tolerated, standing_by=0, rng=Random(1))
+    leader = deployment.run_until_leader()
+    for name in "tu"[: 2 * tolerated - 2]:
+        deployment.add(name)
+    for _ in repair(deployment, leader):
+        pass
+    lost, other = sorted(deployment.nodes.keys() - {leader.address.id})[:2]
+    deployment.lose_disk(deployment.nodes[lost])
+    newcomer = next(reversed(deployment.nodes))
+    moments = 0
+    for future in repair(deployment, leader):
+        for node in future.nodes.values():
+            future.crash(node, is_stored=True)
+        for id in (newcomer, other)[:tolerated]:
+            del future.nodes[id]
+        for node in future.nodes.values():
+            future.start(node)
+        future.run_until_leader()
+        moments += 1
+    assert moments > 5
+
+
+def repair(deployment, leader):
+    """Run until all replicas vote, and yield a copy after each round."""
+    while {voter.id for voter in leader.core.state.members.voters} != set(deployment.nodes):
+        for node in deployment.nodes.values():
+            deployment.ask(node)
+        deployment.desks[leader.address.id].go_on()
+        deployment.run_round()
+        yield deployment.copy_without_desks()
--- a/packages/lychee-log/src/lychee_log/replacement.py
+++ b/packages/lychee-log/src/lychee_log/replacement.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from expression import Result
+from loguru import logger
 
 from lychee_log.core import Core
 from lychee_log.membership import with_learner, with_promoted_learner, without_member
@@ -50,6 +51,9 @@
     ) -> tuple[ReplicaAddress, ...]:
         """Make the change, and return the voters after it.
 
+        The new voter votes before the old one leaves, which may come back with its disk. An old one
+        at the new one's address has lost it, and leaves once the new one holds the log.
+
         :param old: the voter to remove, None to only add one.
         :param new: the voter to add, None to only remove one.
         :raises UnavailableError: if a step takes too long or the leadership is lost.
@@ -59,9 +63,16 @@
             lambda: self._core.is_ready_leader, ANSWER_TIMEOUT_S, "the leader is not ready"
         )
         if new is not None:
-            await self._add(new)
-        if old is not None and self._members.find(old) is not None:
-            await self._change_members(without_member(self._members, old))
+            await self._add_learner(new)
+            if old is not None and self._is_at_address_of(old, new):
+                # Its disk is lost. Beside it, the newcomer would be one that the others can't miss.
+                logger.bind(event="voter_out_first", old=old, new=new.id).info(
+                    "a voter that has lost its disk leaves before the newcomer votes"
+                )
+                await self._remove(old)
+            await self._promote(new.id)
+        if old is not None:
+            await self._remove(old)
         if new is not None and self._is_leading:
             await self._catch_up(new.id)
         return self._members.voters
@@ -74,14 +85,24 @@
     def _is_leading(self) -> bool:
         return self._core.leader is not None and self._core.state.term == self._term
 
-    async def _add(self, new: ReplicaAddress) -> None:
+    def _is_at_address_of(self, old: ReplicaId, new: ReplicaAddress) -> bool:
+        listed = self._members.find(old)
+        return listed is not None and listed.id != new.id and listed.endpoint == new.endpoint
+
+    async def _add_learner(self, new: ReplicaAddress) -> None:
         if self._members.find(new.id) is None:
             learner = await self._request_storage_id(new)
             await self._change_members(with_learner(self._members, learner))
         await self._catch_up(new.id)
-        if not self._members.is_voter(new.id):
-            await self._change_members(with_promoted_learner(self._members, new.id))
-            await self._catch_up(new.id)
+
+    async def _promote(self, new: ReplicaId) -> None:
+        if not self._members.is_voter(new):
+            await self._change_members(with_promoted_learner(self._members, new))
+            await self._catch_up(new)
+
+    async def _remove(self, old: ReplicaId) -> None:
+        if self._members.find(old) is not None:
+            await self._change_members(without_member(self._members, old))
 
     async def _request_storage_id(self, new: ReplicaAddress) -> ReplicaAddress:
         deadline = self._clock.monotonic() + FIRST_REPLY_TIMEOUT_S
