Sync the folders above a new data folder

A replica synced its files and its data folder, but not the folder that holds the data folder's name. On a file system that does not store names with what is synced below them, a loss of power soon after the first start would have taken the whole folder, with changes that had been acknowledged. Common file systems do.

Folders that are made are now synced into those above them. One that exists is taken to be stored, as before.

The test failed before: the folder above, and the one above that, were not among those synced.

--- a/packages/lychee-log/src/lychee_log/storage.py
+++ b/packages/lychee-log/src/lychee_log/storage.py
@@ -20,7 +20,14 @@
 
 from lychee_log.effects import SaveSnapshot, Write
 from lychee_log.exceptions import StorageError
-from lychee_log.files import TEMPORARY_SUFFIX, Disk, SystemDisk, replace_file, translate_disk_errors
+from lychee_log.files import (
+    TEMPORARY_SUFFIX,
+    Disk,
+    SystemDisk,
+    replace_file,
+    sync_folder,
+    translate_disk_errors,
+)
 from lychee_log.mark import SYNC_MARK_NAME, SyncMark, SyncMarkFile
 from lychee_log.records import HardState, Identity, RecoveredState, Snapshot, StorageId
 from lychee_log.recovery import (
@@ -244,8 +251,7 @@
     :raises StorageError: if the folder cannot be used, is damaged, or belongs to another replica.
     """
     disk = disk or SystemDisk()
-    with translate_disk_errors(folder):
-        folder.mkdir(parents=True, exist_ok=True)
+    _make_folder(folder)
     with _lock_folder(folder):
         if is_uninitialized(folder):
             _initialize_folder(folder, replica, disk=disk)
@@ -256,6 +262,15 @@
             storage.close()
 
 
+def _make_folder(folder: Path) -> None:
+    """Make a folder and those above it, synced: what is stored in it is lost with its name."""
+    with translate_disk_errors(folder):
+        missing = [each for each in (folder, *folder.parents) if not each.exists()]
+        folder.mkdir(parents=True, exist_ok=True)
+    for made in missing:
+        sync_folder(made.parent)
+
+
 @contextmanager
 def _lock_folder(folder: Path) -> Iterator[None]:
     with translate_disk_errors(folder / LOCK_NAME):
--- a/packages/lychee-log/tests/test_unsynced_writes.py
+++ b/packages/lychee-log/tests/test_unsynced_writes.py
@@ -240,3 +240,16 @@
             replace(each, committed=0) for each in (before, following)
         ]
         stored = found
+
+
+def test_a_new_data_folder_has_its_name_synced(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    synced: set[str] = set()
+    monkeypatch.setattr(os, "fsync", lambda fd: synced.add(os.readlink(f"/proc/self/fd/{fd}")))
+    folder = tmp_path / "lychee" / "core-1"
+    with open_storage(folder=folder, replica=REPLICA):
+        assert {str(folder.parent), str(tmp_path)} <= synced
+    synced.clear()
+    with open_storage(folder=folder, replica=REPLICA):
+        assert str(folder.parent) not in synced
