Say caller_stalled of a half-closed caller that does not read on

A caller that had ended its sending side and did not read its answer for the stall time was reported as caller_left: the reason asked whether it had ended its side, not whether it was gone. It asks now whether the connection is lost or reset.

test_end_reasons.py, a caller that reads nothing of 32 MB, half-closed or not, with and without a request behind: the two half-closed cases failed on the code before ("{<EndReason.CALLER_LEFT: 'caller_left'>} == {<EndReason.CALLER_STALLED: 'caller_stalled'>}").

--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -399,7 +399,7 @@
 
     def _callers_reason(self) -> EndReason:
         """Return why nothing more can be sent to the caller."""
-        if self._stream.eof or self._stream.transport.is_closing():
+        if self._stream.is_reset():
             return EndReason.CALLER_LEFT
         return EndReason.CALLER_STALLED
 
--- a/packages/lychee-http/tests/test_end_reasons.py
+++ b/packages/lychee-http/tests/test_end_reasons.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from lychee_http import CallerLimits
+from lychee_http.endings import EndReason
+
 from .test_pipelining import Harness, caller, get, harness, post, read_to_end, run
 
 
@@ -34,3 +37,23 @@
             assert h.ends == []
 
     run(scenario())
+
+
+@pytest.mark.parametrize("half_closes", [False, True])
+@pytest.mark.parametrize("behind", [b"", get(b"b")])
+def test_a_caller_that_reads_nothing_has_stalled_and_not_left(half_closes, behind):
+    """A half-closed one was said to have left, although it was there all the time."""
+
+    async def scenario():
+        async with harness(checks_delivery=False) as h:
+            h.limits = CallerLimits(stall_s=0.3)
+            async with caller(h) as (_, writer):
+                writer.write(get(b"big") + behind)
+                if half_closes:
+                    writer.write_eof()
+                    await h.until(lambda: h.conns and h.conns[0]._stream.eof)
+                h.release(b"big")
+                await h.until(lambda: h.ends)
+                assert {end.reason for end in h.ends} == {EndReason.CALLER_STALLED}
+
+    run(scenario())
