Test that a half-closed caller may still receive a part of a stream

By a mutant that is not committed, a watch that does not ask for it: "assert <EndReason.CALLER_LEFT: 'caller_left'> is <EndReason.CALLER_STALLED: 'caller_stalled'>".

--- a/packages/lychee-http/tests/test_half_close.py
+++ b/packages/lychee-http/tests/test_half_close.py
@@ -113,3 +113,16 @@
         assert not gone.done()
 
     uvloop.run(scenario())
+
+
+def test_a_half_closed_caller_to_whom_a_part_of_a_stream_is_on_its_way_may_read_on():
+    """It counted as gone after the time of one that has acknowledged everything."""
+
+    async def scenario():
+        stream = FakeStream(acknowledges=False)
+        stream.write(b"a part of a streamed answer")
+        _, gone = watch(stream, response_started=True)
+        async with asyncio.timeout(5):
+            assert await gone is EndReason.CALLER_STALLED
+
+    uvloop.run(scenario())
