Warn of requests that end as their connection is shed

A whole request whose connection the process ends, as its callers hold too much or are too many, gets neither an answer nor a refusal. It was listed and logged (INFO) as its caller's doing, so that a look for the gateway's own faults passed over it. It is the process that acts: a WARNING now, and among the gateway's reasons in the list of metrics. The reason stays "shed".

test_end_reasons.py asks for the level by reason: [SHED] failed before ("assert ['INFO'] == ['WARNING']"), all others passed.

--- a/packages/lychee-http/src/lychee_http/endings.py
+++ b/packages/lychee-http/src/lychee_http/endings.py
@@ -48,7 +48,6 @@
             EndReason.CALLER_LEFT,
             EndReason.CALLER_STALLED,
             EndReason.REQUEST_CUT,
-            EndReason.SHED,
         )
 
 
--- a/packages/lychee-http/tests/test_end_reasons.py
+++ b/packages/lychee-http/tests/test_end_reasons.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from loguru import logger
 
 from lychee_http import CallerLimits
 from lychee_http.endings import EndReason
@@ -57,3 +58,22 @@
                 assert {end.reason for end in h.ends} == {EndReason.CALLER_STALLED}
 
     run(scenario())
+
+
+@pytest.mark.parametrize("reason", EndReason)
+def test_what_the_process_itself_ends_is_warned_of(reason):
+    """A request whose connection was shed was noted as its caller's doing."""
+    levels = []
+    sink = logger.add(lambda message: levels.append(message.record["level"].name))
+
+    async def scenario():
+        async with harness(checks_delivery=False) as h, caller(h) as (_, writer):
+            writer.write(get(b"a"))
+            await h.until_sent(b"a")
+            h.conns[0]._end(reason)
+            assert [end.reason for end in h.ends] == [reason]
+
+    run(scenario())
+    logger.remove(sink)
+    callers = (EndReason.CALLER_LEFT, EndReason.CALLER_STALLED, EndReason.REQUEST_CUT)
+    assert levels == ["INFO" if reason in callers else "WARNING"]
