--- a/packages/lychee-http/src/lychee_http/endings.py
+++ b/packages/lychee-http/src/lychee_http/endings.py
@@ -50,7 +50,6 @@
             EndReason.CALLER_LEFT,
             EndReason.CALLER_STALLED,
             EndReason.REQUEST_CUT,
-            EndReason.SHED,
         )
 
 
--- a/packages/lychee-http/tests/test_end_reasons.py
+++ b/packages/lychee-http/tests/test_end_reasons.py
@@ -3,6 +3,10 @@
 import asyncio
 
 import pytest
+from loguru import logger
+
+from lychee_http import CallerLimits
+from lychee_http.endings import EndReason
 
 from .test_pipelining import Harness, caller, get, harness, post, read_to_end, run
 
@@ -34,3 +38,42 @@
             assert h.ends == []
 
     run(scenario())
+
+
+@pytest.mark.parametrize("half_closes", [False, True])
+@pytest.mark.parametrize("behind", [b"", get(b"b")])
+def test_a_caller_that_reads_nothing_has_stalled_and_not_left(half_closes, behind):
+    """A half-closed one was said to have left, although it was there all the time."""
+
+    async def scenario():
+        async with harness(checks_delivery=False) as h:
+            h.limits = CallerLimits(stall_s=0.3)
+            async with caller(h) as (_, writer):
+                writer.write(get(b"big") + behind)
+                if half_closes:
+                    writer.write_eof()
+                    await h.until(lambda: h.conns and h.conns[0]._stream.eof)
+                h.release(b"big")
+                await h.until(lambda: h.ends)
+                assert {end.reason for end in h.ends} == {EndReason.CALLER_STALLED}
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("reason", EndReason)
+def test_what_the_process_itself_ends_is_warned_of(reason):
+    """A request whose connection was shed was noted as its caller's doing."""
+    levels = []
+    sink = logger.add(lambda message: levels.append(message.record["level"].name))
+
+    async def scenario():
+        async with harness(checks_delivery=False) as h, caller(h) as (_, writer):
+            writer.write(get(b"a"))
+            await h.until_sent(b"a")
+            h.conns[0]._end(reason)
+            assert [end.reason for end in h.ends] == [reason]
+
+    run(scenario())
+    logger.remove(sink)
+    callers = (EndReason.CALLER_LEFT, EndReason.CALLER_STALLED, EndReason.REQUEST_CUT)
+    assert levels == ["INFO" if reason in callers else "WARNING"]
