--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -1,6 +1,6 @@
 """Forward a caller's request: route it, make attempts at servers, send the final answer."""
 
-from contextlib import suppress
+from contextlib import nullcontext, suppress
 
 from loguru import logger
 
@@ -204,8 +204,9 @@
             return
         limit = self._view.state.routing.bounds.body_bytes
         call.exchange.stage = Stage.BODY
+        may_wait = has_body(call.exchange.head)
         try:
-            async with self._stop.limit_wait():
+            async with self._stop.limit_wait() if may_wait else nullcontext():
                 body = await begin_body(call.exchange, kind=call.route.kind, limit=limit)
         except TimeoutError:
             await self._answers.give_up(call, STOPPING)
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/stopping.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/stopping.py
@@ -1,8 +1,8 @@
 """When a stopping gateway takes its last requests, and when it ends those that remain."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
+from types import TracebackType
 
 from lychee_types.clock import Clock
 
@@ -26,31 +26,47 @@
 
 
 class StopLimit:
-    """Ends one block at a share of the grace time.
+    """A context that a stop ends at a share of the grace time, by a :exc:`TimeoutError`.
 
+    :param stop: the schedule of the stop.
     :param share: the share.
-    :param is_exempt: returns, when it is due, whether the block goes on.
+    :param is_exempt: returns, when it is due, whether the block goes on all the same.
     """
 
-    def __init__(self, *, share: float, is_exempt: Callable[[], bool] = lambda: False) -> None:
-        self.share = share
-        self.timeout = asyncio.timeout(None)
+    __slots__ = ("_is_exempt", "_share", "_stop", "_timeout", "_timer")
+
+    def __init__(
+        self, *, stop: "StopSchedule", share: float, is_exempt: Callable[[], bool] | None = None
+    ) -> None:
+        self._stop = stop
+        self._share = share
         self._is_exempt = is_exempt
+        self._timeout = asyncio.timeout(None)
         self._timer: asyncio.TimerHandle | None = None
 
-    def schedule(self, delay_s: float) -> None:
-        """End the block in a time in seconds."""
-        self.cancel()
-        self._timer = asyncio.get_running_loop().call_later(max(0.0, delay_s), self._end)
-
-    def cancel(self) -> None:
-        """Do not end the block."""
+    async def __aenter__(self) -> None:
+        await self._timeout.__aenter__()
+        self._stop.add(self)
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._stop.discard(self)
         if self._timer is not None:
             self._timer.cancel()
+        await self._timeout.__aexit__(exc_type, exc, traceback)
+
+    def schedule(self) -> None:
+        """End the block in time, as the stop has begun."""
+        delay_s = max(0.0, self._stop.left_s(self._share))
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._end)
 
     def _end(self) -> None:
-        if not self._is_exempt():
-            self.timeout.reschedule(asyncio.get_running_loop().time())
+        if self._is_exempt is None or not self._is_exempt():
+            self._timeout.reschedule(asyncio.get_running_loop().time())
 
 
 class StopSchedule:
@@ -74,7 +90,7 @@
     @property
     def is_over(self) -> bool:
         """Whether the connections that are left are to be aborted."""
-        return self._left_s(END_SHARE) <= 0
+        return self.left_s(END_SHARE) <= 0
 
     @property
     def listen_s(self) -> float:
@@ -85,7 +101,7 @@
         """Begin the stop."""
         self._began_at = self._clock.monotonic()
         for limit in self._limits:
-            limit.schedule(self._left_s(limit.share))
+            limit.schedule()
 
     def takes(self, deadline: float) -> bool:
         """Return whether a request is sent to a server now; otherwise it is to be rejected.
@@ -96,40 +112,35 @@
             return True
         now = self._clock.monotonic()
         take_any_s = min(TAKE_ANY_S, self.listen_s)
-        return now <= self._began_at + take_any_s or deadline - now <= self._left_s(FINISH_SHARE)
+        return now <= self._began_at + take_any_s or deadline - now <= self.left_s(FINISH_SHARE)
 
-    @asynccontextmanager
-    async def limit_wait(self) -> AsyncIterator[None]:
+    def limit_wait(self) -> StopLimit:
         """Limit a wait of a request that was not sent yet.
 
-        :raises TimeoutError: if the stop leaves it no more time.
+        The block raises :exc:`TimeoutError` if the stop leaves it no more time.
         """
-        async with self._limit(StopLimit(share=LAST_WAIT_SHARE)):
-            yield
+        return StopLimit(stop=self, share=LAST_WAIT_SHARE)
 
-    @asynccontextmanager
-    async def limit_attempt(self, *, is_exempt: Callable[[], bool]) -> AsyncIterator[None]:
+    def limit_attempt(self, *, is_exempt: Callable[[], bool]) -> StopLimit:
         """Limit an attempt, so that its request can still be answered before the end.
 
+        The block raises :exc:`TimeoutError` if the stop leaves it no more time.
+
         :param is_exempt: returns whether the attempt goes on all the same, to the end.
-        :raises TimeoutError: if the stop leaves it no more time.
         """
-        async with self._limit(StopLimit(share=FINISH_SHARE, is_exempt=is_exempt)):
-            yield
+        return StopLimit(stop=self, share=FINISH_SHARE, is_exempt=is_exempt)
 
-    @asynccontextmanager
-    async def _limit(self, limit: "StopLimit") -> AsyncIterator[None]:
+    def add(self, limit: StopLimit) -> None:
+        """Let the stop end a block."""
         self._limits.add(limit)
-        try:
-            async with limit.timeout:
-                if self.has_begun:
-                    limit.schedule(self._left_s(limit.share))
-                yield
-        finally:
-            self._limits.discard(limit)
-            limit.cancel()
-
-    def _left_s(self, share: float) -> float:
+        if self.has_begun:
+            limit.schedule()
+
+    def discard(self, limit: StopLimit) -> None:
+        """Forget a block that has ended."""
+        self._limits.discard(limit)
+
+    def left_s(self, share: float) -> float:
         """Return the time until a share of the grace time is over, in seconds."""
         if self._began_at is None:
             return float("inf")
