--- a/packages/lychee-gateway/tests/test_carrying.py
+++ b/packages/lychee-gateway/tests/test_carrying.py
@@ -349,3 +349,27 @@
         assert setup.outcomes == ["carried", "dropped"] and len(received) == 1
 
     play(note, scenario)
+
+
+def test_the_rest_of_an_upload_that_was_answered_early_reaches_a_server_that_has_left():
+    received = bytearray()
+    is_received = asyncio.Event()
+
+    async def answer_early(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        received.extend(await reader.readexactly(4))
+        writer.write(ANSWER)
+        received.extend(await reader.read(4))
+        is_received.set()
+
+    async def scenario(setup):
+        conn = await setup.open()
+        length = ((b"content-length", b"8"),)
+        conn.send(RequestHead(method=b"POST", target=b"/", headers=length), b"abcd")
+        assert (await conn.read_head()).status == 200
+        setup.may_send = False
+        conn.stream.write(b"efgh")
+        await is_received.wait()
+        assert received == b"abcdefgh"
+
+    play(answer_early, scenario)
