--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -7,7 +7,6 @@
 from lychee_gateway.proxy.age import StateAge
 from lychee_gateway.proxy.attempts import (
     MIN_FAILURE_STATUS,
-    Body,
     NoAnswer,
     NotRun,
     PassedOn,
@@ -24,6 +23,7 @@
 from lychee_gateway.proxy.loads import KeyLoads
 from lychee_gateway.proxy.metrics import ProxyMetrics
 from lychee_gateway.proxy.placing import NoServer, RoutedRequest, ServerSelector
+from lychee_gateway.proxy.request_bodies import Body
 from lychee_gateway.proxy.retries import RetryBudgets
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.stopping import StopSchedule
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/hedging.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/hedging.py
@@ -4,13 +4,14 @@
 
 from msgspec import Struct
 
-from lychee_gateway.proxy.attempts import Attempt, Body, TooLate
+from lychee_gateway.proxy.attempts import Attempt, TooLate
 from lychee_gateway.proxy.calls import Call
 from lychee_gateway.proxy.claims import AnswerClaim
 from lychee_gateway.proxy.held import HeldAnswer
 from lychee_gateway.proxy.metrics import ProxyMetrics
 from lychee_gateway.proxy.placing import ServerSelector
 from lychee_gateway.proxy.races import CopyRace, MakeAttempt, Racer
+from lychee_gateway.proxy.request_bodies import Body
 from lychee_gateway.proxy.retries import RetryBudgets
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.stopping import StopSchedule
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/suspects.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/suspects.py
@@ -5,7 +5,6 @@
 from lychee_gateway.proxy.attempts import (
     MIN_FAILURE_STATUS,
     Attempt,
-    Body,
     NoAnswer,
     PassedOn,
     Sender,
@@ -15,6 +14,7 @@
 from lychee_gateway.proxy.crashes import CrashGuard, request_signature
 from lychee_gateway.proxy.metrics import ProxyMetrics
 from lychee_gateway.proxy.placing import NoServer
+from lychee_gateway.proxy.request_bodies import Body
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_http import ResponseHead, header_value
 from lychee_policy import Verdict
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/tracked_sender.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/tracked_sender.py
@@ -2,11 +2,12 @@
 
 import asyncio
 
-from lychee_gateway.proxy.attempts import Attempt, Body, Sender
+from lychee_gateway.proxy.attempts import Attempt, Sender
 from lychee_gateway.proxy.calls import Call, Step, describe, has_lost_key
 from lychee_gateway.proxy.claims import AnswerClaim
 from lychee_gateway.proxy.held import HeldAnswer
 from lychee_gateway.proxy.metrics import ProxyMetrics
+from lychee_gateway.proxy.request_bodies import Body
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.suspects import SuspectChecks
 from lychee_types.clock import Clock
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/uploads.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/uploads.py
@@ -2,7 +2,8 @@
 
 from collections.abc import AsyncIterator
 
-from lychee_gateway.proxy.attempts import Body, NotRun
+from lychee_gateway.proxy.attempts import NotRun
+from lychee_gateway.proxy.request_bodies import Body
 from lychee_http import RequestHead
 from lychee_http.exchange import CallerExchange
 from lychee_http.framing import declared_length, has_body
--- a/packages/lychee-gateway/tests/test_hedging.py
+++ b/packages/lychee-gateway/tests/test_hedging.py
@@ -7,7 +7,6 @@
 import pytest
 
 from lychee_gateway.proxy.attempts import (
-    Body,
     NoAnswer,
     NotRun,
     PassedOn,
@@ -20,6 +19,7 @@
 from lychee_gateway.proxy.metrics import ProxyMetrics
 from lychee_gateway.proxy.placing import RoutedRequest
 from lychee_gateway.proxy.races import CopyRace, Racer
+from lychee_gateway.proxy.request_bodies import Body
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_gateway.proxy.stopping import StopSchedule
 from lychee_gateway.proxy.tracked_sender import TrackedSender
--- a/packages/lychee-gateway/tests/test_ready_answers.py
+++ b/packages/lychee-gateway/tests/test_ready_answers.py
@@ -7,9 +7,10 @@
 import pytest
 import uvloop
 
-from lychee_gateway.proxy.attempts import Body, NotRun, PassedOn, Sender, TooLate, WholeAnswer
+from lychee_gateway.proxy.attempts import NotRun, PassedOn, Sender, TooLate, WholeAnswer
 from lychee_gateway.proxy.codec import ResponseInfo
 from lychee_gateway.proxy.held import HeldAnswers
+from lychee_gateway.proxy.request_bodies import Body
 from lychee_gateway.proxy.resets import ResetRecorder
 from lychee_gateway.proxy.server_list import ServerList
 from lychee_gateway.proxy.servers import ProxyServer
