Wait no longer than a request's deadline for a check of whether its server has ended

What callers saw: a late answer.

Change: the request waits for the check until its deadline at most. The check goes on and is recorded, also where the wait is cancelled by the caller's leaving or the gateway's stop, since it says under which request a server ended; no attempt follows the deadline.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -232,7 +232,9 @@
             limit_wait=self._stop.limit_wait,
             waits=self._waits,
         )
-        suspects = SuspectChecks(guard=self._guard, sender=sender, metrics=self._metrics)
+        suspects = SuspectChecks(
+            guard=self._guard, sender=sender, metrics=self._metrics, clock=self._clock
+        )
         self._hedger = Hedger(
             sender=TrackedSender(
                 sender=sender, suspects=suspects, metrics=self._metrics, clock=self._clock
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/suspects.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/suspects.py
@@ -1,5 +1,6 @@
 """How requests under which servers have ended are sent, and what attempts at them show."""
 
+import asyncio
 from contextlib import AbstractContextManager
 
 from lychee_gateway.proxy.attempts import (
@@ -18,6 +19,7 @@
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_http import ResponseHead, header_value
 from lychee_policy import Verdict
+from lychee_types.clock import Clock
 from lychee_types.ids import RequestSignature
 
 MAX_ENDS = 2
@@ -33,12 +35,17 @@
     :param guard: knows the requests under which servers end.
     :param sender: finds out whether a server has ended.
     :param metrics: the gateway's metrics.
+    :param clock: source of time.
     """
 
-    def __init__(self, *, guard: CrashGuard, sender: Sender, metrics: ProxyMetrics) -> None:
+    def __init__(
+        self, *, guard: CrashGuard, sender: Sender, metrics: ProxyMetrics, clock: Clock
+    ) -> None:
         self._guard = guard
         self._sender = sender
         self._metrics = metrics
+        self._clock = clock
+        self._checks: set[asyncio.Task[None]] = set()
 
     def refuse(self, call: Call, body: Body) -> NoServer | None:
         """Return why a request under which servers have ended is not sent now, None if it is."""
@@ -77,7 +84,10 @@
     async def record(
         self, call: Call, body: Body, server: ProxyServer, attempt: Attempt, *, sent_at: float
     ) -> None:
-        """Record whether the server has answered, or has ended and not just lost an answer."""
+        """Record whether the server has answered, or has ended and not just lost an answer.
+
+        A check that outlasts the request's deadline is not waited for, but recorded all the same.
+        """
         match attempt:
             case WholeAnswer(head=ResponseHead(status=status)) | PassedOn(
                 status=status, is_whole=True
@@ -86,8 +96,19 @@
                 if len(self._guard) and status < MIN_FAILURE_STATUS:
                     self._guard.record_answer(_signature(call, body))
             case NoAnswer(is_disconnected=True) | PassedOn(is_disconnected=True):
-                if await self._sender.has_ended(server):
-                    self._record_end(call, body, server, sent_at=sent_at)
+                check = asyncio.create_task(self._check_end(call, body, server, sent_at=sent_at))
+                self._checks.add(check)
+                check.add_done_callback(self._checks.discard)
+                left_s = call.routed.deadline - self._clock.monotonic()
+                await asyncio.wait({check}, timeout=max(0.0, left_s))
+                if check.done():
+                    check.result()
+
+    async def _check_end(
+        self, call: Call, body: Body, server: ProxyServer, *, sent_at: float
+    ) -> None:
+        if await self._sender.has_ended(server):
+            self._record_end(call, body, server, sent_at=sent_at)
 
     def known_signature(self, call: Call) -> str | None:
         """Return the signature of a request under which servers have ended, for the log."""
