Take an answer that has come when a stop ends its wait

After a pause of the loop across the end of the time for attempts, an answer that was in the socket's buffer was replaced by 504 where it reaches the attempt through another task (second copies). The wait ends some turns of the loop later, as other timeouts do (lychee_types.timeouts). Found in review by reading; the test failed before (TimeoutError; a first form of it, without the task between, passed before too).

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/stopping.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/stopping.py
@@ -5,6 +5,7 @@
 from types import TracebackType
 
 from lychee_types.clock import Clock
+from lychee_types.timeouts import INPUT_TURNS
 
 TAKE_ANY_S = 2.8
 """Maximum time after the beginning of a stop in which any request is taken, in seconds.
@@ -42,7 +43,7 @@
         self._share = share
         self._is_exempt = is_exempt
         self._timeout = asyncio.timeout(None)
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: asyncio.Handle | None = None
 
     async def __aenter__(self) -> None:
         await self._timeout.__aenter__()
@@ -62,10 +63,13 @@
     def schedule(self) -> None:
         """End the block in time, as the stop has begun."""
         delay_s = max(0.0, self._stop.left_s(self._share))
-        self._timer = asyncio.get_running_loop().call_later(delay_s, self._end)
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._end, INPUT_TURNS)
 
-    def _end(self) -> None:
-        if self._is_exempt is None or not self._is_exempt():
+    def _end(self, turns: int) -> None:
+        """End the block once the loop has taken in what had arrived."""
+        if turns:
+            self._timer = asyncio.get_running_loop().call_soon(self._end, turns - 1)
+        elif self._is_exempt is None or not self._is_exempt():
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
 
--- a/packages/lychee-gateway/tests/test_stopping.py
+++ b/packages/lychee-gateway/tests/test_stopping.py
@@ -1,6 +1,8 @@
 """Which requests a stopping gateway still takes."""
 
 import asyncio
+import socket
+import time
 
 import pytest
 
@@ -80,3 +82,24 @@
         assert stop.is_over
 
     asyncio.run(body())
+
+
+def test_an_answer_that_has_come_when_the_loop_was_held_up_is_taken():
+    async def body():
+        stop = StopSchedule(grace_s=0.1, clock=SystemClock())
+        stop.begin()
+        near, far = socket.socketpair()
+        reader, writer = await asyncio.open_connection(sock=near)
+
+        def hold_up():
+            far.send(b"x")
+            time.sleep(0.2)
+
+        asyncio.get_running_loop().call_soon(hold_up)
+        async with stop.limit_attempt(is_exempt=lambda: False):
+            # As with second copies, the bytes reach the block through another task.
+            assert await asyncio.create_task(reader.readexactly(1)) == b"x"
+        writer.close()
+        far.close()
+
+    asyncio.run(body())
