Give the response parser its own module

Moved only: ResponseParser, MAX_HEADERS and ResponseEvent; the collector of heads that both use loses its leading underscore.

--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -6,8 +6,9 @@
 
 from lychee_http.exceptions import ServerResponseError
 from lychee_http.messages import RequestHead, ResponseHead, header_value, header_values
-from lychee_http.parser import EndOfMessage, MalformedError, ResponseEvent, ResponseParser
+from lychee_http.parser import EndOfMessage, MalformedError
 from lychee_http.recent_requests import RecentRequests
+from lychee_http.response_parser import ResponseEvent, ResponseParser
 from lychee_http.tcp import TcpStream
 from lychee_types.records import Endpoint
 from lychee_types.timeouts import timeout_after_input
--- a/packages/lychee-http/tests/test_endless_input.py
+++ b/packages/lychee-http/tests/test_endless_input.py
@@ -9,15 +9,10 @@
 
 from lychee_http import RequestHead, TcpStream
 from lychee_http.caller_memory import CONNECTION_BYTES, CallerBounds, CallerMemory
-from lychee_http.parser import (
-    SLICE_BYTES,
-    EndOfMessage,
-    MalformedError,
-    RequestParser,
-    ResponseParser,
-)
+from lychee_http.parser import SLICE_BYTES, EndOfMessage, MalformedError, RequestParser
 from lychee_http.pool import ServerPool
 from lychee_http.reader import RequestReader
+from lychee_http.response_parser import ResponseParser
 from lychee_types.records import Endpoint
 
 HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
