Take no response whose status is none, and nothing behind it, for an answer

What callers saw: a server's response with status 000 to 099 was taken for an interim one. Its caller waited until its deadline (504); a response behind it on the connection, which nobody had asked for, became its answer (200). 600 to 999 were passed on unchanged. By the same class (a value outside its range taken for its neighbour) responses of HTTP/0.9, HTTP/2.0 and RTSP/1.0 became answers, an interim response that announces content was waited behind, and a leader took a 200 behind a 000 for the acceptance of a grant or release.

Cause: the parser compared the status with 200 only, and llhttp takes three digits of any value and related protocols.

Change: a head that cannot be one of an HTTP/1.0 or 1.1 response with status 100 to 599 is malformed, so that the wait ends at once: 502 as the outcome is unknown, a failure of the server is counted, its connection is not used again, the request's line names the status, an idempotent request is repeated at another server. 600 and above get the same as below 100 rather than being passed on: RFC 9110, 15 has clients treat such a status as a 5xx, but libraries differ, and 502 is the 5xx that promises nothing; the outcome of an unsafe request is as unknown as without a response.

--- a/packages/lychee-control/tests/test_registry_calls.py
+++ b/packages/lychee-control/tests/test_registry_calls.py
@@ -241,3 +241,27 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("kind", ["grant", "release"])
+def test_a_response_behind_one_with_status_000_accepts_no_call(kind):
+    # OWNER: the 200 behind it may be that of an earlier call.
+    async def scenario():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            accepted = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+            writer.write(b"HTTP/1.1 000 Odd\r\ncontent-length: 0\r\n\r\n" + accepted)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        endpoint = Endpoint(host="127.0.0.1", port=server.sockets[0].getsockname()[1])
+        client = ServerClient(endpoint=endpoint, codec=FakeCodec(), may_grant=lambda: True)
+        await client.connect()
+        reply = await (client.grant(KEYS, hold_s=3.0) if kind == "grant" else client.release(KEYS))
+        client.close()
+        server.close()
+        assert isinstance(reply, CallFailed) and reply.maybe_sent
+        assert "status is 000" in reply.reason
+
+    asyncio.run(scenario())
--- a/packages/lychee-http/src/lychee_http/response_parser.py
+++ b/packages/lychee-http/src/lychee_http/response_parser.py
@@ -4,7 +4,8 @@
 
 import httptools
 
-from lychee_http.messages import ResponseHead
+from lychee_http.framing import VERSIONS
+from lychee_http.messages import Headers, ResponseHead, header_value
 from lychee_http.parser import (
     END_OF_MESSAGE,
     FRAMING_ALLOWANCE,
@@ -18,6 +19,18 @@
 are limited by their bytes, and their memory is counted.
 """
 
+PROTOCOL = b"HTTP/"
+"""Beginning of each response; llhttp also takes those of related protocols."""
+
+MIN_STATUS = 100
+"""Lowest status code (RFC 9110, section 15)."""
+
+MIN_FINAL_STATUS = 200
+"""Lowest status code of a response that is not an interim one."""
+
+MAX_STATUS = 599
+"""Highest status code (RFC 9110, section 15)."""
+
 ResponseEvent = ResponseHead | bytes | EndOfMessage
 """A response's head, a part of its body, or its end."""
 
@@ -25,6 +38,9 @@
 class ResponseParser(HeadCollector):
     """Turns a server's bytes into one response; interim (1xx) responses are ignored.
 
+    A head that cannot be one of an HTTP/1 response is malformed, so that nothing behind it is taken
+    for the response.
+
     :param head_limit: maximum size of a head in bytes, and of any bytes that are neither a head
         nor part of a body, such as trailers. Bytes within a chunked body that are not of it are
         limited by :data:`FRAMING_ALLOWANCE` too.
@@ -37,6 +53,7 @@
         self._events: deque[ResponseEvent] = deque()
         self._to_head = to_head
         self._reason = b""
+        self._first_bytes = b""
         self._interim = False
         self._bytes_without_event = 0
         self._framing_bytes = 0
@@ -69,6 +86,11 @@
         if self.complete:
             self.has_surplus = True
             return
+        if len(self._first_bytes) < len(PROTOCOL):
+            self._check_protocol(data)
+        if self._error is not None:
+            self.has_surplus = True
+            return
         event_count, body_bytes = len(self._events), self._body_bytes
         was_in_body = self.in_body
         try:
@@ -82,6 +104,13 @@
         if self._error is not None:
             self.has_surplus = True
 
+    def _check_protocol(self, data: bytes) -> None:
+        """Reject a response whose first bytes, line ends aside, are not those of HTTP."""
+        data = data if self._first_bytes else data.lstrip(b"\r\n")
+        self._first_bytes += data[: len(PROTOCOL) - len(self._first_bytes)]
+        if not PROTOCOL.startswith(self._first_bytes):
+            self._error = MalformedError(message="it is not HTTP")
+
     def _limit_bytes_without_event(self, size: int, has_event: bool) -> None:
         """Reject bytes that go on without a head or a part of a body."""
         self._bytes_without_event = 0 if has_event else self._bytes_without_event + size
@@ -118,13 +147,22 @@
         self._reason += part
 
     def on_headers_complete(self) -> None:
-        """End a head."""
+        """End a head.
+
+        :raises MalformedError: if it cannot be the head of a response.
+        """
         if self.complete:
             return
         self._in_head = False
         status = self._parser.get_status_code()
-        self._interim = status < 200
+        version = self._parser.get_http_version()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise MalformedError(message=f"its status is {status:03d}")
+        if version.encode() not in VERSIONS:
+            raise MalformedError(message=f"its version is HTTP/{version}")
+        self._interim = status < MIN_FINAL_STATUS
         if self._interim:
+            _check_interim(tuple(self._headers))
             return
         self._events.append(
             ResponseHead(status=status, headers=tuple(self._headers), reason=self._reason)
@@ -150,3 +188,13 @@
         self.complete = True
         self.allows_keep_alive = self._parser.should_keep_alive()
         self._events.append(END_OF_MESSAGE)
+
+
+def _check_interim(headers: Headers) -> None:
+    """Check that an interim response has no content.
+
+    :raises MalformedError: if its headers announce some.
+    """
+    has_codings = header_value(headers, b"transfer-encoding") is not None
+    if has_codings or header_value(headers, b"content-length") not in (None, b"0"):
+        raise MalformedError(message="it is an interim response with content")
