Drop the undelivered bytes of a request that was given up

Cause: a gateway that gives a request up closes its connection to the server. A plain close leaves the bytes that the server's system has not confirmed to this one, which sends them again until they arrive, also after the deadline, the caller's close, or the server's leaving.

Change: such a connection is reset, so that nothing more is sent; one whose bytes were all confirmed is closed as before. A carrying gateway does the same to the server when the asking one leaves.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -167,7 +167,7 @@
             self._unused[stream] = None
             if self._is_leaving:
                 stream.write(LENGTH.pack(LEAVING))
-            await self._carry(stream, conn.stream, server)
+            await self._carry(stream, conn, server)
         finally:
             self._waiting.discard(stream)
             self._unused.pop(stream, None)
@@ -222,14 +222,14 @@
         await _wait_until_delivered(stream)
         stream.abort()
 
-    async def _carry(self, caller: TcpStream, server: TcpStream, target: ProxyServer) -> None:
+    async def _carry(self, caller: TcpStream, conn: ServerConnection, target: ProxyServer) -> None:
         # The server takes the close as the end of the request, as from a caller of its own.
-        caller.on_disconnect = server.abort
+        caller.on_disconnect = conn.close
         if caller.eof:
             return
-        up = asyncio.ensure_future(self._carry_up(caller, server, target))
+        up = asyncio.ensure_future(self._carry_up(caller, conn.stream, target))
         try:
-            await self._carry_down(server, caller)
+            await self._carry_down(conn.stream, caller)
         except ConnectionError as exc:
             logger.debug("a carried connection has ended: {!r}", exc)
         finally:
--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -147,8 +147,15 @@
         return not self._stream.unsent and self._stream.is_quiet()
 
     def close(self) -> None:
-        """Close at once; the server treats this as cancellation of the request."""
-        self._stream.abort()
+        """Close at once; the server treats this as cancellation of the request.
+
+        Bytes that the server's system has not confirmed are dropped; after a plain close this one
+        would go on sending them, and the request could still arrive much later.
+        """
+        if self._stream.unacknowledged:
+            self._stream.reset()
+        else:
+            self._stream.abort()
 
     def discard(self) -> None:
         """Close at once by a TCP reset, so that bytes not yet delivered are dropped."""
