Tell in `unanswered` lines whose close ended a caller's connection, and how long its callers would have waited

The line could not tell a caller's reset from a close of this gateway's own that was taken for the caller's: a connection that is closing here counts as reset too (TcpStream.is_reset).

Change: the lines have `side` (open, half_closed, reset, closed_here) and, for each request, `left_ms`. No logic changed.

Test: test_the_line_tells_whose_end_ended_the_connection (the fields were not there before).

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -177,6 +177,7 @@
         self, exchange: CallerExchange, request: CallerRequest, route: Route, arrived_at: float
     ) -> Call | Rejection:
         timeout_s = route.timeout_s
+        exchange.timeout_s = request.timeout_s
         if request.timeout_s is not None:
             timeout_s = min(timeout_s, request.timeout_s)
         service = self._selector.choose_service(route)
--- a/packages/lychee-http/src/lychee_http/endings.py
+++ b/packages/lychee-http/src/lychee_http/endings.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from lychee_http.caller_side import CallerSide
 from lychee_http.stages import Stage
 
 if TYPE_CHECKING:
@@ -64,6 +65,7 @@
     :param stage: what it waited for.
     :param server: the server to which it was sent last, empty if it was sent to none.
     :param is_carried: whether another gateway carried it there.
+    :param left_ms: time that its caller would still have waited, in ms; None if it told no time.
     """
 
     request: str
@@ -73,6 +75,7 @@
     stage: Stage = Stage.HANDLING
     server: str = ""
     is_carried: bool = False
+    left_ms: int | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -82,11 +85,13 @@
     :param reason: why.
     :param requests: the requests, in the order in which they were sent.
     :param skipped: number of whole requests behind these that were received and not handled.
+    :param side: the state of the caller's side just then, None if it is not known.
     """
 
     reason: EndReason
     requests: tuple[UnansweredRequest, ...]
     skipped: int = 0
+    side: CallerSide | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -119,7 +124,10 @@
 
 def log_end(end: ConnectionEnd) -> None:
     """Log requests that got no answer; a warning if the caller did not cause it."""
-    bound = logger.bind(event="unanswered", requests=list(end.requests), skipped=end.skipped)
+    side = end.side.value if end.side is not None else None
+    bound = logger.bind(
+        event="unanswered", requests=list(end.requests), skipped=end.skipped, side=side
+    )
     _log(bound, end.reason, "requests of a caller's connection got no answer")
 
 
--- a/packages/lychee-http/src/lychee_http/exchange.py
+++ b/packages/lychee-http/src/lychee_http/exchange.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from lychee_http.caller_memory import EXCHANGE_BYTES, Holding, head_bytes
+from lychee_http.caller_side import CallerSide
 from lychee_http.endings import ConnectionEnd, EndReason, UnansweredRequest, log_end
 from lychee_http.inbound import BODILESS_STATUSES
 from lychee_http.messages import RequestHead, ResponseHead
@@ -109,6 +110,7 @@
         self.is_answered = False
         self.is_reported = False
         self.request_id = ""
+        self.timeout_s: float | None = None
         self.stage = Stage.HANDLING
         self.sendings: list[Sending] = []
         self._read_at = monotonic()
@@ -154,14 +156,17 @@
     def as_unanswered(self) -> UnansweredRequest:
         """Return what is to be reported of a request that gets no answer."""
         last = self.sendings[-1] if self.sendings else None
+        age_ms = round((monotonic() - self._read_at) * 1_000)
+        timeout_ms = round(self.timeout_s * 1_000) if self.timeout_s is not None else None
         return UnansweredRequest(
             request=self.request_id,
             was_sent=last is not None,
             has_begun=self.response_started,
-            age_ms=round((monotonic() - self._read_at) * 1_000),
+            age_ms=age_ms,
             stage=self.stage,
             server=last.server if last is not None else "",
             is_carried=last is not None and last.is_carried,
+            left_ms=timeout_ms - age_ms if timeout_ms is not None else None,
         )
 
     def record_sending(self, *, server: str, is_carried: bool) -> None:
@@ -334,10 +339,12 @@
     """Logs and counts requests that get no answer, each of them once.
 
     :param tally: counts them after they have been logged.
+    :param side: returns the state of the caller's side of the connection.
     """
 
-    def __init__(self, *, tally: RequestTally) -> None:
+    def __init__(self, *, tally: RequestTally, side: Callable[[], CallerSide]) -> None:
         self._tally = tally
+        self._side = side
 
     def report(
         self, reason: EndReason, exchanges: Iterable[CallerExchange], *, skipped: int = 0
@@ -354,6 +361,6 @@
         for exchange in lost:
             exchange.is_reported = True
         requests = tuple(e.as_unanswered() for e in lost)
-        end = ConnectionEnd(reason=reason, requests=requests, skipped=skipped)
+        end = ConnectionEnd(reason=reason, requests=requests, skipped=skipped, side=self._side())
         log_end(end)
         self._tally.count_end(end)
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from lychee_http.caller_side import caller_side
 from lychee_http.closing import wait_until_delivered
 from lychee_http.delivery import Outcome
 from lychee_http.endings import EndReason
@@ -81,7 +82,7 @@
         self._is_used = False
         self._read_while_closing = 0
         self._is_answered_ahead = False
-        self._unanswered = UnansweredReports(tally=self.tally)
+        self._unanswered = UnansweredReports(tally=self.tally, side=lambda: caller_side(stream))
         self._reader = RequestReader(stream=stream, head_limit=limits.head_bytes)
         self.holding = stream.holding
         self._exchanges = ExchangeQueue(limit=PIPELINE_LIMIT, holding=self.holding)
--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -123,6 +123,7 @@
         self.eof = False
         self.lost = False
         self.was_reset = False
+        self.is_closed_here = False
         self._is_reading_stopped = False
         self._is_writing_ended = False
         self._on_connect = on_connect
@@ -414,6 +415,7 @@
     def abort(self) -> None:
         """Close the connection at once; bytes that :attr:`unsent` counts are dropped."""
         if self._transport is not None:
+            self.is_closed_here |= not self._transport.is_closing()
             self._transport.abort()
 
     def reset(self) -> None:
--- a/packages/lychee-http/tests/test_end_reasons.py
+++ b/packages/lychee-http/tests/test_end_reasons.py
@@ -1,11 +1,14 @@
 """Requests without an answer are reported with a reason that is true."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 from loguru import logger
 
 from lychee_http import CallerLimits
+from lychee_http.caller_side import CallerSide
 from lychee_http.endings import EndReason
 
 from .test_pipelining import Harness, caller, get, harness, post, read_to_end, run
@@ -77,3 +80,30 @@
     logger.remove(sink)
     callers = (EndReason.CALLER_LEFT, EndReason.CALLER_STALLED, EndReason.REQUEST_CUT)
     assert levels == ["INFO" if reason in callers else "WARNING"]
+
+
+@pytest.mark.parametrize("how", ["resets", "closes", "half-closes", "stays"])
+def test_the_line_tells_whose_end_ended_the_connection(how):
+    async def scenario():
+        async with harness(checks_delivery=False) as h, caller(h) as (_, writer):
+            writer.write(get(b"a"))
+            await h.until_sent(b"a")
+            match how:
+                case "resets":
+                    sock = writer.get_extra_info("socket")
+                    linger = struct.pack("ii", 1, 0)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    writer.close()
+                case "closes":
+                    writer.close()
+                case "half-closes":
+                    writer.write_eof()
+                    await h.until(lambda: h.conns[0]._stream.eof)
+                    h.conns[0]._end(EndReason.STOPPED)
+                case "stays":
+                    h.conns[0]._end(EndReason.STOPPED)
+            await h.until(lambda: h.ends)
+            sides = {"half-closes": CallerSide.HALF_CLOSED, "stays": CallerSide.OPEN}
+            assert [end.side for end in h.ends] == [sides.get(how, CallerSide.RESET)]
+
+    run(scenario())
