--- a/packages/lychee-http/tests/test_given_up_requests.py
+++ b/packages/lychee-http/tests/test_given_up_requests.py
@@ -4,6 +4,7 @@
 import socket
 
 import pytest
+import uvloop
 
 from lychee_http import RequestHead
 from lychee_http.pool import ServerPool
@@ -27,13 +28,16 @@
     return bytes(received), False
 
 
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
 @pytest.mark.parametrize("ended_by", ["deadline", "close"])
-def test_bytes_that_were_not_delivered_are_dropped(ended_by):
+def test_bytes_that_were_not_delivered_are_dropped(ended_by, run):
     async def scenario(listener):
         host, port = listener.getsockname()
         pool = ServerPool(endpoint=Endpoint(host=host, port=port))
         conn = await pool.acquire(timeout_s=1.0)
         accepted, _ = listener.accept()
+        sender = conn.stream.transport.get_extra_info("socket")
+        sender.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * len(BODY))
         with pool.release_after_use(conn):
             conn.send(HEAD, BODY)
             assert conn.stream.unacknowledged and not conn.stream.unsent
@@ -47,7 +51,7 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
         listener.bind(("127.0.0.1", 0))
         listener.listen()
-        received, was_reset = asyncio.run(scenario(listener))
+        received, was_reset = run(scenario(listener))
     assert was_reset and len(received) < len(BODY)
 
 
