--- a/packages/lychee-control/tests/test_registry_calls.py
+++ b/packages/lychee-control/tests/test_registry_calls.py
@@ -265,3 +265,28 @@
         assert "status is 000" in reply.reason
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("kind", ["grant", "release"])
+def test_an_answer_whose_length_has_too_many_digits_fails_its_call(kind):
+    # The parser takes leading zeros; the error of the conversion was none that a call expects.
+    async def scenario():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %b\r\n\r\n" % (b"0" * 5_000))
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        endpoint = Endpoint(host="127.0.0.1", port=server.sockets[0].getsockname()[1])
+        client = ServerClient(endpoint=endpoint, codec=FakeCodec(), may_grant=lambda: True)
+        try:
+            await client.connect()
+            call = client.grant(KEYS, hold_s=3.0) if kind == "grant" else client.release(KEYS)
+            reply = await call
+        finally:
+            client.close()
+            server.close()
+        assert isinstance(reply, CallFailed) and reply.maybe_sent
+
+    asyncio.run(scenario())
