--- /dev/null
+++ b/packages/lychee-gateway/tests/test_review_carried_given_up.py
@@ -0,0 +1,112 @@
+"""A carried request that the asking gateway gave up reaches its server no more."""
+
+import asyncio
+import socket
+
+import pytest
+import uvloop
+
+from lychee_http import RequestHead
+from lychee_types.records import Endpoint
+
+from .test_carrying import Setup
+
+READ_LATE_S = 0.5
+
+
+def read_all(conn):
+    """Return all bytes that arrive at a socket, and whether its peer has reset it."""
+    received = bytearray()
+    conn.settimeout(5)
+    try:
+        while data := conn.recv(65_536):
+            received += data
+    except ConnectionResetError:
+        return len(received), True
+    return len(received), False
+
+
+class LateServer:
+    """A server whose system takes in little before it reads."""
+
+    def __init__(self, listener):
+        host, port = listener.getsockname()
+        self.endpoint = Endpoint(host=host, port=port)
+
+
+async def give_up(listener, size):
+    """Send a request that is carried and given up; return what its server gets afterwards."""
+    setup = Setup(LateServer(listener))
+    connect = setup.carrier._connect
+
+    async def connect_narrowly(server, timeout_s):
+        conn = await connect(server, timeout_s)
+        sock = conn.stream.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
+        return conn
+
+    setup.carrier._connect = connect_narrowly
+    setup.carrier.start()
+    try:
+        conn = await setup.open()
+        accepted, _ = listener.accept()
+        length = (b"content-length", b"%d" % size)
+        conn.send(RequestHead(method=b"POST", target=b"/", headers=(length,)), b"x" * size)
+        async with asyncio.timeout(5):
+            while conn.stream.unacknowledged:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        conn.close()
+        await asyncio.sleep(READ_LATE_S)
+        with accepted:
+            return await asyncio.to_thread(read_all, accepted)
+    finally:
+        await setup.carrier.close()
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+@pytest.mark.parametrize("size", [40_000, 150_000, 220_000, 300_000, 400_000])
+def test_a_carrier_drops_what_it_holds_of_a_request_that_was_given_up(size, run):
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        received, was_reset = run(give_up(listener, size))
+    assert was_reset and received < size
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_a_carrier_sends_nothing_more_of_a_large_request_that_was_given_up(run):
+    """The carrier has stopped reading from the asking gateway, as its own way is full."""
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        received, was_reset = run(give_up(listener, 400_000))
+    assert was_reset and received <= 8_192
+
+
+def test_a_carrier_ends_a_large_request_that_was_given_up_while_its_server_reads_nothing():
+    """It kept the connection, and its place among those that wait, as long as the server's."""
+
+    async def scenario(listener):
+        setup = Setup(LateServer(listener))
+        setup.carrier.start()
+        conn = await setup.open()
+        accepted, _ = listener.accept()
+        length = (b"content-length", b"9000000")
+        conn.send(RequestHead(method=b"POST", target=b"/", headers=(length,)), b"x" * 9_000_000)
+        await asyncio.sleep(0.3)
+        assert len(setup.carrier) == len(setup.carrier._waiting) == 1
+        conn.close()
+        await asyncio.sleep(2.0)
+        left = len(setup.carrier), len(setup.carrier._waiting)
+        accepted.close()
+        await setup.carrier.close()
+        return left
+
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        assert asyncio.run(scenario(listener)) == (0, 0)
