--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -52,6 +52,7 @@
         self._until_close = until_close
         self._ends_at_close = False
         self._is_request_sent = True
+        self._is_answered = False
         self._may_be_reused = True
         self.is_new = True
         self._parser: ResponseParser | None = None
@@ -85,6 +86,7 @@
         self._method = head.method
         self.is_new = False
         self._ends_at_close = False
+        self._is_answered = False
         self._parser = ResponseParser(head_limit=HEAD_LIMIT_BYTES, to_head=head.method == b"HEAD")
         lines = [b"%b %b HTTP/1.1\r\n" % (head.method, head.target)]
         lines += [b"%b: %b\r\n" % header for header in head.headers]
@@ -135,6 +137,7 @@
     def end_exchange(self) -> bool:
         """End the exchange; return whether the connection may be used for another one."""
         parser, self._parser = self._parser, None
+        self._is_answered = parser is not None and parser.complete
         if not self._may_be_reused or not self._is_request_sent or self._ends_at_close:
             return False
         if parser is not None and not (parser.complete and parser.allows_keep_alive):
@@ -149,10 +152,10 @@
     def close(self) -> None:
         """Close at once; the server treats this as cancellation of the request.
 
-        Bytes that the server's system has not confirmed are dropped; after a plain close this one
-        would go on sending them, and the request could still arrive much later.
+        Bytes of an unanswered request that the server's system has not confirmed are dropped; after
+        a plain close this one would go on sending them, and it could still arrive much later.
         """
-        if self._stream.unacknowledged:
+        if self._stream.unacknowledged and not self._is_answered:
             self._stream.reset()
         else:
             self._stream.abort()
