Take a Content-Length of more than 18 digits for malformed in responses too

Seen in tests of numbers outside their range: a server that answers a grant with 5,000 zeros as its length ends the leader; the same to a request is an unexpected error (502 without a repeat, 500 at the other kind of gateways). Cause: the parser takes leading zeros, and int() raises ValueError over 4,300 digits, which no caller of it expects. Requests had this limit.

--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -16,6 +16,9 @@
 HEAD_LIMIT_BYTES = 65_536
 """Maximum size of the head of a backend server's response."""
 
+MAX_LENGTH_DIGITS = 18
+"""Maximum number of digits of a Content-Length; Python reads no number of some thousands."""
+
 BODILESS_STATUSES = frozenset((204, 304))
 """Statuses whose responses have no body."""
 
@@ -182,7 +185,7 @@
                     "it has neither Content-Length nor chunks, so its end is unknown"
                 )
             return head
-        if not declared.isdigit():
+        if not declared.isdigit() or len(declared) > MAX_LENGTH_DIGITS:
             raise _response_error("its Content-Length is malformed")
         return replace(head, length=int(declared))
 
