Keep a whole response before a switch of protocols, and take none of another protocol behind an interim one

Seen in review of: a whole response followed in one read by a 101 was dropped, and its caller waited until the deadline; RTSP/1.0 and ICE/1.0 became answers behind an interim response, as only the first bytes were looked at.

--- a/packages/lychee-http/src/lychee_http/response_parser.py
+++ b/packages/lychee-http/src/lychee_http/response_parser.py
@@ -97,7 +97,8 @@
             self._parse(self._parser, data)
         except httptools.HttpParserUpgrade:
             self._error = MalformedError(message="it switches protocols")
-            self._events.clear()
+            if not self.complete:
+                self._events.clear()
         self._limit_bytes_without_event(len(data), len(self._events) > event_count)
         if was_in_body:
             self._limit_framing(len(data) - (self._body_bytes - body_bytes))
@@ -158,7 +159,7 @@
         version = self._parser.get_http_version()
         if not MIN_STATUS <= status <= MAX_STATUS:
             raise MalformedError(message=f"its status is {status:03d}")
-        if version.encode() not in VERSIONS:
+        if version.encode() not in VERSIONS or (self._interim and version == "1.0"):
             raise MalformedError(message=f"its version is HTTP/{version}")
         self._interim = status < MIN_FINAL_STATUS
         if self._interim:
