--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -124,6 +124,7 @@
         self.lost = False
         self.was_reset = False
         self.is_closed_here = False
+        self.loss: Exception | None = None
         self._is_reading_stopped = False
         self._is_writing_ended = False
         self._on_connect = on_connect
@@ -278,6 +279,7 @@
         self.lost = True
         self._lost_event.set()
         self.was_reset = exc is not None
+        self.loss = exc
         self._wake_reader()
         self.resume_writing()
         self.holding.end()
@@ -353,7 +355,7 @@
         """
         if self.lost or self._is_writing_ended or self.transport.is_closing():
             return
-        self._is_writing_ended = True
+        self._is_writing_ended = self.is_closed_here = True
         if self.unsent:
             self.transport.write_eof()
         else:
