Let a carrier close plainly to a server that has answered

Cause: the carrier can't tell an answered request by a parser, as it has none. Change: it drops unconfirmed bytes only while the server owes an answer.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -169,9 +169,9 @@
                 stream.write(LENGTH.pack(LEAVING))
             await self._carry(stream, conn, server)
         finally:
+            self._end_at_server(stream, conn)
             self._waiting.discard(stream)
             self._unused.pop(stream, None)
-            conn.close()
             stream.abort()
 
     async def _open(self, stream: TcpStream) -> tuple[ProxyServer, ServerConnection]:
@@ -224,7 +224,7 @@
 
     async def _carry(self, caller: TcpStream, conn: ServerConnection, target: ProxyServer) -> None:
         # The server takes the close as the end of the request, as from a caller of its own.
-        caller.on_disconnect = conn.close
+        caller.on_disconnect = lambda: self._end_at_server(caller, conn)
         if caller.eof:
             return
         up = asyncio.ensure_future(self._carry_up(caller, conn.stream, target))
@@ -237,6 +237,13 @@
             with suppress(asyncio.CancelledError):
                 await up
 
+    def _end_at_server(self, caller: TcpStream, conn: ServerConnection) -> None:
+        """Close the connection to a server; one that has answered still gets what was written."""
+        if caller in self._waiting:
+            conn.close()
+        else:
+            conn.stream.abort()
+
     async def _carry_up(self, caller: TcpStream, server: TcpStream, target: ProxyServer) -> None:
         try:
             while chunks := await caller.read_chunks():
--- a/packages/lychee-gateway/tests/test_review_carried_given_up.py
+++ b/packages/lychee-gateway/tests/test_review_carried_given_up.py
@@ -34,8 +34,11 @@
         self.endpoint = Endpoint(host=host, port=port)
 
 
-async def give_up(listener, size):
-    """Send a request that is carried and given up; return what its server gets afterwards."""
+async def give_up(listener, size, *, answer=b""):
+    """Send a request that is carried, and close; return what its server gets afterwards.
+
+    The server answers before it reads if there is an answer.
+    """
     setup = Setup(LateServer(listener))
     connect = setup.carrier._connect
 
@@ -56,6 +59,10 @@
             while conn.stream.unacknowledged:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
         await asyncio.sleep(0.1)
+        if answer:
+            accepted.sendall(answer)
+            assert (await conn.read_head()).status == 200 and not await conn.read_chunk()
+            assert not conn.end_exchange()
         conn.close()
         await asyncio.sleep(READ_LATE_S)
         with accepted:
@@ -110,3 +117,14 @@
         listener.bind(("127.0.0.1", 0))
         listener.listen()
         assert asyncio.run(scenario(listener)) == (0, 0)
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_the_rest_of_a_carried_request_that_was_answered_early_reaches_its_server(run):
+    answer = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        received, was_reset = run(give_up(listener, 40_000, answer=answer))
+    assert received > 40_000 and not was_reset
