--- a/packages/lychee-http/src/lychee_http/response_parser.py
+++ b/packages/lychee-http/src/lychee_http/response_parser.py
@@ -159,6 +159,7 @@
         version = self._parser.get_http_version()
         if not MIN_STATUS <= status <= MAX_STATUS:
             raise MalformedError(message=f"its status is {status:03d}")
+        # Behind an interim response, 1.0 is the version of a related protocol.
         if version.encode() not in VERSIONS or (self._interim and version == "1.0"):
             raise MalformedError(message=f"its version is HTTP/{version}")
         self._interim = status < MIN_FINAL_STATUS
