Keep a server's rate limit when it sends a malformed one

A server whose Server-Limit is no number (-1, nan, inf, 1e9 with ten digits) counted as one that names no limit. In an answer of 2xx to 4xx that ends the limit before it, and callers' requests went to the server at more than it takes. Cause: a malformed value was read as a missing one (the class of docs/incidents/responses-that-cannot-be-one.md: a value outside its range taken for its neighbour). Change: ResponseInfo tells the two apart, and Attempts records nothing for a malformed one.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -365,7 +365,8 @@
         elif not info.is_not_run:
             server.record_answer(in_flight, seconds)
         # A server that refuses or fails may answer before it knows of its limit.
-        if info.limit_per_s is not None or not (info.is_not_run or has_failed):
+        is_no_news = info.is_limit_malformed or info.is_not_run or has_failed
+        if info.limit_per_s is not None or not is_no_news:
             self._limits.record(server.run, info.limit_per_s, sent_at=in_flight.sent_at)
 
     async def _read_answer(
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/codec.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/codec.py
@@ -55,6 +55,7 @@
     :param is_encoded: whether the body has a content encoding.
     :param limit_per_s: rate limit that the server names for all gateways together, in requests per
         second, None if it names none.
+    :param is_limit_malformed: whether it names one that can't be read; the one before stays.
     """
 
     request_id: str
@@ -63,6 +64,7 @@
     occupancy: Occupancy | None
     is_encoded: bool
     limit_per_s: float | None = None
+    is_limit_malformed: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
