Pass on a server's refusal whose Retry-After has thousands of digits

A caller got 500 with an unknown outcome for a request that its server had refused (503 and marked). Cause: Python converts no number of more than 4,300 digits, and the error ended the exchange. Change: a Retry-After of more than 9 digits counts as none.

--- a/packages/lychee-gateway/src/lychee_gateway/exchange.py
+++ b/packages/lychee-gateway/src/lychee_gateway/exchange.py
@@ -45,6 +45,9 @@
 DROPPED_RESPONSE_HEADERS = frozenset((b"content-length", b"lychee-outcome", REFUSAL_HEADER))
 """Headers of a server's response that the gateway sets itself, or that are not for callers."""
 
+MAX_RETRY_AFTER_DIGITS = 9
+"""Maximum number of digits of a Retry-After; Python reads no number of some thousands."""
+
 ForwardStream = Callable[[ResponseHead, ServerConnection], Awaitable[bool]]
 """Streams a response to the caller, and returns whether it was complete."""
 
@@ -199,9 +202,10 @@
     if head.status != 503 or reason is None:
         return Response(head=caller_response_head(head), body=body)
     retry_after = header_value(head.headers, b"retry-after") or b""
+    is_delay = retry_after.isdigit() and len(retry_after) <= MAX_RETRY_AFTER_DIGITS
     return Refusal(
         reason=reason.decode("latin-1"),
-        retry_after_s=int(retry_after) if retry_after.isdigit() else None,
+        retry_after_s=int(retry_after) if is_delay else None,
     )
 
 
