Move what the system tells of a socket out of the TCP stream

tcp.py had grown past what one can keep in mind. SocketState asks the system; the stream's answers are as before. No change of behaviour; the package's tests pass.

--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import fcntl
-import select
 import socket
 import struct
 import sys
@@ -16,6 +15,7 @@
 
 from lychee_http.caller_memory import UNCOUNTED, Holding
 from lychee_http.lateness import SegmentCount, since_data_s
+from lychee_http.socket_state import SocketState
 from lychee_types.clock import SystemClock
 from lychee_types.timeouts import timeout_after_input
 
@@ -140,7 +140,7 @@
         self._has_resumed = False
         self._data_waiter: asyncio.Future[None] | None = None
         self._drain_waiter: asyncio.Future[None] | None = None
-        self._poll: select.poll | None = None
+        self._state: SocketState | None = None
         self._lost_event = asyncio.Event()
         self._written = 0
         self._acknowledged = 0
@@ -403,7 +403,7 @@
         """Return whether the operating system takes bytes, or the wait for that is over."""
         if not self.is_congested or self.transport.is_closing():
             return True
-        return bool(self._poll_events() & select.POLLOUT)
+        return self._socket_state().has_room()
 
     def close(self) -> None:
         """Close the connection after the unsent bytes have been sent."""
@@ -460,7 +460,7 @@
         """
         if self.eof or self._received_size or self.transport.is_closing():
             return False
-        return not self._poll_events() & ~select.POLLOUT
+        return self._socket_state().is_quiet()
 
     def is_reset(self) -> bool:
         """Return whether the connection is lost, or the peer has reset it after ending its side.
@@ -469,7 +469,7 @@
         """
         if self.lost or self.transport.is_closing():
             return True
-        return bool(self._poll_events() & (select.POLLERR | select.POLLHUP))
+        return self._socket_state().is_reset()
 
     def has_failed(self) -> bool:
         """Return whether the connection is lost, or has been reset by the peer.
@@ -478,19 +478,16 @@
         """
         if self.lost or self.transport.is_closing():
             return True
-        return bool(self._poll_events() & select.POLLERR)
+        return self._socket_state().has_failed()
 
     def is_acknowledged(self) -> bool:
         """Return whether the peer's operating system has confirmed every byte written."""
         return not self.unacknowledged
 
-    def _poll_events(self) -> int:
-        if self._poll is None:
-            sock = self.transport.get_extra_info("socket")
-            self._poll = select.poll()
-            events = select.POLLIN | select.POLLOUT | select.POLLRDHUP
-            self._poll.register(sock.fileno(), events)
-        return sum(events for _, events in self._poll.poll(0))
+    def _socket_state(self) -> SocketState:
+        if self._state is None:
+            self._state = SocketState(self.transport.get_extra_info("socket"))
+        return self._state
 
     def _notify_disconnect(self) -> None:
         on_disconnect, self.on_disconnect = self.on_disconnect, _do_nothing
