Wait for a full carrier in the test of what it holds of given-up requests

Nobody's request was harmed; the test's own condition was wrong. Cause: before it closes, the test waited until the carrier's system had confirmed the whole request. A carrier whose server reads nothing has stopped reading, so bytes beyond the buffers of its system never are. Here the buffers grow to more than 400 kB, there they don't. Change: it waits until all is confirmed or nothing more is; its check is unchanged. Four cases with a small receive buffer at the carrier play it on any system.

--- a/packages/lychee-gateway/tests/test_review_carried_given_up.py
+++ b/packages/lychee-gateway/tests/test_review_carried_given_up.py
@@ -34,12 +34,27 @@
         self.endpoint = Endpoint(host=host, port=port)
 
 
-async def give_up(listener, size, *, answer=b""):
+async def until_taken_in(stream):
+    """Wait until the carrier's system has all bytes, or takes in no more.
+
+    How many it takes in while the carrier reads nothing differs from system to system.
+    """
+    async with asyncio.timeout(5):
+        left = None
+        while left != (left := stream.unacknowledged):
+            await asyncio.sleep(0.2)
+
+
+async def give_up(listener, size, *, answer=b"", receive_buffer=None):
     """Send a request that is carried, and close; return what its server gets afterwards.
 
-    The server answers before it reads if there is an answer.
+    The server answers before it reads if there is an answer. The carrier's system takes in the
+    bytes of a receive buffer only, if that is given.
     """
     setup = Setup(LateServer(listener))
+    if receive_buffer is not None:
+        sock = setup.carrier._listener._sock
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
     connect = setup.carrier._connect
 
     async def connect_narrowly(server, timeout_s):
@@ -55,10 +70,7 @@
         accepted, _ = listener.accept()
         length = (b"content-length", b"%d" % size)
         conn.send(RequestHead(method=b"POST", target=b"/", headers=(length,)), b"x" * size)
-        async with asyncio.timeout(5):
-            while conn.stream.unacknowledged:  # noqa: ASYNC110
-                await asyncio.sleep(0.01)
-        await asyncio.sleep(0.1)
+        await until_taken_in(conn.stream)
         if answer:
             accepted.sendall(answer)
             assert (await conn.read_head()).status == 200 and not await conn.read_chunk()
@@ -82,6 +94,18 @@
     assert was_reset and received < size
 
 
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+@pytest.mark.parametrize("size", [300_000, 400_000])
+def test_a_carrier_whose_system_takes_in_little_drops_what_it_holds(size, run):
+    # The test waited until the carrier's system had everything, which never came where it is full.
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        received, was_reset = run(give_up(listener, size, receive_buffer=16_384))
+    assert was_reset and received < size
+
+
 @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
 def test_a_carrier_sends_nothing_more_of_a_large_request_that_was_given_up(run):
     """The carrier has stopped reading from the asking gateway, as its own way is full."""
