End a carried request that was given up while its server reads nothing

A server got up to 219 kB more of an upload of 400 kB that its caller had given up, and a carrying gateway kept the connection, and one of 64 places for requests that wait, as long as the server did. Cause: a carrier whose server takes no more bytes reads no more from the asking gateway either. The event loop tells an end of the stream only behind the bytes ahead of it, and a reset only to a transport that reads. Change: while it waits for its server, the carrier asks the system every 0.1 s whether the asking gateway has ended, and then ends the connection to the server, by a reset if bytes are unconfirmed.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -52,6 +52,9 @@
 MIN_WAIT_S = 0.1
 """Least time that is taken off the time that a carried request has left, in seconds."""
 
+END_CHECK_S = 0.1
+"""Interval at which a gateway is watched while nothing more can be read of it, in seconds."""
+
 MAX_WAIT_S = 2.0
 """Time after which a request that waited here is not sent any more, in seconds.
 
@@ -227,7 +230,7 @@
         caller.on_disconnect = lambda: self._end_at_server(caller, conn)
         if caller.eof:
             return
-        up = asyncio.ensure_future(self._carry_up(caller, conn.stream, target))
+        up = asyncio.ensure_future(self._carry_up(caller, conn, target))
         try:
             await self._carry_down(conn.stream, caller)
         except ConnectionError as exc:
@@ -244,7 +247,10 @@
         else:
             conn.stream.abort()
 
-    async def _carry_up(self, caller: TcpStream, server: TcpStream, target: ProxyServer) -> None:
+    async def _carry_up(
+        self, caller: TcpStream, conn: ServerConnection, target: ProxyServer
+    ) -> None:
+        server = conn.stream
         try:
             while chunks := await caller.read_chunks():
                 data = b"".join(chunk.data for chunk in chunks)
@@ -258,7 +264,10 @@
                 self._unused.pop(caller, None)
                 self._on_bytes(len(data))
                 server.write(data)
-                await server.drain()
+                if not await _drain(server, unless_ended=caller):
+                    self._end_at_server(caller, conn)
+                    caller.abort()
+                    return
         except ConnectionError as exc:
             # The other direction delivers what the server has sent until then.
             logger.debug("a server has ended a carried connection: {!r}", exc)
@@ -292,6 +301,21 @@
         await _wait_until_delivered(caller)
 
 
+async def _drain(server: TcpStream, *, unless_ended: TcpStream) -> bool:
+    """Wait until a server takes bytes again; return False if the asking gateway has ended.
+
+    :param unless_ended: the connection of that gateway, of which nothing is read meanwhile.
+    :raises ConnectionError: if the connection to the server is lost.
+    """
+    while True:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(END_CHECK_S):
+                await server.drain()
+                return True
+        if unless_ended.has_ended():
+            return False
+
+
 async def _read_frame(stream: TcpStream) -> bytes:
     """Read the one frame that a new connection begins with.
 
--- a/packages/lychee-http/src/lychee_http/socket_state.py
+++ b/packages/lychee-http/src/lychee_http/socket_state.py
@@ -22,6 +22,10 @@
         """Return whether there are neither unread bytes nor an end of the stream."""
         return not self._events() & ~select.POLLOUT
 
+    def has_ended(self) -> bool:
+        """Return whether the peer has ended its side; bytes ahead of that may be unread."""
+        return bool(self._events() & (select.POLLRDHUP | select.POLLERR | select.POLLHUP))
+
     def is_reset(self) -> bool:
         """Return whether the connection has failed, or both sides have ended."""
         return bool(self._events() & (select.POLLERR | select.POLLHUP))
--- a/packages/lychee-http/src/lychee_http/tcp.py
+++ b/packages/lychee-http/src/lychee_http/tcp.py
@@ -462,6 +462,13 @@
             return False
         return self._socket_state().is_quiet()
 
+    def has_ended(self) -> bool:
+        """Return whether the peer has ended its side, or the connection is lost.
+
+        Ask the operating system, since the event loop sees no end behind bytes it does not read.
+        """
+        return self.eof or self.transport.is_closing() or self._socket_state().has_ended()
+
     def is_reset(self) -> bool:
         """Return whether the connection is lost, or the peer has reset it after ending its side.
 
