--- a/packages/lychee-gateway/tests/test_review_carried_given_up.py
+++ b/packages/lychee-gateway/tests/test_review_carried_given_up.py
@@ -41,7 +41,7 @@
     """
     async with asyncio.timeout(5):
         left = None
-        while left != (left := stream.unacknowledged):
+        while left != (left := stream.unacknowledged):  # noqa: ASYNC110
             await asyncio.sleep(0.2)
 
 
