Tell the asking gateway that a carried request was not sent on

Callers got 502, outcome unknown, for a request that a carrying gateway had dropped before it sent a byte of it, as it came too late or its server had left; an unsafe request was not tried elsewhere. Cause: the carrier just closed the connection, which looks the same as a server's end. Change: before it closes, the carrier sends the frame length DROPPED, as it does LEAVING. The asking gateway takes the request as not run, unless a byte of an answer to it has come; it is tried again as one that a server refused, and ends with 503. A gateway without this length sees a frame that is cut off and answers 502 as before; a carrier without it closes as before. Without the check for a byte of an answer the test of a request that was answered in part fails (tried).

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -339,6 +339,8 @@
         except TimeoutError:
             return TooLate(is_callers_fault=sending.awaits_caller)
         except (ServerResponseError, ConnectionError) as exc:
+            if conn.was_dropped:
+                return NotRun(reason="the carrying gateway did not send it on", was_sent=True)
             if wait.is_dropped:
                 return NoAnswer(reason="its server no longer has it", is_dropped=True)
             if sending.has_stalled:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -18,7 +18,7 @@
 from lychee_gateway.proxy.server_list import ServerList
 from lychee_gateway.proxy.servers import ProxyServer
 from lychee_http import ServerConnection, TcpStream
-from lychee_http.carrying import LEAVING, LENGTH, MAX_REPLY_BYTES, encode_frame
+from lychee_http.carrying import DROPPED, LEAVING, LENGTH, MAX_REPLY_BYTES, encode_frame
 from lychee_http.closing import wait_until_delivered
 from lychee_http.listener import Listener
 from lychee_http.tcp import RECEIPT_CLOCK
@@ -278,7 +278,8 @@
             "a carried request came too late for its server"
         )
         self._on_request("dropped")
-        caller.abort()
+        caller.write(LENGTH.pack(DROPPED))
+        # The other direction ends with it, and waits until the asking gateway has that frame.
         server.abort()
 
     def _without_wait(self, data: bytes, waited_s: float) -> bytes:
--- a/packages/lychee-gateway/tests/test_carrying.py
+++ b/packages/lychee-gateway/tests/test_carrying.py
@@ -347,10 +347,36 @@
             await conn.read_head()
         await setup.server.ended.wait()
         assert setup.outcomes == ["carried", "dropped"] and len(received) == 1
+        assert conn.was_dropped
 
     play(note, scenario)
 
 
+def test_a_request_that_was_answered_in_part_does_not_count_as_dropped():
+    # Its rest does, but the server has run it.
+    async def answer_early(reader, writer):
+        await reader.readexactly(4)
+        writer.write(b"HTTP/1.1 200 OK\r\n")
+        await reader.read()
+
+    async def scenario(setup):
+        conn = await setup.open()
+        has_begun = asyncio.Event()
+        conn.stream.on_input = has_begun.set
+        conn.send(
+            RequestHead(method=b"POST", target=b"/", headers=((b"content-length", b"8"),)), b""
+        )
+        await has_begun.wait()
+        setup.may_send = False
+        conn.stream.write(b"abcdefgh")
+        with pytest.raises((ServerResponseError, ConnectionError)):
+            await conn.read_head()
+        assert setup.outcomes == ["carried", "dropped"] and conn.stream.was_dropped
+        assert not conn.was_dropped
+
+    play(answer_early, scenario)
+
+
 def test_the_rest_of_an_upload_that_was_answered_early_reaches_a_server_that_has_left():
     received = bytearray()
     is_received = asyncio.Event()
--- a/packages/lychee-http/src/lychee_http/carrying.py
+++ b/packages/lychee-http/src/lychee_http/carrying.py
@@ -7,6 +7,9 @@
 - The first frame is the reply.
 - An empty frame says that the server has ended its stream cleanly.
 - The length :data:`LEAVING` says that the carrying gateway is stopping; no bytes follow it.
+- The length :data:`DROPPED` says that it has sent the server nothing of the request that came last,
+  and ends the connection. A gateway that does not know this length takes it for a frame that is cut
+  off, which leaves the outcome unknown.
 """
 
 import asyncio
@@ -15,6 +18,7 @@
 from msgspec import DecodeError
 from msgspec.msgpack import Decoder, Encoder
 
+from lychee_http.messages import RequestHead
 from lychee_http.outbound import ServerConnection
 from lychee_http.tcp import TcpStream
 from lychee_types.exceptions import LycheeError
@@ -28,6 +32,9 @@
 LEAVING = 0xFFFF_FFFF
 """Length of a frame that has no bytes and says that the carrying gateway is stopping."""
 
+DROPPED = 0xFFFF_FFFE
+"""Length of a frame that has no bytes and says that the last request was not sent on."""
+
 MAX_REPLY_BYTES = 4_096
 """Maximum size of the request and of the reply, in bytes."""
 
@@ -59,6 +66,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.is_leaving = False
+        self.was_dropped = False
         self._reply: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
         self._reply_bytes = bytearray()
         self._length_bytes = bytearray()
@@ -115,6 +123,9 @@
         elif length == LEAVING:
             self.is_leaving = True
             self._notify_disconnect()
+        elif length == DROPPED:
+            self.was_dropped = True
+            self.abort()
         elif length == 0:
             self._is_ended = True
             super().eof_received()
@@ -136,6 +147,30 @@
             self._reply.exception()
 
 
+class CarriedConnection(ServerConnection):
+    """A connection to a server that another gateway carries.
+
+    :param stream: the connection to that gateway.
+    :param until_close: as for :class:`ServerConnection`.
+    """
+
+    def __init__(self, *, stream: CarriedStream, until_close: bool) -> None:
+        super().__init__(stream=stream, until_close=until_close, is_carried=True)
+        self._carried_stream = stream
+        self._received_before = 0
+
+    @property
+    def was_dropped(self) -> bool:
+        """Whether the carrying gateway tells that the server got nothing of the last request."""
+        has_input = self._carried_stream.received > self._received_before
+        return self._carried_stream.was_dropped and not has_input
+
+    def send(self, head: RequestHead, body: bytes) -> None:
+        """Send a request as :class:`ServerConnection` does."""
+        self._received_before = self._carried_stream.received
+        super().send(head, body)
+
+
 async def open_carried_connection(
     carrier: Endpoint, request: CarryRequest, *, timeout_s: float, until_close: bool = False
 ) -> ServerConnection:
@@ -158,7 +193,7 @@
         except BaseException:
             stream.abort()
             raise
-    return ServerConnection(stream=stream, until_close=until_close, is_carried=True)
+    return CarriedConnection(stream=stream, until_close=until_close)
 
 
 def _check_reply(data: bytes) -> None:
--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -66,6 +66,11 @@
         """The TCP connection."""
         return self._stream
 
+    @property
+    def was_dropped(self) -> bool:
+        """Whether it is known that the server got nothing of the last request."""
+        return False
+
     def is_reusable(self) -> bool:
         """Return whether the idle connection can take a request.
 
