--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -310,13 +310,14 @@
     :param unless_ended: the connection of that gateway, of which nothing is read meanwhile.
     :raises ConnectionError: if the connection to the server is lost.
     """
-    while True:
+    while server.is_congested:
         with suppress(TimeoutError):
             async with asyncio.timeout(END_CHECK_S):
                 await server.drain()
                 return True
         if unless_ended.has_ended():
             return False
+    return True
 
 
 async def _read_frame(stream: TcpStream) -> bytes:
