Don't take an early-answered upload for one that was given up at its carrier

Cause: an end of the asking gateway says that it gave up only while it has no answer. Change: the carrier ends the connection to its server only if that has sent nothing so far. The timer is set only where the server takes no bytes.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -303,18 +303,22 @@
 
 
 async def _drain(server: TcpStream, *, unless_ended: TcpStream) -> bool:
-    """Wait until a server takes bytes again; return False if the asking gateway has ended.
+    """Wait until a server takes bytes again; return False if the asking gateway gave up meanwhile.
+
+    It has if it has ended and the server has sent nothing yet. Otherwise it may have its answer, and
+    what it sent is to reach the server.
 
     :param unless_ended: the connection of that gateway, of which nothing is read meanwhile.
     :raises ConnectionError: if the connection to the server is lost.
     """
-    while True:
+    while server.is_congested:
         with suppress(TimeoutError):
             async with asyncio.timeout(END_CHECK_S):
                 await server.drain()
                 return True
-        if unless_ended.has_ended():
+        if not server.received and unless_ended.has_ended():
             return False
+    return True
 
 
 async def _read_frame(stream: TcpStream) -> bytes:
--- a/packages/lychee-gateway/tests/test_review_carried_given_up.py
+++ b/packages/lychee-gateway/tests/test_review_carried_given_up.py
@@ -34,6 +34,21 @@
         self.endpoint = Endpoint(host=host, port=port)
 
 
+def narrow_setup(server):
+    """Return a carrier whose system takes little for its server."""
+    setup = Setup(server)
+    connect = setup.carrier._connect
+
+    async def connect_narrowly(server, timeout_s):
+        conn = await connect(server, timeout_s)
+        sock = conn.stream.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
+        return conn
+
+    setup.carrier._connect = connect_narrowly
+    return setup
+
+
 async def until_taken_in(stream):
     """Wait until the carrier's system has all bytes, or takes in no more.
 
@@ -51,19 +66,10 @@
     The server answers before it reads if there is an answer. The carrier's system takes in the
     bytes of a receive buffer only, if that is given.
     """
-    setup = Setup(LateServer(listener))
+    setup = narrow_setup(LateServer(listener))
     if receive_buffer is not None:
         sock = setup.carrier._listener._sock
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-    connect = setup.carrier._connect
-
-    async def connect_narrowly(server, timeout_s):
-        conn = await connect(server, timeout_s)
-        sock = conn.stream.transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
-        return conn
-
-    setup.carrier._connect = connect_narrowly
     setup.carrier.start()
     try:
         conn = await setup.open()
