Let nothing follow the frame that says a carried request was not sent

Found by the review: a gateway that does not know DROPPED took the empty frame behind it for four bytes of an answer. It answered 502 as before, but did not count the connection as ended, and went on using that carrier's other connections. Change: a connection that was dropped ends without the empty frame. Measured: the new test failed before and passes.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -116,6 +116,7 @@
         self._listener = Listener(endpoint=endpoint, accept=self._accept)
         self._tasks: dict[asyncio.Task[None], TcpStream] = {}
         self._waiting: set[TcpStream] = set()
+        self._dropped: set[TcpStream] = set()
         # The one that was used least recently is first.
         self._unused: dict[TcpStream, None] = {}
         self._is_leaving = False
@@ -174,6 +175,7 @@
         finally:
             self._end_at_server(stream, conn)
             self._waiting.discard(stream)
+            self._dropped.discard(stream)
             self._unused.pop(stream, None)
             stream.abort()
 
@@ -278,6 +280,7 @@
             "a carried request came too late for its server"
         )
         self._on_request("dropped")
+        self._dropped.add(caller)
         caller.write(LENGTH.pack(DROPPED))
         # The other direction ends with it, and waits until the asking gateway has that frame.
         server.abort()
@@ -298,14 +301,15 @@
             await _wait_until_delivered(caller, with_end=False)
             caller.reset()
             return
-        caller.write(LENGTH.pack(0))
+        if caller not in self._dropped:
+            caller.write(LENGTH.pack(0))
         await _wait_until_delivered(caller)
 
 
 async def _drain(server: TcpStream, *, unless_ended: TcpStream) -> bool:
     """Wait until a server takes bytes again; return False if the asking gateway gave up meanwhile.
 
-    It has if it has ended and the server has sent nothing yet. Otherwise it may have its answer, and
+    It did if it has ended and the server has sent nothing. Otherwise it may have its answer, and
     what it sent is to reach the server.
 
     :param unless_ended: the connection of that gateway, of which nothing is read meanwhile.
--- a/packages/lychee-gateway/tests/test_carrying.py
+++ b/packages/lychee-gateway/tests/test_carrying.py
@@ -12,7 +12,13 @@
 from lychee_gateway.proxy.carrier import Carrier
 from lychee_gateway.proxy.server_list import ServerList
 from lychee_http import RequestHead
-from lychee_http.carrying import LENGTH, NotCarriedError, encode_frame, open_carried_connection
+from lychee_http.carrying import (
+    DROPPED,
+    LENGTH,
+    NotCarriedError,
+    encode_frame,
+    open_carried_connection,
+)
 from lychee_http.exceptions import ServerResponseError
 from lychee_ranges import RoutedState
 from lychee_runtime.ports import free_endpoint
@@ -352,6 +358,22 @@
     play(note, scenario)
 
 
+def test_nothing_follows_the_frame_of_a_dropped_request():
+    # A gateway that does not know the frame took what followed for an answer, not for the end.
+    async def scenario(setup):
+        setup.may_send = False
+        reader, writer = await asyncio.open_connection(setup.address.host, setup.address.port)
+        request = CarryRequest(run=RUN, endpoint=setup.server.endpoint, timeout_ms=1_000)
+        writer.write(encode_frame(msgspec.msgpack.encode(request)))
+        (size,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+        await reader.readexactly(size)
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        assert await reader.read() == LENGTH.pack(DROPPED)
+        writer.close()
+
+    play(answer_nothing, scenario)
+
+
 def test_a_request_that_was_answered_in_part_does_not_count_as_dropped():
     # Its rest does, but the server has run it.
     async def answer_early(reader, writer):
