--- a/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/attempts.py
@@ -92,7 +92,7 @@
     """The server did not run the request.
 
     :param reason: what the server answered, or why the request was not sent.
-    :param was_sent: whether the request reached the server.
+    :param was_sent: whether bytes of it were sent, also if they reached no server.
     :param is_misdirected: whether the address or the key belongs to another server.
     :param retry_after_s: time after which another request may be run, in seconds.
     """
@@ -339,7 +339,7 @@
         except TimeoutError:
             return TooLate(is_callers_fault=sending.awaits_caller)
         except (ServerResponseError, ConnectionError) as exc:
-            if conn.was_dropped:
+            if conn.was_not_sent_on:
                 return NotRun(reason="the carrying gateway did not send it on", was_sent=True)
             if wait.is_dropped:
                 return NoAnswer(reason="its server no longer has it", is_dropped=True)
--- a/packages/lychee-gateway/tests/test_carrying.py
+++ b/packages/lychee-gateway/tests/test_carrying.py
@@ -353,7 +353,7 @@
             await conn.read_head()
         await setup.server.ended.wait()
         assert setup.outcomes == ["carried", "dropped"] and len(received) == 1
-        assert conn.was_dropped
+        assert conn.was_not_sent_on
 
     play(note, scenario)
 
@@ -393,8 +393,8 @@
         conn.stream.write(b"abcdefgh")
         with pytest.raises((ServerResponseError, ConnectionError)):
             await conn.read_head()
-        assert setup.outcomes == ["carried", "dropped"] and conn.stream.was_dropped
-        assert not conn.was_dropped
+        assert setup.outcomes == ["carried", "dropped"] and conn.stream.was_not_sent_on
+        assert not conn.was_not_sent_on
 
     play(answer_early, scenario)
 
--- a/packages/lychee-http/src/lychee_http/carrying.py
+++ b/packages/lychee-http/src/lychee_http/carrying.py
@@ -66,7 +66,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.is_leaving = False
-        self.was_dropped = False
+        self.was_not_sent_on = False
         self._reply: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
         self._reply_bytes = bytearray()
         self._length_bytes = bytearray()
@@ -124,7 +124,7 @@
             self.is_leaving = True
             self._notify_disconnect()
         elif length == DROPPED:
-            self.was_dropped = True
+            self.was_not_sent_on = True
             self.abort()
         elif length == 0:
             self._is_ended = True
@@ -160,10 +160,10 @@
         self._received_before = 0
 
     @property
-    def was_dropped(self) -> bool:
+    def was_not_sent_on(self) -> bool:
         """Whether the carrying gateway tells that the server got nothing of the last request."""
         has_input = self._carried_stream.received > self._received_before
-        return self._carried_stream.was_dropped and not has_input
+        return self._carried_stream.was_not_sent_on and not has_input
 
     def send(self, head: RequestHead, body: bytes) -> None:
         """Send a request as :class:`ServerConnection` does."""
--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -67,7 +67,7 @@
         return self._stream
 
     @property
-    def was_dropped(self) -> bool:
+    def was_not_sent_on(self) -> bool:
         """Whether it is known that the server got nothing of the last request."""
         return False
 
