--- a/packages/lychee-gateway/tests/test_carrier_places.py
+++ b/packages/lychee-gateway/tests/test_carrier_places.py
@@ -123,3 +123,9 @@
     with small_listener() as listener:
         received, _ = asyncio.run(give_up(listener, 1_000_000, answer=CLOSING))
     assert received > 500_000
+
+
+def test_an_upload_that_was_answered_early_is_whole_behind_a_full_carrier():
+    with small_listener() as listener:
+        received, _ = asyncio.run(give_up(listener, 150_000, answer=CLOSING))
+    assert received > 150_000
