--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -16,9 +16,6 @@
 HEAD_LIMIT_BYTES = 65_536
 """Maximum size of the head of a backend server's response."""
 
-REST_S = 10.0
-"""Maximum time in which the rest of an answered request is sent after the close, in seconds."""
-
 MAX_LENGTH_DIGITS = 18
 """Maximum number of digits of a Content-Length; Python reads no number of some thousands."""
 
@@ -161,16 +158,12 @@
         return not self._stream.unsent and self._stream.is_quiet()
 
     def close(self) -> None:
-        """Close at once; the server treats this as cancellation of an unanswered request.
+        """Close at once; the server treats this as cancellation of the request.
 
         Bytes of an unanswered request that the server's system has not confirmed are dropped; after
-        a plain close this one would go on sending them, and it could still arrive much later. The
-        rest of a request that was answered early is still sent, for :data:`REST_S` at most.
+        a plain close this one would go on sending them, and it could still arrive much later.
         """
-        if self._is_answered and self._stream.unsent:
-            asyncio.get_running_loop().call_later(REST_S, self._stream.abort)
-            self._stream.close()
-        elif self._stream.unacknowledged and not self._is_answered:
+        if self._stream.unacknowledged and not self._is_answered:
             self._stream.reset()
         else:
             self._stream.abort()
