Send nothing behind the frame that says a carried request was not sent on

Found by the second review: where the answer to an early-answered upload was still on its way, frames of it followed DROPPED. The connection also counted as unused, and held its place as long as the asking gateway read nothing. Cause: the frame was written while the other direction went on. Change: writing ends with the frame. If an answer is on its way the carrier closes without the frame, as before, since what it dropped may be the rest of that request.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/carrier.py
@@ -116,7 +116,6 @@
         self._listener = Listener(endpoint=endpoint, accept=self._accept)
         self._tasks: dict[asyncio.Task[None], TcpStream] = {}
         self._waiting: set[TcpStream] = set()
-        self._dropped: set[TcpStream] = set()
         # The one that was used least recently is first.
         self._unused: dict[TcpStream, None] = {}
         self._is_leaving = False
@@ -175,7 +174,6 @@
         finally:
             self._end_at_server(stream, conn)
             self._waiting.discard(stream)
-            self._dropped.discard(stream)
             self._unused.pop(stream, None)
             stream.abort()
 
@@ -280,9 +278,14 @@
             "a carried request came too late for its server"
         )
         self._on_request("dropped")
-        self._dropped.add(caller)
-        caller.write(LENGTH.pack(DROPPED))
-        # The other direction ends with it, and waits until the asking gateway has that frame.
+        self._unused.pop(caller, None)
+        if server.unread_bytes or caller.is_congested:
+            # The answer to an earlier request is on its way, and this may be the rest of that one.
+            caller.abort()
+        else:
+            caller.write(LENGTH.pack(DROPPED))
+            # Nothing may follow this frame: an older gateway would take it for an answer.
+            caller.end_writing()
         server.abort()
 
     def _without_wait(self, data: bytes, waited_s: float) -> bytes:
@@ -301,8 +304,7 @@
             await _wait_until_delivered(caller, with_end=False)
             caller.reset()
             return
-        if caller not in self._dropped:
-            caller.write(LENGTH.pack(0))
+        caller.write(LENGTH.pack(0))
         await _wait_until_delivered(caller)
 
 
