--- a/packages/lychee-http/src/lychee_http/outbound.py
+++ b/packages/lychee-http/src/lychee_http/outbound.py
@@ -145,7 +145,8 @@
     def end_exchange(self) -> bool:
         """End the exchange; return whether the connection may be used for another one."""
         parser, self._parser = self._parser, None
-        self._is_answered = parser is not None and parser.complete
+        # An answer that was not read to its end may be another request's.
+        self._is_answered = parser is not None and parser.complete and not parser.has_unread_events
         if not self._may_be_reused or not self._is_request_sent or self._ends_at_close:
             return False
         if parser is not None and not (parser.complete and parser.allows_keep_alive):
