--- a/packages/lychee-control/src/lychee_control/registry/leader.py
+++ b/packages/lychee-control/src/lychee_control/registry/leader.py
@@ -6,7 +6,6 @@
 
 from loguru import logger
 from msgspec.msgpack import Encoder
-from msgspec.structs import replace
 from xxhash import xxh3_128_digest
 
 from lychee_control.registry.call_delivery import CallDelivery
@@ -37,6 +36,7 @@
 from lychee_control.registry.overloads import OverloadBoard
 from lychee_control.registry.proposals import RangeWriter
 from lychee_control.registry.range_manager import RangeManager
+from lychee_control.registry.registrations import RegistrationDesk
 from lychee_log import Replica
 from lychee_ranges import KeyTable, LoadTracker, RoutedState
 from lychee_types.clock import Clock
@@ -48,11 +48,7 @@
 from lychee_types.peer_messages import GatewayReport, KnownGateways
 from lychee_types.registry import RegisteredServer, ServerIncarnation
 from lychee_types.registry_commands import (
-    Applied,
     ChangeRouting,
-    Obsolete,
-    RegisterServer,
-    RemoveServer,
     RoutedCommand,
     RoutedOutcome,
     RoutingAccepted,
@@ -138,6 +134,17 @@
         self._spread = spread
         self._spread_at = 0.0
         self._heartbeats = HeartbeatTracker(now=clock.monotonic())
+        self._registrations = RegistrationDesk(
+            state=state,
+            propose=self.propose,
+            heartbeats=self._heartbeats,
+            record_cold=self._cold.record_heartbeat,
+            answer_with_keys=self._answer_with_keys,
+            clock=clock,
+            endpoint=cfg.endpoint,
+            max_silence_s=REMOVAL_MISSED_HEARTBEATS * cfg.heartbeat_s,
+            drain_s=cfg.bounds.drain_s,
+        )
         self._loads = LoadTracker(now=clock.monotonic())
         self.overloads = OverloadBoard(
             state=state, loads=self._loads, spread=spread, spawn=self._spawn, clock=clock
@@ -154,8 +161,6 @@
         )
         self._range_managers: dict[ServiceName, RangeManager] = {}
         self._tasks: dict[asyncio.Task[None], str] = {}
-        self._left_at: dict[ServerIncarnation, float] = {}
-        self._outdated_at: dict[ServerIncarnation, float] = {}
         self._failure: BaseException | None = None
         self._ended = asyncio.Event()
 
@@ -220,9 +225,9 @@
         """Answer a call of a server or an operator."""
         match call:
             case Heartbeat():
-                return await self._handle_heartbeat(call)
+                return await self._registrations.answer_heartbeat(call)
             case Leave():
-                return await self._handle_leave(call)
+                return await self._registrations.answer_leave(call)
             case ChangeOrder():
                 return await self._change_routing(call)
             case ReadOrder():
@@ -230,90 +235,19 @@
             case EvacuationOrder():
                 return await self._evacuations.answer(call)
 
-    async def _handle_heartbeat(self, heartbeat: Heartbeat) -> ApiReply:
-        server = heartbeat.server
-        now = self._clock.monotonic()
-        known = self._state.servers.get(server.run.server)
-        if not self._heartbeats.record(heartbeat, now):
-            logger.bind(event="old_heartbeat", server=server.run.server).info(
-                "heartbeat {} is older than the last one", heartbeat.sequence
-            )
-            return self._heard_reply()
-        self._cold.record_heartbeat(server)
-        if known is not None and known.run == server.run:
-            server = replace(
-                server, cold_s=known.cold_s, is_leaving=known.is_leaving or server.is_leaving
-            )
-            if known == server:
-                return await self._answer_with_keys(heartbeat, now, may_wait=True)
-        elif self._is_late(server.run, now):
-            return self._refuse_heartbeat(heartbeat, "a later run was registered")
-        outcome = await self.propose(RegisterServer(server=server))
-        match outcome:
-            case Applied():
-                self._log_registered(server)
-                return await self._answer_with_keys(heartbeat, now, may_wait=False)
-            case Obsolete(reason=reason):
-                return self._refuse_heartbeat(heartbeat, reason)
-            case _:
-                return Unavailable(reason="the heartbeat is not committed yet")
-
-    def _is_late(self, incarnation: ServerIncarnation, now: float) -> bool:
-        """Return whether a heartbeat may be of a process that has ended, and its successor as well.
-
-        A server whose clock was set back goes on sending heartbeats.
-        """
-        if not self._state.is_outdated(incarnation):
-            return False
-        first_at = self._outdated_at.setdefault(incarnation, now)
-        return now - first_at < REMOVAL_MISSED_HEARTBEATS * self._cfg.heartbeat_s
-
-    def _refuse_heartbeat(self, heartbeat: Heartbeat, reason: str) -> Refused:
-        logger.bind(event="heartbeat_refused", server=heartbeat.server.run.server).warning(
-            "heartbeat refused: {}", reason
-        )
-        return Refused(reason=reason)
-
     async def _answer_with_keys(
         self, heartbeat: Heartbeat, received_at: float, *, may_wait: bool
     ) -> ApiReply:
         """Return the reply to a server's newest heartbeat, with its keys where it needs them."""
         manager = self._range_managers.get(heartbeat.server.service)
         if manager is None or not isinstance(manager.delivery, HeartbeatDelivery):
-            return self._heard_reply()
+            return Heard(next_at=self._cfg.endpoint)
         granted = await manager.delivery.answer(heartbeat, received_at, may_wait=may_wait)
         if granted is None and heartbeat.released:
             # Once its release is acknowledged, the server forgets its handover.
             return Unavailable(reason="the release is not committed yet")
         return Heard(next_at=self._cfg.endpoint, granted=granted)
 
-    def _log_registered(self, server: RegisteredServer) -> None:
-        logger.bind(
-            event="server_leaving" if server.is_leaving else "server_registered",
-            server=server.run.server,
-            incarnation=server.run.incarnation,
-            service=server.service,
-            address=str(server.endpoint),
-        ).info("server record committed")
-
-    async def _handle_leave(self, leave: Leave) -> ApiReply:
-        known = self._state.servers.get(leave.server)
-        if known is None:
-            return self._heard_reply()
-        if leave.incarnation is not None and leave.incarnation != known.run.incarnation:
-            return self._heard_reply()
-        if not known.is_leaving:
-            server = replace(known, is_leaving=True)
-            outcome = await self.propose(RegisterServer(server=server))
-            if not isinstance(outcome, Applied | Obsolete):
-                return Unavailable(reason="the departure is not committed yet")
-            self._log_registered(server)
-        self._left_at.setdefault(known.run, self._clock.monotonic())
-        return self._heard_reply()
-
-    def _heard_reply(self) -> Heard:
-        return Heard(next_at=self._cfg.endpoint)
-
     async def _change_routing(self, call: ChangeOrder) -> ApiReply:
         try:
             digest = xxh3_128_digest(_ENCODER.encode((call.based_on, call.number, call.change)))
@@ -448,16 +382,10 @@
         return registered
 
     def _remove_departed_servers(self) -> None:
-        """Remove servers without keys that have left or have sent no heartbeat for too long."""
-        now = self._clock.monotonic()
-        max_age_s = REMOVAL_MISSED_HEARTBEATS * self._cfg.heartbeat_s
-        drain_s = self._cfg.bounds.drain_s
-        for server in self._state.servers.values():
-            left_at = self._left_at.get(server.run)
-            has_left = left_at is not None and now - left_at > drain_s
-            is_expired = now - self._heartbeats.last_heartbeat_at(server.run) > max_age_s
-            if (has_left or is_expired) and not self._owns_keys(server.run):
-                self._spawn(self._remove_server(server.run), f"remove {server.run.server}")
+        """Remove the records of departed servers, but for owners of keys."""
+        for run in self._registrations.departed():
+            if not self._owns_keys(run):
+                self._spawn(self._registrations.remove(run), f"remove {run.server}")
 
     def _owns_keys(self, incarnation: ServerIncarnation) -> bool:
         return any(
@@ -466,12 +394,6 @@
             for key_range in table.ranges
         )
 
-    async def _remove_server(self, incarnation: ServerIncarnation) -> None:
-        if await self.propose(RemoveServer(run=incarnation)) is not None:
-            self._left_at.pop(incarnation, None)
-            self._heartbeats.forget(incarnation)
-            logger.bind(event="server_removed", server=incarnation.server).info("server removed")
-
     def _spawn(self, work: Coroutine[Any, Any, None], name: str) -> "asyncio.Task[None]":
         task = asyncio.create_task(work, name=name)
         self._tasks[task] = name
