Acknowledge a server's departure only once it is committed

Cause: where the state at hand held no such server, or another incarnation of it, the leader answered a deregistration as if it had been recorded. A leader that had been suspended did so from a state that was seconds old, before it learnt that it led no more; the leader in office did so too, and registered the server as ready by a first heartbeat that came late. No log line told of it.

Change: the answer waits for a commit. On related paths, by the same rule: a departure that the state refuses (service configured no more, address taken), a record that a successor replaces, a heartbeat that is handled while the departure is being committed, a draining heartbeat that is sent again after its commit failed. Log event server_ended.

--- a/packages/lychee-control/src/lychee_control/registry/registrations.py
+++ b/packages/lychee-control/src/lychee_control/registry/registrations.py
@@ -11,9 +11,16 @@
 from lychee_control.registry.proposals import Propose
 from lychee_ranges import RoutedState
 from lychee_types.clock import Clock
+from lychee_types.ids import Incarnation
 from lychee_types.records import Endpoint
-from lychee_types.registry import RegisteredServer, ServerIncarnation
-from lychee_types.registry_commands import Applied, Obsolete, RegisterServer, RemoveServer
+from lychee_types.registry import UNKNOWN_INCARNATION, RegisteredServer, ServerIncarnation
+from lychee_types.registry_commands import (
+    Applied,
+    Obsolete,
+    RegisterServer,
+    RemoveServer,
+    RoutedOutcome,
+)
 
 
 class AnswerWithKeys(Protocol):
@@ -69,27 +76,27 @@
         self._drain_s = drain_s
         self._left_at: dict[ServerIncarnation, float] = {}
         self._outdated_at: dict[ServerIncarnation, float] = {}
+        self._departing: set[ServerIncarnation] = set()
+        """Incarnations whose departures were proposed; the state may not hold them yet."""
 
     async def answer_heartbeat(self, heartbeat: Heartbeat) -> ApiReply:
         """Register a server or note that it is alive, and return the reply."""
         server = heartbeat.server
         now = self._clock.monotonic()
-        known = self._state.servers.get(server.run.server)
         if not self._heartbeats.record(heartbeat, now):
-            logger.bind(event="old_heartbeat", server=server.run.server).info(
-                "heartbeat {} is older than the last one", heartbeat.sequence
-            )
-            return self._heard()
+            return self._answer_old_heartbeat(heartbeat)
         self._record_cold(server)
+        known = self._state.servers.get(server.run.server)
         if known is not None and known.run == server.run:
-            server = replace(
-                server, cold_s=known.cold_s, is_leaving=known.is_leaving or server.is_leaving
-            )
+            is_leaving = known.is_leaving or server.is_leaving or server.run in self._departing
+            server = replace(server, cold_s=known.cold_s, is_leaving=is_leaving)
             if known == server:
                 return await self._answer_with_keys(heartbeat, now, may_wait=True)
         elif self._is_late(server.run, now):
             return _refuse(heartbeat, "a later run was registered")
-        outcome = await self._propose(RegisterServer(server=server))
+        elif not await self._record_displaced(server):
+            return Unavailable(reason="the end of a former run is not committed yet")
+        outcome = await self._propose_server(server)
         match outcome:
             case Applied():
                 _log_registered(server)
@@ -100,24 +107,27 @@
                 return Unavailable(reason="the heartbeat is not committed yet")
 
     async def answer_leave(self, leave: Leave) -> ApiReply:
-        """Record that a server leaves, and return the reply."""
+        """Record that a server leaves, and return the reply.
+
+        The reply promises that the incarnation gets no requests any more, so it is given only once
+        that is committed. What this replica knows may be old: it may have been suspended since.
+        """
         known = self._state.servers.get(leave.server)
-        if known is None:
-            return self._heard()
-        if leave.incarnation is not None and leave.incarnation != known.run.incarnation:
-            return self._heard()
-        if not known.is_leaving:
-            server = replace(known, is_leaving=True)
-            outcome = await self._propose(RegisterServer(server=server))
-            if not isinstance(outcome, Applied | Obsolete):
-                return Unavailable(reason="the departure is not committed yet")
-            _log_registered(server)
-        self._left_at.setdefault(known.run, self._clock.monotonic())
+        if known is not None and leave.incarnation in (None, known.run.incarnation):
+            is_recorded = await self._record_departure(known)
+        else:
+            incarnation = Incarnation(leave.incarnation or UNKNOWN_INCARNATION)
+            is_recorded = await self._record_end(
+                ServerIncarnation(server=leave.server, incarnation=incarnation)
+            )
+        if not is_recorded:
+            return Unavailable(reason="the departure is not committed yet")
         return self._heard()
 
     def departed(self) -> tuple[ServerIncarnation, ...]:
         """Return the registered servers that have left or have sent no heartbeat for too long."""
         now = self._clock.monotonic()
+        self._departing &= {server.run for server in self._state.servers.values()}
         return tuple(
             server.run for server in self._state.servers.values() if self._is_gone(server.run, now)
         )
@@ -129,6 +139,68 @@
             self._heartbeats.forget(incarnation)
             logger.bind(event="server_removed", server=incarnation.server).info("server removed")
 
+    def _answer_old_heartbeat(self, heartbeat: Heartbeat) -> ApiReply:
+        """Return the reply to a heartbeat that is not newer than its incarnation's last one.
+
+        It acknowledges nothing that is not committed.
+        """
+        server = heartbeat.server
+        logger.bind(event="old_heartbeat", server=server.run.server).info(
+            "heartbeat {} is older than the last one", heartbeat.sequence
+        )
+        known = self._state.servers.get(server.run.server)
+        is_registered = known is not None and known.run == server.run
+        is_departure_open = server.is_leaving and not (known and known.is_leaving)
+        if not is_registered or is_departure_open or heartbeat.released:
+            return Unavailable(reason="a newer heartbeat is not committed yet")
+        return self._heard()
+
+    async def _propose_server(self, server: RegisteredServer) -> RoutedOutcome | None:
+        if server.is_leaving:
+            self._departing.add(server.run)
+        return await self._propose(RegisterServer(server=server))
+
+    async def _record_departure(self, known: RegisteredServer) -> bool:
+        """Return whether it is committed that a registered server leaves."""
+        if not known.is_leaving:
+            server = replace(known, is_leaving=True)
+            match await self._propose_server(server):
+                case Applied():
+                    _log_registered(server)
+                case Obsolete():
+                    return await self._record_end(known.run)
+                case _:
+                    return False
+        self._left_at.setdefault(known.run, self._clock.monotonic())
+        return True
+
+    async def _record_end(self, incarnation: ServerIncarnation) -> bool:
+        """Return whether it is committed that an incarnation has ended, registered or not.
+
+        A heartbeat of it that arrives later does not register it.
+        """
+        if self._state.has_ended(incarnation):
+            return True
+        if await self._propose(RemoveServer(run=incarnation)) is None:
+            return False
+        logger.bind(
+            event="server_ended", server=incarnation.server, incarnation=incarnation.incarnation
+        ).info("end of a server's incarnation committed")
+        return True
+
+    async def _record_displaced(self, server: RegisteredServer) -> bool:
+        """Record the departures of the servers whose records a new one is about to replace.
+
+        Returns whether they are committed.
+        """
+        leaving = [other for other in self._state.displaced_by(server) if other.is_leaving]
+        for other in leaving:
+            if other.run.incarnation > server.run.incarnation:
+                continue
+            if not await self._record_end(other.run):
+                return False
+        return True
+
     def _is_gone(self, incarnation: ServerIncarnation, now: float) -> bool:
         left_at = self._left_at.get(incarnation)
         has_left = left_at is not None and now - left_at > self._drain_s
--- a/packages/lychee-ranges/src/lychee_ranges/state.py
+++ b/packages/lychee-ranges/src/lychee_ranges/state.py
@@ -119,6 +119,18 @@
             later.append(known.run)
         return any(run.incarnation > incarnation.incarnation for run in later)
 
+    def has_ended(self, incarnation: ServerIncarnation) -> bool:
+        """Return whether an incarnation is recorded as ended, so that it is never registered."""
+        return incarnation in self._ended_incarnations
+
+    def displaced_by(self, server: RegisteredServer) -> tuple[RegisteredServer, ...]:
+        """Return the records with the id or the address of a server that is about to register."""
+        return tuple(
+            other
+            for other in self.servers.values()
+            if other.run.server == server.run.server or other.endpoint == server.endpoint
+        )
+
     def _change_routing(self, command: ChangeRouting) -> RoutedOutcome:
         if self.was_accepted(command.number, command.digest):
             return RoutingAccepted(number=command.number, is_repeat=True)
@@ -159,8 +171,8 @@
         known = self.servers.get(server.run.server)
         if known is not None and known.run.incarnation > server.run.incarnation:
             return Obsolete(reason="a later run is registered")
-        for other in tuple(self.servers.values()):
-            if other.endpoint != server.endpoint or other.run.server == server.run.server:
+        for other in self.displaced_by(server):
+            if other.run.server == server.run.server:
                 continue
             if other.run.incarnation > server.run.incarnation:
                 return Obsolete(reason="a later run has this address")
--- a/packages/lychee-types/src/lychee_types/registry.py
+++ b/packages/lychee-types/src/lychee_types/registry.py
@@ -11,6 +11,9 @@
 LAST_KEY = 65_535
 """Highest key; keys are integers from 0."""
 
+UNKNOWN_INCARNATION = Incarnation(0)
+"""Incarnation of a server that does not say when its process started."""
+
 
 class ServerIncarnation(Struct, frozen=True, kw_only=True):
     """One incarnation of a backend server: the lifetime of one of its processes.
