Bound what control replicas keep by bytes instead of by number

The data folders grew to 213 MB of 256.

A start read all of it, in several copies. No metric told of it. Ruled out: the account of callers, which was empty, and a manifest that does not grow.

Change: each part has a bound in bytes, derived from the VM's memory and disk (DiskMb is read now). One change of any size is still taken. Commands for gateways are kept as the bytes that stand in the log; what is sent is the same byte by byte. Metrics lychee_control_log_bytes and _recent_bytes, log event link_behind.

--- a/packages/lychee-control/src/lychee_control/attachments.py
+++ b/packages/lychee-control/src/lychee_control/attachments.py
@@ -6,8 +6,8 @@
 from loguru import logger
 
 from lychee_control.machine import ControlMachine
-from lychee_runtime import Link
-from lychee_types.commands import Command
+from lychee_runtime import Link, PendingBound
+from lychee_types.commands import Command, SubmitDocument, encode_command
 from lychee_types.ids import LogIndex, SessionId
 from lychee_types.messages import (
     Delta,
@@ -105,3 +105,21 @@
         self._batch.clear()
         for attachment in self._by_session.values():
             attachment.link.post(deltas)
+
+
+def document_bytes(message: ToGateway) -> int:
+    """Return the size of the documents in a message, in bytes."""
+    match message:
+        case Deltas(entries=entries):
+            commands = (delta.command for delta in entries)
+            return sum(
+                len(encode_command(command))
+                for command in commands
+                if isinstance(command, SubmitDocument)
+            )
+        case _:
+            return 0
+
+
+ATTACHMENT_BOUND = PendingBound(size_of=document_bytes)
+"""Bound on what one gateway has not read yet; one that is further behind attaches again."""
--- a/packages/lychee-control/src/lychee_control/core.py
+++ b/packages/lychee-control/src/lychee_control/core.py
@@ -8,7 +8,7 @@
 from loguru import logger
 from msgspec import Struct
 
-from lychee_control.attachments import Attachments
+from lychee_control.attachments import ATTACHMENT_BOUND, Attachments
 from lychee_control.leader import Leader
 from lychee_control.machine import ControlMachine, concerns_gateways
 from lychee_control.metrics import FLUSH_S, StateMetric
@@ -129,7 +129,13 @@
     async def serve(self) -> None:
         """Serve until a stop is requested."""
         service = LinkService(name=self._cfg.id)
-        service.add(method=ATTACH, send=ToGateway, receive=ToControl, handler=self._attach)
+        service.add(
+            method=ATTACH,
+            send=ToGateway,
+            receive=ToControl,
+            handler=self._attach,
+            bound=ATTACHMENT_BOUND,
+        )
         service.add(
             method=OPERATE,
             send=OperatorReply,
--- a/packages/lychee-control/src/lychee_control/machine.py
+++ b/packages/lychee-control/src/lychee_control/machine.py
@@ -51,7 +51,7 @@
         command = decode_command(data)
         outcome = self.state.apply(index, command)
         if concerns_gateways(command):
-            self._recent.append(Delta(index=index, command=command))
+            self._recent.append(Delta(index=index, command=command), size=len(data))
         self._on_applied(index, command, outcome)
         return outcome
 
--- a/packages/lychee-control/src/lychee_control/peers.py
+++ b/packages/lychee-control/src/lychee_control/peers.py
@@ -9,7 +9,8 @@
 from msgspec import Struct
 
 from lychee_log import PeerMessage, ReplicaAddress
-from lychee_runtime import Link, open_link
+from lychee_log.messages import AppendRequest, InstallSnapshot
+from lychee_runtime import Link, PendingBound, open_link
 from lychee_types.exceptions import UnavailableError
 from lychee_types.ids import UNKNOWN_DOMAIN, DomainName, ReplicaId, SessionId
 from lychee_types.messages import (
@@ -150,6 +151,18 @@
 )
 """Messages on a link between two control replicas."""
 
+
+def frame_bytes(frame: PeerFrame) -> int:
+    """Return the size of the entries or the snapshot in a message of the log, in bytes."""
+    match frame:
+        case LogMessage(message=AppendRequest(entries=entries)):
+            return sum(len(entry.data) for entry in entries)
+        case LogMessage(message=InstallSnapshot(snapshot=snapshot)):
+            return len(snapshot.data)
+        case _:
+            return 0
+
+
 FrameHandler = Callable[[PeerFrame], None]
 """Called with each message of a peer."""
 
@@ -243,6 +256,7 @@
             send=PeerFrame,
             receive=PeerFrame,
             ssl=self._ssl,
+            bound=PendingBound(size_of=frame_bytes),
         ) as link:
             self._link = link
             while not link.closed:
--- a/packages/lychee-control/src/lychee_control/recent.py
+++ b/packages/lychee-control/src/lychee_control/recent.py
@@ -1,12 +1,17 @@
 """Recently applied commands, kept for gateways that reconnect after a short time."""
 
 from collections import deque
+from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
+from lychee_control.memory import RECENT_BYTES
 from lychee_types.ids import LogIndex
 
 MAX_DELTAS = 4_096
-"""Number of deltas kept; a gateway that is further behind gets a snapshot."""
+"""Maximum number of deltas kept; a gateway that is further behind gets a snapshot."""
+
+DELTA_BYTES = 256
+"""Memory that a delta takes up beside its command, in bytes."""
 
 
 class Indexed(Protocol):
@@ -21,25 +26,51 @@
 D = TypeVar("D", bound=Indexed)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Kept(Generic[D]):
+    delta: D
+    size: int
+
+
 class RecentDeltas(Generic[D]):
-    """The last deltas in order of their log indexes."""
+    """The last deltas in order of their log indexes.
+
+    :param max_bytes: bound on what they take up, in bytes; the newest one is kept in any case.
+    """
 
-    def __init__(self) -> None:
-        self._deltas: deque[D] = deque()
+    def __init__(self, *, max_bytes: int = RECENT_BYTES) -> None:
+        self._max_bytes = max_bytes
+        self._kept: deque[_Kept[D]] = deque()
+        self._size = 0
         self._base_index = LogIndex(0)
 
-    def append(self, delta: D) -> None:
-        """Append the newest delta, and drop the oldest one beyond the limit."""
-        self._deltas.append(delta)
-        if len(self._deltas) > MAX_DELTAS:
-            self._base_index = self._deltas.popleft().index
+    @property
+    def size(self) -> int:
+        """Return what they take up, in bytes."""
+        return self._size
+
+    def append(self, delta: D, *, size: int) -> None:
+        """Append the newest delta, and drop the oldest ones beyond the bounds.
+
+        :param delta: the delta.
+        :param size: size of its encoded command, in bytes.
+        """
+        self._kept.append(_Kept(delta=delta, size=size + DELTA_BYTES))
+        self._size += size + DELTA_BYTES
+        while len(self._kept) > MAX_DELTAS or (
+            self._size > self._max_bytes and len(self._kept) > 1
+        ):
+            oldest = self._kept.popleft()
+            self._size -= oldest.size
+            self._base_index = oldest.delta.index
 
     def reset(self, snapshot_index: LogIndex) -> None:
         """Drop all deltas, because a snapshot replaced the state.
 
         :param snapshot_index: the last log index that the snapshot covers.
         """
-        self._deltas.clear()
+        self._kept.clear()
+        self._size = 0
         self._base_index = snapshot_index
 
     def since(self, applied_index: LogIndex, *, newest: LogIndex) -> tuple[D, ...] | None:
@@ -50,4 +81,4 @@
         """
         if applied_index == 0 or applied_index < self._base_index or applied_index > newest:
             return None
-        return tuple(delta for delta in self._deltas if delta.index > applied_index)
+        return tuple(item.delta for item in self._kept if item.delta.index > applied_index)
--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 from xxhash import xxh3_64_intdigest
 
+from lychee_control.memory import ReplicaMemory
 from lychee_control.peers import (
     JoinRequest,
     LeaderHint,
@@ -179,7 +180,12 @@
         self._leader: RegistryLeader | None = None
         # Set at the start, so that gateways stay attached while the group elects a first leader.
         self._leader_message_at = self._clock.monotonic()
-        self._machine = RoutedMachine(on_applied=self._on_applied, on_restored=self._on_restored)
+        self._bounds = ReplicaMemory.of_vm(cfg.vm)
+        self._machine = RoutedMachine(
+            on_applied=self._on_applied,
+            on_restored=self._on_restored,
+            recent_bytes=self._bounds.recent_bytes,
+        )
         self._limits = LimitBoard(clock=self._clock)
         self._cold = ColdBoard(state=lambda: self._machine.state, clock=self._clock)
         self._crashes = CrashBoard(clock=self._clock)
@@ -204,6 +210,7 @@
             seed=seed & 0x7FFF_FFFF_FFFF_FFFF,
             on_leadership_change=self._on_leadership_change,
             on_applied=lambda index, data: None,
+            bounds=self._bounds.log,
         )
         self._relay = GatewayRelay(
             replica_id=self._id,
@@ -251,6 +258,8 @@
             evacuated=lambda: len(self._machine.state.evacuated),
             overloaded=self._overloaded_owners,
             ranges=lambda: sum(len(t.ranges) for t in self._machine.state.tables.values()),
+            log_bytes=lambda: self._replica.log_bytes,
+            recent_bytes=lambda: self._machine.recent_bytes,
         )
         self._metrics.show_memory(self._memory)
         self._metrics_page = None
@@ -268,6 +277,7 @@
             send=ToSubscriber,
             receive=FromGateway,
             handler=self._subscribers.serve,
+            bound=self._subscribers.pending_bound(self._bounds),
         )
         service.add(method=PEER, send=PeerFrame, receive=PeerFrame, handler=self._serve_peer)
         async with serve_links(service=service, endpoint=self._cfg.peer_endpoint):
--- a/packages/lychee-control/src/lychee_control/registry/machine.py
+++ b/packages/lychee-control/src/lychee_control/registry/machine.py
@@ -2,14 +2,21 @@
 
 from collections.abc import Callable
 
+from msgspec import Raw
 from msgspec.msgpack import Decoder, Encoder
 
+from lychee_control.memory import RECENT_BYTES
 from lychee_control.recent import RecentDeltas
 from lychee_ranges import RoutedState
 from lychee_types.ids import LogIndex
 from lychee_types.registry import RoutedImage
 from lychee_types.registry_commands import RoutedOutcome, decode_routed_command
-from lychee_types.registry_messages import RoutedDelta, RoutedDeltas, RoutedSnapshot
+from lychee_types.registry_messages import (
+    EncodedDelta,
+    RoutedDelta,
+    RoutedDeltas,
+    RoutedSnapshot,
+)
 
 MAX_LATER_DELTAS = 64
 """Number of commands after which a snapshot is made anew."""
@@ -29,6 +36,7 @@
 
     :param on_applied: called after each applied command with its index and outcome.
     :param on_restored: called after a snapshot replaced the state.
+    :param recent_bytes: bound on the recent commands that are kept, in bytes.
     """
 
     def __init__(
@@ -36,18 +44,25 @@
         *,
         on_applied: Callable[[RoutedDelta, RoutedOutcome], None],
         on_restored: Callable[[], None],
+        recent_bytes: int = RECENT_BYTES,
     ) -> None:
         self.state = RoutedState()
         self._on_applied = on_applied
         self._on_restored = on_restored
-        self._recent: RecentDeltas[RoutedDelta] = RecentDeltas()
+        self._recent: RecentDeltas[EncodedDelta] = RecentDeltas(max_bytes=recent_bytes)
         self._snapshot: RoutedSnapshot | None = None
 
+    @property
+    def recent_bytes(self) -> int:
+        """Return what the recent commands take up, in bytes."""
+        return self._recent.size
+
     def apply(self, index: LogIndex, data: bytes) -> object:
         """Apply one committed command and return its outcome."""
         delta = RoutedDelta(index=index, command=decode_routed_command(data))
         outcome = self.state.apply(index, delta.command)
-        self._recent.append(delta)
+        # The log holds the same bytes, as long as the entry is in it.
+        self._recent.append(EncodedDelta(index=index, command=Raw(data)), size=len(data))
         self._on_applied(delta, outcome)
         return outcome
 
@@ -79,7 +94,7 @@
         snapshot, later = self._snapshot_and_later()
         return (snapshot, *_deltas(later))
 
-    def _snapshot_and_later(self) -> tuple[RoutedSnapshot, tuple[RoutedDelta, ...]]:
+    def _snapshot_and_later(self) -> tuple[RoutedSnapshot, tuple[EncodedDelta, ...]]:
         """Return a snapshot, shared by gateways that attach shortly after each other.
 
         Also returns the commands that were applied after it.
@@ -92,5 +107,5 @@
         return self._snapshot, ()
 
 
-def _deltas(entries: tuple[RoutedDelta, ...]) -> tuple[RoutedDeltas, ...]:
+def _deltas(entries: tuple[EncodedDelta, ...]) -> tuple[RoutedDeltas, ...]:
     return (RoutedDeltas.of(entries),) if entries else ()
--- a/packages/lychee-control/src/lychee_control/registry/metrics.py
+++ b/packages/lychee-control/src/lychee_control/registry/metrics.py
@@ -22,6 +22,8 @@
     :param evacuated: returns how many failure domains are evacuated.
     :param overloaded: returns how many owners of keys are overloaded, 0 unless it leads.
     :param ranges: returns how many key ranges there are.
+    :param log_bytes: returns the size of the log's entries in memory.
+    :param recent_bytes: returns what recent commands for gateways take up in memory.
     """
 
     def __init__(
@@ -39,6 +41,8 @@
         evacuated: Callable[[], float],
         overloaded: Callable[[], float],
         ranges: Callable[[], float],
+        log_bytes: Callable[[], float],
+        recent_bytes: Callable[[], float],
     ) -> None:
         page = PrometheusMetrics(prefix="lychee_control")
         self._page = page
@@ -54,6 +58,8 @@
         page.gauge("evacuated_domains", "Failure domains that are evacuated.", evacuated)
         page.gauge("overloaded_owners", "Overloaded owners of keys.", overloaded)
         page.gauge("key_ranges", "Key ranges of all services.", ranges)
+        page.gauge("log_bytes", "Entries of the log in memory.", log_bytes)
+        page.gauge("recent_bytes", "Recent commands kept for gateways.", recent_bytes)
         self._calls = page.counter("calls", "Calls of servers and operators.", "call", "reply")
         self._shed = page.counter(
             "callers_shed", "Connections of callers that were refused or ended.", "reason"
--- a/packages/lychee-control/src/lychee_control/registry/subscribers.py
+++ b/packages/lychee-control/src/lychee_control/registry/subscribers.py
@@ -5,8 +5,9 @@
 
 from loguru import logger
 
+from lychee_control.memory import ReplicaMemory
 from lychee_control.registry.machine import RoutedMachine
-from lychee_runtime import Link
+from lychee_runtime import Link, PendingBound
 from lychee_types.cold_messages import ColdReport
 from lychee_types.crash_messages import CrashReport
 from lychee_types.ids import GatewayId, LogIndex, SessionId
@@ -23,6 +24,7 @@
     Pulse,
     RoutedDelta,
     RoutedDeltas,
+    RoutedSnapshot,
     Subscribe,
     ToSubscriber,
 )
@@ -59,6 +61,15 @@
     def __len__(self) -> int:
         return len(self._followers)
 
+    def pending_bound(self, memory: ReplicaMemory) -> PendingBound:
+        """Return the bound on what one gateway has not read yet.
+
+        The stream of a gateway that is further behind ends. It gets a snapshot on its next one.
+        """
+        return PendingBound(
+            size_of=update_bytes, max_bytes=lambda: memory.bytes_a_gateway(len(self))
+        )
+
     async def serve(self, link: GatewayLink) -> None:
         """Serve one gateway's stream until it ends."""
         batch = await link.receive()
@@ -143,3 +154,12 @@
         self._batch.clear()
         for link in self._followers:
             link.post(deltas)
+
+
+def update_bytes(message: ToSubscriber) -> int:
+    """Return the size of a message's part of the state, in bytes."""
+    match message:
+        case RoutedSnapshot(packed=packed) | RoutedDeltas(packed=packed):
+            return len(packed)
+        case _:
+            return 0
--- a/packages/lychee-log/src/lychee_log/__init__.py
+++ b/packages/lychee-log/src/lychee_log/__init__.py
@@ -4,6 +4,7 @@
 the protocol itself and does no I/O.
 """
 
+from lychee_log.bounds import LogBounds
 from lychee_log.dump import ReplicaDump
 from lychee_log.exceptions import DiskFullError, LostStorageError, StorageError
 from lychee_log.interfaces import StateMachine, Transport
@@ -17,6 +18,7 @@
 __all__ = [
     "Committed",
     "DiskFullError",
+    "LogBounds",
     "LostStorageError",
     "StateMachine",
     "MembershipError",
--- a/packages/lychee-log/src/lychee_log/core.py
+++ b/packages/lychee-log/src/lychee_log/core.py
@@ -9,6 +9,7 @@
 
 from expression import Error, Ok, Result
 
+from lychee_log.bounds import LogBounds
 from lychee_log.candidate import Candidate
 from lychee_log.effects import (
     Applied,
@@ -60,7 +61,7 @@
 """Time after which an unfinished write is treated as a disk fault, in seconds."""
 
 KEPT_ENTRIES = 1_000
-"""Number of entries before a snapshot that stay in the log for peers that are slightly behind."""
+"""Maximum number of entries before a snapshot that stay in the log for peers slightly behind."""
 
 
 class Core:
@@ -72,6 +73,7 @@
     :param timing: timing parameters.
     :param seed: seed of the random timeouts and of the group's number.
     :param now: current monotonic time in seconds.
+    :param bounds: bounds on what is held of the log, None for the default.
     """
 
     def __init__(
@@ -83,7 +85,9 @@
         timing: Timing,
         seed: int,
         now: float,
+        bounds: LogBounds | None = None,
     ) -> None:
+        self._bounds = bounds or LogBounds()
         self.state = RaftState(endpoint=endpoint, recovered=recovered)
         self._timing = timing
         self._random = Random(seed)
@@ -377,7 +381,12 @@
         state.role = Role.LEADER
         state.leader = state.own_address
         self._follower.reset_for_term()
-        self._leader = Leader(state=state, timing=self._timing, now=now)
+        self._leader = Leader(
+            state=state,
+            timing=self._timing,
+            now=now,
+            in_flight_bytes=self._bounds.in_flight_bytes,
+        )
 
     def _receive_self_messages(self, now: float) -> None:
         for message in self.state.take_self_messages():
@@ -423,7 +432,9 @@
         if self._follower.is_restoring:
             return
         require(snapshot.index <= state.applied_index, "only applied entries are in a snapshot")
-        keep_from = LogIndex(max(1, snapshot.index - KEPT_ENTRIES))
+        keep_from = state.log.first_within(
+            snapshot.index, max_entries=KEPT_ENTRIES, max_bytes=self._bounds.kept_bytes
+        )
         state.snapshot = snapshot
         state.durability.queue_snapshot(snapshot, keep_from=keep_from)
 
--- a/packages/lychee-log/src/lychee_log/dump.py
+++ b/packages/lychee-log/src/lychee_log/dump.py
@@ -29,6 +29,7 @@
     :param durable: index of the last log entry on disk.
     :param commit: the commit index.
     :param applied: index of the last applied entry.
+    :param log_bytes: size of the entries in memory, in bytes.
     :param snapshot: index of the latest snapshot, 0 for none.
     :param members: the current membership.
     :param missing: initial voters whose storage number a replica without a group still lacks.
@@ -51,6 +52,7 @@
     durable: LogIndex
     commit: LogIndex
     applied: LogIndex
+    log_bytes: int
     snapshot: LogIndex
     members: Membership
     missing: tuple[ReplicaId, ...]
@@ -119,6 +121,7 @@
         durable=state.durability.durable_index,
         commit=state.commit_index,
         applied=state.applied_index,
+        log_bytes=state.log.size,
         snapshot=state.snapshot.index if state.snapshot else LogIndex(0),
         members=state.members,
         missing=core.missing_voters,
--- a/packages/lychee-log/src/lychee_log/entries.py
+++ b/packages/lychee-log/src/lychee_log/entries.py
@@ -27,6 +27,7 @@
     def __init__(self, *, base: EntryId, members: Membership) -> None:
         self.base = base
         self._entries: list[Entry] = []
+        self._size = 0
         self._changes = [MembershipChange(index=base.index, members=members)]
 
     @property
@@ -48,6 +49,26 @@
         """Return the number of entries in memory."""
         return len(self._entries)
 
+    @property
+    def size(self) -> int:
+        """Return the size of the data of the entries in memory, in bytes."""
+        return self._size
+
+    def first_within(self, index: LogIndex, *, max_entries: int, max_bytes: int) -> LogIndex:
+        """Return the first index from which the entries up to another one are within bounds.
+
+        :param index: the last index, which is not counted.
+        :param max_entries: maximum number of entries.
+        :param max_bytes: maximum size of their data, in bytes.
+        """
+        first, size = index, 0
+        while first - 1 > self.base.index and index - first < max_entries:
+            size += len(self._entries[first - 2 - self.base.index].data)
+            if size > max_bytes:
+                break
+            first = LogIndex(first - 1)
+        return first
+
     def members_at(self, index: LogIndex) -> Membership:
         """Return the membership at an index, which must not be before the base."""
         return next(change.members for change in reversed(self._changes) if change.index <= index)
@@ -79,6 +100,7 @@
         require(entry.index == last.index + 1, "log indexes are contiguous")
         require(entry.term >= last.term, "terms in the log never go down")
         self._entries.append(entry)
+        self._size += len(entry.data)
         if entry.members is not None:
             self._changes.append(MembershipChange(index=entry.index, members=entry.members))
 
@@ -88,7 +110,9 @@
         :param index: index of the first entry to remove; must be after the base.
         """
         require(index > self.base.index, "the base is never truncated")
-        del self._entries[index - self.base.index - 1 :]
+        first = index - self.base.index - 1
+        self._size -= _size_of(self._entries[first:])
+        del self._entries[first:]
         while self._changes[-1].index >= index:
             self._changes.pop()
 
@@ -99,7 +123,9 @@
         term = self.term_at(index)
         require(term is not None, "only entries in memory are compacted")
         members = self.members_at(index)
-        del self._entries[: index - self.base.index]
+        count = index - self.base.index
+        self._size -= _size_of(self._entries[:count])
+        del self._entries[:count]
         self.base = EntryId(index=index, term=term or 0)
         later = [change for change in self._changes if change.index > index]
         self._changes = [MembershipChange(index=index, members=members), *later]
@@ -116,3 +142,7 @@
         """Append entries in order."""
         for entry in entries:
             self.append(entry)
+
+
+def _size_of(entries: Sequence[Entry]) -> int:
+    return sum(len(entry.data) for entry in entries)
--- a/packages/lychee-log/src/lychee_log/files.py
+++ b/packages/lychee-log/src/lychee_log/files.py
@@ -51,13 +51,13 @@
 class Frame:
     """A frame read from a file.
 
-    :param payload: the frame's contents.
+    :param payload: the frame's contents; a view if the file's data is one.
     :param end: offset just after the frame.
     """
 
     __slots__ = ("payload", "end")
 
-    def __init__(self, *, payload: bytes, end: int) -> None:
+    def __init__(self, *, payload: bytes | memoryview, end: int) -> None:
         self.payload = payload
         self.end = end
 
@@ -71,7 +71,7 @@
     return _HEADER.pack(MAGIC, len(payload), _checksum(payload, number, offset)) + payload
 
 
-def read_frame(data: bytes, *, number: int, offset: int) -> Frame | None:
+def read_frame(data: bytes | memoryview, *, number: int, offset: int) -> Frame | None:
     """Return the frame at an offset, None if there is no complete and valid one."""
     start = offset + _HEADER.size
     if start > len(data):
@@ -170,8 +170,8 @@
     frame = read_frame(data, number=0, offset=0)
     if frame is None or frame.end != len(data):
         raise damage_error(path, "does not match its checksum")
-    return frame.payload
+    return bytes(frame.payload)
 
 
-def _checksum(payload: bytes, number: int, offset: int) -> int:
+def _checksum(payload: bytes | memoryview, number: int, offset: int) -> int:
     return xxh64_intdigest(payload, seed=(number << 40) ^ offset)
--- a/packages/lychee-log/src/lychee_log/leader.py
+++ b/packages/lychee-log/src/lychee_log/leader.py
@@ -27,10 +27,14 @@
     :param state: the replica's state.
     :param timing: timing parameters.
     :param now: current monotonic time in seconds.
+    :param in_flight_bytes: bound on the unacknowledged entries on their way to one peer, in bytes.
     """
 
-    def __init__(self, *, state: RaftState, timing: Timing, now: float) -> None:
+    def __init__(
+        self, *, state: RaftState, timing: Timing, now: float, in_flight_bytes: int
+    ) -> None:
         self._state = state
+        self._in_flight_bytes = in_flight_bytes
         self._timeout_s = timing.election_ms / 1_000
         self._heartbeat_s = timing.heartbeat_ms / 1_000
         self._drift_s = timing.drift_s
@@ -165,7 +169,7 @@
 
     def _stream_to(self, peer: Progress, now: float) -> None:
         state = self._state
-        while peer.can_stream and peer.next_index <= state.log.last.index:
+        while peer.can_stream(self._in_flight_bytes) and peer.next_index <= state.log.last.index:
             self._send_entries(peer, now)
         if min(state.commit_index, LogIndex(peer.next_index - 1)) > peer.sent_commit_index:
             self._send_append(peer, (), now)
@@ -180,7 +184,7 @@
             last_index = entry.index
         entries = log.slice(start=peer.next_index, end=last_index)
         self._send_append(peer, entries, now)
-        peer.record_append(last_index)
+        peer.record_append(last_index, size=sum(len(entry.data) for entry in entries))
 
     def _send_append(self, peer: Progress, entries: tuple[Entry, ...], now: float) -> None:
         state = self._state
@@ -220,7 +224,7 @@
         require(snapshot is not None, "entries removed from the log are covered by a snapshot")
         peer.mode = ReplicationMode.SNAPSHOT
         peer.snapshot_sent_at = now
-        peer.in_flight.clear()
+        peer.clear_in_flight()
         request = state.build_message(InstallSnapshot, peer.address, snapshot=snapshot, sent=now)
         state.send(peer.address, request)
 
--- a/packages/lychee-log/src/lychee_log/progress.py
+++ b/packages/lychee-log/src/lychee_log/progress.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 
 from lychee_log.records import Membership, ReplicaAddress
@@ -23,6 +24,12 @@
     SNAPSHOT = "snapshot"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _AppendInFlight:
+    last_index: LogIndex
+    size: int
+
+
 class Progress:
     """Replication progress of one peer.
 
@@ -35,7 +42,8 @@
         self.next_index = next_index
         self.match_index = LogIndex(0)
         self.mode = ReplicationMode.STREAM
-        self.in_flight: deque[LogIndex] = deque()
+        self._in_flight: deque[_AppendInFlight] = deque()
+        self._in_flight_bytes = 0
         self.sent_commit_index = LogIndex(0)
         self.heartbeat_sent_at = 0.0
         self.snapshot_sent_at = 0.0
@@ -44,27 +52,46 @@
         self.last_reply_number = 0
 
     @property
-    def can_stream(self) -> bool:
-        """Return whether another append request with entries may be sent."""
-        return self.mode is ReplicationMode.STREAM and len(self.in_flight) < MAX_APPENDS_IN_FLIGHT
+    def in_flight_bytes(self) -> int:
+        """Return the size of the unacknowledged entries that have been sent, in bytes."""
+        return self._in_flight_bytes
+
+    def can_stream(self, max_bytes: int) -> bool:
+        """Return whether another append request with entries may be sent.
+
+        :param max_bytes: size of the unacknowledged entries from which none is, in bytes.
+        """
+        has_room = self._in_flight_bytes < max_bytes or not self._in_flight
+        is_streaming = self.mode is ReplicationMode.STREAM
+        return is_streaming and has_room and len(self._in_flight) < MAX_APPENDS_IN_FLIGHT
+
+    def record_append(self, last_index: LogIndex, *, size: int) -> None:
+        """Record that the entries up to an index have been sent.
 
-    def record_append(self, last_index: LogIndex) -> None:
-        """Record that the entries up to an index have been sent."""
+        :param last_index: the last one's index.
+        :param size: the size of their data, in bytes.
+        """
         self.next_index = LogIndex(last_index + 1)
-        self.in_flight.append(last_index)
+        self._in_flight.append(_AppendInFlight(last_index=last_index, size=size))
+        self._in_flight_bytes += size
+
+    def clear_in_flight(self) -> None:
+        """Forget the unacknowledged entries, as they are not waited for any more."""
+        self._in_flight.clear()
+        self._in_flight_bytes = 0
 
     def record_match(self, match_index: LogIndex) -> None:
         """Record that the peer's log matches the leader's up to an index."""
         self.match_index = max(self.match_index, match_index)
         self.next_index = max(self.next_index, LogIndex(self.match_index + 1))
-        while self.in_flight and self.in_flight[0] <= self.match_index:
-            self.in_flight.popleft()
+        while self._in_flight and self._in_flight[0].last_index <= self.match_index:
+            self._in_flight_bytes -= self._in_flight.popleft().size
 
     def record_rejection(self, retry_from: LogIndex) -> None:
         """Move back to an index where the peer's log may match, and probe from there."""
         first_unmatched = LogIndex(self.match_index + 1)
         self.next_index = max(first_unmatched, min(retry_from, self.next_index))
-        self.in_flight.clear()
+        self.clear_in_flight()
         self.mode = ReplicationMode.PROBE
 
 
--- a/packages/lychee-log/src/lychee_log/proposals.py
+++ b/packages/lychee-log/src/lychee_log/proposals.py
@@ -3,13 +3,11 @@
 import asyncio
 from dataclasses import dataclass
 
+from lychee_log.bounds import PENDING_BYTES
 from lychee_log.records import Committed, EntryId
 from lychee_types.exceptions import LycheeError, UnavailableError
 from lychee_types.ids import LogIndex
 
-PENDING_BYTES_LIMIT = 16_777_216
-"""Total size of pending proposals above which new ones are rejected, in bytes."""
-
 
 @dataclass(kw_only=True, frozen=True)
 class Proposal:
@@ -26,9 +24,13 @@
 
 
 class Proposals:
-    """Tracks proposals from their arrival until their outcome is known."""
+    """Tracks proposals from their arrival until their outcome is known.
+
+    :param max_bytes: total size of pending ones above which new ones are rejected, in bytes.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, max_bytes: int = PENDING_BYTES) -> None:
+        self._max_bytes = max_bytes
         self._new: list[Proposal] = []
         self._appended: dict[LogIndex, _AppendedProposal] = {}
         self._pending_bytes = 0
@@ -42,7 +44,7 @@
 
         :raises UnavailableError: if too many proposals are pending.
         """
-        if self._pending_bytes > PENDING_BYTES_LIMIT:
+        if self._pending_bytes > self._max_bytes:
             raise UnavailableError(
                 message="too many proposals wait for their commit",
                 remedy="wait a moment and propose again; this one was not appended",
--- a/packages/lychee-log/src/lychee_log/recovery.py
+++ b/packages/lychee-log/src/lychee_log/recovery.py
@@ -130,7 +130,7 @@
         )
     manifest = _MANIFEST.decode(read_file(folder / MANIFEST_NAME))
     snapshot = _read_snapshot(folder, manifest)
-    log = _read_segments(folder, manifest)
+    log = _read_segments(folder, manifest, snapshot)
     recovered = RecoveredState(
         identity=identity,
         hard_state=log.hard_state,
@@ -147,15 +147,23 @@
 
 
 class _StoredLog:
-    """Merges the batches of all segments."""
+    """Merges the batches of all segments.
 
-    def __init__(self, *, folder: Path) -> None:
+    Entries that the snapshot covers are checked and dropped: they may be many times the rest.
+
+    :param folder: the data folder.
+    :param base_index: the last index that the snapshot covers, 0 for none.
+    """
+
+    def __init__(self, *, folder: Path, base_index: LogIndex) -> None:
         self.hard_state = HardState()
         self.entries: list[Entry] = []
         self.committed = LogIndex(0)
         self.segment_ends: list[SegmentEnd] = []
         self.unconfirmed: tuple[Batch, ...] = ()
         self._folder = folder
+        self._base_index = base_index
+        self._last_index: LogIndex | None = None
 
     def add_segment(self, number: int, contents: SegmentContents) -> None:
         """Add the batches of the next segment."""
@@ -176,20 +184,21 @@
             self._add_entry(entry)
 
     def _add_entry(self, entry: Entry) -> None:
+        if self._last_index is not None and entry.index > self._last_index + 1:
+            raise damage_error(self._folder, f"lacks the entries from {self._last_index + 1}")
+        self._last_index = entry.index
         if self.entries:
-            expected_index = self.entries[-1].index + 1
-            if entry.index > expected_index:
-                raise damage_error(self._folder, f"lacks the entries from {expected_index}")
             kept_count = max(0, entry.index - self.entries[0].index)
             del self.entries[kept_count:]
-        self.entries.append(entry)
+        if entry.index > self._base_index:
+            self.entries.append(entry)
 
 
-def _read_segments(folder: Path, manifest: Manifest) -> _StoredLog:
+def _read_segments(folder: Path, manifest: Manifest, snapshot: Snapshot | None) -> _StoredLog:
     mark = read_sync_mark(folder)
     if mark.segment > manifest.current:
         raise damage_error(folder / MANIFEST_NAME, "is older than the log")
-    log = _StoredLog(folder=folder)
+    log = _StoredLog(folder=folder, base_index=snapshot.index if snapshot else LogIndex(0))
     for sealed in manifest.sealed:
         contents = read_sealed(folder=folder, number=sealed.number, size=sealed.size)
         log.add_segment(sealed.number, contents)
--- a/packages/lychee-log/src/lychee_log/replica.py
+++ b/packages/lychee-log/src/lychee_log/replica.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from lychee_log.bounds import LogBounds
 from lychee_log.core import Core
 from lychee_log.dump import ReplicaDump, dump_core, replica_states, role_name
 from lychee_log.effects import (
@@ -64,9 +65,6 @@
 SNAPSHOT_SPREAD = 0.3
 """Maximum share by which a replica takes snapshots earlier, so that not all do so at once."""
 
-SNAPSHOT_BYTES = 8_388_608
-"""Size of applied entries after which a snapshot is taken, in bytes."""
-
 
 class Replica:
     """One replica of a replicated log.
@@ -86,6 +84,7 @@
     :param snapshot_entries: number of applied entries after which a snapshot is taken.
     :param inline_sync: whether to sync on the event loop's thread instead of a worker thread.
     :param disk: the disk operations that can fail, None for those of the operating system.
+    :param bounds: bounds on what is held of the log, None for the default.
     """
 
     def __init__(
@@ -105,7 +104,9 @@
         snapshot_entries: int = SNAPSHOT_ENTRIES,
         inline_sync: bool = False,
         disk: Disk | None = None,
+        bounds: LogBounds | None = None,
     ) -> None:
+        self._bounds = bounds or LogBounds()
         self.id = id
         self._endpoint = endpoint
         self._data_folder = data_folder
@@ -125,7 +126,7 @@
         self._storage: Storage | None = None
         self._inbox: deque[Event] = deque()
         self._wake = asyncio.Event()
-        self._proposals = Proposals()
+        self._proposals = Proposals(max_bytes=self._bounds.pending_bytes)
         self._write_task: asyncio.Task[None] | None = None
         self._snapshot_task: asyncio.Task[None] | None = None
         self._last_tick_at = 0.0
@@ -170,6 +171,11 @@
         """Return the index of the last applied entry."""
         return self._core.state.applied_index if self._core else LogIndex(0)
 
+    @property
+    def log_bytes(self) -> int:
+        """Return the size of the log's entries in memory, in bytes."""
+        return self._core.state.log.size if self._core else 0
+
     @property
     def voters(self) -> tuple[ReplicaAddress, ...]:
         """Return the voters of the current membership."""
@@ -298,6 +304,7 @@
             timing=self._timing,
             seed=self._seed,
             now=self._clock.monotonic(),
+            bounds=self._bounds,
         )
         try:
             await self._run_loop(self._core)
@@ -374,7 +381,7 @@
         last_index = entries[-1].index
         self._enqueue(Applied(index=last_index))
         has_many_entries = self._entries_since_snapshot >= self._snapshot_entries
-        if has_many_entries or self._bytes_since_snapshot >= SNAPSHOT_BYTES:
+        if has_many_entries or self._bytes_since_snapshot >= self._bounds.snapshot_bytes:
             self._take_snapshot(core, last_index)
 
     def _take_snapshot(self, core: Core, index: LogIndex) -> None:
--- a/packages/lychee-log/src/lychee_log/segment.py
+++ b/packages/lychee-log/src/lychee_log/segment.py
@@ -1,6 +1,7 @@
 """Segments: append-only files of batches."""
 
 import os
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 
 from msgspec import Struct
@@ -102,12 +103,13 @@
 class SegmentContents(Struct, frozen=True, kw_only=True):
     """The contents of a segment.
 
-    :param batches: the batches that are known to have been synced.
+    :param batches: the batches that are known to have been synced, each decoded when it is its
+        turn, so that not all are in memory at once.
     :param size: their total length in bytes.
     :param unconfirmed: complete batches after them, which may or may not have been acknowledged.
     """
 
-    batches: tuple[Batch, ...]
+    batches: Iterable[Batch]
     size: int
     unconfirmed: tuple[Batch, ...] = ()
 
@@ -119,7 +121,7 @@
     :raises StorageError: if the segment is missing or damaged.
     """
     path = segment_path(folder, number)
-    data = _read_segment(path)[:size]
+    data = memoryview(_read_segment(path))[:size]
     frames = _read_frames(data, number=number)
     end = frames[-1].end if frames else 0
     if end != size:
@@ -138,7 +140,7 @@
     """
     path = segment_path(folder, number)
     data = _read_segment(path)
-    frames = _read_frames(data, number=number)
+    frames = _read_frames(memoryview(data), number=number)
     if not frames:
         raise damage_error(path, "is empty or damaged at its beginning")
     end = frames[-1].end
@@ -150,7 +152,7 @@
     return SegmentContents(
         batches=_decode_batches(synced_frames),
         size=synced_frames[-1].end,
-        unconfirmed=_decode_batches(frames[len(synced_frames) :]),
+        unconfirmed=tuple(_decode_batches(frames[len(synced_frames) :])),
     )
 
 
@@ -161,7 +163,7 @@
         return path.read_bytes()
 
 
-def _read_frames(data: bytes, *, number: int) -> list[Frame]:
+def _read_frames(data: memoryview, *, number: int) -> list[Frame]:
     frames: list[Frame] = []
     offset = 0
     while frame := read_frame(data, number=number, offset=offset):
@@ -170,5 +172,5 @@
     return frames
 
 
-def _decode_batches(frames: list[Frame]) -> tuple[Batch, ...]:
-    return tuple(_DECODER.decode(frame.payload) for frame in frames)
+def _decode_batches(frames: list[Frame]) -> Iterator[Batch]:
+    return (_DECODER.decode(frame.payload) for frame in frames)
--- a/packages/lychee-log/src/lychee_log/storage.py
+++ b/packages/lychee-log/src/lychee_log/storage.py
@@ -18,6 +18,8 @@
 from contextlib import contextmanager
 from pathlib import Path
 
+from msgspec.structs import replace
+
 from lychee_log.effects import SaveSnapshot, Write
 from lychee_log.exceptions import StorageError
 from lychee_log.files import (
@@ -46,7 +48,7 @@
 from lychee_log.segment import Batch, SegmentWriter, segment_path
 from lychee_types.ids import LogIndex, ReplicaId
 
-SEGMENT_BYTES = 67_108_864
+SEGMENT_BYTES = 16_777_216
 """Size at which a new segment is started, in bytes."""
 
 
@@ -73,6 +75,7 @@
         self._writer = SegmentWriter(
             folder=folder, number=current.number, size=current.size, disk=disk
         )
+        self._leave_out_covered_segments()
         if loaded.unconfirmed:
             self._rewrite_unconfirmed(loaded.unconfirmed)
         self._write_sync_mark()
@@ -151,6 +154,14 @@
         last_index = max((entry.index for entry in entries), default=LogIndex(0))
         self._last_indexes[self._writer.number] = last_index
 
+    def _leave_out_covered_segments(self) -> None:
+        """Leave out the segments whose entries the snapshot covers; nobody reads them any more."""
+        first = self._manifest.snapshot + 1
+        sealed = self._manifest.sealed
+        while sealed and self._last_indexes[sealed[0].number] < first:
+            sealed = sealed[1:]
+        self._manifest = replace(self._manifest, sealed=sealed)
+
     def _segments_from(self, index: LogIndex) -> tuple[SealedSegment, ...]:
         """Return the segments that hold entries from an index on, the current one as sealed."""
         current = SealedSegment(number=self._writer.number, size=self._writer.size)
--- a/packages/lychee-log/tests/test_proposals.py
+++ b/packages/lychee-log/tests/test_proposals.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from lychee_log.proposals import PENDING_BYTES_LIMIT, Proposals
+from lychee_log.bounds import PENDING_BYTES
+from lychee_log.proposals import Proposals
 from lychee_log.records import Committed, EntryId
 from lychee_types.exceptions import NotLeaderError, UnavailableError
 from lychee_types.ids import LogIndex
@@ -59,7 +60,7 @@
 def test_waiting_proposals_are_bounded() -> None:
     async def scenario() -> None:
         proposals = Proposals()
-        proposals.add(bytes(PENDING_BYTES_LIMIT + 1))
+        proposals.add(bytes(PENDING_BYTES + 1))
         with pytest.raises(UnavailableError, match="too many"):
             proposals.add(b"x")
         proposals.reject(proposals.take_new(), NotLeaderError(leader=None))
--- a/packages/lychee-runtime/src/lychee_runtime/__init__.py
+++ b/packages/lychee-runtime/src/lychee_runtime/__init__.py
@@ -3,7 +3,14 @@
 from lychee_runtime.daemon import Daemon, run_daemon
 from lychee_runtime.dump import format_dump
 from lychee_runtime.exposition import PrometheusMetrics
-from lychee_runtime.link import Link, LinkService, as_unavailable, open_link, serve_links
+from lychee_runtime.link import (
+    Link,
+    LinkService,
+    PendingBound,
+    as_unavailable,
+    open_link,
+    serve_links,
+)
 from lychee_runtime.logs import configure_logs
 from lychee_runtime.metrics import Metrics, NoMetrics, open_metrics
 from lychee_runtime.operator_client import OperatorClient, RefusedError
@@ -17,6 +24,7 @@
     "Metrics",
     "NoMetrics",
     "OperatorClient",
+    "PendingBound",
     "RefusedError",
     "as_unavailable",
     "client_context",
--- a/packages/lychee-runtime/src/lychee_runtime/link.py
+++ b/packages/lychee-runtime/src/lychee_runtime/link.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager, suppress
+from dataclasses import dataclass
 from ssl import SSLContext
 from typing import Any, Generic, Protocol, TypeVar
 
@@ -31,6 +32,9 @@
 PENDING_LIMIT = 20_000
 """Maximum number of unsent messages; a link whose peer doesn't read is closed beyond it."""
 
+PENDING_BYTES = 8_388_608
+"""Maximum size of unsent messages beside the largest one, in bytes; the same beyond it."""
+
 CONNECT_TIMEOUT_S = 1.0
 """Maximum time to open a connection, in seconds."""
 
@@ -77,21 +81,53 @@
         ) from exc
 
 
+def _no_bulk(message: Any) -> int:
+    """Return that a message is small."""
+    return 0
+
+
+def _default_max_bytes() -> float:
+    return PENDING_BYTES
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PendingBound:
+    """Bound on the messages that a link has not sent yet, for a peer that reads slowly or not.
+
+    One message may be of any size: the bound is on what is unsent beside the largest.
+
+    :param size_of: returns the size of what is large in a message, in bytes.
+    :param max_bytes: returns the bound in bytes.
+    """
+
+    size_of: Callable[[Any], int] = _no_bulk
+    max_bytes: Callable[[], float] = _default_max_bytes
+
+
 class Link(Generic[S, R]):
     """A bidirectional stream of messages to another process.
 
     :param stream: the grpclib stream.
     :param peer: name of the other process, for error messages.
     :param connection: the connection that the stream has to itself, None if it shares one.
+    :param bound: bound on unsent messages, None for one by their number only.
     """
 
     def __init__(
-        self, *, stream: _Stream, peer: str, connection: _Connection | None = None
+        self,
+        *,
+        stream: _Stream,
+        peer: str,
+        connection: _Connection | None = None,
+        bound: PendingBound | None = None,
     ) -> None:
         self.peer = peer
         self._stream = stream
         self._connection = connection
+        self._bound = bound or PendingBound()
         self._pending: list[S] = []
+        self._pending_bytes = 0
+        self._largest_bytes = 0
         self._writer_wakeup = asyncio.Event()
         self._closed = False
 
@@ -108,15 +144,37 @@
         """
         return self._connection.data_received if self._connection is not None else 0
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the size of the messages that have not been sent yet, in bytes."""
+        return self._pending_bytes
+
     def post(self, message: S) -> None:
         """Queue a message; it is lost if the connection breaks before the message is written."""
         if self._closed:
             return
+        size = self._bound.size_of(message)
         self._pending.append(message)
-        if len(self._pending) > PENDING_LIMIT:
-            self.close()
+        self._pending_bytes += size
+        self._largest_bytes = max(self._largest_bytes, size)
+        others_bytes = self._pending_bytes - self._largest_bytes
+        if len(self._pending) > PENDING_LIMIT or others_bytes > self._bound.max_bytes():
+            self._drop_pending()
         self._writer_wakeup.set()
 
+    def _drop_pending(self) -> None:
+        """Close without sending what is unsent, as the peer does not read."""
+        logger.bind(
+            event="link_behind", messages=len(self._pending), bytes=self._pending_bytes
+        ).warning("the stream with {} is closed: its peer is too far behind", self.peer)
+        self._take_pending()
+        self.close()
+
+    def _take_pending(self) -> tuple[S, ...]:
+        batch, self._pending = tuple(self._pending), []
+        self._pending_bytes = self._largest_bytes = 0
+        return batch
+
     def close(self) -> None:
         """Stop writing; :meth:`run_writer` returns."""
         self._closed = True
@@ -167,7 +225,7 @@
             while not self._closed:
                 await self._writer_wakeup.wait()
                 self._writer_wakeup.clear()
-                batch, self._pending = tuple(self._pending), []
+                batch = self._take_pending()
                 if batch:
                     with as_unavailable(self.peer):
                         await self._stream.send_message(batch)
@@ -183,6 +241,7 @@
     send: Any,
     receive: Any,
     ssl: SSLContext | None = None,
+    bound: PendingBound | None = None,
 ) -> AsyncIterator[Link[Any, Any]]:
     """Open a link to another process; it closes when the block ends.
 
@@ -191,6 +250,7 @@
     :param send: type of the messages sent.
     :param receive: type of the messages received.
     :param ssl: TLS context, None for plain TCP.
+    :param bound: bound on unsent messages, None for one by their number only.
     :raises UnavailableError: if the connection can't be opened or breaks.
     """
     peer = str(endpoint)
@@ -206,7 +266,7 @@
             async with request as stream:
                 await stream.send_request()
                 link: Link[Any, Any] = Link(
-                    stream=stream, peer=peer, connection=protocol.connection
+                    stream=stream, peer=peer, connection=protocol.connection, bound=bound
                 )
                 writer = asyncio.create_task(link.run_writer())
                 try:
@@ -236,17 +296,26 @@
         self._name = name
         self._handlers: dict[str, Handler] = {}
 
-    def add(self, *, method: str, send: Any, receive: Any, handler: LinkHandler) -> None:
+    def add(
+        self,
+        *,
+        method: str,
+        send: Any,
+        receive: Any,
+        handler: LinkHandler,
+        bound: PendingBound | None = None,
+    ) -> None:
         """Add a stream method.
 
         :param method: its name.
         :param send: type of the messages that this process sends.
         :param receive: type of the messages that this process receives.
         :param handler: serves one link.
+        :param bound: bound on each link's unsent messages, None for one by their number only.
         """
 
         async def serve(stream: Any) -> None:
-            link: Link[Any, Any] = Link(stream=stream, peer=self._name)
+            link: Link[Any, Any] = Link(stream=stream, peer=self._name, bound=bound)
             writer = asyncio.create_task(link.run_writer())
             try:
                 await handler(link)
--- a/packages/lychee-types/src/lychee_types/registry_messages.py
+++ b/packages/lychee-types/src/lychee_types/registry_messages.py
@@ -1,6 +1,6 @@
 """Messages between gateways and control replicas of a routed deployment."""
 
-from msgspec import Struct
+from msgspec import Raw, Struct
 
 from lychee_types.cold_messages import ColdReport, KnownCold
 from lychee_types.crash_messages import CrashReport, KnownCrashes
@@ -149,6 +149,17 @@
     command: RoutedCommand
 
 
+class EncodedDelta(Struct, frozen=True, kw_only=True):
+    """A :class:`RoutedDelta` whose command is still encoded, as it stands in the log.
+
+    :param index: its log index.
+    :param command: the encoded command.
+    """
+
+    index: LogIndex
+    command: Raw
+
+
 class RoutedDeltas(Struct, frozen=True, kw_only=True, tag=True):
     """Log entries after the last one that the gateway has applied.
 
@@ -158,7 +169,7 @@
     packed: bytes
 
     @classmethod
-    def of(cls, entries: tuple[RoutedDelta, ...]) -> "RoutedDeltas":
+    def of(cls, entries: tuple[RoutedDelta, ...] | tuple[EncodedDelta, ...]) -> "RoutedDeltas":
         """Return the message for log entries."""
         return cls(packed=pack(entries))
 
--- a/packages/lychee-types/src/lychee_types/routed_settings.py
+++ b/packages/lychee-types/src/lychee_types/routed_settings.py
@@ -25,6 +25,12 @@
 MOST_MEMORY_MB = 1_048_576
 """Largest memory of a VM that a setting may name, in MB."""
 
+MOST_DISK_MB = 1_073_741_824
+"""Largest disk of a VM that a setting may name, in MB."""
+
+LEAST_DISK_MB = 16
+"""Least disk of a VM on which a process is started, in MB."""
+
 LEAST_FDS = 64
 """Least number of descriptors with which a process is started."""
 
@@ -63,14 +69,16 @@
 
 
 class VmLimits(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """Limits of a process's VM, from which the limits on callers are derived.
+    """Limits of a process's VM, from which the bounds on what it holds are derived.
 
     :param memory_mb: memory in MB, None if it is not known.
     :param max_fds: maximum number of descriptors, None if it is not known.
+    :param disk_mb: size of the disk in MB, None if it is not known or there is none.
     """
 
     memory_mb: float | None = None
     max_fds: int | None = None
+    disk_mb: float | None = None
 
 
 class HedgingSettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -273,6 +281,8 @@
         yield from check_range(
             vm.memory_mb, "vm.memory_mb", least=LEAST_MEMORY_MB, most=MOST_MEMORY_MB
         )
+    if vm.disk_mb is not None:
+        yield from check_range(vm.disk_mb, "vm.disk_mb", least=LEAST_DISK_MB, most=MOST_DISK_MB)
     if vm.max_fds is not None:
         yield from check_range(vm.max_fds, "vm.max_fds", least=LEAST_FDS, most=MOST_FDS)
 
