Judge callers on kept connections by the limits in force

A smaller limit was never applied to such a connection, the time for heads neither, and one that opened before the gateway knew any routes kept the built-in limits for good.

Cause: the gateway copied both limits when a connection opened. Ruled out: a gateway that does not know the change, as its new connections went by it. The idle time was asked for each time; the limit of bodies was looked up at two moments of one request.

Change: LimitsInForce owns all four limits, and connections ask it each time. A larger limit holds on for apply_s after a smaller one, the idle time as long as before. A head that is half read under a change gets the larger limit and the longer time, a body the larger of when its head had been read and now.

--- a/packages/lychee-gateway/src/lychee_gateway/proxy/calls.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/calls.py
@@ -54,6 +54,7 @@
     :param signature: the request's signature, None before it is needed.
     :param trail: decisions so far, for the log.
     :param used_connections: the connections on which it must not be sent any more.
+    :param max_body_bytes: maximum size of its body when its head had been read, in bytes.
     :param copy: what became of its second copy, or why it got none; None if none was due.
     """
 
@@ -68,6 +69,7 @@
     signature: RequestSignature | None = None
     trail: list[Step] = field(default_factory=list)
     used_connections: UsedConnections = field(init=False)
+    max_body_bytes: int = 0
     copy: str | None = None
 
     def __post_init__(self) -> None:
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/daemon.py
@@ -20,8 +20,8 @@
 from lychee_gateway.proxy.forwarding import Forwarder
 from lychee_gateway.proxy.hedging import Hedger, RouteCopiesDump
 from lychee_gateway.proxy.held import CALLERS_SHARE, MAX_HELD_BYTES, HeldAnswers
-from lychee_gateway.proxy.idle import IdleLimit
 from lychee_gateway.proxy.limits import ServerLimits
+from lychee_gateway.proxy.limits_in_force import LimitsInForce
 from lychee_gateway.proxy.loads import KeyLoads
 from lychee_gateway.proxy.metrics import ProxyMetrics
 from lychee_gateway.proxy.overloads import OverloadedOwners
@@ -247,6 +247,7 @@
             settings=cfg.hedging,
             clock=self._clock,
         )
+        self._caller_limits = LimitsInForce(keep_s=cfg.bounds.apply_s, clock=self._clock)
         self._forwarder = Forwarder(
             view=self._view,
             age=self._age,
@@ -260,11 +261,9 @@
             metrics=self._metrics,
             stop=self._stop,
             held=self._make_held_answers(),
+            limits=self._caller_limits,
         )
-        self._idle_limit = IdleLimit(keep_s=cfg.bounds.apply_s, clock=self._clock)
-        self._view.add_listener(
-            lambda: self._idle_limit.set(self._view.state.routing.bounds.idle_s)
-        )
+        self._view.add_listener(lambda: self._caller_limits.set(self._view.state.routing.bounds))
         self._view.add_listener(lambda: self._servers.sync(self._view.state))
         self._view.add_listener(self._forget_departed_servers)
         self._view.add_listener(self._paths.sync)
@@ -475,17 +474,13 @@
 
     def _start_connection(self, stream: TcpStream) -> None:
         self._link.add(stream)
-        bounds = self._view.state.routing.bounds
-        limits = CallerLimits(
-            head_bytes=bounds.head_bytes, head_s=bounds.head_s, idle_s=bounds.idle_s
-        )
         conn = PipelinedConnection(
             stream=stream,
-            limits=limits,
+            limits=self._caller_limits,
             handle=self._forwarder.handle,
             refuse=self._forwarder.refuse,
             tally=self._tally,
-            idle_s=lambda: self._idle_limit.value_s,
+            tells_idle=True,
             idle_answer=self._forwarder.idle_answer,
         )
         conn.closing = self.stopping.is_set()
--- a/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
+++ b/packages/lychee-gateway/src/lychee_gateway/proxy/forwarding.py
@@ -20,6 +20,7 @@
 from lychee_gateway.proxy.hedging import Hedger
 from lychee_gateway.proxy.held import HeldAnswer, HeldAnswers
 from lychee_gateway.proxy.last_attempts import end_at_stop
+from lychee_gateway.proxy.limits_in_force import LimitsInForce
 from lychee_gateway.proxy.loads import KeyLoads
 from lychee_gateway.proxy.metrics import ProxyMetrics
 from lychee_gateway.proxy.placing import NoServer, RoutedRequest, ServerSelector
@@ -71,6 +72,7 @@
     :param retries: this gateway's part of the retry budget.
     :param metrics: the gateway's metrics.
     :param stop: the schedule of the gateway's stop.
+    :param limits: what callers may send.
     :param held: the room for answers that are held back.
     """
 
@@ -88,8 +90,10 @@
         retries: RetryBudgets,
         metrics: ProxyMetrics,
         stop: StopSchedule,
+        limits: LimitsInForce,
         held: HeldAnswers | None = None,
     ) -> None:
+        self._limits = limits
         self._view = view
         self._age = age
         self._selector = selector
@@ -135,13 +139,15 @@
             ).info("{}", rejection.reason)
             await self._answers.reject(exchange, request.request_id, rejection)
             return
-        fault = declared_length_error(exchange.head, self._view.state.routing.bounds.body_bytes)
+        max_body_bytes = self._limits.body_bytes
+        fault = declared_length_error(exchange.head, max_body_bytes)
         if fault is not None:
             raise fault
         call = self._make_call(exchange, request, route, arrived_at)
         if isinstance(call, Rejection):
             await self._answers.reject_bad_request(exchange, request.request_id, call)
             return
+        call.max_body_bytes = max_body_bytes
         with self._held.track(conn=exchange.connection, route=route.name) as held:
             exchange.reserve = held.reserve
             exchange.stage = Stage.EARLIER
@@ -203,7 +209,8 @@
         if refused is not None:
             await self._answers.give_up(call, refused)
             return
-        limit = self._view.state.routing.bounds.body_bytes
+        # It may have waited for earlier answers on its connection.
+        limit = max(call.max_body_bytes, self._limits.body_bytes)
         call.exchange.stage = Stage.BODY
         may_wait = has_body(call.exchange.head)
         try:
--- a/packages/lychee-http/src/lychee_http/inbound.py
+++ b/packages/lychee-http/src/lychee_http/inbound.py
@@ -4,6 +4,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 from time import monotonic
+from typing import Protocol
 
 from lychee_http.caller_memory import EXCHANGE_BYTES, head_bytes
 from lychee_http.closing import wait_until_delivered
@@ -33,6 +34,33 @@
 """Statuses whose responses have neither body nor length."""
 
 
+class ConnectionLimits(Protocol):
+    """Limits on a caller's connection, which asks for them each time: they may change meanwhile.
+
+    The meaning of each is that in :class:`CallerLimits`.
+    """
+
+    @property
+    def head_bytes(self) -> int:
+        """Return the maximum size of a request head."""
+        ...
+
+    @property
+    def head_s(self) -> float:
+        """Return the time from a request's first byte to the end of its head, in seconds."""
+        ...
+
+    @property
+    def idle_s(self) -> float:
+        """Return the time without a request after which the connection closes, in seconds."""
+        ...
+
+    @property
+    def stall_s(self) -> float:
+        """Return the maximum time that a caller may stall, in seconds."""
+        ...
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallerLimits:
     """Limits on a caller's connection.
@@ -64,7 +92,7 @@
         self._holding = stream.holding
         self._memory = 0
         self._limits = limits
-        self._reader = RequestReader(stream=stream, head_limit=limits.head_bytes)
+        self._reader = RequestReader(stream=stream, head_limit=lambda: limits.head_bytes)
         self._head: RequestHead | None = None
         self._is_waiting_for_request = False
         self._has_served_request = False
@@ -120,13 +148,13 @@
         :raises CallerGoneError: if the connection ended inside the head.
         """
         head = await self._reader.read_head(
-            wait_for_request=self._wait_for_request, timeout_s=self._limits.head_s
+            wait_for_request=self._wait_for_request, timeout_s=lambda: self._limits.head_s
         )
         if head is None:
             return None
         self._head = head
         self._hold_memory(EXCHANGE_BYTES + head_bytes(head))
-        check_head(head, limit=self._limits.head_bytes)
+        check_head(head, limit=self._reader.head_limit)
         if not has_body(head):
             self._is_request_read = isinstance(self._reader.next_event(), EndOfMessage)
         return head
@@ -147,7 +175,7 @@
         if b"100-continue" in header_tokens(self._head.headers, b"expect"):
             self._stream.write(CONTINUE)
         body = bytearray()
-        reads = TimedReads(reader=self._reader, timeout_s=timeout_s)
+        reads = TimedReads(reader=self._reader, timeout_s=lambda: timeout_s)
         while not isinstance(part := await self._reader.next_part(reads), EndOfMessage):
             body += part
             self._hold_memory(int(COLLECTED_FACTOR * len(part)))
--- a/packages/lychee-http/src/lychee_http/incoming_body.py
+++ b/packages/lychee-http/src/lychee_http/incoming_body.py
@@ -5,7 +5,7 @@
 
 from lychee_http.exchange import CallerExchange
 from lychee_http.framing import body_too_large_error
-from lychee_http.inbound import CONTINUE, CallerLimits
+from lychee_http.inbound import CONTINUE, ConnectionLimits
 from lychee_http.messages import header_tokens
 from lychee_http.parser import EndOfMessage
 from lychee_http.reader import RequestReader, TimedReads
@@ -20,7 +20,9 @@
     :param limits: limits on the connection.
     """
 
-    def __init__(self, *, stream: TcpStream, reader: RequestReader, limits: CallerLimits) -> None:
+    def __init__(
+        self, *, stream: TcpStream, reader: RequestReader, limits: ConnectionLimits
+    ) -> None:
         self._stream = stream
         self._reader = reader
         self._limits = limits
@@ -103,7 +105,7 @@
 
     async def _next_chunk(self) -> bytes | None:
         # Its time counts from the last content: other bytes are no progress.
-        reads = TimedReads(reader=self._reader, timeout_s=self._limits.stall_s)
+        reads = TimedReads(reader=self._reader, timeout_s=lambda: self._limits.stall_s)
         part = await self._reader.next_part(reads)
         if isinstance(part, EndOfMessage):
             self._is_read = True
--- a/packages/lychee-http/src/lychee_http/parser.py
+++ b/packages/lychee-http/src/lychee_http/parser.py
@@ -61,12 +61,12 @@
 class HeadCollector:
     """Assembles heads, one after the other, from the parser's callbacks.
 
-    :param head_limit: maximum size of an incomplete head in bytes.
+    :param head_limit: maximum size of an incomplete head in bytes; it may be set anew.
     :param max_headers: maximum number of headers, None for no limit.
     """
 
     def __init__(self, *, head_limit: int, max_headers: int | None) -> None:
-        self._head_limit = head_limit
+        self.head_limit = head_limit
         self._max_headers = max_headers
         self._in_head = False
         self._head_bytes = 0
@@ -130,7 +130,7 @@
         if self._in_head:
             if was_outside_body and self._head_count == heads_if_all_of_one:
                 self._head_bytes += len(data)
-            if self._head_bytes > self._head_limit:
+            if self._head_bytes > self.head_limit:
                 self._error = MalformedError(message="the head is too large", status=431)
 
 
@@ -337,9 +337,9 @@
         self._bytes_without_content = 0 if content_bytes else self._bytes_without_content + size
         if self._error is not None:
             return
-        if self._bytes_without_content > self._head_limit:
+        if self._bytes_without_content > self.head_limit:
             self._error = MalformedError(message="its trailers are too long", status=431)
-        elif self._framing_bytes > self._head_limit + FRAMING_ALLOWANCE * self._content_bytes:
+        elif self._framing_bytes > self.head_limit + FRAMING_ALLOWANCE * self._content_bytes:
             self._error = MalformedError(message="its chunks have too many bytes beside the body")
 
     def on_message_begin(self) -> None:
--- a/packages/lychee-http/src/lychee_http/pipelining.py
+++ b/packages/lychee-http/src/lychee_http/pipelining.py
@@ -18,7 +18,7 @@
 from lychee_http.framing import check_head, has_body, keeps_alive
 from lychee_http.half_close import HalfCloseWatch
 from lychee_http.idle_wait import IdleWait
-from lychee_http.inbound import CallerLimits
+from lychee_http.inbound import ConnectionLimits
 from lychee_http.incoming_body import IncomingBody
 from lychee_http.messages import RequestHead, ResponseHead
 from lychee_http.reader import RequestReader
@@ -49,12 +49,11 @@
     """One caller's connection with up to :data:`PIPELINE_LIMIT` requests in flight.
 
     :param stream: the TCP connection.
-    :param limits: limits on the connection.
+    :param limits: limits on the connection, asked for each time.
     :param handle: handles a request and sends the response.
     :param refuse: sends the response to a rejected request.
     :param tally: counts what becomes of each request.
-    :param idle_s: returns how long callers may be idle now, in seconds, which answers tell them;
-        None if that never changes and is not told.
+    :param tells_idle: whether answers tell callers how long they may be idle.
     :param idle_answer: what is sent before :meth:`close_if_idle` closes; its status must say that
         the request was not run. None to send nothing.
     """
@@ -63,17 +62,16 @@
         self,
         *,
         stream: TcpStream,
-        limits: CallerLimits,
+        limits: ConnectionLimits,
         handle: Handle,
         refuse: Refuse,
         tally: RequestTally | None = None,
-        idle_s: Callable[[], float] | None = None,
+        tells_idle: bool = False,
         idle_answer: IdleAnswer | None = None,
     ) -> None:
         self.closing = False
         self.tally = tally or RequestTally()
-        self._tells_idle = idle_s is not None
-        self._idle_s = idle_s or (lambda: limits.idle_s)
+        self._tells_idle = tells_idle
         self._stream = stream
         self._limits = limits
         self._handle = handle
@@ -83,7 +81,7 @@
         self._read_while_closing = 0
         self._is_answered_ahead = False
         self._unanswered = UnansweredReports(tally=self.tally, side=lambda: caller_side(stream))
-        self._reader = RequestReader(stream=stream, head_limit=limits.head_bytes)
+        self._reader = RequestReader(stream=stream, head_limit=lambda: limits.head_bytes)
         self.holding = stream.holding
         self._exchanges = ExchangeQueue(limit=PIPELINE_LIMIT, holding=self.holding)
         self._body = IncomingBody(stream=stream, reader=self._reader, limits=limits)
@@ -100,7 +98,7 @@
             stream=stream,
             reader=self._reader,
             delivery=self._delivery,
-            idle_s=self._idle_s,
+            idle_s=lambda: limits.idle_s,
             has_requests=lambda: bool(self._exchanges),
             is_over=lambda: self._is_over,
         )
@@ -213,7 +211,7 @@
 
         The connection is kept for longer (:func:`kept_s`), so that no request crosses its close.
         """
-        whole_s = int(self._idle_s())
+        whole_s = int(self._limits.idle_s)
         if not self._tells_idle or self.closing or whole_s < 1:
             return b""
         return b"keep-alive: timeout=%d\r\n" % whole_s
@@ -263,7 +261,7 @@
             if self._last_exchange is not None:
                 self._unanswered.report(EndReason.CLOSING_ANSWER, (self._make_exchange(head),))
                 return False
-            check_head(head, limit=self._limits.head_bytes)
+            check_head(head, limit=self._reader.head_limit)
             exchange = self._make_exchange(head)
         except CallerGoneError:
             # Only the request that was cut is lost; earlier ones still get their responses.
@@ -444,7 +442,7 @@
 
     async def _read_head(self) -> RequestHead | None:
         return await self._reader.read_head(
-            wait_for_request=self._idle.wait, timeout_s=self._limits.head_s
+            wait_for_request=self._idle.wait, timeout_s=lambda: self._limits.head_s
         )
 
     async def _close(self) -> None:
--- a/packages/lychee-http/src/lychee_http/reader.py
+++ b/packages/lychee-http/src/lychee_http/reader.py
@@ -17,18 +17,30 @@
     """Reads a connection's bytes as events of requests.
 
     :param stream: the connection.
-    :param head_limit: maximum size of a head in bytes.
+    :param head_limit: returns the maximum size of a head now, in bytes.
     """
 
-    def __init__(self, *, stream: TcpStream, head_limit: int) -> None:
+    def __init__(self, *, stream: TcpStream, head_limit: Callable[[], int]) -> None:
         self._stream = stream
         self._holding = stream.holding
-        self._parser = RequestParser(head_limit=head_limit, holding=self._holding)
+        self._current_head_limit = head_limit
+        self._first_head_limit = head_limit()
+        self._parser = RequestParser(head_limit=self._first_head_limit, holding=self._holding)
         self.discarded = 0
         self._skipped = 0
         self._is_closed = False
         self._is_skipping = False
 
+    @property
+    def head_limit(self) -> int:
+        """Return the maximum size of the head read last: the larger of when it began and now."""
+        return max(self._first_head_limit, self._current_head_limit())
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether nothing more arrives."""
+        return self._stream.eof or self._stream.lost
+
     @property
     def in_head(self) -> bool:
         """Whether a head has begun and is incomplete."""
@@ -37,6 +49,7 @@
     @property
     def has_next_event(self) -> bool:
         """Whether an event or error is available without more bytes."""
+        self._parser.head_limit = self.head_limit
         return self._parser.has_next_event
 
     def next_event(self) -> RequestEvent | None:
@@ -47,6 +60,7 @@
         """
         if self._is_closed:
             raise CallerGoneError()
+        self._parser.head_limit = self.head_limit
         try:
             return self._parser.next_event()
         except MalformedError as exc:
@@ -94,21 +108,27 @@
         return not self._stream.is_quiet()
 
     async def read_head(
-        self, *, wait_for_request: Callable[[], Awaitable[bool]], timeout_s: float
+        self,
+        *,
+        wait_for_request: Callable[[], Awaitable[bool]],
+        timeout_s: Callable[[], float],
     ) -> RequestHead | None:
         """Read the next head; return None if no request comes.
 
         :param wait_for_request: waits for a request's first bytes; returns whether there are any.
-        :param timeout_s: maximum wait for the rest of a head that has begun, in seconds.
+        :param timeout_s: returns the maximum wait now for the rest of a head that has begun, in
+            seconds.
         :raises BadRequestError: if that time is over.
         :raises CallerGoneError: if the connection ends inside the head.
         """
         if self._is_turn_due:
             await self.take_turn()
+        self._first_head_limit = self._current_head_limit()
         event = self.next_event()
         if event is None and not self.in_head:
             if not await wait_for_request():
                 return None
+            self._first_head_limit = self._current_head_limit()
             if self._is_turn_due:
                 await self.take_turn()
             event = self.next_event()
@@ -117,7 +137,7 @@
         assert isinstance(event, RequestHead)
         return event
 
-    async def _read_rest_of_head(self, timeout_s: float) -> RequestEvent:
+    async def _read_rest_of_head(self, timeout_s: Callable[[], float]) -> RequestEvent:
         reads = TimedReads(reader=self, timeout_s=timeout_s)
         self._holding.start_wait()
         while (event := self.next_event()) is None:
@@ -212,19 +232,30 @@
     What has arrived when the time is over is read too, in :data:`LATE_READS` reads at most.
 
     :param reader: reads the connection.
-    :param timeout_s: the time in seconds.
+    :param timeout_s: returns the time now, in seconds; the longer of when the part began and now
+        counts.
     """
 
-    def __init__(self, *, reader: RequestReader, timeout_s: float) -> None:
+    def __init__(self, *, reader: RequestReader, timeout_s: Callable[[], float]) -> None:
         self._reader = reader
-        self._deadline = monotonic() + timeout_s
+        self._timeout_s = timeout_s
+        self._first_timeout_s = timeout_s()
+        self._began_at = monotonic()
         self._late_reads = 0
 
     async def receive(self) -> bool:
         """Wait for bytes to parse; return False at the end of the stream or of the time."""
-        left_s = self._deadline - monotonic()
-        if left_s <= 0:
-            self._late_reads += 1
-        if self._late_reads > LATE_READS:
-            return False
-        return await self._reader.receive(left_s)
+        while True:
+            left_s = self._left_s()
+            if left_s <= 0:
+                self._late_reads += 1
+            if self._late_reads > LATE_READS:
+                return False
+            if await self._reader.receive(left_s):
+                return True
+            if self._reader.has_ended or self._left_s() <= 0:
+                return False
+
+    def _left_s(self) -> float:
+        timeout_s = max(self._first_timeout_s, self._timeout_s())
+        return self._began_at + timeout_s - monotonic()
--- a/packages/lychee-http/src/lychee_http/response_parser.py
+++ b/packages/lychee-http/src/lychee_http/response_parser.py
@@ -115,13 +115,13 @@
     def _limit_bytes_without_event(self, size: int, has_event: bool) -> None:
         """Reject bytes that go on without a head or a part of a body."""
         self._bytes_without_event = 0 if has_event else self._bytes_without_event + size
-        if self._error is None and self._bytes_without_event > self._head_limit:
+        if self._error is None and self._bytes_without_event > self.head_limit:
             self._error = MalformedError(message="its bytes are neither a head nor a body")
 
     def _limit_framing(self, size: int) -> None:
         """Reject a body of which far more is framing than content."""
         self._framing_bytes += size
-        allowed = self._head_limit + FRAMING_ALLOWANCE * self._body_bytes
+        allowed = self.head_limit + FRAMING_ALLOWANCE * self._body_bytes
         if self._error is None and not self.complete and self._framing_bytes > allowed:
             self._error = MalformedError(message="its chunks have too many bytes beside the body")
 
--- a/packages/lychee-http/tests/test_endless_input.py
+++ b/packages/lychee-http/tests/test_endless_input.py
@@ -140,7 +140,7 @@
 
 
 def test_bytes_that_are_discarded_behind_a_malformed_head_are_not_kept():
-    reader = RequestReader(stream=TcpStream(), head_limit=BLOCK)
+    reader = RequestReader(stream=TcpStream(), head_limit=lambda: BLOCK)
     reader.discard(b"no request\r\n\r\n")
     tracemalloc.start()
     try:
--- a/packages/lychee-http/tests/test_pipelining.py
+++ b/packages/lychee-http/tests/test_pipelining.py
@@ -38,6 +38,19 @@
     return b"POST /%b HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n%b" % (name, length, body)
 
 
+class AskedLimits:
+    """Limits whose idle time is asked for each time."""
+
+    def __init__(self, idle_s):
+        self._ask = idle_s
+        usual = CallerLimits()
+        self.head_bytes, self.head_s, self.stall_s = usual.head_bytes, usual.head_s, usual.stall_s
+
+    @property
+    def idle_s(self):
+        return self._ask()
+
+
 class Harness:
     """A listener whose requests are answered when the test releases them.
 
@@ -64,11 +77,11 @@
     def _connected(self, stream):
         conn = PipelinedConnection(
             stream=stream,
-            limits=self.limits,
+            limits=self.limits if self.idle_s is None else AskedLimits(self.idle_s),
             handle=self._handle,
             refuse=self._refuse,
             tally=self.tally,
-            idle_s=self.idle_s,
+            tells_idle=self.idle_s is not None,
             idle_answer=self.idle_answer,
         )
         self.conns.append(conn)
