Name the bounds on callers' memory, and move a replica's dump into a module

lychee_types.routing.CallerBounds and lychee_http.caller_memory.CallerBounds were two things of one name; the second is MemoryBounds now.

--- a/packages/lychee-control/src/lychee_control/registry/daemon.py
+++ b/packages/lychee-control/src/lychee_control/registry/daemon.py
@@ -6,7 +6,6 @@
 from pathlib import Path
 
 from loguru import logger
-from msgspec import Struct
 from xxhash import xxh3_64_intdigest
 
 from lychee_control.memory import ReplicaMemory
@@ -26,6 +25,7 @@
 from lychee_control.registry.calls import GrantCodec
 from lychee_control.registry.cold import ColdBoard
 from lychee_control.registry.crashes import CrashBoard
+from lychee_control.registry.dump import RegistryDump
 from lychee_control.registry.gateways import GatewayBoard
 from lychee_control.registry.heartbeats import heartbeat_fault
 from lychee_control.registry.joining import JoinHandler, load_or_create_id
@@ -54,7 +54,7 @@
 from lychee_http.exceptions import BadRequestError
 from lychee_http.listener import Listener
 from lychee_http.textpage import PageText, TextPages
-from lychee_log import Replica, ReplicaAddress, ReplicaDump
+from lychee_log import Replica, ReplicaAddress
 from lychee_runtime import Daemon, Link, LinkService, format_dump, serve_links
 from lychee_types.clock import Clock, SystemClock
 from lychee_types.cold_messages import KnownCold
@@ -65,7 +65,6 @@
 from lychee_types.messages import PEER
 from lychee_types.peer_messages import KnownGateways
 from lychee_types.records import Endpoint
-from lychee_types.registry import RoutedImage
 from lychee_types.registry_commands import EvacuateDomain, RoutedOutcome
 from lychee_types.registry_messages import (
     SUBSCRIBE,
@@ -116,39 +115,6 @@
 """Limits on the connections of servers and operators."""
 
 
-class RegistryDump(Struct, frozen=True, kw_only=True):
-    """Dump of a control replica of a routed deployment.
-
-    :param id: the replica's id.
-    :param domain: its failure domain.
-    :param leads: whether it does the leader's work.
-    :param gateways: number of gateways attached to it.
-    :param callers: number of open connections of servers and operators.
-    :param callers_max: maximum number of them, None for no limit.
-    :param callers_mb: memory that they take up by the replica's account, in MB.
-    :param callers_peak_mb: the most that they have taken up since the start, in MB.
-    :param callers_bound_mb: bound on it, in MB.
-    :param cold: number of servers that are cold.
-    :param overloaded: number of overloaded owners of keys, as known to the leader.
-    :param log: the replicated log's own dump, None before it has started.
-    :param image: the replicated state.
-    """
-
-    id: str
-    domain: DomainName
-    leads: bool
-    gateways: int
-    callers: int
-    callers_max: int | None
-    callers_mb: float
-    callers_peak_mb: float
-    callers_bound_mb: float
-    cold: int
-    overloaded: int
-    log: ReplicaDump | None
-    image: RoutedImage
-
-
 class RegistryDaemon(Daemon):
     """The daemon of one control replica.
 
--- a/packages/lychee-control/tests/test_changed_grant_way.py
+++ b/packages/lychee-control/tests/test_changed_grant_way.py
@@ -1,6 +1,6 @@
 """A service's keys are granted in the way of the configuration in force.
 
-CONFIG: keys went on to be granted in the way of an older configuration, not in that of their servers.
+CONFIG: keys went on to be granted in the way of an older configuration.
 """
 
 import asyncio
@@ -28,7 +28,8 @@
         self.group.apply(encode_routed_command(change))
         await asyncio.sleep(1.0)
         self.delivery = self.group.leader._range_managers[SERVICE].delivery
-        self.group.tasks[0].cancel()
+        self.group.leader.stop()
+        await asyncio.gather(*self.group.tasks)
 
 
 def test_a_changed_way_of_granting_is_in_force_in_the_same_term():
--- a/packages/lychee-http/src/lychee_http/caller_account.py
+++ b/packages/lychee-http/src/lychee_http/caller_account.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from lychee_http.caller_memory import CallerMemory, ShedReason, caller_bounds, megabytes
+from lychee_http.caller_memory import CallerMemory, ShedReason, megabytes, memory_bounds
 from lychee_http.turns import LoopTurns
 
 LOG_INTERVAL_S = 1.0
@@ -30,7 +30,7 @@
         log.note(reason, held=memory.held, connections=len(memory))
 
     memory = CallerMemory(
-        bounds=caller_bounds(memory_mb=memory_mb, max_fds=max_fds),
+        bounds=memory_bounds(memory_mb=memory_mb, max_fds=max_fds),
         turns=LoopTurns(),
         defer=lambda work: asyncio.get_running_loop().call_soon(work),
         on_shed=note,
--- a/packages/lychee-http/src/lychee_http/caller_memory.py
+++ b/packages/lychee-http/src/lychee_http/caller_memory.py
@@ -67,7 +67,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class CallerBounds:
+class MemoryBounds:
     """Bounds on what a process holds for its callers.
 
     :param held_bytes: maximum memory in bytes.
@@ -78,7 +78,7 @@
     connections: int | None = None
 
 
-def caller_bounds(*, memory_mb: float | None, max_fds: int | None) -> CallerBounds:
+def memory_bounds(*, memory_mb: float | None, max_fds: int | None) -> MemoryBounds:
     """Derive the bounds from a VM's limits.
 
     :param memory_mb: the VM's memory in MB, None if it is not known.
@@ -89,7 +89,7 @@
         rest = max(0.0, memory_mb - PROCESS_MB) * BYTES_PER_MB
         held_bytes = max(LEAST_BOUND_BYTES, rest * CALLERS_SHARE)
     connections = None if max_fds is None else max(1, int(max_fds * CALLERS_FDS_SHARE))
-    return CallerBounds(held_bytes=held_bytes, connections=connections)
+    return MemoryBounds(held_bytes=held_bytes, connections=connections)
 
 
 def megabytes(size: float) -> float:
@@ -300,7 +300,7 @@
     def __init__(
         self,
         *,
-        bounds: CallerBounds,
+        bounds: MemoryBounds,
         turns: Turns,
         defer: Callable[[Callable[[], None]], object],
         on_shed: Callable[[ShedReason], None] = _ignore,
--- a/packages/lychee-http/tests/test_caller_memory.py
+++ b/packages/lychee-http/tests/test_caller_memory.py
@@ -11,10 +11,10 @@
     LEAST_BOUND_BYTES,
     MIN_SHED_BYTES,
     PROGRESS_BYTES,
-    CallerBounds,
     CallerMemory,
+    MemoryBounds,
     ShedReason,
-    caller_bounds,
+    memory_bounds,
 )
 
 BOUND = 10_000_000
@@ -26,7 +26,7 @@
     def __init__(self, *, connections=None):
         self.now, self.work, self.reasons, self.ended = 0.0, [], [], []
         self.memory = CallerMemory(
-            bounds=CallerBounds(held_bytes=BOUND, connections=connections),
+            bounds=MemoryBounds(held_bytes=BOUND, connections=connections),
             turns=None,
             defer=self.work.append,
             on_shed=self.reasons.append,
@@ -62,7 +62,7 @@
     ],
 )
 def test_bounds_follow_from_the_vm(memory_mb, max_fds, held, connections):
-    bounds = caller_bounds(memory_mb=memory_mb, max_fds=max_fds)
+    bounds = memory_bounds(memory_mb=memory_mb, max_fds=max_fds)
     assert (bounds.held_bytes, bounds.connections) == (held, connections)
 
 
--- a/packages/lychee-http/tests/test_changing_limits.py
+++ b/packages/lychee-http/tests/test_changing_limits.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lychee_http import TcpStream
-from lychee_http.caller_memory import CONNECTION_BYTES, CallerBounds, CallerMemory
+from lychee_http.caller_memory import CONNECTION_BYTES, CallerMemory, MemoryBounds
 
 from .test_pipelining import Harness, caller, get, harness, read_to_end, read_until, run
 
@@ -129,7 +129,7 @@
     async def scenario():
         loop = asyncio.get_running_loop()
         memory = CallerMemory(
-            bounds=CallerBounds(held_bytes=bound), turns=Turns(), defer=loop.call_soon
+            bounds=MemoryBounds(held_bytes=bound), turns=Turns(), defer=loop.call_soon
         )
         async with harness(lambda: CountedHarness(memory), checks_delivery=False) as h:
             h.limits = ChangingLimits()
--- a/packages/lychee-http/tests/test_endless_input.py
+++ b/packages/lychee-http/tests/test_endless_input.py
@@ -8,7 +8,7 @@
 import uvloop
 
 from lychee_http import RequestHead, TcpStream
-from lychee_http.caller_memory import CONNECTION_BYTES, CallerBounds, CallerMemory
+from lychee_http.caller_memory import CONNECTION_BYTES, CallerMemory, MemoryBounds
 from lychee_http.parser import SLICE_BYTES, EndOfMessage, MalformedError, RequestParser
 from lychee_http.pool import ServerPool
 from lychee_http.reader import RequestReader
@@ -90,7 +90,7 @@
 
 def caller_events(data, *, head_limit=16_384):
     """Return the events of a caller's bytes, and how many bytes were counted at most."""
-    memory = CallerMemory(bounds=CallerBounds(), turns=None, defer=lambda work: None)
+    memory = CallerMemory(bounds=MemoryBounds(), turns=None, defer=lambda work: None)
     holding = memory.open()
     parser = RequestParser(head_limit=head_limit, holding=holding)
     events = []
@@ -128,7 +128,7 @@
 
 def test_pipelined_heads_are_parsed_as_they_are_taken():
     head = b"GET / HTTP/1.1\r\n" + b"x:\r\n" * 700 + b"\r\n"
-    memory = CallerMemory(bounds=CallerBounds(), turns=None, defer=lambda work: None)
+    memory = CallerMemory(bounds=MemoryBounds(), turns=None, defer=lambda work: None)
     parser = RequestParser(head_limit=16_384, holding=memory.open())
     parser.feed(head * 40)
     parser.next_event()
