Let a late head end at once where nothing more is read, and gateways be further behind

A head whose time is over is waited for again only if its time was made longer meanwhile: without that, a connection on which reading was stopped could have been asked again and again until the end of its time. And one gateway may be behind with 256 KiB in any case, not 64: on a VM of 296 MB, 134 gateways would have had 81 KB each, less than one state of a large deployment, and those on slow links would have begun anew again and again. Tests of both parts pass.

--- a/packages/lychee-control/src/lychee_control/memory.py
+++ b/packages/lychee-control/src/lychee_control/memory.py
@@ -36,7 +36,7 @@
 GATEWAYS_BYTES = 16_777_216
 """What all gateways have not read yet, at the most, in bytes."""
 
-LEAST_GATEWAY_BYTES = 65_536
+LEAST_GATEWAY_BYTES = 262_144
 """What one gateway may be behind with in any case, in bytes."""
 
 
--- a/packages/lychee-http/src/lychee_http/reader.py
+++ b/packages/lychee-http/src/lychee_http/reader.py
@@ -36,11 +36,6 @@
         """Return the maximum size of the head read last: the larger of when it began and now."""
         return max(self._first_head_limit, self._current_head_limit())
 
-    @property
-    def has_ended(self) -> bool:
-        """Whether nothing more arrives."""
-        return self._stream.eof or self._stream.lost
-
     @property
     def in_head(self) -> bool:
         """Whether a head has begun and is incomplete."""
@@ -246,16 +241,16 @@
     async def receive(self) -> bool:
         """Wait for bytes to parse; return False at the end of the stream or of the time."""
         while True:
-            left_s = self._left_s()
+            deadline = self._deadline()
+            left_s = deadline - monotonic()
             if left_s <= 0:
                 self._late_reads += 1
             if self._late_reads > LATE_READS:
                 return False
             if await self._reader.receive(left_s):
                 return True
-            if self._reader.has_ended or self._left_s() <= 0:
+            if self._deadline() <= deadline:
                 return False
 
-    def _left_s(self) -> float:
-        timeout_s = max(self._first_timeout_s, self._timeout_s())
-        return self._began_at + timeout_s - monotonic()
+    def _deadline(self) -> float:
+        return self._began_at + max(self._first_timeout_s, self._timeout_s())
