--- a/packages/lychee-control/tests/test_bounds.py
+++ b/packages/lychee-control/tests/test_bounds.py
@@ -33,14 +33,8 @@
     RoutedSnapshot,
 )
 from lychee_types.routed_settings import VmLimits
-from lychee_types.routing import (
-    Route,
-    RoutedService,
-    RouteKind,
-    Routing,
-    ServiceShare,
-    VirtualHost,
-)
+
+from .test_registry_updates import routing
 
 ROUTES = 2_108
 CHANGES = 60
@@ -48,28 +42,12 @@
 """The recent commands, and the state in force as objects."""
 
 
-def routing(version):
-    shares = (ServiceShare(service="claim", weight=1 + version),)
-    service = RoutedService(name="claim", health_path="/", connections=9, protocol="h1", tls=False)
-    routes = tuple(
-        Route(
-            name=f"route-{number}",
-            prefix=f"/{number}/",
-            kind=RouteKind.SAFE,
-            shares=shares,
-            timeout_s=1.0,
-            target_latency_s=0.1,
-            priority=1,
-            max_attempts=2,
-        )
-        for number in range(ROUTES)
-    )
-    return Routing(services=(service,), hosts=(VirtualHost(host="x", routes=routes),))
-
-
 def change(version):
     return ChangeRouting(
-        number=version, based_on=version - 1, change=routing(version), digest=bytes([version] * 16)
+        number=version,
+        based_on=version - 1,
+        change=routing(version, ROUTES),
+        digest=bytes([version] * 16),
     )
 
 
