Answer a late heartbeat that names released keys as before

Cause: refused each heartbeat that is older than the last one and names released keys. The keys stand in the newer heartbeat too, whose own reply acknowledges them.

--- a/packages/lychee-control/src/lychee_control/registry/registrations.py
+++ b/packages/lychee-control/src/lychee_control/registry/registrations.py
@@ -142,7 +142,8 @@
     def _answer_old_heartbeat(self, heartbeat: Heartbeat) -> ApiReply:
         """Return the reply to a heartbeat that is not newer than its incarnation's last one.
 
-        It acknowledges nothing that is not committed.
+        It acknowledges no registration and no departure that is not committed. Keys that it names
+        as released stand in the newer one as well, whose own reply acknowledges them.
         """
         server = heartbeat.server
         logger.bind(event="old_heartbeat", server=server.run.server).info(
@@ -151,7 +152,7 @@
         known = self._state.servers.get(server.run.server)
         is_registered = known is not None and known.run == server.run
         is_departure_open = server.is_leaving and not (known and known.is_leaving)
-        if not is_registered or is_departure_open or heartbeat.released:
+        if not is_registered or is_departure_open:
             return Unavailable(reason="a newer heartbeat is not committed yet")
         return self._heard()
 
